--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+
+.PHONY: demo test lint format binary bench capacity clean
+
+$(VENV)/installed: requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+demo: $(VENV)/installed
+	$(BIN)/python -m demo
+
+test: $(VENV)/installed lint
+	$(BIN)/python -m features.run
+
+lint: $(VENV)/installed
+	$(BIN)/ruff format --check --quiet .
+	$(BIN)/flake8 src standins demo features $(wildcard bench)
+
+format: $(VENV)/installed
+	$(BIN)/ruff format --quiet .
+
+binary: dist/greengagegw
+
+dist/greengagegw: $(VENV)/installed $(shell find src -name '*.py')
+	mkdir -p dist
+	$(BIN)/pex --disable-cache -r requirements.txt . --no-compress \
+		--python-shebang '/usr/bin/env python3' --venv-repository $(VENV) \
+		-m greengagegw.cli.main:main -o $@ 2>/dev/null || \
+	$(BIN)/pex -r requirements.txt . --python-shebang \
+		'/usr/bin/env python3' -m greengagegw.cli.main:main -o $@
+
+bench: $(VENV)/installed
+	$(BIN)/python -m bench.data_path
+
+clean:
+	rm -rf $(VENV) dist build
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A deployment to look at, shaped like the Guild's."""
--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Contract tests, one folder an interface."""
--- /dev/null
+++ b/features/run.py
@@ -0,0 +1,66 @@
+"""Runs the contract tests and ends with their count.
+
+The count is taken from behave's own results. The exit code is not 0 when a
+scenario failed, and when none was run.
+"""
+
+import collections
+import json
+import pathlib
+import sys
+import tempfile
+
+import behave.__main__
+
+FOLDER = pathlib.Path(__file__).parent
+GOOD = ('passed',)
+LEFT_OUT = ('skipped', 'untested')
+
+
+def main() -> int:
+    """Returns the exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        results = pathlib.Path(folder) / 'results.json'
+        arguments = [
+            '--format=json',
+            f'--outfile={results}',
+            '--format=progress',
+            '--no-capture',
+            '--tags=not @known_red',
+            *(sys.argv[1:] or [str(FOLDER)]),
+        ]
+        code = behave.__main__.main(arguments)
+        counts = count(json.loads(results.read_text() or '[]'))
+    passed = counts['passed']
+    failed = sum(
+        number
+        for status, number in counts.items()
+        if status not in (*GOOD, *LEFT_OUT)
+    )
+    if code and not failed:
+        # Something outside the scenarios failed, a hook for one.
+        failed = 1
+    print_known_red()
+    print(f'{passed} passed, {failed} failed')
+    return 0 if passed and not failed else 1
+
+
+def count(features: list[dict]) -> collections.Counter:
+    """Returns the number of scenarios by status."""
+    counts: collections.Counter = collections.Counter()
+    for feature in features:
+        for element in feature.get('elements', []):
+            if element['type'] != 'background':
+                counts[element.get('status', 'untested')] += 1
+    return counts
+
+
+def print_known_red() -> None:
+    """Prints the faults that are known and not run."""
+    file = FOLDER.parent / 'KNOWN-RED.txt'
+    if file.exists() and file.read_text().strip():
+        print(file.read_text().strip())
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/features/steps/callers.py
@@ -0,0 +1,420 @@
+"""Steps of the callers' interface."""
+
+import functools
+import json
+
+import anyio
+import behave
+import httpx
+
+from features import world as worlds
+
+PATH = '/v1/chat/completions'
+PLAIN = '/services/entry-desk/entries'
+
+
+def call(context, function, *arguments, **named):
+    """Runs an async function on the deployment's event loop."""
+    return context.portal.call(
+        functools.partial(function, *arguments, **named)
+    )
+
+
+# Each entry gives how a kind of good request is sent.
+GOOD = {
+    'chat': {'json': worlds.chat()},
+    'streamed chat': {'json': worlds.chat(stream=True)},
+    'completion': {
+        'path': '/v1/completions',
+        'json': {'model': 'judge-assist', 'prompt': 'x', 'max_tokens': 5},
+    },
+    'plain': {'path': PLAIN, 'json': {'cider': 'x'}},
+}
+
+
+async def send_chunked(world):
+    async def body():
+        for _ in range(40):
+            yield b' ' * 10000
+
+    return await world.send(content=body())
+
+
+def bad_requests(world):
+    """Returns how each kind of bad request is sent."""
+    key = world.keys['orchard']
+    send = world.send
+    message = {'role': 'user', 'content': f'my key is {key}'}
+    escaped = json.dumps(worlds.chat(messages=[message])).replace(
+        'gg-', '\\u0067g-'
+    )
+    bodies = {
+        'malformed JSON': {'content': b'{"model": '},
+        'a body that is a list': {'json': []},
+        'no messages': {'json': worlds.chat(messages=[])},
+        'messages of text': {'json': worlds.chat(messages=['x'])},
+        'no model': {'json': worlds.chat(model=None)},
+        'an unknown model': {'json': worlds.chat(model='none')},
+        'max_tokens of 0': {'json': worlds.chat(max_tokens=0)},
+        'max_tokens of text': {'json': worlds.chat(max_tokens='x')},
+        'max_tokens beyond all': {'json': worlds.chat(max_tokens=10**9)},
+        'stream of text': {'json': worlds.chat(stream='yes')},
+        'a body over the limit': {'content': b' ' * 300000},
+        'tokens over the burst': {
+            'json': worlds.chat(max_tokens=9000),
+            'organisation': 'tiny',
+        },
+        'no key': {'organisation': None},
+        'a wrong key': {'headers': bearer(key[:-4] + '0000')},
+        'a key of wrong form': {'headers': bearer('hello')},
+        'two different keys': {'headers': {'x-api-key': 'other'}},
+        'its key in the body': {'json': worlds.chat(messages=[message])},
+        'its key escaped in JSON': {'content': escaped.encode()},
+        'its key in the query': {'path': PLAIN, 'params': {'k': key}},
+        'its key in the path': {'path': f'{PLAIN}/{key}'},
+        'an unknown path': {'path': '/v2/chat'},
+        'an unknown service': {'path': '/services/none/x'},
+        'a model as a service': {'path': '/services/judge-assist/x'},
+        'a wrong method': {'method': 'GET'},
+        'Via of this deployment': {'headers': {'via': '1.1 a, 1.1 small'}},
+        'a service that has ended': {'json': worlds.chat(model='old-assist')},
+        'a bad idempotency key': {
+            'path': PLAIN,
+            'headers': {'idempotency-key': 'with space'},
+        },
+    }
+    made = {
+        name: functools.partial(send, **{'json': worlds.chat(), **arguments})
+        if 'content' not in arguments
+        else functools.partial(send, **arguments)
+        for name, arguments in bodies.items()
+    }
+    made['a chunked body too long'] = functools.partial(send_chunked, world)
+    made['a withdrawn key'] = functools.partial(send_withdrawn, world)
+    return made
+
+
+def bearer(key):
+    return {'authorization': f'Bearer {key}'}
+
+
+async def withdraw(world, organisation):
+    key_id = world.keys[organisation].split('-')[1]
+    url = world.deployment.operators_url('piedmont-1')
+    await world.operator.delete(f'{url}/admin/keys/{key_id}')
+    await world.eventually(
+        lambda: all(
+            key_id in vm.view.configuration.withdrawn
+            for vm in world.deployment.vms.values()
+        )
+    )
+
+
+async def send_withdrawn(world):
+    key = await world.give_key('press')
+    await withdraw(world, 'press')
+    await world.send(headers=bearer(key), json=worlds.chat())
+    await world.give_key('press')
+
+
+def raw_requests(world):
+    """Returns the bytes of each shape of broken HTTP."""
+    body = json.dumps(worlds.chat()).encode()
+    head = (
+        f'POST {PATH} HTTP/1.1\r\nhost: x\r\n'
+        f'authorization: Bearer {world.keys["orchard"]}\r\n'
+    ).encode()
+    length = f'content-length: {len(body)}\r\n'.encode()
+    chunked = b'transfer-encoding: chunked\r\n'
+    hidden = head + b'content-length: 0\r\n\r\n'
+    return {
+        'two different lengths': head
+        + length
+        + b'content-length: 3\r\n\r\n'
+        + body,
+        'a length and chunked encoding': head
+        + b'content-length: 5\r\n'
+        + chunked
+        + b'\r\n0\r\n\r\n'
+        + hidden,
+        'a length of text': head + b'content-length: ten\r\n\r\n' + body,
+        'an unknown transfer encoding': head
+        + b'transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n',
+        'a chunk size that is no number': head
+        + chunked
+        + b'\r\nzz\r\nhello\r\n',
+        'a header line without a name': head + b': x\r\n\r\n',
+        'a head over the limit': head + b'x: ' + b'a' * 20000 + b'\r\n\r\n',
+        'a head that never ends': head + b'x: ',
+        'a body that never ends': head + length + b'\r\n' + body[:10],
+        'bytes that are not HTTP': b'\x16\x03\x01\x02\x00\x01\x00\r\n\r\n',
+    }
+
+
+@behave.when('a caller sends a {kind} request through {vm}')
+def send_good(context, kind, vm):
+    call(context, context.world.send, via=vm, **GOOD[kind])
+
+
+@behave.when('a caller sends a request with {fault}')
+def send_bad(context, fault):
+    call(context, bad_requests(context.world)[fault])
+
+
+@behave.when('a caller sends the bytes of {shape}')
+def send_shape(context, shape):
+    content = raw_requests(context.world)[shape]
+    received = call(context, context.world.send_raw, content)
+    context.world.notes['raw'] = received
+
+
+@behave.then('the connection is answered with {status} or closed')
+def check_raw(context, status):
+    received = context.world.notes['raw']
+    assert received == b'' or status.encode() in received.split(b'\r\n')[0], (
+        received
+    )
+
+
+@behave.then('the answer is whole and has status {status:d}')
+def check_whole(context, status):
+    answer = context.world.answers[-1]
+    assert answer.status_code == status, answer.text
+    if answer.headers['content-type'].startswith('text/event-stream'):
+        assert answer.text.endswith('data: [DONE]\n\n'), answer.text
+        assert '"usage"' not in answer.text
+    else:
+        assert isinstance(answer.json(), dict)
+
+
+@behave.then('the backend servers received it once')
+def check_once(context):
+    assert len(context.world.received()) == 1, context.world.received()
+
+
+@behave.then('the backend servers received nothing')
+def check_nothing(context):
+    assert context.world.received() == [], context.world.received()
+
+
+@behave.then('the error is {code} with status {status:d} and run {run}')
+def check_error(context, code, status, run):
+    answer = context.world.answers[-1]
+    found = answer.json()['error']
+    assert (found['code'], answer.status_code, found['run']) == (
+        code,
+        status,
+        run,
+    ), answer.text
+    assert found['request_id'] and found['message']
+
+
+@behave.then('another caller is served')
+def check_other(context):
+    answer = call(
+        context,
+        context.world.send,
+        organisation='press',
+        via='piedmont-1',
+        json=worlds.chat(),
+    )
+    assert answer.status_code == 200, answer.text
+
+
+@behave.when('a caller sends its key in headers that are passed on')
+def send_key_headers(context):
+    key = context.world.keys['orchard']
+    call(
+        context,
+        context.world.send,
+        path=PLAIN + '?a=b',
+        json={'cider': 'x'},
+        headers={
+            'x-api-key': key,
+            'traceparent': key,
+            'tracestate': f'k={key}',
+            'cookie': f'key={key}',
+            'accept-language': key,
+            'x-other': key,
+        },
+    )
+
+
+@behave.then('no backend server received a key')
+def check_no_key(context):
+    received = context.world.received()
+    assert received
+    for key in context.world.keys.values():
+        assert key not in repr(received)
+
+
+@behave.given('a caller with a connection that has been used')
+def open_connection(context):
+    world = context.world
+
+    async def use():
+        await world.give_key('press')
+        client = httpx.AsyncClient(
+            headers=bearer(world.keys['press']), trust_env=False
+        )
+        response = await client.get(
+            world.deployment.url('coastal-1') + '/v1/models'
+        )
+        assert response.status_code == 200
+        return client
+
+    context.client = call(context, use)
+
+
+@behave.when('its key is withdrawn')
+def withdraw_key(context):
+    call(context, withdraw, context.world, 'press')
+
+
+@behave.then('its next request on that connection is refused as {code}')
+def check_open_connection(context, code):
+    world = context.world
+
+    async def use():
+        response = await context.client.get(
+            world.deployment.url('coastal-1') + '/v1/models'
+        )
+        await context.client.aclose()
+        await world.give_key('press')
+        return response
+
+    response = call(context, use)
+    assert response.json()['error']['code'] == code, response.text
+
+
+@behave.given('the engines are slow')
+def slow_engines(context):
+    engines = context.world.deployment.engines.values()
+    kept = [one.settings.token_seconds for one in engines]
+    for one in engines:
+        one.settings.token_seconds = 0.1
+
+    def restore():
+        for one, seconds in zip(engines, kept, strict=True):
+            one.settings.token_seconds = seconds
+
+    context.add_cleanup(restore)
+
+
+@behave.when('a caller goes away in the middle of a stream')
+def go_away(context):
+    world = context.world
+
+    async def leave():
+        async with httpx.AsyncClient(trust_env=False) as client:
+            async with client.stream(
+                'POST',
+                world.deployment.url('piedmont-2') + PATH,
+                json=worlds.chat(stream=True, max_tokens=2000, stop_at=2000),
+                headers=bearer(world.keys['orchard']),
+            ) as response:
+                async for _ in response.aiter_raw():
+                    return
+
+    call(context, leave)
+
+
+@behave.then('the engine is told and its slot is free')
+def check_cancelled(context):
+    world = context.world
+    engines = world.deployment.engines.values()
+    vm = world.deployment.vms['piedmont-2']
+    call(
+        context,
+        world.eventually,
+        lambda: (
+            sum(one.running for one in engines) == 0
+            and all(r.in_flight == 0 for r in vm.runners.by_name.values())
+        ),
+    )
+    assert sum(len(one.started) for one in engines) == 1
+
+
+@behave.when('a caller asks for a long stream and reads nothing')
+def read_nothing(context):
+    world = context.world
+    content = json.dumps(
+        worlds.chat(stream=True, max_tokens=30000, stop_at=30000)
+    ).encode()
+    head = (
+        f'POST {PATH} HTTP/1.1\r\nhost: x\r\n'
+        f'authorization: Bearer {world.keys["orchard"]}\r\n'
+        f'content-length: {len(content)}\r\n\r\n'
+    ).encode()
+    host = world.deployment.url('piedmont-1').removeprefix('http://')
+
+    async def ask():
+        stream = await anyio.connect_tcp(*host.split(':'))
+        await stream.send(head + content)
+        return stream
+
+    stream = call(context, ask)
+    context.add_cleanup(lambda: call(context, stream.aclose))
+
+
+@behave.when('a caller of {region} asks {vm} for the entries')
+def ask_entries(context, region, vm):
+    call(
+        context,
+        context.world.send,
+        'GET',
+        '/v1/entries',
+        organisation='cidery',
+        via=vm,
+    )
+
+
+@behave.then('the first entry is in {region} and all {count:d} are there')
+def check_entries(context, region, count):
+    content = context.world.answers[-1].json()
+    assert content['ttl_seconds'] > 0
+    assert content['entries'][0]['region'] == region, content
+    assert len(content['entries']) == count, content
+
+
+@behave.when('an organisation with a limit of 1 sends 2 requests at once')
+def send_two(context):
+    world = context.world
+
+    async def send():
+        async with anyio.create_task_group() as tasks:
+            for _ in range(2):
+                tasks.start_soon(
+                    functools.partial(
+                        world.send, organisation='narrow', json=worlds.chat()
+                    )
+                )
+
+    call(context, send)
+
+
+@behave.then('one is served and the other refused as {code}')
+def check_one_refused(context, code):
+    answers = sorted(context.world.answers, key=lambda one: one.status_code)
+    assert [one.status_code for one in answers] == [200, 429], answers
+    assert answers[1].json()['error']['code'] == code
+
+
+@behave.when(
+    'an organisation of 30 tokens a second asks for 2000 tokens twice'
+)
+def ask_over_rate(context):
+    async def ask():
+        for _ in range(2):
+            await context.world.send(
+                organisation='tiny', json=worlds.chat(max_tokens=2000)
+            )
+
+    call(context, ask)
+
+
+@behave.then('the last one is refused as {code} with Retry-After')
+def check_retry_after(context, code):
+    answer = context.world.answers[-1]
+    assert answer.json()['error']['code'] == code, answer.text
+    assert int(answer.headers['retry-after']) >= 1
--- /dev/null
+++ b/features/world.py
@@ -0,0 +1,186 @@
+"""A small deployment on loopback that scenarios send requests to."""
+
+import collections.abc
+import contextlib
+import pathlib
+
+import anyio
+import httpx
+
+from standins import deployment as deployments
+from standins import http_server
+
+TABLE = """kind,name,weight,rate,burst,limit,home,bound,end
+organisation,orchard,1,1000000,2000000,,piedmont,,
+organisation,cidery,1,1000000,2000000,,coastal,yes,
+organisation,press,1,1000000,2000000,,,,
+organisation,tiny,1,30,3000,,piedmont,,
+organisation,narrow,1,1000000,2000000,1,piedmont,,
+service,judge-assist,1,,,,,,
+service,entry-desk,1,,,,,,
+service,old-assist,1,,,,,,2020-01-01T00:00:00+00:00
+"""
+SMALL = deployments.Shape(
+    'small',
+    {'piedmont': 2, 'coastal': 1},
+    {
+        'judge-assist': {'piedmont': 2, 'coastal': 1},
+        'old-assist': {'piedmont': 1},
+    },
+    {'entry-desk': {'piedmont': 1, 'coastal': 1}},
+    limits={
+        'body_bytes': 200000,
+        'header_bytes': 8192,
+        'retry_budget_percent': 100,
+    },
+    timeouts={
+        'first_byte_seconds': 1.5,
+        'between_bytes_seconds': 1.0,
+        'body_seconds': 1.0,
+        'connect_seconds': 1.0,
+        'idle_seconds': 2.0,
+        'entries_ttl_seconds': 0.5,
+    },
+)
+WAIT_SECONDS = 30.0
+ENTRY = 'piedmont-2'
+
+
+class World:
+    """The deployment, its keys, and the last answers."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.deployment = deployments.Deployment(SMALL, folder, block=78)
+        self.keys: dict[str, str] = {}
+        self.answers: list[httpx.Response] = []
+        self.request: dict = {}
+        self.notes: dict = {}
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> collections.abc.AsyncIterator['World']:
+        async with self.deployment.running():
+            await self.deployment.wait_ready(WAIT_SECONDS)
+            self.operator = self.deployment.operator()
+            revision = await self.put_table(TABLE, 0)
+            for line in TABLE.splitlines():
+                kind, name = line.split(',')[:2]
+                if kind == 'organisation':
+                    await self.give_key(name)
+            await self.reset()
+            await self.wait_for_revision(revision)
+            yield self
+            await self.operator.aclose()
+
+    async def put_table(self, text: str, based_on: int) -> int:
+        response = await self.operator.put(
+            self.deployment.operators_url(ENTRY) + '/admin/table',
+            content=text,
+            headers={'if-match': f'"{based_on}"'},
+        )
+        return response.json()['revision']
+
+    async def give_key(self, organisation: str) -> str:
+        response = await self.operator.post(
+            self.deployment.operators_url(ENTRY) + '/admin/keys',
+            json={'organisation': organisation},
+        )
+        outcome = response.json()
+        self.keys[organisation] = outcome['key']
+        await self.wait_for_revision(outcome['revision'])
+        return outcome['key']
+
+    async def wait_for_revision(self, revision: int) -> None:
+        for vm in self.deployment.vms.values():
+            with anyio.fail_after(WAIT_SECONDS):
+                await vm.view.wait_for(revision)
+
+    async def reset(self) -> None:
+        """Undoes what a scenario has broken or counted."""
+        for one in self.backends():
+            one.fault = ''
+            one.is_leaving = False
+            one.received.clear()
+        for engine in self.deployment.engines.values():
+            engine.fault_count = 1000000
+            engine.started.clear()
+        for service in self.deployment.plain.values():
+            service.runs.clear()
+        for vm in self.deployment.vms.values():
+            for service in vm.runners.services.values():
+                for runner in service.runners:
+                    runner.failures = runner.ejections = 0
+                    runner.ejected_until = 0.0
+                    runner.is_leaving = False
+                    runner.limit = float(runner.settings.slots)
+            vm.runs.budget.balance = 10.0
+        self.answers = []
+        self.request = {}
+        self.notes = {}
+
+    def backends(self) -> list:
+        deployment = self.deployment
+        return [*deployment.engines.values(), *deployment.plain.values()]
+
+    def received(self) -> list[http_server.Request]:
+        return [one for backend in self.backends() for one in backend.received]
+
+    async def send(
+        self,
+        method: str = 'POST',
+        path: str = '/v1/chat/completions',
+        *,
+        organisation: str | None = 'orchard',
+        via: str = ENTRY,
+        headers: dict[str, str] | None = None,
+        **arguments: object,
+    ) -> httpx.Response:
+        """Sends a request as a caller would, and keeps the answer."""
+        sent = dict(headers or {})
+        if organisation is not None:
+            sent.setdefault(
+                'authorization', f'Bearer {self.keys[organisation]}'
+            )
+        async with httpx.AsyncClient(
+            timeout=WAIT_SECONDS, trust_env=False
+        ) as client:
+            response = await client.request(
+                method,
+                self.deployment.url(via) + path,
+                headers=sent,
+                **arguments,
+            )
+        self.answers.append(response)
+        return response
+
+    async def send_raw(self, content: bytes, via: str = ENTRY) -> bytes:
+        """Sends bytes and returns all that comes back."""
+        host = self.deployment.url(via).removeprefix('http://')
+        name, _, port = host.partition(':')
+        received = b''
+        with anyio.move_on_after(WAIT_SECONDS):
+            async with await anyio.connect_tcp(name, int(port)) as stream:
+                await stream.send(content)
+                with contextlib.suppress(
+                    anyio.EndOfStream, anyio.BrokenResourceError
+                ):
+                    while True:
+                        received += await stream.receive()
+        return received
+
+    async def eventually(
+        self, holds: collections.abc.Callable[[], bool]
+    ) -> None:
+        """Returns when something holds."""
+        with anyio.fail_after(WAIT_SECONDS):
+            while not holds():
+                await anyio.sleep(0.01)
+
+
+def chat(**changes: object) -> dict:
+    """Returns the body of a chat completion."""
+    content = {
+        'model': 'judge-assist',
+        'messages': [{'role': 'user', 'content': 'Which class is it?'}],
+        'max_tokens': 12,
+    }
+    return {**content, **changes}
--- /dev/null
+++ b/src/greengagegw/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters: the ports carried out over sockets, HTTP and files."""
--- /dev/null
+++ b/src/greengagegw/adapters/backend_http.py
@@ -0,0 +1,253 @@
+"""The backend port over HTTP."""
+
+import collections.abc
+import contextlib
+import ssl
+import typing
+
+import httpx
+import orjson
+
+from .. import errors
+from .. import settings as settings_module
+from .. import timers as timer_service
+from ..ports import backends
+
+# Shorter than the idle life that backend servers usually give, so that a
+# request is not written to a connection that is just being closed.
+POOL_IDLE_SECONDS = 3.0
+LOAD_PATH = '/load'
+RESUME_HEADER = 'x-resume-offset'
+RUN_HEADER = 'x-run'
+MODEL_REFUSALS = (429, 503)
+ANSWER_HEADERS = frozenset(
+    {
+        'cache-control',
+        'content-disposition',
+        'content-language',
+        'content-type',
+        'etag',
+        'last-modified',
+        'location',
+        'retry-after',
+    }
+)
+CONNECT_ERRORS = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+)
+
+
+class HttpBackend:
+    """One backend server with a small pool of connections of its own.
+
+    Calls that may not be repeated each get a fresh connection, since the
+    other end may have just closed a pooled one.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.BackendServer,
+        timeouts: settings_module.Timeouts,
+        timers: timer_service.Timers,
+        deployment: str,
+        context: ssl.SSLContext,
+    ) -> None:
+        self.settings = settings
+        self.name = settings.name
+        self.timeouts = timeouts
+        self.timers = timers
+        self.url = str(settings.url).rstrip('/')
+        self.via = f'1.1 {deployment}'
+        self.pooled = self.make_client(context, settings.slots)
+        self.fresh = self.make_client(context, 0)
+        self.probe = self.make_client(context, 0)
+
+    def make_client(
+        self, context: ssl.SSLContext, kept: int
+    ) -> httpx.AsyncClient:
+        # Time limits are the timer service's; only the connecting is
+        # limited here, so that it can be told from the rest.
+        return httpx.AsyncClient(
+            verify=context,
+            trust_env=False,
+            timeout=httpx.Timeout(None, connect=self.timeouts.connect_seconds),
+            limits=httpx.Limits(
+                max_connections=None,
+                max_keepalive_connections=kept,
+                keepalive_expiry=POOL_IDLE_SECONDS,
+            ),
+        )
+
+    async def close(self) -> None:
+        for client in (self.pooled, self.fresh, self.probe):
+            await client.aclose()
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self, call: backends.Call, offset: int | None = None
+    ) -> collections.abc.AsyncIterator[backends.Answer]:
+        """Sends a call and enters its answer.
+
+        :param offset: bytes of the answer that are not to be sent again.
+        :raises BackendError: if there is no answer to give.
+        """
+        client = self.pooled if call.repeatable else self.fresh
+        if offset is not None:
+            client = self.fresh
+        request = client.build_request(
+            call.method,
+            self.url + call.path,
+            headers=self.make_headers(call, offset),
+            content=call.body,
+        )
+        response = await self.start(client, request)
+        try:
+            self.check_identity(call, response)
+            await self.check_refusal(call, response)
+            yield backends.Answer(
+                response.status_code,
+                pick_headers(response.headers),
+                self.read(response),
+                self.name,
+                self.settings.region,
+            )
+        finally:
+            await response.aclose()
+
+    def make_headers(
+        self, call: backends.Call, offset: int | None
+    ) -> list[tuple[str, str]]:
+        headers = [
+            *call.headers,
+            ('accept-encoding', 'identity'),
+            ('x-request-id', call.request_id),
+            ('x-organisation', call.organisation),
+            ('via', self.via),
+        ]
+        if offset is not None:
+            headers.append((RESUME_HEADER, str(offset)))
+        return headers
+
+    async def start(
+        self, client: httpx.AsyncClient, request: httpx.Request
+    ) -> httpx.Response:
+        """Returns the response once its head has arrived."""
+        response = None
+        try:
+            with self.timers.limit(self.timeouts.first_byte_seconds):
+                response = await client.send(request, stream=True)
+        except CONNECT_ERRORS as error:
+            raise errors.BackendConnectError(
+                f'{self.name} cannot be reached', retry_after=1
+            ) from error
+        except httpx.HTTPError as error:
+            raise errors.BackendError(
+                f'{self.name} broke the connection before it answered'
+            ) from error
+        if response is None:
+            raise errors.BackendTimeoutError(f'{self.name} did not answer')
+        return response
+
+    def check_identity(
+        self, call: backends.Call, response: httpx.Response
+    ) -> None:
+        """Checks that the answer is the answer to this request."""
+        found = response.headers.get('x-request-id')
+        if found is not None and found != call.request_id:
+            raise errors.BackendError(f'{self.name} answered another request')
+
+    async def check_refusal(
+        self, call: backends.Call, response: httpx.Response
+    ) -> None:
+        """Turns a refusal or failure of an engine into an error.
+
+        An engine says with 429 or 503 that it did not run the request. A
+        plain service says so with a header; all else it says is its answer.
+        """
+        status = response.status_code
+        says_not_run = response.headers.get(RUN_HEADER) == errors.NOT_RUN
+        is_refusal = call.kind == 'model' and status in MODEL_REFUSALS
+        if says_not_run or is_refusal:
+            raise errors.BackendRefusedError(
+                f'{self.name} refused with {status}',
+                retry_after=_seconds(response.headers.get('retry-after')),
+            )
+        if call.kind == 'model' and status >= 500:
+            raise errors.BackendStatusError(
+                f'{self.name} failed with {status}', status
+            )
+
+    async def read(
+        self, response: httpx.Response
+    ) -> collections.abc.AsyncIterator[bytes]:
+        """Yields the body as it arrives.
+
+        :raises BrokenStreamError: if it ends too early.
+        :raises BackendTimeoutError: if it goes silent.
+        """
+        chunks = response.aiter_raw()
+        while True:
+            chunk = None
+            ended = False
+            try:
+                with self.timers.limit(self.timeouts.between_bytes_seconds):
+                    try:
+                        chunk = await anext(chunks)
+                    except StopAsyncIteration:
+                        ended = True
+            except httpx.HTTPError as error:
+                raise errors.BrokenStreamError(
+                    f'the answer of {self.name} broke off'
+                ) from error
+            if ended:
+                return
+            if chunk is None:
+                raise errors.BackendTimeoutError(f'{self.name} went silent')
+            yield chunk
+
+    async def report_load(self) -> backends.LoadReport:
+        """Asks for the load on a connection of its own.
+
+        :raises BackendError: if there is no usable report.
+        """
+        try:
+            response = await self.probe.get(self.url + LOAD_PATH)
+            report = orjson.loads(response.content)
+            return backends.LoadReport(
+                self.timers.now(),
+                int(report['running']),
+                int(report['waiting']),
+                bool(report.get('leaving', False)),
+            )
+        except (
+            httpx.HTTPError,
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+        ) as error:
+            raise errors.BackendError(
+                f'{self.name} gives no load report'
+            ) from error
+
+
+def make_context() -> ssl.SSLContext:
+    """Returns the TLS context that all clients share."""
+    return httpx.create_ssl_context(trust_env=False)
+
+
+def pick_headers(
+    headers: typing.Mapping[str, str],
+) -> tuple[tuple[str, str], ...]:
+    """Returns the headers of an answer that the caller gets."""
+    return tuple(
+        (name, value)
+        for name, value in headers.items()
+        if name.lower() in ANSWER_HEADERS
+    )
+
+
+def _seconds(value: str | None) -> float | None:
+    return float(value) if value and value.isdigit() else None
--- /dev/null
+++ b/src/greengagegw/adapters/error_codec.py
@@ -0,0 +1,51 @@
+"""Errors as plain maps, for peer streams and HTTP bodies."""
+
+import typing
+
+from .. import errors
+
+
+def pack(error: BaseException) -> dict[str, typing.Any]:
+    """Returns an error as a map that :func:`unpack` understands."""
+    if not isinstance(error, errors.GatewayError):
+        error = errors.GatewayError('an internal error occurred')
+    packed = {
+        'code': error.code,
+        'message': error.message,
+        'status': error.status,
+        'run': error.run,
+        'retry_after': error.retry_after,
+    }
+    if isinstance(error, errors.ConflictError):
+        packed['current'] = error.current
+    if isinstance(error, errors.NotLeaderError):
+        packed['leader'] = error.leader
+    if isinstance(error, errors.TableError):
+        packed['cells'] = [
+            [cell.line, cell.column, cell.value, cell.allowed]
+            for cell in error.cells
+        ]
+    return packed
+
+
+def unpack(packed: dict[str, typing.Any]) -> errors.GatewayError:
+    """Returns the error of a map made by :func:`pack`."""
+    code = packed.get('code')
+    if code == errors.ConflictError.code:
+        return errors.ConflictError(packed['message'], packed['current'])
+    if code == errors.NotLeaderError.code:
+        return errors.NotLeaderError(packed['message'], packed['leader'])
+    kind = errors.known_errors().get(code)
+    if kind is None or kind.__init__ is not errors.GatewayError.__init__:
+        return errors.RemoteError(
+            packed.get('message', ''),
+            status=packed.get('status', 500),
+            code=code or 'internal_error',
+            run=packed.get('run', errors.UNKNOWN),
+            retry_after=packed.get('retry_after'),
+        )
+    return kind(
+        packed['message'],
+        run=packed['run'],
+        retry_after=packed['retry_after'],
+    )
--- /dev/null
+++ b/src/greengagegw/adapters/frames.py
@@ -0,0 +1,117 @@
+"""Frames of the peer streams: a length, then a msgpack list."""
+
+import dataclasses
+import enum
+import struct
+import typing
+
+import anyio
+import anyio.abc
+import msgpack
+
+from .. import errors
+
+PROTOCOL_VERSION = 1
+LENGTH = struct.Struct('>I')
+READ_BYTES = 65536
+
+
+class Kind(enum.IntEnum):
+    """What a frame is for."""
+
+    HELLO = 0
+    CHALLENGE = 1
+    PROOF = 2
+    CALL = 3
+    REPLY = 4
+    OPEN = 5
+    DATA = 6
+    END = 7
+    RESET = 8
+    CREDIT = 9
+    PING = 10
+    PONG = 11
+
+
+# The number of values that follow the kind.
+FIELDS = {
+    Kind.HELLO: 4,
+    Kind.CHALLENGE: 4,
+    Kind.PROOF: 1,
+    Kind.CALL: 3,
+    Kind.REPLY: 3,
+    Kind.OPEN: 3,
+    Kind.DATA: 2,
+    Kind.END: 1,
+    Kind.RESET: 2,
+    Kind.CREDIT: 2,
+    Kind.PING: 0,
+    Kind.PONG: 0,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Frame:
+    """A frame; ``values`` has as many items as :data:`FIELDS` says."""
+
+    kind: Kind
+    values: tuple
+
+
+def encode(kind: Kind, *values: typing.Any) -> bytes:
+    """Returns a frame as bytes."""
+    body = msgpack.packb((kind, *values), use_bin_type=True)
+    return LENGTH.pack(len(body)) + body
+
+
+def decode(body: bytes) -> Frame:
+    """Returns the frame of a body without its length.
+
+    :raises PeerProtocolError: if the body is not a frame.
+    """
+    try:
+        kind, *values = msgpack.unpackb(body, raw=False, use_list=True)
+        kind = Kind(kind)
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise errors.PeerProtocolError('not a frame') from error
+    if len(values) != FIELDS[kind]:
+        raise errors.PeerProtocolError(f'a {kind.name} frame of wrong shape')
+    return Frame(kind, tuple(values))
+
+
+class FrameReader:
+    """Takes frames off a byte stream.
+
+    :param limit: the largest body in bytes that is accepted; the length is
+        checked before anything of the body is held.
+    """
+
+    def __init__(self, stream: anyio.abc.ByteStream, limit: int) -> None:
+        self.stream = stream
+        self.limit = limit
+        self.buffer = bytearray()
+        self.bytes_read = 0
+
+    async def receive(self) -> Frame:
+        """Returns the next frame.
+
+        :raises anyio.EndOfStream: if the stream ended between frames.
+        :raises FrameTooLargeError: if a frame claims to be too large.
+        :raises PeerProtocolError: if the bytes are not a frame.
+        """
+        await self.fill(LENGTH.size)
+        (length,) = LENGTH.unpack_from(self.buffer)
+        if length > self.limit:
+            raise errors.FrameTooLargeError(
+                f'a frame of {length} bytes, {self.limit} are allowed'
+            )
+        await self.fill(LENGTH.size + length)
+        body = bytes(self.buffer[LENGTH.size : LENGTH.size + length])
+        del self.buffer[: LENGTH.size + length]
+        return decode(body)
+
+    async def fill(self, size: int) -> None:
+        while len(self.buffer) < size:
+            chunk = await self.stream.receive(READ_BYTES)
+            self.bytes_read += len(chunk)
+            self.buffer += chunk
--- /dev/null
+++ b/src/greengagegw/adapters/peer_connection.py
@@ -0,0 +1,500 @@
+"""One authenticated connection between two VMs, shared by many streams.
+
+Each stream has its own credit in bytes, so that a slow reader of one stream
+does not hold up the others.
+"""
+
+import collections
+import collections.abc
+import contextlib
+import hashlib
+import hmac
+import itertools
+import secrets
+import typing
+
+import anyio
+import anyio.abc
+import msgpack
+
+from .. import errors
+from .. import timers as timer_service
+from . import error_codec
+from . import frames
+from ..ports import peers
+
+WINDOW_BYTES = 256 * 1024
+CALLS_IN_FLIGHT = 1024
+HANDSHAKE_SECONDS = 5.0
+GONE = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+
+
+class Handlers:
+    """What a VM does for its peers, by name of the method."""
+
+    def __init__(self) -> None:
+        self.calls: dict[str, peers.Handler] = {}
+        self.streams: dict[str, peers.StreamHandler] = {}
+
+
+class Stream:
+    """One stream of a connection, as either side sees it."""
+
+    def __init__(self, connection: 'Connection', number: int) -> None:
+        self.connection = connection
+        self.number = number
+        self.received: collections.deque = collections.deque()
+        self.arrived = anyio.Event()
+        self.ended = False
+        self.error: errors.GatewayError | None = None
+        self.credit = WINDOW_BYTES
+        self.credited = anyio.Event()
+        self.uncredited = 0
+        self.outstanding = 0
+
+    async def receive(self) -> typing.Any:
+        """Returns the next message.
+
+        :raises anyio.EndOfStream: after the last message.
+        :raises GatewayError: if the peer reported one or is gone.
+        """
+        while not self.received:
+            if self.error is not None:
+                raise self.error
+            if self.ended:
+                raise anyio.EndOfStream
+            self.arrived = anyio.Event()
+            await self.arrived.wait()
+        message, size = self.received.popleft()
+        self.uncredited += size
+        if self.uncredited >= WINDOW_BYTES // 2:
+            credit, self.uncredited = self.uncredited, 0
+            self.outstanding -= credit
+            await self.connection.send(frames.Kind.CREDIT, self.number, credit)
+        return message
+
+    async def send(self, message: typing.Any) -> None:
+        """Sends a message once the reader has given credit for it."""
+        body = msgpack.packb(message, use_bin_type=True)
+        while self.credit <= 0 and self.error is None:
+            self.credited = anyio.Event()
+            await self.credited.wait()
+        if self.error is not None:
+            raise self.error
+        self.credit -= len(body)
+        await self.connection.send(frames.Kind.DATA, self.number, body)
+
+    async def finish(self) -> None:
+        """Says that no more messages follow."""
+        await self.connection.send(frames.Kind.END, self.number)
+
+    def put(self, body: bytes) -> None:
+        """Takes in a message that the peer sent."""
+        self.outstanding += len(body)
+        if self.outstanding > WINDOW_BYTES + self.connection.frame_limit:
+            raise errors.PeerProtocolError('more data than credit')
+        message = msgpack.unpackb(body, raw=False)
+        self.received.append((message, len(body)))
+        self.arrived.set()
+
+    def fail(self, error: errors.GatewayError) -> None:
+        """Ends the stream with an error, for reader and writer alike."""
+        if self.error is None:
+            self.error = error
+        self.arrived.set()
+        self.credited.set()
+
+    def end(self) -> None:
+        self.ended = True
+        self.arrived.set()
+
+
+class Connection:
+    """A connection after its handshake.
+
+    :ivar peer: name of the VM at the other end.
+    """
+
+    def __init__(
+        self,
+        socket: anyio.abc.ByteStream,
+        reader: frames.FrameReader,
+        peer: str,
+        handlers: Handlers,
+        timers: timer_service.Timers,
+        heartbeat: float,
+        silence: float,
+    ) -> None:
+        self.socket = socket
+        self.reader = reader
+        self.frame_limit = reader.limit
+        self.peer = peer
+        self.handlers = handlers
+        self.timers = timers
+        self.heartbeat = heartbeat
+        self.silence = silence
+        self.numbers = itertools.count(1)
+        self.replies: dict[int, Reply] = {}
+        self.opened: dict[int, Stream] = {}
+        self.accepted: dict[int, Stream] = {}
+        self.scopes: dict[int, anyio.CancelScope] = {}
+        self.running = 0
+        self.heard_at = timers.now()
+        self.used_at = timers.now()
+        self.bytes_sent = 0
+        self.closed = False
+        self.lock = anyio.Lock()
+
+    async def send(self, kind: frames.Kind, *values: typing.Any) -> None:
+        """Sends a frame.
+
+        :raises PeerLostError: if the connection is gone.
+        """
+        data = frames.encode(kind, *values)
+        if len(data) > self.frame_limit:
+            raise errors.FrameTooLargeError(f'a frame of {len(data)} bytes')
+        if self.closed:
+            raise errors.PeerLostError(f'{self.peer} is gone')
+        try:
+            async with self.lock:
+                await self.socket.send(data)
+        except GONE as error:
+            raise errors.PeerLostError(f'{self.peer} is gone') from error
+        self.bytes_sent += len(data)
+
+    async def call(
+        self, method: str, message: typing.Any, timeout: float
+    ) -> typing.Any:
+        """Sends a message and returns the answer to it.
+
+        :param timeout: seconds.
+        :raises PeerLostError: if the connection ended before the answer.
+        :raises PeerTimeoutError: if no answer came in time.
+        """
+        number = next(self.numbers)
+        reply = self.replies[number] = Reply()
+        self.used_at = self.timers.now()
+        try:
+            with self.timers.limit(timeout):
+                await self.send(frames.Kind.CALL, number, method, message)
+                await reply.arrived.wait()
+        finally:
+            del self.replies[number]
+        if reply.error is not None:
+            raise reply.error
+        if not reply.arrived.is_set():
+            raise errors.PeerTimeoutError(
+                f'{self.peer} did not answer {method} in {timeout:g} s'
+            )
+        return reply.value
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, method: str, message: typing.Any
+    ) -> collections.abc.AsyncIterator[Stream]:
+        """Opens a stream; leaving the context cancels what still runs."""
+        number = next(self.numbers)
+        stream = self.opened[number] = Stream(self, number)
+        self.used_at = self.timers.now()
+        try:
+            await self.send(frames.Kind.OPEN, number, method, message)
+            yield stream
+        finally:
+            del self.opened[number]
+            if not stream.ended and stream.error is None:
+                with anyio.CancelScope(shield=True):
+                    await self.cancel_stream(number)
+
+    async def cancel_stream(self, number: int) -> None:
+        cancelled = error_codec.pack(errors.PeerLostError('cancelled'))
+        with contextlib.suppress(errors.PeerError):
+            await self.send(frames.Kind.RESET, number, cancelled)
+
+    async def run(self) -> None:
+        """Serves the connection until it ends."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.watch_silence, tasks.cancel_scope)
+                try:
+                    await self.read(tasks)
+                except GONE + (anyio.EndOfStream, errors.PeerError):
+                    pass
+                tasks.cancel_scope.cancel()
+        finally:
+            self.close()
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(self.socket)
+
+    def close(self) -> None:
+        """Fails everything that waits for the peer."""
+        self.closed = True
+        lost = errors.PeerLostError(f'{self.peer} is gone')
+        for reply in self.replies.values():
+            reply.fail(lost)
+        for stream in [*self.opened.values(), *self.accepted.values()]:
+            stream.fail(lost)
+
+    async def watch_silence(self, scope: anyio.CancelScope) -> None:
+        """Sends heartbeats, and ends a connection that went silent."""
+        while True:
+            await self.timers.sleep(self.heartbeat)
+            if self.timers.now() - self.heard_at > self.silence:
+                scope.cancel()
+                return
+            with self.timers.limit(self.silence):
+                with contextlib.suppress(errors.PeerError):
+                    await self.send(frames.Kind.PING)
+
+    async def read(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Takes in frames until the connection ends."""
+        actions = {
+            frames.Kind.CALL: self.on_call,
+            frames.Kind.REPLY: self.on_reply,
+            frames.Kind.OPEN: self.on_open,
+            frames.Kind.DATA: self.on_data,
+            frames.Kind.END: self.on_end,
+            frames.Kind.RESET: self.on_reset,
+            frames.Kind.CREDIT: self.on_credit,
+            frames.Kind.PING: self.on_ping,
+            frames.Kind.PONG: self.on_pong,
+        }
+        while True:
+            frame = await self.reader.receive()
+            self.heard_at = self.timers.now()
+            action = actions.get(frame.kind)
+            if action is None:
+                raise errors.PeerProtocolError(f'{frame.kind.name} here')
+            action(tasks, *frame.values)
+
+    def on_call(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        number: int,
+        method: str,
+        message: typing.Any,
+    ) -> None:
+        if self.running >= CALLS_IN_FLIGHT:
+            refusal = errors.OverloadedError('too many calls of one peer')
+            tasks.start_soon(self.send_error, number, refusal)
+            return
+        tasks.start_soon(self.answer, number, method, message)
+
+    async def answer(
+        self, number: int, method: str, message: typing.Any
+    ) -> None:
+        self.running += 1
+        try:
+            handler = self.handlers.calls.get(method)
+            if handler is None:
+                raise errors.PeerProtocolError(f'no method {method}')
+            value = await handler(self.peer, message)
+            await self.send(frames.Kind.REPLY, number, True, value)
+        except Exception as error:
+            await self.send_error(number, error)
+        finally:
+            self.running -= 1
+
+    async def send_error(self, number: int, error: Exception) -> None:
+        with contextlib.suppress(errors.PeerError):
+            packed = error_codec.pack(error)
+            await self.send(frames.Kind.REPLY, number, False, packed)
+
+    def on_reply(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        number: int,
+        is_value: bool,
+        value: typing.Any,
+    ) -> None:
+        reply = self.replies.get(number)
+        if reply is None:
+            return
+        if is_value:
+            reply.succeed(value)
+        else:
+            reply.fail(error_codec.unpack(value))
+
+    def on_open(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        number: int,
+        method: str,
+        message: typing.Any,
+    ) -> None:
+        stream = self.accepted[number] = Stream(self, number)
+        tasks.start_soon(self.serve_stream, stream, method, message)
+
+    async def serve_stream(
+        self, stream: Stream, method: str, message: typing.Any
+    ) -> None:
+        with anyio.CancelScope() as scope:
+            self.scopes[stream.number] = scope
+            try:
+                handler = self.handlers.streams.get(method)
+                if handler is None:
+                    raise errors.PeerProtocolError(f'no method {method}')
+                await handler(self.peer, message, stream)
+                await stream.finish()
+            except Exception as error:
+                with contextlib.suppress(errors.PeerError):
+                    packed = error_codec.pack(error)
+                    await self.send(frames.Kind.RESET, stream.number, packed)
+            finally:
+                del self.scopes[stream.number]
+                del self.accepted[stream.number]
+
+    def on_data(
+        self, tasks: anyio.abc.TaskGroup, number: int, body: bytes
+    ) -> None:
+        stream = self.find(number)
+        if stream is not None:
+            stream.put(body)
+
+    def find(self, number: int) -> Stream | None:
+        return self.opened.get(number) or self.accepted.get(number)
+
+    def on_end(self, tasks: anyio.abc.TaskGroup, number: int) -> None:
+        stream = self.find(number)
+        if stream is not None:
+            stream.end()
+
+    def on_reset(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        number: int,
+        packed: dict[str, typing.Any],
+    ) -> None:
+        stream = self.find(number)
+        if stream is not None:
+            stream.fail(error_codec.unpack(packed))
+        if number in self.scopes:
+            self.scopes[number].cancel()
+
+    def on_credit(
+        self, tasks: anyio.abc.TaskGroup, number: int, size: int
+    ) -> None:
+        stream = self.find(number)
+        if stream is not None:
+            stream.credit += size
+            stream.credited.set()
+
+    def on_ping(self, tasks: anyio.abc.TaskGroup) -> None:
+        tasks.start_soon(self.pong)
+
+    async def pong(self) -> None:
+        with contextlib.suppress(errors.PeerError):
+            await self.send(frames.Kind.PONG)
+
+    def on_pong(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Needs nothing: any frame shows that the peer lives."""
+
+
+class Reply:
+    """An answer that is awaited."""
+
+    __slots__ = ('arrived', 'error', 'value')
+
+    def __init__(self) -> None:
+        self.arrived = anyio.Event()
+        self.value: typing.Any = None
+        self.error: errors.GatewayError | None = None
+
+    def succeed(self, value: typing.Any) -> None:
+        self.value = value
+        self.arrived.set()
+
+    def fail(self, error: errors.GatewayError) -> None:
+        self.error = error
+        self.arrived.set()
+
+
+def proof(secret: str, role: str, *parts: typing.Any) -> bytes:
+    """Returns the proof that an end knows the secret of the deployment."""
+    text = msgpack.packb((role, *parts), use_bin_type=True)
+    return hmac.new(secret.encode(), text, hashlib.sha256).digest()
+
+
+def check_proof(found: typing.Any, expected: bytes, peer: str) -> None:
+    """Checks the proof of the other end in constant time.
+
+    :raises PeerAuthenticationError: if it is not the expected one.
+    """
+    is_right = isinstance(found, bytes) and hmac.compare_digest(
+        found, expected
+    )
+    if not is_right:
+        raise errors.PeerAuthenticationError(f'{peer} has another secret')
+
+
+def check_version(version: typing.Any) -> None:
+    """Checks the protocol version of the other end.
+
+    :raises PeerVersionError: if it is not the version of this end.
+    """
+    if version != frames.PROTOCOL_VERSION:
+        raise errors.PeerVersionError(
+            f'protocol version {version!r}, not {frames.PROTOCOL_VERSION}'
+        )
+
+
+async def shake_hands_as_dialler(
+    socket: anyio.abc.ByteStream,
+    reader: frames.FrameReader,
+    deployment: str,
+    me: str,
+    peer: str,
+    secret: str,
+) -> None:
+    """Authenticates both ends, from the side that connected.
+
+    :raises PeerProtocolError: if the other end is not the peer.
+    """
+    nonce = secrets.token_bytes(16)
+    version = frames.PROTOCOL_VERSION
+    await socket.send(
+        frames.encode(frames.Kind.HELLO, version, deployment, me, nonce)
+    )
+    frame = await reader.receive()
+    if frame.kind is not frames.Kind.CHALLENGE:
+        raise errors.PeerProtocolError('no challenge')
+    their_version, name, their_nonce, their_proof = frame.values
+    check_version(their_version)
+    parts = (version, deployment, me, peer, nonce, their_nonce)
+    check_proof(their_proof, proof(secret, 'listener', *parts), peer)
+    if name != peer:
+        raise errors.PeerAuthenticationError(f'{name} answers as {peer}')
+    mine = proof(secret, 'dialler', *parts)
+    await socket.send(frames.encode(frames.Kind.PROOF, mine))
+
+
+async def shake_hands_as_listener(
+    socket: anyio.abc.ByteStream,
+    reader: frames.FrameReader,
+    deployment: str,
+    me: str,
+    secret: str,
+) -> str:
+    """Authenticates both ends, from the side that was connected to.
+
+    :returns: the name of the peer.
+    :raises PeerProtocolError: if the other end is not a peer.
+    """
+    frame = await reader.receive()
+    if frame.kind is not frames.Kind.HELLO:
+        raise errors.PeerProtocolError('no hello')
+    their_version, their_deployment, peer, nonce = frame.values
+    version = frames.PROTOCOL_VERSION
+    mine = secrets.token_bytes(16)
+    parts = (version, deployment, peer, me, nonce, mine)
+    answer = proof(secret, 'listener', *parts)
+    await socket.send(
+        frames.encode(frames.Kind.CHALLENGE, version, me, mine, answer)
+    )
+    check_version(their_version)
+    if their_deployment != deployment:
+        raise errors.PeerAuthenticationError('a peer of other deployment')
+    frame = await reader.receive()
+    if frame.kind is not frames.Kind.PROOF:
+        raise errors.PeerProtocolError('no proof')
+    check_proof(frame.values[0], proof(secret, 'dialler', *parts), peer)
+    return peer
--- /dev/null
+++ b/src/greengagegw/adapters/peer_mesh.py
@@ -0,0 +1,201 @@
+"""Connections to the other VMs, made when they are first needed."""
+
+import collections.abc
+import contextlib
+import typing
+
+import anyio
+import anyio.abc
+import eliot
+
+from .. import errors
+from .. import settings as settings_module
+from .. import timers as timer_service
+from . import frames
+from . import peer_connection
+
+# After a failed dial, further calls fail at once for this long.
+REDIAL_SECONDS = 0.25
+IDLE_CLOSE_SECONDS = 60.0
+
+
+class PeerMesh:
+    """The peer port over msgpack streams.
+
+    A VM dials a peer once and shares the connection; the connection that
+    the peer dialled in the other direction is a separate one.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        timers: timer_service.Timers,
+    ) -> None:
+        self.settings = settings
+        self.timers = timers
+        self.handlers = peer_connection.Handlers()
+        self.peers = {peer.vm: peer for peer in settings.peers}
+        self.dialled: dict[str, peer_connection.Connection] = {}
+        self.accepted: set[peer_connection.Connection] = set()
+        self.locks: dict[str, anyio.Lock] = {}
+        self.failed_at: dict[str, float] = {}
+        self.tasks: anyio.abc.TaskGroup | None = None
+        self.bytes_sent = 0
+
+    async def run(self, listener: anyio.abc.SocketListener) -> None:
+        """Accepts and serves connections until it is cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            await listener.serve(self.accept, tasks)
+
+    async def accept(self, socket: anyio.abc.SocketStream) -> None:
+        """Serves one connection that a peer dialled."""
+        reader = frames.FrameReader(socket, self.settings.limits.frame_bytes)
+        peer = None
+        try:
+            with self.timers.limit(peer_connection.HANDSHAKE_SECONDS):
+                peer = await peer_connection.shake_hands_as_listener(
+                    socket,
+                    reader,
+                    self.settings.deployment,
+                    self.settings.vm,
+                    self.settings.peer_secret,
+                )
+            if peer is not None and peer not in self.peers:
+                raise errors.PeerAuthenticationError(f'{peer!r} is no peer')
+        except errors.PeerError as error:
+            eliot.log_message('peer:refused', code=error.code)
+            peer = None
+        except peer_connection.GONE + (anyio.EndOfStream,):
+            peer = None
+        if peer is None:
+            await anyio.aclose_forcefully(socket)
+            return
+        connection = self.make_connection(socket, reader, peer)
+        self.accepted.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self.accepted.discard(connection)
+            self.bytes_sent += connection.bytes_sent
+
+    def make_connection(
+        self,
+        socket: anyio.abc.ByteStream,
+        reader: frames.FrameReader,
+        peer: str,
+    ) -> peer_connection.Connection:
+        return peer_connection.Connection(
+            socket,
+            reader,
+            peer,
+            self.handlers,
+            self.timers,
+            self.settings.timeouts.heartbeat_seconds,
+            self.settings.timeouts.peer_silence_seconds,
+        )
+
+    @property
+    def total_bytes_sent(self) -> int:
+        """Bytes sent on all connections since the start."""
+        open_ones = [*self.dialled.values(), *self.accepted]
+        return self.bytes_sent + sum(one.bytes_sent for one in open_ones)
+
+    @property
+    def streams_running(self) -> int:
+        """Streams of other VMs that this VM serves now."""
+        return sum(len(one.scopes) for one in self.accepted)
+
+    async def connect(self, vm: str) -> peer_connection.Connection:
+        """Returns the connection to a VM, dialling it when there is none.
+
+        :raises PeerUnreachableError: if it cannot be reached.
+        """
+        connection = self.dialled.get(vm)
+        if connection is not None and not connection.closed:
+            return connection
+        async with self.locks.setdefault(vm, anyio.Lock()):
+            connection = self.dialled.get(vm)
+            if connection is not None and not connection.closed:
+                return connection
+            since = self.timers.now() - self.failed_at.get(vm, -1e9)
+            if since < REDIAL_SECONDS:
+                raise errors.PeerUnreachableError(f'{vm} was unreachable')
+            return await self.dial(vm)
+
+    async def dial(self, vm: str) -> peer_connection.Connection:
+        peer = self.peers.get(vm)
+        if peer is None or self.tasks is None:
+            raise errors.PeerUnreachableError(f'{vm} is not a peer')
+        connection = None
+        timeout = self.settings.timeouts.connect_seconds
+        try:
+            with self.timers.limit(timeout):
+                connection = await self.shake_hands(peer)
+        except peer_connection.GONE + (anyio.EndOfStream,) as error:
+            self.failed_at[vm] = self.timers.now()
+            raise errors.PeerUnreachableError(
+                f'{vm} cannot be reached'
+            ) from error
+        except errors.PeerProtocolError:
+            self.failed_at[vm] = self.timers.now()
+            raise
+        if connection is None:
+            self.failed_at[vm] = self.timers.now()
+            raise errors.PeerUnreachableError(f'{vm}: no connection in time')
+        self.dialled[vm] = connection
+        self.tasks.start_soon(self.keep, vm, connection)
+        return connection
+
+    async def shake_hands(
+        self, peer: settings_module.Peer
+    ) -> peer_connection.Connection:
+        socket = await anyio.connect_tcp(str(peer.host), peer.port)
+        reader = frames.FrameReader(socket, self.settings.limits.frame_bytes)
+        try:
+            await peer_connection.shake_hands_as_dialler(
+                socket,
+                reader,
+                self.settings.deployment,
+                self.settings.vm,
+                peer.vm,
+                self.settings.peer_secret,
+            )
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(socket)
+            raise
+        return self.make_connection(socket, reader, peer.vm)
+
+    async def keep(
+        self, vm: str, connection: peer_connection.Connection
+    ) -> None:
+        """Serves a dialled connection until it ends."""
+        try:
+            await connection.run()
+        finally:
+            self.bytes_sent += connection.bytes_sent
+            if self.dialled.get(vm) is connection:
+                del self.dialled[vm]
+
+    async def call(
+        self,
+        vm: str,
+        method: str,
+        message: typing.Any,
+        timeout: float | None = None,
+    ) -> typing.Any:
+        if timeout is None:
+            timeout = self.settings.timeouts.peer_call_seconds
+        if vm == self.settings.vm:
+            return await self.handlers.calls[method](vm, message)
+        connection = await self.connect(vm)
+        return await connection.call(method, message, timeout)
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self, vm: str, method: str, message: typing.Any
+    ) -> collections.abc.AsyncIterator[peer_connection.Stream]:
+        connection = await self.connect(vm)
+        async with connection.open(method, message) as stream:
+            yield stream
--- /dev/null
+++ b/src/greengagegw/adapters/servers.py
@@ -0,0 +1,61 @@
+"""Runs an ASGI application with hypercorn."""
+
+import collections.abc
+import typing
+
+import anyio
+import hypercorn.asyncio
+import hypercorn.config
+
+from .. import settings as settings_module
+
+KEEP_ALIVE_REQUESTS = 100000
+BACKLOG = 1024
+# What a server that is cancelled gives its requests.
+ABORT_SECONDS = 0.01
+
+
+async def serve(
+    application: typing.Any,
+    listener: settings_module.Listener,
+    settings: settings_module.Settings,
+    stop: collections.abc.Callable[[], collections.abc.Awaitable[typing.Any]],
+) -> None:
+    """Serves until ``stop`` returns and every request has ended."""
+    host, port = listener.address
+    config = hypercorn.config.Config()
+    config.bind = [f'[{host}]:{port}' if ':' in host else f'{host}:{port}']
+    config.h11_max_incomplete_size = settings.limits.header_bytes
+    config.keep_alive_timeout = settings.timeouts.idle_seconds
+    config.keep_alive_max_requests = KEEP_ALIVE_REQUESTS
+    config.graceful_timeout = settings.timeouts.stop_seconds
+    config.backlog = BACKLOG
+    config.include_server_header = False
+    config.alpn_protocols = ['http/1.1']
+    config.errorlog = None
+    config.accesslog = None
+    halt = anyio.Event()
+    finished = anyio.Event()
+
+    async def run_server() -> None:
+        # Hypercorn cannot be cancelled cleanly, so it is only told to stop.
+        with anyio.CancelScope(shield=True):
+            await hypercorn.asyncio.serve(
+                application, config, shutdown_trigger=halt.wait, mode='asgi'
+            )
+        finished.set()
+
+    async def await_stop() -> None:
+        await stop()
+        halt.set()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run_server)
+        tasks.start_soon(await_stop)
+        try:
+            await finished.wait()
+        except anyio.get_cancelled_exc_class():
+            config.graceful_timeout = ABORT_SECONDS
+            halt.set()
+            raise
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/src/greengagegw/allowance/__init__.py
@@ -0,0 +1,1 @@
+"""Token allowances kept over the whole fleet."""
--- /dev/null
+++ b/src/greengagegw/allowance/grantor.py
@@ -0,0 +1,147 @@
+"""Hands out a region's tokens, on the VM that holds the region's lease."""
+
+import collections.abc
+
+from .. import errors
+from .. import table as tables
+from .. import timers as timer_service
+from . import bucket as buckets
+from ..control import view as views
+from . import lease as leases
+from ..ports import peers
+
+VALIDITY_SECONDS = 1.5
+
+
+class Grantor:
+    """The buckets of one region.
+
+    A new holder of the lease starts with empty buckets, and they stay
+    empty until every grant of the last holder has ended.
+
+    :param share: gives a region's share of an organisation's allowance.
+    """
+
+    def __init__(
+        self,
+        lease: leases.RegionLease,
+        view: views.View,
+        timers: timer_service.Timers,
+        share: collections.abc.Callable[[tables.Table, str], float],
+    ) -> None:
+        self.lease = lease
+        self.view = view
+        self.timers = timers
+        self.share = share
+        self.buckets: dict[str, buckets.Bucket] = {}
+        self.held_since = -1.0
+        self.revision = -1
+
+    def handlers(self) -> dict[str, peers.Handler]:
+        prefix = f'allowance.{self.lease.region}'
+        return {
+            f'{prefix}.take': self.on_take,
+            f'{prefix}.settle': self.on_settle,
+        }
+
+    def require_lease(self) -> None:
+        """Checks that this VM may hand out tokens now.
+
+        :raises NotLeaderError: if another VM holds the lease.
+        """
+        if not self.lease.is_held:
+            self.buckets.clear()
+            holder = self.lease.last_holder
+            is_other = holder and holder != self.lease.vm
+            raise errors.NotLeaderError(
+                f'{self.lease.vm} does not hold the lease of'
+                f' {self.lease.region}',
+                holder if is_other else None,
+            )
+        if self.held_since != self.lease.held_since:
+            self.buckets.clear()
+            self.held_since = self.lease.held_since
+
+    def find_bucket(self, organisation: str) -> buckets.Bucket:
+        """Returns the bucket of an organisation at the table in force."""
+        self.require_lease()
+        self.follow_table()
+        bucket = self.buckets.get(organisation)
+        if bucket is not None:
+            return bucket
+        row = self.view.configuration.table.organisation(organisation)
+        if row is None:
+            raise errors.PermissionDeniedError(f'no row for {organisation!r}')
+        share = self.share(self.view.configuration.table, self.lease.region)
+        starts_at = max(
+            self.timers.now(),
+            self.held_since + VALIDITY_SECONDS * leases.DRIFT,
+        )
+        bucket = buckets.Bucket(row.rate * share, row.burst * share, starts_at)
+        self.buckets[organisation] = bucket
+        return bucket
+
+    def follow_table(self) -> None:
+        """Takes over the rates and bursts of a new table."""
+        revision = self.view.configuration.table_revision
+        if revision == self.revision:
+            return
+        self.revision = revision
+        table = self.view.configuration.table
+        share = self.share(table, self.lease.region)
+        for name, bucket in list(self.buckets.items()):
+            row = table.organisation(name)
+            if row is None:
+                # The bucket stays, so that a row that comes back does not
+                # start a second one beside the tokens handed out.
+                bucket.change(0.0, 0.0, self.timers.now())
+                continue
+            bucket.change(
+                row.rate * share, row.burst * share, self.timers.now()
+            )
+
+    async def on_take(self, peer: str, message: list) -> list:
+        """Hands out tokens.
+
+        :returns: number of the grant (0 for none), its tokens, and the
+            tokens that are left.
+        """
+        organisation, least, most = message
+        bucket = self.find_bucket(organisation)
+        grant = bucket.take(
+            least,
+            most,
+            self.timers.now(),
+            VALIDITY_SECONDS * leases.DRIFT,
+        )
+        if grant is None:
+            return [0, 0.0, bucket.level]
+        return [grant.number, grant.tokens, bucket.level]
+
+    async def on_settle(self, peer: str, message: list) -> None:
+        """Takes reports of spent grants, and unused reservations."""
+        self.require_lease()
+        settled, returned = message
+        for organisation, number, spent in settled:
+            if organisation in self.buckets:
+                self.buckets[organisation].settle(number, spent)
+        for organisation, tokens in returned:
+            if organisation in self.buckets:
+                self.buckets[organisation].refill(self.timers.now())
+                self.buckets[organisation].give_back(tokens)
+
+
+def make_share(
+    regions: tuple[str, ...],
+) -> collections.abc.Callable[[tables.Table, str], float]:
+    """Returns a function that splits allowances by the regions' weights."""
+
+    def weight(table: tables.Table, region: str) -> float:
+        row = table.region(region)
+        return row.weight if row else 1.0
+
+    def share(table: tables.Table, region: str) -> float:
+        total = sum(weight(table, one) for one in regions)
+        return weight(table, region) / total
+
+    return share
--- /dev/null
+++ b/src/greengagegw/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/greengagegw/cli/serve.py
@@ -0,0 +1,82 @@
+"""Commands on settings: run a VM, check a file."""
+
+import functools
+import signal
+import sys
+
+import anyio
+import click
+import eliot
+
+from .. import errors
+from .. import settings as settings_module
+from .. import vm as vms
+from . import remote
+
+
+@click.command()
+@click.option(
+    '--settings',
+    'file',
+    required=True,
+    type=click.Path(dir_okay=False),
+    help='YAML file of this VM.',
+)
+@click.option(
+    '--log',
+    type=click.File('a'),
+    default='-',
+    help='Where the log goes, one JSON object a line.',
+)
+def serve(file: str, log: click.utils.LazyFile) -> None:
+    """Runs one VM until it gets SIGTERM, then drains it."""
+    settings = settings_module.load(file)
+    eliot.to_file(log)
+    anyio.run(
+        functools.partial(run, settings),
+        backend_options={'use_uvloop': True},
+    )
+
+
+async def run(settings: settings_module.Settings) -> None:
+    """Runs a VM; the first signal drains it, a second one ends it."""
+    async with anyio.create_task_group() as tasks:
+
+        def watch(vm: vms.Vm) -> None:
+            tasks.start_soon(stop_on_signal, vm)
+
+        await vms.run_vm(settings, watch)
+        tasks.cancel_scope.cancel()
+
+
+async def stop_on_signal(vm: vms.Vm) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        count = 0
+        async for _ in signals:
+            count += 1
+            if count > 1:
+                eliot.log_message('stop:forced')
+                sys.exit(1)
+            vm.stop()
+
+
+@click.command()
+@click.argument('files', nargs=-1, required=True, type=click.Path())
+@remote.output_option
+def check(files: tuple[str, ...], output: str) -> None:
+    """Checks settings files and tells everything wrong in them."""
+    problems: list[settings_module.Problem] = []
+    for file in files:
+        try:
+            settings_module.load(file)
+        except errors.SettingsError as error:
+            problems += error.problems
+    content = {
+        'files': list(files),
+        'problems': [str(problem) for problem in problems],
+    }
+    if problems and output == 'text':
+        raise errors.SettingsError(tuple(problems))
+    remote.show(content, output, f'{len(files)} files are right')
+    if problems:
+        click.get_current_context().exit(errors.SettingsError.exit_code)
--- /dev/null
+++ b/src/greengagegw/control/__init__.py
@@ -0,0 +1,1 @@
+"""The table and the keys, replicated and distributed."""
--- /dev/null
+++ b/src/greengagegw/control/operations.py
@@ -0,0 +1,132 @@
+"""What operators can do: edit the table, give and withdraw keys."""
+
+import contextlib
+import typing
+import uuid
+
+from .. import errors
+from .. import keys
+from .. import table as tables
+from .. import timers as timer_service
+from ..adapters import error_codec
+from . import distribution as distributions
+from ..replication import client as replication_client
+from . import state
+from . import view as views
+
+SUBMIT_SECONDS = 8.0
+DURABLE_SECONDS = 3.0
+RESUBMIT_SECONDS = 3.0
+
+
+class Operations:
+    """Operators' edits, from whichever VM they come to."""
+
+    def __init__(
+        self,
+        group: replication_client.GroupClient,
+        view: views.View,
+        distribution: distributions.Distribution,
+        timers: timer_service.Timers,
+        regions: tuple[str, ...],
+    ) -> None:
+        self.group = group
+        self.view = view
+        self.distribution = distribution
+        self.timers = timers
+        self.regions = regions
+
+    async def run(self) -> None:
+        """Makes withdrawals durable that could not be so at first."""
+        while True:
+            await self.timers.sleep(RESUBMIT_SECONDS)
+            for key_id in sorted(self.view.uncommitted):
+                with contextlib.suppress(errors.ReplicationError):
+                    await self.commit_withdrawal(key_id)
+
+    async def submit(
+        self,
+        name: str,
+        edit_id: str,
+        timeout: float = SUBMIT_SECONDS,
+        **arguments: typing.Any,
+    ) -> dict[str, typing.Any]:
+        """Returns the outcome of an edit once it is committed.
+
+        :raises GatewayError: as the edit was refused.
+        """
+        edit_id = edit_id or uuid.uuid4().hex
+        content = state.command(name, edit_id, arguments)
+        outcome = await self.group.submit(content, timeout)
+        if 'error' in outcome:
+            raise error_codec.unpack(outcome['error'])
+        return outcome['value']
+
+    async def put_table(
+        self, text: str, based_on: int, edit_id: str
+    ) -> dict[str, typing.Any]:
+        """Replaces the table.
+
+        :param based_on: revision of the table that was edited.
+        :raises TableError: with every wrong cell.
+        :raises ConflictError: if the table has changed since.
+        """
+        tables.parse(text, self.regions)
+        return await self.submit(
+            'put_table', edit_id, text=text, based_on=based_on
+        )
+
+    async def give_key(
+        self, organisation: str, edit_id: str, key_id: str, digest: str
+    ) -> dict[str, typing.Any]:
+        """Gives a key to an organisation.
+
+        :param digest: of a key that the operator has made; if empty, a key
+            is made here and shown in this answer only.
+        """
+        key = None
+        if not digest:
+            key_id, key, digest = keys.make_key()
+        outcome = await self.submit(
+            'give_key',
+            edit_id,
+            id=key_id,
+            digest=digest,
+            organisation=organisation,
+            at=self.timers.wall(),
+        )
+        # A resent edit gets the first outcome, whose key was another one.
+        is_mine = outcome['id'] == key_id
+        return {**outcome, 'key': key if is_mine else None}
+
+    async def withdraw_key(self, key_id: str) -> dict[str, typing.Any]:
+        """Withdraws a key, with or without a majority of the log.
+
+        :returns: a map whose ``durable`` tells whether it is in the log.
+        """
+        is_known = key_id in self.view.configuration.keys
+        if is_known:
+            await self.distribution.withdraw({key_id})
+        try:
+            await self.commit_withdrawal(key_id)
+        except errors.ReplicationError:
+            if not is_known:
+                raise
+            return {'id': key_id, 'in_force': True, 'durable': False}
+        return {'id': key_id, 'in_force': True, 'durable': True}
+
+    async def commit_withdrawal(self, key_id: str) -> None:
+        await self.submit('withdraw_key', '', DURABLE_SECONDS, id=key_id)
+
+    def list_keys(self) -> list[dict[str, typing.Any]]:
+        """Returns the keys that are known, without the keys themselves."""
+        configuration = self.view.configuration
+        return [
+            {
+                'id': record.id,
+                'organisation': record.organisation,
+                'given_at': record.given_at,
+                'withdrawn': record.id in configuration.withdrawn,
+            }
+            for record in configuration.keys.values()
+        ]
--- /dev/null
+++ b/src/greengagegw/forwarding.py
@@ -0,0 +1,243 @@
+"""Runs calls in another region, by way of one of its VMs.
+
+A forwarded call is run by the VM that gets it, or refused; it is never
+forwarded again.
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+import random
+import typing
+
+import anyio
+
+from . import errors
+from . import running
+from . import settings as settings_module
+from . import timers as timer_service
+from .control import view as views
+from .membership import gossip
+from .ports import backends
+from .ports import peers
+
+METHOD = 'forward'
+CHUNK_BYTES = 64 * 1024
+REVISION_WAIT_SECONDS = 2.0
+FORWARDED_WAIT_SECONDS = 2.0
+HEAD_MARGIN_SECONDS = 5.0
+VMS_TRIED = 2
+
+
+class Forwarding:
+    """Both ends of forwarded calls."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        mesh: peers.PeerPort,
+        membership: gossip.Gossip,
+        view: views.View,
+        runs: running.LocalRuns,
+        timers: timer_service.Timers,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.mesh = mesh
+        self.membership = membership
+        self.view = view
+        self.runs = runs
+        self.timers = timers
+        self.rng = rng
+
+    def stream_handlers(self) -> dict[str, peers.StreamHandler]:
+        return {METHOD: self.on_forward}
+
+    def choose_vms(self, region: str) -> list[str]:
+        """Returns VMs of a region to try, living ones first."""
+        vms = [
+            peer.vm for peer in self.settings.peers if peer.region == region
+        ]
+        self.rng.shuffle(vms)
+        vms.sort(key=lambda vm: not self.membership.is_alive(vm))
+        return vms[:VMS_TRIED]
+
+    @contextlib.asynccontextmanager
+    async def run(
+        self, order: running.Order, region: str
+    ) -> collections.abc.AsyncIterator[running.Running]:
+        """Runs a call in another region.
+
+        :raises GatewayError: with ``run`` telling whether it was run.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            stream = await self.open(stack, order, region)
+            await self.send_body(stream, order.call.body)
+            head = await self.receive_head(stream)
+            usage = running.Usage()
+            yield running.Running(
+                backends.Answer(
+                    head['status'],
+                    tuple((name, value) for name, value in head['headers']),
+                    self.read(stream, usage),
+                    head['backend_server'],
+                    region,
+                ),
+                usage,
+            )
+
+    async def open(
+        self,
+        stack: contextlib.AsyncExitStack,
+        order: running.Order,
+        region: str,
+    ) -> peers.PeerStream:
+        """Opens a stream to the first VM that can be reached."""
+        message = [
+            pack_order(order),
+            self.view.configuration.table_revision,
+        ]
+        failure: errors.GatewayError = errors.PeerUnreachableError(
+            f'{region} has no VM'
+        )
+        for vm in self.choose_vms(region):
+            try:
+                return await stack.enter_async_context(
+                    self.mesh.open(vm, METHOD, message)
+                )
+            except errors.PeerUnreachableError as error:
+                failure = error
+        raise errors.PeerUnreachableError(
+            f'no VM of {region} can be reached', retry_after=2
+        ) from failure
+
+    async def send_body(self, stream: peers.PeerStream, body: bytes) -> None:
+        for start in range(0, len(body), CHUNK_BYTES):
+            await stream.send(body[start : start + CHUNK_BYTES])
+        await stream.finish()
+
+    async def receive_head(
+        self, stream: peers.PeerStream
+    ) -> dict[str, typing.Any]:
+        timeouts = self.settings.timeouts
+        head = None
+        with self.timers.limit(
+            timeouts.first_byte_seconds
+            + FORWARDED_WAIT_SECONDS
+            + HEAD_MARGIN_SECONDS
+        ):
+            try:
+                head = await stream.receive()
+            except anyio.EndOfStream as error:
+                raise errors.PeerProtocolError('no answer') from error
+        if head is None:
+            raise errors.PeerTimeoutError('a forwarded call got no answer')
+        return head
+
+    async def read(
+        self, stream: peers.PeerStream, usage: running.Usage
+    ) -> collections.abc.AsyncIterator[bytes]:
+        """Yields the body, which ends with a map of what was used."""
+        silence = (
+            self.settings.timeouts.between_bytes_seconds + HEAD_MARGIN_SECONDS
+        )
+        while True:
+            message = None
+            with self.timers.limit(silence):
+                try:
+                    message = await stream.receive()
+                except anyio.EndOfStream as error:
+                    raise errors.BrokenStreamError(
+                        'a forwarded answer has no end', run=errors.RAN
+                    ) from error
+            if message is None:
+                raise errors.PeerTimeoutError('a forwarded answer stopped')
+            if isinstance(message, dict):
+                usage.tokens = message['tokens']
+                return
+            yield message
+
+    # The VM that runs the call.
+
+    async def on_forward(
+        self, peer: str, message: list, stream: peers.PeerStream
+    ) -> None:
+        packed, revision = message
+        await self.wait_for_revision(revision)
+        self.check_residency(packed['call']['organisation'])
+        order = unpack_order(packed, await read_body(stream))
+        async with self.runs.run(order) as run:
+            answer = run.answer
+            await stream.send(
+                {
+                    'status': answer.status,
+                    'headers': answer.headers,
+                    'backend_server': answer.backend_server,
+                }
+            )
+            async for chunk in answer.chunks:
+                await stream.send(chunk)
+            await stream.send({'tokens': run.usage.tokens})
+
+    async def wait_for_revision(self, revision: int) -> None:
+        """Waits for the table by which the caller's VM has decided.
+
+        :raises NotReadyError: if it does not arrive in time.
+        """
+        with self.timers.limit(REVISION_WAIT_SECONDS) as scope:
+            await self.view.ready.wait()
+            while self.view.configuration.table_revision < revision:
+                await self.view.changed.wait()
+        if scope.cancelled_caught:
+            raise errors.NotReadyError(
+                f'{self.settings.vm} has an older table', retry_after=1
+            )
+
+    def check_residency(self, organisation: str) -> None:
+        """Checks again that the call may run in this region.
+
+        :raises ResidencyError: if it may not.
+        """
+        row = self.view.configuration.table.organisation(organisation)
+        if row is None:
+            raise errors.PermissionDeniedError(f'no row for {organisation}')
+        if row.bound and row.home != self.settings.region:
+            raise errors.ResidencyError(
+                f'{organisation} is bound to {row.home}'
+            )
+
+
+def pack_order(order: running.Order) -> dict[str, typing.Any]:
+    """Returns an order as a map, without the body."""
+    call = dataclasses.asdict(order.call)
+    del call['body']
+    return {
+        'call': call,
+        'weight': order.weight,
+        'prefix': order.prefix,
+        'removes_usage': order.removes_usage,
+        'wait': min(order.wait, FORWARDED_WAIT_SECONDS),
+    }
+
+
+def unpack_order(packed: dict[str, typing.Any], body: bytes) -> running.Order:
+    """Returns the order of a map made by :func:`pack_order`."""
+    values = dict(packed['call'])
+    values['headers'] = tuple(
+        (name, value) for name, value in values['headers']
+    )
+    return running.Order(
+        backends.Call(**values, body=body),
+        packed['weight'],
+        packed['wait'],
+        packed['prefix'],
+        packed['removes_usage'],
+    )
+
+
+async def read_body(stream: peers.PeerStream) -> bytes:
+    parts = []
+    with contextlib.suppress(anyio.EndOfStream):
+        while True:
+            parts.append(await stream.receive())
+    return b''.join(parts)
--- /dev/null
+++ b/src/greengagegw/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Claims that let a call run at most once."""
--- /dev/null
+++ b/src/greengagegw/ledger/client.py
@@ -0,0 +1,182 @@
+"""Claims calls in the ledger of an organisation's home region."""
+
+import contextlib
+import dataclasses
+import hashlib
+import secrets
+
+import anyio
+import xxhash
+
+from .. import errors
+from .. import timers as timer_service
+from ..adapters import error_codec
+from . import claims
+from ..ports import backends
+from ..replication import client as replication_client
+
+CLAIM_SECONDS = 4.0
+FINISH_SECONDS = 10.0
+ABANDON_RETRY_SECONDS = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredAnswer:
+    """An answer as a claim keeps it."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class LedgerClient:
+    """Claims calls on behalf of one VM.
+
+    :param groups: a client of each region's ledger.
+    :param run_seconds: how long a call may be running.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        groups: dict[str, replication_client.GroupClient],
+        timers: timer_service.Timers,
+        run_seconds: float,
+    ) -> None:
+        self.vm = vm
+        self.groups = groups
+        self.timers = timers
+        self.run_seconds = run_seconds
+        self.session = secrets.token_hex(8)
+
+    async def run(self) -> None:
+        """Tells every ledger which calls an earlier process left."""
+        async with anyio.create_task_group() as tasks:
+            for region in self.groups:
+                tasks.start_soon(self.abandon, region)
+
+    async def abandon(self, region: str) -> None:
+        while True:
+            with contextlib.suppress(errors.GatewayError):
+                await self.submit(
+                    region, 'abandon', vm=self.vm, session=self.session
+                )
+                return
+            await self.timers.sleep(ABANDON_RETRY_SECONDS)
+
+    def region_for(self, organisation: str, home: str | None) -> str:
+        """Returns the region whose ledger holds an organisation's claims.
+
+        An organisation without a home gets one by rendezvous hashing, the
+        same on every VM.
+        """
+        if home in self.groups:
+            return home
+        return max(
+            sorted(self.groups),
+            key=lambda region: xxhash.xxh64_intdigest(
+                f'{organisation}/{region}'.encode()
+            ),
+        )
+
+    async def claim(
+        self, call: backends.Call, key: str, home: str | None
+    ) -> StoredAnswer | None:
+        """Claims a call.
+
+        :returns: None if the call is to be run now, else the stored answer.
+        :raises ClaimInProgressError: if it is running.
+        :raises ClaimUnknownError: if its outcome is unknown.
+        :raises IdempotencyMismatchError: if the key is another call's.
+        :raises ReplicationError: if the ledger cannot be reached; then the
+            call was not run.
+        """
+        region = self.region_for(call.organisation, home)
+        try:
+            outcome = await self.submit(
+                region,
+                'claim',
+                timeout=CLAIM_SECONDS,
+                organisation=call.organisation,
+                key=key,
+                digest=digest(call),
+                request_id=call.request_id,
+                vm=self.vm,
+                session=self.session,
+                seconds=self.run_seconds,
+            )
+        except errors.ReplicationError as error:
+            # Whether or not the claim was written, nothing was sent.
+            raise errors.UnavailableError(
+                f'the ledger of {region} cannot be reached', retry_after=2
+            ) from error
+        if outcome['is_new']:
+            return None
+        if outcome['state'] == claims.ClaimState.DONE:
+            status, headers, body = outcome['answer']
+            return StoredAnswer(
+                status, tuple((name, value) for name, value in headers), body
+            )
+        if outcome['state'] == claims.ClaimState.RUNNING:
+            raise errors.ClaimInProgressError(
+                'the call with this idempotency key is running',
+                retry_after=1,
+            )
+        raise errors.ClaimUnknownError(
+            'whether the call with this idempotency key ran is not known'
+        )
+
+    async def finish(
+        self,
+        call: backends.Call,
+        key: str,
+        home: str | None,
+        answer: StoredAnswer | None,
+    ) -> None:
+        """Stores an answer, or with None that the outcome is unknown."""
+        packed = answer and [
+            answer.status,
+            [list(pair) for pair in answer.headers],
+            answer.body,
+        ]
+        await self.submit(
+            self.region_for(call.organisation, home),
+            'finish',
+            timeout=FINISH_SECONDS,
+            organisation=call.organisation,
+            key=key,
+            request_id=call.request_id,
+            answer=packed,
+        )
+
+    async def release(
+        self, call: backends.Call, key: str, home: str | None
+    ) -> None:
+        """Drops the claim of a call that surely was not run."""
+        await self.submit(
+            self.region_for(call.organisation, home),
+            'release',
+            organisation=call.organisation,
+            key=key,
+            request_id=call.request_id,
+        )
+
+    async def submit(
+        self,
+        region: str,
+        name: str,
+        timeout: float = CLAIM_SECONDS,
+        **arguments: object,
+    ) -> object:
+        content = claims.command(name, self.timers.wall(), arguments)
+        outcome = await self.groups[region].submit(content, timeout)
+        if 'error' in outcome:
+            raise error_codec.unpack(outcome['error'])
+        return outcome['value']
+
+
+def digest(call: backends.Call) -> str:
+    """Returns the digest by which a repeat of a call is known."""
+    parts = [call.service, call.method, call.path]
+    text = '\n'.join(parts).encode() + b'\n' + call.body
+    return hashlib.sha256(text).hexdigest()
--- /dev/null
+++ b/src/greengagegw/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Graceful stops."""
--- /dev/null
+++ b/src/greengagegw/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs are alive."""
--- /dev/null
+++ b/src/greengagegw/membership/gossip.py
@@ -0,0 +1,297 @@
+"""Which VMs are alive, and what each region can take, spread by gossip.
+
+Within a region VMs exchange heartbeat counters (van Renesse, Minsky and
+Hayden, "A Gossip-Style Failure Detection Service", 1998). Between regions
+only a summary of each region travels, so that what a VM spends grows with
+its region and the number of regions, not with the fleet.
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+import random
+
+import eliot
+
+from .. import errors
+from .. import settings as settings_module
+from .. import timers as timer_service
+from . import detector
+from ..ports import peers
+
+INTERVAL_SECONDS = 1.0
+CALL_SECONDS = 2.0
+SUMMARY_STALE_SECONDS = 12.0
+# Until something was heard, VMs count as alive for this long.
+GRACE_SECONDS = 6.0
+# Exchanges with other regions a second that all VMs of a region make.
+REGION_EXCHANGES = 3.0
+ROUND_TRIP_SMOOTHING = 0.2
+
+
+@dataclasses.dataclass(slots=True)
+class Heartbeat:
+    """The newest sign of life of a VM of the own region.
+
+    :ivar incarnation: start of the process in ms since the epoch.
+    """
+
+    incarnation: int
+    counter: int
+    is_leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceLoad:
+    """What a region's backend servers of one service are doing."""
+
+    slots: int
+    running: int
+    waiting: int
+
+    @property
+    def free(self) -> int:
+        return max(0, self.slots - self.running - self.waiting)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """What the VMs of a region say of it.
+
+    :ivar version: rises with every summary of the region.
+    :ivar made_at: monotonic seconds, on this VM's clock.
+    """
+
+    region: str
+    version: int
+    made_at: float
+    alive: tuple[str, ...]
+    services: dict[str, ServiceLoad]
+    revision: int
+
+
+class Gossip:
+    """The membership as one VM sees it.
+
+    :param describe: gives the load of the services in this region.
+    :param revision: gives the revision in force on this VM.
+    :param pending: gives withdrawals that others may not have heard of.
+    :param on_pending: takes withdrawals that another VM named.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        mesh: peers.PeerPort,
+        timers: timer_service.Timers,
+        rng: random.Random,
+        describe: collections.abc.Callable[[], dict[str, ServiceLoad]],
+        revision: collections.abc.Callable[[], int],
+        pending: collections.abc.Callable[[], set[str]],
+        on_pending: collections.abc.Callable[
+            [set[str]], collections.abc.Awaitable[None]
+        ],
+    ) -> None:
+        self.settings = settings
+        self.mesh = mesh
+        self.timers = timers
+        self.rng = rng
+        self.describe = describe
+        self.revision = revision
+        self.pending = pending
+        self.on_pending = on_pending
+        self.vm = settings.vm
+        self.region = settings.region
+        self.started_at = timers.now()
+        self.mates = {
+            peer.vm for peer in settings.peers if peer.region == self.region
+        }
+        self.region_of = {peer.vm: peer.region for peer in settings.peers}
+        self.heartbeats = {
+            self.vm: Heartbeat(int(timers.wall() * 1000), 0, False)
+        }
+        self.detectors: dict[str, detector.SilenceDetector] = {}
+        self.summaries: dict[str, Summary] = {}
+        self.round_trips: dict[str, float] = {}
+
+    def handlers(self) -> dict[str, peers.Handler]:
+        return {'gossip.exchange': self.on_exchange}
+
+    @property
+    def is_leaving(self) -> bool:
+        return self.heartbeats[self.vm].is_leaving
+
+    async def leave(self) -> None:
+        """Tells the others that this VM takes no new callers."""
+        me = self.heartbeats[self.vm]
+        me.is_leaving = True
+        me.counter += 1
+        for vm in self.mates - {self.vm}:
+            await self.exchange(vm)
+
+    def is_alive(self, vm: str) -> bool:
+        """Returns whether a VM may be worth asking."""
+        if vm == self.vm:
+            return True
+        now = self.timers.now()
+        in_grace = now - self.started_at < GRACE_SECONDS
+        if vm in self.mates:
+            known = self.detectors.get(vm)
+            return in_grace if known is None else not known.is_silent(now)
+        summary = self.summaries.get(self.region_of.get(vm, ''))
+        if summary is None:
+            return in_grace
+        if now - summary.made_at > SUMMARY_STALE_SECONDS:
+            return False
+        return vm in summary.alive
+
+    def takes_callers(self, vm: str) -> bool:
+        """Returns whether callers may be sent to a VM."""
+        heartbeat = self.heartbeats.get(vm)
+        if heartbeat is not None and heartbeat.is_leaving:
+            return False
+        return self.is_alive(vm)
+
+    def summary_of(self, region: str) -> Summary | None:
+        """Returns what is known of a region, unless it is too old."""
+        summary = self.summaries.get(region)
+        if summary is None:
+            return None
+        age = self.timers.now() - summary.made_at
+        return summary if age <= SUMMARY_STALE_SECONDS else None
+
+    async def run(self) -> None:
+        """Gossips until it is cancelled."""
+        while True:
+            self.heartbeats[self.vm].counter += 1
+            self.summarise()
+            for vm in self.choose_targets():
+                await self.exchange(vm)
+            pause = INTERVAL_SECONDS * (0.8 + 0.4 * self.rng.random())
+            await self.timers.sleep(pause)
+
+    def choose_targets(self) -> list[str]:
+        """Returns a mate, and now and then a VM of another region."""
+        chosen = []
+        mates = sorted(self.mates - {self.vm})
+        if mates:
+            chosen.append(self.rng.choice(mates))
+        others = [one for one in self.settings.regions if one != self.region]
+        odds = REGION_EXCHANGES / len(self.mates)
+        if others and self.rng.random() < odds:
+            region = self.rng.choice(others)
+            vms = [
+                vm for vm, where in self.region_of.items() if where == region
+            ]
+            near = [vm for vm in vms if self.is_alive(vm)]
+            chosen.append(self.rng.choice(near or vms))
+        return chosen
+
+    async def exchange(self, vm: str) -> None:
+        asked_at = self.timers.now()
+        is_mate = vm in self.mates
+        with contextlib.suppress(errors.GatewayError):
+            answer = await self.mesh.call(
+                vm, 'gossip.exchange', self.tell(is_mate), CALL_SECONDS
+            )
+            self.note_round_trip(vm, self.timers.now() - asked_at)
+            await self.hear(answer)
+
+    def note_round_trip(self, vm: str, seconds: float) -> None:
+        region = self.region_of[vm]
+        known = self.round_trips.get(region, seconds)
+        change = ROUND_TRIP_SMOOTHING * (seconds - known)
+        self.round_trips[region] = known + change
+
+    async def on_exchange(self, peer: str, message: list) -> list:
+        await self.hear(message)
+        return self.tell(peer in self.mates)
+
+    def tell(self, is_mate: bool) -> list:
+        """Returns what another VM should know."""
+        now = self.timers.now()
+        heartbeats = []
+        if is_mate:
+            heartbeats = [
+                [vm, one.incarnation, one.counter, one.is_leaving]
+                for vm, one in self.heartbeats.items()
+            ]
+        summaries = [
+            [
+                one.region,
+                one.version,
+                round(now - one.made_at, 3),
+                one.alive,
+                {
+                    name: [load.slots, load.running, load.waiting]
+                    for name, load in one.services.items()
+                },
+                one.revision,
+            ]
+            for one in self.summaries.values()
+        ]
+        return [heartbeats, summaries, sorted(self.pending())]
+
+    async def hear(self, message: list) -> None:
+        """Takes in what another VM tells."""
+        heartbeats, summaries, pending = message
+        for vm, incarnation, counter, is_leaving in heartbeats:
+            if vm == self.vm:
+                self.refute(incarnation)
+            elif vm in self.mates:
+                self.hear_heartbeat(
+                    vm, Heartbeat(incarnation, counter, is_leaving)
+                )
+        now = self.timers.now()
+        for region, version, age, alive, services, revision in summaries:
+            known = self.summaries.get(region)
+            if known is None or version > known.version:
+                loads = {
+                    name: ServiceLoad(*load) for name, load in services.items()
+                }
+                self.summaries[region] = Summary(
+                    region, version, now - age, tuple(alive), loads, revision
+                )
+        if pending:
+            await self.on_pending(set(pending))
+
+    def refute(self, incarnation: int) -> None:
+        """Outbids an earlier process whose clock was ahead of this one's."""
+        me = self.heartbeats[self.vm]
+        if incarnation > me.incarnation:
+            me.incarnation = incarnation + 1
+
+    def hear_heartbeat(self, vm: str, new: Heartbeat) -> None:
+        now = self.timers.now()
+        known = self.heartbeats.get(vm)
+        if known is None or new.incarnation > known.incarnation:
+            eliot.log_message('gossip:joined', vm=vm)
+            self.heartbeats[vm] = new
+            self.detectors[vm] = detector.SilenceDetector(
+                now, INTERVAL_SECONDS
+            )
+        elif (
+            new.incarnation == known.incarnation
+            and new.counter > known.counter
+        ):
+            self.heartbeats[vm] = new
+            self.detectors[vm].hear(now)
+
+    def summarise(self) -> None:
+        """Writes the region's summary, on the first VM that is alive."""
+        near = sorted(vm for vm in self.mates if self.is_alive(vm))
+        if near[0] != self.vm and self.is_known(near[0]):
+            return
+        known = self.summaries.get(self.region)
+        version = known.version + 1 if known else 1
+        self.summaries[self.region] = Summary(
+            self.region,
+            version,
+            self.timers.now(),
+            tuple(vm for vm in near if self.takes_callers(vm)),
+            self.describe(),
+            self.revision(),
+        )
+
+    def is_known(self, vm: str) -> bool:
+        return vm in self.heartbeats
--- /dev/null
+++ b/src/greengagegw/metrics.py
@@ -0,0 +1,125 @@
+"""What a VM counts and measures, for ``/metrics``."""
+
+import prometheus_client
+
+TTFT_BUCKETS = (
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.53, 0.75, 1, 2, 5, 10, 30,
+)  # fmt: skip
+GAP_BUCKETS = (
+    0.002, 0.005, 0.01, 0.02, 0.033, 0.05, 0.066, 0.1, 0.2, 0.5, 1, 5,
+)  # fmt: skip
+
+
+class Metrics:
+    """The metrics of one VM, in a registry of their own.
+
+    Labels are taken from the table and the settings only, never from what
+    a caller sends, so that their number is bounded.
+    """
+
+    def __init__(self) -> None:
+        registry = prometheus_client.CollectorRegistry()
+        self.registry = registry
+
+        def counter(
+            name: str, text: str, labels: tuple[str, ...] = ()
+        ) -> prometheus_client.Counter:
+            return prometheus_client.Counter(
+                name, text, labels, registry=registry
+            )
+
+        self.requests = counter(
+            'greengagegw_requests',
+            'Requests by outcome; code is ok or the error code',
+            ('organisation', 'service', 'code', 'run'),
+        )
+        self.tokens = counter(
+            'greengagegw_tokens',
+            'Tokens used',
+            ('organisation', 'service'),
+        )
+        self.runner_seconds = counter(
+            'greengagegw_runner_seconds',
+            'Seconds that slots of backend servers were taken',
+            ('service', 'organisation'),
+        )
+        self.forwarded = counter(
+            'greengagegw_forwarded',
+            'Requests run in another region',
+            ('service', 'region'),
+        )
+        self.refused_within_rate = counter(
+            'greengagegw_refused_within_rate',
+            'Refusals other than for the rate, or of a busy organisation',
+            ('organisation', 'code'),
+        )
+        self.retries = counter(
+            'greengagegw_retries',
+            'Retries before the first byte',
+            ('service',),
+        )
+        self.resumes = counter(
+            'greengagegw_resumes', 'Streams resumed at an offset', ('service',)
+        )
+        self.slow = counter(
+            'greengagegw_slow',
+            'Answers slower than the objective, by which one was missed',
+            ('organisation', 'service', 'objective'),
+        )
+        self.first_token = prometheus_client.Histogram(
+            'greengagegw_first_token_seconds',
+            'Seconds from the request to the first byte of the answer',
+            ('organisation', 'service'),
+            buckets=TTFT_BUCKETS,
+            registry=registry,
+        )
+        self.between_tokens = prometheus_client.Histogram(
+            'greengagegw_between_tokens_seconds',
+            'Mean seconds between chunks, for each stream',
+            ('organisation', 'service'),
+            buckets=GAP_BUCKETS,
+            registry=registry,
+        )
+        self.in_flight = prometheus_client.Gauge(
+            'greengagegw_requests_in_flight',
+            'Requests being handled',
+            registry=registry,
+        )
+        self.revision = prometheus_client.Gauge(
+            'greengagegw_revision',
+            'Revision of the configuration in force',
+            registry=registry,
+        )
+        self.runner_load = prometheus_client.Gauge(
+            'greengagegw_runner_load',
+            'Requests that a backend server is thought to hold',
+            ('backend_server',),
+            registry=registry,
+        )
+        self.runner_limit = prometheus_client.Gauge(
+            'greengagegw_runner_limit',
+            'Requests that a backend server may hold',
+            ('backend_server',),
+            registry=registry,
+        )
+        self.queue_length = prometheus_client.Gauge(
+            'greengagegw_queue_length',
+            'Requests that wait for a backend server',
+            ('service',),
+            registry=registry,
+        )
+        self.tokens_held = prometheus_client.Gauge(
+            'greengagegw_tokens_held',
+            'Tokens of the allowance that this VM holds',
+            ('organisation',),
+            registry=registry,
+        )
+        self.peer_bytes = prometheus_client.Gauge(
+            'greengagegw_peer_bytes_sent',
+            'Bytes sent to other VMs',
+            registry=registry,
+        )
+
+    def render(self) -> bytes:
+        """Returns all metrics in the text format of Prometheus."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/src/greengagegw/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on routing, admission and retries, as plain functions."""
--- /dev/null
+++ b/src/greengagegw/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Ports: what the core asks of callers, peers, engines and disks."""
--- /dev/null
+++ b/src/greengagegw/replication/__init__.py
@@ -0,0 +1,1 @@
+"""A replicated log: election, storage and snapshots."""
--- /dev/null
+++ b/src/greengagegw/replication/entries.py
@@ -0,0 +1,90 @@
+"""Entries of the replicated log and the members that hold it."""
+
+import dataclasses
+import enum
+
+
+class EntryKind(enum.IntEnum):
+    """What an entry is for."""
+
+    COMMAND = 0
+    # Written by each new leader, which may count entries of its own term
+    # only (Ongaro and Ousterhout, "In Search of an Understandable Consensus
+    # Algorithm", 2014, section 5.4.2).
+    NOTHING = 1
+    MEMBERS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """One entry; indexes start at 1."""
+
+    index: int
+    term: int
+    kind: EntryKind
+    content: bytes
+
+    def pack(self) -> list:
+        return [self.index, self.term, int(self.kind), self.content]
+
+    @classmethod
+    def unpack(cls, values: list) -> 'Entry':
+        index, term, kind, content = values
+        return cls(index, term, EntryKind(kind), content)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """A replica of the group.
+
+    :ivar incarnation: changes when the replica has lost its disk.
+    :ivar is_voter: whether it counts in majorities, or only learns.
+    """
+
+    vm: str
+    incarnation: str
+    is_voter: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Members:
+    """The members of a group, by VM."""
+
+    members: tuple[Member, ...]
+
+    @property
+    def voters(self) -> list[str]:
+        return [one.vm for one in self.members if one.is_voter]
+
+    def get(self, vm: str) -> Member | None:
+        return next((one for one in self.members if one.vm == vm), None)
+
+    def put(self, member: Member) -> 'Members':
+        """Returns the members with one of them set."""
+        others = [one for one in self.members if one.vm != member.vm]
+        return Members(tuple(sorted([*others, member], key=_by_vm)))
+
+    def is_majority(self, vms: set[str]) -> bool:
+        voters = self.voters
+        return 2 * sum(vm in vms for vm in voters) > len(voters)
+
+    def pack(self) -> list:
+        return [[m.vm, m.incarnation, m.is_voter] for m in self.members]
+
+    @classmethod
+    def unpack(cls, values: list) -> 'Members':
+        return cls(tuple(Member(*value) for value in values))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The state after an entry, in place of all entries up to it."""
+
+    index: int
+    term: int
+    members: Members
+    state: bytes
+
+
+def _by_vm(member: Member) -> str:
+    return member.vm
--- /dev/null
+++ b/src/greengagegw/replication/replica.py
@@ -0,0 +1,862 @@
+"""A replica of a log that a majority of voters must hold.
+
+The algorithm is Raft (Ongaro and Ousterhout, "In Search of an
+Understandable Consensus Algorithm", 2014) with the pre-vote and the
+one-at-a-time member change of Ongaro's dissertation (2014, chapters 4 and
+9). A replica counts its starts, and its peers remember the count, so that
+a disk brought back from the past is found and starts anew as a learner.
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+import enum
+import random
+import secrets
+import typing
+
+import anyio
+import anyio.abc
+import eliot
+import msgpack
+
+from .. import errors
+from .. import timers as timer_service
+from . import entries as log_entries
+from ..ports import peers
+from . import storage as log_storage
+
+ELECTION_SECONDS = 1.5
+HEARTBEAT_SECONDS = 0.4
+CALL_SECONDS = 1.0
+STARTUP_RETRY_SECONDS = 0.3
+BATCH_BYTES = 256 * 1024
+SNAPSHOT_CHUNK_BYTES = 256 * 1024
+SNAPSHOT_AFTER_ENTRIES = 2000
+MAX_VOTERS = 7
+
+
+class Role(enum.Enum):
+    """What a replica does in its group."""
+
+    STARTING = 'starting'
+    FOLLOWER = 'follower'
+    CANDIDATE = 'candidate'
+    LEADER = 'leader'
+    FAILED = 'failed'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateMachine:
+    """What the log is applied to.
+
+    :ivar apply: takes a committed command and returns its outcome.
+    :ivar save: returns the whole state as bytes.
+    :ivar restore: replaces the state by saved bytes.
+    """
+
+    apply: collections.abc.Callable[[bytes], typing.Any]
+    save: collections.abc.Callable[[], bytes]
+    restore: collections.abc.Callable[[bytes], None]
+
+
+class Waiter:
+    """A proposal that waits for its entry to be applied."""
+
+    __slots__ = ('done', 'error', 'outcome', 'term')
+
+    def __init__(self, term: int) -> None:
+        self.term = term
+        self.done = anyio.Event()
+        self.outcome: typing.Any = None
+        self.error: errors.GatewayError | None = None
+
+
+class Replica:
+    """One replica of the group ``group`` on the VM ``vm``.
+
+    :param founders: the VMs that form the group at its first start.
+    :param rng: source of the election timeouts.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        vm: str,
+        founders: tuple[str, ...],
+        storage: log_storage.Storage,
+        machine: StateMachine,
+        mesh: peers.PeerPort,
+        timers: timer_service.Timers,
+        rng: random.Random,
+    ) -> None:
+        self.group = group
+        self.vm = vm
+        self.founders = founders
+        self.storage = storage
+        self.machine = machine
+        self.mesh = mesh
+        self.timers = timers
+        self.rng = rng
+        self.role = Role.STARTING
+        self.leader: str | None = None
+        self.members = log_entries.Members(())
+        self.members_index = 0
+        self.session = secrets.token_hex(8)
+        self.commit_index = 0
+        self.applied_index = 0
+        self.heard_at = timers.now()
+        self.contacts: dict[str, float] = {}
+        self.match: dict[str, int] = {}
+        self.waiters: dict[int, Waiter] = {}
+        self.queue: list[tuple[log_entries.EntryKind, bytes, Waiter]] = []
+        self.queued = anyio.Event()
+        self.appended = anyio.Event()
+        self.disk = anyio.Lock()
+        self.incoming: bytearray | None = None
+        self.failure: errors.StorageError | None = None
+        self.is_loaded = False
+        self.is_caught_up = False
+        self.tasks: anyio.abc.TaskGroup | None = None
+        self.leading: anyio.CancelScope | None = None
+
+    @property
+    def term(self) -> int:
+        return self.storage.meta.term
+
+    @property
+    def incarnation(self) -> str:
+        return self.storage.meta.incarnation
+
+    @property
+    def is_leader(self) -> bool:
+        return self.role is Role.LEADER
+
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether what is applied here is what the leader applied."""
+        if self.is_leader:
+            return self.is_caught_up
+        silence = self.timers.now() - self.heard_at
+        return (
+            self.role is Role.FOLLOWER
+            and self.is_caught_up
+            and self.leader is not None
+            and silence < 2 * ELECTION_SECONDS
+        )
+
+    @contextlib.asynccontextmanager
+    async def exclusive(self) -> collections.abc.AsyncIterator[None]:
+        """Holds the disk; what was begun is not cancelled half way."""
+        async with self.disk:
+            with anyio.CancelScope(shield=True):
+                yield
+
+    def handlers(self) -> dict[str, peers.Handler]:
+        """Returns the handlers of this replica for the peer port."""
+        prefix = f'replica.{self.group}'
+        return {
+            f'{prefix}.identify': self.on_identify,
+            f'{prefix}.vote': self.on_vote,
+            f'{prefix}.append': self.on_append,
+            f'{prefix}.snapshot': self.on_snapshot,
+            f'{prefix}.join': self.on_join,
+            f'{prefix}.propose': self.on_propose,
+        }
+
+    async def ask(
+        self, vm: str, method: str, message: typing.Any
+    ) -> typing.Any:
+        name = f'replica.{self.group}.{method}'
+        return await self.mesh.call(vm, name, message, CALL_SECONDS)
+
+    async def run(self) -> None:
+        """Runs the replica until it is cancelled.
+
+        :raises StorageError: if the disk cannot be trusted.
+        """
+        async with self.exclusive():
+            await self.load()
+            self.is_loaded = True
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            await self.start_up()
+            tasks.start_soon(self.run_elections)
+            tasks.start_soon(self.write_queue)
+
+    async def load(self) -> None:
+        """Reads the state from disk and counts the start."""
+        await self.storage.load()
+        if self.storage.snapshot is not None:
+            self.restore(self.storage.snapshot)
+        self.find_members()
+        if not self.incarnation:
+            await self.storage.save_meta(
+                incarnation=secrets.token_hex(8), boots=1
+            )
+            return
+        await self.storage.save_meta(boots=self.storage.meta.boots + 1)
+
+    def restore(self, snapshot: log_entries.Snapshot) -> None:
+        self.machine.restore(snapshot.state)
+        self.applied_index = snapshot.index
+        self.commit_index = max(self.commit_index, snapshot.index)
+
+    def find_members(self) -> None:
+        """Takes the members from the newest entry that names them."""
+        self.members_index = self.storage.base_index
+        for entry in reversed(self.storage.entries):
+            if entry.kind is log_entries.EntryKind.MEMBERS:
+                self.members = _unpack_members(entry.content)
+                self.members_index = entry.index
+                return
+        if self.storage.snapshot is not None:
+            self.members = self.storage.snapshot.members
+            return
+        self.members = log_entries.Members.unpack(self.storage.meta.founders)
+
+    def has_incarnation(self, vm: str, incarnation: str) -> bool:
+        """Returns whether a member still has the disk it had."""
+        member = self.members.get(vm)
+        return member is not None and member.incarnation == incarnation
+
+    # Starting: first formation, restart, and return without the disk.
+
+    async def start_up(self) -> None:
+        """Returns when the replica may take part."""
+        while self.role is Role.STARTING:
+            answers = await self.identify_to_all()
+            async with self.exclusive():
+                formed = await self.judge_start(answers)
+            await self.ask_to_join(formed)
+            if self.role is Role.STARTING:
+                await self.timers.sleep(STARTUP_RETRY_SECONDS)
+
+    async def identify_to_all(self) -> dict[str, dict]:
+        message = [
+            self.vm,
+            self.incarnation,
+            self.storage.meta.boots,
+            self.session,
+        ]
+        answers: dict[str, dict] = {}
+
+        async def identify_to(vm: str) -> None:
+            with contextlib.suppress(errors.GatewayError):
+                answers[vm] = await self.ask(vm, 'identify', message)
+
+        others = {*self.founders, *self.members.voters} - {self.vm}
+        async with anyio.create_task_group() as tasks:
+            for vm in others:
+                tasks.start_soon(identify_to, vm)
+        return answers
+
+    async def judge_start(self, answers: dict[str, dict]) -> list[dict]:
+        """Decides from the peers' answers how this replica starts.
+
+        :returns: the answers of a group that this replica must join.
+        """
+        if any(
+            answer['is_stale'] or self.is_replaced(answer)
+            for answer in answers.values()
+        ):
+            await self.start_anew()
+            return []
+        if self.members.members:
+            if self.members.is_majority({self.vm, *answers}):
+                self.become_follower()
+            return []
+        formed = [one for one in answers.values() if one['members']]
+        for answer in formed:
+            members = log_entries.Members.unpack(answer['members'])
+            me = members.get(self.vm)
+            if me is not None and me.incarnation == self.incarnation:
+                await self.form(log_entries.Members.unpack(answer['founders']))
+                return []
+        if formed:
+            return formed
+        if self.vm in self.founders and len(answers) == (
+            len(self.founders) - 1
+        ):
+            incarnations = {
+                vm: answer['incarnation'] for vm, answer in answers.items()
+            }
+            incarnations[self.vm] = self.incarnation
+            await self.form(
+                log_entries.Members(
+                    tuple(
+                        log_entries.Member(vm, incarnations[vm], True)
+                        for vm in sorted(self.founders)
+                    )
+                )
+            )
+        return []
+
+    def is_replaced(self, answer: dict) -> bool:
+        """Returns whether a newer disk of this VM became a member."""
+        if answer['members_index'] <= self.members_index:
+            return False
+        members = log_entries.Members.unpack(answer['members'])
+        me = members.get(self.vm)
+        return (
+            bool(self.members.members)
+            and me is not None
+            and me.incarnation != self.incarnation
+        )
+
+    async def form(self, founders: log_entries.Members) -> None:
+        """Takes the founders of the group for its first members."""
+        if not founders.members:
+            return
+        await self.storage.save_meta(founders=founders.pack())
+        self.find_members()
+        self.become_follower()
+
+    async def start_anew(self) -> None:
+        """Drops a state that is older than what peers have seen."""
+        eliot.log_message('replica:old_disk', group=self.group, vm=self.vm)
+        await self.storage.wipe()
+        await self.storage.save_meta(incarnation=secrets.token_hex(8), boots=1)
+        self.members = log_entries.Members(())
+
+    async def ask_to_join(self, formed: list[dict]) -> None:
+        """Asks the leader to admit this replica as a learner."""
+        leaders = {one['leader'] for one in formed if one['leader']}
+        for leader in leaders:
+            with contextlib.suppress(errors.GatewayError):
+                await self.ask(leader, 'join', [self.vm, self.incarnation])
+                self.become_follower()
+                return
+
+    async def on_identify(self, peer: str, message: list) -> dict:
+        vm, incarnation, boots, session = message
+        if not self.is_loaded:
+            raise errors.ReplicationError('starting')
+        is_stale = False
+        async with self.exclusive():
+            known = self.find_seen(vm, incarnation)
+            if known is not None and known.session != session:
+                is_stale = known.boots >= boots
+            if known is None or boots > known.boots:
+                seen = log_storage.SeenBoot(vm, incarnation, boots, session)
+                await self.remember_boot(seen)
+        return {
+            'incarnation': self.incarnation,
+            'founders': list(self.storage.meta.founders),
+            'members': self.members.pack(),
+            'members_index': self.members_index,
+            'leader': self.leader,
+            'is_stale': is_stale,
+        }
+
+    def find_seen(
+        self, vm: str, incarnation: str
+    ) -> log_storage.SeenBoot | None:
+        for seen in self.storage.meta.seen_boots:
+            if (seen.vm, seen.incarnation) == (vm, incarnation):
+                return seen
+        return None
+
+    async def remember_boot(self, seen: log_storage.SeenBoot) -> None:
+        """Keeps a peer's count of starts.
+
+        Older incarnations of the same VM never come back as members, so
+        they are forgotten.
+        """
+        others = [
+            one for one in self.storage.meta.seen_boots if one.vm != seen.vm
+        ]
+        await self.storage.save_meta(seen_boots=(*others, seen))
+
+    async def on_join(self, peer: str, message: list) -> None:
+        vm, incarnation = message
+        self.require_leader()
+        if self.has_incarnation(vm, incarnation):
+            if self.members_index > self.commit_index:
+                raise errors.ReplicationError('a change is under way')
+            return
+        known = self.members.get(vm)
+        if known is None and len(self.members.members) >= MAX_VOTERS:
+            raise errors.ReplicationError('the group is full')
+        member = log_entries.Member(vm, incarnation, False)
+        await self.change_members(self.members.put(member))
+
+    async def change_members(self, members: log_entries.Members) -> None:
+        """Changes one member, after the last change was committed."""
+        self.require_leader()
+        if self.members_index > self.commit_index:
+            raise errors.ReplicationError('a change is under way')
+        content = _pack_members(members)
+        await self.propose(content, log_entries.EntryKind.MEMBERS)
+
+    # Roles.
+
+    def become_follower(self) -> None:
+        if self.leading is not None:
+            self.leading.cancel()
+            self.leading = None
+        if self.role is Role.LEADER:
+            self.leader = None
+            eliot.log_message('replica:step_down', group=self.group)
+        if self.failure is None:
+            self.role = Role.FOLLOWER
+        self.heard_at = self.timers.now()
+        self.fail_waiters()
+
+    def fail_waiters(self) -> None:
+        """Answers the proposals that this replica cannot see through."""
+        for waiter in self.waiters.values():
+            waiter.error = errors.LostLeadershipError(
+                'the leader stepped down'
+            )
+            waiter.done.set()
+        self.waiters.clear()
+        for _, _, waiter in self.queue:
+            waiter.error = errors.NotLeaderError('no leader', None)
+            waiter.done.set()
+        self.queue.clear()
+
+    async def see_term(self, term: int) -> None:
+        """Takes over a higher term that a peer named."""
+        if term > self.term:
+            await self.storage.save_meta(term=term, voted_for='')
+            self.become_follower()
+
+    async def run_elections(self) -> None:
+        """Stands for election when the leader is silent too long."""
+        while True:
+            patience = ELECTION_SECONDS * (1 + self.rng.random())
+            await self.timers.sleep(patience / 4)
+            if self.role is Role.LEADER:
+                self.check_majority()
+                continue
+            me = self.members.get(self.vm)
+            if me is None or not me.is_voter:
+                continue
+            if me.incarnation != self.incarnation:
+                continue
+            if self.timers.now() - self.heard_at >= patience:
+                await self.stand()
+
+    def check_majority(self) -> None:
+        """Steps down when a majority was not heard for too long."""
+        now = self.timers.now()
+        near = {
+            vm
+            for vm, at in self.contacts.items()
+            if now - at < ELECTION_SECONDS
+        }
+        if not self.members.is_majority({self.vm, *near}):
+            self.become_follower()
+
+    async def stand(self) -> None:
+        """Asks for votes, after asking whether they would be given."""
+        self.heard_at = self.timers.now()
+        if not await self.collect_votes(self.term + 1, is_trial=True):
+            return
+        async with self.exclusive():
+            await self.storage.save_meta(term=self.term + 1, voted_for=self.vm)
+        self.role = Role.CANDIDATE
+        self.leader = None
+        term = self.term
+        won = await self.collect_votes(term, is_trial=False)
+        if won and self.term == term and self.role is Role.CANDIDATE:
+            await self.lead()
+
+    async def collect_votes(self, term: int, is_trial: bool) -> bool:
+        last = self.storage.last_index
+        message = [
+            term,
+            self.vm,
+            self.incarnation,
+            last,
+            self.storage.term_at(last),
+            is_trial,
+        ]
+        votes = {self.vm}
+        enough = anyio.Event()
+
+        async def ask_one(vm: str) -> None:
+            with contextlib.suppress(errors.GatewayError):
+                their_term, granted, incarnation = await self.ask(
+                    vm, 'vote', message
+                )
+                if granted and self.has_incarnation(vm, incarnation):
+                    votes.add(vm)
+                elif their_term > self.term:
+                    async with self.exclusive():
+                        await self.see_term(their_term)
+            if self.members.is_majority(votes):
+                enough.set()
+
+        async with anyio.create_task_group() as tasks:
+            for vm in self.members.voters:
+                if vm != self.vm:
+                    tasks.start_soon(ask_one, vm)
+            if self.members.is_majority(votes):
+                return True
+            with self.timers.limit(CALL_SECONDS):
+                await enough.wait()
+            tasks.cancel_scope.cancel()
+        return self.members.is_majority(votes)
+
+    async def on_vote(self, peer: str, message: list) -> list:
+        term, candidate, incarnation, last_index, last_term, trial = message
+        if self.role in (Role.STARTING, Role.FAILED):
+            return [self.term, False, '']
+        async with self.exclusive():
+            if not self.has_incarnation(candidate, incarnation):
+                return [self.term, False, self.incarnation]
+            silence = self.timers.now() - self.heard_at
+            has_leader = self.leader is not None and (
+                self.is_leader or silence < ELECTION_SECONDS
+            )
+            if has_leader or term < self.term:
+                return [self.term, False, self.incarnation]
+            mine = self.storage.last_index
+            is_current = (last_term, last_index) >= (
+                self.storage.term_at(mine),
+                mine,
+            )
+            if trial:
+                return [self.term, is_current, self.incarnation]
+            await self.see_term(term)
+            self.leader = None
+            if not is_current:
+                return [self.term, False, self.incarnation]
+            if self.storage.meta.voted_for not in ('', candidate):
+                return [self.term, False, self.incarnation]
+            await self.storage.save_meta(voted_for=candidate)
+            self.heard_at = self.timers.now()
+            return [self.term, True, self.incarnation]
+
+    async def lead(self) -> None:
+        """Becomes the leader and starts one task for each peer."""
+        self.role = Role.LEADER
+        self.leader = self.vm
+        now = self.timers.now()
+        self.contacts = {vm: now for vm in self.members.voters}
+        self.match = {}
+        eliot.log_message('replica:lead', group=self.group, term=self.term)
+        self.leading = anyio.CancelScope()
+        self.tasks.start_soon(self.lead_members, self.leading)
+        waiter = Waiter(self.term)
+        self.queue.append((log_entries.EntryKind.NOTHING, b'', waiter))
+        self.queued.set()
+
+    async def lead_members(self, scope: anyio.CancelScope) -> None:
+        """Keeps one replicating task for each member but this one."""
+        with scope:
+            async with anyio.create_task_group() as tasks:
+                running: set[str] = set()
+                while True:
+                    for member in self.members.members:
+                        if member.vm not in running | {self.vm}:
+                            running.add(member.vm)
+                            tasks.start_soon(self.replicate, member.vm)
+                    await self.timers.sleep(HEARTBEAT_SECONDS)
+
+    # Replication, at the leader.
+
+    def require_started(self) -> None:
+        if self.failure is not None:
+            raise self.failure
+        if self.role is Role.STARTING:
+            raise errors.ReplicationError('starting')
+
+    def require_leader(self) -> None:
+        if self.failure is not None:
+            raise self.failure
+        if not self.is_leader:
+            raise errors.NotLeaderError('not the leader', self.leader)
+
+    async def propose(
+        self,
+        content: bytes,
+        kind: log_entries.EntryKind = log_entries.EntryKind.COMMAND,
+    ) -> typing.Any:
+        """Returns the outcome of a command once it is committed.
+
+        :raises NotLeaderError: if nothing was written.
+        :raises LostLeadershipError: if it may be committed or not.
+        """
+        self.require_leader()
+        waiter = Waiter(self.term)
+        self.queue.append((kind, content, waiter))
+        self.queued.set()
+        await waiter.done.wait()
+        if waiter.error is not None:
+            raise waiter.error
+        return waiter.outcome
+
+    async def on_propose(self, peer: str, content: bytes) -> typing.Any:
+        return await self.propose(content)
+
+    async def write_queue(self) -> None:
+        """Writes proposals in batches, one sync for each batch."""
+        while True:
+            while not self.queue:
+                self.queued = anyio.Event()
+                await self.queued.wait()
+            async with self.exclusive():
+                if not self.is_leader:
+                    self.fail_waiters()
+                    continue
+                batch, self.queue = self.queue, []
+                with contextlib.suppress(errors.StorageError):
+                    await self.write_batch(batch)
+            self.note_appended()
+            self.advance_commit()
+
+    async def write_batch(self, batch: list) -> None:
+        added = []
+        index = self.storage.last_index
+        for kind, content, waiter in batch:
+            index += 1
+            added.append(log_entries.Entry(index, self.term, kind, content))
+            self.waiters[index] = waiter
+        await self.append_or_fail(added)
+        if any(one.kind is log_entries.EntryKind.MEMBERS for one in added):
+            self.find_members()
+
+    async def append_or_fail(self, added: list[log_entries.Entry]) -> None:
+        try:
+            await self.storage.append(added)
+        except errors.StorageError as error:
+            # The file may hold anything now, so this replica stops taking
+            # part; a restart reads what really became durable.
+            self.failure = error
+            self.become_follower()
+            self.role = Role.FAILED
+            eliot.log_message('replica:disk_failed', group=self.group)
+            raise
+
+    def note_appended(self) -> None:
+        self.appended.set()
+        self.appended = anyio.Event()
+
+    async def replicate(self, vm: str) -> None:
+        """Brings one member up to date, and keeps it so."""
+        following = self.storage.last_index + 1
+        while self.is_leader:
+            try:
+                if following <= self.storage.base_index:
+                    following = await self.send_snapshot(vm)
+                following = await self.send_entries(vm, following)
+                await self.promote_when_ready(vm)
+            except errors.GatewayError:
+                await self.timers.sleep(HEARTBEAT_SECONDS)
+                continue
+            if following > self.storage.last_index:
+                appended = self.appended
+                with self.timers.limit(HEARTBEAT_SECONDS):
+                    await appended.wait()
+
+    async def send_entries(self, vm: str, following: int) -> int:
+        """Sends entries, and returns the index that the member needs."""
+        before = following - 1
+        sent = self.storage.get(following, BATCH_BYTES)
+        message = [
+            self.term,
+            self.vm,
+            before,
+            self.storage.term_at(before),
+            [entry.pack() for entry in sent],
+            self.commit_index,
+        ]
+        asked_at = self.timers.now()
+        term, accepted, held, incarnation = await self.ask(
+            vm, 'append', message
+        )
+        if term > self.term:
+            async with self.exclusive():
+                await self.see_term(term)
+            return following
+        if not self.has_incarnation(vm, incarnation):
+            return following
+        self.contacts[vm] = asked_at
+        if not accepted:
+            return max(1, min(following - 1, held + 1))
+        self.match[vm] = before + len(sent)
+        self.advance_commit()
+        return self.match[vm] + 1
+
+    async def send_snapshot(self, vm: str) -> int:
+        snapshot = self.storage.snapshot
+        size = len(snapshot.state)
+        for start in range(0, max(size, 1), SNAPSHOT_CHUNK_BYTES):
+            end = start + SNAPSHOT_CHUNK_BYTES
+            message = [
+                self.term,
+                self.vm,
+                snapshot.index,
+                snapshot.term,
+                snapshot.members.pack(),
+                start,
+                snapshot.state[start:end],
+                end >= size,
+            ]
+            term, accepted = await self.ask(vm, 'snapshot', message)
+            if term > self.term:
+                async with self.exclusive():
+                    await self.see_term(term)
+            if not accepted:
+                raise errors.ReplicationError(f'{vm} took no snapshot')
+        return snapshot.index + 1
+
+    async def promote_when_ready(self, vm: str) -> None:
+        """Makes a learner a voter when it holds what is committed."""
+        member = self.members.get(vm)
+        if member is None or member.is_voter or not self.is_leader:
+            return
+        if self.match.get(vm, 0) >= self.commit_index > 0:
+            voter = dataclasses.replace(member, is_voter=True)
+            await self.change_members(self.members.put(voter))
+
+    def advance_commit(self) -> None:
+        """Commits what a majority holds, if it is of this term."""
+        if not self.is_leader:
+            return
+        held = []
+        for vm in self.members.voters:
+            mine = self.storage.last_index
+            held.append(mine if vm == self.vm else self.match.get(vm, 0))
+        held.sort(reverse=True)
+        index = held[len(held) // 2] if held else 0
+        if index <= self.commit_index:
+            return
+        if self.storage.term_at(index) == self.term:
+            self.commit_index = index
+            self.apply_committed()
+            self.is_caught_up = True
+            # The members learn at once what they may apply.
+            self.note_appended()
+
+    # Replication, at the other members.
+
+    async def on_append(self, peer: str, message: list) -> list:
+        term, leader, before, before_term, packed, commit = message
+        self.require_started()
+        async with self.exclusive():
+            refusal = [self.term, False, 0, self.incarnation]
+            if term < self.term:
+                return refusal
+            await self.follow(term, leader)
+            held = self.storage.term_at(before)
+            if held != before_term and before > self.storage.base_index:
+                hint = min(before - 1, self.storage.last_index)
+                return [self.term, False, hint, self.incarnation]
+            added = [log_entries.Entry.unpack(one) for one in packed]
+            await self.take(added)
+            last = before + len(added)
+            if min(commit, last) > self.commit_index:
+                self.commit_index = min(commit, last)
+                self.apply_committed()
+            if self.applied_index >= commit:
+                self.is_caught_up = True
+            return [self.term, True, last, self.incarnation]
+
+    async def follow(self, term: int, leader: str) -> None:
+        await self.see_term(term)
+        if self.role is not Role.FOLLOWER:
+            self.become_follower()
+        self.leader = leader
+        self.heard_at = self.timers.now()
+
+    async def take(self, added: list[log_entries.Entry]) -> None:
+        """Appends what is new, cutting what contradicts it."""
+        new = []
+        for entry in added:
+            held = self.storage.term_at(entry.index)
+            if entry.index <= self.storage.base_index:
+                continue
+            if not new and held == entry.term:
+                continue
+            if not new and held is not None:
+                await self.storage.cut(entry.index)
+            new.append(entry)
+        if new:
+            await self.append_or_fail(new)
+            self.find_members()
+
+    async def on_snapshot(self, peer: str, message: list) -> list:
+        term, leader, index, index_term, members, start, part, last = message
+        self.require_started()
+        async with self.exclusive():
+            if term < self.term:
+                return [self.term, False]
+            await self.follow(term, leader)
+            if start == 0:
+                self.incoming = bytearray()
+            if self.incoming is None or len(self.incoming) != start:
+                return [self.term, False]
+            self.incoming += part
+            if last and index > self.commit_index:
+                snapshot = log_entries.Snapshot(
+                    index,
+                    index_term,
+                    log_entries.Members.unpack(members),
+                    bytes(self.incoming),
+                )
+                await self.storage.install(snapshot)
+                self.restore(snapshot)
+                self.find_members()
+            if last:
+                self.incoming = None
+            return [self.term, True]
+
+    # Applying.
+
+    def apply_committed(self) -> None:
+        """Applies the committed entries and answers their proposers."""
+        while self.applied_index < self.commit_index:
+            index = self.applied_index + 1
+            entry = self.storage.entries[index - self.storage.base_index - 1]
+            outcome = None
+            if entry.kind is log_entries.EntryKind.COMMAND:
+                outcome = self.machine.apply(entry.content)
+            self.applied_index = index
+            waiter = self.waiters.pop(index, None)
+            if waiter is None:
+                continue
+            waiter.outcome = outcome
+            if waiter.term != entry.term:
+                waiter.error = errors.LostLeadershipError('overwritten')
+            waiter.done.set()
+        held = self.applied_index - self.storage.base_index
+        if held >= SNAPSHOT_AFTER_ENTRIES and self.tasks is not None:
+            self.tasks.start_soon(self.take_snapshot)
+
+    async def take_snapshot(self) -> None:
+        """Replaces the applied entries by a snapshot."""
+        async with self.exclusive():
+            index = self.applied_index
+            if index - self.storage.base_index < SNAPSHOT_AFTER_ENTRIES:
+                return
+            snapshot = log_entries.Snapshot(
+                index,
+                self.storage.term_at(index),
+                self.members_at(index),
+                self.machine.save(),
+            )
+            await self.storage.install(snapshot)
+
+    def members_at(self, index: int) -> log_entries.Members:
+        """Returns the members as of an entry that is held."""
+        for entry in reversed(self.storage.entries):
+            if (
+                entry.index <= index
+                and entry.kind is log_entries.EntryKind.MEMBERS
+            ):
+                return _unpack_members(entry.content)
+        if self.storage.snapshot is not None:
+            return self.storage.snapshot.members
+        return log_entries.Members.unpack(self.storage.meta.founders)
+
+
+def _pack_members(members: log_entries.Members) -> bytes:
+    return msgpack.packb(members.pack())
+
+
+def _unpack_members(content: bytes) -> log_entries.Members:
+    return log_entries.Members.unpack(msgpack.unpackb(content))
--- /dev/null
+++ b/src/greengagegw/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports on service levels."""
--- /dev/null
+++ b/src/greengagegw/running.py
@@ -0,0 +1,320 @@
+"""Runs calls on the backend servers of this region."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import random
+
+import eliot
+
+from . import admission
+from . import errors
+from . import metrics as metric_sets
+from . import runners
+from . import streams
+from . import timers as timer_service
+from .policy import retry
+from .ports import backends
+
+LONGEST_BUFFERED_BYTES = 16 * 1024 * 1024
+RESUMES_PER_ANSWER = 3
+
+
+@dataclasses.dataclass(slots=True)
+class Usage:
+    """What a call used, filled in while its answer passes.
+
+    :ivar tokens: as the engine reported them, or None.
+    :ivar runner_seconds: seconds that a slot was taken.
+    """
+
+    tokens: int | None = None
+    runner_seconds: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Running:
+    """A call that runs, with its answer."""
+
+    answer: backends.Answer
+    usage: Usage
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """A call with what admission must know of it.
+
+    :ivar wait: seconds that it may wait for a slot.
+    """
+
+    call: backends.Call
+    weight: float
+    wait: float
+    prefix: bytes = b''
+    removes_usage: bool = False
+
+
+class LocalRuns:
+    """Runs calls in this region, with retries before the first byte."""
+
+    def __init__(
+        self,
+        known: runners.Runners,
+        queues: dict[str, admission.ServiceQueue],
+        timers: timer_service.Timers,
+        rng: random.Random,
+        metrics: metric_sets.Metrics,
+        retry_percent: int,
+    ) -> None:
+        self.known = known
+        self.queues = queues
+        self.timers = timers
+        self.rng = rng
+        self.metrics = metrics
+        self.budget = retry.RetryBudget(retry_percent)
+
+    @contextlib.asynccontextmanager
+    async def run(
+        self, order: Order
+    ) -> collections.abc.AsyncIterator[Running]:
+        """Runs a call and enters its answer.
+
+        :raises GatewayError: with ``run`` telling whether it was run.
+        """
+        queue = self.queues.get(order.call.service)
+        if queue is None:
+            raise errors.UnavailableError(
+                f'{order.call.service} has no backend server here'
+            )
+        self.budget.note_request()
+        excluded: frozenset[str] = frozenset()
+        tries = 0
+        run = errors.NOT_RUN
+        while True:
+            stack = contextlib.AsyncExitStack()
+            async with stack:
+                runner = await self.acquire(queue, order, excluded, run)
+                stack.callback(queue.release, runner)
+                try:
+                    running = await self.start(stack, runner, order)
+                except errors.GatewayError as error:
+                    tries += 1
+                    excluded |= {runner.name}
+                    if error.run != errors.NOT_RUN:
+                        run = errors.UNKNOWN
+                    self.note_failure(queue.service, runner, error)
+                    self.check_retry(error, order.call, tries, run)
+                else:
+                    yield running
+                    return
+            await self.timers.sleep(retry.backoff(tries, self.rng))
+            excluded = self.trim(queue, excluded)
+
+    async def acquire(
+        self,
+        queue: admission.ServiceQueue,
+        order: Order,
+        excluded: frozenset[str],
+        run: str,
+    ) -> runners.Runner:
+        try:
+            return await queue.acquire(
+                order.call.organisation,
+                order.weight,
+                order.call.tokens,
+                order.wait,
+                order.prefix,
+                excluded,
+            )
+        except errors.GatewayError as error:
+            # An earlier try may have run, whatever became of this one.
+            error.run = run
+            raise
+
+    def trim(
+        self, queue: admission.ServiceQueue, excluded: frozenset[str]
+    ) -> frozenset[str]:
+        """Returns whom to leave out, which is nobody if all have failed."""
+        if queue.service.candidates(self.timers.now(), excluded):
+            return excluded
+        return frozenset()
+
+    def check_retry(
+        self,
+        error: errors.GatewayError,
+        call: backends.Call,
+        tries: int,
+        run: str,
+    ) -> None:
+        """Raises a failure again unless it may be retried."""
+        if (
+            tries < retry.LONGEST_TRIES
+            and retry.may_retry(error, call)
+            and self.budget.spend()
+        ):
+            self.metrics.retries.labels(call.service).inc()
+            return
+        error.run = run
+        raise error
+
+    def note_failure(
+        self,
+        service: runners.Service,
+        runner: runners.Runner,
+        error: errors.GatewayError,
+    ) -> None:
+        eliot.log_message(
+            'run:failed', backend_server=runner.name, code=error.code
+        )
+        if isinstance(error, errors.BackendRefusedError):
+            runner.note_refusal()
+        else:
+            service.note_failure(runner, self.timers.now())
+
+    async def start(
+        self,
+        stack: contextlib.AsyncExitStack,
+        runner: runners.Runner,
+        order: Order,
+    ) -> Running:
+        """Returns a call's answer once its first byte is here."""
+        started_at = self.timers.now()
+        usage = Usage()
+        answer = await stack.enter_async_context(runner.port.send(order.call))
+        if order.call.stream and answer.status < 400:
+            first = await anext(answer.chunks, b'')
+            chunks = self.follow_stream(runner, order, answer, first, usage)
+        elif order.call.kind == 'model':
+            body = await read_whole(answer.chunks)
+            if answer.status < 400:
+                usage.tokens = streams.read_plain_usage(body)
+            else:
+                usage.tokens = 0
+            chunks = iterate([body])
+        else:
+            parts = await read_some(answer.chunks)
+            chunks = iterate(parts, answer.chunks)
+        runner.note_success()
+        stack.callback(self.note_end, runner, order, usage, started_at)
+        return Running(dataclasses.replace(answer, chunks=chunks), usage)
+
+    def note_end(
+        self,
+        runner: runners.Runner,
+        order: Order,
+        usage: Usage,
+        started_at: float,
+    ) -> None:
+        seconds = self.timers.now() - started_at
+        usage.runner_seconds += seconds
+        self.queues[order.call.service].service.note_duration(seconds)
+        self.metrics.runner_seconds.labels(
+            order.call.service, order.call.organisation
+        ).inc(seconds)
+
+    async def follow_stream(
+        self,
+        runner: runners.Runner,
+        order: Order,
+        answer: backends.Answer,
+        first: bytes,
+        usage: Usage,
+    ) -> collections.abc.AsyncIterator[bytes]:
+        """Yields the events of a stream, resuming it when it breaks.
+
+        :raises BrokenStreamError: if it ends without its end mark.
+        """
+        check = streams.StreamCheck(order.removes_usage)
+        events = check.take(first) if first else b''
+        if events:
+            yield events
+        chunks = answer.chunks
+        resumes = 0
+        async with contextlib.AsyncExitStack() as stack:
+            while True:
+                error: errors.BackendError | None = None
+                try:
+                    async for chunk in chunks:
+                        events = check.take(chunk)
+                        usage.tokens = check.tokens
+                        if events:
+                            yield events
+                except errors.BackendError as broken:
+                    error = broken
+                if check.is_whole:
+                    return
+                error = error or errors.BrokenStreamError(
+                    f'the answer of {runner.name} has no end mark'
+                )
+                error.run = errors.RAN
+                resumes += 1
+                if not runner.settings.resumes or (
+                    resumes > RESUMES_PER_ANSWER
+                ):
+                    raise error
+                chunks = await self.resume(stack, runner, order, check, error)
+
+    async def resume(
+        self,
+        stack: contextlib.AsyncExitStack,
+        runner: runners.Runner,
+        order: Order,
+        check: streams.StreamCheck,
+        error: errors.BackendError,
+    ) -> collections.abc.AsyncIterator[bytes]:
+        """Asks for the rest of a broken stream on a new connection.
+
+        :raises BackendError: the error that broke the stream, if the rest
+            cannot be had.
+        """
+        self.metrics.resumes.labels(order.call.service).inc()
+        try:
+            answer = await stack.enter_async_context(
+                runner.port.send(order.call, check.size)
+            )
+        except errors.BackendError as second:
+            raise error from second
+        if answer.status != 206:
+            raise error
+        return answer.chunks
+
+
+async def read_whole(chunks: collections.abc.AsyncIterator[bytes]) -> bytes:
+    """Returns a whole body.
+
+    :raises BackendError: if it breaks off or is too large.
+    """
+    parts = []
+    size = 0
+    async for chunk in chunks:
+        parts.append(chunk)
+        size += len(chunk)
+        if size > LONGEST_BUFFERED_BYTES:
+            raise errors.BackendError('the answer is too large')
+    return b''.join(parts)
+
+
+async def read_some(
+    chunks: collections.abc.AsyncIterator[bytes],
+) -> list[bytes]:
+    """Returns a body, or the head of one that is large."""
+    parts = []
+    size = 0
+    async for chunk in chunks:
+        parts.append(chunk)
+        size += len(chunk)
+        if size > LONGEST_BUFFERED_BYTES:
+            break
+    return parts
+
+
+async def iterate(
+    parts: list[bytes],
+    rest: collections.abc.AsyncIterator[bytes] | None = None,
+) -> collections.abc.AsyncIterator[bytes]:
+    """Yields parts, and then what follows them."""
+    for part in parts:
+        yield part
+    if rest is not None:
+        async for chunk in rest:
+            yield chunk
--- /dev/null
+++ b/src/greengagegw/settings.py
@@ -0,0 +1,263 @@
+"""Checked settings of one VM, read from a YAML file."""
+
+import dataclasses
+import pathlib
+import typing
+
+import pydantic
+import pydantic.dataclasses
+import yaml
+
+from . import errors
+
+Name = typing.Annotated[
+    str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')
+]
+Port = typing.Annotated[int, pydantic.Field(ge=0, le=65535)]
+Seconds = typing.Annotated[float, pydantic.Field(gt=0, le=86400)]
+Count = typing.Annotated[int, pydantic.Field(ge=1)]
+Digest = typing.Annotated[str, pydantic.Field(pattern=r'^[0-9a-f]{64}$')]
+
+checked = pydantic.dataclasses.dataclass(
+    frozen=True, kw_only=True, config=pydantic.ConfigDict(extra='forbid')
+)
+
+
+@checked
+class Listener:
+    """An address by IP number at which a VM listens."""
+
+    host: pydantic.IPvAnyAddress
+    port: Port
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return str(self.host), self.port
+
+
+@checked
+class Peer:
+    """A VM of the deployment, this one included.
+
+    ``disk`` says that the VM has a data folder and can carry replicas.
+    """
+
+    vm: Name
+    region: Name
+    failure_domain: Name
+    host: pydantic.IPvAnyAddress
+    port: Port
+    callers_url: pydantic.HttpUrl
+    disk: bool = False
+
+
+@checked
+class BackendServer:
+    """A backend server of one service in one region."""
+
+    name: Name
+    service: Name
+    region: Name
+    url: pydantic.HttpUrl
+    kind: typing.Literal['model', 'plain'] = 'model'
+    models: tuple[str, ...] = ()
+    checks_fencing: bool = False
+    resumes: bool = False
+    slots: Count = 16
+
+
+@checked
+class Limits:
+    header_bytes: Count = 16384
+    body_bytes: Count = 4 * 1024 * 1024
+    requests_in_flight: Count = 1000
+    queue_length: Count = 256
+    answer_bytes_stored: Count = 65536
+    frame_bytes: Count = 1024 * 1024
+    default_max_tokens: Count = 1024
+    longest_max_tokens: Count = 32768
+    retry_budget_percent: typing.Annotated[
+        int, pydantic.Field(ge=0, le=100)
+    ] = 10
+    claims: Count = 100000
+
+
+@checked
+class Timeouts:
+    body_seconds: Seconds = 30.0
+    idle_seconds: Seconds = 20.0
+    connect_seconds: Seconds = 2.0
+    first_byte_seconds: Seconds = 60.0
+    between_bytes_seconds: Seconds = 15.0
+    queue_seconds: Seconds = 10.0
+    peer_call_seconds: Seconds = 3.0
+    heartbeat_seconds: Seconds = 1.0
+    peer_silence_seconds: Seconds = 4.0
+    load_poll_seconds: Seconds = 0.5
+    load_poll_timeout_seconds: Seconds = 2.0
+    entries_ttl_seconds: Seconds = 5.0
+    stop_seconds: Seconds = 600.0
+    claim_keep_seconds: typing.Annotated[
+        float, pydantic.Field(gt=0, le=7 * 86400)
+    ] = 86400.0
+
+
+@checked
+class Objective:
+    """Service levels that the burn report measures against."""
+
+    success_share: typing.Annotated[float, pydantic.Field(gt=0, lt=1)] = 0.999
+    first_token_seconds: Seconds = 0.53
+    between_tokens_seconds: Seconds = 0.066
+    latency_share: typing.Annotated[float, pydantic.Field(gt=0, lt=1)] = 0.95
+
+
+@checked
+class Settings:
+    """Everything that a VM learns from its settings file."""
+
+    deployment: Name
+    vm: Name
+    callers: Listener
+    operators: Listener
+    peers: typing.Annotated[tuple[Peer, ...], pydantic.Field(min_length=1)]
+    peer_secret: typing.Annotated[str, pydantic.Field(min_length=16)]
+    operator_token_sha256: tuple[Digest, ...] = ()
+    data_folder: pathlib.Path | None = None
+    backend_servers: tuple[BackendServer, ...] = ()
+    limits: Limits = dataclasses.field(default_factory=Limits)
+    timeouts: Timeouts = dataclasses.field(default_factory=Timeouts)
+    objective: Objective = dataclasses.field(default_factory=Objective)
+
+    @pydantic.model_validator(mode='after')
+    def check_references(self) -> 'Settings':
+        problems = _repeated('peers', [peer.vm for peer in self.peers])
+        problems += _repeated(
+            'backend_servers', [one.name for one in self.backend_servers]
+        )
+        named = [peer for peer in self.peers if peer.vm == self.vm]
+        if not named:
+            problems.append(f'vm: {self.vm!r} is not among the peers')
+        elif named[0].disk != (self.data_folder is not None):
+            problems.append(
+                f'data_folder: given for {self.vm!r} if and only if its'
+                ' peer entry has disk: true'
+            )
+        regions = {peer.region for peer in self.peers}
+        problems += [
+            f'backend_servers.{at}.region: {one.region!r} has no VM;'
+            f' allowed are {", ".join(sorted(regions))}'
+            for at, one in enumerate(self.backend_servers)
+            if one.region not in regions
+        ]
+        if not any(peer.disk for peer in self.peers):
+            problems.append('peers: at least one VM must have disk: true')
+        if problems:
+            raise ValueError('\n'.join(problems))
+        return self
+
+    @property
+    def me(self) -> Peer:
+        return next(peer for peer in self.peers if peer.vm == self.vm)
+
+    @property
+    def region(self) -> str:
+        return self.me.region
+
+    @property
+    def regions(self) -> tuple[str, ...]:
+        """Every region with a VM, in alphabetical order."""
+        return tuple(sorted({peer.region for peer in self.peers}))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """One thing wrong in a settings file."""
+
+    file: str
+    path: str
+    value: str
+    allowed: str
+
+    def __str__(self) -> str:
+        found = f' (found {self.value})' if self.value else ''
+        return f'{self.file}: {self.path}: {self.allowed}{found}'
+
+
+def load(file: str | pathlib.Path) -> Settings:
+    """Returns the checked settings of a file.
+
+    :param file: path of a YAML file.
+    :raises SettingsError: with every problem of the file at once.
+    """
+    try:
+        text = pathlib.Path(file).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(
+            (Problem(str(file), '', '', f'cannot be read: {error}'),)
+        ) from error
+    return parse(text, str(file))
+
+
+def parse(text: str, file: str = '<text>') -> Settings:
+    """Returns the checked settings of a YAML text.
+
+    :param file: name of the text in messages.
+    :raises SettingsError: with every problem of the text at once.
+    """
+    try:
+        content = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        message = ' '.join(str(error).split())
+        raise errors.SettingsError(
+            (Problem(file, '', '', f'is not YAML: {message}'),)
+        ) from error
+    if not isinstance(content, dict):
+        raise errors.SettingsError(
+            (Problem(file, '', repr(content)[:80], 'must be a mapping'),)
+        )
+    return check(content, file)
+
+
+def check(content: dict, file: str) -> Settings:
+    """Returns the settings of a mapping, as YAML would give it.
+
+    :param file: name of the mapping in messages.
+    :raises SettingsError: with every problem of the mapping at once.
+    """
+    try:
+        return pydantic.TypeAdapter(Settings).validate_python(content)
+    except pydantic.ValidationError as error:
+        raise errors.SettingsError(
+            tuple(_problems(file, error.errors()))
+        ) from error
+
+
+def _repeated(where: str, names: list[str]) -> list[str]:
+    return [
+        f'{where}: the name {name!r} stands {names.count(name)} times'
+        for name in sorted(set(names))
+        if names.count(name) > 1
+    ]
+
+
+def _problems(file: str, details: list) -> list[Problem]:
+    found = []
+    for detail in details:
+        path = '.'.join(str(part) for part in detail['loc'])
+        if not path:
+            message = detail['msg'].removeprefix('Value error, ')
+            found += [
+                Problem(file, *_split(line)) for line in message.split('\n')
+            ]
+            continue
+        value = repr(detail['input'])[:80]
+        if path.endswith('peer_secret'):
+            value = ''
+        found.append(Problem(file, path, value, detail['msg']))
+    return found
+
+
+def _split(line: str) -> tuple[str, str, str]:
+    path, _, allowed = line.partition(': ')
+    return path, '', allowed
--- /dev/null
+++ b/src/greengagegw/vm.py
@@ -0,0 +1,502 @@
+"""Puts the parts of one VM together and runs them."""
+
+import collections.abc
+import contextlib
+import random
+import typing
+
+import anyio
+import anyio.abc
+import eliot
+
+from . import __version__
+from . import admission
+from . import errors
+from . import forwarding
+from . import gateway as gateways
+from . import metrics as metric_sets
+from . import runners
+from . import running
+from . import settings as settings_module
+from . import timers as timer_service
+from .adapters import backend_http
+from .adapters import entry
+from .adapters import files
+from .adapters import operator_http
+from .adapters import peer_mesh
+from .adapters import servers
+from .allowance import grantor as grantors
+from .allowance import lease as leases
+from .allowance import wallet as wallets
+from .control import distribution as distributions
+from .control import operations as operation_sets
+from .control import state
+from .control import view as views
+from .ledger import claims
+from .ledger import client as ledger_client
+from .lifecycle import stop as stopping
+from .membership import gossip
+from .replication import client as replication_client
+from .replication import replica as replicas
+from .replication import storage as log_storage
+
+CONTROL_GROUP = 'control'
+
+
+class Vm:
+    """One VM of a deployment.
+
+    :param settings: its checked settings.
+    :param timers: the timer service; the caller runs it.
+    :param rng: source of every random choice.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        timers: timer_service.Timers,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.timers = timers
+        self.rng = rng
+        self.metrics = metric_sets.Metrics()
+        self.mesh = peer_mesh.PeerMesh(settings, timers)
+        self.view = views.View()
+        self.replicas: dict[str, replicas.Replica] = {}
+        self.folders: list[files.Folder] = []
+        self.entry_closed = anyio.Event()
+        self.stopped = anyio.Event()
+        self.stop_wanted = anyio.Event()
+        self.build_load()
+        self.build_membership()
+        self.build_control()
+        self.build_allowance()
+        self.build_ledger()
+        self.build_gateway()
+        self.build_servers()
+
+    def disk_vms(self, region: str | None = None) -> tuple[str, ...]:
+        """Returns the VMs with a disk, of one region or of all."""
+        return tuple(
+            sorted(
+                peer.vm
+                for peer in self.settings.peers
+                if peer.disk and region in (None, peer.region)
+            )
+        )
+
+    def vms_of(self, region: str) -> list[str]:
+        """Returns the VMs of a region, those thought alive first."""
+        vms = [
+            peer.vm for peer in self.settings.peers if peer.region == region
+        ]
+        return sorted(vms, key=lambda vm: not self.membership.is_alive(vm))
+
+    def add_handlers(self, part: typing.Any) -> None:
+        """Lets other VMs call a part."""
+        self.mesh.handlers.calls.update(part.handlers())
+
+    # Building.
+
+    def build_load(self) -> None:
+        context = backend_http.make_context()
+        self.backends: list[backend_http.HttpBackend] = []
+
+        def make_port(
+            one: settings_module.BackendServer,
+        ) -> backend_http.HttpBackend:
+            backend = backend_http.HttpBackend(
+                one,
+                self.settings.timeouts,
+                self.timers,
+                self.settings.deployment,
+                context,
+            )
+            self.backends.append(backend)
+            return backend
+
+        self.runners = runners.Runners(self.settings, self.timers, make_port)
+        self.queues = admission.make_queues(
+            self.runners.services.values(),
+            self.timers,
+            self.rng,
+            self.settings.limits.queue_length,
+        )
+        self.runs = running.LocalRuns(
+            self.runners,
+            self.queues,
+            self.timers,
+            self.rng,
+            self.metrics,
+            self.settings.limits.retry_budget_percent,
+        )
+
+    def build_membership(self) -> None:
+        self.membership = gossip.Gossip(
+            self.settings,
+            self.mesh,
+            self.timers,
+            self.rng,
+            describe=self.describe_load,
+            revision=lambda: self.view.revision,
+            pending=lambda: self.view.uncommitted,
+            on_pending=lambda ids: self.distribution.withdraw(ids),
+        )
+        self.add_handlers(self.membership)
+
+    def build_control(self) -> None:
+        self.distribution = distributions.Distribution(
+            self.settings,
+            self.view,
+            self.mesh,
+            self.timers,
+            self.membership.is_alive,
+            self.has_local_feed,
+        )
+        self.add_handlers(self.distribution)
+        self.mesh.handlers.streams.update(self.distribution.stream_handlers())
+        voters = self.disk_vms()
+        if self.settings.vm in voters:
+            control = state.ControlState(self.settings.regions, self.on_event)
+
+            def restore(content: bytes) -> None:
+                control.restore(content)
+                self.view.replace(control.configuration.pack())
+
+            self.control = control
+            self.add_replica(
+                CONTROL_GROUP,
+                voters,
+                replicas.StateMachine(control.apply, control.save, restore),
+            )
+        client = replication_client.GroupClient(
+            CONTROL_GROUP, voters, self.mesh, self.timers
+        )
+        self.operations = operation_sets.Operations(
+            client,
+            self.view,
+            self.distribution,
+            self.timers,
+            self.settings.regions,
+        )
+
+    def on_event(self, event: state.Event) -> None:
+        """Takes a change of the local replica into the view."""
+        try:
+            self.view.apply(event)
+        except errors.CompactedError:
+            self.view.replace(self.control.configuration.pack())
+
+    def has_local_feed(self) -> bool:
+        replica = self.replicas.get(CONTROL_GROUP)
+        return replica is not None and replica.is_in_touch
+
+    def build_allowance(self) -> None:
+        by_region: dict[str, list[str]] = {}
+        for peer in self.settings.peers:
+            by_region.setdefault(peer.region, []).append(peer.vm)
+        self.leases: list[leases.RegionLease] = []
+        for region in self.settings.regions:
+            voters = leases.choose_voters(region, by_region)
+            if self.settings.vm not in (*voters, *by_region[region]):
+                continue
+            lease = leases.RegionLease(
+                region,
+                self.settings.vm,
+                tuple(sorted(by_region[region])),
+                voters,
+                self.mesh,
+                self.timers,
+                self.rng,
+            )
+            self.add_handlers(lease)
+            self.leases.append(lease)
+            if region == self.settings.region:
+                self.lease = lease
+        self.grantor = grantors.Grantor(
+            self.lease,
+            self.view,
+            self.timers,
+            grantors.make_share(self.settings.regions),
+        )
+        self.add_handlers(self.grantor)
+        self.wallet = wallets.Wallet(
+            self.settings.region,
+            self.settings.regions,
+            self.vms_of,
+            self.mesh,
+            self.timers,
+        )
+
+    def build_ledger(self) -> None:
+        groups = {}
+        limits, timeouts = self.settings.limits, self.settings.timeouts
+        for region in self.settings.regions:
+            voters = self.disk_vms(region) or self.disk_vms()
+            group = f'ledger.{region}'
+            groups[region] = replication_client.GroupClient(
+                group, voters, self.mesh, self.timers
+            )
+            if self.settings.vm in voters:
+                ledger = claims.LedgerState(
+                    timeouts.claim_keep_seconds, limits.claims
+                )
+                self.add_replica(
+                    group,
+                    voters,
+                    replicas.StateMachine(
+                        ledger.apply, ledger.save, ledger.restore
+                    ),
+                )
+        self.ledger = ledger_client.LedgerClient(
+            self.settings.vm,
+            groups,
+            self.timers,
+            timeouts.queue_seconds
+            + timeouts.first_byte_seconds
+            + timeouts.between_bytes_seconds,
+        )
+
+    def add_replica(
+        self,
+        group: str,
+        voters: tuple[str, ...],
+        machine: replicas.StateMachine,
+    ) -> None:
+        folder = files.Folder(self.settings.data_folder / group)
+        self.folders.append(folder)
+        replica = replicas.Replica(
+            group,
+            self.settings.vm,
+            voters,
+            log_storage.Storage(folder),
+            machine,
+            self.mesh,
+            self.timers,
+            self.rng,
+        )
+        self.replicas[group] = replica
+        self.add_handlers(replica)
+
+    def build_gateway(self) -> None:
+        self.forwards = forwarding.Forwarding(
+            self.settings,
+            self.mesh,
+            self.membership,
+            self.view,
+            self.runs,
+            self.timers,
+            self.rng,
+        )
+        self.mesh.handlers.streams.update(self.forwards.stream_handlers())
+        self.gateway = gateways.Gateway(
+            self.settings,
+            self.timers,
+            self.view,
+            self.runners,
+            self.queues,
+            self.runs,
+            self.forwards,
+            self.wallet,
+            self.ledger,
+            self.membership,
+            self.metrics,
+        )
+
+    def build_servers(self) -> None:
+        self.entry = entry.Entry(
+            self.settings, self.timers, self.gateway, self.is_ready
+        )
+        self.operators = operator_http.Operators(
+            self.settings,
+            self.operations,
+            self.view,
+            self.metrics,
+            self.describe,
+            self.refresh,
+        )
+
+    # Running.
+
+    async def run(self) -> None:
+        """Runs the VM until :meth:`stop` has drained it."""
+        host, port = self.peer_address
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=port
+        )
+        try:
+            async with anyio.create_task_group() as tasks:
+                self.start_parts(tasks, listener.listeners[0])
+                await self.stop_wanted.wait()
+                await self.drain()
+                tasks.cancel_scope.cancel()
+        finally:
+            self.stopped.set()
+            with anyio.CancelScope(shield=True):
+                await self.close()
+
+    @property
+    def peer_address(self) -> tuple[str, int]:
+        me = self.settings.me
+        return str(me.host), me.port
+
+    def start_parts(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        listener: anyio.abc.SocketListener,
+    ) -> None:
+        tasks.start_soon(self.mesh.run, listener)
+        tasks.start_soon(self.membership.run)
+        tasks.start_soon(self.distribution.run)
+        tasks.start_soon(self.operations.run)
+        tasks.start_soon(self.wallet.run)
+        tasks.start_soon(self.ledger.run)
+        tasks.start_soon(self.runners.run)
+        tasks.start_soon(self.lease.run)
+        for replica in self.replicas.values():
+            tasks.start_soon(self.run_replica, replica)
+        tasks.start_soon(
+            servers.serve,
+            self.entry,
+            self.settings.callers,
+            self.settings,
+            self.entry_closed.wait,
+        )
+        tasks.start_soon(
+            servers.serve,
+            self.operators,
+            self.settings.operators,
+            self.settings,
+            anyio.sleep_forever,
+        )
+
+    async def run_replica(self, replica: replicas.Replica) -> None:
+        """Runs a replica; the VM serves on when its disk fails."""
+        try:
+            await replica.run()
+        except errors.StorageError as error:
+            replica.failure = error
+            eliot.log_message(
+                'replica:failed', group=replica.group, reason=error.message
+            )
+
+    def stop(self) -> None:
+        """Asks the VM to stop gracefully."""
+        self.stop_wanted.set()
+
+    async def drain(self) -> None:
+        await stopping.drain(
+            self.settings,
+            self.timers,
+            self.membership,
+            self.mesh,
+            self.gateway,
+            self.wallet,
+            self.lease,
+            self.entry_closed.set,
+        )
+
+    async def close(self) -> None:
+        for backend in self.backends:
+            await backend.close()
+        for replica in self.replicas.values():
+            await replica.storage.close()
+        for folder in self.folders:
+            folder.close()
+
+    # What the VM tells of itself.
+
+    def is_ready(self) -> bool:
+        return self.view.ready.is_set() and not self.membership.is_leaving
+
+    def describe_load(self) -> dict[str, gossip.ServiceLoad]:
+        """Returns the load of this region's services as this VM sees it."""
+        now = self.timers.now()
+        loads = {}
+        for name, service in self.runners.services.items():
+            usable = service.usable(now)
+            loads[name] = gossip.ServiceLoad(
+                int(sum(one.room(now) for one in usable)),
+                round(sum(one.load(now) for one in usable)),
+                service.waiting,
+            )
+        return loads
+
+    def describe(self) -> dict[str, typing.Any]:
+        """Returns the status that operators see."""
+        now = self.timers.now()
+        return {
+            'vm': self.settings.vm,
+            'region': self.settings.region,
+            'version': __version__,
+            'ready': self.is_ready(),
+            'leaving': self.membership.is_leaving,
+            'revision': self.view.revision,
+            'table_revision': self.view.configuration.table_revision,
+            'configuration_from': self.distribution.source,
+            'withdrawals_not_durable': sorted(self.view.uncommitted),
+            'requests_in_flight': self.gateway.total_in_flight,
+            'holds_region_lease': self.lease.is_held,
+            'replicas': {
+                group: {
+                    'role': replica.role.value,
+                    'leader': replica.leader,
+                    'term': replica.term,
+                    'committed': replica.commit_index,
+                    'failure': replica.failure and replica.failure.message,
+                    'members': [
+                        {'vm': one.vm, 'votes': one.is_voter}
+                        for one in replica.members.members
+                    ],
+                }
+                for group, replica in self.replicas.items()
+            },
+            'vms': {
+                peer.vm: {
+                    'alive': self.membership.is_alive(peer.vm),
+                    'takes_callers': self.membership.takes_callers(peer.vm),
+                }
+                for peer in self.settings.peers
+            },
+            'backend_servers': {
+                runner.name: {
+                    'leaving': runner.is_leaving,
+                    'ejected': runner.ejected_until > now,
+                    'load': round(runner.load(now), 2),
+                    'room': round(runner.room(now), 2),
+                }
+                for runner in self.runners.by_name.values()
+            },
+        }
+
+    def refresh(self) -> None:
+        """Brings the gauges up to date."""
+        now = self.timers.now()
+        metrics = self.metrics
+        metrics.in_flight.set(self.gateway.total_in_flight)
+        metrics.revision.set(self.view.revision)
+        metrics.peer_bytes.set(self.mesh.total_bytes_sent)
+        for runner in self.runners.by_name.values():
+            metrics.runner_load.labels(runner.name).set(runner.load(now))
+            metrics.runner_limit.labels(runner.name).set(runner.room(now))
+        for service in self.runners.services.values():
+            metrics.queue_length.labels(service.name).set(service.waiting)
+        for name, purse in self.wallet.purses.items():
+            metrics.tokens_held.labels(name).set(purse.available(now))
+
+
+async def run_vm(
+    settings: settings_module.Settings,
+    started: collections.abc.Callable[[Vm], None] | None = None,
+) -> None:
+    """Runs one VM with a timer service of its own."""
+    timers = timer_service.Timers()
+    vm = Vm(settings, timers, random.Random())
+    if started is not None:
+        started(vm)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(timers.run)
+        with contextlib.suppress(anyio.get_cancelled_exc_class()):
+            await vm.run()
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that the gateway meets."""
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,245 @@
+"""A whole deployment as tasks of one process, on loopback addresses."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import hashlib
+import pathlib
+import random
+
+import anyio
+import anyio.abc
+import httpx
+
+from greengagegw import settings as settings_module
+from greengagegw import timers as timer_service
+from greengagegw import vm as vms
+
+from . import engine
+from . import plain_service
+
+OPERATOR_TOKEN = 'operators-token-of-the-stand-in'  # noqa: S105
+PEER_SECRET = 'peer-secret-of-the-stand-in'  # noqa: S105
+CALLERS_PORT = 8080
+OPERATORS_PORT = 8081
+PEERS_PORT = 8082
+ENGINE_PORT = 9000
+
+
+@dataclasses.dataclass(frozen=True)
+class Shape:
+    """What a deployment consists of.
+
+    :ivar vms: number of VMs by region; the first of each has a disk.
+    :ivar engines: service and number of engines by region.
+    :ivar plain: the same for plain services.
+    """
+
+    name: str
+    vms: dict[str, int]
+    engines: dict[str, dict[str, int]]
+    plain: dict[str, dict[str, int]]
+    limits: dict = dataclasses.field(default_factory=dict)
+    timeouts: dict = dataclasses.field(default_factory=dict)
+    backend: dict = dataclasses.field(default_factory=dict)
+    slots: int = 8
+
+
+GUILD = Shape(
+    'guild',
+    {'piedmont': 3, 'blue-ridge': 2, 'coastal': 2},
+    {
+        'judge-assist': {'piedmont': 2, 'blue-ridge': 2, 'coastal': 1},
+    },
+    {
+        'entry-desk': {'piedmont': 1, 'blue-ridge': 1, 'coastal': 1},
+    },
+)
+
+
+class Deployment:
+    """Stand-ins and VMs of one shape.
+
+    :param block: second number of the loopback addresses, so that two
+        deployments can run side by side.
+    """
+
+    def __init__(
+        self,
+        shape: Shape,
+        folder: pathlib.Path,
+        block: int = 77,
+        seed: int = 1,
+    ) -> None:
+        self.shape = shape
+        self.folder = folder
+        self.block = block
+        self.seed = seed
+        self.timers = timer_service.Timers()
+        self.engines: dict[str, engine.Engine] = {}
+        self.plain: dict[str, plain_service.PlainService] = {}
+        self.vms: dict[str, vms.Vm] = {}
+        self.scopes: dict[str, anyio.CancelScope] = {}
+        self.tasks: anyio.abc.TaskGroup | None = None
+        self.peers: list[dict] = []
+        self.backends: list[dict] = []
+        self.place_vms()
+        self.place_backends()
+
+    def place_vms(self) -> None:
+        for at, (region, count) in enumerate(self.shape.vms.items(), 1):
+            for number in range(1, count + 1):
+                host = f'127.{self.block}.{at}.{number}'
+                self.peers.append(
+                    {
+                        'vm': f'{region}-{number}',
+                        'region': region,
+                        'failure_domain': f'{region}-{number % 2}',
+                        'host': host,
+                        'port': PEERS_PORT,
+                        'callers_url': f'http://{host}:{CALLERS_PORT}',
+                        'disk': number == 1,
+                    }
+                )
+
+    def place_backends(self) -> None:
+        number = 0
+        kinds = (('model', self.shape.engines), ('plain', self.shape.plain))
+        for kind, services in kinds:
+            for service, counts in services.items():
+                for region, count in counts.items():
+                    for at in range(1, count + 1):
+                        number += 1
+                        self.add_backend(kind, service, region, at, number)
+
+    def add_backend(
+        self, kind: str, service: str, region: str, at: int, number: int
+    ) -> None:
+        name = f'{service}-{region}-{at}'
+        host = f'127.{self.block}.100.{number}'
+        if kind == 'model':
+            settings = engine.EngineSettings(slots=self.shape.slots)
+            self.engines[name] = engine.Engine(
+                name, host, ENGINE_PORT, settings
+            )
+        else:
+            self.plain[name] = plain_service.PlainService(
+                name, host, ENGINE_PORT
+            )
+        self.backends.append(
+            {
+                'name': name,
+                'service': service,
+                'region': region,
+                'kind': kind,
+                'url': f'http://{host}:{ENGINE_PORT}',
+                'slots': self.shape.slots,
+                'resumes': kind == 'model',
+                **(self.shape.backend if kind == 'model' else {}),
+            }
+        )
+
+    def make_settings(self, vm: str) -> settings_module.Settings:
+        """Returns the checked settings of one VM."""
+        return settings_module.check(self.describe(vm), vm)
+
+    def describe(self, vm: str) -> dict:
+        """Returns the settings of one VM as they stand in YAML."""
+        me = next(peer for peer in self.peers if peer['vm'] == vm)
+        content = {
+            'deployment': self.shape.name,
+            'vm': vm,
+            'callers': {'host': me['host'], 'port': CALLERS_PORT},
+            'operators': {'host': me['host'], 'port': OPERATORS_PORT},
+            'peers': self.peers,
+            'peer_secret': PEER_SECRET,
+            'operator_token_sha256': [
+                hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+            ],
+            'backend_servers': self.backends,
+            'limits': self.shape.limits,
+            'timeouts': self.shape.timeouts,
+        }
+        if me['disk']:
+            content['data_folder'] = str(self.folder / vm)
+        return content
+
+    def url(self, vm: str) -> str:
+        me = next(peer for peer in self.peers if peer['vm'] == vm)
+        return me['callers_url']
+
+    def operators_url(self, vm: str) -> str:
+        me = next(peer for peer in self.peers if peer['vm'] == vm)
+        return f'http://{me["host"]}:{OPERATORS_PORT}'
+
+    def names(self) -> list[str]:
+        return [peer['vm'] for peer in self.peers]
+
+    async def start_vm(self, name: str) -> vms.Vm:
+        """Starts a VM as a task."""
+        rng = random.Random(f'{self.seed}/{name}')
+        vm = vms.Vm(self.make_settings(name), self.timers, rng)
+        self.vms[name] = vm
+        self.tasks.start_soon(self.run_vm, name, vm)
+        return vm
+
+    async def run_vm(self, name: str, vm: vms.Vm) -> None:
+        with anyio.CancelScope() as scope:
+            self.scopes[name] = scope
+            await vm.run()
+
+    async def kill_vm(self, name: str) -> None:
+        """Ends a VM as a kill does, without any goodbye."""
+        self.scopes.pop(name).cancel()
+        vm = self.vms.pop(name)
+        await vm.stopped.wait()
+        # The listeners are closed a moment later.
+        await anyio.sleep(0.05)
+
+    async def wait_ready(self, seconds: float = 20.0) -> None:
+        """Returns when every VM serves and has what it needs to."""
+        with anyio.fail_after(seconds):
+            while not all(self.is_ready(vm) for vm in self.vms.values()):
+                await anyio.sleep(0.05)
+
+    def is_ready(self, vm: vms.Vm) -> bool:
+        regions = {one.lease.region for one in self.vms.values()}
+        held = {
+            one.lease.region for one in self.vms.values() if one.lease.is_held
+        }
+        ledgers = {
+            group
+            for one in self.vms.values()
+            for group, replica in one.replicas.items()
+            if replica.is_leader
+        }
+        return (
+            vm.is_ready()
+            and held == regions
+            and len(ledgers) == 1 + len(regions)
+        )
+
+    @contextlib.asynccontextmanager
+    async def running(
+        self,
+    ) -> collections.abc.AsyncIterator['Deployment']:
+        """Runs everything while the context is entered."""
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            tasks.start_soon(self.timers.run)
+            for one in [*self.engines.values(), *self.plain.values()]:
+                await tasks.start(one.run)
+            for name in self.names():
+                await self.start_vm(name)
+            try:
+                yield self
+            finally:
+                tasks.cancel_scope.cancel()
+
+    def operator(self) -> httpx.AsyncClient:
+        """Returns a client with the operators' token."""
+        return httpx.AsyncClient(
+            headers={'authorization': f'Bearer {OPERATOR_TOKEN}'},
+            timeout=15,
+            trust_env=False,
+        )
--- /dev/null
+++ b/standins/http_server.py
@@ -0,0 +1,170 @@
+"""A small HTTP server whose answers can fail in every way."""
+
+import collections.abc
+import contextlib
+import dataclasses
+
+import anyio
+import anyio.abc
+import h11
+
+READ_BYTES = 65536
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """A request as the stand-in received it."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Reply:
+    """Writes one answer; each step can be left out to make a fault."""
+
+    def __init__(
+        self, stream: anyio.abc.SocketStream, connection: h11.Connection
+    ) -> None:
+        self.stream = stream
+        self.connection = connection
+        self.is_started = False
+
+    async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        self.is_started = True
+        await self.write(h11.Response(status_code=status, headers=headers))
+
+    async def send(self, chunk: bytes) -> None:
+        await self.write(h11.Data(data=chunk))
+
+    async def finish(self) -> None:
+        await self.write(h11.EndOfMessage())
+
+    async def whole(
+        self,
+        status: int,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> None:
+        """Sends an answer whose body is at hand."""
+        await self.start(
+            status,
+            [
+                ('content-type', 'application/json'),
+                ('content-length', str(len(body))),
+                *headers,
+            ],
+        )
+        await self.send(body)
+        await self.finish()
+
+    async def write(self, event: object) -> None:
+        await self.stream.send(self.connection.send(event))
+
+    async def raw(self, content: bytes) -> None:
+        """Sends bytes that need not be HTTP."""
+        await self.stream.send(content)
+
+    async def reset(self) -> None:
+        """Breaks the connection off."""
+        await anyio.aclose_forcefully(self.stream)
+        raise ConnectionResetError('broken off on purpose')
+
+
+Handler = collections.abc.Callable[
+    [Request, Reply], collections.abc.Awaitable[None]
+]
+
+
+class Server:
+    """Serves a handler on one address."""
+
+    def __init__(self, host: str, port: int, handler: Handler) -> None:
+        self.host = host
+        self.port = port
+        self.handler = handler
+        self.connections = 0
+
+    @property
+    def url(self) -> str:
+        return f'http://{self.host}:{self.port}'
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        listener = await anyio.create_tcp_listener(
+            local_host=self.host, local_port=self.port
+        )
+        if not self.port:
+            self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        task_status.started()
+        await listener.serve(self.serve)
+
+    async def serve(self, stream: anyio.abc.SocketStream) -> None:
+        self.connections += 1
+        connection = h11.Connection(h11.SERVER)
+        gone = (
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            anyio.EndOfStream,
+            OSError,
+            h11.RemoteProtocolError,
+            h11.LocalProtocolError,
+        )
+        async with stream:
+            with contextlib.suppress(*gone):
+                while connection.our_state is h11.IDLE:
+                    request = await self.read(stream, connection)
+                    if request is None:
+                        return
+                    await self.answer(request, Reply(stream, connection))
+                    if connection.our_state is not h11.DONE:
+                        return
+                    connection.start_next_cycle()
+
+    async def answer(self, request: Request, reply: Reply) -> None:
+        """Answers a request, unless the client goes away before."""
+        async with anyio.create_task_group() as tasks:
+
+            async def watch() -> None:
+                with contextlib.suppress(
+                    anyio.ClosedResourceError,
+                    anyio.BrokenResourceError,
+                    anyio.EndOfStream,
+                ):
+                    await reply.stream.receive(1)
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(watch)
+            await self.handler(request, reply)
+            tasks.cancel_scope.cancel()
+
+    async def read(
+        self, stream: anyio.abc.SocketStream, connection: h11.Connection
+    ) -> Request | None:
+        head: h11.Request | None = None
+        parts = []
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    data = await stream.receive(READ_BYTES)
+                except anyio.EndOfStream:
+                    data = b''
+                connection.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return Request(
+                    head.method.decode(),
+                    head.target.decode(),
+                    {n.decode(): v.decode() for n, v in head.headers},
+                    b''.join(parts),
+                )
+            else:
+                return None
