Processes, peers, settings and the command line are tested under failure

Cause: the program had been seen only as tasks of one process, and its peer streams, settings and commands only where all went well.

Change: the one-file program (make binary, a pex) is run by the tests as separate processes that are killed, frozen, restarted, robbed of their disk and given an old one. Replicas go to VMs spread over regions and failure domains. Two faults found and mended: a mesh that is cancelled now closes its listener at once (a restart in the same process found the address in use), and unreachable VMs give exit code 5 on the command line.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 demo: $(VENV)/installed
 	$(BIN)/python -m demo
 
-test: $(VENV)/installed lint
+test: $(VENV)/installed lint binary
 	$(BIN)/python -m features.run
 
 lint: $(VENV)/installed
@@ -27,11 +27,8 @@
 
 dist/greengagegw: $(VENV)/installed $(shell find src -name '*.py')
 	mkdir -p dist
-	$(BIN)/pex --disable-cache -r requirements.txt . --no-compress \
-		--python-shebang '/usr/bin/env python3' --venv-repository $(VENV) \
-		-m greengagegw.cli.main:main -o $@ 2>/dev/null || \
 	$(BIN)/pex -r requirements.txt . --python-shebang \
-		'/usr/bin/env python3' -m greengagegw.cli.main:main -o $@
+		'#!/usr/bin/env python3' -m greengagegw.cli.main:main -o $@
 
 bench: $(VENV)/installed
 	$(BIN)/python -m bench.data_path
--- a/features/environment.py
+++ b/features/environment.py
@@ -8,6 +8,7 @@
 import behave.model
 import behave.runner
 
+from features import processes
 from features import world
 
 
@@ -19,6 +20,7 @@
         )
     )
     context.world = None
+    context.processes = None
 
 
 def before_tag(context: behave.runner.Context, tag: str) -> None:
@@ -30,6 +32,14 @@
         )
         context._root['world'] = made
 
+    if tag == 'binary' and context.processes is None:
+        folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+        started = processes.Processes(pathlib.Path(folder))
+        context.stack.enter_context(
+            context.portal.wrap_async_context_manager(started.started())
+        )
+        context._root['processes'] = started
+
 
 def after_scenario(
     context: behave.runner.Context, scenario: behave.model.Scenario
--- /dev/null
+++ b/features/processes.py
@@ -0,0 +1,204 @@
+"""VMs as processes of the one-file program."""
+
+import contextlib
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import time
+
+import anyio
+import httpx
+import yaml
+
+from features import world as worlds
+from standins import deployment as deployments
+
+ROOT = pathlib.Path(__file__).parent.parent
+PROGRAM = ROOT / 'dist' / 'greengagegw'
+SHAPE = deployments.Shape(
+    'processes',
+    {'piedmont': 1, 'coastal': 1, 'blue-ridge': 1},
+    {'judge-assist': {'piedmont': 1, 'coastal': 1}},
+    {'entry-desk': {'piedmont': 1}},
+    timeouts={'entries_ttl_seconds': 0.5},
+)
+WAIT_SECONDS = 60.0
+
+
+class Processes:
+    """The processes, with the stand-ins that they send requests to."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.deployment = deployments.Deployment(SHAPE, folder, block=79)
+        self.running: dict[str, subprocess.Popen] = {}
+        self.keys: dict[str, str] = {}
+        self.notes: dict = {}
+
+    @contextlib.asynccontextmanager
+    async def started(self):
+        async with anyio.create_task_group() as tasks:
+            for one in [
+                *self.deployment.engines.values(),
+                *self.deployment.plain.values(),
+            ]:
+                await tasks.start(one.run)
+            self.client = self.deployment.operator()
+            try:
+                for name in self.deployment.names():
+                    self.start(name)
+                await self.wait_ready()
+                await self.put_table(0, worlds.TABLE)
+                await self.give_key('orchard')
+                yield self
+            finally:
+                for name in list(self.running):
+                    self.kill(name)
+                tasks.cancel_scope.cancel()
+
+    def start(self, name: str) -> None:
+        """Starts the process of a VM."""
+        file = self.folder / f'{name}.yaml'
+        file.write_text(yaml.safe_dump(self.deployment.describe(name)))
+        log = (self.folder / f'{name}.log').open('a')
+        self.running[name] = subprocess.Popen(
+            [str(PROGRAM), 'serve', '--settings', str(file)],
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def kill(self, name: str) -> None:
+        process = self.running.pop(name)
+        process.send_signal(signal.SIGCONT)
+        process.kill()
+        process.wait()
+
+    def children(self, name: str) -> list[str]:
+        pid = self.running[name].pid
+        found = []
+        for task in pathlib.Path(f'/proc/{pid}/task').iterdir():
+            found += (task / 'children').read_text().split()
+        return found
+
+    async def status(self, name: str) -> dict:
+        """Returns the status of a VM, or nothing if it gives none."""
+        url = self.deployment.operators_url(name) + '/admin/status'
+        with contextlib.suppress(httpx.HTTPError):
+            return (await self.client.get(url, timeout=2)).json()
+        return {}
+
+    async def wait_ready(self) -> None:
+        await self.wait_until(self.is_ready)
+
+    async def wait_until(self, holds) -> None:
+        with anyio.fail_after(WAIT_SECONDS):
+            while not await holds():
+                await anyio.sleep(0.1)
+
+    async def is_ready(self) -> bool:
+        found = [await self.status(name) for name in self.running]
+        return all(
+            one.get('ready')
+            and one['holds_region_lease']
+            and one['replicas']['control']['leader']
+            and one['replicas'][f'ledger.{one["region"]}']['leader']
+            and all(vm['alive'] for vm in one['vms'].values())
+            for one in found
+        )
+
+    async def table(self, name: str) -> httpx.Response:
+        url = self.deployment.operators_url(name) + '/admin/table'
+        return await self.client.get(url)
+
+    async def put_table(self, revision: int, text: str, via='') -> int:
+        via = via or next(iter(self.running))
+        response = await self.client.put(
+            self.deployment.operators_url(via) + '/admin/table',
+            content=text,
+            headers={'if-match': f'"{revision}"'},
+        )
+        assert response.status_code == 200, response.text
+        return response.json()['revision']
+
+    async def edit(self, via: str = '') -> str:
+        """Adds a row to the table and returns its name."""
+        via = via or next(iter(self.running))
+        response = await self.table(via)
+        name = f'edit-{time.monotonic_ns()}'
+        text = response.text + f'region,{name},1,,,,,,\n'
+        revision = int(response.headers['etag'].strip('"'))
+        await self.put_table(revision, text, via)
+        return name
+
+    async def has_edit(self, vm: str, edit: str) -> bool:
+        with contextlib.suppress(httpx.HTTPError):
+            return edit in (await self.table(vm)).text
+        return False
+
+    async def give_key(self, organisation: str) -> None:
+        url = self.deployment.operators_url(next(iter(self.running)))
+        response = await self.client.post(
+            url + '/admin/keys', json={'organisation': organisation}
+        )
+        self.keys[organisation] = response.json()['key']
+
+        async def has_key():
+            found = [await self.status(name) for name in self.running]
+            return all(
+                one.get('revision') == response.json()['revision']
+                for one in found
+            )
+
+        await self.wait_until(has_key)
+
+    async def send(self, vm: str, path: str, content: dict, **headers):
+        headers['authorization'] = f'Bearer {self.keys["orchard"]}'
+        async with httpx.AsyncClient(
+            trust_env=False, timeout=WAIT_SECONDS
+        ) as client:
+            return await client.post(
+                self.deployment.url(vm) + path, json=content, headers=headers
+            )
+
+    async def leader(self) -> str:
+        for name in self.running:
+            status = await self.status(name)
+            if status and status['replicas']['control']['role'] == 'leader':
+                return name
+        raise AssertionError('no leader')
+
+    def lose_disk(self, name: str) -> None:
+        shutil.rmtree(self.folder / name)
+
+    def save_disk(self, name: str) -> None:
+        shutil.copytree(self.folder / name, self.folder / f'{name}.old')
+
+    def restore_disk(self, name: str) -> None:
+        self.lose_disk(name)
+        os.rename(self.folder / f'{name}.old', self.folder / name)
+
+    async def is_voter(self, name: str) -> bool:
+        others = [one for one in self.running if one != name]
+        for one in [name, *others]:
+            status = await self.status(one)
+            if not status:
+                return False
+            control = status['replicas']['control']
+            voters = [m['vm'] for m in control['members'] if m['votes']]
+            if name not in voters or control['role'] == 'starting':
+                return False
+        return True
+
+
+def read_log(folder: pathlib.Path, name: str) -> list[dict]:
+    """Returns the log of a VM as a list of its messages."""
+    lines = (folder / f'{name}.log').read_text().splitlines()
+    return [json.loads(line) for line in lines if line.startswith('{')]
+
+
+def chat(**changes) -> dict:
+    return worlds.chat(**changes)
--- a/src/greengagegw/adapters/peer_mesh.py
+++ b/src/greengagegw/adapters/peer_mesh.py
@@ -45,7 +45,7 @@
 
     async def run(self, listener: anyio.abc.SocketListener) -> None:
         """Accepts and serves connections until it is cancelled."""
-        async with anyio.create_task_group() as tasks:
+        async with listener, anyio.create_task_group() as tasks:
             self.tasks = tasks
             await listener.serve(self.accept, tasks)
 
--- a/src/greengagegw/errors.py
+++ b/src/greengagegw/errors.py
@@ -250,6 +250,7 @@
 
     status = 503
     code = 'peer_error'
+    exit_code = 5
 
 
 class PeerUnreachableError(PeerError):
--- a/src/greengagegw/vm.py
+++ b/src/greengagegw/vm.py
@@ -15,6 +15,7 @@
 from . import forwarding
 from . import gateway as gateways
 from . import metrics as metric_sets
+from . import placement
 from . import runners
 from . import running
 from . import settings as settings_module
@@ -76,16 +77,6 @@
         self.build_gateway()
         self.build_servers()
 
-    def disk_vms(self, region: str | None = None) -> tuple[str, ...]:
-        """Returns the VMs with a disk, of one region or of all."""
-        return tuple(
-            sorted(
-                peer.vm
-                for peer in self.settings.peers
-                if peer.disk and region in (None, peer.region)
-            )
-        )
-
     def vms_of(self, region: str) -> list[str]:
         """Returns the VMs of a region, those thought alive first."""
         vms = [
@@ -156,7 +147,7 @@
         )
         self.add_handlers(self.distribution)
         self.mesh.handlers.streams.update(self.distribution.stream_handlers())
-        voters = self.disk_vms()
+        voters = placement.choose_voters(self.settings.peers)
         if self.settings.vm in voters:
             control = state.ControlState(self.settings.regions, self.on_event)
 
@@ -233,7 +224,7 @@
         groups = {}
         limits, timeouts = self.settings.limits, self.settings.timeouts
         for region in self.settings.regions:
-            voters = self.disk_vms(region) or self.disk_vms()
+            voters = placement.choose_voters(self.settings.peers, region)
             group = f'ledger.{region}'
             groups[region] = replication_client.GroupClient(
                 group, voters, self.mesh, self.timers
