--- /dev/null
+++ b/features/replication/replication.feature
@@ -0,0 +1,121 @@
+Feature: The replicated log keeps what it has acknowledged
+  A group of replicas in fake time, over a fake network and fake disks.
+
+  Scenario Outline: Nothing that was acknowledged is lost
+    Given a group of <count> replicas with 5 acknowledged commands
+    When this happens: <failure>
+    Then commands are acknowledged again
+    And when all is well again every replica has all that was acknowledged
+
+    Examples:
+      | count | failure                                           |
+      | 3     | the leader crashes                                |
+      | 5     | the leader and a follower crash                   |
+      | 3     | every replica crashes and starts again            |
+      | 3     | the leader is cut off for 30 seconds              |
+      | 3     | the leader can send but not hear                  |
+      | 3     | the leader can hear but not send                  |
+      | 3     | a follower is cut off for 600 seconds             |
+      | 3     | a third of the messages is lost                   |
+      | 3     | a third of the messages is doubled                |
+      | 3     | a third of the messages is late                   |
+      | 3     | a follower loses its disk                         |
+      | 3     | the leader loses its disk                         |
+      | 3     | a follower loses its disk and then another crashes |
+      | 5     | two followers lose their disks one after the other |
+      | 3     | a follower comes back with an old disk            |
+      | 3     | the leader comes back with an old disk            |
+      | 3     | an old disk comes back while another lags         |
+      | 3     | the leader's disk fails to sync                   |
+      | 3     | a follower's disk fails to sync                   |
+      | 3     | the leader's disk fails to append                 |
+      | 3     | a follower misses a snapshot                      |
+      | 3     | a follower loses its disk after a snapshot        |
+      | 3     | all replicas are frozen for 60 seconds            |
+
+  Scenario Outline: A power cut at any step of writing loses nothing
+    Given a group of 3 replicas with 5 acknowledged commands
+    When power is cut at each of the next <steps> steps of <which>
+    Then when all is well again every replica has all that was acknowledged
+
+    Examples:
+      | steps | which                  |
+      | 30    | the leader             |
+      | 30    | a follower             |
+      | 30    | all replicas           |
+
+  Scenario: A power cut at any step of taking a snapshot loses nothing
+    Given a group of 3 replicas that takes a snapshot every 5 entries
+    When power is cut at each of the next 30 steps of all replicas
+    Then when all is well again every replica has all that was acknowledged
+
+  Scenario: A restart after several hundred commands
+    Given a group of 3 replicas with 5 acknowledged commands
+    When 400 commands are proposed
+    And this happens: every replica crashes and starts again
+    Then when all is well again every replica has all that was acknowledged
+
+  Scenario: A leader without a majority says so
+    Given a group of 3 replicas with 5 acknowledged commands
+    When the leader is cut off and a command is proposed to it
+    Then the command is refused and the leader has stepped down
+
+  Scenario: A replica that is cut off does not disturb the others
+    Given a group of 3 replicas with 5 acknowledged commands
+    When a follower is cut off for 600 seconds and comes back
+    Then the term has not risen
+
+  Scenario Outline: A voter keeps the rules of voting
+    Given a group of 3 replicas with 5 acknowledged commands
+    Then a vote is <answer> to <candidate>
+
+    Examples:
+      | answer  | candidate                                             |
+      | given   | a candidate of the next term with an equal log        |
+      | refused | a second candidate of the same term                   |
+      | refused | a second candidate after the voter was restarted      |
+      | given   | the same candidate again after a restart              |
+      | refused | a candidate of the next term with a shorter log       |
+      | refused | a candidate of the next term with an older last entry |
+      | refused | a candidate of an old term                            |
+      | refused | a VM that is no member                                |
+      | refused | a member that has lost its disk                       |
+      | refused | a candidate while the leader is heard                 |
+
+  Scenario: A new leader commits older entries only with one of its own
+    Given a group of 3 replicas with 5 acknowledged commands
+    When an entry of an old term reaches a majority under a new leader
+    Then it is committed only after an entry of the new term
+
+  Scenario Outline: Random schedules of failures
+    Then <examples> random schedules of <steps> steps on <count> replicas hold
+
+    Examples:
+      | examples | steps | count |
+      | 150      | 40    | 3     |
+      | 60       | 40    | 5     |
+
+  Scenario Outline: A file that is damaged
+    Given the log of a replica with 8 entries
+    When this damage is done: <damage>
+    Then loading it <result>
+
+    Examples:
+      | damage                                   | result                      |
+      | its last record is torn                  | gives 7 entries             |
+      | its last record has a flipped bit        | gives 7 entries             |
+      | noise is added to its end                | gives 8 entries             |
+      | a record in the middle has a flipped bit | is refused as damaged       |
+      | its first record has a flipped bit       | is refused as damaged       |
+      | the meta file has a flipped bit          | is refused as damaged       |
+      | the snapshot has a flipped bit           | is refused as damaged       |
+      | a file in the middle is missing          | is refused as damaged       |
+      | it is of another format                  | is refused as damaged       |
+
+  Scenario: One process at a time uses a data folder
+    Given a data folder in use
+    Then a second use of it is refused as folder_locked
+
+  Scenario: A real folder keeps what was synced
+    Given a data folder in use
+    Then files appended, replaced, cut and removed in it are found again
--- /dev/null
+++ b/features/steps/replication.py
@@ -0,0 +1,701 @@
+"""Steps on the replicated log."""
+
+import functools
+import pathlib
+import tempfile
+
+import anyio
+import behave
+import hypothesis
+import hypothesis.strategies
+
+from features import fakes
+from greengagegw.adapters import files
+from greengagegw import errors
+from greengagegw.replication import entries
+from greengagegw.replication import replica as replicas
+from greengagegw.replication import storage as log_storage
+
+VMS = ('a', 'b', 'c', 'd', 'e')
+
+
+def run(function, *arguments):
+    """Runs an async function on an event loop of its own."""
+    return anyio.run(functools.partial(function, *arguments))
+
+
+async def fill(group, count=5):
+    await group.elect()
+    for _ in range(count):
+        await group.propose_and_wait()
+
+
+def followers(group):
+    leader = group.leader().vm
+    return [vm for vm in group.vms if vm != leader and vm in group.replicas]
+
+
+async def crash_leader(group):
+    group.crash(group.leader().vm)
+
+
+async def crash_two(group):
+    follower = followers(group)[0]
+    group.crash(group.leader().vm)
+    group.crash(follower)
+
+
+async def crash_all(group):
+    for vm in group.vms:
+        group.crash(vm)
+    for vm in group.vms:
+        group.start(vm)
+    await group.advance(5)
+
+
+async def cut_off(group, vm, seconds, one_way=''):
+    others = [one for one in group.vms if one != vm]
+    if one_way == 'out':
+        group.network.cut([vm], others, one_way=True)
+    elif one_way == 'in':
+        group.network.cut(others, [vm], one_way=True)
+    else:
+        group.network.cut([vm], others)
+    group.propose(vm)
+    await group.advance(seconds)
+
+
+async def lose_disk(group, vm):
+    group.crash(vm)
+    group.lose_disk(vm)
+    group.start(vm)
+    await group.advance(10)
+
+
+async def lose_and_crash(group):
+    first, second = followers(group)
+    await lose_disk(group, first)
+    group.crash(second)
+
+
+async def lose_two(group):
+    for vm in followers(group)[:2]:
+        await lose_disk(group, vm)
+
+
+async def old_disk(group, vm):
+    """Brings a replica back with a disk from before its last start."""
+    disk = group.disks[vm]
+    saved = dict(disk.synced)
+    group.crash(vm)
+    group.start(vm)
+    await group.advance(8)
+    for _ in range(3):
+        await group.propose_and_wait()
+    group.crash(vm)
+    disk.files, disk.synced = dict(saved), dict(saved)
+    group.start(vm)
+    await group.advance(10)
+
+
+async def old_disk_while_lagging(group):
+    """Brings back a disk without what only it and the leader had.
+
+    The third replica lags, so that without the check the group would lose
+    what was acknowledged by the other two.
+    """
+    lagging, returning = followers(group)
+    disk = group.disks[returning]
+    saved = dict(disk.synced)
+    group.crash(returning)
+    group.start(returning)
+    await group.advance(8)
+    leader = await group.elect()
+    lagging = next(vm for vm in group.vms if vm not in (leader.vm, returning))
+    others = [vm for vm in group.vms if vm != lagging]
+    group.network.cut([lagging], others)
+    for _ in range(3):
+        await group.propose_and_wait()
+    leader = group.leader().vm
+    group.crash(returning)
+    disk.files, disk.synced = dict(saved), dict(saved)
+    group.crash(leader)
+    group.network.heal()
+    group.start(returning)
+    await group.advance(30)
+    group.start(leader)
+    await group.advance(30)
+
+
+async def fail_disk(group, vm, step):
+    group.disks[vm].fails = step
+    group.propose(group.leader().vm)
+    await group.advance(5)
+
+
+async def miss_snapshot(group):
+    vm = followers(group)[0]
+    group.crash(vm)
+    await take_snapshots(group)
+    group.start(vm)
+    await group.advance(10)
+
+
+async def take_snapshots(group):
+    for _ in range(3):
+        await group.propose_and_wait()
+    kept = replicas.SNAPSHOT_AFTER_ENTRIES
+    replicas.SNAPSHOT_AFTER_ENTRIES = 1
+    try:
+        for _ in range(2):
+            await group.propose_and_wait()
+    finally:
+        replicas.SNAPSHOT_AFTER_ENTRIES = kept
+    assert any(one.storage.snapshot for one in group.replicas.values())
+
+
+async def lose_after_snapshot(group):
+    await take_snapshots(group)
+    await lose_disk(group, followers(group)[0])
+
+
+async def freeze(group):
+    # Time passes for a frozen process without any of its tasks running.
+    group.timers.time += 60
+    await group.advance(1)
+
+
+def set_fault(name):
+    async def apply(group):
+        setattr(group.network.faults, name, 0.33)
+        for _ in range(10):
+            if group.leader() is not None:
+                group.propose(group.leader().vm)
+            await group.advance(1)
+
+    return apply
+
+
+FAILURES = {
+    'the leader crashes': crash_leader,
+    'the leader and a follower crash': crash_two,
+    'every replica crashes and starts again': crash_all,
+    'the leader is cut off for 30 seconds': lambda group: cut_off(
+        group, group.leader().vm, 30
+    ),
+    'the leader can send but not hear': lambda group: cut_off(
+        group, group.leader().vm, 30, 'in'
+    ),
+    'the leader can hear but not send': lambda group: cut_off(
+        group, group.leader().vm, 30, 'out'
+    ),
+    'a follower is cut off for 600 seconds': lambda group: cut_off(
+        group, followers(group)[0], 600
+    ),
+    'a third of the messages is lost': set_fault('lost'),
+    'a third of the messages is doubled': set_fault('doubled'),
+    'a third of the messages is late': set_fault('late'),
+    'a follower loses its disk': lambda group: lose_disk(
+        group, followers(group)[0]
+    ),
+    'the leader loses its disk': lambda group: lose_disk(
+        group, group.leader().vm
+    ),
+    'a follower loses its disk and then another crashes': lose_and_crash,
+    'two followers lose their disks one after the other': lose_two,
+    'a follower comes back with an old disk': lambda group: old_disk(
+        group, followers(group)[0]
+    ),
+    'the leader comes back with an old disk': lambda group: old_disk(
+        group, group.leader().vm
+    ),
+    'an old disk comes back while another lags': old_disk_while_lagging,
+    "the leader's disk fails to sync": lambda group: fail_disk(
+        group, group.leader().vm, 'sync'
+    ),
+    "a follower's disk fails to sync": lambda group: fail_disk(
+        group, followers(group)[0], 'sync'
+    ),
+    "the leader's disk fails to append": lambda group: fail_disk(
+        group, group.leader().vm, 'append'
+    ),
+    'a follower misses a snapshot': miss_snapshot,
+    'a follower loses its disk after a snapshot': lose_after_snapshot,
+    'all replicas are frozen for 60 seconds': freeze,
+}
+
+
+@behave.given('a group of {count:d} replicas with 5 acknowledged commands')
+def plan_group(context, count):
+    context.plan = [functools.partial(fill, count=5)]
+    context.count = count
+    context.snapshot_after = replicas.SNAPSHOT_AFTER_ENTRIES
+
+
+@behave.given(
+    'a group of {count:d} replicas that takes a snapshot every {every:d}'
+    ' entries'
+)
+def plan_snapshots(context, count, every):
+    plan_group(context, count)
+    context.snapshot_after = every
+
+
+@behave.when('this happens: {failure}')
+def plan_failure(context, failure):
+    context.plan.append(FAILURES[failure])
+
+
+@behave.when('{count:d} commands are proposed')
+def plan_commands(context, count):
+    async def propose(group):
+        for _ in range(count):
+            group.propose(group.leader().vm)
+            if group.proposed % 20 == 0:
+                await group.advance(0.25)
+        await group.advance(2)
+        assert len(group.acknowledged) >= count
+
+    context.plan.append(propose)
+
+
+@behave.when('power is cut at each of the next {steps:d} steps of {which}')
+def plan_power_cuts(context, steps, which):
+    async def cut_power(group):
+        for step in range(steps):
+            vms = {
+                'the leader': lambda: [group.leader().vm],
+                'a follower': lambda: followers(group)[:1],
+                'all replicas': lambda: list(group.vms),
+            }[which]()
+            for vm in vms:
+                group.disks[vm].steps_left = step
+            for _ in range(4):
+                if group.leader() is not None:
+                    group.propose(group.leader().vm)
+                await group.advance(0.5)
+            for vm in vms:
+                group.crash(vm)
+                group.start(vm)
+            await group.elect()
+
+    context.plan.append(cut_power)
+
+
+@behave.then('commands are acknowledged again')
+def plan_proposals(context):
+    async def propose(group):
+        for _ in range(3):
+            await group.propose_and_wait()
+
+    context.plan.append(propose)
+
+
+async def play(context, last):
+    group = fakes.Group(VMS[: context.count])
+    kept = replicas.SNAPSHOT_AFTER_ENTRIES
+    replicas.SNAPSHOT_AFTER_ENTRIES = context.snapshot_after
+    try:
+        async with group.running():
+            for part in context.plan:
+                await part(group)
+            await last(group)
+    finally:
+        replicas.SNAPSHOT_AFTER_ENTRIES = kept
+
+
+@behave.then(
+    'when all is well again every replica has all that was acknowledged'
+)
+def check_all(context):
+    async def check(group):
+        for vm in list(group.replicas):
+            if group.replicas[vm].failure is not None:
+                group.crash(vm)
+        await group.settle()
+        group.check()
+        assert group.acknowledged
+
+    run(play, context, check)
+
+
+@behave.when('the leader is cut off and a command is proposed to it')
+def plan_refusal(context):
+    async def propose(group):
+        leader = group.leader()
+        context.errors = []
+
+        async def ask():
+            try:
+                await leader.propose(b'x')
+            except errors.ReplicationError as error:
+                context.errors.append(error)
+
+        group.network.cut(
+            [leader.vm], [vm for vm in group.vms if vm != leader.vm]
+        )
+        group.tasks.start_soon(ask)
+        await group.advance(10)
+        context.is_leader = leader.is_leader
+
+    context.plan.append(propose)
+
+
+@behave.then('the command is refused and the leader has stepped down')
+def check_refusal(context):
+    async def check(group):
+        assert [one.code for one in context.errors] == ['leadership_lost']
+        assert not context.is_leader
+
+    run(play, context, check)
+
+
+@behave.when('a follower is cut off for 600 seconds and comes back')
+def plan_cut(context):
+    async def cut(group):
+        context.term = group.leader().term
+        await cut_off(group, followers(group)[0], 600)
+        group.network.heal()
+        await group.advance(20)
+
+    context.plan.append(cut)
+
+
+@behave.then('the term has not risen')
+def check_term(context):
+    async def check(group):
+        assert group.leader().term == context.term
+
+    run(play, context, check)
+
+
+async def restart(group, vm):
+    group.crash(vm)
+    group.start(vm)
+    # It hears from its peers, but no election timer is reached.
+    await group.advance(1.25)
+
+
+async def ask_vote(group, voter, candidate, **changes):
+    """Returns whether a voter gives its vote."""
+    replica = group.replicas[voter]
+    last = replica.storage.last_index
+    asked = {
+        'term': replica.term + 1,
+        'vm': candidate,
+        'incarnation': group.replicas[candidate].incarnation,
+        'last': last,
+        'last_term': replica.storage.term_at(last),
+        **changes,
+    }
+    return (await replica.on_vote(candidate, [*asked.values(), False]))[1]
+
+
+async def vote(group, kind):
+    """Plays one case of voting, and returns the last answer."""
+    one, other = followers(group)
+    voter, leader = one, group.leader().vm
+    group.network.cut([leader], [one, other])
+    if kind == 'a candidate while the leader is heard':
+        return await ask_vote(group, voter, other)
+    # The voter has not heard the leader for long, and asks for no votes.
+    group.replicas[voter].heard_at = -1000.0
+    last = group.replicas[voter].storage.last_index
+    changes = {
+        'a candidate of the next term with a shorter log': {'last': last - 1},
+        'a candidate of the next term with an older last entry': {
+            'last': last + 5,
+            'last_term': 0,
+        },
+        'a candidate of an old term': {'term': 0},
+        'a VM that is no member': {'vm': 'stranger'},
+        'a member that has lost its disk': {'incarnation': 'new'},
+    }.get(kind, {})
+    answer = await ask_vote(group, voter, other, **changes)
+    if changes or kind.startswith('a candidate'):
+        return answer
+    assert answer
+    term = group.replicas[voter].term
+    if 'restart' in kind:
+        await restart(group, voter)
+        assert group.replicas[voter].role is replicas.Role.FOLLOWER
+    group.replicas[voter].heard_at = -1000.0
+    candidate = other if kind.startswith('the same') else leader
+    return await ask_vote(group, voter, candidate, term=term)
+
+
+@behave.then('a vote is {answer} to {kind}')
+def check_vote(context, answer, kind):
+    async def check(group):
+        given = await vote(group, kind)
+        assert given == (answer == 'given'), given
+
+    run(play, context, check)
+
+
+@behave.when('an entry of an old term reaches a majority under a new leader')
+def plan_old_entry(context):
+    async def reach(group):
+        old = group.leader()
+        one, other = followers(group)
+        group.network.cut([old.vm], [one, other])
+        # The old leader's entry reaches one follower only, which then
+        # leads, and cannot write an entry of its own yet.
+        entry = entries.Entry(
+            old.storage.last_index + 1,
+            old.term,
+            entries.EntryKind.COMMAND,
+            b'old',
+        )
+        new = group.replicas[one]
+        await new.storage.append([entry])
+        await new.disk.acquire()
+        await new.storage.save_meta(term=old.term + 1, voted_for=one)
+        await new.lead()
+        await group.advance(0.5)
+        context.held = group.replicas[other].storage.last_index
+        context.committed = new.commit_index
+        context.entry = entry.index
+        new.disk.release()
+        await group.advance(1)
+        context.committed_later = new.commit_index
+
+    context.plan.append(reach)
+
+
+@behave.then('it is committed only after an entry of the new term')
+def check_old_entry(context):
+    async def check(group):
+        assert context.held == context.entry, context.held
+        assert context.committed < context.entry, context.committed
+        assert context.committed_later > context.entry
+
+    run(play, context, check)
+
+
+STEPS = hypothesis.strategies.one_of(
+    hypothesis.strategies.tuples(
+        hypothesis.strategies.sampled_from(
+            ['propose', 'propose', 'crash', 'start', 'cut', 'one way']
+            + ['heal', 'power', 'lossy', 'lose disk']
+        ),
+        hypothesis.strategies.integers(0, 4),
+        hypothesis.strategies.integers(0, 6),
+    )
+)
+
+
+async def play_schedule(count, seed, schedule):
+    group = fakes.Group(VMS[:count], seed)
+    async with group.running():
+        await fill(group, 2)
+        for action, which, amount in schedule:
+            vm = group.vms[which % count]
+            await act(group, action, vm, amount)
+            await group.advance(0.25 * (amount + 1))
+        await group.settle()
+        group.check()
+
+
+async def act(group, action, vm, amount):
+    """Takes one step of a schedule."""
+    if action == 'propose':
+        for one in group.vms:
+            group.propose(one)
+    elif action == 'crash':
+        group.crash(vm)
+    elif action == 'start' and vm not in group.replicas:
+        group.start(vm)
+    elif action in ('cut', 'one way'):
+        others = [one for one in group.vms if one != vm]
+        group.network.cut([vm], others, one_way=action == 'one way')
+    elif action == 'heal':
+        group.network.heal()
+    elif action == 'power':
+        group.disks[vm].steps_left = amount
+    elif action == 'lossy':
+        faults = group.network.faults
+        faults.lost = faults.doubled = faults.late = amount * 0.05
+    elif action == 'lose disk':
+        await lose_when_safe(group, vm)
+
+
+async def lose_when_safe(group, vm):
+    """Loses a disk when all others hold everything.
+
+    A disk that is lost while others are behind takes with it what only a
+    majority with it holds, which no algorithm can bring back.
+    """
+    others = [one for one in group.vms if one != vm]
+    up = [group.replicas.get(one) for one in others]
+    leader = group.leader()
+    if leader is None or None in up or group.network.cut_links:
+        return
+    voters = leader.members.voters
+    current = [
+        one.vm
+        for one in up
+        if one.storage.last_index >= leader.storage.last_index
+        and one.vm in voters
+    ]
+    if len(current) == len(others) and len(voters) == len(group.vms):
+        group.crash(vm)
+        group.lose_disk(vm)
+        group.start(vm)
+
+
+@behave.then(
+    '{examples:d} random schedules of {steps:d} steps on {count:d} replicas'
+    ' hold'
+)
+def check_schedules(context, examples, steps, count):
+    played = []
+
+    @hypothesis.settings(
+        max_examples=examples,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(
+        hypothesis.strategies.integers(0, 2**20),
+        hypothesis.strategies.lists(STEPS, min_size=steps, max_size=steps),
+    )
+    def play_one(seed, schedule):
+        run(play_schedule, count, seed, schedule)
+        played.append(len(schedule))
+
+    play_one()
+    assert sum(played) >= examples * steps
+
+
+# Files.
+
+
+def make_entry(index):
+    return entries.Entry(
+        index, 1, entries.EntryKind.COMMAND, f'entry {index}'.encode() * 9
+    )
+
+
+async def write_log(disk):
+    storage = log_storage.Storage(disk)
+    await storage.load()
+    await storage.save_meta(incarnation='x', boots=1)
+    for index in range(1, 5):
+        await storage.append([make_entry(index)])
+    await storage.install(
+        entries.Snapshot(2, 1, entries.Members(()), b'state' * 20)
+    )
+    for index in range(5, 9):
+        await storage.append([make_entry(index)])
+
+
+@behave.given('the log of a replica with 8 entries')
+def make_log(context):
+    context.disk = fakes.FakeDisk(None)
+    run(write_log, context.disk)
+
+
+def flip(disk, name, at):
+    content = bytearray(disk.files[name])
+    content[at] ^= 0x10
+    disk.files[name] = bytes(content)
+
+
+def logs(disk):
+    return [name for name in sorted(disk.files) if name.startswith('log-')]
+
+
+DAMAGES = {
+    'its last record is torn': lambda disk: disk.files.update(
+        {logs(disk)[-1]: disk.files[logs(disk)[-1]][:-7]}
+    ),
+    'its last record has a flipped bit': lambda disk: flip(
+        disk, logs(disk)[-1], -3
+    ),
+    'noise is added to its end': lambda disk: disk.files.update(
+        {logs(disk)[-1]: disk.files[logs(disk)[-1]] + b'\xa5GGRnoise'}
+    ),
+    'a record in the middle has a flipped bit': lambda disk: flip(
+        disk, logs(disk)[-1], len(disk.files[logs(disk)[-1]]) // 2
+    ),
+    'its first record has a flipped bit': lambda disk: flip(
+        disk, logs(disk)[0], 20
+    ),
+    'the meta file has a flipped bit': lambda disk: flip(disk, 'meta', 20),
+    'the snapshot has a flipped bit': lambda disk: flip(disk, 'snapshot', 40),
+    'a file in the middle is missing': lambda disk: disk.files.pop(
+        logs(disk)[0]
+    ),
+    'it is of another format': lambda disk: disk.files.update(
+        {
+            'meta': log_storage.HEADER.pack(log_storage.MARK, 3, 0x5D6C4D3A)
+            + b'\x92\x02\x80'
+        }
+    ),
+}
+
+
+@behave.when('this damage is done: {damage}')
+def plan_damage(context, damage):
+    DAMAGES[damage](context.disk)
+
+
+@behave.then('loading it gives {count:d} entries')
+def check_loaded(context, count):
+    storage = log_storage.Storage(context.disk)
+    run(storage.load)
+    assert storage.last_index == count, storage.last_index
+
+
+@behave.then('loading it is refused as damaged')
+def check_damaged(context):
+    storage = log_storage.Storage(context.disk)
+    try:
+        run(storage.load)
+    except errors.DamagedFileError:
+        return
+    raise AssertionError(f'{storage.last_index} entries were taken')
+
+
+@behave.given('a data folder in use')
+def use_folder(context):
+    path = tempfile.TemporaryDirectory()
+    context.add_cleanup(path.cleanup)
+    context.path = pathlib.Path(path.name) / 'data'
+    context.folder = files.Folder(context.path)
+    context.add_cleanup(lambda: context.folder.close())
+
+
+@behave.then('a second use of it is refused as {code}')
+def check_locked(context, code):
+    try:
+        files.Folder(context.path)
+    except errors.GatewayError as error:
+        assert error.code == code
+        return
+    raise AssertionError('the folder was used twice')
+
+
+@behave.then('files appended, replaced, cut and removed in it are found again')
+def check_files(context):
+    async def use():
+        folder = context.folder
+        file = await folder.open('one')
+        await file.append(b'hello world')
+        await file.sync()
+        await file.truncate(5)
+        await file.close()
+        await folder.replace('two', b'old')
+        await folder.replace('two', b'new')
+        await folder.replace('three', b'x')
+        await folder.remove('three')
+        (context.path / 'four.unfinished').write_bytes(b'torn')
+        assert await folder.names() == ['one', 'two']
+        assert await folder.read('one') == b'hello'
+        assert await folder.read('two') == b'new'
+
+    run(use)
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -404,6 +404,12 @@
         self.heard_at = self.timers.now()
         self.fail_waiters()
 
+    def fail(self, error: errors.GatewayError) -> None:
+        """Takes no part any more, since the disk cannot be trusted."""
+        self.failure = error
+        self.become_follower()
+        self.role = Role.FAILED
+
     def fail_waiters(self) -> None:
         """Answers the proposals that this replica cannot see through."""
         for waiter in self.waiters.values():
@@ -627,9 +633,7 @@
         except errors.StorageError as error:
             # The file may hold anything now, so this replica stops taking
             # part; a restart reads what really became durable.
-            self.failure = error
-            self.become_follower()
-            self.role = Role.FAILED
+            self.fail(error)
             eliot.log_message('replica:disk_failed', group=self.group)
             raise
 
--- a/src/greengagegw/vm.py
+++ b/src/greengagegw/vm.py
@@ -366,10 +366,10 @@
         """Runs a replica; the VM serves on when its disk fails."""
         try:
             await replica.run()
-        except errors.StorageError as error:
-            replica.failure = error
+        except* errors.StorageError as group:
+            replica.fail(group.exceptions[0])
             eliot.log_message(
-                'replica:failed', group=replica.group, reason=error.message
+                'replica:failed', group=replica.group, reason=str(group)
             )
 
     def stop(self) -> None:
