Allowances hold over every window, and refuse no tenant within its rate

Cause: the allowance had only been seen to serve. Scenarios over a fake fleet (every window of what was spent, under crashes, restarts, cuts, lost and late messages, freezes and clock steps) and over a tenant within its rate found three faults. (1) A flush during a fetch settled a grant that the fetch then gave back: an exception that lost the request. (2) Refunds went to the VM's own region whatever region had granted the tokens, and were cut there by its share of the burst. (3) A VM held tokens for what requests reserve, not for what they use, and a region's bucket began to fill only when it was first asked.

Change: a refund goes back into its grant, or to the region that granted it; VMs keep ahead what is used on average and hand back idle grants; a bucket fills from the moment at which its holder may hand out.

Other ways of sending (one VM, one region, a VM or region that changes every 5 s, half the burst at once): 0 throughout.

--- /dev/null
+++ b/features/allowance/allowance.feature
@@ -0,0 +1,76 @@
+Feature: An organisation's rate and burst hold over the whole fleet
+  Tokens are handed out by one VM of each region, which holds a lease; over
+  every window of T seconds at most burst + rate * T are spent.
+
+  Scenario Outline: No window holds more than burst and rate allow
+    Given a fleet of 7 VMs in 3 regions that ask for four times the rate
+    When through 30 seconds <failure>
+    Then no window of what was spent holds more than allowed
+    And at least <share> percent of the rate was spent
+
+    Examples:
+      | failure                                      | share |
+      | nothing fails                                | 90    |
+      | every holder of a lease crashes and restarts | 40    |
+      | every VM is restarted one after the other    | 40    |
+      | all VMs of a region are restarted at once    | 60    |
+      | one region is cut off                        | 80    |
+      | all regions are cut off from each other      | 80    |
+      | one VM is cut off                            | 60    |
+      | a holder can send but not hear               | 60    |
+      | a fifth of the messages is lost              | 40    |
+      | a fifth of the messages is doubled           | 80    |
+      | a fifth of the messages is late              | 40    |
+      | holders are frozen for 10 seconds            | 20    |
+
+  Scenario Outline: A tenant within its rate is not refused
+    Given a fleet of 7 VMs in 3 regions
+    When an organisation sends 80 percent of its rate <how>
+    Then at most <refused> percent of its requests are refused
+
+    Examples:
+      | how                                | refused |
+      | evenly through all VMs             | 0       |
+      | through one VM                     | 0       |
+      | through one region                 | 0       |
+      | through a VM that changes each 5 s | 0       |
+      | through a region that changes each 5 s | 0   |
+      | with requests of half the burst    | 0       |
+      | with 90 percent refunded           | 0       |
+
+  Scenario: A rate that is lowered holds from then on
+    Given a fleet of 7 VMs in 3 regions that ask for four times the rate
+    When the rate is lowered to a tenth while they ask
+    Then no window after that holds more than the new rate allows
+
+  Scenario: An organisation that is removed and comes back does not start full
+    Given a fleet of 7 VMs in 3 regions that ask for four times the rate
+    When the organisation is removed for 1 second and comes back
+    Then no window of what was spent holds more than allowed
+
+  Scenario: A region with two VMs goes on when one is lost
+    Given a fleet of 7 VMs in 3 regions
+    When the holder of a region with two VMs crashes for good
+    Then the other VM of the region holds the lease
+
+  Scenario: A voter that has just started grants nothing
+    Given a fleet of 7 VMs in 3 regions
+    When the voters of a region are restarted within one lease
+    Then no second holder appears before the first lease has ended
+
+  Scenario: A clock step changes nothing
+    Given a fleet of 7 VMs in 3 regions that ask for four times the rate
+    When the wall clocks step by an hour and back
+    Then no window of what was spent holds more than allowed
+
+  Scenario: A planned stop hands the lease over
+    Given a fleet of 7 VMs in 3 regions
+    When the holder of a region resigns
+    Then another VM of the region holds the lease within 2 seconds
+
+  Scenario Outline: Random schedules of failures
+    Then <examples> random schedules of <steps> steps of the allowance hold
+
+    Examples:
+      | examples | steps |
+      | 40       | 30    |
--- /dev/null
+++ b/features/allowance_world.py
@@ -0,0 +1,172 @@
+"""Allowances of a fake fleet in fake time, with what was spent."""
+
+import contextlib
+import random
+
+import anyio
+
+from features import fakes
+from greengagegw.allowance import grantor as grantors
+from greengagegw.allowance import lease as leases
+from greengagegw.allowance import wallet as wallets
+from greengagegw.control import view as views
+from greengagegw import errors
+from greengagegw import table as tables
+from greengagegw import timers as timer_service
+
+RATE = 1000.0
+BURST = 3000.0
+TABLE = f'kind,name,rate,burst\norganisation,o,{RATE},{BURST}\n'
+
+
+class Member:
+    """One VM's part in the allowance."""
+
+    def __init__(self, fleet, vm, region):
+        self.vm = vm
+        self.region = region
+        self.mesh = fleet.network.mesh(vm)
+        self.view = views.View()
+        self.view.configuration.table = tables.parse(TABLE)
+        self.view.configuration.table_revision = 1
+        self.view.configuration.revision = 1
+        by_region = fleet.by_region
+        self.leases = []
+        handlers = {}
+        for one in by_region:
+            voters = leases.choose_voters(one, by_region)
+            if vm in (*voters, *by_region[one]):
+                lease = leases.RegionLease(
+                    one,
+                    vm,
+                    tuple(by_region[one]),
+                    voters,
+                    self.mesh,
+                    fleet.timers,
+                    fleet.rng,
+                )
+                handlers.update(lease.handlers())
+                self.leases.append(lease)
+                if one == region:
+                    self.lease = lease
+        regions = tuple(by_region)
+        self.grantor = grantors.Grantor(
+            self.lease, self.view, fleet.timers, grantors.make_share(regions)
+        )
+        handlers.update(self.grantor.handlers())
+        self.wallet = wallets.Wallet(
+            region,
+            regions,
+            lambda name: list(by_region[name]),
+            self.mesh,
+            fleet.timers,
+        )
+        self.handlers = handlers
+
+
+class Fleet:
+    """VMs of several regions that share one organisation's allowance."""
+
+    def __init__(self, shape=(3, 2, 2), seed=1):
+        self.rng = random.Random(seed)
+        self.timers = timer_service.ManualTimers()
+        self.network = fakes.FakeNetwork(self.timers, self.rng)
+        names = ('coastal', 'piedmont', 'ridge', 'valley')
+        self.by_region = {
+            region: [f'{region}-{at}' for at in range(count)]
+            for region, count in zip(names, shape, strict=False)
+        }
+        self.members = {}
+        self.scopes = {}
+        self.spent = []
+        self.refused = []
+        self.rate = RATE
+        self.burst = BURST
+
+    @property
+    def vms(self):
+        return [vm for vms in self.by_region.values() for vm in vms]
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        async with anyio.create_task_group() as tasks:
+            self.tasks = self.network.tasks = tasks
+            for vm in self.vms:
+                self.start(vm)
+            yield self
+            tasks.cancel_scope.cancel()
+
+    def start(self, vm):
+        region = vm.split('-')[0]
+        member = self.members[vm] = Member(self, vm, region)
+        self.network.handlers[vm] = member.handlers
+        self.tasks.start_soon(self.run, vm, member)
+
+    async def run(self, vm, member):
+        with anyio.CancelScope() as scope:
+            self.scopes[vm] = scope
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(member.lease.run)
+                tasks.start_soon(member.wallet.run)
+
+    def crash(self, vm):
+        self.network.handlers[vm] = {}
+        if vm in self.scopes:
+            self.scopes.pop(vm).cancel()
+        self.members.pop(vm, None)
+
+    def ask(self, vm, tokens, used=None, wait=2.0):
+        """Asks for tokens in the background."""
+        if vm in self.members:
+            self.tasks.start_soon(self.ask_one, vm, tokens, used, wait)
+
+    async def ask_one(self, vm, tokens, used, wait):
+        member = self.members[vm]
+        try:
+            reservation = await member.wallet.reserve(
+                'o', tokens, self.rate, wait
+            )
+        except errors.RateLimitError:
+            self.refused.append((self.timers.now(), tokens))
+            return
+        used = tokens if used is None else used
+        self.spent.append((self.timers.now(), used))
+        member.wallet.give_back(reservation, used)
+
+    async def advance(self, seconds):
+        while seconds > 1e-9:
+            step = min(seconds, 0.05)
+            await self.timers.advance(step)
+            seconds -= step
+            self.check_holders()
+
+    def check_holders(self):
+        """Checks that no region has two holders of its lease."""
+        for region in self.by_region:
+            held = [
+                one.vm
+                for one in self.members.values()
+                if one.region == region and one.lease.is_held
+            ]
+            assert len(held) <= 1, held
+
+    def holder(self, region):
+        for one in self.members.values():
+            if one.region == region and one.lease.is_held:
+                return one.vm
+        return None
+
+    def check_windows(self):
+        """Checks rate and burst over every window of what was spent."""
+        spent = sorted(self.spent)
+        excess = 0.0
+        last = None
+        for at, tokens in spent:
+            if last is not None:
+                excess = max(0.0, excess - self.rate * (at - last))
+            excess += tokens
+            last = at
+            assert excess <= self.burst + 1e-6, (at, excess)
+
+    def total(self, since=0.0):
+        return sum(tokens for at, tokens in self.spent if at >= since)
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -107,7 +107,10 @@
         network = self.network
         network.calls += 1
         if vm == self.vm:
-            return await network.handlers[vm][method](vm, message)
+            handler = network.handlers[vm].get(method)
+            if handler is None:
+                raise errors.PeerUnreachableError(f'{vm} is down')
+            return await handler(vm, message)
         reply = Reply()
         copies = 2 if network.rng.random() < network.faults.doubled else 1
         for _ in range(copies):
--- /dev/null
+++ b/features/steps/allowance.py
@@ -0,0 +1,415 @@
+"""Steps on allowances."""
+
+import functools
+
+import anyio
+import behave
+import hypothesis
+import hypothesis.strategies
+
+from features import allowance_world
+from greengagegw import table as tables
+
+START_SECONDS = 8.0
+SECONDS = 30.0
+REQUEST_TOKENS = 50
+
+
+def run(function, *arguments):
+    return anyio.run(functools.partial(function, *arguments))
+
+
+@behave.given('a fleet of 7 VMs in 3 regions')
+def plan_fleet(context):
+    context.plan = []
+    context.load = 0.0
+
+
+@behave.given('a fleet of 7 VMs in 3 regions that ask for four times the rate')
+def plan_busy_fleet(context):
+    context.plan = []
+    context.load = 4.0
+
+
+async def busy(fleet, load, seconds):
+    """Asks for tokens through all VMs while time passes."""
+    per_step = fleet.rate * load * 0.05 / REQUEST_TOKENS
+    due = 0.0
+    while seconds > 1e-9:
+        due += per_step
+        while due >= 1:
+            due -= 1
+            fleet.ask(fleet.rng.choice(fleet.vms), REQUEST_TOKENS, wait=0.5)
+        await fleet.advance(0.05)
+        seconds -= 0.05
+
+
+async def every(fleet, load, action, times, pause):
+    for at in range(times):
+        await action(at)
+        await busy(fleet, load, pause)
+
+
+async def crash_holders(fleet, load):
+    for _ in range(3):
+        down = [fleet.holder(region) for region in fleet.by_region]
+        for vm in down:
+            if vm is not None:
+                fleet.crash(vm)
+        await busy(fleet, load, 1)
+        for vm in down:
+            if vm is not None:
+                fleet.start(vm)
+        await busy(fleet, load, 9)
+
+
+async def restart_each(fleet, load):
+    for vm in fleet.vms:
+        fleet.crash(vm)
+        await busy(fleet, load, 0.5)
+        fleet.start(vm)
+        await busy(fleet, load, SECONDS / 7 - 0.5)
+
+
+async def restart_region(fleet, load):
+    await busy(fleet, load, 5)
+    for vm in fleet.by_region['piedmont']:
+        fleet.crash(vm)
+        fleet.start(vm)
+    await busy(fleet, load, 25)
+
+
+async def cut_region(fleet, load):
+    inside = fleet.by_region['coastal']
+    outside = [vm for vm in fleet.vms if vm not in inside]
+    fleet.network.cut(inside, outside)
+    await busy(fleet, load, 20)
+    fleet.network.heal()
+    await busy(fleet, load, 10)
+
+
+async def cut_all(fleet, load):
+    for vms in fleet.by_region.values():
+        others = [vm for vm in fleet.vms if vm not in vms]
+        fleet.network.cut(vms, others)
+    await busy(fleet, load, 20)
+    fleet.network.heal()
+    await busy(fleet, load, 10)
+
+
+async def cut_vm(fleet, load):
+    vm = fleet.holder('coastal')
+    fleet.network.cut([vm], [one for one in fleet.vms if one != vm])
+    await busy(fleet, load, 20)
+    fleet.network.heal()
+    await busy(fleet, load, 10)
+
+
+async def deafen_holder(fleet, load):
+    vm = fleet.holder('coastal')
+    others = [one for one in fleet.vms if one != vm]
+    fleet.network.cut(others, [vm], one_way=True)
+    await busy(fleet, load, 20)
+    fleet.network.heal()
+    await busy(fleet, load, 10)
+
+
+def set_fault(name):
+    async def apply(fleet, load):
+        setattr(fleet.network.faults, name, 0.2)
+        await busy(fleet, load, SECONDS)
+
+    return apply
+
+
+async def freeze_holders(fleet, load):
+    for _ in range(2):
+        await busy(fleet, load, 5)
+        # A frozen VM runs nothing while the clocks of all VMs go on.
+        fleet.timers.time += 10
+    await busy(fleet, load, 10)
+
+
+async def idle_failure(fleet, load):
+    await busy(fleet, load, SECONDS)
+
+
+FAILURES = {
+    'nothing fails': idle_failure,
+    'every holder of a lease crashes and restarts': crash_holders,
+    'every VM is restarted one after the other': restart_each,
+    'all VMs of a region are restarted at once': restart_region,
+    'one region is cut off': cut_region,
+    'all regions are cut off from each other': cut_all,
+    'one VM is cut off': cut_vm,
+    'a holder can send but not hear': deafen_holder,
+    'a fifth of the messages is lost': set_fault('lost'),
+    'a fifth of the messages is doubled': set_fault('doubled'),
+    'a fifth of the messages is late': set_fault('late'),
+    'holders are frozen for 10 seconds': freeze_holders,
+}
+
+
+@behave.when('through 30 seconds {failure}')
+def plan_failure(context, failure):
+    context.plan.append(lambda fleet: FAILURES[failure](fleet, context.load))
+
+
+async def play(context, last):
+    fleet = allowance_world.Fleet()
+    async with fleet.running():
+        await fleet.advance(START_SECONDS)
+        context.started_at = fleet.timers.now()
+        for part in context.plan:
+            await part(fleet)
+        await fleet.advance(3)
+        last(fleet)
+
+
+@behave.then('no window of what was spent holds more than allowed')
+def check_windows(context):
+    def check(fleet):
+        fleet.check_windows()
+        assert fleet.spent
+        context.fleet = fleet
+
+    run(play, context, check)
+
+
+@behave.then('at least {share:d} percent of the rate was spent')
+def check_share(context, share):
+    fleet = context.fleet
+    seconds = fleet.timers.now() - 3 - context.started_at
+    spent = fleet.total(context.started_at) / (fleet.rate * seconds)
+    assert spent * 100 >= share, spent
+
+
+def choose_vm(fleet, how, at):
+    if 'one VM' in how:
+        return 'ridge-0'
+    if 'one region' in how:
+        return fleet.rng.choice(fleet.by_region['ridge'])
+    if 'a VM that' in how:
+        return fleet.vms[int(at / 5) % len(fleet.vms)]
+    if 'a region that' in how:
+        regions = list(fleet.by_region)
+        region = regions[int(at / 5) % len(regions)]
+        return fleet.rng.choice(fleet.by_region[region])
+    return fleet.rng.choice(fleet.vms)
+
+
+@behave.when('an organisation sends 80 percent of its rate {how}')
+def plan_within_rate(context, how):
+    async def send(fleet):
+        tokens, used = REQUEST_TOKENS, None
+        if 'half the burst' in how:
+            tokens = fleet.burst / 2
+        elif 'refunded' in how:
+            tokens, used = REQUEST_TOKENS * 10, REQUEST_TOKENS
+        due = 0.0
+        for step in range(800):
+            due += fleet.rate * 0.8 * 0.05
+            if due >= (used or tokens):
+                due -= used or tokens
+                at = step * 0.05
+                fleet.ask(choose_vm(fleet, how, at), tokens, used)
+            await fleet.advance(0.05)
+
+    context.plan.append(send)
+
+
+@behave.then('at most {percent:d} percent of its requests are refused')
+def check_refused(context, percent):
+    def check(fleet):
+        fleet.check_windows()
+        total = len(fleet.spent) + len(fleet.refused)
+        assert total > 15
+        refused = 100 * len(fleet.refused) / total
+        assert refused <= percent, (refused, total)
+
+    run(play, context, check)
+
+
+def set_table(fleet, text, revision):
+    for member in fleet.members.values():
+        member.view.configuration.table = tables.parse(text)
+        member.view.configuration.table_revision = revision
+
+
+@behave.when('the rate is lowered to a tenth while they ask')
+def plan_lower(context):
+    async def lower(fleet):
+        await busy(fleet, 4.0, 5)
+        text = 'kind,name,rate,burst\norganisation,o,100,300\n'
+        set_table(fleet, text, 2)
+        fleet.rate, fleet.burst = 100.0, 300.0
+        # What VMs hold of the old rate is spent or returned by then.
+        await busy(fleet, 40.0, 2)
+        fleet.spent.clear()
+        await busy(fleet, 40.0, 20)
+
+    context.plan.append(lower)
+
+
+@behave.then('no window after that holds more than the new rate allows')
+def check_lowered(context):
+    def check(fleet):
+        fleet.check_windows()
+        assert fleet.total() > 1000
+
+    run(play, context, check)
+
+
+@behave.when('the organisation is removed for 1 second and comes back')
+def plan_removed(context):
+    async def remove(fleet):
+        await busy(fleet, 4.0, 5)
+        set_table(fleet, 'kind,name\n', 2)
+        await busy(fleet, 4.0, 1)
+        set_table(fleet, allowance_world.TABLE, 3)
+        await busy(fleet, 4.0, 10)
+
+    context.plan.append(remove)
+
+
+@behave.when('the holder of a region with two VMs crashes for good')
+def plan_loss(context):
+    async def lose(fleet):
+        context.lost = fleet.holder('ridge')
+        fleet.crash(context.lost)
+        await fleet.advance(10)
+
+    context.plan.append(lose)
+
+
+@behave.then('the other VM of the region holds the lease')
+def check_other(context):
+    def check(fleet):
+        holder = fleet.holder('ridge')
+        assert holder is not None and holder != context.lost, holder
+
+    run(play, context, check)
+
+
+@behave.when('the voters of a region are restarted within one lease')
+def plan_voters(context):
+    async def restart(fleet):
+        # The holder can renew no more, and every voter forgets its grant.
+        holder = fleet.holder('coastal')
+        others = [vm for vm in fleet.vms if vm != holder]
+        fleet.network.cut([holder], others)
+        context.until = fleet.members[holder].lease.held_until
+        for vm in others:
+            fleet.crash(vm)
+            fleet.start(vm)
+        context.gained = None
+        while context.gained is None and fleet.timers.now() < 1100:
+            await fleet.advance(0.05)
+            found = fleet.holder('coastal')
+            if found not in (None, holder):
+                context.gained = fleet.timers.now()
+
+    context.plan.append(restart)
+
+
+@behave.then('no second holder appears before the first lease has ended')
+def check_voters(context):
+    def check(fleet):
+        assert context.gained is not None
+        assert context.gained >= context.until
+
+    run(play, context, check)
+
+
+@behave.when('the wall clocks step by an hour and back')
+def plan_step(context):
+    async def step(fleet):
+        await busy(fleet, 4.0, 5)
+        fleet.timers.step_wall(3600)
+        await busy(fleet, 4.0, 5)
+        fleet.timers.step_wall(-3600)
+        await busy(fleet, 4.0, 5)
+
+    context.plan.append(step)
+
+
+@behave.when('the holder of a region resigns')
+def plan_resign(context):
+    async def resign(fleet):
+        holder = context.lost = fleet.holder('coastal')
+        await_resign = fleet.members[holder].lease.resign
+        fleet.tasks.start_soon(await_resign)
+        await fleet.advance(2)
+        context.holder = fleet.holder('coastal')
+
+    context.plan.append(resign)
+
+
+@behave.then('another VM of the region holds the lease within 2 seconds')
+def check_resigned(context):
+    def check(fleet):
+        assert context.holder not in (None, context.lost), context.holder
+
+    run(play, context, check)
+
+
+ACTIONS = ['ask', 'ask', 'big', 'crash', 'start', 'cut', 'one way', 'heal']
+STEPS = hypothesis.strategies.tuples(
+    hypothesis.strategies.sampled_from([*ACTIONS, 'lossy', 'freeze']),
+    hypothesis.strategies.integers(0, 6),
+    hypothesis.strategies.integers(0, 20),
+)
+
+
+async def play_schedule(seed, schedule):
+    fleet = allowance_world.Fleet(seed=seed)
+    async with fleet.running():
+        await fleet.advance(6)
+        for action, which, amount in schedule:
+            act(fleet, action, fleet.vms[which], amount)
+            await busy(fleet, 3.0, 0.1 + amount * 0.05)
+        fleet.check_windows()
+
+
+def act(fleet, action, vm, amount):
+    others = [one for one in fleet.vms if one != vm]
+    if action == 'ask':
+        for _ in range(amount):
+            fleet.ask(vm, 100, 10 * (amount % 11))
+    elif action == 'big':
+        fleet.ask(vm, fleet.burst * 0.9, wait=5.0)
+    elif action == 'crash':
+        fleet.crash(vm)
+    elif action == 'start' and vm not in fleet.members:
+        fleet.start(vm)
+    elif action in ('cut', 'one way'):
+        fleet.network.cut([vm], others, one_way=action == 'one way')
+    elif action == 'heal':
+        fleet.network.heal()
+    elif action == 'lossy':
+        faults = fleet.network.faults
+        faults.lost = faults.doubled = faults.late = amount * 0.02
+    elif action == 'freeze':
+        fleet.timers.time += amount * 0.2
+
+
+@behave.then(
+    '{examples:d} random schedules of {steps:d} steps of the allowance hold'
+)
+def check_schedules(context, examples, steps):
+    @hypothesis.settings(
+        max_examples=examples,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(
+        hypothesis.strategies.integers(0, 2**20),
+        hypothesis.strategies.lists(STEPS, min_size=steps, max_size=steps),
+    )
+    def play_one(seed, schedule):
+        run(play_schedule, seed, schedule)
+
+    play_one()
--- a/src/greengagegw/allowance/grantor.py
+++ b/src/greengagegw/allowance/grantor.py
@@ -73,10 +73,9 @@
         if row is None:
             raise errors.PermissionDeniedError(f'no row for {organisation!r}')
         share = self.share(self.view.configuration.table, self.lease.region)
-        starts_at = max(
-            self.timers.now(),
-            self.held_since + VALIDITY_SECONDS * leases.DRIFT,
-        )
+        # The bucket has been filling since the last holder's grants ended,
+        # whether or not anyone has asked for it.
+        starts_at = self.held_since + VALIDITY_SECONDS * leases.DRIFT
         bucket = buckets.Bucket(row.rate * share, row.burst * share, starts_at)
         self.buckets[organisation] = bucket
         return bucket
--- a/src/greengagegw/allowance/wallet.py
+++ b/src/greengagegw/allowance/wallet.py
@@ -16,8 +16,11 @@
 
 FLUSH_SECONDS = 0.25
 DEMAND_SECONDS = 2.0
+USE_SMOOTHING = 0.05
 PREFETCH_SECONDS = 0.4
-LOW_WATER_SECONDS = 0.15
+LOW_WATER_SHARE = 0.4
+# More than this many times what is wanted ahead goes back to the region.
+IDLE_FACTOR = 2.0
 RETRY_SECONDS = 0.1
 CALL_SECONDS = 1.0
 REGIONS_ASKED = 3
@@ -46,20 +49,35 @@
         self.demand = 0.0
         self.demand_at = now
         self.is_fetching = False
+        self.used_share = 1.0
+        self.uses = 0
 
     def available(self, now: float) -> float:
         return sum(one.left for one in self.held if one.until > now)
 
-    def spend(self, tokens: float, now: float) -> bool:
+    def spend(self, tokens: float, now: float) -> tuple['Part', ...] | None:
         """Spends tokens if there are enough of them."""
         if self.available(now) < tokens:
-            return False
+            return None
+        parts = []
         for one in self.held:
-            if one.until > now:
+            if one.until > now and one.left > 0 and tokens > 0:
                 part = min(one.left, tokens)
                 one.left -= part
                 tokens -= part
-        return True
+                parts.append(Part(one, part))
+        return tuple(parts)
+
+    @property
+    def wanted_ahead(self) -> float:
+        """Tokens worth holding for the requests of the next moments."""
+        return self.demand * self.used_share * PREFETCH_SECONDS
+
+    def note_use(self, share: float) -> None:
+        """Keeps a moving mean of the share of reservations that is used."""
+        self.uses += 1
+        smoothing = max(USE_SMOOTHING, 1 / self.uses)
+        self.used_share += smoothing * (share - self.used_share)
 
     def note_demand(self, tokens: float, now: float) -> None:
         """Keeps a decaying average of the tokens asked for a second."""
@@ -72,12 +90,21 @@
         self.demand_at = now
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """Tokens of a reservation that come from one grant."""
+
+    held: Held
+    tokens: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reservation:
     """Tokens reserved for one request."""
 
     organisation: str
     tokens: float
+    parts: tuple[Part, ...]
 
 
 class Wallet:
@@ -103,7 +130,9 @@
         self.holders: dict[str, str] = {}
         self.levels: dict[tuple[str, str], float] = {}
         self.settled: dict[str, list[list]] = collections.defaultdict(list)
-        self.returned: dict[str, float] = collections.defaultdict(float)
+        self.returned: dict[tuple[str, str], float] = collections.defaultdict(
+            float
+        )
         self.tasks: anyio.abc.TaskGroup | None = None
 
     async def run(self) -> None:
@@ -133,16 +162,18 @@
         now = self.timers.now()
         purse = self.purse(organisation)
         purse.note_demand(tokens, now)
-        if not purse.lock.locked() and purse.spend(tokens, now):
-            self.prefetch(organisation, purse)
-            return Reservation(organisation, tokens)
+        if not purse.lock.locked():
+            parts = purse.spend(tokens, now)
+            if parts is not None:
+                self.prefetch(organisation, purse)
+                return Reservation(organisation, tokens, parts)
         self.refuse_hopeless(purse, tokens, rate, wait)
         purse.waiting_tokens += tokens
         try:
             with self.timers.limit(wait):
                 async with purse.lock:
-                    await self.gather(organisation, purse, tokens)
-                    return Reservation(organisation, tokens)
+                    parts = await self.gather(organisation, purse, tokens)
+                    return Reservation(organisation, tokens, parts)
         finally:
             purse.waiting_tokens -= tokens
         raise errors.RateLimitError(
@@ -154,7 +185,7 @@
         self, purse: Purse, tokens: float, rate: float, wait: float
     ) -> None:
         """Refuses a request whose tokens cannot come in time."""
-        ahead = purse.waiting_tokens
+        ahead = purse.waiting_tokens * purse.used_share
         if ahead > 0 and ahead + tokens > rate * wait:
             raise errors.RateLimitError(
                 'requests of the organisation wait for its rate already',
@@ -166,16 +197,34 @@
         return min(60.0, max(1.0, missing / rate if rate > 0 else 60.0))
 
     def give_back(self, reservation: Reservation, used: float) -> None:
-        """Returns the tokens of a reservation that were not used."""
+        """Returns the tokens of a reservation that were not used.
+
+        They go back into their grants while this VM holds these, and else
+        to the regions that granted them.
+        """
+        organisation = reservation.organisation
+        purse = self.purse(organisation)
+        if reservation.tokens > 0:
+            purse.note_use(min(1.0, used / reservation.tokens))
         unused = reservation.tokens - used
-        if unused > 0:
-            self.returned[reservation.organisation] += unused
+        for part in reversed(reservation.parts):
+            tokens = min(part.tokens, unused)
+            if tokens <= 0:
+                return
+            unused -= tokens
+            if any(held is part.held for held in purse.held):
+                part.held.left += tokens
+            else:
+                self.returned[part.held.region, organisation] += tokens
 
     async def gather(
         self, organisation: str, purse: Purse, tokens: float
-    ) -> None:
-        """Fetches until a request's tokens were spent."""
-        while not purse.spend(tokens, self.timers.now()):
+    ) -> tuple[Part, ...]:
+        """Fetches until a request's tokens can be spent."""
+        while True:
+            parts = purse.spend(tokens, self.timers.now())
+            if parts is not None:
+                return parts
             if not await self.fetch(organisation, purse, tokens):
                 await self.timers.sleep(RETRY_SECONDS)
 
@@ -188,7 +237,7 @@
         two VMs never wait for what the other holds.
         """
         purse.decay(self.timers.now())
-        ahead = purse.demand * PREFETCH_SECONDS
+        ahead = purse.wanted_ahead
         fetched: list[Held] = []
         for region in self.order(organisation):
             missing = tokens - purse.available(self.timers.now())
@@ -202,8 +251,10 @@
         if purse.available(self.timers.now()) >= tokens:
             return True
         for held in fetched:
-            purse.held.remove(held)
-            self.note_settled(held)
+            # A flush may have settled it in the meantime.
+            if any(one is held for one in purse.held):
+                purse.held = [one for one in purse.held if one is not held]
+                self.note_settled(held)
         if fetched:
             await self.flush()
         return False
@@ -266,7 +317,7 @@
     def prefetch(self, organisation: str, purse: Purse) -> None:
         """Fetches in the background when few tokens are left."""
         now = self.timers.now()
-        low = purse.demand * LOW_WATER_SECONDS
+        low = purse.wanted_ahead * LOW_WATER_SHARE
         if purse.is_fetching or self.tasks is None:
             return
         if purse.available(now) < low:
@@ -292,23 +343,29 @@
         now = self.timers.now()
         half = grantors.VALIDITY_SECONDS / 2
         for purse in self.purses.values():
+            purse.decay(now)
+            idle = purse.available(now) - IDLE_FACTOR * purse.wanted_ahead
             kept = []
             for held in purse.held:
+                is_idle = 0 < held.left <= idle
+                if is_idle:
+                    idle -= held.left
                 is_old = now - held.taken_at > half
-                if is_old or held.left <= 0:
+                if is_old or is_idle or held.left <= 0:
                     self.note_settled(held)
                 else:
                     kept.append(held)
             purse.held = kept
-        returned = [[name, t] for name, t in self.returned.items()]
+        returned = collections.defaultdict(list)
+        for (region, organisation), tokens in self.returned.items():
+            returned[region].append([organisation, tokens])
         self.returned.clear()
-        reports, self.settled = self.settled, collections.defaultdict(list)
-        if returned:
-            reports.setdefault(self.region, [])
+        settled, self.settled = self.settled, collections.defaultdict(list)
         async with anyio.create_task_group() as tasks:
-            for region, settled in reports.items():
-                mine = returned if region == self.region else []
-                tasks.start_soon(self.report, region, settled, mine)
+            for region in {*settled, *returned}:
+                tasks.start_soon(
+                    self.report, region, settled[region], returned[region]
+                )
 
     async def hand_back(self) -> None:
         """Gives back everything that is held."""
