Held tokens and the change of a lease holder have tests of their own

Change: scenarios in which buckets are full and a VM holds a region's tokens while half a second passes, the holder resigns, the VM alone is frozen or cut off, and checks of the bucket and of the new holder directly.

--- a/features/allowance/allowance.feature
+++ b/features/allowance/allowance.feature
@@ -38,6 +38,30 @@
       | with requests of half the burst    | 0       |
       | with 90 percent refunded           | 0       |
 
+  Scenario Outline: Tokens that a VM holds count against the burst
+    Given a fleet of 7 VMs in 3 regions
+    When all buckets are full and a VM takes a region's tokens, unspent
+    And <event>, and then everything is spent at once
+    Then no window of what was spent holds more than allowed
+    And at least <share> percent of the burst was spent
+
+    Examples:
+      | event                                  | share |
+      | half a second passes                   | 90    |
+      | the holder of the region resigns       | 60    |
+      | the VM alone is frozen for 10 seconds  | 60    |
+      | the VM is cut off for a second         | 60    |
+
+  Scenario: A bucket whose tokens are all handed out hands out no more
+    Given a full bucket whose tokens were all handed out
+    Then it hands out nothing while they are held
+    And it hands out what was given back, and what comes in after they ended
+
+  Scenario: A new holder waits for the end of the last holder's grants
+    Given a fleet of 7 VMs in 3 regions
+    When the holder of a region resigns
+    Then the new holder hands out nothing until the last grants have ended
+
   Scenario: A rate that is lowered holds from then on
     Given a fleet of 7 VMs in 3 regions that ask for four times the rate
     When the rate is lowered to a tenth while they ask
--- a/features/steps/allowance.py
+++ b/features/steps/allowance.py
@@ -8,6 +8,8 @@
 import hypothesis.strategies
 
 from features import allowance_world
+from greengagegw.allowance import bucket
+from greengagegw.allowance import grantor
 from greengagegw import table as tables
 
 START_SECONDS = 8.0
@@ -230,6 +232,88 @@
     run(play, context, check)
 
 
+@behave.when("all buckets are full and a VM takes a region's tokens, unspent")
+def plan_held(context):
+    async def take(fleet):
+        # Each bucket is asked for once, so that it is there and fills.
+        for vms in fleet.by_region.values():
+            fleet.ask(vms[0], 1)
+        await fleet.advance(10)
+        vm = (
+            'coastal-1'
+            if fleet.holder('coastal') != 'coastal-1'
+            else ('coastal-2')
+        )
+        wallet = fleet.members[vm].wallet
+        found = []
+
+        async def take_all():
+            found.append(await wallet.take('o', 'coastal', fleet.burst))
+
+        fleet.tasks.start_soon(take_all)
+        await fleet.advance(0.05)
+        assert found[0].tokens > fleet.burst / 3 - 10, found
+        wallet.purse('o').held.append(found[0])
+        context.vm = vm
+        fleet.spent.clear()
+
+    context.plan.append(take)
+
+
+async def resign_holder(fleet, vm):
+    holder = fleet.holder('coastal')
+    fleet.tasks.start_soon(fleet.members[holder].lease.resign)
+    for _ in range(13):
+        await fleet.advance(0.05)
+        fleet.members[vm].wallet.settled.clear()
+
+
+async def freeze_vm(fleet, vm):
+    # None of its tasks run, while the others go on.
+    fleet.scopes[vm].cancel()
+    await fleet.advance(10)
+
+
+async def cut_holding_vm(fleet, vm):
+    fleet.network.cut([vm], [one for one in fleet.vms if one != vm])
+    await fleet.advance(1)
+
+
+async def wait_half(fleet, vm):
+    await fleet.advance(0.5)
+
+
+EVENTS = {
+    'half a second passes': wait_half,
+    'the holder of the region resigns': resign_holder,
+    'the VM alone is frozen for 10 seconds': freeze_vm,
+    'the VM is cut off for a second': cut_holding_vm,
+}
+
+
+@behave.when('{event}, and then everything is spent at once')
+def plan_event(context, event):
+    async def spend(fleet):
+        await EVENTS[event](fleet, context.vm)
+        wallet = fleet.members[context.vm].wallet
+        held = wallet.purse('o').available(fleet.timers.now())
+        for _ in range(int(held / 20)):
+            fleet.ask(context.vm, 20)
+        await fleet.timers.settle()
+        for _ in range(60):
+            for vm in fleet.vms:
+                fleet.ask(vm, 20, wait=1.0)
+        await fleet.advance(1.2)
+
+    context.plan.append(spend)
+
+
+@behave.then('at least {share:d} percent of the burst was spent')
+def check_burst(context, share):
+    spent = context.fleet.total() / context.fleet.burst
+    assert spent * 100 >= share, spent
+
+
 def set_table(fleet, text, revision):
     for member in fleet.members.values():
         member.view.configuration.table = tables.parse(text)
@@ -413,3 +497,56 @@
         run(play_schedule, seed, schedule)
 
     play_one()
+
+
+@behave.given('a full bucket whose tokens were all handed out')
+def make_bucket(context):
+    context.bucket = bucket.Bucket(100.0, 1000.0, 0.0)
+    context.grants = [
+        context.bucket.take(1.0, 600.0, 20.0, 5.0),
+        context.bucket.take(1.0, 600.0, 20.0, 50.0),
+    ]
+    assert [one.tokens for one in context.grants] == [600.0, 400.0]
+
+
+@behave.then('it hands out nothing while they are held')
+def check_handed_out(context):
+    for now in (20.0, 22.0, 24.9):
+        assert context.bucket.take(0.1, 100.0, now, 5.0) is None, now
+
+
+@behave.then(
+    'it hands out what was given back, and what comes in after they ended'
+)
+def check_given_back(context):
+    # The first grant has ended, and counts as spent.
+    assert context.bucket.take(1.0, 1000.0, 26.0, 5.0).tokens < 111.0
+    context.bucket.settle(context.grants[1].number, 150.0)
+    assert context.bucket.take(1.0, 250.0, 26.0, 5.0).tokens == 250.0
+
+
+@behave.then(
+    'the new holder hands out nothing until the last grants have ended'
+)
+def check_new_holder(context):
+    async def check_later(fleet):
+        holder = None
+        while holder in (None, context.lost):
+            await fleet.advance(0.05)
+            holder = fleet.holder('coastal')
+        new = fleet.members[holder]
+        gained = new.lease.held_since
+        while True:
+            found = await new.grantor.on_take(holder, ['o', 0.1, 100.0])
+            if found[0]:
+                break
+            await fleet.advance(0.05)
+        waited = fleet.timers.now() - gained
+        assert waited >= grantor.VALIDITY_SECONDS, waited
+
+    async def resign_only(fleet):
+        context.lost = fleet.holder('coastal')
+        fleet.tasks.start_soon(fleet.members[context.lost].lease.resign)
+
+    context.plan[:] = [resign_only, check_later]
+    run(play, context, lambda fleet: None)
