--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that measure; none of them decides CI."""
--- a/src/greengagegw/adapters/backend_http.py
+++ b/src/greengagegw/adapters/backend_http.py
@@ -5,12 +5,14 @@
 import ssl
 import typing
 
+import httpcore
 import httpx
 import orjson
 
 from .. import errors
 from .. import settings as settings_module
 from .. import timers as timer_service
+from . import backend_transport
 from ..ports import backends
 
 # Shorter than the idle life that backend servers usually give, so that a
@@ -33,9 +35,15 @@
     }
 )
 CONNECT_ERRORS = (
-    httpx.ConnectError,
-    httpx.ConnectTimeout,
-    httpx.PoolTimeout,
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+)
+HTTP_ERRORS = (
+    httpx.HTTPError,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
 )
 
 
@@ -70,14 +78,11 @@
         # Time limits are the timer service's; only the connecting is
         # limited here, so that it can be told from the rest.
         return httpx.AsyncClient(
-            verify=context,
+            transport=backend_transport.Transport(
+                context, kept, POOL_IDLE_SECONDS
+            ),
             trust_env=False,
             timeout=httpx.Timeout(None, connect=self.timeouts.connect_seconds),
-            limits=httpx.Limits(
-                max_connections=None,
-                max_keepalive_connections=kept,
-                keepalive_expiry=POOL_IDLE_SECONDS,
-            ),
         )
 
     async def close(self) -> None:
@@ -142,7 +147,7 @@
             raise errors.BackendConnectError(
                 f'{self.name} cannot be reached', retry_after=1
             ) from error
-        except httpx.HTTPError as error:
+        except HTTP_ERRORS as error:
             raise errors.BackendError(
                 f'{self.name} broke the connection before it answered'
             ) from error
@@ -187,25 +192,26 @@
         :raises BrokenStreamError: if it ends too early.
         :raises BackendTimeoutError: if it goes silent.
         """
-        chunks = response.aiter_raw()
-        while True:
-            chunk = None
-            ended = False
-            try:
-                with self.timers.limit(self.timeouts.between_bytes_seconds):
-                    try:
-                        chunk = await anext(chunks)
-                    except StopAsyncIteration:
-                        ended = True
-            except httpx.HTTPError as error:
+        watch = SilenceWatch(
+            self.timers,
+            self.timeouts.between_bytes_seconds,
+            response.extensions['network_stream'].get_extra_info('break'),
+        )
+        try:
+            async for chunk in response.aiter_raw():
+                watch.pause()
+                yield chunk
+                watch.go_on()
+        except HTTP_ERRORS as error:
+            if not watch.has_broken_off:
                 raise errors.BrokenStreamError(
                     f'the answer of {self.name} broke off'
                 ) from error
-            if ended:
-                return
-            if chunk is None:
-                raise errors.BackendTimeoutError(f'{self.name} went silent')
-            yield chunk
+        finally:
+            watch.stop()
+        # A body without a length ends like this too when it is broken off.
+        if watch.has_broken_off:
+            raise errors.BackendTimeoutError(f'{self.name} went silent')
 
     async def report_load(self) -> backends.LoadReport:
         """Asks for the load on a connection of its own.
@@ -221,8 +227,7 @@
                 int(report['waiting']),
                 bool(report.get('leaving', False)),
             )
-        except (
-            httpx.HTTPError,
+        except HTTP_ERRORS + (
             ValueError,
             KeyError,
             TypeError,
@@ -233,6 +238,50 @@
             ) from error
 
 
+class SilenceWatch:
+    """Breaks a connection off when it was silent for too long.
+
+    One subscription follows the connection, in place of a time limit on
+    each read. The time that the caller takes with a chunk does not count.
+
+    :param break_off: ends the connection.
+    """
+
+    def __init__(
+        self,
+        timers: timer_service.Timers,
+        longest: float,
+        break_off: collections.abc.Callable[[], None],
+    ) -> None:
+        self.timers = timers
+        self.longest = longest
+        self.break_off = break_off
+        self.heard_at = timers.now()
+        self.is_paused = False
+        self.has_broken_off = False
+        self.subscription = timers.call_later(longest, self.check)
+
+    def check(self) -> None:
+        left = self.heard_at + self.longest - self.timers.now()
+        if self.is_paused:
+            left = self.longest
+        if left > 0:
+            self.subscription = self.timers.call_later(left, self.check)
+            return
+        self.has_broken_off = True
+        self.break_off()
+
+    def pause(self) -> None:
+        self.is_paused = True
+
+    def go_on(self) -> None:
+        self.is_paused = False
+        self.heard_at = self.timers.now()
+
+    def stop(self) -> None:
+        self.subscription.cancel()
+
+
 def make_context() -> ssl.SSLContext:
     """Returns the TLS context that all clients share."""
     return httpx.create_ssl_context(trust_env=False)
