Breaking a silent connection off works under uvloop too

A connection that went silent could not be broken off, since uvloop's socket object refuses shutdown; the exception ended the timer service, and with it the whole VM.

Change: the shutdown goes through a duplicate of the socket. The timer service logs what a subscriber raises and goes on, so that one part's fault no longer stops the time of all others.

--- a/src/greengagegw/adapters/backend_transport.py
+++ b/src/greengagegw/adapters/backend_transport.py
@@ -6,6 +6,7 @@
 
 import collections.abc
 import contextlib
+import os
 import select
 import socket as sockets
 import ssl
@@ -85,8 +86,10 @@
 
     def break_off(self) -> None:
         """Ends the connection at once, for whoever waits on it."""
+        # The event loop's own socket object refuses to be shut down.
         with contextlib.suppress(OSError):
-            self.socket.shutdown(sockets.SHUT_RDWR)
+            with sockets.socket(fileno=os.dup(self.socket.fileno())) as copy:
+                copy.shutdown(sockets.SHUT_RDWR)
 
 
 class Backend(httpcore.AsyncNetworkBackend):
--- a/src/greengagegw/timers.py
+++ b/src/greengagegw/timers.py
@@ -12,6 +12,7 @@
 
 import anyio
 import anyio.lowlevel
+import eliot
 
 
 class Subscription:
@@ -98,8 +99,13 @@
         now = self.now()
         while self.pending and self.pending[0][0] <= now:
             subscription = heapq.heappop(self.pending)[2]
-            if not subscription.cancelled:
+            if subscription.cancelled:
+                continue
+            try:
                 subscription.action()
+            except Exception:
+                # One subscriber's fault must not stop everybody's time.
+                eliot.write_traceback()
 
     async def run(self) -> None:
         """Runs the service until it is cancelled."""
