Lost messages no longer make living VMs look dead

Cause: with a tenth of the messages lost, VMs of a region of three took each other for dead within seconds. A VM waited for each answer to its gossip, up to 2 s, before it counted its next heartbeat; and mates were picked at random, so that two of them may not speak for several seconds. Ruled out: the adaptive patience, whose mean and deviation followed the intervals.

Change: exchanges run beside the heartbeat; mates take turns in a new random order each time; the shortest patience is 5 s in place of 3 s.

--- a/src/greengagegw/membership/detector.py
+++ b/src/greengagegw/membership/detector.py
@@ -2,7 +2,7 @@
 
 # A VM is thought dead after the mean interval and this many deviations.
 DEVIATIONS = 6.0
-SHORTEST_SILENCE_SECONDS = 3.0
+SHORTEST_SILENCE_SECONDS = 5.0
 LONGEST_SILENCE_SECONDS = 12.0
 SMOOTHING = 0.1
 
--- a/src/greengagegw/membership/gossip.py
+++ b/src/greengagegw/membership/gossip.py
@@ -11,6 +11,7 @@
 import dataclasses
 import random
 
+import anyio
 import eliot
 
 from .. import errors
@@ -113,6 +114,7 @@
         self.detectors: dict[str, detector.SilenceDetector] = {}
         self.summaries: dict[str, Summary] = {}
         self.round_trips: dict[str, float] = {}
+        self.turns: list[str] = []
 
     def handlers(self) -> dict[str, peers.Handler]:
         return {'gossip.exchange': self.on_exchange}
@@ -162,20 +164,29 @@
 
     async def run(self) -> None:
         """Gossips until it is cancelled."""
-        while True:
-            self.heartbeats[self.vm].counter += 1
-            self.summarise()
-            for vm in self.choose_targets():
-                await self.exchange(vm)
-            pause = INTERVAL_SECONDS * (0.8 + 0.4 * self.rng.random())
-            await self.timers.sleep(pause)
+        async with anyio.create_task_group() as tasks:
+            while True:
+                self.heartbeats[self.vm].counter += 1
+                self.summarise()
+                for vm in self.choose_targets():
+                    # A VM that does not answer must not delay the next
+                    # heartbeat, or this VM would look dead itself.
+                    tasks.start_soon(self.exchange, vm)
+                pause = INTERVAL_SECONDS * (0.8 + 0.4 * self.rng.random())
+                await self.timers.sleep(pause)
 
     def choose_targets(self) -> list[str]:
-        """Returns a mate, and now and then a VM of another region."""
+        """Returns a mate, and now and then a VM of another region.
+
+        Mates take turns in a new random order each time, so that none is
+        left out for long (Das, Gupta and Motivala, "SWIM", 2002).
+        """
         chosen = []
-        mates = sorted(self.mates - {self.vm})
-        if mates:
-            chosen.append(self.rng.choice(mates))
+        if not self.turns:
+            self.turns = sorted(self.mates - {self.vm})
+            self.rng.shuffle(self.turns)
+        if self.turns:
+            chosen.append(self.turns.pop())
         others = [one for one in self.settings.regions if one != self.region]
         odds = REGION_EXCHANGES / len(self.mates)
         if others and self.rng.random() < odds:
