Long modules are split by what they are for

Change: standing for election, bringing members up to date, the roles and the times of a group have modules of their own; so have the choice of a region, the status of a VM, the handshake and the single stream of peers. No behaviour is meant to change.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -123,7 +123,7 @@
             return usable[next(turns) % len(usable)] if usable else None
 
         queue.choose = choose
-    plan = vm.gateway.plan
+    plan = vm.gateway.placement.plan
 
     def plan_home(order, row):
         return (
@@ -132,7 +132,7 @@
             else [row.home or vm.settings.region]
         )
 
-    vm.gateway.plan = plan_home
+    vm.gateway.placement.plan = plan_home
     vm.runs.budget.spend = always
     retry.LONGEST_TRIES = 10
 
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -9,8 +9,9 @@
 
 from features.steps.callers import call
 from greengagegw.adapters import frames
-from greengagegw.adapters import peer_connection
+from greengagegw.adapters import handshake
 from greengagegw.adapters import peer_mesh
+from greengagegw.adapters import peer_stream
 from greengagegw import errors
 from greengagegw import settings as settings_module
 from greengagegw import timers
@@ -183,7 +184,7 @@
         stream = await anyio.connect_tcp(HOST, PORT)
         reader = frames.FrameReader(stream, 65536)
         with contextlib.suppress(errors.PeerProtocolError):
-            await peer_connection.shake_hands_as_dialler(
+            await handshake.shake_hands_as_dialler(
                 stream, reader, 'guild', wrong[0], 'listener', wrong[1]
             )
         await stream.send(frames.encode(frames.Kind.CALL, 1, 'echo', 'x'))
@@ -307,7 +308,7 @@
 @behave.then('the sender of the first holds at most its credit')
 def check_credit(context):
     sent = context.pair.sent
-    assert 0 < sent <= peer_connection.WINDOW_BYTES + len(CHUNK), sent
+    assert 0 < sent <= peer_stream.WINDOW_BYTES + len(CHUNK), sent
 
 
 @behave.when('a peer sends more than its credit')
--- a/features/steps/replication.py
+++ b/features/steps/replication.py
@@ -15,6 +15,7 @@
 from greengagegw import errors
 from greengagegw.replication import entries
 from greengagegw.replication import replica as replicas
+from greengagegw.replication import roles
 from greengagegw.replication import storage as log_storage
 
 VMS = ('a', 'b', 'c', 'd', 'e')
@@ -421,7 +422,7 @@
     term = group.replicas[voter].term
     if 'restart' in kind:
         await restart(group, voter)
-        assert group.replicas[voter].role is replicas.Role.FOLLOWER
+        assert group.replicas[voter].role is roles.Role.FOLLOWER
     group.replicas[voter].heard_at = -1000.0
     candidate = other if kind.startswith('the same') else leader
     return await ask_vote(group, voter, candidate, term=term)
--- a/src/greengagegw/adapters/peer_connection.py
+++ b/src/greengagegw/adapters/peer_connection.py
@@ -4,28 +4,22 @@
 does not hold up the others.
 """
 
-import collections
 import collections.abc
 import contextlib
-import hashlib
-import hmac
 import itertools
-import secrets
 import typing
 
 import anyio
 import anyio.abc
-import msgpack
 
 from .. import errors
 from .. import timers as timer_service
 from . import error_codec
 from . import frames
+from . import peer_stream
 from ..ports import peers
 
-WINDOW_BYTES = 256 * 1024
 CALLS_IN_FLIGHT = 1024
-HANDSHAKE_SECONDS = 5.0
 GONE = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
@@ -37,78 +31,6 @@
         self.streams: dict[str, peers.StreamHandler] = {}
 
 
-class Stream:
-    """One stream of a connection, as either side sees it."""
-
-    def __init__(self, connection: 'Connection', number: int) -> None:
-        self.connection = connection
-        self.number = number
-        self.received: collections.deque = collections.deque()
-        self.arrived = anyio.Event()
-        self.ended = False
-        self.error: errors.GatewayError | None = None
-        self.credit = WINDOW_BYTES
-        self.credited = anyio.Event()
-        self.uncredited = 0
-        self.outstanding = 0
-
-    async def receive(self) -> typing.Any:
-        """Returns the next message.
-
-        :raises anyio.EndOfStream: after the last message.
-        :raises GatewayError: if the peer reported one or is gone.
-        """
-        while not self.received:
-            if self.error is not None:
-                raise self.error
-            if self.ended:
-                raise anyio.EndOfStream
-            self.arrived = anyio.Event()
-            await self.arrived.wait()
-        message, size = self.received.popleft()
-        self.uncredited += size
-        if self.uncredited >= WINDOW_BYTES // 2:
-            credit, self.uncredited = self.uncredited, 0
-            self.outstanding -= credit
-            await self.connection.send(frames.Kind.CREDIT, self.number, credit)
-        return message
-
-    async def send(self, message: typing.Any) -> None:
-        """Sends a message once the reader has given credit for it."""
-        body = msgpack.packb(message, use_bin_type=True)
-        while self.credit <= 0 and self.error is None:
-            self.credited = anyio.Event()
-            await self.credited.wait()
-        if self.error is not None:
-            raise self.error
-        self.credit -= len(body)
-        await self.connection.send(frames.Kind.DATA, self.number, body)
-
-    async def finish(self) -> None:
-        """Says that no more messages follow."""
-        await self.connection.send(frames.Kind.END, self.number)
-
-    def put(self, body: bytes) -> None:
-        """Takes in a message that the peer sent."""
-        self.outstanding += len(body)
-        if self.outstanding > WINDOW_BYTES + self.connection.frame_limit:
-            raise errors.PeerProtocolError('more data than credit')
-        message = msgpack.unpackb(body, raw=False)
-        self.received.append((message, len(body)))
-        self.arrived.set()
-
-    def fail(self, error: errors.GatewayError) -> None:
-        """Ends the stream with an error, for reader and writer alike."""
-        if self.error is None:
-            self.error = error
-        self.arrived.set()
-        self.credited.set()
-
-    def end(self) -> None:
-        self.ended = True
-        self.arrived.set()
-
-
 class Connection:
     """A connection after its handshake.
 
@@ -134,9 +56,9 @@
         self.heartbeat = heartbeat
         self.silence = silence
         self.numbers = itertools.count(1)
-        self.replies: dict[int, Reply] = {}
-        self.opened: dict[int, Stream] = {}
-        self.accepted: dict[int, Stream] = {}
+        self.replies: dict[int, peer_stream.Reply] = {}
+        self.opened: dict[int, peer_stream.Stream] = {}
+        self.accepted: dict[int, peer_stream.Stream] = {}
         self.scopes: dict[int, anyio.CancelScope] = {}
         self.running = 0
         self.heard_at = timers.now()
@@ -172,7 +94,7 @@
         :raises PeerTimeoutError: if no answer came in time.
         """
         number = next(self.numbers)
-        reply = self.replies[number] = Reply()
+        reply = self.replies[number] = peer_stream.Reply()
         self.used_at = self.timers.now()
         try:
             with self.timers.limit(timeout):
@@ -191,10 +113,10 @@
     @contextlib.asynccontextmanager
     async def open(
         self, method: str, message: typing.Any
-    ) -> collections.abc.AsyncIterator[Stream]:
+    ) -> collections.abc.AsyncIterator[peer_stream.Stream]:
         """Opens a stream; leaving the context cancels what still runs."""
         number = next(self.numbers)
-        stream = self.opened[number] = Stream(self, number)
+        stream = self.opened[number] = peer_stream.Stream(self, number)
         self.used_at = self.timers.now()
         try:
             await self.send(frames.Kind.OPEN, number, method, message)
@@ -321,11 +243,11 @@
         method: str,
         message: typing.Any,
     ) -> None:
-        stream = self.accepted[number] = Stream(self, number)
+        stream = self.accepted[number] = peer_stream.Stream(self, number)
         tasks.start_soon(self.serve_stream, stream, method, message)
 
     async def serve_stream(
-        self, stream: Stream, method: str, message: typing.Any
+        self, stream: peer_stream.Stream, method: str, message: typing.Any
     ) -> None:
         with anyio.CancelScope() as scope:
             self.scopes[stream.number] = scope
@@ -350,7 +272,7 @@
         if stream is not None:
             stream.put(body)
 
-    def find(self, number: int) -> Stream | None:
+    def find(self, number: int) -> peer_stream.Stream | None:
         return self.opened.get(number) or self.accepted.get(number)
 
     def on_end(self, tasks: anyio.abc.TaskGroup, number: int) -> None:
@@ -387,114 +309,3 @@
 
     def on_pong(self, tasks: anyio.abc.TaskGroup) -> None:
         """Needs nothing: any frame shows that the peer lives."""
-
-
-class Reply:
-    """An answer that is awaited."""
-
-    __slots__ = ('arrived', 'error', 'value')
-
-    def __init__(self) -> None:
-        self.arrived = anyio.Event()
-        self.value: typing.Any = None
-        self.error: errors.GatewayError | None = None
-
-    def succeed(self, value: typing.Any) -> None:
-        self.value = value
-        self.arrived.set()
-
-    def fail(self, error: errors.GatewayError) -> None:
-        self.error = error
-        self.arrived.set()
-
-
-def proof(secret: str, role: str, *parts: typing.Any) -> bytes:
-    """Returns the proof that an end knows the secret of the deployment."""
-    text = msgpack.packb((role, *parts), use_bin_type=True)
-    return hmac.new(secret.encode(), text, hashlib.sha256).digest()
-
-
-def check_proof(found: typing.Any, expected: bytes, peer: str) -> None:
-    """Checks the proof of the other end in constant time.
-
-    :raises PeerAuthenticationError: if it is not the expected one.
-    """
-    is_right = isinstance(found, bytes) and hmac.compare_digest(
-        found, expected
-    )
-    if not is_right:
-        raise errors.PeerAuthenticationError(f'{peer} has another secret')
-
-
-def check_version(version: typing.Any) -> None:
-    """Checks the protocol version of the other end.
-
-    :raises PeerVersionError: if it is not the version of this end.
-    """
-    if version != frames.PROTOCOL_VERSION:
-        raise errors.PeerVersionError(
-            f'protocol version {version!r}, not {frames.PROTOCOL_VERSION}'
-        )
-
-
-async def shake_hands_as_dialler(
-    socket: anyio.abc.ByteStream,
-    reader: frames.FrameReader,
-    deployment: str,
-    me: str,
-    peer: str,
-    secret: str,
-) -> None:
-    """Authenticates both ends, from the side that connected.
-
-    :raises PeerProtocolError: if the other end is not the peer.
-    """
-    nonce = secrets.token_bytes(16)
-    version = frames.PROTOCOL_VERSION
-    await socket.send(
-        frames.encode(frames.Kind.HELLO, version, deployment, me, nonce)
-    )
-    frame = await reader.receive()
-    if frame.kind is not frames.Kind.CHALLENGE:
-        raise errors.PeerProtocolError('no challenge')
-    their_version, name, their_nonce, their_proof = frame.values
-    check_version(their_version)
-    parts = (version, deployment, me, peer, nonce, their_nonce)
-    check_proof(their_proof, proof(secret, 'listener', *parts), peer)
-    if name != peer:
-        raise errors.PeerAuthenticationError(f'{name} answers as {peer}')
-    mine = proof(secret, 'dialler', *parts)
-    await socket.send(frames.encode(frames.Kind.PROOF, mine))
-
-
-async def shake_hands_as_listener(
-    socket: anyio.abc.ByteStream,
-    reader: frames.FrameReader,
-    deployment: str,
-    me: str,
-    secret: str,
-) -> str:
-    """Authenticates both ends, from the side that was connected to.
-
-    :returns: the name of the peer.
-    :raises PeerProtocolError: if the other end is not a peer.
-    """
-    frame = await reader.receive()
-    if frame.kind is not frames.Kind.HELLO:
-        raise errors.PeerProtocolError('no hello')
-    their_version, their_deployment, peer, nonce = frame.values
-    version = frames.PROTOCOL_VERSION
-    mine = secrets.token_bytes(16)
-    parts = (version, deployment, peer, me, nonce, mine)
-    answer = proof(secret, 'listener', *parts)
-    await socket.send(
-        frames.encode(frames.Kind.CHALLENGE, version, me, mine, answer)
-    )
-    check_version(their_version)
-    if their_deployment != deployment:
-        raise errors.PeerAuthenticationError('a peer of other deployment')
-    frame = await reader.receive()
-    if frame.kind is not frames.Kind.PROOF:
-        raise errors.PeerProtocolError('no proof')
-    check_proof(frame.values[0], proof(secret, 'dialler', *parts), peer)
-    return peer
--- a/src/greengagegw/adapters/peer_mesh.py
+++ b/src/greengagegw/adapters/peer_mesh.py
@@ -12,7 +12,9 @@
 from .. import settings as settings_module
 from .. import timers as timer_service
 from . import frames
+from . import handshake
 from . import peer_connection
+from . import peer_stream
 
 # After a failed dial, further calls fail at once for this long.
 REDIAL_SECONDS = 0.25
@@ -54,8 +56,8 @@
         reader = frames.FrameReader(socket, self.settings.limits.frame_bytes)
         peer = None
         try:
-            with self.timers.limit(peer_connection.HANDSHAKE_SECONDS):
-                peer = await peer_connection.shake_hands_as_listener(
+            with self.timers.limit(handshake.HANDSHAKE_SECONDS):
+                peer = await handshake.shake_hands_as_listener(
                     socket,
                     reader,
                     self.settings.deployment,
@@ -154,7 +156,7 @@
         socket = await self.connect_socket(str(peer.host), peer.port)
         reader = frames.FrameReader(socket, self.settings.limits.frame_bytes)
         try:
-            await peer_connection.shake_hands_as_dialler(
+            await handshake.shake_hands_as_dialler(
                 socket,
                 reader,
                 self.settings.deployment,
@@ -196,7 +198,7 @@
     @contextlib.asynccontextmanager
     async def open(
         self, vm: str, method: str, message: typing.Any
-    ) -> collections.abc.AsyncIterator[peer_connection.Stream]:
+    ) -> collections.abc.AsyncIterator[peer_stream.Stream]:
         connection = await self.connect(vm)
         async with connection.open(method, message) as stream:
             yield stream
--- a/src/greengagegw/gateway.py
+++ b/src/greengagegw/gateway.py
@@ -4,7 +4,6 @@
 import collections.abc
 import contextlib
 import dataclasses
-import math
 import re
 import typing
 
@@ -12,11 +11,10 @@
 import orjson
 import xxhash
 
-from . import admission
 from . import errors
-from . import forwarding
 from . import keys
 from . import metrics as metric_sets
+from . import placing
 from . import requests
 from . import runners
 from . import running
@@ -27,14 +25,12 @@
 from .control import view as views
 from .ledger import client as ledger_client
 from .membership import gossip
-from .policy import routing
 from .ports import backends
 from .ports import callers
 
 SERVICE_PATH = re.compile(r'/services/([a-z0-9][a-z0-9.-]*)(/.*)?\Z')
 # How long a request may wait for tokens of its organisation's rate.
 TOKEN_WAIT_SECONDS = 2.0
-USUAL_ROUND_TRIP_SECONDS = 0.11
 UNKNOWN = '-'
 
 
@@ -68,9 +64,7 @@
         timers: timer_service.Timers,
         view: views.View,
         known: runners.Runners,
-        queues: dict[str, admission.ServiceQueue],
-        runs: running.LocalRuns,
-        forwards: forwarding.Forwarding,
+        placement: placing.Placement,
         wallet: wallets.Wallet,
         ledger: ledger_client.LedgerClient,
         membership: gossip.Gossip,
@@ -80,9 +74,7 @@
         self.timers = timers
         self.view = view
         self.known = known
-        self.queues = queues
-        self.runs = runs
-        self.forwards = forwards
+        self.placement = placement
         self.wallet = wallet
         self.ledger = ledger
         self.membership = membership
@@ -230,7 +222,7 @@
             wanted.adds_usage,
         )
         async with self.spend(row, call) as spending:
-            async with self.place(order, row) as run:
+            async with self.placement.place(order, row) as run:
                 spending.usage = run.usage
                 outcome.region = run.answer.region
                 outcome.backend_server = run.answer.backend_server
@@ -290,7 +282,7 @@
                 answer = await self.run_claimed(order, key, row, spending)
                 yield answer
                 return
-            async with self.place(order, row) as run:
+            async with self.placement.place(order, row) as run:
                 spending.usage = run.usage
                 outcome.region = run.answer.region
                 outcome.backend_server = run.answer.backend_server
@@ -310,7 +302,7 @@
             spending.is_not_run = True
             return make_answer(stored, (('idempotency-replayed', 'true'),))
         try:
-            async with self.place(order, row) as run:
+            async with self.placement.place(order, row) as run:
                 body = await running.read_whole(run.answer.chunks)
                 answer = ledger_client.StoredAnswer(
                     run.answer.status, run.answer.headers, body
@@ -385,131 +377,6 @@
         if self.timers.wall() >= row.end:
             raise errors.EndedError(f'{service} has reached its end')
 
-    @contextlib.asynccontextmanager
-    async def place(
-        self, order: running.Order, row: tables.Row
-    ) -> collections.abc.AsyncIterator[running.Running]:
-        """Runs a call in the best region that may run it."""
-        plan = self.plan(order, row)
-        if not plan:
-            raise errors.UnavailableError(
-                f'{order.call.service} has no backend server where'
-                f' {row.name} may be served',
-                retry_after=5,
-            )
-        async with contextlib.AsyncExitStack() as stack:
-            run = await self.enter_first(stack, order, plan)
-            if run.answer.region != self.region:
-                self.metrics.forwarded.labels(
-                    order.call.service, run.answer.region
-                ).inc()
-            yield run
-
-    async def enter_first(
-        self,
-        stack: contextlib.AsyncExitStack,
-        order: running.Order,
-        plan: list[str],
-    ) -> running.Running:
-        """Enters the call in the first region that takes it.
-
-        The next region is tried when the call surely was not run, and
-        within the retry budget when it may be run again.
-        """
-        run = errors.NOT_RUN
-        for at, region in enumerate(plan):
-            is_last = at == len(plan) - 1
-            tried = order if is_last else self.be_brief(order, region)
-            try:
-                return await stack.enter_async_context(
-                    self.run_in(tried, region)
-                )
-            except errors.GatewayError as error:
-                if error.run != errors.NOT_RUN:
-                    run = errors.UNKNOWN
-                error.run = run
-                if is_last or not self.may_move(error, order.call):
-                    raise
-        raise errors.UnavailableError('no region is planned')
-
-    def may_move(
-        self, error: errors.GatewayError, call: backends.Call
-    ) -> bool:
-        """Returns whether a call that failed may go to another region.
-
-        A backend server's failure was retried where it happened; only the
-        way there may be tried again here.
-        """
-        if error.run == errors.NOT_RUN:
-            return True
-        return (
-            call.repeatable
-            and isinstance(error, errors.PeerError)
-            and self.runs.budget.spend()
-        )
-
-    def be_brief(self, order: running.Order, region: str) -> running.Order:
-        """Shortens the wait where another region can be tried after it."""
-        longest = forwarding.FORWARDED_WAIT_SECONDS
-        return dataclasses.replace(order, wait=min(order.wait, longest))
-
-    def run_in(
-        self, order: running.Order, region: str
-    ) -> contextlib.AbstractAsyncContextManager[running.Running]:
-        if region == self.region:
-            return self.runs.run(order)
-        return self.forwards.run(order, region)
-
-    def plan(self, order: running.Order, row: tables.Row) -> list[str]:
-        """Returns the regions to try, in their order."""
-        service = order.call.service
-        having = {
-            one.region
-            for one in self.settings.backend_servers
-            if one.service == service
-        }
-        if row.bound:
-            return [row.home] if row.home in having else []
-        first = row.home or self.region
-        waits = {region: self.wait_in(region, service) for region in having}
-        others = [
-            one
-            for one in having
-            if one not in (first, self.region) and math.isfinite(waits[one])
-        ]
-        others.sort(key=lambda one: waits[one] + self.round_trip(one))
-        planned = [one for one in (first, self.region) if one in having]
-        planned = list(dict.fromkeys(planned))
-        if not planned:
-            return others
-        if others and routing.should_spill(
-            waits[planned[0]], waits[others[0]], self.round_trip(others[0])
-        ):
-            return [others[0], *planned]
-        return [*planned, *others[:1]]
-
-    def wait_in(self, region: str, service: str) -> float:
-        """Returns the seconds that a new call would wait in a region."""
-        if region == self.region:
-            return self.queues[service].expected_wait()
-        summary = self.membership.summary_of(region)
-        load = summary.services.get(service) if summary else None
-        if load is None:
-            return math.inf
-        seconds = 1.0
-        if service in self.known.services:
-            seconds = self.known.services[service].seconds
-        return routing.expected_wait(
-            load.free, load.waiting, load.slots, seconds
-        )
-
-    def round_trip(self, region: str) -> float:
-        if region == self.region:
-            return 0.0
-        return self.membership.round_trips.get(
-            region, USUAL_ROUND_TRIP_SECONDS
-        )
-
     # What the gateway answers itself.
 
     @contextlib.asynccontextmanager
--- /dev/null
+++ b/src/greengagegw/placing.py
@@ -0,0 +1,168 @@
+"""Finds the region in which a call is run."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import math
+
+from . import admission
+from . import errors
+from . import forwarding
+from . import metrics as metric_sets
+from . import runners
+from . import running
+from . import settings as settings_module
+from . import table as tables
+from .membership import gossip
+from .policy import routing
+from .ports import backends
+
+USUAL_ROUND_TRIP_SECONDS = 0.11
+
+
+class Placement:
+    """Runs calls here or in another region, whichever is better."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        known: runners.Runners,
+        queues: dict[str, admission.ServiceQueue],
+        runs: running.LocalRuns,
+        forwards: forwarding.Forwarding,
+        membership: gossip.Gossip,
+        metrics: metric_sets.Metrics,
+    ) -> None:
+        self.settings = settings
+        self.known = known
+        self.queues = queues
+        self.runs = runs
+        self.forwards = forwards
+        self.membership = membership
+        self.metrics = metrics
+        self.region = settings.region
+
+    @contextlib.asynccontextmanager
+    async def place(
+        self, order: running.Order, row: tables.Row
+    ) -> collections.abc.AsyncIterator[running.Running]:
+        """Runs a call in the best region that may run it."""
+        plan = self.plan(order, row)
+        if not plan:
+            raise errors.UnavailableError(
+                f'{order.call.service} has no backend server where'
+                f' {row.name} may be served',
+                retry_after=5,
+            )
+        async with contextlib.AsyncExitStack() as stack:
+            run = await self.enter_first(stack, order, plan)
+            if run.answer.region != self.region:
+                self.metrics.forwarded.labels(
+                    order.call.service, run.answer.region
+                ).inc()
+            yield run
+
+    async def enter_first(
+        self,
+        stack: contextlib.AsyncExitStack,
+        order: running.Order,
+        plan: list[str],
+    ) -> running.Running:
+        """Enters the call in the first region that takes it.
+
+        The next region is tried when the call surely was not run, and
+        within the retry budget when it may be run again.
+        """
+        run = errors.NOT_RUN
+        for at, region in enumerate(plan):
+            is_last = at == len(plan) - 1
+            tried = order if is_last else self.be_brief(order, region)
+            try:
+                return await stack.enter_async_context(
+                    self.run_in(tried, region)
+                )
+            except errors.GatewayError as error:
+                if error.run != errors.NOT_RUN:
+                    run = errors.UNKNOWN
+                error.run = run
+                if is_last or not self.may_move(error, order.call):
+                    raise
+        raise errors.UnavailableError('no region is planned')
+
+    def may_move(
+        self, error: errors.GatewayError, call: backends.Call
+    ) -> bool:
+        """Returns whether a call that failed may go to another region.
+
+        A backend server's failure was retried where it happened; only the
+        way there may be tried again here.
+        """
+        if error.run == errors.NOT_RUN:
+            return True
+        return (
+            call.repeatable
+            and isinstance(error, errors.PeerError)
+            and self.runs.budget.spend()
+        )
+
+    def be_brief(self, order: running.Order, region: str) -> running.Order:
+        """Shortens the wait where another region can be tried after it."""
+        longest = forwarding.FORWARDED_WAIT_SECONDS
+        return dataclasses.replace(order, wait=min(order.wait, longest))
+
+    def run_in(
+        self, order: running.Order, region: str
+    ) -> contextlib.AbstractAsyncContextManager[running.Running]:
+        if region == self.region:
+            return self.runs.run(order)
+        return self.forwards.run(order, region)
+
+    def plan(self, order: running.Order, row: tables.Row) -> list[str]:
+        """Returns the regions to try, in their order."""
+        service = order.call.service
+        having = {
+            one.region
+            for one in self.settings.backend_servers
+            if one.service == service
+        }
+        if row.bound:
+            return [row.home] if row.home in having else []
+        first = row.home or self.region
+        waits = {region: self.wait_in(region, service) for region in having}
+        others = [
+            one
+            for one in having
+            if one not in (first, self.region) and math.isfinite(waits[one])
+        ]
+        others.sort(key=lambda one: waits[one] + self.round_trip(one))
+        planned = [one for one in (first, self.region) if one in having]
+        planned = list(dict.fromkeys(planned))
+        if not planned:
+            return others
+        if others and routing.should_spill(
+            waits[planned[0]], waits[others[0]], self.round_trip(others[0])
+        ):
+            return [others[0], *planned]
+        return [*planned, *others[:1]]
+
+    def wait_in(self, region: str, service: str) -> float:
+        """Returns the seconds that a new call would wait in a region."""
+        if region == self.region:
+            return self.queues[service].expected_wait()
+        summary = self.membership.summary_of(region)
+        load = summary.services.get(service) if summary else None
+        if load is None:
+            return math.inf
+        seconds = 1.0
+        if service in self.known.services:
+            seconds = self.known.services[service].seconds
+        return routing.expected_wait(
+            load.free, load.waiting, load.slots, seconds
+        )
+
+    def round_trip(self, region: str) -> float:
+        if region == self.region:
+            return 0.0
+        return self.membership.round_trips.get(
+            region, USUAL_ROUND_TRIP_SECONDS
+        )
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -10,7 +10,6 @@
 import collections.abc
 import contextlib
 import dataclasses
-import enum
 import random
 import secrets
 import typing
@@ -22,32 +21,20 @@
 
 from .. import errors
 from .. import timers as timer_service
+from . import election
 from . import entries as log_entries
 from ..ports import peers
+from . import roles
+from . import sending
 from . import startup
 from . import storage as log_storage
+from . import timing
 
-ELECTION_SECONDS = 1.5
-HEARTBEAT_SECONDS = 0.4
 CALL_SECONDS = 1.0
-BATCH_BYTES = 256 * 1024
-SNAPSHOT_CHUNK_BYTES = 256 * 1024
 SNAPSHOT_AFTER_ENTRIES = 2000
-# A group of so many voters survives the loss of one without copies.
-VOTERS_WITHOUT_COPIES = 3
 MAX_MEMBERS = 64
 
 
-class Role(enum.Enum):
-    """What a replica does in its group."""
-
-    STARTING = 'starting'
-    FOLLOWER = 'follower'
-    CANDIDATE = 'candidate'
-    LEADER = 'leader'
-    FAILED = 'failed'
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateMachine:
     """What the log is applied to.
@@ -105,7 +92,7 @@
         self.mesh = mesh
         self.timers = timers
         self.rng = rng
-        self.role = Role.STARTING
+        self.role = roles.Role.STARTING
         self.leader: str | None = None
         self.members = log_entries.Members(())
         self.members_index = 0
@@ -139,11 +126,11 @@
 
     @property
     def is_starting(self) -> bool:
-        return self.role is Role.STARTING
+        return self.role is roles.Role.STARTING
 
     @property
     def is_leader(self) -> bool:
-        return self.role is Role.LEADER
+        return self.role is roles.Role.LEADER
 
     @property
     def is_in_touch(self) -> bool:
@@ -152,10 +139,10 @@
             return self.is_caught_up
         silence = self.timers.now() - self.heard_at
         return (
-            self.role is Role.FOLLOWER
+            self.role is roles.Role.FOLLOWER
             and self.is_caught_up
             and self.leader is not None
-            and silence < 2 * ELECTION_SECONDS
+            and silence < 2 * timing.ELECTION_SECONDS
         )
 
     @contextlib.asynccontextmanager
@@ -311,11 +298,11 @@
         if self.leading is not None:
             self.leading.cancel()
             self.leading = None
-        if self.role is Role.LEADER:
+        if self.role is roles.Role.LEADER:
             self.leader = None
             eliot.log_message('replica:step_down', group=self.group)
         if self.failure is None:
-            self.role = Role.FOLLOWER
+            self.role = roles.Role.FOLLOWER
         self.heard_at = self.timers.now()
         self.fail_waiters()
 
@@ -323,7 +310,7 @@
         """Takes no part any more, since the disk cannot be trusted."""
         self.failure = error
         self.become_follower()
-        self.role = Role.FAILED
+        self.role = roles.Role.FAILED
 
     def fail_waiters(self) -> None:
         """Answers the proposals that this replica cannot see through."""
@@ -347,9 +334,9 @@
     async def run_elections(self) -> None:
         """Stands for election when the leader is silent too long."""
         while True:
-            patience = ELECTION_SECONDS * (1 + self.rng.random())
+            patience = timing.ELECTION_SECONDS * (1 + self.rng.random())
             await self.timers.sleep(patience / 4)
-            if self.role is Role.LEADER:
+            if self.role is roles.Role.LEADER:
                 self.check_majority()
                 continue
             me = self.members.get(self.vm)
@@ -362,7 +349,7 @@
             if me.incarnation != self.incarnation:
                 continue
             if self.timers.now() - self.heard_at >= patience:
-                await self.stand()
+                await election.stand(self)
 
     def check_majority(self) -> None:
         """Steps down when a majority was not heard for too long."""
@@ -370,72 +357,21 @@
         near = {
             vm
             for vm, at in self.contacts.items()
-            if now - at < ELECTION_SECONDS
+            if now - at < timing.ELECTION_SECONDS
         }
         if not self.members.is_majority({self.vm, *near}):
             self.become_follower()
 
-    async def stand(self) -> None:
-        """Asks for votes, after asking whether they would be given."""
-        self.heard_at = self.timers.now()
-        if not await self.collect_votes(self.term + 1, is_trial=True):
-            return
-        async with self.exclusive():
-            await self.storage.save_meta(term=self.term + 1, voted_for=self.vm)
-        self.role = Role.CANDIDATE
-        self.leader = None
-        term = self.term
-        won = await self.collect_votes(term, is_trial=False)
-        if won and self.term == term and self.role is Role.CANDIDATE:
-            await self.lead()
-
-    async def collect_votes(self, term: int, is_trial: bool) -> bool:
-        last = self.storage.last_index
-        message = [
-            term,
-            self.vm,
-            self.incarnation,
-            last,
-            self.storage.term_at(last),
-            is_trial,
-        ]
-        votes = {self.vm}
-        enough = anyio.Event()
-
-        async def ask_one(vm: str) -> None:
-            with contextlib.suppress(errors.GatewayError):
-                their_term, granted, incarnation = await self.ask(
-                    vm, 'vote', message
-                )
-                if granted and self.has_incarnation(vm, incarnation):
-                    votes.add(vm)
-                elif their_term > self.term:
-                    async with self.exclusive():
-                        await self.see_term(their_term)
-            if self.members.is_majority(votes):
-                enough.set()
-
-        async with anyio.create_task_group() as tasks:
-            for vm in self.members.voters:
-                if vm != self.vm:
-                    tasks.start_soon(ask_one, vm)
-            if self.members.is_majority(votes):
-                return True
-            with self.timers.limit(CALL_SECONDS):
-                await enough.wait()
-            tasks.cancel_scope.cancel()
-        return self.members.is_majority(votes)
-
     async def on_vote(self, peer: str, message: list) -> list:
         term, candidate, incarnation, last_index, last_term, trial = message
-        if self.role in (Role.STARTING, Role.FAILED):
+        if self.role in (roles.Role.STARTING, roles.Role.FAILED):
             return [self.term, False, '']
         async with self.exclusive():
             if not self.has_incarnation(candidate, incarnation):
                 return [self.term, False, self.incarnation]
             silence = self.timers.now() - self.heard_at
             has_leader = self.leader is not None and (
-                self.is_leader or silence < ELECTION_SECONDS
+                self.is_leader or silence < timing.ELECTION_SECONDS
             )
             if has_leader or term < self.term:
                 return [self.term, False, self.incarnation]
@@ -458,7 +394,7 @@
 
     async def lead(self) -> None:
         """Becomes the leader and starts one task for each peer."""
-        self.role = Role.LEADER
+        self.role = roles.Role.LEADER
         self.leader = self.vm
         now = self.timers.now()
         self.contacts = {vm: now for vm in self.members.voters}
@@ -480,15 +416,17 @@
                     for member in self.members.members:
                         if member.vm not in running | {self.vm}:
                             running.add(member.vm)
-                            tasks.start_soon(self.replicate, member.vm)
-                    await self.timers.sleep(HEARTBEAT_SECONDS)
+                            tasks.start_soon(
+                                sending.replicate, self, member.vm
+                            )
+                    await self.timers.sleep(timing.HEARTBEAT_SECONDS)
 
     # Replication, at the leader.
 
     def require_started(self) -> None:
         if self.failure is not None:
             raise self.failure
-        if self.role is Role.STARTING:
+        if self.role is roles.Role.STARTING:
             raise errors.ReplicationError('starting')
 
     def require_leader(self) -> None:
@@ -560,90 +498,6 @@
         self.appended.set()
         self.appended = anyio.Event()
 
-    async def replicate(self, vm: str) -> None:
-        """Brings one member up to date, and keeps it so."""
-        following = self.storage.last_index + 1
-        while self.is_leader:
-            try:
-                if following <= self.storage.base_index:
-                    following = await self.send_snapshot(vm)
-                following = await self.send_entries(vm, following)
-                await self.promote_when_ready(vm)
-            except errors.GatewayError:
-                await self.timers.sleep(HEARTBEAT_SECONDS)
-                continue
-            is_told = self.told.get(vm) == self.commit_index
-            if following > self.storage.last_index and is_told:
-                appended = self.appended
-                with self.timers.limit(HEARTBEAT_SECONDS):
-                    await appended.wait()
-
-    async def send_entries(self, vm: str, following: int) -> int:
-        """Sends entries, and returns the index that the member needs."""
-        before = following - 1
-        sent = self.storage.get(following, BATCH_BYTES)
-        message = [
-            self.term,
-            self.vm,
-            before,
-            self.storage.term_at(before),
-            [entry.pack() for entry in sent],
-            self.commit_index,
-        ]
-        asked_at = self.timers.now()
-        term, accepted, held, incarnation = await self.ask(
-            vm, 'append', message
-        )
-        if term > self.term:
-            async with self.exclusive():
-                await self.see_term(term)
-            return following
-        if not self.has_incarnation(vm, incarnation):
-            return following
-        self.contacts[vm] = asked_at
-        self.told[vm] = message[-1]
-        if not accepted:
-            # What it held before it lost its disk counts no more.
-            self.match[vm] = 0
-            return max(1, min(following - 1, held + 1))
-        self.match[vm] = before + len(sent)
-        self.advance_commit()
-        return self.match[vm] + 1
-
-    async def send_snapshot(self, vm: str) -> int:
-        snapshot = self.storage.snapshot
-        size = len(snapshot.state)
-        for start in range(0, max(size, 1), SNAPSHOT_CHUNK_BYTES):
-            end = start + SNAPSHOT_CHUNK_BYTES
-            message = [
-                self.term,
-                self.vm,
-                snapshot.index,
-                snapshot.term,
-                snapshot.members.pack(),
-                start,
-                snapshot.state[start:end],
-                end >= size,
-            ]
-            term, accepted = await self.ask(vm, 'snapshot', message)
-            if term > self.term:
-                async with self.exclusive():
-                    await self.see_term(term)
-            if not accepted:
-                raise errors.ReplicationError(f'{vm} took no snapshot')
-        return snapshot.index + 1
-
-    async def promote_when_ready(self, vm: str) -> None:
-        """Makes a learner a voter when it holds what is committed."""
-        member = self.members.get(vm)
-        if member is None or member.is_voter or not self.is_leader:
-            return
-        if vm in self.copies:
-            return
-        if self.match.get(vm, 0) >= self.commit_index > 0:
-            voter = dataclasses.replace(member, is_voter=True)
-            await self.change_members(self.members.put(voter))
-
     def advance_commit(self) -> None:
         """Commits what a majority holds, if it is of this term."""
         if not self.is_leader:
@@ -654,7 +508,7 @@
             held.append(mine if vm == self.vm else self.match.get(vm, 0))
         held.sort(reverse=True)
         index = held[len(held) // 2] if held else 0
-        index = min(index, self.held_by_copies())
+        index = min(index, sending.held_by_copies(self))
         if index <= self.commit_index:
             return
         if self.storage.term_at(index) == self.term:
@@ -664,20 +518,6 @@
             # The members learn at once what they may apply.
             self.note_appended()
 
-    def held_by_copies(self) -> int:
-        """Returns up to where the living copies hold the log."""
-        last = self.storage.last_index
-        if len(self.members.voters) >= VOTERS_WITHOUT_COPIES:
-            return last
-        now = self.timers.now()
-        living = [
-            self.match.get(vm, 0)
-            for vm in self.copies
-            if now - self.contacts.get(vm, -ELECTION_SECONDS * 2)
-            < ELECTION_SECONDS
-        ]
-        return min(living, default=last)
-
     async def on_export(self, peer: str, message: typing.Any) -> list:
         """Gives out what is applied here, for a replica without its disk."""
         self.require_started()
@@ -715,7 +555,7 @@
 
     async def follow(self, term: int, leader: str) -> None:
         await self.see_term(term)
-        if self.role is not Role.FOLLOWER:
+        if self.role is not roles.Role.FOLLOWER:
             self.become_follower()
         self.leader = leader
         self.heard_at = self.timers.now()
--- /dev/null
+++ b/src/greengagegw/status.py
@@ -0,0 +1,72 @@
+"""What a VM tells operators of itself."""
+
+import typing
+
+from . import __version__
+
+if typing.TYPE_CHECKING:
+    from . import vm as vms
+
+
+def describe(vm: 'vms.Vm') -> dict[str, typing.Any]:
+    """Returns the status that operators see."""
+    now = vm.timers.now()
+    return {
+        'vm': vm.settings.vm,
+        'region': vm.settings.region,
+        'version': __version__,
+        'ready': vm.is_ready(),
+        'leaving': vm.membership.is_leaving,
+        'revision': vm.view.revision,
+        'table_revision': vm.view.configuration.table_revision,
+        'configuration_from': vm.distribution.source,
+        'withdrawals_not_durable': sorted(vm.view.uncommitted),
+        'requests_in_flight': vm.gateway.total_in_flight,
+        'holds_region_lease': vm.lease.is_held,
+        'replicas': {
+            group: {
+                'role': replica.role.value,
+                'leader': replica.leader,
+                'term': replica.term,
+                'committed': replica.commit_index,
+                'failure': replica.failure and replica.failure.message,
+                'members': [
+                    {'vm': one.vm, 'votes': one.is_voter}
+                    for one in replica.members.members
+                ],
+            }
+            for group, replica in vm.replicas.items()
+        },
+        'vms': {
+            peer.vm: {
+                'alive': vm.membership.is_alive(peer.vm),
+                'takes_callers': vm.membership.takes_callers(peer.vm),
+            }
+            for peer in vm.settings.peers
+        },
+        'backend_servers': {
+            runner.name: {
+                'leaving': runner.is_leaving,
+                'ejected': runner.ejected_until > now,
+                'load': round(runner.load(now), 2),
+                'room': round(runner.room(now), 2),
+            }
+            for runner in vm.runners.by_name.values()
+        },
+    }
+
+
+def refresh(vm: 'vms.Vm') -> None:
+    """Brings the gauges up to date."""
+    now = vm.timers.now()
+    metrics = vm.metrics
+    metrics.in_flight.set(vm.gateway.total_in_flight)
+    metrics.revision.set(vm.view.revision)
+    metrics.peer_bytes.set(vm.mesh.total_bytes_sent)
+    for runner in vm.runners.by_name.values():
+        metrics.runner_load.labels(runner.name).set(runner.load(now))
+        metrics.runner_limit.labels(runner.name).set(runner.room(now))
+    for service in vm.runners.services.values():
+        metrics.queue_length.labels(service.name).set(service.waiting)
+    for name, purse in vm.wallet.purses.items():
+        metrics.tokens_held.labels(name).set(purse.available(now))
--- a/src/greengagegw/vm.py
+++ b/src/greengagegw/vm.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import functools
 import random
 import typing
 
@@ -9,16 +10,17 @@
 import anyio.abc
 import eliot
 
-from . import __version__
 from . import admission
 from . import errors
 from . import forwarding
 from . import gateway as gateways
 from . import metrics as metric_sets
 from . import placement
+from . import placing
 from . import runners
 from . import running
 from . import settings as settings_module
+from . import status
 from . import timers as timer_service
 from .adapters import backend_http
 from .adapters import entry
@@ -292,14 +294,21 @@
             self.rng,
         )
         self.mesh.handlers.streams.update(self.forwards.stream_handlers())
-        self.gateway = gateways.Gateway(
+        placement = placing.Placement(
             self.settings,
-            self.timers,
-            self.view,
             self.runners,
             self.queues,
             self.runs,
             self.forwards,
+            self.membership,
+            self.metrics,
+        )
+        self.gateway = gateways.Gateway(
+            self.settings,
+            self.timers,
+            self.view,
+            self.runners,
+            placement,
             self.wallet,
             self.ledger,
             self.membership,
@@ -315,8 +324,8 @@
             self.operations,
             self.view,
             self.metrics,
-            self.describe,
-            self.refresh,
+            functools.partial(status.describe, self),
+            functools.partial(status.refresh, self),
         )
 
     # Running.
@@ -425,68 +434,6 @@
             )
         return loads
 
-    def describe(self) -> dict[str, typing.Any]:
-        """Returns the status that operators see."""
-        now = self.timers.now()
-        return {
-            'vm': self.settings.vm,
-            'region': self.settings.region,
-            'version': __version__,
-            'ready': self.is_ready(),
-            'leaving': self.membership.is_leaving,
-            'revision': self.view.revision,
-            'table_revision': self.view.configuration.table_revision,
-            'configuration_from': self.distribution.source,
-            'withdrawals_not_durable': sorted(self.view.uncommitted),
-            'requests_in_flight': self.gateway.total_in_flight,
-            'holds_region_lease': self.lease.is_held,
-            'replicas': {
-                group: {
-                    'role': replica.role.value,
-                    'leader': replica.leader,
-                    'term': replica.term,
-                    'committed': replica.commit_index,
-                    'failure': replica.failure and replica.failure.message,
-                    'members': [
-                        {'vm': one.vm, 'votes': one.is_voter}
-                        for one in replica.members.members
-                    ],
-                }
-                for group, replica in self.replicas.items()
-            },
-            'vms': {
-                peer.vm: {
-                    'alive': self.membership.is_alive(peer.vm),
-                    'takes_callers': self.membership.takes_callers(peer.vm),
-                }
-                for peer in self.settings.peers
-            },
-            'backend_servers': {
-                runner.name: {
-                    'leaving': runner.is_leaving,
-                    'ejected': runner.ejected_until > now,
-                    'load': round(runner.load(now), 2),
-                    'room': round(runner.room(now), 2),
-                }
-                for runner in self.runners.by_name.values()
-            },
-        }
-
-    def refresh(self) -> None:
-        """Brings the gauges up to date."""
-        now = self.timers.now()
-        metrics = self.metrics
-        metrics.in_flight.set(self.gateway.total_in_flight)
-        metrics.revision.set(self.view.revision)
-        metrics.peer_bytes.set(self.mesh.total_bytes_sent)
-        for runner in self.runners.by_name.values():
-            metrics.runner_load.labels(runner.name).set(runner.load(now))
-            metrics.runner_limit.labels(runner.name).set(runner.room(now))
-        for service in self.runners.services.values():
-            metrics.queue_length.labels(service.name).set(service.waiting)
-        for name, purse in self.wallet.purses.items():
-            metrics.tokens_held.labels(name).set(purse.available(now))
-
 
 async def run_vm(
     settings: settings_module.Settings,
