Tests share their random schedules and fake fleets

Cause: the drawing of random schedules stood twice and the starting of a fake fleet three times in the tests.

Change: features/schedules.py and a common fleet in features/fakes.py; no check, bound or seed is changed.

--- a/features/allowance_world.py
+++ b/features/allowance_world.py
@@ -1,6 +1,5 @@
 """Allowances of a fake fleet in fake time, with what was spent."""
 
-import contextlib
 import random
 
 import anyio
@@ -64,7 +63,7 @@
         self.handlers = handlers
 
 
-class Fleet:
+class Fleet(fakes.Fleet):
     """VMs of several regions that share one organisation's allowance."""
 
     def __init__(self, shape=(3, 2, 2), seed=1):
@@ -87,15 +86,6 @@
     def vms(self):
         return [vm for vms in self.by_region.values() for vm in vms]
 
-    @contextlib.asynccontextmanager
-    async def running(self):
-        async with anyio.create_task_group() as tasks:
-            self.tasks = self.network.tasks = tasks
-            for vm in self.vms:
-                self.start(vm)
-            yield self
-            tasks.cancel_scope.cancel()
-
     def start(self, vm):
         region = vm.split('-')[0]
         member = self.members[vm] = Member(self, vm, region)
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -261,7 +261,21 @@
         return replicas.StateMachine(self.apply, self.save, self.restore)
 
 
-class Group:
+class Fleet:
+    """VMs that run as tasks upon a fake network."""
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        """Starts every VM, and ends them all at the end."""
+        async with anyio.create_task_group() as tasks:
+            self.tasks = self.network.tasks = tasks
+            for vm in self.vms:
+                self.start(vm)
+            yield self
+            tasks.cancel_scope.cancel()
+
+
+class Group(Fleet):
     """A replicated group in fake time, with what was acknowledged."""
 
     def __init__(self, vms=('a', 'b', 'c'), seed=1, copies=()):
@@ -282,15 +296,6 @@
         self.proposed = 0
         self.tasks = None
 
-    @contextlib.asynccontextmanager
-    async def running(self):
-        async with anyio.create_task_group() as tasks:
-            self.tasks = self.network.tasks = tasks
-            for vm in self.vms:
-                self.start(vm)
-            yield self
-            tasks.cancel_scope.cancel()
-
     def start(self, vm):
         self.machines[vm] = Machine()
         replica = replicas.Replica(
--- a/features/steps/allowance.py
+++ b/features/steps/allowance.py
@@ -4,10 +4,10 @@
 
 import anyio
 import behave
-import hypothesis
 import hypothesis.strategies
 
 from features import allowance_world
+from features import schedules
 from greengagegw.allowance import bucket
 from greengagegw.allowance import grantor
 from greengagegw import table as tables
@@ -481,22 +481,11 @@
     '{examples:d} random schedules of {steps:d} steps of the allowance hold'
 )
 def check_schedules(context, examples, steps):
-    @hypothesis.settings(
-        max_examples=examples,
-        derandomize=True,
-        deadline=None,
-        database=None,
-        phases=[hypothesis.Phase.generate],
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
-    @hypothesis.given(
-        hypothesis.strategies.integers(0, 2**20),
-        hypothesis.strategies.lists(STEPS, min_size=steps, max_size=steps),
-    )
     def play_one(seed, schedule):
         run(play_schedule, seed, schedule)
 
-    play_one()
+    played = schedules.play_many(examples, steps, STEPS, play_one)
+    assert played >= examples * steps
 
 
 @behave.given('a full bucket whose tokens were all handed out')
--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -1,6 +1,5 @@
 """Steps on membership."""
 
-import contextlib
 import functools
 import random
 import types
@@ -13,7 +12,7 @@
 from greengagegw import timers as timer_service
 
 
-class Fleet:
+class Fleet(fakes.Fleet):
     """VMs that gossip in fake time."""
 
     def __init__(self, regions=('a', 'b', 'c'), count=3):
@@ -36,15 +35,6 @@
     def region(self, name):
         return [vm for vm in self.vms if vm.startswith(name)]
 
-    @contextlib.asynccontextmanager
-    async def running(self):
-        async with anyio.create_task_group() as tasks:
-            self.tasks = self.network.tasks = tasks
-            for vm in self.vms:
-                self.start(vm)
-            yield self
-            tasks.cancel_scope.cancel()
-
     def start(self, vm):
         settings = types.SimpleNamespace(
             vm=vm,
--- a/features/steps/replication.py
+++ b/features/steps/replication.py
@@ -7,10 +7,10 @@
 
 import anyio
 import behave
-import hypothesis
 import hypothesis.strategies
 
 from features import fakes
+from features import schedules
 from greengagegw.adapters import files
 from greengagegw import errors
 from greengagegw.replication import entries
@@ -729,26 +729,11 @@
     ' hold'
 )
 def check_schedules(context, examples, steps, count):
-    played = []
-
-    @hypothesis.settings(
-        max_examples=examples,
-        derandomize=True,
-        deadline=None,
-        database=None,
-        phases=[hypothesis.Phase.generate],
-        suppress_health_check=list(hypothesis.HealthCheck),
-    )
-    @hypothesis.given(
-        hypothesis.strategies.integers(0, 2**20),
-        hypothesis.strategies.lists(STEPS, min_size=steps, max_size=steps),
-    )
     def play_one(seed, schedule):
         run(play_schedule, count, seed, schedule)
-        played.append(len(schedule))
 
-    play_one()
-    assert sum(played) >= examples * steps
+    played = schedules.play_many(examples, steps, STEPS, play_one)
+    assert played >= examples * steps
 
 
 ACTIONS = (
