--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -18,6 +18,7 @@
 
 import anyio
 from hdrh import histogram
+import prometheus_client
 import yaml
 
 from greengagegw.policy import retry
@@ -308,20 +309,9 @@
         first = histogram.HdrHistogram(1, LONGEST_MS, DIGITS)
         for one in self.results.values():
             first.add(one.first)
-        forwarded = sum(
-            sample.value
-            for vm in made.vms.values()
-            for family in vm.metrics.forwarded.collect()
-            for sample in family.samples
-            if sample.name.endswith('_total')
-        )
-        seconds = sum(
-            sample.value
-            for vm in made.vms.values()
-            for family in vm.metrics.runner_seconds.collect()
-            for sample in family.samples
-            if sample.name.endswith('_total')
-        )
+        counters = [vm.metrics for vm in made.vms.values()]
+        forwarded = sum(count(one.forwarded) for one in counters)
+        seconds = sum(count(one.runner_seconds) for one in counters)
         worst = min(rows, key=lambda name: rows[name]['success'])
         return {
             'requests': total,
@@ -339,6 +329,16 @@
         }
 
 
+def count(counter: prometheus_client.Counter) -> float:
+    """Returns the sum of a counter over all its labels."""
+    return sum(
+        sample.value
+        for family in counter.collect()
+        for sample in family.samples
+        if sample.name.endswith('_total')
+    )
+
+
 def find_code(text: str) -> str:
     _, _, rest = text.partition('"code":"')
     return rest.partition('"')[0] or 'connection'
--- a/src/greengagegw/placing.py
+++ b/src/greengagegw/placing.py
@@ -76,7 +76,7 @@
         run = errors.NOT_RUN
         for at, region in enumerate(plan):
             is_last = at == len(plan) - 1
-            tried = order if is_last else self.be_brief(order, region)
+            tried = order if is_last else self.be_brief(order)
             try:
                 return await stack.enter_async_context(
                     self.run_in(tried, region)
@@ -105,7 +105,7 @@
             and self.runs.budget.spend()
         )
 
-    def be_brief(self, order: running.Order, region: str) -> running.Order:
+    def be_brief(self, order: running.Order) -> running.Order:
         """Shortens the wait where another region can be tried after it."""
         longest = forwarding.FORWARDED_WAIT_SECONDS
         return dataclasses.replace(order, wait=min(order.wait, longest))
