A forwarded call is accepted at once, or goes elsewhere

Ruled out: the region's lease and bucket (one VM, its own voter), the retry budget (reset before each scenario).

Change: a VM says that it has accepted a forwarded call before anything else. What may not be repeated, is over 64 KiB or goes to a VM that was silent the last time is sent whole only after the acceptance, so that its refusal is sure to be not_run. A stream that is left waits at most 0.2 s for its end to be written. The protocol's version is 2. The stand-in engine no longer ends its process over a request without a model. The scenario now takes 503 with nothing received for the first request and still demands not_run for the next; four scenarios are new.

The later tries could be made beside a request instead of in its way; not done.

--- a/features/regions/partition.feature
+++ b/features/regions/partition.feature
@@ -30,24 +30,52 @@
 
   Scenario: A VM that gets a forwarded request refuses what may not run there
     When a VM forwards a request of cidery to piedmont
-    Then the forwarded request is refused as wrong_region and not run
+    Then the forwarded request is refused as wrong_region and not_run
 
   Scenario: A VM waits for the table by which a request was forwarded
     When a VM forwards a request with a table from the future
-    Then the forwarded request is refused as not_ready and not run
+    Then the forwarded request is refused as not_ready and not_run
 
   Scenario: A forwarded request is not forwarded again
     Given piedmont has no usable engine
     When a VM forwards a request of orchard to piedmont
-    Then the forwarded request is refused as unavailable and not run
+    Then the forwarded request is refused as unavailable and not_run
 
   Scenario: Both sides of a partition serve their callers
     Given coastal is cut off from the other regions
     When each region's callers send chat requests
     Then all are answered with 200
     And orchard is served through coastal-1 as well
+    When cidery sends a chat request through piedmont-1
+    Then it is refused with status 503 and nothing received it
     And cidery is refused through piedmont-1 and not run
 
+  Scenario: A call leaves a VM that has just fallen silent
+    Given piedmont-1 has just fallen silent
+    When a VM hands a request of orchard to piedmont-1 or else piedmont-2
+    Then the forwarded request is answered by way of another VM
+    And the silent connection is still thought open
+
+  Scenario Outline: What is handed to a silent region is told honestly
+    Given coastal-1 has just fallen silent
+    When a VM forwards <call> of press to coastal
+    Then the forwarded request is refused as peer_silent and <run>
+    And coastal is tried last
+    When a VM forwards a request of press to coastal
+    Then it is refused again and surely not run
+
+    Examples:
+      | call           | run     |
+      | a request      | unknown |
+      | a registration | not_run |
+
+  Scenario: News of a silent region ends the doubt
+    Given coastal-1 has just fallen silent
+    When a VM forwards a request of press to coastal
+    Then coastal is tried last
+    When the partition heals
+    Then coastal is no longer in doubt
+
   Scenario: Only the majority takes edits, and the others catch up
     Given coastal is cut off from the other regions
     Then an edit through coastal-1 is not accepted
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -146,6 +146,9 @@
     context.add_cleanup(lambda: manager.__exit__(None, None, None))
 
 
+OTHER_VERSION = frames.PROTOCOL_VERSION + 1
+
+
 def hello(version=frames.PROTOCOL_VERSION, deployment='guild', vm='dialler'):
     return frames.encode(frames.Kind.HELLO, version, deployment, vm, b'n' * 16)
 
@@ -161,7 +164,7 @@
     'a frame that is not msgpack': framed(b'\xc1\xc1'),
     'a frame of an unknown kind': framed(msgpack.packb([99, 1])),
     'a frame of wrong shape': framed(msgpack.packb([0, 1])),
-    'a peer of another version': hello(version=2),
+    'a peer of another version': hello(version=OTHER_VERSION),
     'a peer of another deployment': hello(deployment='academy'),
     'a peer that skips the proof': hello()
     + frames.encode(frames.Kind.CALL, 1, 'echo', 'x'),
@@ -244,7 +247,11 @@
             if fault == 'has another version':
                 await stream.send(
                     frames.encode(
-                        frames.Kind.CHALLENGE, 2, 'listener', b'', b''
+                        frames.Kind.CHALLENGE,
+                        OTHER_VERSION,
+                        'listener',
+                        b'',
+                        b'',
                     )
                 )
             await anyio.sleep_forever()
--- a/features/steps/regions.py
+++ b/features/steps/regions.py
@@ -1,5 +1,6 @@
 """Steps on regions and the partitions between them."""
 
+import contextlib
 import functools
 import uuid
 
@@ -19,6 +20,7 @@
 
 @behave.when('{organisation} sends a chat request through {vm}')
 def send_as(context, organisation, vm):
+    context.world.notes['received'] = len(context.world.received())
     call(
         context,
         context.world.send,
@@ -72,26 +74,33 @@
         context.add_cleanup(restore)
 
 
-async def forward(world, organisation, region, revision=0):
-    """Forwards a request as a VM of blue-ridge does."""
-    vm = world.deployment.vms['blue-ridge-1']
-    order = running.Order(
+def make_order(organisation, repeatable=True):
+    service = 'judge-assist' if repeatable else 'entry-desk'
+    path = '/v1/chat/completions' if repeatable else '/entries'
+    kind = 'model' if repeatable else 'plain'
+    return running.Order(
         backends.Call(
             uuid.uuid4().hex,
             organisation,
-            'judge-assist',
-            'model',
+            service,
+            kind,
             'POST',
-            '/v1/chat/completions',
+            path,
             (),
             b'{}',
-            True,
+            repeatable,
             False,
             10,
         ),
         1.0,
         1.0,
     )
+
+
+async def forward(world, organisation, region, revision=0, repeatable=True):
+    """Forwards a request as a VM of blue-ridge does."""
+    vm = world.deployment.vms['blue-ridge-1']
+    order = make_order(organisation, repeatable)
     kept = vm.view.configuration.table_revision
     vm.view.configuration.table_revision = kept + revision
     try:
@@ -108,6 +117,96 @@
     context.error = call(context, forward, context.world, organisation, region)
 
 
+@behave.when('a VM forwards a registration of {organisation} to {region}')
+def forward_registration(context, organisation, region):
+    context.error = call(
+        context, forward, context.world, organisation, region, 0, False
+    )
+
+
+@behave.given('{vm} has just fallen silent')
+def fall_silent(context, vm):
+    """Cuts a VM off right after a connection to it was used."""
+    world = context.world
+    others = [one for one in world.deployment.names() if one != vm]
+    mesh = world.deployment.vms['blue-ridge-1'].mesh
+
+    async def use():
+        """Returns once a connection has carried an answer."""
+        while True:
+            with contextlib.suppress(errors.PeerUnreachableError):
+                try:
+                    await mesh.call(vm, 'nothing', None)
+                except errors.PeerLostError:
+                    continue
+                except errors.PeerProtocolError:
+                    return
+            await anyio.sleep(0.05)
+
+    call(context, use)
+    forwards = world.deployment.vms['blue-ridge-1'].forwards
+    forwards.doubts.note_answer(vm)
+    world.deployment.network.cut([vm], others)
+    context.add_cleanup(lambda: heal(context))
+
+
+@behave.when(
+    'a VM hands a request of {organisation} to {first} or else {second}'
+)
+def forward_to_either(context, organisation, first, second):
+    forwards = context.world.deployment.vms['blue-ridge-1'].forwards
+    forwards.choose_vms = lambda region: [first, second]
+    context.add_cleanup(lambda: delattr(forwards, 'choose_vms'))
+    context.silent = first
+    forward_to(context, organisation, first.rpartition('-')[0])
+
+
+@behave.then('the forwarded request is answered by way of another VM')
+def check_answered(context):
+    assert context.error is None, context.error
+
+
+@behave.then('the silent connection is still thought open')
+def check_still_open(context):
+    mesh = context.world.deployment.vms['blue-ridge-1'].mesh
+    assert not mesh.dialled[context.silent].closed
+
+
+@behave.then('the forwarded request is refused as {code} and unknown')
+def check_forward_unknown(context, code):
+    assert context.error is not None
+    assert (context.error.code, context.error.run) == (code, 'unknown')
+
+
+@behave.then('it is refused again and surely not run')
+def check_again(context):
+    assert context.error is not None
+    assert context.error.run == 'not_run', context.error.code
+    assert context.world.received() == []
+
+
+def regions_planned(context):
+    vm = context.world.deployment.vms['blue-ridge-1']
+    row = vm.view.configuration.table.organisation('press')
+    return vm.gateway.placement.plan(make_order('press'), row)
+
+
+@behave.then('coastal is tried last')
+def check_last(context):
+    planned = regions_planned(context)
+    assert planned[0] == 'piedmont', planned
+
+
+@behave.then('coastal is no longer in doubt')
+def check_no_doubt(context):
+    forwards = context.world.deployment.vms['blue-ridge-1'].forwards
+    call(
+        context,
+        context.world.eventually,
+        lambda: not forwards.is_doubted('coastal'),
+    )
+
+
 @behave.when('a VM forwards a request with a table from the future')
 def forward_future(context):
     context.error = call(
@@ -115,7 +214,7 @@
     )
 
 
-@behave.then('the forwarded request is refused as {code} and not run')
+@behave.then('the forwarded request is refused as {code} and not_run')
 def check_forward(context, code):
     assert context.error is not None
     assert (context.error.code, context.error.run) == (code, 'not_run')
@@ -190,6 +289,14 @@
     assert len(context.world.received()) == before
 
 
+@behave.then('it is refused with status {status:d} and nothing received it')
+def check_refused(context, status):
+    world = context.world
+    answer = world.answers[-1]
+    assert answer.status_code == status, answer.text
+    assert len(world.received()) == world.notes['received'], answer.text
+
+
 @behave.then('an edit through {vm} is not accepted')
 def check_no_edit(context, vm):
     text = worlds.TABLE + f'region,{uuid.uuid4().hex},1,,,,,,\n'
--- a/features/world.py
+++ b/features/world.py
@@ -38,6 +38,7 @@
         'between_bytes_seconds': 1.0,
         'body_seconds': 1.0,
         'connect_seconds': 1.0,
+        'peer_accept_seconds': 1.5,
         'idle_seconds': 2.0,
         'entries_ttl_seconds': 0.5,
     },
--- a/src/greengagegw/adapters/frames.py
+++ b/src/greengagegw/adapters/frames.py
@@ -11,7 +11,7 @@
 
 from .. import errors
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 LENGTH = struct.Struct('>I')
 READ_BYTES = 65536
 
--- a/src/greengagegw/adapters/peer_connection.py
+++ b/src/greengagegw/adapters/peer_connection.py
@@ -20,6 +20,8 @@
 from ..ports import peers
 
 CALLS_IN_FLIGHT = 1024
+# How long a stream that is left waits for its end to be written.
+RESET_SECONDS = 0.2
 GONE = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
@@ -124,7 +126,8 @@
         finally:
             del self.opened[number]
             if not stream.ended and stream.error is None:
-                with anyio.CancelScope(shield=True):
+                with self.timers.limit(RESET_SECONDS) as scope:
+                    scope.shield = True
                     await self.cancel_stream(number)
 
     async def cancel_stream(self, number: int) -> None:
--- a/src/greengagegw/errors.py
+++ b/src/greengagegw/errors.py
@@ -268,6 +268,12 @@
     code = 'peer_timeout'
 
 
+class PeerSilentError(PeerTimeoutError):
+    """A VM did not say that it has taken a forwarded call."""
+
+    code = 'peer_silent'
+
+
 class PeerProtocolError(PeerError):
     """A peer sent what the protocol does not allow."""
 
--- a/src/greengagegw/forwarding.py
+++ b/src/greengagegw/forwarding.py
@@ -18,6 +18,7 @@
 from . import timers as timer_service
 from .control import view as views
 from .membership import gossip
+from .policy import doubt
 from .ports import backends
 from .ports import peers
 
@@ -26,7 +27,16 @@
 REVISION_WAIT_SECONDS = 2.0
 FORWARDED_WAIT_SECONDS = 2.0
 HEAD_MARGIN_SECONDS = 5.0
+UNREACHABLE_RETRY_SECONDS = 2
 VMS_TRIED = 2
+# Failures after which another VM of the region is tried.
+UNTAKEN = (
+    errors.PeerUnreachableError,
+    errors.PeerSilentError,
+    errors.PeerLostError,
+)
+# What a VM sends first when it has taken a call.
+ACCEPTED = 'accepted'
 
 
 class Forwarding:
@@ -49,19 +59,43 @@
         self.runs = runs
         self.timers = timers
         self.rng = rng
+        self.doubts = doubt.Doubts()
 
     def stream_handlers(self) -> dict[str, peers.StreamHandler]:
         return {METHOD: self.on_forward}
 
     def choose_vms(self, region: str) -> list[str]:
-        """Returns VMs of a region to try, living ones first."""
-        vms = [
-            peer.vm for peer in self.settings.peers if peer.region == region
-        ]
+        """Returns VMs of a region to try, those that answer first."""
+        now = self.timers.now()
+        vms = self.vms_of(region)
         self.rng.shuffle(vms)
-        vms.sort(key=lambda vm: not self.membership.is_alive(vm))
+        vms.sort(
+            key=lambda vm: (
+                self.doubts.is_doubted(vm, now),
+                not self.membership.is_alive(vm),
+            )
+        )
         return vms[:VMS_TRIED]
 
+    def vms_of(self, region: str) -> list[str]:
+        return [
+            peer.vm for peer in self.settings.peers if peer.region == region
+        ]
+
+    def is_doubted(self, region: str) -> bool:
+        """Returns whether all VMs of a region have just been silent.
+
+        News of the region that is younger than the silence ends the doubt.
+        """
+        now = self.timers.now()
+        vms = self.vms_of(region)
+        if not all(self.doubts.is_doubted(vm, now) for vm in vms):
+            return False
+        summary = self.membership.summary_of(region)
+        if summary is None:
+            return True
+        return all(summary.made_at < self.doubts.since(vm) for vm in vms)
+
     @contextlib.asynccontextmanager
     async def run(
         self, order: running.Order, region: str
@@ -71,8 +105,7 @@
         :raises GatewayError: with ``run`` telling whether it was run.
         """
         async with contextlib.AsyncExitStack() as stack:
-            stream = await self.open(stack, order, region)
-            await self.send_body(stream, order.call.body)
+            stream = await self.reach(stack, order, region)
             head = await self.receive_head(stream)
             usage = running.Usage()
             yield running.Running(
@@ -86,30 +119,98 @@
                 usage,
             )
 
-    async def open(
+    async def reach(
         self,
         stack: contextlib.AsyncExitStack,
         order: running.Order,
         region: str,
     ) -> peers.PeerStream:
-        """Opens a stream to the first VM that can be reached."""
-        message = [
-            pack_order(order),
-            self.view.configuration.table_revision,
-        ]
-        failure: errors.GatewayError = errors.PeerUnreachableError(
+        """Hands a call to the first VM that takes it.
+
+        :raises PeerError: if none does.
+        """
+        run = errors.NOT_RUN
+        failure: errors.PeerError = errors.PeerUnreachableError(
             f'{region} has no VM'
         )
         for vm in self.choose_vms(region):
             try:
-                return await stack.enter_async_context(
-                    self.mesh.open(vm, METHOD, message)
-                )
-            except errors.PeerUnreachableError as error:
+                async with contextlib.AsyncExitStack() as attempt:
+                    stream = await self.hand_over(attempt, order, vm)
+                    stack.push_async_exit(attempt.pop_all())
+                    return stream
+            except UNTAKEN as error:
+                self.doubts.note_silence(vm, self.timers.now())
                 failure = error
-        raise errors.PeerUnreachableError(
-            f'no VM of {region} can be reached', retry_after=2
-        ) from failure
+                if error.run != errors.NOT_RUN:
+                    run = errors.UNKNOWN
+                    if not self.runs.budget.spend():
+                        break
+        failure.run = run
+        failure.retry_after = UNREACHABLE_RETRY_SECONDS
+        raise failure
+
+    async def hand_over(
+        self,
+        stack: contextlib.AsyncExitStack,
+        order: running.Order,
+        vm: str,
+    ) -> peers.PeerStream:
+        """Sends a call to a VM that says that it has taken it.
+
+        A call that may not be repeated, is large or goes to a VM that was
+        silent the last time is sent whole only then: until then it is sure
+        not to run.
+
+        :raises PeerSilentError: if the VM does not say so in time.
+        """
+        waits = (
+            not order.call.repeatable
+            or len(order.call.body) > CHUNK_BYTES
+            or self.doubts.since(vm) is not None
+        )
+        stream = None
+        try:
+            with self.timers.limit(self.settings.timeouts.peer_accept_seconds):
+                opened = await self.open(stack, order, vm)
+                if not waits:
+                    await self.send_body(opened, order.call.body)
+                await self.receive_accepted(opened)
+                stream = opened
+        except errors.PeerLostError as error:
+            error.run = errors.NOT_RUN if waits else errors.UNKNOWN
+            raise
+        if stream is None:
+            raise errors.PeerSilentError(
+                f'{vm} did not take a call in time',
+                run=errors.NOT_RUN if waits else errors.UNKNOWN,
+            )
+        self.doubts.note_answer(vm)
+        if waits:
+            await self.send_body(stream, order.call.body)
+        return stream
+
+    async def open(
+        self,
+        stack: contextlib.AsyncExitStack,
+        order: running.Order,
+        vm: str,
+    ) -> peers.PeerStream:
+        message = [
+            pack_order(order),
+            self.view.configuration.table_revision,
+        ]
+        return await stack.enter_async_context(
+            self.mesh.open(vm, METHOD, message)
+        )
+
+    async def receive_accepted(self, stream: peers.PeerStream) -> None:
+        try:
+            message = await stream.receive()
+        except anyio.EndOfStream as error:
+            raise errors.PeerProtocolError('no answer') from error
+        if message != ACCEPTED:
+            raise errors.PeerProtocolError('an answer without its start')
 
     async def send_body(self, stream: peers.PeerStream, body: bytes) -> None:
         for start in range(0, len(body), CHUNK_BYTES):
@@ -163,6 +264,7 @@
         self, peer: str, message: list, stream: peers.PeerStream
     ) -> None:
         packed, revision = message
+        await stream.send(ACCEPTED)
         await self.wait_for_revision(revision)
         self.check_residency(packed['call']['organisation'])
         order = unpack_order(packed, await read_body(stream))
--- a/src/greengagegw/placing.py
+++ b/src/greengagegw/placing.py
@@ -134,7 +134,12 @@
             for one in having
             if one not in (first, self.region) and math.isfinite(waits[one])
         ]
-        others.sort(key=lambda one: waits[one] + self.round_trip(one))
+        others.sort(
+            key=lambda one: (
+                self.forwards.is_doubted(one),
+                waits[one] + self.round_trip(one),
+            )
+        )
         planned = [one for one in (first, self.region) if one in having]
         planned = list(dict.fromkeys(planned))
         if not planned:
@@ -142,8 +147,11 @@
         if others and routing.should_spill(
             waits[planned[0]], waits[others[0]], self.round_trip(others[0])
         ):
-            return [others[0], *planned]
-        return [*planned, *others[:1]]
+            planned = [others[0], *planned]
+        else:
+            planned = [*planned, *others[:1]]
+        # A region that has just been silent is tried last.
+        return sorted(planned, key=self.forwards.is_doubted)
 
     def wait_in(self, region: str, service: str) -> float:
         """Returns the seconds that a new call would wait in a region."""
--- a/src/greengagegw/settings.py
+++ b/src/greengagegw/settings.py
@@ -91,6 +91,7 @@
     between_bytes_seconds: Seconds = 15.0
     queue_seconds: Seconds = 10.0
     peer_call_seconds: Seconds = 3.0
+    peer_accept_seconds: Seconds = 0.5
     heartbeat_seconds: Seconds = 1.0
     peer_silence_seconds: Seconds = 4.0
     load_poll_seconds: Seconds = 0.5
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -183,7 +183,7 @@
             {
                 'id': 'cmpl-1',
                 'object': 'chat.completion',
-                'model': content['model'],
+                'model': content.get('model', ''),
                 'choices': [
                     {
                         'index': 0,
@@ -260,7 +260,7 @@
     body = orjson.dumps(
         {
             'object': 'chat.completion.chunk',
-            'model': content['model'],
+            'model': content.get('model', ''),
             'choices': [{'index': 0, 'delta': {'content': token}}],
         }
     )
@@ -281,7 +281,7 @@
     body = orjson.dumps(
         {
             'object': 'chat.completion.chunk',
-            'model': content['model'],
+            'model': content.get('model', ''),
             'choices': [],
             'usage': usage(content, tokens),
         }
