One message to a region for all organisations; silent regions hold nobody up

Cause: (1) docs/CAPACITY.md: with as many active organisations as requests, a VM's messages about the allowance were over its budget of bytes, and the lease holder's far too many. Each organisation fetched and reported by itself, counts travelled as floats, and tokens were fetched ahead for organisations that send less than a request in that time, only to be given back. (2) A region that is cut off in the seconds after its start refused within the rate: while its own bucket was still empty, a request asked the other regions one after the other, 1 s for each of their VMs, and its 2 s were over before the own region was asked again.

Change: allowance/holders.py gathers what is asked of a region while a message to it is on its way; reports, returns and wants for all organisations go in one message, at a flush or when a request waits. Whole numbers, rounded to the safe side. Nothing is fetched ahead below one usual request. A grant that comes too late for its asker is given back. Other regions are asked beside the own one, which is asked again after 0.25 s; a region silent for 0.5 s is left out for 2 to 16 s. A retry waits for as long as the own region needs for what is missing, 20 to 100 ms. The purse has a module of its own.

--- a/features/allowance/allowance.feature
+++ b/features/allowance/allowance.feature
@@ -38,6 +38,17 @@
       | with requests of half the burst    | 0       |
       | with 90 percent refunded           | 0       |
 
+  Scenario Outline: A region that is cut off serves its share
+    Given a fleet of 7 VMs in 3 regions
+    When ridge is cut off <moment>, and asks for 25 percent of the rate
+    Then at most 0 percent of its requests are refused
+
+    Examples:
+      | moment                    |
+      | with full buckets         |
+      | right after a restart     |
+      | when its tokens are spent |
+
   Scenario Outline: Tokens that a VM holds count against the burst
     Given a fleet of 7 VMs in 3 regions
     When all buckets are full and a VM takes a region's tokens, unspent
--- a/features/steps/allowance.py
+++ b/features/steps/allowance.py
@@ -220,6 +220,55 @@
     context.plan.append(send)
 
 
+async def restart_ridge(fleet):
+    """Restarts a region's VMs, and waits until its lease is held again."""
+    for vm in fleet.by_region['ridge']:
+        fleet.crash(vm)
+        fleet.start(vm)
+    while fleet.holder('ridge') is None:
+        await fleet.advance(0.05)
+
+
+async def drain_ridge(fleet):
+    """Spends all that the region has."""
+    for _ in range(int(fleet.burst / REQUEST_TOKENS)):
+        fleet.ask('ridge-0', REQUEST_TOKENS)
+    await fleet.advance(2)
+    fleet.spent.clear()
+    fleet.refused.clear()
+
+
+async def do_nothing(fleet):
+    pass
+
+
+MOMENTS = {
+    'with full buckets': do_nothing,
+    'right after a restart': restart_ridge,
+    'when its tokens are spent': drain_ridge,
+}
+
+
+@behave.when(
+    'ridge is cut off {moment}, and asks for {percent:d} percent of the rate'
+)
+def plan_cut_off(context, moment, percent):
+    async def send(fleet):
+        await MOMENTS[moment](fleet)
+        inside = fleet.by_region['ridge']
+        outside = [vm for vm in fleet.vms if vm not in inside]
+        fleet.network.cut(inside, outside)
+        due = 0.0
+        for _ in range(400):
+            due += fleet.rate * percent / 100 * 0.05
+            while due >= REQUEST_TOKENS:
+                due -= REQUEST_TOKENS
+                fleet.ask(fleet.rng.choice(inside), REQUEST_TOKENS)
+            await fleet.advance(0.05)
+
+    context.plan.append(send)
+
+
 @behave.then('at most {percent:d} percent of its requests are refused')
 def check_refused(context, percent):
     def check(fleet):
@@ -526,8 +575,10 @@
         new = fleet.members[holder]
         gained = new.lease.held_since
         while True:
-            found = await new.grantor.on_take(holder, ['o', 0.1, 100.0])
-            if found[0]:
+            found = await new.grantor.on_exchange(
+                holder, [[], [], [['o', 100.0]]]
+            )
+            if found[0][0]:
                 break
             await fleet.advance(0.05)
         waited = fleet.timers.now() - gained
--- a/src/greengagegw/allowance/bucket.py
+++ b/src/greengagegw/allowance/bucket.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import itertools
+import math
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,14 +59,14 @@
     def take(
         self, least: float, most: float, now: float, validity: float
     ) -> Grant | None:
-        """Hands out tokens.
+        """Hands out whole tokens, which are short in messages.
 
         :param least: tokens below which nothing is handed out.
         :param most: tokens that the holder would like.
         :param validity: seconds until the grant ends.
         """
         self.refill(now)
-        tokens = min(self.level, most)
+        tokens = math.floor(min(self.level, most))
         if tokens < least or tokens <= 0:
             return None
         self.level -= tokens
--- a/src/greengagegw/allowance/grantor.py
+++ b/src/greengagegw/allowance/grantor.py
@@ -11,6 +11,8 @@
 from ..ports import peers
 
 VALIDITY_SECONDS = 1.5
+# Fewer tokens than this are not handed out.
+LEAST_TOKENS = 1.0
 
 
 class Grantor:
@@ -38,11 +40,7 @@
         self.revision = -1
 
     def handlers(self) -> dict[str, peers.Handler]:
-        prefix = f'allowance.{self.lease.region}'
-        return {
-            f'{prefix}.take': self.on_take,
-            f'{prefix}.settle': self.on_settle,
-        }
+        return {f'allowance.{self.lease.region}': self.on_exchange}
 
     def require_lease(self) -> None:
         """Checks that this VM may hand out tokens now.
@@ -99,28 +97,19 @@
                 row.rate * share, row.burst * share, self.timers.now()
             )
 
-    async def on_take(self, peer: str, message: list) -> list:
-        """Hands out tokens.
+    async def on_exchange(self, peer: str, message: list) -> list[list]:
+        """Takes in a VM's report, and hands out the tokens that it wants.
 
-        :returns: number of the grant (0 for none), its tokens, and the
-            tokens that are left.
+        :returns: for each want the number of the grant (0 for none), its
+            tokens, and the tokens that are left.
         """
-        organisation, least, most = message
-        bucket = self.find_bucket(organisation)
-        grant = bucket.take(
-            least,
-            most,
-            self.timers.now(),
-            VALIDITY_SECONDS * leases.DRIFT,
-        )
-        if grant is None:
-            return [0, 0.0, bucket.level]
-        return [grant.number, grant.tokens, bucket.level]
-
-    async def on_settle(self, peer: str, message: list) -> None:
-        """Takes reports of spent grants, and unused reservations."""
+        settled, returned, wanted = message
         self.require_lease()
-        settled, returned = message
+        self.settle(settled, returned)
+        return [self.grant(*want) for want in wanted]
+
+    def settle(self, settled: list, returned: list) -> None:
+        """Takes reports of ended grants, and unused reservations."""
         for organisation, number, spent in settled:
             if organisation in self.buckets:
                 self.buckets[organisation].settle(number, spent)
@@ -129,6 +118,22 @@
                 self.buckets[organisation].refill(self.timers.now())
                 self.buckets[organisation].give_back(tokens)
 
+    def grant(self, organisation: str, tokens: float) -> list:
+        try:
+            bucket = self.find_bucket(organisation)
+        except errors.PermissionDeniedError:
+            # The row went away; the others' wants are not to suffer.
+            return [0, 0, 0]
+        grant = bucket.take(
+            LEAST_TOKENS,
+            tokens,
+            self.timers.now(),
+            VALIDITY_SECONDS * leases.DRIFT,
+        )
+        if grant is None:
+            return [0, 0, int(bucket.level)]
+        return [grant.number, grant.tokens, int(bucket.level)]
+
 
 def make_share(
     regions: tuple[str, ...],
--- a/src/greengagegw/allowance/wallet.py
+++ b/src/greengagegw/allowance/wallet.py
@@ -1,9 +1,13 @@
-"""The tokens that one VM may spend, fetched ahead of demand."""
+"""Reserves an organisation's tokens for requests, fetched ahead of demand.
+
+Between two flushes only a request that would wait asks for tokens; what is
+wanted ahead, what was spent and what comes back travels for all
+organisations in one message a flush to each region.
+"""
 
 import collections
 import collections.abc
 import contextlib
-import dataclasses
 import math
 
 import anyio
@@ -12,99 +16,19 @@
 from .. import errors
 from .. import timers as timer_service
 from . import grantor as grantors
+from . import holders as holder_sets
 from ..ports import peers
+from . import purse as purses
 
 FLUSH_SECONDS = 0.25
-DEMAND_SECONDS = 2.0
-USE_SMOOTHING = 0.05
-PREFETCH_SECONDS = 0.4
-LOW_WATER_SHARE = 0.4
+LOW_WATER_SHARE = 0.6
 # More than this many times what is wanted ahead goes back to the region.
 IDLE_FACTOR = 2.0
-RETRY_SECONDS = 0.1
-CALL_SECONDS = 1.0
+SHORTEST_RETRY_SECONDS = 0.02
+LONGEST_RETRY_SECONDS = 0.1
 REGIONS_ASKED = 3
-
-
-@dataclasses.dataclass(slots=True)
-class Held:
-    """A grant that this VM holds."""
-
-    region: str
-    organisation: str
-    number: int
-    tokens: float
-    left: float
-    taken_at: float
-    until: float
-
-
-class Purse:
-    """One organisation's tokens on this VM."""
-
-    def __init__(self, now: float) -> None:
-        self.held: list[Held] = []
-        self.lock = anyio.Lock()
-        self.waiting_tokens = 0.0
-        self.demand = 0.0
-        self.demand_at = now
-        self.is_fetching = False
-        self.used_share = 1.0
-        self.uses = 0
-
-    def available(self, now: float) -> float:
-        return sum(one.left for one in self.held if one.until > now)
-
-    def spend(self, tokens: float, now: float) -> tuple['Part', ...] | None:
-        """Spends tokens if there are enough of them."""
-        if self.available(now) < tokens:
-            return None
-        parts = []
-        for one in self.held:
-            if one.until > now and one.left > 0 and tokens > 0:
-                part = min(one.left, tokens)
-                one.left -= part
-                tokens -= part
-                parts.append(Part(one, part))
-        return tuple(parts)
-
-    @property
-    def wanted_ahead(self) -> float:
-        """Tokens worth holding for the requests of the next moments."""
-        return self.demand * self.used_share * PREFETCH_SECONDS
-
-    def note_use(self, share: float) -> None:
-        """Keeps a moving mean of the share of reservations that is used."""
-        self.uses += 1
-        smoothing = max(USE_SMOOTHING, 1 / self.uses)
-        self.used_share += smoothing * (share - self.used_share)
-
-    def note_demand(self, tokens: float, now: float) -> None:
-        """Keeps a decaying average of the tokens asked for a second."""
-        self.decay(now)
-        self.demand += tokens / DEMAND_SECONDS
-
-    def decay(self, now: float) -> None:
-        elapsed = max(0.0, now - self.demand_at)
-        self.demand *= math.exp(-elapsed / DEMAND_SECONDS)
-        self.demand_at = now
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Part:
-    """Tokens of a reservation that come from one grant."""
-
-    held: Held
-    tokens: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reservation:
-    """Tokens reserved for one request."""
-
-    organisation: str
-    tokens: float
-    parts: tuple[Part, ...]
+# After this long the own region is asked again beside another one.
+ABROAD_SECONDS = 0.25
 
 
 class Wallet:
@@ -123,11 +47,9 @@
     ) -> None:
         self.region = region
         self.regions = regions
-        self.vms_of = vms_of
-        self.mesh = mesh
         self.timers = timers
-        self.purses: dict[str, Purse] = {}
-        self.holders: dict[str, str] = {}
+        self.holders = holder_sets.Holders(vms_of, mesh, timers)
+        self.purses: dict[str, purses.Purse] = {}
         self.levels: dict[tuple[str, str], float] = {}
         self.settled: dict[str, list[list]] = collections.defaultdict(list)
         self.returned: dict[tuple[str, str], float] = collections.defaultdict(
@@ -136,22 +58,25 @@
         self.tasks: anyio.abc.TaskGroup | None = None
 
     async def run(self) -> None:
-        """Reports what was spent until it is cancelled."""
+        """Flushes until it is cancelled."""
         async with anyio.create_task_group() as tasks:
-            self.tasks = tasks
-            while True:
-                await self.timers.sleep(FLUSH_SECONDS)
-                await self.flush()
+            self.tasks = self.holders.tasks = tasks
+            try:
+                while True:
+                    await self.timers.sleep(FLUSH_SECONDS)
+                    tasks.start_soon(self.flush)
+            finally:
+                self.tasks = self.holders.tasks = None
 
-    def purse(self, organisation: str) -> Purse:
+    def purse(self, organisation: str) -> purses.Purse:
         purse = self.purses.get(organisation)
         if purse is None:
-            purse = self.purses[organisation] = Purse(self.timers.now())
+            purse = self.purses[organisation] = purses.Purse(self.timers.now())
         return purse
 
     async def reserve(
         self, organisation: str, tokens: float, rate: float, wait: float
-    ) -> Reservation:
+    ) -> purses.Reservation:
         """Reserves tokens, waiting a little when they are short.
 
         :param tokens: upper bound of what the request may use.
@@ -165,15 +90,16 @@
         if not purse.lock.locked():
             parts = purse.spend(tokens, now)
             if parts is not None:
-                self.prefetch(organisation, purse)
-                return Reservation(organisation, tokens, parts)
+                return purses.Reservation(organisation, tokens, parts)
         self.refuse_hopeless(purse, tokens, rate, wait)
         purse.waiting_tokens += tokens
         try:
             with self.timers.limit(wait):
                 async with purse.lock:
-                    parts = await self.gather(organisation, purse, tokens)
-                    return Reservation(organisation, tokens, parts)
+                    parts = await self.gather(
+                        organisation, purse, tokens, rate
+                    )
+                    return purses.Reservation(organisation, tokens, parts)
         finally:
             purse.waiting_tokens -= tokens
         raise errors.RateLimitError(
@@ -182,7 +108,7 @@
         )
 
     def refuse_hopeless(
-        self, purse: Purse, tokens: float, rate: float, wait: float
+        self, purse: purses.Purse, tokens: float, rate: float, wait: float
     ) -> None:
         """Refuses a request whose tokens cannot come in time."""
         ahead = purse.waiting_tokens * purse.used_share
@@ -192,11 +118,13 @@
                 retry_after=self.retry_after(purse, tokens, rate),
             )
 
-    def retry_after(self, purse: Purse, tokens: float, rate: float) -> float:
+    def retry_after(
+        self, purse: purses.Purse, tokens: float, rate: float
+    ) -> float:
         missing = purse.waiting_tokens + tokens
         return min(60.0, max(1.0, missing / rate if rate > 0 else 60.0))
 
-    def give_back(self, reservation: Reservation, used: float) -> None:
+    def give_back(self, reservation: purses.Reservation, used: float) -> None:
         """Returns the tokens of a reservation that were not used.
 
         They go back into their grants while this VM holds these, and else
@@ -218,114 +146,145 @@
                 self.returned[part.held.region, organisation] += tokens
 
     async def gather(
-        self, organisation: str, purse: Purse, tokens: float
-    ) -> tuple[Part, ...]:
+        self,
+        organisation: str,
+        purse: purses.Purse,
+        tokens: float,
+        rate: float,
+    ) -> tuple[purses.Part, ...]:
         """Fetches until a request's tokens can be spent."""
         while True:
             parts = purse.spend(tokens, self.timers.now())
             if parts is not None:
                 return parts
-            if not await self.fetch(organisation, purse, tokens):
-                await self.timers.sleep(RETRY_SECONDS)
+            missing = await self.fetch(organisation, purse, tokens)
+            if missing > 0:
+                # No sooner than the own region can have what is missing.
+                share = rate / len(self.regions)
+                pause = missing / share if share > 0 else LONGEST_RETRY_SECONDS
+                pause = max(SHORTEST_RETRY_SECONDS, pause)
+                await self.timers.sleep(min(LONGEST_RETRY_SECONDS, pause))
 
     async def fetch(
-        self, organisation: str, purse: Purse, tokens: float
-    ) -> bool:
+        self, organisation: str, purse: purses.Purse, tokens: float
+    ) -> float:
         """Fetches tokens, from the own region first.
 
+        :returns: tokens that are still missing.
+
+
         What was fetched is given back when it does not suffice, so that
-        two VMs never wait for what the other holds.
+        two VMs never wait for what the other holds. Another region that is
+        slow ends the round, since the own one fills in the meantime.
         """
         purse.decay(self.timers.now())
         ahead = purse.wanted_ahead
-        fetched: list[Held] = []
+        before = {id(one) for one in purse.held}
         for region in self.order(organisation):
             missing = tokens - purse.available(self.timers.now())
             if missing <= 0:
                 break
-            with contextlib.suppress(errors.GatewayError):
-                held = await self.take(organisation, region, missing + ahead)
-                if held is not None:
-                    fetched.append(held)
-                    purse.held.append(held)
-        if purse.available(self.timers.now()) >= tokens:
-            return True
+            asking = self.ask(organisation, purse, region, missing + ahead)
+            if asking is None:
+                continue
+            seconds = ABROAD_SECONDS
+            if region == self.region:
+                seconds = holder_sets.ANSWER_SECONDS
+            with self.timers.limit(seconds):
+                await asking.wait()
+            if not asking.is_set() and region != self.region:
+                break
+        fetched = [one for one in purse.held if id(one) not in before]
+        missing = tokens - purse.available(self.timers.now())
+        if missing <= 0:
+            return 0.0
         for held in fetched:
             # A flush may have settled it in the meantime.
             if any(one is held for one in purse.held):
                 purse.held = [one for one in purse.held if one is not held]
                 self.note_settled(held)
         if fetched:
-            await self.flush()
-        return False
+            await self.report()
+        return missing
+
+    def ask(
+        self,
+        organisation: str,
+        purse: purses.Purse,
+        region: str,
+        tokens: float,
+    ) -> anyio.Event | None:
+        """Asks a region for tokens, which come into the purse.
+
+        :returns: what is set when the answer is there, or None if the
+            region is being asked already.
+        """
+        if region in purse.asked or self.tasks is None:
+            return None
+        purse.asked.add(region)
+        answered = anyio.Event()
+
+        async def take() -> None:
+            try:
+                with contextlib.suppress(errors.GatewayError):
+                    held = await self.take(organisation, region, tokens)
+                    if held is not None:
+                        purse.held.append(held)
+            finally:
+                purse.asked.discard(region)
+                answered.set()
+
+        self.tasks.start_soon(take)
+        return answered
 
     def order(self, organisation: str) -> list[str]:
-        """Returns the regions to ask, those known to have tokens first."""
-        others = [one for one in self.regions if one != self.region]
+        """Returns the regions to ask, those known to have tokens first.
+
+        The own one comes first unless it has just been silent.
+        """
+        others = [
+            one
+            for one in self.regions
+            if one != self.region and not self.holders.is_doubted(one)
+        ]
         others.sort(
             key=lambda region: -self.levels.get((region, organisation), 1e9)
         )
-        return [self.region, *others[:REGIONS_ASKED]]
+        others = others[:REGIONS_ASKED]
+        if self.holders.is_doubted(self.region):
+            return [*others, self.region]
+        return [self.region, *others]
 
     async def take(
         self, organisation: str, region: str, tokens: float
-    ) -> Held | None:
+    ) -> purses.Held | None:
         asked_at = self.timers.now()
-        number, granted, level = await self.ask_holder(
-            region, 'take', [organisation, 1.0, tokens]
+        number, granted, level = await self.holders.take(
+            region, organisation, math.ceil(tokens)
         )
         self.levels[region, organisation] = level
         if not number:
             return None
         until = asked_at + grantors.VALIDITY_SECONDS
-        return Held(
+        return purses.Held(
             region, organisation, number, granted, granted, asked_at, until
         )
 
-    async def ask_holder(
-        self, region: str, method: str, message: list
-    ) -> list:
-        """Asks the VM that holds a region's lease.
-
-        :raises PeerError: if no holder was found.
-        """
-        candidates = self.vms_of(region)
-        known = self.holders.get(region)
-        if known in candidates:
-            candidates = [known, *(vm for vm in candidates if vm != known)]
-        tried: set[str] = set()
-        while candidates:
-            vm = candidates.pop(0)
-            if vm in tried:
+    def prefetch(self) -> None:
+        """Fetches for the organisations of which few tokens are left."""
+        now = self.timers.now()
+        for organisation, purse in self.purses.items():
+            low = purse.wanted_ahead * LOW_WATER_SHARE
+            if purse.is_fetching or self.tasks is None:
                 continue
-            tried.add(vm)
-            try:
-                answer = await self.mesh.call(
-                    vm, f'allowance.{region}.{method}', message, CALL_SECONDS
+            if purse.available(now) < low:
+                purse.is_fetching = True
+                self.tasks.start_soon(
+                    self.fetch_ahead, organisation, purse, low
                 )
-            except errors.NotLeaderError as error:
-                if error.leader:
-                    candidates.insert(0, error.leader)
-                continue
-            except errors.PeerError:
-                continue
-            self.holders[region] = vm
-            return answer
-        self.holders.pop(region, None)
-        raise errors.PeerUnreachableError(f'{region} has no lease holder')
-
-    def prefetch(self, organisation: str, purse: Purse) -> None:
-        """Fetches in the background when few tokens are left."""
-        now = self.timers.now()
-        low = purse.wanted_ahead * LOW_WATER_SHARE
-        if purse.is_fetching or self.tasks is None:
-            return
-        if purse.available(now) < low:
-            purse.is_fetching = True
-            self.tasks.start_soon(self.fetch_ahead, organisation, purse, low)
 
     async def fetch_ahead(
-        self, organisation: str, purse: Purse, tokens: float
+        self, organisation: str, purse: purses.Purse, tokens: float
     ) -> None:
         try:
             async with purse.lock:
@@ -333,13 +292,17 @@
         finally:
             purse.is_fetching = False
 
-    def note_settled(self, held: Held) -> None:
+    def note_settled(self, held: purses.Held) -> None:
         self.settled[held.region].append(
-            [held.organisation, held.number, held.tokens - held.left]
+            [
+                held.organisation,
+                held.number,
+                math.ceil(held.tokens - held.left),
+            ]
         )
 
     async def flush(self) -> None:
-        """Reports spent grants and unused reservations."""
+        """Gives up old grants and idle ones, and fetches what is needed."""
         now = self.timers.now()
         half = grantors.VALIDITY_SECONDS / 2
         for purse in self.purses.values():
@@ -356,26 +319,34 @@
                 else:
                     kept.append(held)
             purse.held = kept
+        # The fetches join the report in one message.
+        self.prefetch()
+        await self.report()
+
+    async def report(self) -> None:
+        """Reports spent grants and unused reservations."""
         returned = collections.defaultdict(list)
         for (region, organisation), tokens in self.returned.items():
-            returned[region].append([organisation, tokens])
+            returned[region].append([organisation, math.floor(tokens)])
         self.returned.clear()
         settled, self.settled = self.settled, collections.defaultdict(list)
         async with anyio.create_task_group() as tasks:
             for region in sorted({*settled, *returned}):
                 tasks.start_soon(
-                    self.report, region, settled[region], returned[region]
+                    self.report_to, region, settled[region], returned[region]
                 )
 
+    async def report_to(
+        self, region: str, settled: list, returned: list
+    ) -> None:
+        # A report that is lost counts as spent, which is on the safe side.
+        with contextlib.suppress(errors.GatewayError):
+            await self.holders.report(region, settled, returned)
+
     async def hand_back(self) -> None:
         """Gives back everything that is held."""
         for purse in self.purses.values():
             for held in purse.held:
                 self.note_settled(held)
             purse.held = []
-        await self.flush()
-
-    async def report(self, region: str, settled: list, returned: list) -> None:
-        # A report that is lost counts as spent, which is on the safe side.
-        with contextlib.suppress(errors.GatewayError):
-            await self.ask_holder(region, 'settle', [settled, returned])
+        await self.report()
