The test of a rate no longer hangs on how long the deployment has run

Cause: an organisation of 30 tokens a second asked for 2,000 tokens twice and the second was to be refused. Its buckets start empty and hold that much after about 67 s, so a run in which the scenario came just then had the first refused and the second served. Seen when features/backends grew by 28 s (KeyError on an answer of 200); ruled out: the retry after refunds, the leftover faults of the scenarios before (the scenario alone and its feature passed). Change: it asks three times; at most one may be served in any state of the buckets (two need 4,024 of at most 3,180 tokens), and each refusal must have its code and Retry-After. Conclusion: as strict, and the same verdict at any time.

--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -401,11 +401,12 @@
 
 
 @behave.when(
-    'an organisation of 30 tokens a second asks for 2000 tokens twice'
+    'an organisation of 30 tokens a second asks {count:d} times for 2000'
+    ' tokens'
 )
-def ask_over_rate(context):
+def ask_over_rate(context, count):
     async def ask():
-        for _ in range(2):
+        for _ in range(count):
             await context.world.send(
                 organisation='tiny', json=worlds.chat(max_tokens=2000)
             )
@@ -413,8 +414,13 @@
     call(context, ask)
 
 
-@behave.then('the last one is refused as {code} with Retry-After')
-def check_retry_after(context, code):
-    answer = context.world.answers[-1]
-    assert answer.json()['error']['code'] == code, answer.text
-    assert int(answer.headers['retry-after']) >= 1
+@behave.then(
+    'at most {most:d} is served, and the others are refused as {code} with'
+    ' Retry-After'
+)
+def check_retry_after(context, most, code):
+    refused = [one for one in context.world.answers if one.status_code != 200]
+    assert len(context.world.answers) - len(refused) <= most
+    for answer in refused:
+        assert answer.json()['error']['code'] == code, answer.text
+        assert int(answer.headers['retry-after']) >= 1
