Fake time passes over what was cancelled; the allowance's tests run on uvloop

Change: ManualTimers.advance goes to the next call that was not cancelled; the scenarios of the allowance run on uvloop, as the program does.

--- a/features/steps/allowance.py
+++ b/features/steps/allowance.py
@@ -18,7 +18,10 @@
 
 
 def run(function, *arguments):
-    return anyio.run(functools.partial(function, *arguments))
+    return anyio.run(
+        functools.partial(function, *arguments),
+        backend_options={'use_uvloop': True},
+    )
 
 
 @behave.given('a fleet of 7 VMs in 3 regions')
--- a/src/greengagegw/timers.py
+++ b/src/greengagegw/timers.py
@@ -8,6 +8,7 @@
 import contextlib
 import heapq
 import itertools
+import math
 import time
 
 import anyio
@@ -156,6 +157,11 @@
         for _ in range(self.settle_rounds):
             await anyio.lowlevel.checkpoint()
 
+    def next_due(self) -> float:
+        """Returns when the next call is due that was not cancelled."""
+        self.drop_cancelled()
+        return self.pending[0][0] if self.pending else math.inf
+
     async def advance(self, seconds: float) -> None:
         """Moves time on, making each call that falls due in its order.
 
@@ -163,7 +169,7 @@
         """
         target = self.time + seconds
         await self.settle()
-        while self.pending and self.pending[0][0] <= target:
+        while self.next_due() <= target:
             self.time = max(self.time, self.pending[0][0])
             self.fire_due()
             await self.settle()
