--- a/src/greengagegw/allowance/wallet.py
+++ b/src/greengagegw/allowance/wallet.py
@@ -170,12 +170,11 @@
     ) -> float:
         """Fetches tokens, from the own region first.
 
-        :returns: tokens that are still missing.
-
-
         What was fetched is given back when it does not suffice, so that
         two VMs never wait for what the other holds. Another region that is
         slow ends the round, since the own one fills in the meantime.
+
+        :returns: tokens that are still missing.
         """
         purse.decay(self.timers.now())
         ahead = purse.wanted_ahead
