Regions are looked up, not searched for, on each request

(1) Choosing a region walked through all backend servers, and since a silent region is tried last, through all VMs for each region: work of the fleet's size on every request. (3) An operator page named a field of the status that was not there. (4) The fake network posted a message in two places, of which one never doubled it; the benchmark of messages had a copy of the tests' settings; the VMs of a region were worked out in four places.

Change: Settings works out its region, regions, VMs by region and regions by service once; forwarding, placing, gossip and the VM use them. A VM chooses what to poll when VMs come or go. Status gives the age of each load report. One way to post in the fake network, one make_settings. The membership fake has the settings' new field.

--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -12,24 +12,20 @@
 
 import anyio
 
+from features.steps import peers as peer_steps
 from features.steps import polling as polling_steps
 from greengagegw.adapters import backend_http
 from greengagegw.adapters import peer_mesh
-from greengagegw import settings as settings_module
 from greengagegw import timers as timer_service
 from standins import engine
 
 from . import allowance_cost
 
-HOST = '127.80.9.1'
-OTHER_HOST = '127.80.9.2'
-PORT = 8082
 ENGINE_PORT = 9000
 COUNT = 2000
 PAUSE_SECONDS = 0.001
 POLLED_SECONDS = 10.0
 WARM_SECONDS = 6.0
-SECRET = 'a-secret-of-sixteen-or-more'  # noqa: S105
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,53 +70,18 @@
         self.thread.join()
 
 
-def make_settings(vm: str) -> settings_module.Settings:
-    peers = [
-        {
-            'vm': name,
-            'region': 'coastal',
-            'failure_domain': 'a',
-            'host': host,
-            'port': PORT,
-            'callers_url': 'http://127.0.0.1',
-            'disk': True,
-        }
-        for name, host in (('one', HOST), ('two', OTHER_HOST))
-    ]
-    return settings_module.check(
-        {
-            'deployment': 'bench',
-            'vm': vm,
-            'callers': {'host': HOST, 'port': 1},
-            'operators': {'host': HOST, 'port': 1},
-            'peers': peers,
-            'peer_secret': SECRET,
-            'data_folder': 'unused',
-            'backend_servers': [
-                {
-                    'name': 'engine',
-                    'service': 'model',
-                    'region': 'coastal',
-                    'url': f'http://{HOST}:{ENGINE_PORT}',
-                }
-            ],
-        },
-        vm,
-    )
-
-
 @contextlib.asynccontextmanager
 async def running_mesh(vm: str, host: str):
     """Runs the mesh of one VM, which answers ``echo``."""
     timers = timer_service.Timers()
-    mesh = peer_mesh.PeerMesh(make_settings(vm), timers)
+    mesh = peer_mesh.PeerMesh(peer_steps.make_settings(vm), timers)
 
     async def echo(peer, message):
         return message
 
     mesh.handlers.calls['echo'] = echo
     listener = await anyio.create_tcp_listener(
-        local_host=host, local_port=PORT
+        local_host=host, local_port=peer_steps.PORT
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(timers.run)
@@ -135,18 +96,18 @@
     message = [[123456789, 300, 20, False, 250]] * rows
 
     async def serve():
-        async with running_mesh('two', OTHER_HOST):
+        async with running_mesh('listener', peer_steps.HOST):
             await anyio.sleep_forever()
 
     async def send() -> float:
-        async with running_mesh('one', HOST) as mesh:
-            await mesh.call('two', 'echo', message)
+        async with running_mesh('dialler', peer_steps.OTHER_HOST) as mesh:
+            await mesh.call('listener', 'echo', message)
             before = time.thread_time()
             for _ in range(COUNT):
                 if is_answered:
-                    await mesh.call('two', 'echo', message)
+                    await mesh.call('listener', 'echo', message)
                 else:
-                    await mesh.notify('two', 'echo', message)
+                    await mesh.notify('listener', 'echo', message)
                     # Each one is to be read by itself, as in use.
                     await anyio.sleep(PAUSE_SECONDS)
             return time.thread_time() - before
@@ -160,10 +121,18 @@
     """Measures polls of a backend server's load."""
 
     async def serve():
-        await engine.Engine('engine', HOST, ENGINE_PORT).run()
+        await engine.Engine('engine', peer_steps.HOST, ENGINE_PORT).run()
 
     async def send() -> float:
-        settings = make_settings('one')
+        server = {
+            'name': 'engine',
+            'service': 'model',
+            'region': 'piedmont',
+            'url': f'http://{peer_steps.HOST}:{ENGINE_PORT}',
+        }
+        settings = peer_steps.make_settings(
+            'dialler', backend_servers=[server]
+        )
         timers = timer_service.Timers()
         port = backend_http.HttpBackend(
             settings.backend_servers[0],
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -112,6 +112,21 @@
                 raise errors.PeerUnreachableError(f'{vm} is down')
             return await handler(vm, message)
         reply = Reply()
+        self.post(vm, method, message, reply)
+        with network.timers.limit(timeout or 3.0):
+            await reply.done.wait()
+        if reply.error is not None:
+            raise reply.error
+        if not reply.done.is_set():
+            raise errors.PeerTimeoutError(f'{vm} did not answer')
+        return reply.value
+
+    async def notify(self, vm, method, message):
+        self.network.calls[method] += 1
+        self.post(vm, method, message, Reply())
+
+    def post(self, vm, method, message, reply):
+        network = self.network
         copies = 2 if network.rng.random() < network.faults.doubled else 1
         for _ in range(copies):
             if not network.loses(self.vm, vm):
@@ -123,26 +138,6 @@
                     _copy(message),
                     reply,
                 )
-        with network.timers.limit(timeout or 3.0):
-            await reply.done.wait()
-        if reply.error is not None:
-            raise reply.error
-        if not reply.done.is_set():
-            raise errors.PeerTimeoutError(f'{vm} did not answer')
-        return reply.value
-
-    async def notify(self, vm, method, message):
-        network = self.network
-        network.calls[method] += 1
-        if not network.loses(self.vm, vm):
-            network.tasks.start_soon(
-                network.deliver,
-                self.vm,
-                vm,
-                method,
-                _copy(message),
-                Reply(),
-            )
 
 
 def _copy(message):
--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -41,6 +41,10 @@
             region=vm.split('-')[0],
             peers=self.peers,
             regions=self.regions,
+            vms_by_region={
+                name: [peer.vm for peer in self.peers if peer.region == name]
+                for name in self.regions
+            },
         )
         member = gossip.Gossip(
             settings,
--- a/src/greengagegw/allowance/lease.py
+++ b/src/greengagegw/allowance/lease.py
@@ -5,6 +5,7 @@
 lease that it may have granted before has ended.
 """
 
+import collections.abc
 import contextlib
 import dataclasses
 import random
@@ -172,7 +173,8 @@
 
 
 def choose_voters(
-    region: str, vms_by_region: dict[str, list[str]]
+    region: str,
+    vms_by_region: collections.abc.Mapping[str, collections.abc.Sequence],
 ) -> tuple[str, ...]:
     """Returns the voters of a region's lease.
 
--- a/src/greengagegw/forwarding.py
+++ b/src/greengagegw/forwarding.py
@@ -67,7 +67,7 @@
     def choose_vms(self, region: str) -> list[str]:
         """Returns VMs of a region to try, those that answer first."""
         now = self.timers.now()
-        vms = self.vms_of(region)
+        vms = list(self.settings.vms_by_region.get(region, ()))
         self.rng.shuffle(vms)
         vms.sort(
             key=lambda vm: (
@@ -77,18 +77,15 @@
         )
         return vms[:VMS_TRIED]
 
-    def vms_of(self, region: str) -> list[str]:
-        return [
-            peer.vm for peer in self.settings.peers if peer.region == region
-        ]
-
     def is_doubted(self, region: str) -> bool:
         """Returns whether all VMs of a region have just been silent.
 
         News of the region that is younger than the silence ends the doubt.
         """
+        if not self.doubts.doubts:
+            return False
         now = self.timers.now()
-        vms = self.vms_of(region)
+        vms = self.settings.vms_by_region.get(region, ())
         if not all(self.doubts.is_doubted(vm, now) for vm in vms):
             return False
         summary = self.membership.summary_of(region)
--- a/src/greengagegw/membership/gossip.py
+++ b/src/greengagegw/membership/gossip.py
@@ -106,9 +106,7 @@
         self.vm = settings.vm
         self.region = settings.region
         self.started_at = timers.now()
-        self.mates = {
-            peer.vm for peer in settings.peers if peer.region == self.region
-        }
+        self.mates = set(settings.vms_by_region[self.region])
         self.region_of = {peer.vm: peer.region for peer in settings.peers}
         self.heartbeats = {
             self.vm: Heartbeat(int(timers.wall() * 1000), 0, False)
@@ -152,6 +150,10 @@
             return False
         return vm in summary.alive
 
+    def living_mates(self) -> list[str]:
+        """Returns the VMs of this region that are alive, this one too."""
+        return [vm for vm in sorted(self.mates) if self.is_alive(vm)]
+
     def takes_callers(self, vm: str) -> bool:
         """Returns whether callers may be sent to a VM."""
         heartbeat = self.heartbeats.get(vm)
@@ -315,7 +317,7 @@
 
     def summarise(self) -> None:
         """Writes the region's summary, on the first VM that is alive."""
-        near = sorted(vm for vm in self.mates if self.is_alive(vm))
+        near = self.living_mates()
         if near[0] != self.vm and self.is_known(near[0]):
             return
         known = self.summaries.get(self.region)
--- a/src/greengagegw/placing.py
+++ b/src/greengagegw/placing.py
@@ -120,11 +120,7 @@
     def plan(self, order: running.Order, row: tables.Row) -> list[str]:
         """Returns the regions to try, in their order."""
         service = order.call.service
-        having = {
-            one.region
-            for one in self.settings.backend_servers
-            if one.service == service
-        }
+        having = self.settings.regions_by_service.get(service, frozenset())
         if row.bound:
             return [row.home] if row.home in having else []
         first = row.home or self.region
--- a/src/greengagegw/polling.py
+++ b/src/greengagegw/polling.py
@@ -57,6 +57,8 @@
             for service in known.services.values()
             for runner in service.runners
         }
+        self.sharers: frozenset[str] = frozenset()
+        self.mine: set[str] = set()
         self.fresh: set[str] = set()
         self.urgent = anyio.Event()
         self.started_at = timers.now()
@@ -67,6 +69,7 @@
 
     async def run(self) -> None:
         """Polls, one task for each backend server, and tells the others."""
+        self.share_out()
         async with anyio.create_task_group() as tasks:
             for name in self.known.by_name:
                 tasks.start_soon(self.follow, name)
@@ -91,7 +94,19 @@
         heard_at = report.at if report else self.started_at
         if self.timers.now() - heard_at > STALE_SECONDS:
             return True
-        return choose_poller(name, {self.vm, *self.mates()}) == self.vm
+        return name in self.mine
+
+    def share_out(self) -> None:
+        """Chooses anew what this VM polls, when VMs came or went."""
+        sharers = frozenset({self.vm, *self.mates()})
+        if sharers == self.sharers:
+            return
+        self.sharers = sharers
+        self.mine = {
+            name
+            for name in self.known.by_name
+            if choose_poller(name, sharers) == self.vm
+        }
 
     async def poll(self, name: str) -> None:
         runner = self.known.by_name[name]
@@ -116,10 +131,11 @@
                 with self.timers.limit(TELL_SECONDS):
                     await self.urgent.wait()
                 self.urgent = anyio.Event()
+                self.share_out()
                 rows = self.describe()
                 if not rows:
                     continue
-                for vm in self.mates():
+                for vm in sorted(self.sharers):
                     if vm != self.vm:
                         tasks.start_soon(self.tell, vm, rows)
 
--- a/src/greengagegw/settings.py
+++ b/src/greengagegw/settings.py
@@ -1,6 +1,7 @@
 """Checked settings of one VM, read from a YAML file."""
 
 import dataclasses
+import functools
 import pathlib
 import typing
 
@@ -157,19 +158,39 @@
             raise ValueError('\n'.join(problems))
         return self
 
-    @property
+    # Looked up for each request, so worked out once.
+
+    @functools.cached_property
     def me(self) -> Peer:
         return next(peer for peer in self.peers if peer.vm == self.vm)
 
-    @property
+    @functools.cached_property
     def region(self) -> str:
         return self.me.region
 
-    @property
+    @functools.cached_property
     def regions(self) -> tuple[str, ...]:
         """Every region with a VM, in alphabetical order."""
         return tuple(sorted({peer.region for peer in self.peers}))
 
+    @functools.cached_property
+    def vms_by_region(self) -> dict[str, tuple[str, ...]]:
+        """The names of each region's VMs, in the order of the file."""
+        return {
+            region: tuple(
+                peer.vm for peer in self.peers if peer.region == region
+            )
+            for region in self.regions
+        }
+
+    @functools.cached_property
+    def regions_by_service(self) -> dict[str, frozenset[str]]:
+        """The regions in which a service has backend servers."""
+        found: dict[str, set[str]] = {}
+        for one in self.backend_servers:
+            found.setdefault(one.service, set()).add(one.region)
+        return {name: frozenset(regions) for name, regions in found.items()}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Problem:
--- a/src/greengagegw/status.py
+++ b/src/greengagegw/status.py
@@ -49,6 +49,9 @@
                 'leaving': runner.is_leaving,
                 'ejected': runner.ejected_until > now,
                 'load': round(runner.load(now), 2),
+                'report_age_seconds': (
+                    round(now - runner.report.at, 2) if runner.report else None
+                ),
                 'room': round(runner.room(now), 2),
             }
             for runner in vm.runners.by_name.values()
--- a/src/greengagegw/vm.py
+++ b/src/greengagegw/vm.py
@@ -83,9 +83,7 @@
 
     def vms_of(self, region: str) -> list[str]:
         """Returns the VMs of a region, those thought alive first."""
-        vms = [
-            peer.vm for peer in self.settings.peers if peer.region == region
-        ]
+        vms = self.settings.vms_by_region[region]
         return sorted(vms, key=lambda vm: not self.membership.is_alive(vm))
 
     def add_handlers(self, part: typing.Any) -> None:
@@ -145,11 +143,7 @@
             self.runners,
             self.mesh,
             self.timers,
-            lambda: [
-                vm
-                for vm in self.vms_of(self.settings.region)
-                if self.membership.is_alive(vm)
-            ],
+            self.membership.living_mates,
         )
         self.add_handlers(self.polling)
 
@@ -201,9 +195,7 @@
         return replica is not None and replica.is_in_touch
 
     def build_allowance(self) -> None:
-        by_region: dict[str, list[str]] = {}
-        for peer in self.settings.peers:
-            by_region.setdefault(peer.region, []).append(peer.vm)
+        by_region = self.settings.vms_by_region
         self.leases: list[leases.RegionLease] = []
         for region in self.settings.regions:
             voters = leases.choose_voters(region, by_region)
