--- /dev/null
+++ b/deploy/greengagegw.py
@@ -0,0 +1,11 @@
+"""Runs the ``greengagegw`` command from a checkout."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / 'src'))
+
+from greengagegw.cli import main  # noqa: E402
+
+if __name__ == '__main__':
+    main.main()
--- a/src/greengagegw/adapters/backend_http.py
+++ b/src/greengagegw/adapters/backend_http.py
@@ -5,7 +5,6 @@
 import ssl
 import typing
 
-import httpcore
 import httpx
 import orjson
 
@@ -34,17 +33,6 @@
         'retry-after',
     }
 )
-CONNECT_ERRORS = (
-    httpcore.ConnectError,
-    httpcore.ConnectTimeout,
-    httpcore.PoolTimeout,
-)
-HTTP_ERRORS = (
-    httpx.HTTPError,
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-)
 
 
 class HttpBackend:
@@ -148,11 +136,11 @@
         try:
             with self.timers.limit(self.timeouts.first_byte_seconds):
                 response = await client.send(request, stream=True)
-        except CONNECT_ERRORS as error:
+        except backend_transport.CONNECT_ERRORS as error:
             raise errors.BackendConnectError(
                 f'{self.name} cannot be reached', retry_after=1
             ) from error
-        except HTTP_ERRORS as error:
+        except backend_transport.HTTP_ERRORS as error:
             raise errors.BackendError(
                 f'{self.name} broke the connection before it answered'
             ) from error
@@ -207,7 +195,7 @@
                 watch.pause()
                 yield chunk
                 watch.go_on()
-        except HTTP_ERRORS as error:
+        except backend_transport.HTTP_ERRORS as error:
             if not watch.has_broken_off:
                 raise errors.BrokenStreamError(
                     f'the answer of {self.name} broke off'
@@ -235,7 +223,7 @@
                 int(report['waiting']),
                 bool(report.get('leaving', False)),
             )
-        except HTTP_ERRORS + (
+        except backend_transport.HTTP_ERRORS + (
             ValueError,
             KeyError,
             TypeError,
--- a/src/greengagegw/adapters/backend_transport.py
+++ b/src/greengagegw/adapters/backend_transport.py
@@ -25,6 +25,18 @@
     OSError,
 )
 
+CONNECT_ERRORS = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+)
+HTTP_ERRORS = (
+    httpx.HTTPError,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
 
 class Stream(httpcore.AsyncNetworkStream):
     """One connection, over TCP or TLS."""
--- a/src/greengagegw/adapters/entry.py
+++ b/src/greengagegw/adapters/entry.py
@@ -1,11 +1,9 @@
 """The callers' side over HTTP, as an ASGI application."""
 
 import collections.abc
-import contextlib
 import typing
 import uuid
 
-import anyio
 import eliot
 import orjson
 
@@ -13,21 +11,14 @@
 from .. import gateway as gateways
 from .. import settings as settings_module
 from .. import timers as timer_service
+from . import asgi
 from ..ports import backends
 from ..ports import callers
 
-Receive = collections.abc.Callable[[], collections.abc.Awaitable[dict]]
-Send = collections.abc.Callable[[dict], collections.abc.Awaitable[None]]
 HEALTH_PATHS = ('/healthz', '/readyz')
-DRAIN_BYTES = 16 * 1024 * 1024
-DRAIN_SECONDS = 1.0
 SSE_TYPE = 'text/event-stream'
 
 
-class CallerGone(Exception):  # noqa: N818
-    """The caller closed the connection before it had its answer."""
-
-
 class Entry:
     """Answers callers on one VM.
 
@@ -47,14 +38,16 @@
         self.is_ready = is_ready
 
     async def __call__(
-        self, scope: dict, receive: Receive, send: Send
+        self, scope: dict, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         if scope['type'] == 'lifespan':
-            await serve_lifespan(receive, send)
+            await asgi.serve_lifespan(receive, send)
         elif scope['type'] == 'http':
             await self.serve(scope, receive, send)
 
-    async def serve(self, scope: dict, receive: Receive, send: Send) -> None:
+    async def serve(
+        self, scope: dict, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
         """Answers one request."""
         if scope['path'] in HEALTH_PATHS:
             await self.answer_health(scope['path'], send)
@@ -63,7 +56,7 @@
         reply = Reply(send, request_id)
         try:
             await self.answer(scope, receive, reply, request_id)
-        except CallerGone:
+        except asgi.CallerGone:
             pass
         except errors.GatewayError as error:
             await reply.fail(error)
@@ -73,84 +66,35 @@
             await reply.fail(error)
 
     async def answer(
-        self, scope: dict, receive: Receive, reply: 'Reply', request_id: str
+        self,
+        scope: dict,
+        receive: asgi.Receive,
+        reply: 'Reply',
+        request_id: str,
     ) -> None:
-        check_head(scope, self.settings.limits.header_bytes)
-        try:
-            body = await self.read_body(scope, receive)
-        except errors.BodyTooLargeError:
-            await self.drain(receive)
-            raise
+        limits = self.settings.limits
+        asgi.check_head(scope, limits.header_bytes)
+        body = await asgi.read_body(
+            scope,
+            receive,
+            limits.body_bytes,
+            self.timers,
+            self.settings.timeouts.body_seconds,
+        )
         request = make_request(scope, body, request_id)
-        is_finished = False
-        is_gone = False
-        with anyio.CancelScope() as handling:
-
-            async def watch_caller() -> None:
-                nonlocal is_gone
-                while True:
-                    message = await receive()
-                    if message['type'] == 'http.disconnect':
-                        is_gone = not is_finished
-                        handling.cancel()
-                        return
 
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(watch_caller)
-                try:
-                    async with self.gateway.handle(request) as answer:
-                        await reply.send_answer(answer)
-                    is_finished = True
-                except errors.GatewayError as error:
-                    await reply.fail(error)
-                tasks.cancel_scope.cancel()
-        if is_gone:
-            raise CallerGone
+        async def handle() -> None:
+            try:
+                async with self.gateway.handle(request) as answer:
+                    await reply.send_answer(answer)
+            except errors.GatewayError as error:
+                await reply.fail(error)
 
-    async def read_body(self, scope: dict, receive: Receive) -> bytes:
-        """Returns the body of a request.
+        await asgi.run_until_gone(receive, handle)
 
-        :raises BodyTooLargeError: before more than the limit is held.
-        :raises SlowRequestError: if it does not arrive in time.
-        """
-        limit = self.settings.limits.body_bytes
-        check_length(scope, limit)
-        parts = []
-        size = 0
-        is_whole = False
-        with self.timers.limit(self.settings.timeouts.body_seconds):
-            while not is_whole:
-                message = await receive()
-                if message['type'] == 'http.disconnect':
-                    raise CallerGone
-                parts.append(message.get('body', b''))
-                size += len(parts[-1])
-                if size > limit:
-                    raise errors.BodyTooLargeError(
-                        f'the body is over {limit} bytes'
-                    )
-                is_whole = not message.get('more_body', False)
-        if not is_whole:
-            raise errors.SlowRequestError('the body did not arrive in time')
-        return b''.join(parts)
-
-    async def drain(self, receive: Receive) -> None:
-        """Reads on for a little while after a body was refused.
-
-        A connection that is closed with unread bytes is reset, and then
-        the caller may never see why it was refused.
-        """
-        size = 0
-        with self.timers.limit(DRAIN_SECONDS):
-            while size < DRAIN_BYTES:
-                message = await receive()
-                size += len(message.get('body', b''))
-                if not message.get('more_body', False):
-                    return
-
-    async def answer_health(self, path: str, send: Send) -> None:
+    async def answer_health(self, path: str, send: asgi.Send) -> None:
         is_good = path == '/healthz' or self.is_ready()
-        await send_whole(
+        await asgi.send_whole(
             send,
             200 if is_good else 503,
             [(b'content-type', b'text/plain')],
@@ -161,7 +105,7 @@
 class Reply:
     """The answer on its way to a caller."""
 
-    def __init__(self, send: Send, request_id: str) -> None:
+    def __init__(self, send: asgi.Send, request_id: str) -> None:
         self.send = send
         self.request_id = request_id
         self.is_started = False
@@ -189,20 +133,11 @@
         )
         self.is_started = True
         if first:
-            await self.send_chunk(first)
+            await asgi.send_chunk(self.send, first)
         async for chunk in answer.chunks:
-            await self.send_chunk(chunk)
+            await asgi.send_chunk(self.send, chunk)
         await self.send({'type': 'http.response.body', 'body': b''})
 
-    async def send_chunk(self, chunk: bytes) -> None:
-        await self.send(
-            {
-                'type': 'http.response.body',
-                'body': chunk,
-                'more_body': True,
-            }
-        )
-
     async def fail(self, error: errors.GatewayError) -> None:
         """Tells the caller of a failure.
 
@@ -212,7 +147,7 @@
         """
         body = orjson.dumps(describe(error, self.request_id))
         if not self.is_started:
-            await send_whole(
+            await asgi.send_whole(
                 self.send, error.status, error_headers(error), body
             )
         elif self.is_stream:
@@ -222,17 +157,6 @@
             raise error
 
 
-async def send_whole(
-    send: Send, status: int, headers: list[tuple[bytes, bytes]], body: bytes
-) -> None:
-    """Sends an answer whose body is at hand."""
-    headers = [*headers, (b'content-length', str(len(body)).encode())]
-    await send(
-        {'type': 'http.response.start', 'status': status, 'headers': headers}
-    )
-    await send({'type': 'http.response.body', 'body': body})
-
-
 def error_headers(error: errors.GatewayError) -> list[tuple[bytes, bytes]]:
     headers = [(b'content-type', b'application/json')]
     if error.retry_after is not None:
@@ -264,21 +188,6 @@
     }
 
 
-def check_head(scope: dict, limit: int) -> None:
-    """Refuses a request whose head is too large."""
-    size = len(scope['raw_path']) + len(scope['query_string'])
-    size += sum(len(name) + len(value) for name, value in scope['headers'])
-    if size > limit:
-        raise errors.HeadTooLargeError(f'the head is over {limit} bytes')
-
-
-def check_length(scope: dict, limit: int) -> None:
-    """Refuses a request that announces too large a body."""
-    for name, value in scope['headers']:
-        if name == b'content-length' and int(value) > limit:
-            raise errors.BodyTooLargeError(f'the body is over {limit} bytes')
-
-
 def make_request(
     scope: dict, body: bytes, request_id: str
 ) -> callers.CallerRequest:
@@ -315,13 +224,3 @@
     if len(found) > 1:
         raise errors.BadRequestError('different keys are presented')
     return found.pop() if found else ''
-
-
-async def serve_lifespan(receive: Receive, send: Send) -> None:
-    """Answers the start and stop messages of the server."""
-    with contextlib.suppress(anyio.EndOfStream):
-        while True:
-            message = await receive()
-            await send({'type': f'{message["type"]}.complete'})
-            if message['type'] == 'lifespan.shutdown':
-                return
--- a/src/greengagegw/adapters/operator_http.py
+++ b/src/greengagegw/adapters/operator_http.py
@@ -13,6 +13,7 @@
 from .. import metrics as metric_sets
 from .. import settings as settings_module
 from .. import table as tables
+from . import asgi
 from ..control import operations as operation_sets
 from ..control import view as views
 from . import entry
@@ -65,10 +66,10 @@
         }
 
     async def __call__(
-        self, scope: dict, receive: entry.Receive, send: entry.Send
+        self, scope: dict, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         if scope['type'] == 'lifespan':
-            await entry.serve_lifespan(receive, send)
+            await asgi.serve_lifespan(receive, send)
         elif scope['type'] == 'http':
             try:
                 response = await self.answer(scope, receive)
@@ -80,11 +81,11 @@
                 response = describe_error(failure)
             headers = [(b'content-type', response.content_type.encode())]
             headers += response.headers
-            await entry.send_whole(
+            await asgi.send_whole(
                 send, response.status, headers, response.body
             )
 
-    async def answer(self, scope: dict, receive: entry.Receive) -> Response:
+    async def answer(self, scope: dict, receive: asgi.Receive) -> Response:
         method, path = scope['method'], scope['path']
         if path in entry.HEALTH_PATHS:
             return self.answer_health(path)
@@ -177,7 +178,7 @@
         )
 
 
-async def read_body(receive: entry.Receive) -> bytes:
+async def read_body(receive: asgi.Receive) -> bytes:
     parts = []
     size = 0
     while True:
--- a/src/greengagegw/adapters/peer_mesh.py
+++ b/src/greengagegw/adapters/peer_mesh.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import dataclasses
 import typing
 
 import anyio
@@ -9,34 +10,88 @@
 import eliot
 
 from .. import errors
-from .. import settings as settings_module
 from .. import timers as timer_service
 from . import frames
 from . import handshake
 from . import peer_connection
 from . import peer_stream
 
+if typing.TYPE_CHECKING:
+    from .. import settings as settings_module
+
 # After a failed dial, further calls fail at once for this long.
 REDIAL_SECONDS = 0.25
 IDLE_CLOSE_SECONDS = 60.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MeshLimits:
+    frame_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MeshTimeouts:
+    """Seconds."""
+
+    connect_seconds: float
+    peer_call_seconds: float
+    heartbeat_seconds: float
+    peer_silence_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MeshSettings:
+    """What a mesh needs to know where no settings file lists the VMs."""
+
+    vm: str
+    deployment: str
+    peer_secret: str
+    limits: MeshLimits
+    timeouts: MeshTimeouts
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """Where a peer listens."""
+
+    vm: str
+    host: str
+    port: int
+
+
+def find_by_name(vm: str) -> Address | None:
+    """Returns the address of a VM whose name is ``host:port``."""
+    host, _, port = vm.rpartition(':')
+    if not host or not port.isdigit():
+        return None
+    return Address(vm, host, int(port))
+
+
 class PeerMesh:
     """The peer port over msgpack streams.
 
     A VM dials a peer once and shares the connection; the connection that
     the peer dialled in the other direction is a separate one.
+
+    :param find_peer: returns where a VM listens; by default only the VMs
+        that the settings list are peers.
     """
 
     def __init__(
         self,
-        settings: settings_module.Settings,
+        settings: 'settings_module.Settings | MeshSettings',
         timers: timer_service.Timers,
+        find_peer: collections.abc.Callable[
+            [str], 'settings_module.Peer | Address | None'
+        ]
+        | None = None,
     ) -> None:
         self.settings = settings
         self.timers = timers
         self.handlers = peer_connection.Handlers()
-        self.peers = {peer.vm: peer for peer in settings.peers}
+        if find_peer is None:
+            find_peer = {peer.vm: peer for peer in settings.peers}.get
+        self.find_peer = find_peer
         self.dialled: dict[str, peer_connection.Connection] = {}
         self.accepted: set[peer_connection.Connection] = set()
         self.locks: dict[str, anyio.Lock] = {}
@@ -64,7 +119,7 @@
                     self.settings.vm,
                     self.settings.peer_secret,
                 )
-            if peer is not None and peer not in self.peers:
+            if peer is not None and self.find_peer(peer) is None:
                 raise errors.PeerAuthenticationError(f'{peer!r} is no peer')
         except errors.PeerError as error:
             eliot.log_message('peer:refused', code=error.code)
@@ -127,7 +182,7 @@
             return await self.dial(vm)
 
     async def dial(self, vm: str) -> peer_connection.Connection:
-        peer = self.peers.get(vm)
+        peer = self.find_peer(vm)
         if peer is None or self.tasks is None:
             raise errors.PeerUnreachableError(f'{vm} is not a peer')
         connection = None
@@ -151,7 +206,7 @@
         return connection
 
     async def shake_hands(
-        self, peer: settings_module.Peer
+        self, peer: 'settings_module.Peer | Address'
     ) -> peer_connection.Connection:
         socket = await self.connect_socket(str(peer.host), peer.port)
         reader = frames.FrameReader(socket, self.settings.limits.frame_bytes)
--- a/src/greengagegw/adapters/servers.py
+++ b/src/greengagegw/adapters/servers.py
@@ -1,34 +1,42 @@
 """Runs an ASGI application with hypercorn."""
 
 import collections.abc
+import dataclasses
 import typing
 
 import anyio
 import hypercorn.asyncio
 import hypercorn.config
 
-from .. import settings as settings_module
-
 KEEP_ALIVE_REQUESTS = 100000
 BACKLOG = 1024
 # What a server that is cancelled gives its requests.
 ABORT_SECONDS = 0.01
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerSettings:
+    """What a server allows; times in seconds."""
+
+    header_bytes: int
+    idle_seconds: float
+    stop_seconds: float
+
+
 async def serve(
     application: typing.Any,
-    listener: settings_module.Listener,
-    settings: settings_module.Settings,
+    address: tuple[str, int],
+    settings: ServerSettings,
     stop: collections.abc.Callable[[], collections.abc.Awaitable[typing.Any]],
 ) -> None:
     """Serves until ``stop`` returns and every request has ended."""
-    host, port = listener.address
+    host, port = address
     config = hypercorn.config.Config()
     config.bind = [f'[{host}]:{port}' if ':' in host else f'{host}:{port}']
-    config.h11_max_incomplete_size = settings.limits.header_bytes
-    config.keep_alive_timeout = settings.timeouts.idle_seconds
+    config.h11_max_incomplete_size = settings.header_bytes
+    config.keep_alive_timeout = settings.idle_seconds
     config.keep_alive_max_requests = KEEP_ALIVE_REQUESTS
-    config.graceful_timeout = settings.timeouts.stop_seconds
+    config.graceful_timeout = settings.stop_seconds
     config.backlog = BACKLOG
     config.include_server_header = False
     config.alpn_protocols = ['http/1.1']
--- a/src/greengagegw/cli/main.py
+++ b/src/greengagegw/cli/main.py
@@ -1,5 +1,6 @@
 """The ``greengagegw`` command."""
 
+import importlib
 import typing
 
 import click
@@ -7,16 +8,34 @@
 
 from .. import __version__
 from .. import errors
-from . import keys
-from . import report
-from . import serve
-from . import status
-from . import table
+
+# Modules by command. Only the one that runs is imported, since a VM's
+# memory counts.
+COMMANDS = {
+    'check': 'serve',
+    'keys': 'keys',
+    'platform': 'platform',
+    'report': 'report',
+    'serve': 'serve',
+    'status': 'status',
+    'table': 'table',
+}
 
 
 class Group(click.Group):
     """A group that turns the gateway's errors into exit codes."""
 
+    def list_commands(self, context: click.Context) -> list[str]:
+        return sorted([*super().list_commands(context), *COMMANDS])
+
+    def get_command(
+        self, context: click.Context, name: str
+    ) -> click.Command | None:
+        if name not in COMMANDS:
+            return super().get_command(context, name)
+        module = importlib.import_module(f'.{COMMANDS[name]}', __package__)
+        return getattr(module, name)
+
     def invoke(self, context: click.Context) -> typing.Any:
         try:
             return super().invoke(context)
@@ -58,12 +77,5 @@
         click.echo(__version__)
 
 
-main.add_command(serve.serve)
-main.add_command(serve.check)
-main.add_command(table.table)
-main.add_command(keys.keys)
-main.add_command(status.status)
-main.add_command(report.report)
-
 if __name__ == '__main__':
     main()
--- /dev/null
+++ b/src/greengagegw/cli/platform.py
@@ -0,0 +1,34 @@
+"""Commands that run a VM on the Guild's platform."""
+
+import functools
+import time
+
+import anyio
+import click
+
+from .. import logs
+from ..platform import roles
+from ..platform import settings as platform_settings
+
+ROLES = {'entry': roles.run_entry, 'control': roles.run_control}
+
+
+@click.command()
+@click.argument('role', type=click.Choice(sorted(ROLES)))
+@click.option(
+    '--settings',
+    'file',
+    type=click.Path(dir_okay=False),
+    help="The platform's file; by default the one that it names itself.",
+)
+def platform(role: str, file: str | None) -> None:
+    """Runs an entry VM or a control VM on the Guild's platform."""
+    log = logs.start(time.monotonic)
+    try:
+        settings = platform_settings.read(file)
+        anyio.run(
+            functools.partial(ROLES[role], settings),
+            backend_options={'use_uvloop': True},
+        )
+    finally:
+        log.stop()
--- a/src/greengagegw/errors.py
+++ b/src/greengagegw/errors.py
@@ -126,6 +126,17 @@
     code = 'service_ended'
 
 
+class ConfigurationError(NotRunError):
+    """A configuration was refused; ``problems`` lists everything wrong."""
+
+    status = 400
+    code = 'bad_configuration'
+
+    def __init__(self, problems: tuple) -> None:
+        super().__init__('; '.join(problems))
+        self.problems = problems
+
+
 class BodyTooLargeError(NotRunError):
     status = 413
     code = 'body_too_large'
@@ -174,6 +185,12 @@
     code = 'not_ready'
 
 
+class LeaseError(UnavailableError):
+    """It cannot be told whether the key was revoked."""
+
+    code = 'lease_expired'
+
+
 class StoppingError(UnavailableError):
     code = 'stopping'
 
@@ -217,6 +234,12 @@
     code = 'backend_refused'
 
 
+class WrongInstanceError(BackendRefusedError):
+    """Another backend server answers at the address now."""
+
+    code = 'wrong_instance'
+
+
 class BackendStatusError(BackendError):
     """The backend server answered with a status of failure."""
 
--- /dev/null
+++ b/src/greengagegw/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""A deployment whose VMs come and go, and find each other through seeds."""
--- /dev/null
+++ b/src/greengagegw/fleet/quota.py
@@ -0,0 +1,269 @@
+"""Rates and bursts of organisations over all entry VMs.
+
+The leader of the control group holds one bucket for each organisation and
+hands out short grants; what was handed out counts as spent until it comes
+back, so no window holds more than the rate and the burst allow.
+"""
+
+import collections.abc
+import dataclasses
+import typing
+
+import anyio
+import eliot
+
+from .. import errors
+from .. import timers as timer_service
+from ..allowance import bucket as buckets
+from ..allowance import purse as purses
+from . import configuration as configurations
+from . import timing
+
+# Retry-After of a refusal when nothing is known of the bucket.
+DEFAULT_RETRY_SECONDS = 1.0
+LONGEST_RETRY_SECONDS = 4.0
+# How long a request may wait for a grant: a small part of the shortest
+# latency objectives in use, 0.45 s, with a round trip between regions.
+WAIT_SECONDS = 0.3
+# Without a leader a VM goes on at the rate at which it was granted tokens,
+# so that all VMs together stay at what the bucket had allowed.
+OUTAGE_SECONDS = 6.0
+
+
+class Grantor:
+    """Hands out tokens while this VM leads the control group."""
+
+    def __init__(self, timers: timer_service.Timers) -> None:
+        self.timers = timers
+        self.buckets: dict[str, buckets.Bucket] = {}
+        self.epoch = 0
+
+    def begin(self, epoch: int) -> None:
+        """Starts anew with empty buckets when leadership has changed."""
+        if epoch != self.epoch:
+            self.epoch = epoch
+            self.buckets.clear()
+
+    def take(
+        self,
+        configuration: configurations.Configuration,
+        wanted: dict[str, list],
+        returned: list[list],
+    ) -> dict[str, list]:
+        """Returns a grant for each organisation that has enough.
+
+        :param wanted: least and most tokens by organisation.
+        :param returned: organisation, epoch, number and tokens spent of the
+            grants that have ended.
+        :returns: number and tokens; number 0 comes with the seconds until
+            there will be enough.
+        """
+        now = self.timers.now()
+        for name, epoch, number, spent in returned:
+            if epoch == self.epoch and name in self.buckets:
+                self.buckets[name].settle(number, spent)
+        granted = {}
+        for name, (least, most) in wanted.items():
+            organisation = configuration.organisations.get(name)
+            if organisation is None or not organisation.is_limited:
+                continue
+            bucket = self.find_bucket(organisation, now)
+            grant = bucket.take(least, most, now, timing.GRANT_SECONDS)
+            if grant is None:
+                lacking = max(0.0, least - bucket.level)
+                granted[name] = [0, lacking / organisation.rate]
+            else:
+                granted[name] = [grant.number, grant.tokens]
+        return granted
+
+    def find_bucket(
+        self, organisation: configurations.Organisation, now: float
+    ) -> buckets.Bucket:
+        rate = organisation.rate
+        burst = organisation.burst or rate
+        bucket = self.buckets.get(organisation.name)
+        if bucket is None:
+            bucket = buckets.Bucket(rate, burst, now)
+            self.buckets[organisation.name] = bucket
+        elif (bucket.rate, bucket.burst) != (rate, burst):
+            bucket.change(rate, burst, now)
+        return bucket
+
+
+@dataclasses.dataclass(slots=True)
+class Account:
+    """What an entry VM holds of one organisation's tokens.
+
+    :ivar granted_rate: tokens a second spent lately.
+    :ivar reserve: tokens that may be spent while no leader answers.
+    """
+
+    purse: purses.Purse
+    granted_rate: float = 0.0
+    reserve: float = 0.0
+    updated_at: float = 0.0
+
+
+Ask = collections.abc.Callable[
+    [dict[str, list], list[list]],
+    collections.abc.Awaitable[tuple[int, dict[str, list]]],
+]
+
+
+class Wallet:
+    """Spends tokens on an entry VM, asking the leader for more.
+
+    :param ask: hands wishes and ended grants to the leader, and returns its
+        epoch and the grants.
+    """
+
+    def __init__(self, timers: timer_service.Timers, ask: Ask) -> None:
+        self.timers = timers
+        self.ask = ask
+        self.accounts: dict[str, Account] = {}
+        self.returned: list[list] = []
+        self.retry_after: dict[str, float] = {}
+        self.asked_at = -OUTAGE_SECONDS
+        self.answered_at = -OUTAGE_SECONDS
+        self.fetching = anyio.Lock()
+
+    def find_account(self, name: str) -> Account:
+        account = self.accounts.get(name)
+        if account is None:
+            now = self.timers.now()
+            account = Account(purses.Purse(now), updated_at=now)
+            self.accounts[name] = account
+        return account
+
+    async def spend(self, name: str, tokens: float) -> None:
+        """Takes the tokens of one request.
+
+        :raises RateLimitError: if the organisation is over its rate.
+        :raises UnavailableError: if no leader can tell.
+        """
+        account = self.find_account(name)
+        now = self.timers.now()
+        account.purse.note_demand(tokens, now)
+        if self.spend_held(account, tokens):
+            return
+        account.purse.waiting_tokens += tokens
+        is_answered = False
+        try:
+            with self.timers.limit(WAIT_SECONDS):
+                is_answered = await self.fetch()
+        finally:
+            account.purse.waiting_tokens -= tokens
+        if self.spend_held(account, tokens):
+            return
+        if is_answered:
+            seconds = self.retry_after.get(name, DEFAULT_RETRY_SECONDS)
+            raise errors.RateLimitError(
+                f'{name} is over its rate',
+                retry_after=min(LONGEST_RETRY_SECONDS, max(0.1, seconds)),
+            )
+        if self.spend_reserve(account, tokens):
+            return
+        raise errors.UnavailableError(
+            'the rate cannot be checked', retry_after=DEFAULT_RETRY_SECONDS
+        )
+
+    def give_back(self, name: str, tokens: float) -> None:
+        """Returns the tokens of a request that was not sent."""
+        purse = self.find_account(name).purse
+        now = self.timers.now()
+        for held in purse.held:
+            if held.until > now:
+                held.left = min(held.tokens, held.left + tokens)
+                return
+
+    def spend_held(self, account: Account, tokens: float) -> bool:
+        now = self.timers.now()
+        if account.purse.spend(tokens, now) is None:
+            return False
+        elapsed = now - account.updated_at
+        account.updated_at = now
+        keep = max(0.0, 1.0 - elapsed / purses.DEMAND_SECONDS)
+        account.granted_rate *= keep
+        account.granted_rate += tokens / purses.DEMAND_SECONDS
+        account.reserve = max(account.purse.usual_tokens, account.granted_rate)
+        return True
+
+    def spend_reserve(self, account: Account, tokens: float) -> bool:
+        """Spends at the rate granted before, while no leader answers."""
+        now = self.timers.now()
+        if now - self.answered_at > OUTAGE_SECONDS:
+            return False
+        elapsed = now - account.updated_at
+        account.updated_at = now
+        account.reserve = min(
+            max(account.purse.usual_tokens, account.granted_rate),
+            account.reserve + account.granted_rate * elapsed,
+        )
+        if account.reserve < tokens:
+            return False
+        account.reserve -= tokens
+        return True
+
+    async def run(self) -> None:
+        """Keeps tokens at hand for what usually comes."""
+        while True:
+            await self.timers.sleep(timing.POLL_SECONDS)
+            if self.list_wishes(self.timers.now()) or self.returned:
+                await self.fetch()
+
+    def list_wishes(self, now: float) -> dict[str, list]:
+        wishes = {}
+        for name, account in self.accounts.items():
+            purse = account.purse
+            purse.decay(now)
+            least = max(0.0, purse.waiting_tokens - purse.available(now))
+            ahead = purse.wanted_ahead + purse.waiting_tokens
+            most = ahead - purse.available(now)
+            if most > 0 and (least > 0 or most > ahead / 2):
+                wishes[name] = [max(1.0, least), max(most, least, 1.0)]
+        return wishes
+
+    async def fetch(self) -> bool:
+        """Asks the leader once, and returns whether it answered."""
+        asked_for = self.timers.now()
+        async with self.fetching:
+            if self.asked_at > asked_for and self.answered_at > asked_for:
+                return True
+            now = self.asked_at = self.timers.now()
+            wishes = self.list_wishes(now)
+            returned, self.returned = self.returned, []
+            for name, account in self.accounts.items():
+                self.end_grants(name, account.purse, now, returned)
+            if not wishes and not returned:
+                return True
+            try:
+                epoch, grants = await self.ask(wishes, returned)
+            except errors.GatewayError as error:
+                eliot.log_message('quota:no_leader', code=error.code)
+                return False
+            self.answered_at = self.timers.now()
+            self.take_in(epoch, grants, now)
+            return True
+
+    def end_grants(
+        self, name: str, purse: purses.Purse, now: float, returned: list
+    ) -> None:
+        """Gives back what is left of the grants that have run out."""
+        for held in [one for one in purse.held if one.until <= now]:
+            purse.held.remove(held)
+            spent = held.tokens - held.left
+            returned.append([name, int(held.region), held.number, spent])
+
+    def take_in(
+        self, epoch: int, grants: dict[str, typing.Any], asked_at: float
+    ) -> None:
+        for name, (number, tokens) in grants.items():
+            if not number:
+                self.retry_after[name] = tokens
+                continue
+            # The grant ends here before the leader counts it as spent.
+            until = asked_at + timing.GRANT_SECONDS
+            held = purses.Held(
+                str(epoch), name, number, tokens, tokens, asked_at, until
+            )
+            self.find_account(name).purse.held.append(held)
--- /dev/null
+++ b/src/greengagegw/fleet/timing.py
@@ -0,0 +1,19 @@
+"""How long the VMs of a fleet wait for each other, in seconds."""
+
+# An entry VM that missed four polls leaves the directory well before the
+# platform's tightest bound on stale answers, which is 8 s.
+POLL_SECONDS = 0.5
+ROSTER_SILENCE_SECONDS = 2.2
+# A poll may need two round trips between regions of 0.11 s and a sync.
+POLL_CALL_SECONDS = 0.8
+CONFIRM_SECONDS = 0.6
+# Two reads, the list's own lag and a poll fit a drain bound of 5 s twice.
+LIST_SECONDS = 0.7
+LIST_STALE_SECONDS = 2.0
+# The part of the revocation bound that covers a request which was checked
+# but not sent yet, and the error of a clock.
+LEASE_MARGIN_SECONDS = 0.5
+# A grant must outlive a poll or two, and end soon when its holder is lost.
+GRANT_SECONDS = 2.0
+TAKE_CALL_SECONDS = 0.35
+SUBMIT_SECONDS = 4.0
--- /dev/null
+++ b/src/greengagegw/platform/instance_list.py
@@ -0,0 +1,141 @@
+"""Reads the platform's list of backend servers."""
+
+import ssl
+import typing
+import urllib.parse
+
+import eliot
+import httpcore
+import orjson
+
+from .. import errors
+from .. import timers as timer_service
+from ..adapters import backend_transport
+from ..fleet import instances
+from . import names
+from . import settings as platform_settings
+
+READ_SECONDS = 1.0
+KEEP_SECONDS = 5.0
+MOST_PAGES = 200
+READY = 'ready'
+LEAVING = 'draining'
+
+
+class InstanceListClient:
+    """Reads all pages of the list, on one kept connection."""
+
+    def __init__(
+        self,
+        endpoint: platform_settings.Endpoint,
+        timers: timer_service.Timers,
+        context: ssl.SSLContext,
+    ) -> None:
+        self.endpoint = endpoint
+        self.timers = timers
+        self.transport = backend_transport.Transport(context, 1, KEEP_SECONDS)
+
+    async def read(self) -> tuple[instances.Instance, ...]:
+        """Returns the instances that the list names.
+
+        :raises BackendError: if the list cannot be read as a whole.
+        """
+        found: list[instances.Instance] = []
+        with self.timers.limit(READ_SECONDS):
+            page = ''
+            for _ in range(MOST_PAGES):
+                entries, page = await self.read_page(page)
+                found.extend(decode_entries(entries))
+                if not page:
+                    return tuple(found)
+        raise errors.BackendTimeoutError('the instance list did not come')
+
+    async def read_page(self, page: str) -> tuple[list, str]:
+        target = names.INSTANCES_TARGET
+        if page:
+            target += b'?pageToken=' + urllib.parse.quote(page).encode()
+        request = httpcore.Request(
+            'GET',
+            httpcore.URL(
+                scheme=b'http',
+                host=self.endpoint.host.encode(),
+                port=self.endpoint.port,
+                target=target,
+            ),
+            headers=[(b'host', str(self.endpoint).encode())],
+        )
+        try:
+            response = await self.transport.pool.handle_async_request(request)
+            try:
+                content = await response.aread()
+            finally:
+                await response.aclose()
+        except backend_transport.HTTP_ERRORS as error:
+            raise errors.BackendError(
+                'the instance list cannot be reached'
+            ) from error
+        if response.status != 200:
+            raise errors.BackendStatusError(
+                f'the instance list answered {response.status}',
+                response.status,
+            )
+        try:
+            values = orjson.loads(content)
+            entries = values['instances']
+            following = values.get('nextToken')
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            raise errors.BackendError(
+                'the instance list is garbled'
+            ) from error
+        if not isinstance(entries, list):
+            raise errors.BackendError('the instance list holds no list')
+        return entries, following or ''
+
+
+def decode_entries(entries: list) -> list[instances.Instance]:
+    """Returns the instances that can be read; the others name none."""
+    found = []
+    for entry in entries:
+        instance = decode_entry(entry)
+        if instance is None:
+            eliot.log_message('instances:unreadable', entry=repr(entry)[:200])
+        else:
+            found.append(instance)
+    return found
+
+
+def decode_entry(entry: typing.Any) -> instances.Instance | None:
+    """Returns an instance, None if the entry is not of the usual form."""
+    if not isinstance(entry, dict):
+        return None
+    texts = [
+        entry.get(name)
+        for name in ('id', 'service', 'address', 'zone', 'state')
+    ]
+    if not all(isinstance(one, str) and one for one in texts):
+        return None
+    name, service, address, domain, state = texts
+    slots = entry.get('slots')
+    cold = entry.get('coldLeftMs', 0)
+    born = entry.get('born', 0)
+    for number in (slots, cold, born):
+        if isinstance(number, bool) or not isinstance(number, int | float):
+            return None
+    if state not in (READY, LEAVING) or slots < 1:
+        return None
+    try:
+        platform_settings.endpoint(address)
+    except ValueError:
+        return None
+    # A notice of removal counts like the state.
+    is_leaving = state == LEAVING or entry.get('remainingMs') is not None
+    return instances.Instance(
+        name,
+        service,
+        address,
+        domain,
+        int(slots),
+        is_leaving,
+        cold > 0,
+        int(born),
+    )
--- /dev/null
+++ b/src/greengagegw/platform/operators.py
@@ -0,0 +1,158 @@
+"""Answers operators and callers' look-ups, as an ASGI application."""
+
+import urllib.parse
+
+import eliot
+import orjson
+
+from .. import errors
+from .. import timers as timer_service
+from ..adapters import asgi
+from . import documents
+from ..fleet import control as controls
+from ..fleet import members
+from ..fleet import store as stores
+from . import names
+
+BODY_BYTES = 64 * 1024 * 1024
+BODY_SECONDS = 10.0
+# Callers may keep an answer three times as long, and a VM that stops
+# refuses what comes later than that.
+DIRECTORY_TTL_SECONDS = 1
+MOST_ADDRESSES = 64
+# After its start a control VM has not heard of all entry VMs yet.
+WARM_UP_SECONDS = 1.2
+JSON_TYPE = (b'content-type', b'application/json')
+
+
+class Operators:
+    """Serves operators and look-ups on one control VM."""
+
+    def __init__(
+        self, timers: timer_service.Timers, control: controls.Control
+    ) -> None:
+        self.timers = timers
+        self.control = control
+
+    async def __call__(
+        self, scope: dict, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        if scope['type'] == 'lifespan':
+            await asgi.serve_lifespan(receive, send)
+        elif scope['type'] == 'http':
+            await self.serve(scope, receive, send)
+
+    async def serve(
+        self, scope: dict, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        headers = [JSON_TYPE]
+        try:
+            status, body = await self.answer(scope, receive)
+        except asgi.CallerGone:
+            return
+        except errors.GatewayError as error:
+            # A status below 500 would end the operator's attempts.
+            status = error.status
+            is_refusal = isinstance(error, errors.NotRunError)
+            if not is_refusal or status >= 500:
+                status = 503
+            body = orjson.dumps(
+                {'error': {'code': error.code, 'message': error.message}}
+            )
+            eliot.log_message(
+                'operator:failed',
+                method=scope['method'],
+                path=scope['path'],
+                status=status,
+                code=error.code,
+                reason=error.message[:500],
+            )
+        await asgi.send_whole(send, status, headers, body)
+
+    async def answer(
+        self, scope: dict, receive: asgi.Receive
+    ) -> tuple[int, bytes]:
+        method, path = scope['method'], scope['path']
+        if path == names.RESOLVE_PATH and method == 'GET':
+            return self.resolve(scope)
+        if path == names.CONFIGURATION_PATH:
+            if method == 'GET':
+                return await self.read_configuration()
+            if method == 'PUT':
+                return await self.put_configuration(scope, receive)
+        if path.startswith(names.EVACUATION_PATH):
+            domain = path.removeprefix(names.EVACUATION_PATH)
+            if domain and method in ('POST', 'DELETE'):
+                return await self.evacuate(domain, method == 'POST')
+        raise errors.NotFoundError(f'{method} {path}')
+
+    def resolve(self, scope: dict) -> tuple[int, bytes]:
+        """Answers a look-up with the addresses that a caller should use."""
+        query = urllib.parse.parse_qs(scope['query_string'].decode('latin-1'))
+
+        def take(name: str) -> str:
+            return query.get(name, [''])[0]
+
+        now = self.timers.now()
+        if now - self.control.started_at < WARM_UP_SECONDS:
+            raise errors.NotReadyError('entry VMs are not known yet')
+        addresses = members.choose_entries(
+            self.control.roster.alive(now),
+            take('region'),
+            take('zone'),
+            self.homes_of(take('name')),
+            MOST_ADDRESSES,
+        )
+        if not addresses:
+            raise errors.UnavailableError('no entry VM is known')
+        return 200, orjson.dumps(
+            {'addresses': addresses, 'ttlS': DIRECTORY_TTL_SECONDS}
+        )
+
+    def homes_of(self, host: str) -> frozenset[str]:
+        configuration = self.control.configuration
+        if configuration is None:
+            return frozenset()
+        homes: frozenset[str] = frozenset()
+        for route in configuration.places.get(host.lower(), {}).values():
+            homes |= route.homes
+        return homes
+
+    async def read_configuration(self) -> tuple[int, bytes]:
+        store = await self.control.read()
+        if not store.packed:
+            raise errors.NotReadyError('no configuration yet')
+        return 200, store.document
+
+    async def put_configuration(
+        self, scope: dict, receive: asgi.Receive
+    ) -> tuple[int, bytes]:
+        """Stores a configuration, and answers once it is durable."""
+        body = await asgi.read_body(
+            scope, receive, BODY_BYTES, self.timers, BODY_SECONDS
+        )
+        decoded = documents.decode(body)
+        has_changed, version = await self.control.submit(
+            stores.put_command(decoded.version, body)
+        )
+        eliot.log_message(
+            'operator:configuration',
+            version=decoded.version,
+            changed=has_changed,
+            held=version,
+        )
+        return 200, orjson.dumps({'version': version})
+
+    async def evacuate(
+        self, domain: str, is_evacuated: bool
+    ) -> tuple[int, bytes]:
+        has_changed, _ = await self.control.submit(
+            stores.evacuate_command(domain, is_evacuated)
+        )
+        eliot.log_message(
+            'operator:evacuation',
+            domain=domain,
+            evacuated=is_evacuated,
+            changed=has_changed,
+        )
+        return 200, b'{}'
--- a/src/greengagegw/replication/entries.py
+++ b/src/greengagegw/replication/entries.py
@@ -64,6 +64,10 @@
         others = [one for one in self.members if one.vm != member.vm]
         return Members(tuple(sorted([*others, member], key=_by_vm)))
 
+    def drop(self, vm: str) -> 'Members':
+        """Returns the members without one of them."""
+        return Members(tuple(one for one in self.members if one.vm != vm))
+
     def is_majority(self, vms: set[str]) -> bool:
         voters = self.voters
         return 2 * sum(vm in vms for vm in voters) > len(voters)
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -33,6 +33,9 @@
 CALL_SECONDS = 1.0
 SNAPSHOT_AFTER_ENTRIES = 2000
 MAX_MEMBERS = 64
+# A machine that restarts is back well before.
+REMOVE_AFTER_SECONDS = 15.0
+CONFIRM_POLL_SECONDS = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,6 +72,9 @@
         vote; a group of fewer than three voters commits nothing that no
         living copy holds, and is filled from a copy when its disk is lost.
     :param rng: source of the election timeouts.
+    :param may_found: whether the group may be formed anew; not so when the
+        deployment has run before, since an empty disk is then a lost one.
+    :param least_voters: voters below which a silent one keeps its seat.
     """
 
     def __init__(
@@ -82,8 +88,12 @@
         timers: timer_service.Timers,
         rng: random.Random,
         copies: tuple[str, ...] = (),
+        may_found: bool = True,
+        least_voters: int = MAX_MEMBERS,
     ) -> None:
         self.copies = copies
+        self.may_found = may_found
+        self.least_voters = least_voters
         self.group = group
         self.vm = vm
         self.founders = founders
@@ -107,6 +117,8 @@
         self.queue: list[tuple[log_entries.EntryKind, bytes, Waiter]] = []
         self.queued = anyio.Event()
         self.appended = anyio.Event()
+        self.contacted = anyio.Event()
+        self.writing_since: float | None = None
         self.disk = anyio.Lock()
         self.incoming: bytearray | None = None
         self.failure: errors.StorageError | None = None
@@ -305,6 +317,7 @@
             self.role = roles.Role.FOLLOWER
         self.heard_at = self.timers.now()
         self.fail_waiters()
+        self.wake_confirmers()
 
     def fail(self, error: errors.GatewayError) -> None:
         """Takes no part any more, since the disk cannot be trusted."""
@@ -352,8 +365,19 @@
                 await election.stand(self)
 
     def check_majority(self) -> None:
-        """Steps down when a majority was not heard for too long."""
+        """Steps down when a majority was not heard for too long.
+
+        A disk that hangs counts as well, since nothing can be committed
+        while others could.
+        """
         now = self.timers.now()
+        if (
+            self.writing_since is not None
+            and now - self.writing_since >= timing.ELECTION_SECONDS
+        ):
+            eliot.log_message('replica:disk_hangs', group=self.group)
+            self.become_follower()
+            return
         near = {
             vm
             for vm, at in self.contacts.items()
@@ -400,6 +424,7 @@
         self.contacts = {vm: now for vm in self.members.voters}
         self.match = {}
         self.told = {}
+        self.is_caught_up = False
         eliot.log_message('replica:lead', group=self.group, term=self.term)
         self.leading = anyio.CancelScope()
         self.tasks.start_soon(self.lead_members, self.leading)
@@ -419,7 +444,68 @@
                             tasks.start_soon(
                                 sending.replicate, self, member.vm
                             )
+                    running &= {one.vm for one in self.members.members}
                     await self.timers.sleep(timing.HEARTBEAT_SECONDS)
+                    await self.remove_silent_voter()
+
+    async def remove_silent_voter(self) -> None:
+        """Takes its seat from a voter that others have made up for.
+
+        Without this, machines that are replaced for good would count in
+        majorities for ever.
+        """
+        voters = self.members.voters
+        if len(voters) <= self.least_voters:
+            return
+        if self.members_index > self.commit_index:
+            return
+        now = self.timers.now()
+        silent = [
+            vm
+            for vm in voters
+            if vm != self.vm
+            and now - self.contacts.get(vm, now) > REMOVE_AFTER_SECONDS
+        ]
+        if silent:
+            vm = min(silent, key=lambda one: self.contacts[one])
+            eliot.log_message('replica:remove', group=self.group, vm=vm)
+            with contextlib.suppress(errors.ReplicationError):
+                await self.change_members(self.members.drop(vm))
+
+    async def confirm(self) -> int:
+        """Returns an index that holds all that was committed before.
+
+        A majority is asked whether it still follows this leader, after the
+        call began (the read index of Ongaro's dissertation, section 6.4).
+
+        :raises NotLeaderError: if this replica does not lead.
+        """
+        self.require_leader()
+        began_at = self.timers.now()
+        term = self.term
+        while not self.is_caught_up:
+            await self.timers.sleep(CONFIRM_POLL_SECONDS)
+            self.require_leader()
+        index = self.commit_index
+        self.note_appended()
+        while True:
+            near = {vm for vm, at in self.contacts.items() if at >= began_at}
+            if self.term == term and self.members.is_majority(
+                {self.vm, *near}
+            ):
+                return index
+            contacted = self.contacted
+            await contacted.wait()
+            self.require_leader()
+
+    def note_contact(self, vm: str, asked_at: float) -> None:
+        """Takes in that a member answered what was asked at a time."""
+        self.contacts[vm] = asked_at
+        self.wake_confirmers()
+
+    def wake_confirmers(self) -> None:
+        self.contacted.set()
+        self.contacted = anyio.Event()
 
     # Replication, at the leader.
 
@@ -468,8 +554,10 @@
                     self.fail_waiters()
                     continue
                 batch, self.queue = self.queue, []
+                self.writing_since = self.timers.now()
                 with contextlib.suppress(errors.StorageError):
                     await self.write_batch(batch)
+                self.writing_since = None
             self.note_appended()
             self.advance_commit()
 
--- a/src/greengagegw/replication/sending.py
+++ b/src/greengagegw/replication/sending.py
@@ -18,7 +18,7 @@
 async def replicate(replica: 'replicas.Replica', vm: str) -> None:
     """Brings one member up to date, and keeps it so."""
     following = replica.storage.last_index + 1
-    while replica.is_leader:
+    while replica.is_leader and replica.members.get(vm) is not None:
         try:
             if following <= replica.storage.base_index:
                 following = await send_snapshot(replica, vm)
@@ -58,7 +58,7 @@
         return following
     if not replica.has_incarnation(vm, incarnation):
         return following
-    replica.contacts[vm] = asked_at
+    replica.note_contact(vm, asked_at)
     replica.told[vm] = message[-1]
     if not accepted:
         # What it held before it lost its disk counts no more.
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -91,7 +91,8 @@
         return formed
     # An empty disk may be a lost one, so no copy may be left unasked.
     others = {*replica.founders, *replica.copies} - {replica.vm}
-    if replica.vm in replica.founders and others <= set(answers):
+    is_founder = replica.may_found and replica.vm in replica.founders
+    if is_founder and others <= set(answers):
         await form(replica, make_founders(replica, answers))
     return []
 
--- /dev/null
+++ b/src/greengagegw/serving/cold_pacing.py
@@ -0,0 +1,42 @@
+"""Paces what a cold backend server gets from all entry VMs together.
+
+The load pattern behind it: servers that have just started bear a few
+requests a second, and break down under the share of a warm one.
+"""
+
+import xxhash
+
+
+def may_send(entry: str, entries: list[str], server: str, rate: float) -> int:
+    """Returns how many entry VMs share a cold server; 0 for others.
+
+    Each of a few VMs, found by hashing, may send its share, so that the sum
+    holds without a message.
+
+    :param entries: the entry VMs of the server's region.
+    :param rate: requests a second that the server bears.
+    """
+    most = max(1, min(len(entries), int(rate)))
+    ranked = sorted(entries, key=lambda one: _rank(one, server))
+    return most if entry in ranked[:most] else 0
+
+
+def _rank(entry: str, server: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{entry}/{server}'.encode())
+
+
+class Pace:
+    """The sends of this VM to one cold server.
+
+    :param now: when the pace begins; the first send is a share later.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.next_at = now
+
+    def take(self, now: float, rate: float) -> bool:
+        """Takes one send at a rate a second, without any burst."""
+        if now < self.next_at or rate <= 0:
+            return False
+        self.next_at = now + 1 / rate
+        return True
--- /dev/null
+++ b/src/greengagegw/serving/servers.py
@@ -0,0 +1,209 @@
+"""What an entry VM knows of the backend servers of its region."""
+
+import dataclasses
+import math
+
+from . import cold_pacing
+from . import engine_model
+from ..fleet import agent as agents
+from ..fleet import configuration as configurations
+from ..fleet import instances
+from . import ports
+from . import prompts
+
+FAILURE_SMOOTHING = 0.25
+FAILURE_MEMORY_SECONDS = 5.0
+FIRST_EJECTION_SECONDS = 0.5
+LONGEST_EJECTION_SECONDS = 4.0
+# The instance list may lag by its own delay, a read and a poll.
+LIST_LAG_SECONDS = 2.5
+REPORT_FRESH_SECONDS = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """A request of this VM at a server.
+
+    :ivar tokens_before: tokens that must be read before its first event.
+    """
+
+    sent_at: float
+    unread_tokens: float
+    tokens_before: float
+    has_begun: bool = False
+
+
+class Server:
+    """One instance, as this VM sees it."""
+
+    def __init__(
+        self, instance: instances.Instance, memory_tokens: int, now: float
+    ) -> None:
+        self.instance = instance
+        self.waiting_tokens = 0.0
+        self.in_flight = 0
+        self.read_rate = engine_model.FIRST_READ_RATE
+        self.service_seconds = engine_model.FIRST_SERVICE_SECONDS
+        self.failures = 0.0
+        self.failed_at = now
+        self.ejected_until = 0.0
+        self.ejections = 0
+        self.cold_until = 0.0
+        self.pace = cold_pacing.Pace(now)
+        self.cache = prompts.CachedParts(memory_tokens)
+        self.report: ports.ReportedLoad | None = None
+        self.report_at = -1e9
+
+    def update(
+        self, instance: instances.Instance, memory_tokens: int, now: float
+    ) -> None:
+        """Takes over what the list says of it."""
+        if instance.born != self.instance.born:
+            self.cache = prompts.CachedParts(memory_tokens)
+            self.ejected_until = 0.0
+            self.cold_until = now + LIST_LAG_SECONDS
+        self.instance = instance
+
+    def is_cold(self, now: float) -> bool:
+        return self.instance.is_cold or now < self.cold_until
+
+    def load(
+        self, others: list[float] | None, now: float
+    ) -> engine_model.EngineLoad:
+        """Returns what is thought to be at the server.
+
+        :param others: waiting tokens and requests of other entry VMs.
+        """
+        others_tokens, others_running = others or (0.0, 0.0)
+        running = self.in_flight + others_running
+        if (
+            self.report is not None
+            and now - self.report_at < REPORT_FRESH_SECONDS
+        ):
+            reported = self.report.running + self.report.waiting
+            running = max(running, float(reported))
+        return engine_model.EngineLoad(
+            self.waiting_tokens + others_tokens,
+            running,
+            max(1, self.instance.slots),
+            self.read_rate,
+            self.service_seconds,
+        )
+
+    def begin(self, unread: float, before: float, now: float) -> Running:
+        """Takes in that a request is sent."""
+        self.in_flight += 1
+        self.waiting_tokens += unread
+        return Running(now, unread, before + unread)
+
+    def note_first(self, one: Running, now: float) -> None:
+        """Takes in that a request's first bytes have arrived."""
+        if one.has_begun:
+            return
+        one.has_begun = True
+        self.waiting_tokens = max(0.0, self.waiting_tokens - one.unread_tokens)
+        if one.tokens_before:
+            self.read_rate = engine_model.learn_read_rate(
+                self.read_rate, one.tokens_before, now - one.sent_at
+            )
+
+    def end(self, one: Running, now: float, is_whole: bool) -> None:
+        """Takes in that a request is over."""
+        self.in_flight -= 1
+        if not one.has_begun:
+            self.waiting_tokens = max(
+                0.0, self.waiting_tokens - one.unread_tokens
+            )
+        if is_whole:
+            self.service_seconds += engine_model.SERVICE_SMOOTHING * (
+                now - one.sent_at - self.service_seconds
+            )
+
+    def failure_share(self, now: float) -> float:
+        elapsed = now - self.failed_at
+        return self.failures * math.exp(-elapsed / FAILURE_MEMORY_SECONDS)
+
+    def note_outcome(self, has_failed: bool, now: float) -> None:
+        share = self.failure_share(now)
+        self.failures = share + FAILURE_SMOOTHING * (has_failed - share)
+        self.failed_at = now
+        if not has_failed:
+            self.ejections = 0
+
+    def eject(self, now: float) -> None:
+        """Leaves out a server that cannot be reached."""
+        pause = FIRST_EJECTION_SECONDS * 2**self.ejections
+        self.ejections = min(self.ejections + 1, 8)
+        self.ejected_until = now + min(LONGEST_EJECTION_SECONDS, pause)
+        # What comes back at the address may have just started.
+        self.cold_until = self.ejected_until + LIST_LAG_SECONDS
+
+
+class ServerPool:
+    """The servers of this region, kept up to date with the fleet's view.
+
+    :param regions: the region of each failure domain.
+    """
+
+    def __init__(
+        self, view: agents.FleetView, region: str, regions: dict[str, str]
+    ) -> None:
+        self.view = view
+        self.region = region
+        self.regions = regions
+        self.servers: dict[str, Server] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self.forgotten: set[str] = set()
+
+    def update(self, now: float) -> None:
+        """Takes over the instance list and the evacuations."""
+        view = self.view
+        configuration = view.configuration
+        readmitted = self.evacuated - view.evacuated
+        self.evacuated = view.evacuated
+        here = {
+            name: one
+            for name, one in view.instances.items()
+            if self.regions.get(one.domain) == self.region
+        }
+        self.forgotten &= set(here)
+        for name in set(self.servers) - set(here):
+            del self.servers[name]
+        for name, one in here.items():
+            memory = 0
+            if configuration is not None:
+                service = configuration.services.get(one.service)
+                memory = service.memory_tokens if service else 0
+            if name in self.servers:
+                self.servers[name].update(one, memory, now)
+            else:
+                self.servers[name] = Server(one, memory, now)
+            if one.domain in readmitted:
+                self.servers[name].cold_until = now + LIST_LAG_SECONDS
+
+    def forget(self, name: str) -> None:
+        """Leaves out an instance that is not at its address any more."""
+        self.forgotten.add(name)
+
+    def usable(
+        self,
+        service: configurations.Service,
+        now: float,
+        excluded: frozenset[str] | set[str] = frozenset(),
+    ) -> list[Server]:
+        """Returns the servers that may get a request now."""
+        listed = instances.usable(
+            self.view.instances,
+            service.name,
+            self.region,
+            self.regions,
+            self.view.evacuated,
+        )
+        return [
+            self.servers[one.name]
+            for one in listed
+            if one.name in self.servers
+            and one.name not in excluded
+            and one.name not in self.forgotten
+            and self.servers[one.name].ejected_until <= now
+        ]
--- a/src/greengagegw/vm.py
+++ b/src/greengagegw/vm.py
@@ -376,18 +376,25 @@
         tasks.start_soon(
             servers.serve,
             self.entry,
-            self.settings.callers,
-            self.settings,
+            self.settings.callers.address,
+            self.server_settings(),
             self.entry_closed.wait,
         )
         tasks.start_soon(
             servers.serve,
             self.operators,
-            self.settings.operators,
-            self.settings,
+            self.settings.operators.address,
+            self.server_settings(),
             anyio.sleep_forever,
         )
 
+    def server_settings(self) -> servers.ServerSettings:
+        return servers.ServerSettings(
+            self.settings.limits.header_bytes,
+            self.settings.timeouts.idle_seconds,
+            self.settings.timeouts.stop_seconds,
+        )
+
     async def run_replica(self, replica: replicas.Replica) -> None:
         """Runs a replica; the VM serves on when its disk fails."""
         try:
