Quotas: full buckets, grants returned when used up; fleet and platform have tests

A new leader was elected in up to 3.5 s, a lease ends after 4.5 s less a poll.

Failed requests that may be repeated go to another region too, a backend server's own failure is passed on when nothing better can be had, and a decision is checked again right before sending.

--- /dev/null
+++ b/features/fleet/fleet.feature
@@ -0,0 +1,103 @@
+Feature: A fleet whose VMs come and go
+  Control VMs found their group from three seeds, entry VMs poll them. Time
+  and network are fakes; the code is the product's.
+
+  Scenario Outline: The group of control VMs forms and heals
+    Given a fleet of <controls> control VMs and 2 entry VMs
+    When in the fleet <event>
+    Then within <seconds> seconds the fleet has <voters> voters
+    And the fleet accepts a configuration
+
+    Examples:
+      | controls | event                                   | seconds | voters    |
+      | 3        | nothing happens                         | 8       | a b c     |
+      | 5        | nothing happens                         | 8       | a b c d e |
+      | 5        | all control VMs are killed at once      | 12      | a b c d e |
+      | 5        | two control VMs lose their disks        | 15      | a b c d e |
+      | 5        | e is gone for good and f comes for it   | 40      | a b c d f |
+      | 5        | the seeds are exchanged and e restarts  | 15      | a b c d e |
+      | 5        | the leader's disk hangs                 | 15      | a b c d e |
+
+  Scenario: A lost disk among the founders never founds a second group
+    Given a fleet of 3 control VMs and 1 entry VMs
+    And the fleet holds version 5
+    When all control VMs but one are down and come back without their disks
+    Then for 20 seconds no control VM of the fleet leads
+    And no control VM of the fleet confirms a read
+
+  Scenario Outline: An accepted configuration is in force everywhere and stays
+    Given a fleet of 5 control VMs and 4 entry VMs
+    And the fleet holds version 5
+    When in the fleet <event>
+    Then within <seconds> seconds every entry VM has version <version>
+
+    Examples:
+      | event                                     | seconds | version |
+      | version 9 is sent                         | 1.5     | 9       |
+      | version 3 is sent                         | 1.5     | 5       |
+      | version 5 is sent with other content      | 1.5     | 5       |
+      | versions 8 and 9 are sent to two VMs      | 1.5     | 9       |
+      | version 9 is sent and its answer is lost  | 1.5     | 9       |
+      | version 9 is sent and all are killed      | 12      | 9       |
+      | version 9 is sent and two disks are lost  | 12      | 9       |
+
+  Scenario: A read that no majority confirms is refused
+    Given a fleet of 5 control VMs and 1 entry VMs
+    And the fleet holds version 5
+    When control VMs d and e of the fleet are cut off
+    And version 9 is sent to the fleet
+    Then control VM d of the fleet does not confirm a read
+    And control VM a of the fleet reads version 9
+
+  Scenario Outline: A revoked key is dead within its bound
+    Given a fleet of 5 control VMs and 2 entry VMs
+    And the fleet holds version 5
+    When in the fleet entry VM e1 is <state>
+    And version 9 is sent to the fleet
+    Then 4.6 seconds later entry VM e1 of the fleet accepts no keys
+
+    Examples:
+      | state         |
+      | cut off       |
+      | frozen        |
+      | near a cut off control VM |
+
+  Scenario: A lease outlives an election of the control VMs
+    Given a fleet of 5 control VMs and 2 entry VMs
+    And the fleet holds version 5
+    When the leader of the fleet is killed
+    Then for 8 seconds the entry VMs of the fleet accept keys
+
+  Scenario Outline: Look-ups name living entry VMs
+    Given a fleet of 3 control VMs and 3 entry VMs
+    When in the fleet <event>
+    Then within <seconds> seconds every look-up names <entries>
+
+    Examples:
+      | event                  | seconds | entries  |
+      | nothing happens        | 3       | e1 e2 e3 |
+      | entry VM e2 is killed  | 3       | e1 e3    |
+      | entry VM e2 leaves     | 1       | e1 e3    |
+
+  Scenario: The platform's list is read by one control VM
+    Given a fleet of 5 control VMs and 3 entry VMs
+    When 30 seconds pass in the fleet
+    Then the instance list was read at most 60 times
+    And every entry VM of the fleet knows instance i-1
+
+  Scenario: Membership costs an entry VM the same in a larger fleet
+    Given a fleet of 3 control VMs and 30 entry VMs
+    When 10 seconds pass in the fleet
+    Then each entry VM of the fleet sent at most 80 messages
+
+  Scenario Outline: An organisation's rate holds over all entry VMs
+    Given a fleet of 5 control VMs and 4 entry VMs
+    And an organisation of 10000 tokens a second with a burst of 10000
+    When for 20 seconds <demand> tokens a second are asked for at 4 VMs
+    Then in every 8 seconds at most 90000 tokens were given
+    And at least <share> percent of what was owed was given
+
+    Examples:
+      | demand | share |
+      | 5000   | 99    |
+      | 40000  | 85    |
--- /dev/null
+++ b/features/steps/fleet.py
@@ -0,0 +1,391 @@
+"""Steps on fleets whose VMs come and go."""
+
+import functools
+
+import behave
+import orjson
+
+from features import fleet_world
+from greengagegw import errors
+from greengagegw.fleet import members
+from greengagegw.fleet import store as stores
+
+
+def in_fleet(step):
+    """Runs a step in the event loop of the world."""
+
+    @functools.wraps(step)
+    def wrapped(context, *arguments, **values):
+        return context.portal.call(
+            functools.partial(step, context, *arguments, **values)
+        )
+
+    return wrapped
+
+
+@behave.given('a fleet of {controls:d} control VMs and {entries:d} entry VMs')
+def given_fleet(context, controls, entries):
+    world = fleet_world.FleetWorld(controls, entries)
+    manager = context.portal.wrap_async_context_manager(world.running())
+    context.fleet = manager.__enter__()
+    context.add_cleanup(manager.__exit__, None, None, None)
+    context.portal.call(context.fleet.timers.advance, 8.0)
+
+
+@behave.given('the fleet holds version {version:d}')
+@in_fleet
+async def given_version(context, version):
+    assert await context.fleet.put(version) == [True, version]
+    await context.fleet.timers.advance(1.0)
+
+
+async def nothing(fleet):
+    pass
+
+
+async def kill_controls(fleet):
+    for vm in fleet.control_vms:
+        fleet.crash(vm)
+    await fleet.timers.advance(0.5)
+    for vm in fleet.control_vms:
+        fleet.start(vm)
+
+
+async def lose_disks(fleet, vms=('a', 'd')):
+    for vm in vms:
+        fleet.crash(vm, loses_disk=True)
+    await fleet.timers.advance(1.0)
+    for vm in vms:
+        fleet.start(vm)
+
+
+async def replace(fleet):
+    fleet.crash('e', loses_disk=True)
+    fleet.control_vms.append('f')
+    fleet.lost.add('f')
+    await fleet.timers.advance(1.0)
+    fleet.start('f')
+
+
+async def exchange_seeds(fleet):
+    fleet.seeds = ('d', 'e', 'b')
+    fleet.crash('e')
+    await fleet.timers.advance(1.0)
+    fleet.start('e')
+
+
+async def hang_disk(fleet):
+    leader = fleet.leader()
+    lock = leader.disk
+    await lock.acquire()
+    leader.writing_since = fleet.timers.now()
+    await fleet.timers.advance(5.0)
+    assert not leader.is_leader
+    leader.writing_since = None
+    lock.release()
+
+
+async def send(fleet, version, **changes):
+    outcome = await fleet.put(version, **changes)
+    assert not isinstance(outcome, errors.GatewayError), outcome
+
+
+async def send_other(fleet):
+    other = [fleet_world.route(pathPrefix='/other/')]
+    await send(fleet, 5, routes=other)
+
+
+async def race(fleet):
+    for version, vm in ((8, 'a'), (9, 'b')):
+        command = stores.put_command(
+            version, orjson.dumps(fleet_world.document(version))
+        )
+        fleet.tasks.start_soon(fleet.controls[vm].submit, command)
+    await fleet.timers.advance(1.0)
+
+
+async def send_and_lose_answer(fleet):
+    for _ in range(3):
+        await send(fleet, 9)
+
+
+async def send_and_kill(fleet):
+    await send(fleet, 9)
+    await kill_controls(fleet)
+
+
+async def send_and_wipe(fleet):
+    await send(fleet, 9)
+    await lose_disks(fleet, tuple(fleet.control_vms[:2]))
+
+
+async def cut_entry(fleet):
+    fleet.network.cut(['e1'], fleet.control_vms)
+
+
+async def freeze_entry(fleet):
+    # A frozen VM's timers stand still; its boot clock does not.
+    fleet.network.cut(['e1'], fleet.control_vms)
+    fleet.boot_offset += 4.0
+
+
+async def cut_near_control(fleet):
+    fleet.agents['e1'].preferred = 'e'
+    fleet.network.cut(['e'], ['a', 'b', 'c', 'd'])
+    fleet.network.cut(['e1'], ['a', 'b', 'c', 'd'])
+
+
+async def kill_entry(fleet):
+    fleet.crash('e2')
+
+
+async def leave_entry(fleet):
+    fleet.states['e2'] = members.EntryState.LEAVING
+
+
+EVENTS = {
+    'nothing happens': nothing,
+    'all control VMs are killed at once': kill_controls,
+    'two control VMs lose their disks': lose_disks,
+    'e is gone for good and f comes for it': replace,
+    'the seeds are exchanged and e restarts': exchange_seeds,
+    "the leader's disk hangs": hang_disk,
+    'version 9 is sent': functools.partial(send, version=9),
+    'version 3 is sent': functools.partial(send, version=3),
+    'version 5 is sent with other content': send_other,
+    'versions 8 and 9 are sent to two VMs': race,
+    'version 9 is sent and its answer is lost': send_and_lose_answer,
+    'version 9 is sent and all are killed': send_and_kill,
+    'version 9 is sent and two disks are lost': send_and_wipe,
+    'entry VM e1 is cut off': cut_entry,
+    'entry VM e1 is frozen': freeze_entry,
+    'entry VM e1 is near a cut off control VM': cut_near_control,
+    'entry VM e2 is killed': kill_entry,
+    'entry VM e2 leaves': leave_entry,
+}
+
+
+@behave.when('in the fleet {event}')
+@in_fleet
+async def when_event(context, event):
+    await EVENTS[event](context.fleet)
+
+
+@behave.then('within {seconds:g} seconds the fleet has {vms} voters')
+@in_fleet
+async def then_voters(context, seconds, vms):
+    fleet = context.fleet
+    found = None
+    for _ in range(int(seconds / 0.25)):
+        leader = fleet.leader()
+        found = None if leader is None else sorted(leader.members.voters)
+        if found == vms.split() and leader.is_caught_up:
+            return
+        await fleet.timers.advance(0.25)
+    raise AssertionError(f'voters are {found}')
+
+
+@behave.then('the fleet accepts a configuration')
+@in_fleet
+async def then_accepts(context):
+    outcome = await context.fleet.put(7)
+    assert outcome == [True, 7], outcome
+
+
+@behave.when(
+    'all control VMs but one are down and come back without their disks'
+)
+@in_fleet
+async def when_disks_lost(context):
+    fleet = context.fleet
+    for vm in ('a', 'b', 'c'):
+        fleet.crash(vm, loses_disk=vm != 'c')
+    await fleet.timers.advance(1.0)
+    for vm in ('a', 'b', 'c'):
+        fleet.start(vm)
+
+
+@behave.then('for {seconds:d} seconds no control VM of the fleet leads')
+@in_fleet
+async def then_none_leads(context, seconds):
+    for _ in range(seconds * 4):
+        await context.fleet.timers.advance(0.25)
+        assert context.fleet.leader() is None
+
+
+@behave.then('no control VM of the fleet confirms a read')
+@in_fleet
+async def then_no_read(context):
+    for control in context.fleet.controls.values():
+        outcome = await context.fleet.wait_for(control.read, 5.0)
+        assert isinstance(outcome, errors.GatewayError), outcome
+
+
+@behave.then(
+    'within {seconds:g} seconds every entry VM has version {version:d}'
+)
+@in_fleet
+async def then_version(context, seconds, version):
+    fleet = context.fleet
+    highest = dict.fromkeys(fleet.agents, -1)
+    for _ in range(int(seconds / 0.05)):
+        await fleet.timers.advance(0.05)
+        for vm, agent in fleet.agents.items():
+            assert agent.view.version >= highest[vm], 'a step back'
+            highest[vm] = agent.view.version
+    assert set(highest.values()) == {version}, highest
+
+
+@behave.when('control VMs d and e of the fleet are cut off')
+@in_fleet
+async def when_cut(context):
+    context.fleet.network.cut(['d', 'e'], ['a', 'b', 'c'])
+    await context.fleet.timers.advance(6.0)
+
+
+@behave.when('version {version:d} is sent to the fleet')
+@in_fleet
+async def when_sent(context, version):
+    await send(context.fleet, version, vm='a')
+
+
+@behave.then('control VM {vm} of the fleet does not confirm a read')
+@in_fleet
+async def then_not_confirmed(context, vm):
+    control = context.fleet.controls[vm]
+    outcome = await context.fleet.wait_for(control.read, 5.0)
+    assert isinstance(outcome, errors.GatewayError), outcome
+
+
+@behave.then('control VM {vm} of the fleet reads version {version:d}')
+@in_fleet
+async def then_reads(context, vm, version):
+    control = context.fleet.controls[vm]
+    store = await context.fleet.wait_for(control.read, 5.0)
+    assert store.version == version, store
+
+
+@behave.then(
+    '{seconds:g} seconds later entry VM {vm} of the fleet accepts no keys'
+)
+@in_fleet
+async def then_no_keys(context, seconds, vm):
+    fleet = context.fleet
+    assert fleet.agents[vm].view.version == 5
+    await fleet.timers.advance(seconds)
+    assert not fleet.agents[vm].has_lease
+    other = fleet.agents['e2']
+    assert other.has_lease and other.view.version == 9
+
+
+@behave.when('the leader of the fleet is killed')
+@in_fleet
+async def when_leader_killed(context):
+    context.fleet.crash(context.fleet.leader().vm)
+
+
+@behave.then('for {seconds:d} seconds the entry VMs of the fleet accept keys')
+@in_fleet
+async def then_keys(context, seconds):
+    for _ in range(seconds * 10):
+        await context.fleet.timers.advance(0.1)
+        for agent in context.fleet.agents.values():
+            assert agent.has_lease
+
+
+@behave.then('within {seconds:g} seconds every look-up names {entries}')
+@in_fleet
+async def then_named(context, seconds, entries):
+    fleet = context.fleet
+    await fleet.timers.advance(seconds)
+    expected = [f'{vm}:80' for vm in entries.split()]
+    for control in fleet.controls.values():
+        found = members.choose_entries(
+            control.roster.alive(fleet.timers.now()),
+            'a',
+            'a-1',
+            frozenset(),
+            64,
+        )
+        assert found == expected, found
+
+
+@behave.when('{seconds:d} seconds pass in the fleet')
+@in_fleet
+async def when_time_passes(context, seconds):
+    fleet = context.fleet
+    fleet.reads = 0
+    fleet.network.calls.clear()
+    await fleet.timers.advance(seconds)
+
+
+@behave.then('the instance list was read at most {most:d} times')
+def then_reads_bounded(context, most):
+    assert 0 < context.fleet.reads <= most, context.fleet.reads
+
+
+@behave.then('every entry VM of the fleet knows instance {name}')
+def then_knows(context, name):
+    for agent in context.fleet.agents.values():
+        assert name in agent.view.instances
+
+
+@behave.then('each entry VM of the fleet sent at most {most:d} messages')
+def then_messages(context, most):
+    calls = context.fleet.network.calls
+    sent = calls['fleet.poll'] + calls['fleet.beat'] + calls['fleet.take']
+    mean = sent / len(context.fleet.agents)
+    assert 0 < mean <= most, mean
+
+
+@behave.given(
+    'an organisation of {rate:d} tokens a second with a burst of {burst:d}'
+)
+@in_fleet
+async def given_rate(context, rate, burst):
+    limited = fleet_world.tenant(ratePerS=rate, burst=burst)
+    assert await context.fleet.put(6, tenants=[limited]) == [True, 6]
+    await context.fleet.timers.advance(3.0)
+    context.rate, context.burst = rate, burst
+
+
+@behave.when(
+    'for {seconds:d} seconds {demand:d} tokens a second are asked for at'
+    ' {count:d} VMs'
+)
+@in_fleet
+async def when_asked(context, seconds, demand, count):
+    fleet = context.fleet
+    context.given_tokens = []
+    context.asked = 0
+    size = 500
+
+    async def ask(agent):
+        try:
+            await agent.wallet.spend('org', size)
+        except errors.GatewayError:
+            return
+        context.given_tokens.append((fleet.timers.now(), size))
+
+    pause = size * count / demand
+    for _ in range(int(seconds / pause)):
+        for agent in fleet.agents.values():
+            fleet.tasks.start_soon(ask, agent)
+            context.asked += size
+        await fleet.timers.advance(pause)
+    context.seconds = seconds
+
+
+@behave.then('in every {window:d} seconds at most {most:d} tokens were given')
+def then_bounded(context, window, most):
+    given = context.given_tokens
+    for at, _ in given:
+        total = sum(one for when, one in given if at <= when < at + window)
+        assert total <= most, total
+
+
+@behave.then('at least {share:d} percent of what was owed was given')
+def then_owed(context, share):
+    owed = min(context.asked, context.rate * context.seconds)
+    total = sum(one for _, one in context.given_tokens)
+    assert total * 100 >= owed * share, (total, owed)
--- /dev/null
+++ b/features/steps/platform.py
@@ -0,0 +1,260 @@
+"""Steps on the adapter of the platform."""
+
+import types
+
+import behave
+import orjson
+
+from features import fleet_world
+from greengagegw import errors
+from greengagegw.platform import backends
+from greengagegw.platform import callers
+from greengagegw.platform import documents
+from greengagegw.platform import instance_list
+from greengagegw.platform import settings
+from greengagegw.serving import ports
+
+SETTINGS = """nodeName=front-1
+role=entry
+ip=10.1.0.14
+zone=a-1
+region=a
+zones.a-1=a
+listen.front=10.1.0.14:8221
+listen.ready=10.1.0.14:8224
+internalPortRange=7600,7615
+seeds=10.1.0.17:8229,10.2.0.6:8229
+bootstrap=true
+cloud.address=10.200.0.35:8225
+bounds.revokeMs=5000
+"""
+
+
+def change(part, value):
+    """Returns the text of a configuration with one thing wrong."""
+    found = fleet_world.document()
+    route = found['routes'][0]
+    if part == 'text':
+        whole = orjson.dumps(found)
+        return whole[:-9] if value == 'cut short' else b'[1]'
+    if value == 'missing':
+        del found[part]
+    elif part == 'version':
+        found['version'] = 'seven'
+    elif part == 'service':
+        route['service'] = 'nowhere'
+    elif part == 'split':
+        name = 'nowhere' if value == 'to unknown' else 'engine'
+        weight = 1 if value == 'to unknown' else 0
+        route['trafficSplit'] = [{'service': name, 'weight': weight}]
+    elif part == 'timeout':
+        route['timeoutMs'] = 0 if value == '0' else 'long'
+    elif part == 'kind':
+        route['kind'] = 'odd'
+    elif part == 'prefix':
+        route['pathPrefix'] = '/chat'
+    elif part == 'route':
+        found['routes'].append(fleet_world.route(name='r2'))
+    elif part == 'key':
+        found['tenants'].append(fleet_world.tenant(name='other'))
+    elif part == 'tenant':
+        found['tenants'].append(fleet_world.tenant(apiKeys=['key-2']))
+    elif part == 'limits':
+        found['limits'] = 'none'
+    return orjson.dumps(found)
+
+
+@behave.when('a configuration comes whose {part} is {value}')
+def when_wrong(context, part, value):
+    context.problems = ()
+    try:
+        documents.decode(change(part, value))
+    except errors.ConfigurationError as error:
+        context.problems = error.problems
+        assert error.status == 400
+
+
+@behave.then(
+    'the configuration is refused with {count:d} problems naming "{path}"'
+)
+def then_refused(context, count, path):
+    assert len(context.problems) == count, context.problems
+    assert any(one.startswith(path) for one in context.problems)
+
+
+@behave.given('routes for /a/, /a/b/ and /c/d/ of host h.example')
+def given_routes(context):
+    routes = [
+        fleet_world.route(name=one, pathPrefix=one)
+        for one in ('/a/', '/a/b/', '/c/d/')
+    ]
+    document = orjson.dumps(fleet_world.document(routes=routes))
+    context.configuration = documents.decode(document)
+
+
+@behave.then('host {host} and path {path} select {route}')
+def then_selected(context, host, path, route):
+    found = context.configuration.find_route(host, path)
+    assert (found.name if found else 'none') == route, found
+
+
+@behave.when('an instance list comes with broken entries among good ones')
+def when_list(context):
+    good = {
+        'id': 'i-1',
+        'service': 'engine',
+        'address': '10.0.0.1:80',
+        'zone': 'a-1',
+        'slots': 64,
+        'state': 'ready',
+        'coldLeftMs': 0,
+    }
+    context.instances = instance_list.decode_entries(
+        [
+            good,
+            good | {'id': 'i-2', 'state': 'draining'},
+            good | {'id': 'i-3', 'remainingMs': 900},
+            good | {'id': 'i-4', 'coldLeftMs': 2000},
+            good | {'id': 7},
+            good | {'state': 'odd'},
+            good | {'slots': 'many'},
+            good | {'slots': True},
+            good | {'address': 'nowhere'},
+            good | {'address': '10.0.0.1:x'},
+            {'id': 'i-5'},
+            'text',
+            None,
+        ]
+    )
+
+
+@behave.then(
+    'only the good instances are known, and the leaving one is leaving'
+)
+def then_known(context):
+    found = {one.name: one for one in context.instances}
+    assert sorted(found) == ['i-1', 'i-2', 'i-3', 'i-4'], found
+    leaving = [name for name, one in found.items() if one.is_leaving]
+    assert leaving == ['i-2', 'i-3'], leaving
+    assert [name for name, one in found.items() if one.is_cold] == ['i-4']
+
+
+@behave.when("the platform's settings have 3 wrong values")
+def when_wrong_settings(context):
+    text = SETTINGS.replace('7600,7615', '7615').replace('true', 'yes')
+    context.problems = ()
+    try:
+        settings.decode(text.replace('ip=10.1.0.14\n', ''))
+    except errors.SettingsError as error:
+        context.problems = error.problems
+
+
+@behave.then('all 3 are told with their names and what is allowed')
+def then_told(context):
+    text = '\n'.join(context.problems)
+    assert len(context.problems) == 3, text
+    assert "'7615' is not two ports, the lower one first" in text
+    assert "'yes' is not true or false" in text
+    assert 'ip: missing' in text
+
+
+@behave.when("the platform's settings have a field that nobody knows")
+def when_unknown_setting(context):
+    context.settings = settings.decode(SETTINGS + 'new.field=1\n')
+
+
+@behave.then('the settings are read')
+def then_read(context):
+    assert context.settings.seeds == ('10.1.0.17', '10.2.0.6')
+    assert context.settings.is_first_start
+    assert context.settings.bounds.revoke_seconds == 5.0
+
+
+@behave.then('a failure {name} that {run} is told with status {status:d}')
+def then_status(context, name, run, status):
+    error = getattr(errors, name)('failed')
+    assert error.run == run
+    assert callers.encode_status(error) == status
+
+
+def make_scope(headers):
+    return {
+        'method': 'POST',
+        'path': '/chat/x',
+        'raw_path': b'/chat/x',
+        'query_string': b'a=%2F',
+        'headers': headers,
+    }
+
+
+@behave.when('a caller sends headers of the gateway and of one connection')
+def when_headers(context):
+    request = callers.decode_request(
+        make_scope(
+            [
+                (b'host', b'h.example'),
+                (b'greengagegw-attempt-id', b'r-1'),
+                (b'greengagegw-credential', b'key-1'),
+                (b'greengagegw-tenant', b'forged'),
+                (b'greengagegw-hold', b'h'),
+                (b'greengagegw-pin-ms', b'4000'),
+                (b'greengagegw-kv-backup', b'1.2.3.4:5'),
+                (b'kv-from', b'1.2.3.4:5/h'),
+                (b'greengagegw-expect-instance', b'i-9'),
+                (b'greengagegw-deadline-ms', b'9000'),
+                (b'greengagegw-length-hint', b'40'),
+                (b'connection', b'close, x-hop'),
+                (b'x-hop', b'1'),
+                (b'transfer-encoding', b'chunked'),
+            ]
+        ),
+        b'body',
+    )
+    order = ports.Order(request, 'org', 3.0, 1, None, True)
+    context.sent = backends.make_request(fleet_world.instance(), order)
+
+
+@behave.then("the backend server gets only the gateway's own")
+def then_headers(context):
+    headers = [(name.lower(), value) for name, value in context.sent.headers]
+    assert sorted(headers) == [
+        (b'content-length', b'4'),
+        (b'greengagegw-attempt-id', b'r-1'),
+        (b'greengagegw-deadline-ms', b'3000'),
+        (b'greengagegw-expect-instance', b'i-1'),
+        (b'greengagegw-length-hint', b'40'),
+        (b'greengagegw-tenant', b'org'),
+        (b'host', b'h.example'),
+    ], headers
+    assert context.sent.url.target == b'/chat/x?a=%2F'
+
+
+@behave.when('a backend server answers {status:d} with {what}')
+def when_answered(context, status, what):
+    headers = {
+        'id and signature': [
+            (b'Greengagegw-Attempt-Id', b'r-1'),
+            (b'Greengagegw-Server-Stamp', b's'),
+        ],
+        'another id': [
+            (b'Greengagegw-Attempt-Id', b'r-2'),
+            (b'Greengagegw-Server-Stamp', b's'),
+        ],
+        'no signature': [(b'Greengagegw-Attempt-Id', b'r-1')],
+        'a word that it ran not': [(b'Greengagegw-Not-Executed', b'full')],
+    }[what]
+    request = callers.decode_request(
+        make_scope([(b'greengagegw-attempt-id', b'r-1')]), b''
+    )
+    order = ports.Order(request, None, 3.0, 1, None, True)
+    response = types.SimpleNamespace(status=status, headers=headers)
+    context.verdict = 'passed on'
+    try:
+        backends.check(fleet_world.instance(), order, response)
+    except errors.BackendError as error:
+        context.verdict = type(error).__name__
+
+
+@behave.then('the answer is {verdict}')
+def then_verdict(context, verdict):
+    assert context.verdict == verdict, context.verdict
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -242,6 +242,9 @@
     async def watch_roster(self) -> None:
         while True:
             await self.timers.sleep(timing.POLL_SECONDS)
+            configuration = self.configuration
+            if self.replica.is_leader and configuration is not None:
+                self.grantor.begin(self.replica.term, configuration)
             for entry in self.roster.forget_silent(self.timers.now()):
                 self.loads.pop(entry.vm, None)
                 eliot.log_message('roster:silent', vm=entry.vm)
@@ -338,7 +341,7 @@
         configuration = self.configuration
         if configuration is None:
             raise errors.NotReadyError('no configuration')
-        self.grantor.begin(self.replica.term)
+        self.grantor.begin(self.replica.term, configuration)
         granted = self.grantor.take(configuration, wanted, returned)
         return [self.grantor.epoch, granted]
 
--- a/src/greengagegw/fleet/quota.py
+++ b/src/greengagegw/fleet/quota.py
@@ -25,8 +25,13 @@
 # How long a request may wait for a grant: a small part of the shortest
 # latency objectives in use, 0.45 s, with a round trip between regions.
 WAIT_SECONDS = 0.3
+# A pause that a request sits out rather than being refused.
+SOON_SECONDS = 0.12
 # Without a leader a VM goes on at the rate at which it was granted tokens,
 # so that all VMs together stay at what the bucket had allowed.
+# A grant whose rest is less than this share of a usual request is returned.
+USED_UP_SHARE = 0.5
+SILENT_LEADER_SECONDS = 2 * timing.TAKE_CALL_SECONDS
 OUTAGE_SECONDS = 6.0
 
 
@@ -38,11 +43,22 @@
         self.buckets: dict[str, buckets.Bucket] = {}
         self.epoch = 0
 
-    def begin(self, epoch: int) -> None:
-        """Starts anew with empty buckets when leadership has changed."""
+    def begin(
+        self, epoch: int, configuration: configurations.Configuration
+    ) -> None:
+        """Takes over the configuration's rates and bursts.
+
+        When leadership has changed the buckets are empty, since the grants
+        of the leader before may still be spent. They fill from then on,
+        not from the first request.
+        """
+        now = self.timers.now()
         if epoch != self.epoch:
             self.epoch = epoch
             self.buckets.clear()
+        for organisation in configuration.organisations.values():
+            if organisation.is_limited:
+                self.find_bucket(organisation, now)
 
     def take(
         self,
@@ -94,11 +110,13 @@
 class Account:
     """What an entry VM holds of one organisation's tokens.
 
+    :ivar waiting: the costs of the requests that wait for a grant.
     :ivar granted_rate: tokens a second spent lately.
     :ivar reserve: tokens that may be spent while no leader answers.
     """
 
     purse: purses.Purse
+    waiting: list[float] = dataclasses.field(default_factory=list)
     granted_rate: float = 0.0
     reserve: float = 0.0
     updated_at: float = 0.0
@@ -146,16 +164,17 @@
         account.purse.note_demand(tokens, now)
         if self.spend_held(account, tokens):
             return
-        account.purse.waiting_tokens += tokens
+        account.waiting.append(tokens)
         is_answered = False
         try:
             with self.timers.limit(WAIT_SECONDS):
-                is_answered = await self.fetch()
+                is_answered = await self.fetch_until_held(name, tokens)
         finally:
-            account.purse.waiting_tokens -= tokens
-        if self.spend_held(account, tokens):
+            account.waiting.remove(tokens)
+        if is_answered and self.spend_held(account, tokens):
             return
-        if is_answered:
+        silence = self.timers.now() - self.answered_at
+        if is_answered or silence < SILENT_LEADER_SECONDS:
             seconds = self.retry_after.get(name, DEFAULT_RETRY_SECONDS)
             raise errors.RateLimitError(
                 f'{name} is over its rate',
@@ -167,6 +186,22 @@
             'the rate cannot be checked', retry_after=DEFAULT_RETRY_SECONDS
         )
 
+    async def fetch_until_held(self, name: str, tokens: float) -> bool:
+        """Asks for tokens, again when they will be there in a moment.
+
+        :returns: whether the leader has answered.
+        """
+        account = self.find_account(name)
+        self.retry_after.pop(name, None)
+        while True:
+            is_answered = await self.fetch()
+            if account.purse.available(self.timers.now()) >= tokens:
+                return True
+            pause = self.retry_after.get(name)
+            if not is_answered or pause is None or pause > SOON_SECONDS:
+                return is_answered
+            await self.timers.sleep(pause)
+
     def give_back(self, name: str, tokens: float) -> None:
         """Returns the tokens of a request that was not sent."""
         purse = self.find_account(name).purse
@@ -216,9 +251,12 @@
         for name, account in self.accounts.items():
             purse = account.purse
             purse.decay(now)
-            least = max(0.0, purse.waiting_tokens - purse.available(now))
-            ahead = purse.wanted_ahead + purse.waiting_tokens
-            most = ahead - purse.available(now)
+            held = purse.available(now)
+            # The smallest request that waits must not go without because
+            # there is not enough for all.
+            least = max(0.0, min(account.waiting, default=0.0) - held)
+            ahead = purse.wanted_ahead + sum(account.waiting)
+            most = ahead - held
             if most > 0 and (least > 0 or most > ahead / 2):
                 wishes[name] = [max(1.0, least), max(most, least, 1.0)]
         return wishes
@@ -248,8 +286,15 @@
     def end_grants(
         self, name: str, purse: purses.Purse, now: float, returned: list
     ) -> None:
-        """Gives back what is left of the grants that have run out."""
-        for held in [one for one in purse.held if one.until <= now]:
+        """Gives back the grants that have run out or are used up.
+
+        The leader counts all of a grant against the burst until then, so a
+        busy organisation's grants must not wait for their end.
+        """
+        for held in list(purse.held):
+            is_used_up = held.left < purse.usual_tokens * USED_UP_SHARE
+            if held.until > now and not is_used_up:
+                continue
             purse.held.remove(held)
             spent = held.tokens - held.left
             returned.append([name, int(held.region), held.number, spent])
--- a/src/greengagegw/platform/roles.py
+++ b/src/greengagegw/platform/roles.py
@@ -296,6 +296,7 @@
         process.rng,
         may_found=settings.is_first_start,
         least_voters=2 * settings.lost_disks + 1,
+        pace=timing.CONTROL_PACE,
     )
     reader = instance_list.InstanceListClient(
         settings.instance_list, timers, process.context
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -33,6 +33,7 @@
 CALL_SECONDS = 1.0
 SNAPSHOT_AFTER_ENTRIES = 2000
 MAX_MEMBERS = 64
+DEFAULT_PACE = timing.Pace()
 # A machine that restarts is back well before.
 REMOVE_AFTER_SECONDS = 15.0
 CONFIRM_POLL_SECONDS = 0.02
@@ -90,7 +91,9 @@
         copies: tuple[str, ...] = (),
         may_found: bool = True,
         least_voters: int = MAX_MEMBERS,
+        pace: timing.Pace = DEFAULT_PACE,
     ) -> None:
+        self.pace = pace
         self.copies = copies
         self.may_found = may_found
         self.least_voters = least_voters
@@ -154,7 +157,7 @@
             self.role is roles.Role.FOLLOWER
             and self.is_caught_up
             and self.leader is not None
-            and silence < 2 * timing.ELECTION_SECONDS
+            and silence < 2 * self.pace.election_seconds
         )
 
     @contextlib.asynccontextmanager
@@ -347,7 +350,7 @@
     async def run_elections(self) -> None:
         """Stands for election when the leader is silent too long."""
         while True:
-            patience = timing.ELECTION_SECONDS * (1 + self.rng.random())
+            patience = self.pace.election_seconds * (1 + self.rng.random())
             await self.timers.sleep(patience / 4)
             if self.role is roles.Role.LEADER:
                 self.check_majority()
@@ -373,7 +376,7 @@
         now = self.timers.now()
         if (
             self.writing_since is not None
-            and now - self.writing_since >= timing.ELECTION_SECONDS
+            and now - self.writing_since >= self.pace.election_seconds
         ):
             eliot.log_message('replica:disk_hangs', group=self.group)
             self.become_follower()
@@ -381,7 +384,7 @@
         near = {
             vm
             for vm, at in self.contacts.items()
-            if now - at < timing.ELECTION_SECONDS
+            if now - at < self.pace.election_seconds
         }
         if not self.members.is_majority({self.vm, *near}):
             self.become_follower()
@@ -395,7 +398,7 @@
                 return [self.term, False, self.incarnation]
             silence = self.timers.now() - self.heard_at
             has_leader = self.leader is not None and (
-                self.is_leader or silence < timing.ELECTION_SECONDS
+                self.is_leader or silence < self.pace.election_seconds
             )
             if has_leader or term < self.term:
                 return [self.term, False, self.incarnation]
@@ -445,7 +448,7 @@
                                 sending.replicate, self, member.vm
                             )
                     running &= {one.vm for one in self.members.members}
-                    await self.timers.sleep(timing.HEARTBEAT_SECONDS)
+                    await self.timers.sleep(self.pace.heartbeat_seconds)
                     await self.remove_silent_voter()
 
     async def remove_silent_voter(self) -> None:
--- a/src/greengagegw/replication/sending.py
+++ b/src/greengagegw/replication/sending.py
@@ -4,7 +4,6 @@
 import typing
 
 from .. import errors
-from . import timing
 
 if typing.TYPE_CHECKING:
     from . import replica as replicas
@@ -25,12 +24,12 @@
             following = await send_entries(replica, vm, following)
             await promote_when_ready(replica, vm)
         except errors.GatewayError:
-            await replica.timers.sleep(timing.HEARTBEAT_SECONDS)
+            await replica.timers.sleep(replica.pace.heartbeat_seconds)
             continue
         is_told = replica.told.get(vm) == replica.commit_index
         if following > replica.storage.last_index and is_told:
             appended = replica.appended
-            with replica.timers.limit(timing.HEARTBEAT_SECONDS):
+            with replica.timers.limit(replica.pace.heartbeat_seconds):
                 await appended.wait()
 
 
@@ -114,7 +113,7 @@
     living = [
         replica.match.get(vm, 0)
         for vm in replica.copies
-        if now - replica.contacts.get(vm, -timing.ELECTION_SECONDS * 2)
-        < timing.ELECTION_SECONDS
+        if now - replica.contacts.get(vm, -replica.pace.election_seconds * 2)
+        < replica.pace.election_seconds
     ]
     return min(living, default=last)
--- a/src/greengagegw/replication/timing.py
+++ b/src/greengagegw/replication/timing.py
@@ -1,4 +1,14 @@
-"""How long the replicas of a group wait for each other, in seconds."""
+"""How long the replicas of a group wait for each other."""
+
+import dataclasses
 
 ELECTION_SECONDS = 1.5
 HEARTBEAT_SECONDS = 0.4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """Seconds; a heartbeat and its answer must fit an election twice."""
+
+    election_seconds: float = ELECTION_SECONDS
+    heartbeat_seconds: float = HEARTBEAT_SECONDS
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -50,6 +50,7 @@
 
     :ivar until: timer seconds at which the caller must have all of it.
     :ivar objective: seconds that are left until the answer counts as late.
+    :ivar sends: counts the backend servers that it was sent to.
     """
 
     request: ports.Request
@@ -60,6 +61,20 @@
     version: int
     until: float
     objective: float
+    sends: 'Sends'
+
+    @property
+    def may_be_sent(self) -> bool:
+        """Whether the operator allows one more backend server."""
+        return self.sends.count < self.sends.most
+
+
+class Sends:
+    """How many backend servers one request was sent to, in all regions."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.count = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -164,8 +179,37 @@
             configuration.version,
             now + patience,
             route.objective,
+            Sends(route.most_sends),
         )
 
+    def check_still_allowed(self, job: Job) -> None:
+        """Checks a decision again, right before a request is sent.
+
+        A VM may have been frozen, or have waited for tokens, since then.
+
+        :raises NotRunError: if the request may not be sent any more.
+        """
+        is_keyed = job.organisation is not None
+        if is_keyed and not self.agent.has_lease:
+            raise errors.LeaseError(
+                'the keys cannot be confirmed', retry_after=0.5
+            )
+        configuration = self.view.configuration
+        if configuration.version == job.version:
+            return
+        request = job.request
+        if is_keyed and request.key:
+            organisation = configuration.find_organisation(request.key)
+            if organisation is None or organisation.name != job.organisation:
+                raise errors.WithdrawnKeyError('the key was withdrawn')
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            raise errors.NotFoundError('no route matches any more')
+        if not route.serves(job.service.name):
+            raise errors.UnavailableError(
+                'the route has changed', retry_after=0.0
+            )
+
     async def charge(self, job: Job) -> float:
         """Takes the request's cost from its organisation's allowance.
 
@@ -222,7 +266,10 @@
                     break
                 except errors.GatewayError as error:
                     failure = self.worse(failure, error)
-                    if error.run != errors.NOT_RUN:
+                    is_over = not job.may_be_sent
+                    if error.run != errors.NOT_RUN and not is_over:
+                        is_over = not self.may_repeat(job, error)
+                    if is_over:
                         break
             if answer is None:
                 raise failure or errors.UnavailableError(
@@ -231,6 +278,29 @@
                 )
             yield answer
 
+    def may_repeat(self, job: Job, error: errors.GatewayError | None) -> bool:
+        """Returns whether another server may get a request that failed."""
+        now = self.timers.now()
+        if job.until - now < LEAST_TIME_SECONDS:
+            return False
+        if isinstance(error, errors.BackendConnectError):
+            # Nothing was sent, so it is no repeat.
+            return True
+        is_not_run = error is not None and error.run == errors.NOT_RUN
+        if not is_not_run and not job.route.is_repeatable:
+            return False
+        if not job.may_be_sent:
+            return False
+        budget = self.budget(job.service.name)
+        has_budget = budget.take(now, len(self.view.entries))
+        self.log(
+            'request:repeated' if has_budget else 'request:no_budget',
+            job,
+            sends=job.sends.count,
+            code=None if error is None else error.code,
+        )
+        return has_budget
+
     @staticmethod
     def worse(
         known: errors.GatewayError | None, new: errors.GatewayError
@@ -297,12 +367,14 @@
 
         :raises PeerError: if no VM of the region takes the request.
         """
+        self.check_still_allowed(job)
         entry = self.choose_entry(region)
         place = (job.service.name, region)
         tokens = 0.0
         if job.request.prompt is not None and job.service.is_engine:
             tokens = float(job.request.prompt.tokens)
         self.log('request:forwarded', job, region=region, vm=entry.vm)
+        job.sends.count += 1
         self.sent_away[place] = self.sent_away.get(place, 0.0) + tokens
         is_counted = True
 
@@ -320,6 +392,7 @@
             job.version,
             job.priority,
             job.until - self.timers.now(),
+            job.sends.most - job.sends.count,
         ]
         try:
             async with self.mesh.open(
@@ -335,6 +408,10 @@
                 )
         except anyio.EndOfStream as error:
             raise errors.PeerLostError('the answer of a VM ended') from error
+        except (errors.PeerUnreachableError, errors.NotRunError):
+            # No backend server was asked.
+            job.sends.count -= 1
+            raise
         finally:
             uncount()
 
@@ -398,12 +475,9 @@
         self, peer: str, message: list, stream: peers.PeerStream
     ) -> None:
         """Runs a request of another region's entry VM."""
-        packed, organisation, service, route, version, priority, left = message
+        packed, *decided = message
         await stream.send('accepted')
-        request = ports.Request.unpack(packed)
-        job = self.adopt(
-            request, organisation, service, route, version, priority, left
-        )
+        job = self.adopt(ports.Request.unpack(packed), *decided)
         self.in_flight += 1
         try:
             async with self.run_here(job, self.pool.region) as answer:
@@ -422,6 +496,7 @@
         version: int,
         priority: int,
         left: float,
+        sends_left: int,
     ) -> Job:
         """Returns another VM's decision, unless a newer one forbids it.
 
@@ -457,6 +532,7 @@
             configuration.version,
             self.timers.now() + left,
             route.objective,
+            Sends(sends_left),
         )
 
     # Servers of this region.
@@ -591,7 +667,6 @@
         self.dispatcher = dispatcher
         self.timers = dispatcher.timers
         self.job = job
-        self.sends = 0
         self.excluded: set[str] = set()
         self.stack = contextlib.AsyncExitStack()
         self.server: server_pool.Server | None = None
@@ -625,41 +700,28 @@
             except errors.GatewayError as error:
                 failure = error
                 await self.close()
-                if not self.may_repeat(error):
+                if not self.dispatcher.may_repeat(self.job, error):
                     raise
                 continue
-            if answer.status in RETRY_STATUSES and self.may_repeat(None):
-                await self.close()
-                failure = errors.BackendStatusError(
-                    f'{server.instance.name} failed', answer.status
-                )
-                continue
+            if answer.status in RETRY_STATUSES and self.has_others():
+                if self.dispatcher.may_repeat(self.job, None):
+                    await self.close()
+                    failure = errors.BackendStatusError(
+                        f'{server.instance.name} failed', answer.status
+                    )
+                    continue
             return answer
 
-    def may_repeat(self, error: errors.GatewayError | None) -> bool:
-        """Returns whether another server may get the request."""
-        job = self.job
-        now = self.timers.now()
-        if job.until - now < LEAST_TIME_SECONDS:
+    def has_others(self) -> bool:
+        """Returns whether another server could give a better answer."""
+        dispatcher, job = self.dispatcher, self.job
+        if not job.route.is_repeatable or not job.may_be_sent:
             return False
-        if isinstance(error, errors.BackendConnectError):
-            # Nothing was sent, so it is no repeat.
-            return True
-        is_not_run = error is not None and error.run == errors.NOT_RUN
-        if not is_not_run and not job.route.is_repeatable:
-            return False
-        if self.sends >= job.route.most_sends:
-            return False
-        budget = self.dispatcher.budget(job.service.name)
-        entries = len(self.dispatcher.view.entries)
-        has_budget = budget.take(now, entries)
-        self.dispatcher.log(
-            'request:repeated' if has_budget else 'request:no_budget',
-            job,
-            sends=self.sends,
-            code=None if error is None else error.code,
+        now = self.timers.now()
+        return any(
+            dispatcher.may_send(job, one, now)
+            for one in dispatcher.pool.usable(job.service, now, self.excluded)
         )
-        return has_budget
 
     async def send(
         self,
@@ -669,6 +731,7 @@
     ) -> ports.Answer:
         """Returns the answer of one server, once its head has come."""
         job = self.job
+        self.dispatcher.check_still_allowed(job)
         now = self.timers.now()
         name = server.instance.name
         self.excluded.add(name)
@@ -689,7 +752,7 @@
             resume_after or job.request.resume_after,
             job.route.is_repeatable,
         )
-        self.sends += 1
+        job.sends.count += 1
         try:
             answer = await self.dispatcher.in_time(
                 job,
@@ -698,7 +761,7 @@
                 ),
             )
         except errors.BackendConnectError:
-            self.sends -= 1
+            job.sends.count -= 1
             server.note_outcome(True, self.timers.now())
             server.eject(self.timers.now())
             self.log_failure(server, 'connect')
@@ -784,7 +847,7 @@
         )
         while True:
             left = job.until - self.timers.now()
-            if self.sends >= job.route.most_sends:
+            if not job.may_be_sent:
                 silence = left
             chunk = None
             try:
@@ -803,7 +866,7 @@
 
         :raises BackendError: what broke it, if it cannot go on.
         """
-        while self.may_repeat(error):
+        while self.dispatcher.may_repeat(self.job, error):
             try:
                 server, unread = self.dispatcher.choose(
                     self.job, self.excluded
