--- /dev/null
+++ b/features/serving_world.py
@@ -0,0 +1,360 @@
+"""Entry VMs of several regions before emulated engines, in fake time.
+
+The dispatchers, pools, budgets and decisions are the product's; engines,
+the network and the control VMs are emulated.
+"""
+
+import collections
+import contextlib
+import dataclasses
+import random
+
+import anyio
+import orjson
+
+from features import fleet_world
+from greengagegw import errors
+from greengagegw.fleet import agent as agents
+from greengagegw.fleet import members
+from greengagegw.platform import documents
+from greengagegw.serving import dispatcher as dispatchers
+from greengagegw.serving import ports
+from greengagegw.serving import prompts
+from greengagegw.serving import servers as server_pool
+from greengagegw import timers as timer_service
+
+ONE_WAY_SECONDS = 0.055
+READ_RATE = 55_000.0
+STEP_SECONDS = 0.01
+EVENT_TOKENS = 8
+ENGINE_MEMORY = 400_000
+SHARE_SECONDS = 0.5
+
+
+class Engine:
+    """One backend server: reads prompts one by one, then generates."""
+
+    def __init__(self, world, instance):
+        self.world = world
+        self.instance = instance
+        self.reading = anyio.Lock()
+        self.running = 0
+        self.waiting_tokens = 0.0
+        self.cache = prompts.CachedParts(ENGINE_MEMORY)
+        self.behaviour = []
+        self.arrivals = []
+        self.closed = []
+        self.tokens_read = 0
+        self.slow = 1.0
+
+    @contextlib.asynccontextmanager
+    async def serve(self, order):
+        timers = self.world.timers
+        self.arrivals.append((timers.now(), order))
+        fault = self.behaviour.pop(0) if self.behaviour else None
+        if fault == 'unreachable':
+            raise errors.BackendConnectError('down')
+        if fault == 'full':
+            raise errors.BackendRefusedError('full')
+        if fault == 'other instance':
+            raise errors.WrongInstanceError('other')
+        if fault == 'breaks before the answer':
+            raise errors.BackendError('broke')
+        if fault == 'silent':
+            await timers.sleep(1000)
+        if self.running >= self.instance.slots + 30:
+            raise errors.BackendRefusedError('full')
+        self.running += 1
+        try:
+            await self.read_prompt(order)
+            status = 500 if fault == 'fails' else 200
+            load = ports.ReportedLoad(self.running, 0, self.instance.slots)
+            yield ports.Answer(status, (), self.generate(order, fault), load)
+        finally:
+            self.running -= 1
+            self.closed.append((timers.now(), order.request.request_id))
+
+    async def read_prompt(self, order):
+        timers = self.world.timers
+        prompt = order.request.prompt
+        if prompt is None:
+            await timers.sleep(0.09 * self.slow)
+            return
+        unread = prompt.tokens - self.cache.cached_tokens(prompt)
+        async with self.reading:
+            await timers.sleep(unread / READ_RATE * self.slow)
+            self.cache.use(prompt)
+            self.tokens_read += unread
+
+    async def generate(self, order, fault):
+        prompt = order.request.prompt
+        if prompt is None:
+            yield b'whole'
+            return
+        count = max(1, prompt.output_tokens // EVENT_TOKENS)
+        first = int(order.resume_after or 0) + 1
+        for number in range(first, count + 1):
+            event = f'id: {number}\ndata: {number}\n\n'.encode()
+            if fault == 'breaks after 2 events' and number == 3:
+                yield event[:7]
+                raise errors.BrokenStreamError('broke')
+            if fault == 'goes silent after 2 events' and number == 3:
+                await self.world.timers.sleep(1000)
+            yield event
+            # A step takes longer the more requests share it.
+            pause = STEP_SECONDS * (1 + self.running / 16) * self.slow
+            await self.world.timers.sleep(pause)
+
+
+class LoopStream:
+    """One end of a stream between two VMs."""
+
+    def __init__(self, world, sending, receiving):
+        self.world = world
+        self.sending = sending
+        self.receiving = receiving
+
+    async def send(self, message):
+        await self.sending.send((self.world.timers.now(), message))
+
+    async def receive(self):
+        sent_at, message = await self.receiving.receive()
+        await self.world.timers.sleep(
+            sent_at + ONE_WAY_SECONDS - self.world.timers.now()
+        )
+        if isinstance(message, errors.GatewayError):
+            raise message
+        return message
+
+
+class LoopMesh:
+    """The peer port for streams, without a network."""
+
+    def __init__(self, world):
+        self.world = world
+
+    @contextlib.asynccontextmanager
+    async def open(self, vm, method, message):
+        world = self.world
+        if vm in world.dark:
+            raise errors.PeerUnreachableError(f'{vm} is dark')
+        world.forwarded[vm] += 1
+        there, here = [
+            anyio.create_memory_object_stream(100) for _ in range(2)
+        ]
+        far = LoopStream(world, here[0], there[1])
+        near = LoopStream(world, there[0], here[1])
+        with anyio.CancelScope() as scope:
+            world.tasks.start_soon(self.serve, vm, message, far, scope)
+        try:
+            yield near
+        finally:
+            far.cancelled.cancel()
+
+    async def serve(self, vm, message, far, _):
+        with anyio.CancelScope() as scope:
+            far.cancelled = scope
+            await self.world.timers.sleep(ONE_WAY_SECONDS)
+            try:
+                await self.world.dispatchers[vm].serve_for_peer(
+                    'peer', message, far
+                )
+            except errors.GatewayError as error:
+                await far.send(error)
+            far.sending.close()
+
+
+class StubWallet:
+    def __init__(self):
+        self.spent = 0.0
+
+    async def spend(self, name, tokens):
+        self.spent += tokens
+
+    def give_back(self, name, tokens):
+        self.spent -= tokens
+
+
+class StubAgent:
+    """What a dispatcher asks of its agent."""
+
+    def __init__(self):
+        self.view = agents.FleetView()
+        self.has_lease = True
+        self.wallet = StubWallet()
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What a caller saw."""
+
+    request_id: str
+    kind: str
+    region: str
+    sent_at: float
+    objective: float
+    status: int = 0
+    body: bytes = b''
+    first_at: float | None = None
+    ended_at: float | None = None
+    error: errors.GatewayError | None = None
+
+    @property
+    def is_on_time(self):
+        return (
+            self.error is None
+            and self.first_at is not None
+            and self.first_at - self.sent_at <= self.objective
+        )
+
+
+class ServingWorld:
+    """Entry VMs and engines of regions, with callers to drive them.
+
+    :param layout: engines and entry VMs by region.
+    """
+
+    def __init__(self, layout, seed=1, routes=None):
+        self.timers = timer_service.ManualTimers()
+        self.timers.settle_rounds = 12
+        self.rng = random.Random(seed)
+        self.regions = {f'{name}-1': name for name in layout}
+        self.engines = {}
+        self.dispatchers = {}
+        self.entries = []
+        self.forwarded = collections.Counter()
+        self.dark = set()
+        self.tasks = None
+        self.outcomes = []
+        self.agents = {}
+        routes = routes or [fleet_world.route()]
+        self.configuration = documents.decode(
+            orjson.dumps(fleet_world.document(routes=routes))
+        )
+        for name, (engines, entries) in layout.items():
+            for at in range(engines):
+                self.add_engine(f'i-{name}{at}', f'{name}-1')
+            self.add_engine(f'i-{name}desk', f'{name}-1', 'desk', 6)
+            for at in range(entries):
+                vm = f'{name}{at}'
+                self.entries.append(
+                    members.EntryVm(
+                        vm,
+                        f'{vm}:80',
+                        name,
+                        f'{name}-1',
+                        members.EntryState.SERVING,
+                    )
+                )
+        for entry in self.entries:
+            self.add_dispatcher(entry)
+
+    def add_engine(self, name, domain, service='engine', slots=64):
+        instance = fleet_world.instance(
+            name, domain=domain, service=service, slots=slots
+        )
+        self.engines[name] = Engine(self, instance)
+
+    def add_dispatcher(self, entry):
+        agent = StubAgent()
+        self.agents[entry.vm] = agent
+        pool = server_pool.ServerPool(agent.view, entry.region, self.regions)
+        self.dispatchers[entry.vm] = dispatchers.Dispatcher(
+            entry.vm,
+            self.timers,
+            LoopMesh(self),
+            agent,
+            pool,
+            self,
+            dispatchers.RetrySettings(0.2, 50, 10.0),
+            random.Random(self.rng.random()),
+        )
+
+    def send(self, instance, order):
+        return self.engines[instance.name].serve(order)
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            self.refresh()
+            tasks.start_soon(self.keep_views)
+            yield self
+            tasks.cancel_scope.cancel()
+
+    async def keep_views(self):
+        while True:
+            await self.timers.sleep(SHARE_SECONDS)
+            self.refresh()
+
+    def refresh(self):
+        """Gives each entry VM what its control VM would tell it."""
+        loads = {
+            entry.vm: dispatchers.describe_load(self.dispatchers[entry.vm])
+            for entry in self.entries
+        }
+        waits = collections.defaultdict(dict)
+        for entry in self.entries:
+            for service, wait in loads[entry.vm]['waits'].items():
+                known = waits[service].get(entry.region, 0.0)
+                waits[service][entry.region] = max(known, wait)
+        for entry in self.entries:
+            view = self.agents[entry.vm].view
+            view.configuration = self.configuration
+            view.entries = tuple(
+                one for one in self.entries if one.vm not in self.dark
+            )
+            view.instances = {
+                name: engine.instance for name, engine in self.engines.items()
+            }
+            view.list_read_at = view.backlogs_at = self.timers.now()
+            view.waits = {name: dict(one) for name, one in waits.items()}
+            view.backlogs = self.others_backlogs(entry, loads)
+            self.dispatchers[entry.vm].pool.update(self.timers.now())
+
+    def others_backlogs(self, entry, loads):
+        totals = {}
+        for other in self.entries:
+            if other.vm == entry.vm or other.region != entry.region:
+                continue
+            for name, values in loads[other.vm]['backlogs'].items():
+                known = totals.get(name, [0.0, 0.0])
+                totals[name] = [known[0] + values[0], known[1] + values[1]]
+        return totals
+
+    def request(self, number, path='/chat/x', prompt=None, patience=12.0):
+        return ports.Request(
+            request_id=f'r-{number}',
+            method='POST',
+            target=path.encode(),
+            host='h.example',
+            path=path,
+            headers=(),
+            body=b'{}',
+            key='key-1',
+            patience=patience,
+            prompt=prompt,
+            resume_after=None,
+        )
+
+    async def call(self, vm, request, objective=1.0, kind=''):
+        """Sends a request to an entry VM, and keeps what came back."""
+        region = next(one.region for one in self.entries if one.vm == vm)
+        outcome = Outcome(
+            request.request_id, kind, region, self.timers.now(), objective
+        )
+        self.outcomes.append(outcome)
+        try:
+            async with self.dispatchers[vm].handle(request) as answer:
+                outcome.status = answer.status
+                async for chunk in answer.chunks:
+                    if outcome.first_at is None:
+                        outcome.first_at = self.timers.now()
+                    outcome.body += chunk
+        except errors.GatewayError as error:
+            outcome.error = error
+        outcome.ended_at = self.timers.now()
+        return outcome
+
+    def post(self, vm, request, objective=1.0, kind=''):
+        self.tasks.start_soon(self.call, vm, request, objective, kind)
--- /dev/null
+++ b/features/steps/serving.py
@@ -0,0 +1,272 @@
+"""Steps on how an entry VM serves requests."""
+
+import dataclasses
+
+import anyio
+import behave
+import orjson
+
+from features import fleet_world
+from features import serving_world
+from features.steps.fleet import in_fleet
+from greengagegw.platform import documents
+from greengagegw.serving import prompts
+
+FAULTS = {
+    'is sound': None,
+    'is unreachable': 'unreachable',
+    'is full': 'full',
+    'is another instance': 'other instance',
+    'is silent': 'silent',
+}
+KINDS = {
+    'unsafe': {'kind': 'unsafe'},
+    'safe': {'kind': 'safe'},
+    'stream': {'kind': 'streaming', 'resumable': False},
+    'resumable': {'kind': 'streaming', 'resumable': True},
+}
+PROMPT = prompts.Prompt(
+    'm', 2000, 80, (prompts.Part('head', 500), prompts.Part('own', 1500))
+)
+EVENTS = b''.join(
+    f'id: {number}\ndata: {number}\n\n'.encode() for number in range(1, 11)
+)
+
+
+def enter(context, layout):
+    world = serving_world.ServingWorld(layout)
+    manager = context.portal.wrap_async_context_manager(world.running())
+    context.serving = manager.__enter__()
+    context.add_cleanup(manager.__exit__, None, None, None)
+
+
+@behave.given('1 region with {engines:d} engines and {entries:d} entry VM')
+def given_region(context, engines, entries):
+    enter(context, {'a': (engines, entries)})
+
+
+@behave.given('region a without engines and region b with 1 engine')
+def given_two_regions(context):
+    enter(context, {'a': (0, 1), 'b': (1, 1)})
+
+
+def configure(context, **changes):
+    world = context.serving
+    context.is_plain = changes.get('kind') in ('safe', 'unsafe')
+    if context.is_plain:
+        changes |= {'timeoutMs': 4000}
+    route = fleet_world.route(**changes)
+    document = fleet_world.document(routes=[route])
+    world.configuration = documents.decode(orjson.dumps(document))
+    world.refresh()
+
+
+@behave.given('a {kind} route with {most:d} sends')
+@in_fleet
+async def given_route(context, kind, most):
+    configure(context, maxAttempts=most, **KINDS[kind])
+
+
+@behave.given('a route at home in {home}')
+@in_fleet
+async def given_home(context, home):
+    configure(context, homeRegions=[home])
+
+
+@behave.when('a request meets a server that {fault}')
+@in_fleet
+async def when_request(context, fault):
+    world = context.serving
+    fault = FAULTS.get(fault, fault)
+    if fault is not None:
+        # Whichever server is chosen first has the fault.
+        faults = [fault]
+        for engine in world.engines.values():
+            engine.behaviour = faults
+    prompt = None if context.is_plain else PROMPT
+    request = world.request(1, prompt=prompt)
+    world.post('a0', request)
+    await world.timers.advance(20.0)
+    (context.outcome,) = world.outcomes
+
+
+@behave.then('the caller gets {result} after {seconds:g} seconds')
+def then_result_after(context, result, seconds):
+    then_result(context, result)
+    outcome = context.outcome
+    took = outcome.ended_at - outcome.sent_at
+    assert seconds - 0.1 <= took <= seconds, took
+
+
+@behave.then('the caller gets {result}')
+def then_result(context, result):
+    outcome = context.outcome
+    error = outcome.error
+    whole = b'whole' if context.is_plain else EVENTS
+    if result == 'the whole answer':
+        assert error is None, error
+        assert (outcome.status, outcome.body) == (200, whole), outcome
+    elif result == "the server's failure":
+        assert (error, outcome.status) == (None, 500), outcome
+    elif result == 'an unknown outcome':
+        assert error.run == 'unknown' and not outcome.status, outcome
+    elif result == 'a promise':
+        assert error.run == 'not_run' and error.status == 503, outcome
+        assert error.retry_after is None or error.retry_after > 0
+    elif result == 'a broken answer':
+        assert outcome.status == 200 and error is not None, outcome
+        assert EVENTS.startswith(outcome.body)
+    else:
+        assert error.status == int(result.rpartition(' ')[2]), outcome
+
+
+def count_arrivals(world):
+    return sum(len(one.arrivals) for one in world.engines.values())
+
+
+@behave.then('the request was sent to {sends:d} servers')
+def then_sends(context, sends):
+    found = count_arrivals(context.serving)
+    assert found == sends, found
+
+
+@behave.when('a caller leaves in the middle of a stream')
+@in_fleet
+async def when_leaves(context):
+    world = context.serving
+    long = dataclasses.replace(PROMPT, output_tokens=8000)
+    request = world.request(1, prompt=long)
+    with anyio.CancelScope() as scope:
+
+        async def leave():
+            await world.timers.advance(1.0)
+            scope.cancel()
+
+        world.tasks.start_soon(leave)
+        await world.call('a0', request)
+    context.left_at = world.timers.now()
+    await world.timers.advance(1.0)
+
+
+@behave.then("the server's connection is closed at once")
+def then_closed(context):
+    closed = [
+        at
+        for engine in context.serving.engines.values()
+        for at, _ in engine.closed
+    ]
+    assert len(closed) == 1, closed
+    assert closed[0] - context.left_at <= 0.2, closed
+
+
+@behave.when('server {name} {state}')
+@in_fleet
+async def when_state(context, name, state):
+    world = context.serving
+    engine = world.engines[name]
+    instance = engine.instance
+    if state == 'is leaving':
+        engine.instance = dataclasses.replace(instance, is_leaving=True)
+    elif state == 'is cold':
+        engine.instance = dataclasses.replace(instance, is_cold=True)
+    elif state == 'left its address':
+        for one in world.dispatchers.values():
+            one.pool.forget(name)
+    elif state == 'is evacuated too':
+        engine.instance = dataclasses.replace(instance, domain='a-2')
+        world.regions['a-2'] = 'a'
+        for agent in world.agents.values():
+            agent.view.evacuated = frozenset({'a-2'})
+    world.refresh()
+
+
+@behave.when('{count:d} requests come')
+@in_fleet
+async def when_requests(context, count):
+    await post_many(context.serving, count, 2.0)
+
+
+@behave.when('{count:d} requests come in {seconds:g} seconds')
+@in_fleet
+async def when_requests_in(context, count, seconds):
+    await post_many(context.serving, count, seconds)
+
+
+async def post_many(world, count, seconds):
+    vms = [one.vm for one in world.entries]
+    for number in range(count):
+        small = dataclasses.replace(
+            PROMPT, tokens=100, output_tokens=8, parts=()
+        )
+        vm = vms[number % len(vms)]
+        world.post(vm, world.request(number, prompt=small))
+        await world.timers.advance(seconds / count)
+
+
+@behave.then('server {name} got nothing')
+def then_nothing(context, name):
+    world = context.serving
+    assert not world.engines[name].arrivals
+    assert count_arrivals(world) >= 20
+
+
+@behave.then('server {name} got at most {most:d} requests in any second')
+def then_paced(context, name, most):
+    times = [at for at, _ in context.serving.engines[name].arrivals]
+    busiest = max(
+        sum(1 for one in times if at <= one < at + 1) for at in times
+    )
+    assert 0 < busiest <= most, busiest
+
+
+@behave.when('the key is withdrawn between decision and sending')
+@in_fleet
+async def when_withdrawn(context):
+    world = context.serving
+
+    async def withdraw(name, tokens):
+        tenants = [fleet_world.tenant(apiKeys=['key-2'])]
+        document = fleet_world.document(2, tenants=tenants)
+        world.configuration = documents.decode(orjson.dumps(document))
+        world.refresh()
+
+    limited = [fleet_world.tenant(ratePerS=10**6)]
+    document = fleet_world.document(1, tenants=limited)
+    world.configuration = documents.decode(orjson.dumps(document))
+    world.refresh()
+    world.agents['a0'].wallet.spend = withdraw
+    world.post('a0', world.request(1, prompt=PROMPT))
+    await world.timers.advance(1.0)
+    (context.outcome,) = world.outcomes
+
+
+@behave.when(
+    'for {seconds:d} seconds all servers fail under {rate:d} requests a second'
+)
+@in_fleet
+async def when_all_fail(context, seconds, rate):
+    world = context.serving
+    for engine in world.engines.values():
+        engine.behaviour = ['fails'] * 10000
+    for number in range(seconds * rate):
+        world.post('a0', world.request(number))
+        await world.timers.advance(1 / rate)
+
+
+@behave.then('in any 10 seconds at most {most:d} repeats were sent')
+def then_budget(context, most):
+    arrivals = sorted(
+        (at, order.request.request_id)
+        for engine in context.serving.engines.values()
+        for at, order in engine.arrivals
+    )
+    seen = set()
+    repeats = []
+    for at, name in arrivals:
+        if name in seen:
+            repeats.append(at)
+        seen.add(name)
+    busiest = max(
+        sum(1 for one in repeats if at <= one < at + 10) for at in repeats
+    )
+    assert 0 < busiest <= most, busiest
