A region that can run nothing asks two others

Change: two other regions are asked where the own one can run nothing; the refusal may then take two round trips.

--- a/features/serving/load.feature
+++ b/features/serving/load.feature
@@ -1,20 +1,21 @@
 Feature: What is served when load is at its worst
   Load patterns are replayed in fake time through the product's decisions, by
   seven entry VMs before five emulated engines in three regions. A refusal may wait for one round
-  trip to another region, which takes 0.11 s.
+  trip to another region, which takes 0.11 s, and for a second one where its
+  own region can run nothing.
 
   Scenario Outline: Most is served on time, in every region
     When <pattern> is replayed
     Then at least <all> percent of all requests are served on time
     And at least <worst> percent of those of the worst region
-    And each refusal is told within 0.12 seconds
+    And each refusal is told within <told> seconds
 
     Examples:
-      | pattern                       | all | worst |
-      | an even load                  | 90  | 85    |
-      | a peak in the smallest region | 85  | 80    |
-      | one server five times slower  | 75  | 70    |
-      | half of the servers gone      | 60  | 50    |
+      | pattern                       | all | worst | told |
+      | an even load                  | 90  | 85    | 0.12 |
+      | a peak in the smallest region | 85  | 80    | 0.12 |
+      | one server five times slower  | 75  | 70    | 0.12 |
+      | half of the servers gone      | 60  | 50    | 0.23 |
 
   Scenario: Overload starves no class, and the urgent one does not come last
     When twice what can be served is replayed
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -364,12 +364,11 @@
                 f'{job.service.name} would begin to answer in {best:.2f} s',
                 retry_after=verdict.retry_after,
             )
-        # A refusal must not wait for more than one round trip.
-        return [
-            region
-            for at, region in enumerate(regions[:2])
-            if at == 0 or here in regions[:2]
-        ]
+        # A refusal waits for a second round trip only where this region can
+        # run nothing itself.
+        if here_wait is None:
+            return regions[:2]
+        return [one for one in regions[:2] if one in (regions[0], here)]
 
     def judge(
         self, job: Job, predicted: float, now: float
