--- a/features/load_patterns.py
+++ b/features/load_patterns.py
@@ -120,20 +120,23 @@
 
     async def send_one(self, kind, vm, number):
         world = self.world
+        # Sizes are spread like those of real prompts: a few are much longer.
+        own = round(kind.own * world.rng.lognormvariate(-0.32, 0.8))
         head = f'{kind.name}-{world.rng.randrange(kind.heads)}'
         prompt = prompts.Prompt(
             'm',
-            kind.shared + kind.own,
+            kind.shared + own,
             kind.output,
             (
                 prompts.Part(head, kind.shared),
-                prompts.Part(f'own-{number}', kind.own),
+                prompts.Part(f'own-{number}', own),
             ),
         )
         path = f'/{kind.name}/x'
         began_at = world.timers.now()
         request = world.request(number, path, prompt, kind.patience)
         outcome = await world.call(vm, request, kind.objective, kind.name)
+        outcome.size = own
         error = outcome.error
         if error is None or error.run != 'not_run' or not self.pattern.returns:
             return
@@ -146,6 +149,7 @@
         request = world.request(f'{number}b', path, prompt, left)
         again = await world.call(vm, request, kind.objective, kind.name)
         again.sent_at = began_at
+        again.size = own
 
     def share(self, is_counted=lambda one: True):
         """Returns the share of requests whose answer began in time."""
@@ -176,6 +180,19 @@
         engines = sum(count for count, _ in LAYOUT.values())
         return done / (engines * serving_world.READ_RATE * self.seconds)
 
+    def served_by_size(self, kind):
+        """Returns the served share of a class's largest tenth, and of all."""
+        asked = sorted(
+            (one for one in self.world.outcomes if one.kind == kind),
+            key=lambda one: one.size,
+        )
+        largest = asked[-len(asked) // 10 :]
+
+        def share(some):
+            return sum(one.error is None for one in some) / len(some)
+
+        return share(largest), share(asked)
+
     def told_seconds(self):
         """Returns how long the slowest refusal took to be told."""
         return max(
--- a/features/serving/load.feature
+++ b/features/serving/load.feature
@@ -22,5 +22,6 @@
     Then at least 40 percent of all requests are served on time
     And short requests are served on time no less often than long ones by 5 percent
     And each class is served at least a quarter as often as all
+    And the largest tenth of each class is served half as often as the class
     And each refusal is told within 0.12 seconds
     And at most 5 percent of all requests come back to be refused again
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -235,6 +235,7 @@
     first_at: float | None = None
     ended_at: float | None = None
     error: errors.GatewayError | None = None
+    size: int = 0
 
     @property
     def is_on_time(self):
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -70,3 +70,12 @@
         if one.error is not None and one.request_id.endswith('b')
     )
     assert again * 100 <= percent * len(outcomes), (again, len(outcomes))
+
+
+@behave.then(
+    'the largest tenth of each class is served half as often as the class'
+)
+def then_sizes(context):
+    for kind in load_patterns.KINDS:
+        largest, whole = context.replay.served_by_size(kind.name)
+        assert largest >= whole / 2, (kind.name, largest, whole)
--- a/src/greengagegw/fleet/agent.py
+++ b/src/greengagegw/fleet/agent.py
@@ -97,7 +97,7 @@
         self.boot_clock = boot_clock
         self.preferred: str | None = None
         self.was_in_touch = False
-        self.wallet = quota.Wallet(timers, self.take_tokens)
+        self.wallet = quota.Wallet(timers, self.take_tokens, self.fair_share)
         self.tasks: anyio.abc.TaskGroup | None = None
 
     @property
@@ -245,6 +245,16 @@
         elif reply['list_digest'] == view.list_digest:
             view.list_read_at = read_at
 
+    def fair_share(self, name: str) -> float:
+        """Returns an organisation's rate over the number of entry VMs."""
+        configuration = self.view.configuration
+        if configuration is None:
+            return 0.0
+        organisation = configuration.organisations.get(name)
+        if organisation is None:
+            return 0.0
+        return organisation.rate / max(1, len(self.view.entries))
+
     async def take_tokens(
         self, wanted: dict[str, list], returned: list[list]
     ) -> tuple[int, dict[str, typing.Any]]:
--- a/src/greengagegw/fleet/quota.py
+++ b/src/greengagegw/fleet/quota.py
@@ -33,6 +33,9 @@
 USED_UP_SHARE = 0.5
 SILENT_LEADER_SECONDS = 2 * timing.TAKE_CALL_SECONDS
 OUTAGE_SECONDS = 6.0
+# A VM that had few of an organisation's callers may spend this share of its
+# fair share besides; all VMs together then stay within the quota's slack.
+OUTAGE_SHARE = 0.25
 
 
 class Grantor:
@@ -133,11 +136,19 @@
 
     :param ask: hands wishes and ended grants to the leader, and returns its
         epoch and the grants.
+    :param fair_share: returns the tokens a second that an organisation's
+        rate gives each VM if all have the same.
     """
 
-    def __init__(self, timers: timer_service.Timers, ask: Ask) -> None:
+    def __init__(
+        self,
+        timers: timer_service.Timers,
+        ask: Ask,
+        fair_share: collections.abc.Callable[[str], float],
+    ) -> None:
         self.timers = timers
         self.ask = ask
+        self.fair_share = fair_share
         self.accounts: dict[str, Account] = {}
         self.returned: list[list] = []
         self.retry_after: dict[str, float] = {}
@@ -164,7 +175,7 @@
         account.purse.note_demand(tokens, now)
         if self.spend_held(account, tokens):
             return
-        if self.is_leader_silent and self.spend_reserve(account, tokens):
+        if self.is_leader_silent and self.spend_reserve(name, tokens):
             return
         account.waiting.append(tokens)
         is_answered = False
@@ -181,7 +192,7 @@
                 f'{name} is over its rate',
                 retry_after=min(LONGEST_RETRY_SECONDS, max(0.1, seconds)),
             )
-        if self.spend_reserve(account, tokens):
+        if self.spend_reserve(name, tokens):
             return
         raise errors.UnavailableError(
             'the rate cannot be checked', retry_after=DEFAULT_RETRY_SECONDS
@@ -230,16 +241,18 @@
         account.reserve = max(account.purse.usual_tokens, account.granted_rate)
         return True
 
-    def spend_reserve(self, account: Account, tokens: float) -> bool:
+    def spend_reserve(self, name: str, tokens: float) -> bool:
         """Spends at the rate granted before, while no leader answers."""
+        account = self.find_account(name)
         now = self.timers.now()
         if now - self.answered_at > OUTAGE_SECONDS:
             return False
         elapsed = now - account.updated_at
         account.updated_at = now
+        rate = max(account.granted_rate, self.fair_share(name) * OUTAGE_SHARE)
         account.reserve = min(
-            max(account.purse.usual_tokens, account.granted_rate),
-            account.reserve + account.granted_rate * elapsed,
+            max(account.purse.usual_tokens, rate),
+            account.reserve + rate * elapsed,
         )
         if account.reserve < tokens:
             return False
--- a/src/greengagegw/platform/roles.py
+++ b/src/greengagegw/platform/roles.py
@@ -14,6 +14,7 @@
 from .. import __version__
 from .. import errors
 from .. import timers as timer_service
+from ..adapters import asgi
 from ..adapters import files
 from ..adapters import peer_mesh
 from ..adapters import servers
@@ -23,6 +24,7 @@
 from ..fleet import agent as agents
 from ..fleet import control as controls
 from ..fleet import members
+from ..fleet import metrics as fleet_metrics
 from ..fleet import store as stores
 from ..fleet import timing
 from . import instance_list
@@ -34,6 +36,11 @@
 from ..serving import servers as server_pool
 from . import settings as platform_settings
 
+# Named in deploy/system.toml as well.
+ENTRY_METRICS_PORT = 9464
+CONTROL_METRICS_PORT = 9465
+METRICS_PATH = '/metrics'
+LAG_POLL_SECONDS = 0.5
 GROUP = 'control'
 DEPLOYMENT = 'fleet'
 # The platform gives VMs no secret, and keeps others from their ports.
@@ -69,6 +76,8 @@
         self.rng = random.Random()  # noqa: S311
         self.leaving_since: float | None = None
         self.ended = anyio.Event()
+        self.metrics = fleet_metrics.FleetMetrics()
+        self.loop_lag = 0.0
         self.context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
         self.mesh = peer_mesh.PeerMesh(
             peer_mesh.MeshSettings(
@@ -111,6 +120,36 @@
         tasks.start_soon(self.timers.run)
         tasks.start_soon(self.mesh.run, listener)
         tasks.start_soon(self.watch_settings)
+        tasks.start_soon(self.watch_loop)
+        eliot.add_destinations(self.metrics)
+        self.metrics.watch(
+            'greengagegw_loop_lag_seconds',
+            'How late the event loop was when it was last looked at',
+            lambda: self.loop_lag,
+        )
+        self.metrics.watch(
+            'greengagegw_peer_bytes_sent',
+            'Bytes sent to other VMs',
+            lambda: self.mesh.total_bytes_sent,
+        )
+
+    async def watch_loop(self) -> None:
+        while True:
+            due = self.timers.now() + LAG_POLL_SECONDS
+            await self.timers.sleep(LAG_POLL_SECONDS)
+            self.loop_lag = max(0.0, self.timers.now() - due)
+
+    async def show_metrics(
+        self, scope: dict, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serves the metrics, as an ASGI application."""
+        if scope['type'] == 'lifespan':
+            await asgi.serve_lifespan(receive, send)
+            return
+        is_found = scope['path'] == METRICS_PATH
+        body = self.metrics.render() if is_found else b''
+        headers = [(b'content-type', b'text/plain; version=0.0.4')]
+        await asgi.send_whole(send, 200 if is_found else 404, headers, body)
 
     async def watch_settings(self) -> None:
         """Takes over new settings, with a signal or without one."""
@@ -256,11 +295,86 @@
             allowed,
             process,
         )
+        serve(
+            tasks,
+            process.show_metrics,
+            platform_settings.Endpoint(settings.host, ENTRY_METRICS_PORT),
+            allowed,
+            process,
+        )
+        watch_entry(process, agent, dispatcher)
         await process.ended.wait()
         await timers.sleep(EXIT_SECONDS / 2)
         tasks.cancel_scope.cancel()
 
 
+def watch_entry(
+    process: Process,
+    agent: agents.Agent,
+    dispatcher: dispatchers.Dispatcher,
+) -> None:
+    """Shows what an entry VM believes, and how old it is."""
+    view = agent.view
+    watch = process.metrics.watch
+    watch(
+        'greengagegw_configuration_version',
+        'Version of the configuration in force',
+        lambda: view.version,
+    )
+    watch(
+        'greengagegw_lease_seconds_left',
+        'Seconds for which keys are accepted without another answer',
+        lambda: view.lease_until - agent.boot_clock(),
+    )
+    watch(
+        'greengagegw_instance_list_age_seconds',
+        'Age of the list of backend servers',
+        lambda: process.timers.now() - view.list_read_at,
+    )
+    watch(
+        'greengagegw_requests_in_flight',
+        'Requests being handled',
+        lambda: dispatcher.in_flight,
+    )
+    watch(
+        'greengagegw_entry_vms',
+        'Entry VMs that are known',
+        lambda: len(view.entries),
+    )
+
+
+def watch_control(process: Process, control: controls.Control) -> None:
+    """Shows what a control VM holds."""
+    replica = control.replica
+    watch = process.metrics.watch
+    watch(
+        'greengagegw_configuration_version',
+        'Version of the configuration held',
+        lambda: control.store.version,
+    )
+    watch('greengagegw_replica_term', 'Term of the log', lambda: replica.term)
+    watch(
+        'greengagegw_replica_leads',
+        'Whether this VM leads the control group',
+        lambda: replica.is_leader,
+    )
+    watch(
+        'greengagegw_replica_committed',
+        'Entries of the log that a majority holds',
+        lambda: replica.commit_index,
+    )
+    watch(
+        'greengagegw_instance_list_age_seconds',
+        'Age of the list of backend servers',
+        lambda: process.timers.now() - control.instances.read_at,
+    )
+    watch(
+        'greengagegw_entry_vms',
+        'Entry VMs that are known',
+        lambda: len(control.roster.heard),
+    )
+
+
 def serve(
     tasks: anyio.abc.TaskGroup,
     application: collections.abc.Callable,
@@ -337,6 +451,14 @@
         serve(tasks, application, settings.control, allowed, process)
         if settings.directory is not None:
             serve(tasks, application, settings.directory, allowed, process)
+        serve(
+            tasks,
+            process.show_metrics,
+            platform_settings.Endpoint(settings.host, CONTROL_METRICS_PORT),
+            allowed,
+            process,
+        )
+        watch_control(process, control)
         await process.ended.wait()
         await timers.sleep(EXIT_SECONDS / 2)
         tasks.cancel_scope.cancel()
--- a/src/greengagegw/serving/admission.py
+++ b/src/greengagegw/serving/admission.py
@@ -6,6 +6,9 @@
   answer late, so what would be late is refused at once.
 - Long, less urgent prompts fill the time in which short, urgent ones would
   begin, so they are taken up to a smaller share of their objective.
+- Long prompts of a class take longer to be read than short ones. Judged by
+  that, the longest would never be served when much waits, so they are taken,
+  late, where a usual one would be well in time.
 - What was refused comes back while it is still too much, and is refused
   again. A service under pressure names a time at which the pressure will
   have passed, and what does come back goes before new work.
@@ -22,6 +25,9 @@
 LATE_SHARE = 0.05
 # Callers whose patience is within this share of the usual one are new.
 NEW_PATIENCE_SHARE = 0.97
+# Share of the limit up to which a prompt is taken by its usual size.
+LONG_SHARE = 0.65
+SIZE_SMOOTHING = 0.05
 SHORTEST_RETRY_SECONDS = 0.2
 LONGEST_RETRY_SECONDS = 8.0
 # Refused requests come back spread over this share of their pause more.
@@ -79,6 +85,19 @@
         return usual - patience
 
 
+class UsualSize:
+    """The seconds that prompts of a route usually take to be read."""
+
+    def __init__(self) -> None:
+        self.seconds: dict[str, float] = {}
+
+    def excess(self, route: str, seconds: float) -> float:
+        """Returns by how many seconds a prompt takes longer than usual."""
+        usual = self.seconds.get(route, seconds)
+        self.seconds[route] = usual + SIZE_SMOOTHING * (seconds - usual)
+        return max(0.0, seconds - usual)
+
+
 class Pressure:
     """The share of a service's requests that were refused lately."""
 
@@ -114,6 +133,7 @@
 
 def judge(
     predicted: float,
+    excess: float,
     claim: Claim,
     pressure: float,
     rng: random.Random,
@@ -121,10 +141,11 @@
     """Decides on a request.
 
     :param predicted: seconds from now until it begins to be answered.
+    :param excess: seconds of that in which its prompt is longer than usual.
     :param pressure: share of the service's requests refused lately.
     """
     limit = limit_of(claim)
-    if predicted <= limit:
+    if predicted <= limit or predicted - excess <= limit * LONG_SHARE:
         return Verdict(True)
     return Verdict(False, retry_after(predicted - limit, pressure, rng))
 
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -115,6 +115,7 @@
         self.rng = rng
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.patience = admission.Patience()
+        self.sizes = admission.UsualSize()
         self.pressures: dict[str, admission.Pressure] = {}
         self.suspects: dict[str, float] = {}
         self.sent_away: dict[tuple[str, str], float] = {}
@@ -349,7 +350,7 @@
         if not regions:
             return []
         best = here_wait if regions[0] == here else waits[regions[0]]
-        verdict = self.judge(job, best, now)
+        verdict = self.judge(job, best, reading, now)
         self.log(
             'request:planned',
             job,
@@ -371,15 +372,24 @@
         return [one for one in regions[:2] if one in (regions[0], here)]
 
     def judge(
-        self, job: Job, predicted: float, now: float
+        self, job: Job, predicted: float, reading: float, now: float
     ) -> admission.Verdict:
-        """Decides whether a request is taken, and notes it."""
+        """Decides whether a request is taken, and notes it.
+
+        :param reading: seconds of the prediction in which its own prompt is
+            read.
+        """
+        excess = self.sizes.excess(job.route.name, reading)
         pressure = self.find_pressure(job, now)
         claim = admission.Claim(
             job.objective, job.until - now, job.rank, job.has_returned
         )
         verdict = admission.judge(
-            predicted, claim, pressure.refused_share(now), self.rng
+            predicted,
+            excess,
+            claim,
+            pressure.refused_share(now),
+            self.rng,
         )
         pressure.note(not verdict.is_taken, now)
         return verdict
@@ -654,9 +664,9 @@
                 f'no backend server of {job.service.name} is usable here',
                 retry_after=self.retry_after(job),
             )
-        verdict = self.judge(job, chosen.wait, now)
         server = usable[chosen.name]
         unread = self.predict(job, server, now)[1]
+        verdict = self.judge(job, chosen.wait, unread / server.read_rate, now)
         self.log(
             'request:placed',
             job,
