Callers' patience differs; large requests get as much of a rate as small ones

Change: only a patience under 0.8 of the longest tells a return; requests of an organisation wait for tokens in the order in which they came, and the first one may be granted ahead of the rate, within two fifths of the quota's slack. Less urgent classes are taken up to 0.7 of their objective.

--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -101,3 +101,11 @@
       | demand | share |
       | 5000   | 99    |
       | 40000  | 85    |
+
+  Scenario: Large requests get as much of a rate as small ones
+    Given a fleet of 3 control VMs and 4 entry VMs
+    And an organisation of 10000 tokens a second with a burst of 10000
+    And its quota may be 6000 tokens ahead
+    When for 20 seconds requests of 300 and of 6000 tokens ask for 4 times that
+    Then large requests were served at least half as often as small ones
+    And in every 8 seconds at most 96000 tokens were given
--- a/features/fleet_world.py
+++ b/features/fleet_world.py
@@ -124,7 +124,7 @@
         self.list = [instance()]
         self.reads = 0
         self.boot_offset = 0.0
-        self.acknowledged = 0
+        self.quota_debt = 0.0
 
     def start(self, vm):
         if vm in self.entry_vms:
@@ -156,6 +156,7 @@
             store,
             self.read_list,
             documents.decode,
+            self.quota_debt,
         )
         self.replicas[vm] = replica
         self.controls[vm] = control
--- a/features/load_patterns.py
+++ b/features/load_patterns.py
@@ -134,18 +134,20 @@
         )
         path = f'/{kind.name}/x'
         began_at = world.timers.now()
-        request = world.request(number, path, prompt, kind.patience)
+        # Callers differ in how long they wait.
+        patience = kind.patience * world.rng.uniform(0.85, 1.0)
+        request = world.request(number, path, prompt, patience)
         outcome = await world.call(vm, request, kind.objective, kind.name)
         outcome.size = own
         error = outcome.error
         if error is None or error.run != 'not_run' or not self.pattern.returns:
             return
         pause = error.retry_after or 0.1
-        if pause > (kind.patience - (world.timers.now() - began_at)) / 3:
+        if pause > (patience - (world.timers.now() - began_at)) / 3:
             return
         await world.timers.sleep(pause)
         world.outcomes.remove(outcome)
-        left = kind.patience - (world.timers.now() - began_at)
+        left = patience - (world.timers.now() - began_at)
         request = world.request(f'{number}b', path, prompt, left)
         again = await world.call(vm, request, kind.objective, kind.name)
         again.sent_at = began_at
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -389,3 +389,47 @@
     owed = min(context.asked, context.rate * context.seconds)
     total = sum(one for _, one in context.given_tokens)
     assert total * 100 >= owed * share, (total, owed)
+
+
+@behave.given('its quota may be {tokens:d} tokens ahead')
+def given_debt(context, tokens):
+    for control in context.fleet.controls.values():
+        control.grantor.debt = tokens
+
+
+@behave.when(
+    'for {seconds:d} seconds requests of {small:d} and of {large:d} tokens'
+    ' ask for {times:d} times that'
+)
+@in_fleet
+async def when_sizes(context, seconds, small, large, times):
+    fleet = context.fleet
+    context.given_tokens = []
+    context.asked_sizes = []
+
+    async def ask(agent, size):
+        context.asked_sizes.append(size)
+        try:
+            await agent.wallet.spend('org', size)
+        except errors.GatewayError:
+            return
+        context.given_tokens.append((fleet.timers.now(), size))
+
+    # One large request for nine small ones.
+    pause = (small * 9 + large) / 10 / (context.rate * times)
+    agents = list(fleet.agents.values())
+    for _ in range(int(seconds / pause)):
+        size = large if fleet.rng.random() < 0.1 else small
+        fleet.tasks.start_soon(ask, fleet.rng.choice(agents), size)
+        await fleet.timers.advance(pause)
+    context.sizes = (small, large)
+
+
+@behave.then('large requests were served at least half as often as small ones')
+def then_sizes_alike(context):
+    given = [size for _, size in context.given_tokens]
+    small, large = (
+        given.count(size) / context.asked_sizes.count(size)
+        for size in context.sizes
+    )
+    assert large >= small / 2, (small, large)
--- a/src/greengagegw/allowance/bucket.py
+++ b/src/greengagegw/allowance/bucket.py
@@ -57,16 +57,27 @@
         self.level = min(room, self.level + self.rate * elapsed)
 
     def take(
-        self, least: float, most: float, now: float, validity: float
+        self,
+        least: float,
+        most: float,
+        now: float,
+        validity: float,
+        debt: float = 0.0,
     ) -> Grant | None:
         """Hands out whole tokens, which are short in messages.
 
         :param least: tokens below which nothing is handed out.
         :param most: tokens that the holder would like.
         :param validity: seconds until the grant ends.
+        :param debt: tokens that may be handed out before they have come in,
+            to fill ``least``, while any are there. Without it, what asks for
+            much goes without whenever others ask for little.
         """
         self.refill(now)
-        tokens = math.floor(min(self.level, most))
+        level = self.level
+        if 0 < level < least <= level + debt:
+            level = least
+        tokens = math.floor(min(level, most))
         if tokens < least or tokens <= 0:
             return None
         self.level -= tokens
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -65,6 +65,7 @@
         store: stores.Store,
         read_instances: ReadInstances,
         decode: Decode,
+        quota_debt: float = 0.0,
     ) -> None:
         self.vm = vm
         self.timers = timers
@@ -76,7 +77,7 @@
         self.roster = members.Roster(timing.ROSTER_SILENCE_SECONDS)
         self.loads: dict[str, dict] = {}
         self.instances = InstanceView()
-        self.grantor = quota.Grantor(timers)
+        self.grantor = quota.Grantor(timers, quota_debt)
         self.group = replication_client.GroupClient(
             replica.group, (vm,), mesh, timers
         )
--- a/src/greengagegw/fleet/quota.py
+++ b/src/greengagegw/fleet/quota.py
@@ -39,10 +39,17 @@
 
 
 class Grantor:
-    """Hands out tokens while this VM leads the control group."""
+    """Hands out tokens while this VM leads the control group.
 
-    def __init__(self, timers: timer_service.Timers) -> None:
+    :param debt: tokens that an organisation may get ahead of its rate, so
+        that large requests are served as often as small ones.
+    """
+
+    def __init__(
+        self, timers: timer_service.Timers, debt: float = 0.0
+    ) -> None:
         self.timers = timers
+        self.debt = debt
         self.buckets: dict[str, buckets.Bucket] = {}
         self.epoch = 0
 
@@ -87,9 +94,11 @@
             if organisation is None or not organisation.is_limited:
                 continue
             bucket = self.find_bucket(organisation, now)
-            grant = bucket.take(least, most, now, timing.GRANT_SECONDS)
+            debt = self.debt if organisation.counts_tokens else 0.0
+            grant = bucket.take(least, most, now, timing.GRANT_SECONDS, debt)
             if grant is None:
-                lacking = max(0.0, least - bucket.level)
+                wanted_level = 1.0 if least <= debt else least
+                lacking = max(0.0, wanted_level - bucket.level)
                 granted[name] = [0, lacking / organisation.rate]
             else:
                 granted[name] = [grant.number, grant.tokens]
@@ -109,17 +118,27 @@
         return bucket
 
 
+class Ticket:
+    """A request's place among those that wait for a grant."""
+
+    __slots__ = ('is_first', 'tokens')
+
+    def __init__(self, tokens: float) -> None:
+        self.tokens = tokens
+        self.is_first = anyio.Event()
+
+
 @dataclasses.dataclass(slots=True)
 class Account:
     """What an entry VM holds of one organisation's tokens.
 
-    :ivar waiting: the costs of the requests that wait for a grant.
+    :ivar waiting: the requests that wait for a grant, the first one first.
     :ivar granted_rate: tokens a second spent lately.
     :ivar reserve: tokens that may be spent while no leader answers.
     """
 
     purse: purses.Purse
-    waiting: list[float] = dataclasses.field(default_factory=list)
+    waiting: list['Ticket'] = dataclasses.field(default_factory=list)
     granted_rate: float = 0.0
     reserve: float = 0.0
     updated_at: float = 0.0
@@ -173,20 +192,24 @@
         account = self.find_account(name)
         now = self.timers.now()
         account.purse.note_demand(tokens, now)
-        if self.spend_held(account, tokens):
+        # Those that wait go first, or large requests never get enough.
+        if not account.waiting and self.spend_held(account, tokens):
             return
         if self.is_leader_silent and self.spend_reserve(name, tokens):
             return
-        account.waiting.append(tokens)
-        is_answered = False
+        ticket = Ticket(tokens)
+        account.waiting.append(ticket)
+        outcome = None
         try:
             with self.timers.limit(WAIT_SECONDS):
-                is_answered = await self.fetch_until_held(name, tokens)
+                outcome = await self.fetch_until_held(name, ticket)
         finally:
-            account.waiting.remove(tokens)
-        if is_answered and self.spend_held(account, tokens):
+            account.waiting.remove(ticket)
+            if account.waiting:
+                account.waiting[0].is_first.set()
+        if outcome is True:
             return
-        if is_answered or not self.is_leader_silent:
+        if outcome is False or not self.is_leader_silent:
             seconds = self.retry_after.get(name, DEFAULT_RETRY_SECONDS)
             raise errors.RateLimitError(
                 f'{name} is over its rate',
@@ -204,20 +227,26 @@
         asked = min(self.asked_at, self.timers.now() - SILENT_LEADER_SECONDS)
         return self.answered_at < asked
 
-    async def fetch_until_held(self, name: str, tokens: float) -> bool:
-        """Asks for tokens, again when they will be there in a moment.
+    async def fetch_until_held(
+        self, name: str, ticket: 'Ticket'
+    ) -> bool | None:
+        """Spends tokens, asking for them until they will take too long.
 
-        :returns: whether the leader has answered.
+        :returns: whether they were spent; None if no leader answers.
         """
         account = self.find_account(name)
+        if account.waiting[0] is not ticket:
+            await ticket.is_first.wait()
         self.retry_after.pop(name, None)
         while True:
             is_answered = await self.fetch()
-            if account.purse.available(self.timers.now()) >= tokens:
+            if self.spend_held(account, ticket.tokens):
                 return True
+            if not is_answered:
+                return None
             pause = self.retry_after.get(name)
-            if not is_answered or pause is None or pause > SOON_SECONDS:
-                return is_answered
+            if pause is None or pause > SOON_SECONDS:
+                return False
             await self.timers.sleep(pause)
 
     def give_back(self, name: str, tokens: float) -> None:
@@ -272,10 +301,11 @@
             purse = account.purse
             purse.decay(now)
             held = purse.available(now)
-            # The smallest request that waits must not go without because
-            # there is not enough for all.
-            least = max(0.0, min(account.waiting, default=0.0) - held)
-            ahead = purse.wanted_ahead + sum(account.waiting)
+            # The first that waits must not go without because there is not
+            # enough for all.
+            waiting = [one.tokens for one in account.waiting]
+            least = max(0.0, waiting[0] - held) if waiting else 0.0
+            ahead = purse.wanted_ahead + sum(waiting)
             most = ahead - held
             if most > 0 and (least > 0 or most > ahead / 2):
                 wishes[name] = [max(1.0, least), max(most, least, 1.0)]
--- a/src/greengagegw/platform/roles.py
+++ b/src/greengagegw/platform/roles.py
@@ -59,6 +59,8 @@
 # Callers use an old directory answer three times as long as they should.
 REFUSE_STREAMS_SECONDS = 2.8
 REFUSE_ALL_SECONDS = 5.0
+# The rest of the slack is for a change of the leader.
+QUOTA_DEBT_SHARE = 0.4
 CONTROL_STOP_SECONDS = 0.5
 SETTLE_SECONDS = 0.05
 
@@ -423,6 +425,7 @@
         store,
         reader.read,
         documents.decode,
+        settings.bounds.quota_slack * QUOTA_DEBT_SHARE,
     )
     process.mesh.handlers.calls.update(replica.handlers())
     process.mesh.handlers.calls.update(control.handlers())
--- a/src/greengagegw/platform/settings.py
+++ b/src/greengagegw/platform/settings.py
@@ -33,6 +33,7 @@
     :ivar revoke_seconds: until a revoked key is dead on every VM.
     :ivar stop_seconds: from SIGTERM to SIGKILL.
     :ivar silence_seconds: until a VM that went silent counts as gone.
+    :ivar quota_slack: tokens beyond rate and burst in a window.
     :ivar retry_ratio: repeats for each request, in a window.
     :ivar retry_slack: repeats beyond the ratio, over all VMs.
     """
@@ -44,6 +45,7 @@
     retry_slack: float
     retry_window: float
     directory_ttl_seconds: float
+    quota_slack: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -218,6 +220,9 @@
                 'bounds.retrySlack', positive, 'a number', 0.0
             ),
             retry_window=fields.seconds('bounds.budgetWindowS', 10.0, 1.0),
+            quota_slack=fields.take(
+                'bounds.quotaSlack', positive, 'a number', 0.0
+            ),
             directory_ttl_seconds=fields.seconds('bounds.ttl_max_s', 2.0, 1.0),
         ),
     )
--- a/src/greengagegw/serving/admission.py
+++ b/src/greengagegw/serving/admission.py
@@ -19,14 +19,16 @@
 
 # Share of the objective up to which a request is taken, by how many classes
 # of the service are more urgent: the rest is left to those.
-TAKEN_SHARES = (1.0, 0.8)
+TAKEN_SHARES = (1.0, 0.7)
 # What is late already is taken where there is room, up to this share of
 # the time that is left, so that it makes little else late.
 LATE_SHARE = 0.05
-# Callers whose patience is within this share of the usual one are new.
-NEW_PATIENCE_SHARE = 0.97
+# New callers' patience differs by some 15 percent on the platform. One with
+# less than this share of the longest was refused before.
+NEW_PATIENCE_SHARE = 0.8
+USUAL_PATIENCE_SHARE = 0.92
 # Share of the limit up to which a prompt is taken by its usual size.
-LONG_SHARE = 0.65
+LONG_SHARE = 0.5
 SIZE_SMOOTHING = 0.05
 SHORTEST_RETRY_SECONDS = 0.2
 LONGEST_RETRY_SECONDS = 8.0
@@ -74,15 +76,15 @@
     """
 
     def __init__(self) -> None:
-        self.usual: dict[str, float] = {}
+        self.longest: dict[str, float] = {}
 
     def elapsed(self, route: str, patience: float) -> float:
         """Returns how long a caller has been waiting, in seconds."""
-        usual = max(patience, self.usual.get(route, 0.0))
-        self.usual[route] = usual
-        if patience >= usual * NEW_PATIENCE_SHARE:
+        longest = max(patience, self.longest.get(route, 0.0))
+        self.longest[route] = longest
+        if patience >= longest * NEW_PATIENCE_SHARE:
             return 0.0
-        return usual - patience
+        return longest * USUAL_PATIENCE_SHARE - patience
 
 
 class UsualSize:
