An organisation far over its rate is refused at once; grants on their way are kept

Change: each organisation's tokens are fetched by a task of its own; what the requests before it leave nothing for is refused at once.

--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -102,6 +102,14 @@
       | 5000   | 99    |
       | 40000  | 85    |
 
+  Scenario: An organisation far over its rate is mostly refused at once
+    Given a fleet of 5 control VMs and 4 entry VMs
+    And an organisation of 10000 tokens a second with a burst of 10000
+    And messages of the fleet take 0.055 seconds
+    When for 10 seconds 80000 tokens a second are asked for at 4 VMs
+    Then at least half of the refusals took less than 0.06 seconds
+    And at least 85 percent of what was owed was given
+
   Scenario: Large requests get as much of a rate as small ones
     Given a fleet of 3 control VMs and 4 entry VMs
     And an organisation of 10000 tokens a second with a burst of 10000
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -358,12 +358,15 @@
     fleet = context.fleet
     context.given_tokens = []
     context.asked = 0
+    context.refusals = []
     size = 500
 
     async def ask(agent):
+        asked_at = fleet.timers.now()
         try:
             await agent.wallet.spend('org', size)
         except errors.GatewayError:
+            context.refusals.append(fleet.timers.now() - asked_at)
             return
         context.given_tokens.append((fleet.timers.now(), size))
 
@@ -467,3 +470,11 @@
             context.asked += size
         await fleet.timers.advance(pause)
     await fleet.timers.advance(1.0)
+
+
+@behave.then(
+    'at least half of the refusals took less than {seconds:g} seconds'
+)
+def then_told_soon(context, seconds):
+    refusals = sorted(context.refusals)
+    assert refusals[len(refusals) // 2] < seconds, refusals[::50]
--- a/src/greengagegw/fleet/quota.py
+++ b/src/greengagegw/fleet/quota.py
@@ -10,6 +10,7 @@
 import typing
 
 import anyio
+import anyio.abc
 import eliot
 
 from .. import errors
@@ -25,6 +26,8 @@
 # How long a request may wait for a grant: a small part of the shortest
 # latency objectives in use, 0.45 s, with a round trip between regions.
 WAIT_SECONDS = 0.3
+# Usual requests that may wait however few tokens have come lately.
+SHORTEST_QUEUE = 4
 # A pause that a request sits out rather than being refused.
 SOON_SECONDS = 0.12
 # Without a leader a VM goes on at the rate at which it was granted tokens,
@@ -124,13 +127,21 @@
 
 
 class Ticket:
-    """A request's place among those that wait for a grant."""
+    """A request that waits for tokens.
 
-    __slots__ = ('is_first', 'tokens')
+    :ivar outcome: whether it got them; None if that could not be told.
+    """
+
+    __slots__ = ('decided', 'outcome', 'tokens')
 
     def __init__(self, tokens: float) -> None:
         self.tokens = tokens
-        self.is_first = anyio.Event()
+        self.decided = anyio.Event()
+        self.outcome: bool | None = None
+
+    def decide(self, outcome: bool | None) -> None:
+        self.outcome = outcome
+        self.decided.set()
 
 
 @dataclasses.dataclass(slots=True)
@@ -145,6 +156,7 @@
     purse: purses.Purse
     waiting: list['Ticket'] = dataclasses.field(default_factory=list)
     fetching: anyio.Lock = dataclasses.field(default_factory=anyio.Lock)
+    is_served: bool = False
     granted_rate: float = 0.0
     reserve: float = 0.0
     updated_at: float = 0.0
@@ -177,6 +189,7 @@
         self.accounts: dict[str, Account] = {}
         self.retry_after: dict[str, float] = {}
         self.unanswered_since: float | None = None
+        self.tasks: anyio.abc.TaskGroup | None = None
         self.answered_at = -OUTAGE_SECONDS
 
     def find_account(self, name: str) -> Account:
@@ -201,16 +214,19 @@
             return
         if self.is_leader_silent and self.spend_reserve(name, tokens):
             return
+        self.refuse_hopeless(name, account)
         ticket = Ticket(tokens)
         account.waiting.append(ticket)
-        outcome = None
+        if not account.is_served:
+            account.is_served = True
+            self.tasks.start_soon(self.serve, name, account)
         try:
             with self.timers.limit(WAIT_SECONDS):
-                outcome = await self.fetch_until_held(name, ticket)
+                await ticket.decided.wait()
         finally:
-            account.waiting.remove(ticket)
-            if account.waiting:
-                account.waiting[0].is_first.set()
+            if ticket in account.waiting:
+                account.waiting.remove(ticket)
+        outcome = ticket.outcome
         if outcome is True:
             return
         if outcome is False or not self.is_leader_silent:
@@ -225,6 +241,23 @@
             'the rate cannot be checked', retry_after=DEFAULT_RETRY_SECONDS
         )
 
+    def refuse_hopeless(self, name: str, account: Account) -> None:
+        """Refuses at once what those before it leave nothing for.
+
+        :raises RateLimitError: if more waits than tokens come in that time.
+        """
+        ahead = sum(one.tokens for one in account.waiting)
+        usual = account.purse.usual_tokens
+        if ahead <= max(
+            account.granted_rate * WAIT_SECONDS, usual * SHORTEST_QUEUE
+        ):
+            return
+        seconds = ahead / max(account.granted_rate, usual)
+        raise errors.RateLimitError(
+            f'{name} is over its rate',
+            retry_after=min(LONGEST_RETRY_SECONDS, max(0.1, seconds)),
+        )
+
     @property
     def is_leader_silent(self) -> bool:
         """Whether the leader has left questions unanswered for a while."""
@@ -233,31 +266,37 @@
         silence = self.timers.now() - self.unanswered_since
         return silence >= SILENT_LEADER_SECONDS
 
-    async def fetch_until_held(
-        self, name: str, ticket: 'Ticket'
-    ) -> bool | None:
-        """Spends tokens, asking for them until they will take too long.
+    async def serve(self, name: str, account: Account) -> None:
+        """Gets tokens for those that wait, in the order in which they came.
 
-        :returns: whether they were spent; None if no leader answers.
+        This is a task of its own: a request that stops waiting must not
+        lose an answer of the leader that is on its way.
         """
-        account = self.find_account(name)
-        if account.waiting[0] is not ticket:
-            await ticket.is_first.wait()
-        self.retry_after.pop(name, None)
-        while True:
+        while account.waiting:
+            self.retry_after.pop(name, None)
             async with account.fetching:
-                # Another fetch may have brought enough for this one too.
-                if self.spend_held(account, ticket.tokens):
-                    return True
+                self.decide_waiting(account)
+                if not account.waiting:
+                    break
                 is_answered = await self.fetch((name,))
-                if self.spend_held(account, ticket.tokens):
-                    return True
-            if not is_answered:
-                return None
+            self.decide_waiting(account)
+            if not account.waiting:
+                break
             pause = self.retry_after.get(name)
-            if pause is None or pause > SOON_SECONDS:
-                return False
-            await self.timers.sleep(pause)
+            if not is_answered:
+                account.waiting.pop(0).decide(None)
+            elif pause is None or pause > SOON_SECONDS:
+                account.waiting.pop(0).decide(False)
+            else:
+                await self.timers.sleep(pause)
+        account.is_served = False
+
+    def decide_waiting(self, account: Account) -> None:
+        """Gives the tokens that are held to those that waited longest."""
+        while account.waiting:
+            if not self.spend_held(account, account.waiting[0].tokens):
+                return
+            account.waiting.pop(0).decide(True)
 
     def give_back(self, name: str, tokens: float) -> None:
         """Returns the tokens of a request that was not sent."""
@@ -300,14 +339,16 @@
 
     async def run(self) -> None:
         """Keeps tokens at hand for what usually comes."""
-        while True:
-            await self.timers.sleep(REPORT_SECONDS)
-            idle = tuple(
-                name
-                for name, account in self.accounts.items()
-                if not account.fetching.locked()
-            )
-            await self.fetch(idle)
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            while True:
+                await self.timers.sleep(REPORT_SECONDS)
+                idle = tuple(
+                    name
+                    for name, account in self.accounts.items()
+                    if not account.fetching.locked()
+                )
+                await self.fetch(idle)
 
     def list_wishes(
         self, names: tuple[str, ...], now: float
