--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -19,6 +19,7 @@
 from greengagegw.fleet import agent as agents
 from greengagegw.fleet import members
 from greengagegw.platform import documents
+from greengagegw.serving import decisions
 from greengagegw.serving import dispatcher as dispatchers
 from greengagegw.serving import ports
 from greengagegw.serving import prompts
@@ -304,7 +305,7 @@
             agent,
             pool,
             self,
-            dispatchers.RetrySettings(0.2, 50, 10.0),
+            decisions.RetrySettings(0.2, 50, 10.0),
             random.Random(self.rng.random()),
         )
 
--- a/src/greengagegw/platform/roles.py
+++ b/src/greengagegw/platform/roles.py
@@ -31,6 +31,7 @@
 from . import operators
 from ..replication import replica as replicas
 from ..replication import storage as log_storage
+from ..serving import decisions
 from ..serving import dispatcher as dispatchers
 from ..serving import ports
 from ..serving import servers as server_pool
@@ -240,7 +241,7 @@
         agent,
         pool,
         backend,
-        dispatchers.RetrySettings(
+        decisions.RetrySettings(
             settings.bounds.retry_ratio,
             settings.bounds.retry_slack,
             settings.bounds.retry_window,
@@ -286,7 +287,7 @@
         tasks.start_soon(process.watch_signals, stop)
         tasks.start_soon(agent.run)
         tasks.start_soon(drop_connections)
-        tasks.start_soon(dispatcher.keep_links)
+        tasks.start_soon(dispatcher.links.keep_links)
         allowed = servers.ServerSettings(
             HEADER_BYTES, IDLE_SECONDS, EXIT_SECONDS / 2
         )
--- /dev/null
+++ b/src/greengagegw/serving/decisions.py
@@ -0,0 +1,357 @@
+"""Gathers the inputs of the decisions on a request, and logs them.
+
+The decisions themselves are plain functions of other modules.
+"""
+
+import dataclasses
+import random
+import typing
+
+import eliot
+
+from .. import errors
+from .. import timers as timer_service
+from . import admission
+from . import cold_pacing
+from . import engine_model
+from ..fleet import agent as agents
+from . import jobs
+from . import placement
+from . import ports
+from . import retry_budget
+from . import servers as server_pool
+
+DEFAULT_PATIENCE_SECONDS = 30.0
+# What is kept of a caller's patience for the way back of the answer.
+WAY_BACK_SECONDS = 0.01
+LEAST_TIME_SECONDS = 0.02
+SOON_SECONDS = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetrySettings:
+    """The budget of repeats of one service over all VMs."""
+
+    ratio: float
+    slack: float
+    window: float
+
+
+class Decisions:
+    """What one entry VM knows, and decides from it."""
+
+    def __init__(
+        self,
+        vm: str,
+        timers: timer_service.Timers,
+        agent: agents.Agent,
+        pool: server_pool.ServerPool,
+        retries: RetrySettings,
+        rng: random.Random,
+    ) -> None:
+        self.vm = vm
+        self.timers = timers
+        self.agent = agent
+        self.view = agent.view
+        self.pool = pool
+        self.retries = retries
+        self.rng = rng
+        self.budgets: dict[str, retry_budget.RetryBudget] = {}
+        self.patience = admission.Patience()
+        self.sizes = admission.UsualSize()
+        self.pressures: dict[str, admission.Pressure] = {}
+        self.sent_away: dict[tuple[str, str], float] = {}
+
+    def decide(self, request: ports.Request, now: float) -> jobs.Job:
+        """Returns what the configuration in force says of a request.
+
+        :raises NotRunError: if it may not be run.
+        """
+        configuration = self.view.configuration
+        if configuration is None:
+            raise errors.NotReadyError('no configuration', retry_after=0.5)
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            raise errors.NotFoundError('no route matches')
+        organisation = None
+        if configuration.needs_keys and not route.is_public:
+            if not self.agent.has_lease:
+                raise errors.LeaseError(
+                    'the keys cannot be confirmed', retry_after=0.5
+                )
+            organisation = configuration.find_organisation(request.key)
+            if organisation is None:
+                raise errors.AuthenticationError('the key is not known')
+        name = route.choose_service(self.rng)
+        service = configuration.services[name]
+        patience = request.patience
+        if patience is None:
+            patience = DEFAULT_PATIENCE_SECONDS
+        elapsed = self.patience.elapsed(route.name, patience)
+        patience = min(patience, route.timeout) - WAY_BACK_SECONDS
+        priority = route.priority
+        if organisation is not None and organisation.priority is not None:
+            priority = organisation.priority
+        return jobs.Job(
+            request,
+            route,
+            service,
+            None if organisation is None else organisation.name,
+            priority,
+            configuration.version,
+            now + patience,
+            route.objective - elapsed,
+            configuration.rank(route, name),
+            elapsed > 0,
+            jobs.Sends(route.most_sends),
+        )
+
+    def check_still_allowed(self, job: jobs.Job) -> None:
+        """Checks a decision again, right before a request is sent.
+
+        A VM may have been frozen, or have waited for tokens, since then.
+
+        :raises NotRunError: if the request may not be sent any more.
+        """
+        is_keyed = job.organisation is not None
+        if is_keyed and not self.agent.has_lease:
+            raise errors.LeaseError(
+                'the keys cannot be confirmed', retry_after=0.5
+            )
+        configuration = self.view.configuration
+        if configuration.version == job.version:
+            return
+        request = job.request
+        if is_keyed and request.key:
+            organisation = configuration.find_organisation(request.key)
+            if organisation is None or organisation.name != job.organisation:
+                raise errors.WithdrawnKeyError('the key was withdrawn')
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            raise errors.NotFoundError('no route matches any more')
+        if not route.serves(job.service.name):
+            raise errors.UnavailableError(
+                'the route has changed', retry_after=0.0
+            )
+
+    def budget(self, service: str) -> retry_budget.RetryBudget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = retry_budget.RetryBudget(
+                self.retries.ratio, self.retries.slack, self.retries.window
+            )
+            self.budgets[service] = budget
+        return budget
+
+    def may_repeat(
+        self, job: jobs.Job, error: errors.GatewayError | None
+    ) -> bool:
+        """Returns whether another server may get a request that failed."""
+        now = self.timers.now()
+        if job.until - now < LEAST_TIME_SECONDS:
+            return False
+        if isinstance(error, errors.BackendConnectError):
+            # Nothing was sent, so it is no repeat.
+            return True
+        is_not_run = error is not None and error.run == errors.NOT_RUN
+        if not is_not_run and not job.route.is_repeatable:
+            return False
+        if not job.may_be_sent:
+            return False
+        budget = self.budget(job.service.name)
+        has_budget = budget.take(now, len(self.view.entries))
+        self.log(
+            'request:repeated' if has_budget else 'request:no_budget',
+            job,
+            sends=job.sends.count,
+            code=None if error is None else error.code,
+        )
+        return has_budget
+
+    def plan_regions(
+        self, job: jobs.Job, allowed: frozenset[str] | None
+    ) -> list[str]:
+        """Returns the regions to try, best first.
+
+        :raises OverloadedError: if none would serve the request in time.
+        """
+        now = self.timers.now()
+        here = self.pool.region
+        here_wait = None
+        if allowed is None or here in allowed:
+            here_wait = self.predict_here(job, now)
+        reading = 0.0
+        if job.service.is_engine and job.request.prompt is not None:
+            reading = job.request.prompt.tokens / engine_model.FIRST_READ_RATE
+        waits = {}
+        for region, wait in self.view.waits.get(job.service.name, {}).items():
+            if region == here or not self.view.entries_of(region):
+                continue
+            away = self.sent_away.get((job.service.name, region), 0.0)
+            away /= engine_model.FIRST_READ_RATE
+            waits[region] = wait + reading + away
+        regions = placement.choose_region(here, here_wait, waits, allowed)
+        if not regions:
+            return []
+        best = here_wait if regions[0] == here else waits[regions[0]]
+        verdict = self.judge(job, best, reading, now)
+        self.log(
+            'request:planned',
+            job,
+            regions=regions,
+            here=round(-1.0 if here_wait is None else here_wait, 3),
+            waits={name: round(wait, 3) for name, wait in waits.items()},
+            age=round(now - self.view.backlogs_at, 3),
+            taken=verdict.is_taken,
+        )
+        if not verdict.is_taken:
+            raise errors.OverloadedError(
+                f'{job.service.name} would begin to answer in {best:.2f} s',
+                retry_after=verdict.retry_after,
+            )
+        # A refusal waits for a second round trip only where this region can
+        # run nothing itself.
+        if here_wait is None:
+            return regions[:2]
+        return [one for one in regions[:2] if one in (regions[0], here)]
+
+    def judge(
+        self, job: jobs.Job, predicted: float, reading: float, now: float
+    ) -> admission.Verdict:
+        """Decides whether a request is taken, and notes it.
+
+        :param reading: seconds of the prediction in which its own prompt is
+            read.
+        """
+        excess = self.sizes.excess(job.route.name, reading)
+        pressure = self.find_pressure(job, now)
+        claim = admission.Claim(
+            job.objective, job.until - now, job.rank, job.has_returned
+        )
+        verdict = admission.judge(
+            predicted,
+            excess,
+            claim,
+            pressure.refused_share(now),
+            self.rng,
+        )
+        pressure.note(not verdict.is_taken, now)
+        return verdict
+
+    def find_pressure(self, job: jobs.Job, now: float) -> admission.Pressure:
+        pressure = self.pressures.get(job.service.name)
+        if pressure is None:
+            pressure = admission.Pressure(now)
+            self.pressures[job.service.name] = pressure
+        return pressure
+
+    def retry_after(self, job: jobs.Job) -> float:
+        """Returns when a request that nothing can run may come back."""
+        now = self.timers.now()
+        pressure = self.find_pressure(job, now)
+        pressure.note(True, now)
+        return admission.retry_after(
+            SOON_SECONDS, pressure.refused_share(now), self.rng
+        )
+
+    def predict(
+        self, job: jobs.Job, server: server_pool.Server, now: float
+    ) -> tuple[float, float]:
+        """Returns seconds until the answer begins, and tokens to read."""
+        others = self.view.backlogs.get(server.instance.name)
+        load = server.load(others, now)
+        prompt = job.request.prompt
+        if not job.service.is_engine or prompt is None:
+            return engine_model.answer_seconds(load), 0.0
+        unread = prompt.tokens - server.cache.cached_tokens(prompt)
+        return engine_model.first_event_seconds(load, unread), float(unread)
+
+    def predict_here(self, job: jobs.Job, now: float) -> float | None:
+        """Returns the least predicted seconds in this region."""
+        usable = self.pool.usable(job.service, now)
+        return min(
+            (
+                self.predict(job, server, now)[0]
+                for server in usable
+                if self.may_send(job, server, now)
+            ),
+            default=None,
+        )
+
+    def may_send(
+        self, job: jobs.Job, server: server_pool.Server, now: float
+    ) -> bool:
+        """Returns whether a server is warm, or a cold one bears one more."""
+        rate = job.service.cold_rate
+        if rate <= 0 or not server.is_cold(now):
+            return True
+        return self.cold_share(job, server) > 0 and now >= server.pace.next_at
+
+    def cold_share(self, job: jobs.Job, server: server_pool.Server) -> float:
+        entries = [one.vm for one in self.view.entries_of(self.pool.region)]
+        rate = job.service.cold_rate
+        sharing = cold_pacing.may_send(
+            self.vm, entries, server.instance.name, rate
+        )
+        return rate / sharing if sharing else 0.0
+
+    def choose(self, job: jobs.Job, excluded: set[str]) -> jobs.Choice:
+        """Returns the server for a request.
+
+        :raises UnavailableError: if nothing may run it.
+        :raises OverloadedError: if it would be late.
+        """
+        now = self.timers.now()
+        usable = {
+            one.instance.name: one
+            for one in self.pool.usable(job.service, now, excluded)
+            if self.may_send(job, one, now)
+        }
+        prompt = job.request.prompt
+        head = prompt.parts[0].name if prompt and prompt.parts else ''
+        candidates = [
+            placement.Candidate(
+                name,
+                self.predict(job, one, now)[0],
+                one.failure_share(now),
+                bool(head) and head in one.cache.held,
+            )
+            for name, one in usable.items()
+        ]
+        chosen = placement.choose(candidates, head)
+        if chosen is None:
+            raise errors.UnavailableError(
+                f'no backend server of {job.service.name} is usable here',
+                retry_after=self.retry_after(job),
+            )
+        server = usable[chosen.name]
+        unread = self.predict(job, server, now)[1]
+        verdict = self.judge(job, chosen.wait, unread / server.read_rate, now)
+        self.log(
+            'request:placed',
+            job,
+            server=chosen.name,
+            of=len(candidates),
+            predicted=round(chosen.wait, 3),
+            unread=unread,
+            failures=round(chosen.failures, 2),
+            list_age=round(now - self.view.list_read_at, 3),
+            taken=verdict.is_taken,
+        )
+        if not verdict.is_taken:
+            raise errors.OverloadedError(
+                f'{job.service.name} would begin to answer in'
+                f' {chosen.wait:.2f} s',
+                retry_after=verdict.retry_after,
+            )
+        return jobs.Choice(server, chosen.wait, unread)
+
+    def log(self, name: str, job: jobs.Job, **fields: typing.Any) -> None:
+        eliot.log_message(
+            name,
+            request=job.request.request_id,
+            route=job.route.name,
+            service=job.service.name,
+            version=job.version,
+            **fields,
+        )
--- /dev/null
+++ b/src/greengagegw/serving/links.py
@@ -0,0 +1,108 @@
+"""Links of an entry VM to VMs of the other regions."""
+
+import random
+import typing
+
+import eliot
+
+from .. import errors
+from .. import timers as timer_service
+from ..fleet import agent as agents
+from ..fleet import members
+from . import placement
+from ..ports import peers
+
+# Three round trips between regions, in which another VM takes a request.
+ACCEPT_SECONDS = 0.4
+SUSPECT_SECONDS = 1.0
+LINKS_TO_REGION = 2
+LINK_POLL_SECONDS = 1.0
+SOON_SECONDS = 0.3
+
+
+class RegionLinks:
+    """Chooses VMs of other regions, and keeps connections to a few."""
+
+    def __init__(
+        self,
+        vm: str,
+        region: str,
+        timers: timer_service.Timers,
+        mesh: peers.PeerPort,
+        view: agents.FleetView,
+        rng: random.Random,
+    ) -> None:
+        self.vm = vm
+        self.region = region
+        self.timers = timers
+        self.mesh = mesh
+        self.view = view
+        self.rng = rng
+        self.suspects: dict[str, float] = {}
+
+    def choose_entry(self, region: str) -> members.EntryVm:
+        """Returns an entry VM of a region that did not fail lately.
+
+        :raises PeerUnreachableError: if there is none.
+        """
+        now = self.timers.now()
+        sound = [
+            one
+            for one in self.linked_entries(region)
+            if self.suspects.get(one.vm, 0.0) <= now
+        ] or [
+            one
+            for one in self.view.entries_of(region)
+            if self.suspects.get(one.vm, 0.0) <= now
+        ]
+        if not sound:
+            raise errors.PeerUnreachableError(
+                f'no VM of {region} answers', retry_after=SOON_SECONDS
+            )
+        return self.rng.choice(sound)
+
+    def linked_entries(self, region: str) -> list[members.EntryVm]:
+        """Returns the few VMs of a region that this one keeps links to.
+
+        A first connection takes three round trips. Hashing spreads the
+        links of all VMs evenly.
+        """
+        entries = self.view.entries_of(region)
+        return sorted(
+            entries, key=lambda one: placement.rank(self.vm, one.vm)
+        )[:LINKS_TO_REGION]
+
+    async def keep_links(self) -> None:
+        """Keeps links to VMs of the other regions, until it is cancelled."""
+        while True:
+            regions = {one.region for one in self.view.entries}
+            for region in sorted(regions - {self.region}):
+                for entry in self.linked_entries(region):
+                    await self.keep_link(entry.vm)
+            await self.timers.sleep(LINK_POLL_SECONDS)
+
+    async def keep_link(self, vm: str) -> None:
+        try:
+            await self.mesh.connect(vm)
+        except errors.PeerError as error:
+            self.suspects[vm] = self.timers.now() + SUSPECT_SECONDS
+            eliot.log_message('link:failed', vm=vm, code=error.code)
+
+    async def await_acceptance(
+        self, entry: members.EntryVm, stream: typing.Any
+    ) -> None:
+        """Returns when a VM has taken a request.
+
+        :raises PeerSilentError: if it does not say so; it may have run.
+        """
+        accepted = False
+        try:
+            with self.timers.limit(ACCEPT_SECONDS):
+                await stream.receive()
+                accepted = True
+        except errors.PeerError:
+            self.suspects[entry.vm] = self.timers.now() + SUSPECT_SECONDS
+            raise
+        if not accepted:
+            self.suspects[entry.vm] = self.timers.now() + SUSPECT_SECONDS
+            raise errors.PeerSilentError(f'{entry.vm} is silent')
--- /dev/null
+++ b/src/greengagegw/serving/run.py
@@ -0,0 +1,273 @@
+"""One request at the backend servers of this region, with its repeats."""
+
+import collections.abc
+import contextlib
+
+from .. import errors
+from . import decisions as decisions_module
+from . import events
+from . import jobs
+from . import ports
+from . import servers as server_pool
+
+# A stream that pauses for so many of its objectives is gone on with
+# elsewhere; callers leave it at eight.
+PAUSES_BEFORE_RESUME = 3
+SHORTEST_SILENCE_SECONDS = 1.5
+RETRY_STATUSES = frozenset({500, 502, 503, 504})
+# Waiting less than this says nothing on a server, since a route's time may
+# be short.
+LEAST_FAILURE_SECONDS = 1.0
+
+
+class Run:
+    """One request at the servers of this region, with its repeats."""
+
+    def __init__(
+        self,
+        decisions: decisions_module.Decisions,
+        backend: ports.BackendPort,
+        job: jobs.Job,
+    ) -> None:
+        self.decisions = decisions
+        self.backend = backend
+        self.timers = decisions.timers
+        self.job = job
+        self.excluded: set[str] = set()
+        self.stack = contextlib.AsyncExitStack()
+        self.server: server_pool.Server | None = None
+        self.running: server_pool.Running | None = None
+
+    async def close(self, is_whole: bool = False) -> None:
+        """Ends what runs at a server, if anything does."""
+        server, running = self.server, self.running
+        self.server = self.running = None
+        if server is not None and running is not None:
+            server.end(running, self.timers.now(), is_whole)
+        await self.stack.aclose()
+
+    async def first_answer(self) -> ports.Answer:
+        """Returns the answer of the first server that gives one.
+
+        :raises GatewayError: if none does.
+        """
+        failure: errors.GatewayError | None = None
+        while True:
+            try:
+                choice = self.decisions.choose(self.job, self.excluded)
+            except errors.NotRunError as error:
+                if failure is None or failure.run == errors.NOT_RUN:
+                    raise
+                raise failure from error
+            try:
+                answer = await self.send(choice, None)
+            except errors.GatewayError as error:
+                failure = error
+                await self.close()
+                if not self.decisions.may_repeat(self.job, error):
+                    raise
+                continue
+            if answer.status in RETRY_STATUSES and self.has_others():
+                if self.decisions.may_repeat(self.job, None):
+                    await self.close()
+                    failure = errors.BackendStatusError(
+                        f'{choice.server.instance.name} failed',
+                        answer.status,
+                    )
+                    continue
+            return answer
+
+    def has_others(self) -> bool:
+        """Returns whether another server could give a better answer."""
+        decisions, job = self.decisions, self.job
+        if not job.route.is_repeatable or not job.may_be_sent:
+            return False
+        now = self.timers.now()
+        return any(
+            decisions.may_send(job, one, now)
+            for one in decisions.pool.usable(job.service, now, self.excluded)
+        )
+
+    async def send(
+        self,
+        choice: jobs.Choice,
+        resume_after: str | None,
+    ) -> ports.Answer:
+        """Returns the answer of one server, once its head has come."""
+        job = self.job
+        self.decisions.check_still_allowed(job)
+        now = self.timers.now()
+        server, unread = choice.server, choice.unread
+        name = server.instance.name
+        self.excluded.add(name)
+        rate = job.service.cold_rate
+        if rate > 0 and server.is_cold(now):
+            share = self.decisions.cold_share(job, server)
+            server.pace.take(now, share)
+        before = server.waiting_tokens
+        self.server = server
+        self.running = server.begin(unread, before if unread else 0.0, now)
+        if job.request.prompt is not None and job.service.is_engine:
+            server.cache.use(job.request.prompt)
+        order = ports.Order(
+            job.request,
+            job.organisation,
+            job.until - now,
+            job.priority,
+            resume_after or job.request.resume_after,
+            job.route.is_repeatable,
+        )
+        job.sends.count += 1
+        try:
+            answer = await jobs.in_time(
+                self.timers,
+                job,
+                self.stack.enter_async_context(
+                    self.backend.send(server.instance, order)
+                ),
+            )
+        except errors.BackendConnectError:
+            job.sends.count -= 1
+            server.note_outcome(True, self.timers.now())
+            server.eject(self.timers.now())
+            self.log_failure(server, 'connect')
+            raise
+        except errors.WrongInstanceError:
+            self.decisions.pool.forget(name)
+            self.log_failure(server, 'wrong_instance')
+            raise
+        except errors.BackendRefusedError:
+            self.log_failure(server, 'refused')
+            raise
+        except errors.BackendError as error:
+            waited = self.timers.now() - now
+            is_timeout = isinstance(error, errors.BackendTimeoutError)
+            if not is_timeout or waited >= LEAST_FAILURE_SECONDS:
+                server.note_outcome(True, self.timers.now())
+            self.log_failure(server, error.code)
+            raise
+        if answer.load is not None:
+            server.report = answer.load
+            server.report_at = self.timers.now()
+        server.note_outcome(answer.status >= 500, self.timers.now())
+        seconds = self.timers.now() - now
+        server.note_first(self.running, self.timers.now())
+        self.decisions.log(
+            'request:begun',
+            job,
+            server=name,
+            status=answer.status,
+            predicted=round(choice.predicted, 3),
+            seconds=round(seconds, 3),
+        )
+        return answer
+
+    def log_failure(self, server: server_pool.Server, code: str) -> None:
+        self.decisions.log(
+            'request:send_failed',
+            self.job,
+            server=server.instance.name,
+            code=code,
+            failures=round(server.failures, 2),
+        )
+
+    async def chunks(
+        self, answer: ports.Answer
+    ) -> collections.abc.AsyncIterator[bytes]:
+        """Yields the body as it arrives."""
+        while True:
+            try:
+                chunk = await jobs.in_time(
+                    self.timers, self.job, anext(answer.chunks)
+                )
+            except StopAsyncIteration:
+                break
+            except errors.BackendError as error:
+                self.note_failure(error)
+                raise
+            yield chunk
+        await self.close(is_whole=True)
+
+    def note_failure(self, error: errors.BackendError) -> None:
+        """Takes in that a server broke an answer off.
+
+        An answer that is merely longer than the caller waits is no fault.
+        """
+        if self.server is not None:
+            is_over = self.timers.now() >= self.job.until
+            if not is_over:
+                self.server.note_outcome(True, self.timers.now())
+            self.log_failure(self.server, error.code)
+
+    async def resumed_chunks(
+        self, answer: ports.Answer
+    ) -> collections.abc.AsyncIterator[bytes]:
+        """Yields whole events, going on at another server if one fails."""
+        splitter = events.EventSplitter(self.job.request.resume_after)
+        while True:
+            try:
+                async for chunk in self.steady_chunks(answer):
+                    whole = splitter.feed(chunk)
+                    if whole:
+                        yield whole
+                if splitter.buffer:
+                    raise errors.BrokenStreamError('an event is not whole')
+                break
+            except errors.BackendError as error:
+                self.note_failure(error)
+                splitter.drop_rest()
+                await self.close()
+                answer = await self.resume(splitter.last_id, error)
+        await self.close(is_whole=True)
+
+    async def steady_chunks(
+        self, answer: ports.Answer
+    ) -> collections.abc.AsyncIterator[bytes]:
+        """Yields chunks, and fails when a pause is too long."""
+        job = self.job
+        silence = max(
+            SHORTEST_SILENCE_SECONDS,
+            PAUSES_BEFORE_RESUME * job.route.gap_objective,
+        )
+        while True:
+            left = job.until - self.timers.now()
+            if not job.may_be_sent:
+                silence = left
+            chunk = None
+            try:
+                with self.timers.limit(max(0.0, min(silence, left))):
+                    chunk = await anext(answer.chunks)
+            except StopAsyncIteration:
+                return
+            if chunk is None:
+                raise errors.BackendTimeoutError('a stream went silent')
+            yield chunk
+
+    async def resume(
+        self, last_id: str | None, error: errors.GatewayError
+    ) -> ports.Answer:
+        """Returns the rest of a stream from another server.
+
+        :raises BackendError: what broke it, if it cannot go on.
+        """
+        while self.decisions.may_repeat(self.job, error):
+            try:
+                choice = self.decisions.choose(self.job, self.excluded)
+            except errors.NotRunError:
+                break
+            try:
+                answer = await self.send(choice, last_id)
+            except errors.GatewayError as failure:
+                error = failure
+                await self.close()
+                continue
+            if answer.status == 200:
+                self.decisions.log(
+                    'request:resumed',
+                    self.job,
+                    server=choice.server.instance.name,
+                    last_id=last_id,
+                )
+                return answer
+            await self.close()
+        raise errors.BrokenStreamError('the stream broke off') from error
