The roles' shared process and the grantor have modules of their own

Change: platform/process.py (settings, clock, mesh, signals, metrics) and fleet/grantor.py; no behaviour changes.

--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -14,10 +14,10 @@
 from .. import errors
 from .. import timers as timer_service
 from . import configuration as configurations
+from . import grantor
 from . import instances as instance_list
 from . import members
 from ..ports import peers
-from . import quota
 from ..replication import client as replication_client
 from ..replication import replica as replicas
 from . import store as stores
@@ -77,7 +77,7 @@
         self.roster = members.Roster(timing.ROSTER_SILENCE_SECONDS)
         self.loads: dict[str, dict] = {}
         self.instances = InstanceView()
-        self.grantor = quota.Grantor(timers, quota_debt)
+        self.grantor = grantor.Grantor(timers, quota_debt)
         self.group = replication_client.GroupClient(
             replica.group, (vm,), mesh, timers
         )
--- /dev/null
+++ b/src/greengagegw/platform/process.py
@@ -0,0 +1,188 @@
+"""What both roles share: settings, clock, mesh, signals, metrics."""
+
+import collections.abc
+import os
+import random
+import signal
+import ssl
+
+import anyio
+import anyio.abc
+import eliot
+
+from .. import __version__
+from .. import errors
+from .. import timers as timer_service
+from ..adapters import asgi
+from ..adapters import peer_mesh
+from ..adapters import servers
+from ..fleet import metrics as fleet_metrics
+from ..fleet import timing
+from . import settings as platform_settings
+
+METRICS_PATH = '/metrics'
+LAG_POLL_SECONDS = 0.5
+SETTINGS_POLL_SECONDS = 1.0
+DEPLOYMENT = 'fleet'
+# The platform gives VMs no secret, and keeps others from their ports.
+PEER_SECRET = 'greengagegw-platform'
+# Larger than the largest body that operators may allow, 4 MiB, with room.
+FRAME_BYTES = 16 * 1024 * 1024
+# A connection between regions takes three round trips of 0.11 s.
+CONNECT_SECONDS = 0.5
+HEARTBEAT_SECONDS = 0.5
+PEER_SILENCE_SECONDS = 2.0
+HEADER_BYTES = 64 * 1024
+# Callers reuse connections for up to four fifths of the configured idle
+# time, which is 15 s on the platform.
+IDLE_SECONDS = 20.0
+# What is kept of the time to stop, for ending the process itself.
+EXIT_SECONDS = 0.8
+
+
+class Process:
+    """What both roles share: settings, clock, mesh, signals."""
+
+    def __init__(
+        self, settings: platform_settings.Settings, port: int
+    ) -> None:
+        self.settings = settings
+        self.vm = f'{settings.host}:{port}'
+        self.port = port
+        self.timers = timer_service.Timers()
+        self.rng = random.Random()  # noqa: S311
+        self.leaving_since: float | None = None
+        self.ended = anyio.Event()
+        self.metrics = fleet_metrics.FleetMetrics()
+        self.loop_lag = 0.0
+        self.context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        self.mesh = peer_mesh.PeerMesh(
+            peer_mesh.MeshSettings(
+                self.vm,
+                DEPLOYMENT,
+                PEER_SECRET,
+                peer_mesh.MeshLimits(FRAME_BYTES),
+                peer_mesh.MeshTimeouts(
+                    CONNECT_SECONDS,
+                    timing.POLL_CALL_SECONDS,
+                    HEARTBEAT_SECONDS,
+                    PEER_SILENCE_SECONDS,
+                ),
+            ),
+            self.timers,
+            peer_mesh.find_by_name,
+        )
+
+    @property
+    def is_leaving(self) -> bool:
+        return self.leaving_since is not None
+
+    @property
+    def leaving_seconds(self) -> float:
+        """Seconds since this process was asked to stop."""
+        if self.leaving_since is None:
+            return 0.0
+        return self.timers.now() - self.leaving_since
+
+    def seeds(self) -> tuple[str, ...]:
+        """Returns the control VMs that the settings name."""
+        port = self.settings.internal_ports[0]
+        return tuple(f'{host}:{port}' for host in self.settings.seeds)
+
+    async def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts the clock, the mesh and what watches the outside."""
+        listener = await anyio.create_tcp_listener(
+            local_host=self.settings.host, local_port=self.port
+        )
+        tasks.start_soon(self.timers.run)
+        tasks.start_soon(self.mesh.run, listener)
+        tasks.start_soon(self.watch_settings)
+        tasks.start_soon(self.watch_loop)
+        eliot.add_destinations(self.metrics)
+        self.metrics.watch(
+            'greengagegw_loop_lag_seconds',
+            'How late the event loop was when it was last looked at',
+            lambda: self.loop_lag,
+        )
+        self.metrics.watch(
+            'greengagegw_peer_bytes_sent',
+            'Bytes sent to other VMs',
+            lambda: self.mesh.total_bytes_sent,
+        )
+
+    async def watch_loop(self) -> None:
+        while True:
+            due = self.timers.now() + LAG_POLL_SECONDS
+            await self.timers.sleep(LAG_POLL_SECONDS)
+            self.loop_lag = max(0.0, self.timers.now() - due)
+
+    async def show_metrics(
+        self, scope: dict, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serves the metrics, as an ASGI application."""
+        if scope['type'] == 'lifespan':
+            await asgi.serve_lifespan(receive, send)
+            return
+        is_found = scope['path'] == METRICS_PATH
+        body = self.metrics.render() if is_found else b''
+        headers = [(b'content-type', b'text/plain; version=0.0.4')]
+        await asgi.send_whole(send, 200 if is_found else 404, headers, body)
+
+    async def watch_settings(self) -> None:
+        """Takes over new settings, with a signal or without one."""
+        file = os.environ.get(
+            platform_settings.FILE_VARIABLE, platform_settings.DEFAULT_FILE
+        )
+        seen = self.settings
+        while True:
+            await self.timers.sleep(SETTINGS_POLL_SECONDS)
+            try:
+                seen = platform_settings.read(file)
+            except errors.SettingsError as error:
+                eliot.log_message('settings:refused', reason=error.message)
+                continue
+            if seen != self.settings:
+                self.settings = seen
+                eliot.log_message('settings:reloaded', seeds=seen.seeds)
+
+    async def watch_signals(
+        self,
+        stop: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    ) -> None:
+        """Stops on SIGTERM; settings are read again anyway on SIGHUP."""
+        received = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*received) as signals:
+            async for number in signals:
+                eliot.log_message('signal:received', number=int(number))
+                if number != signal.SIGHUP:
+                    self.leaving_since = self.timers.now()
+                    await stop()
+                    return
+
+
+def log_start(role: str, process: Process) -> None:
+    eliot.log_message(
+        'process:started',
+        role=role,
+        version=__version__,
+        vm=process.vm,
+        name=process.settings.name,
+        seeds=process.settings.seeds,
+        first_start=process.settings.is_first_start,
+    )
+
+
+def serve(
+    tasks: anyio.abc.TaskGroup,
+    application: collections.abc.Callable,
+    endpoint: platform_settings.Endpoint,
+    allowed: servers.ServerSettings,
+    process: Process,
+) -> None:
+    tasks.start_soon(
+        servers.serve,
+        application,
+        endpoint.address,
+        allowed,
+        process.ended.wait,
+    )
