--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -349,20 +349,16 @@
     context.rate, context.burst = rate, burst
 
 
-@behave.when(
-    'for {seconds:d} seconds {demand:d} tokens a second are asked for at'
-    ' {count:d} VMs'
-)
-@in_fleet
-async def when_asked(context, seconds, demand, count):
+def make_asker(context):
+    """Returns what asks for tokens at a VM and keeps what came of it."""
     fleet = context.fleet
     context.given_tokens = []
-    context.asked = 0
+    context.asked = []
     context.refusals = []
-    size = 500
 
-    async def ask(agent):
+    async def ask(agent, size):
         asked_at = fleet.timers.now()
+        context.asked.append(size)
         try:
             await agent.wallet.spend('org', size)
         except errors.GatewayError:
@@ -370,11 +366,23 @@
             return
         context.given_tokens.append((fleet.timers.now(), size))
 
+    return ask
+
+
+@behave.when(
+    'for {seconds:d} seconds {demand:d} tokens a second are asked for at'
+    ' {count:d} VMs'
+)
+@in_fleet
+async def when_asked(context, seconds, demand, count):
+    fleet = context.fleet
+    ask = make_asker(context)
+    size = 500
+
     pause = size * count / demand
     for _ in range(int(seconds / pause)):
         for agent in fleet.agents.values():
-            fleet.tasks.start_soon(ask, agent)
-            context.asked += size
+            fleet.tasks.start_soon(ask, agent, size)
         await fleet.timers.advance(pause)
     context.seconds = seconds
 
@@ -389,7 +397,7 @@
 
 @behave.then('at least {share:d} percent of what was owed was given')
 def then_owed(context, share):
-    owed = min(context.asked, context.rate * context.seconds)
+    owed = min(sum(context.asked), context.rate * context.seconds)
     total = sum(one for _, one in context.given_tokens)
     assert total * 100 >= owed * share, (total, owed)
 
@@ -407,16 +415,7 @@
 @in_fleet
 async def when_sizes(context, seconds, small, large, times):
     fleet = context.fleet
-    context.given_tokens = []
-    context.asked_sizes = []
-
-    async def ask(agent, size):
-        context.asked_sizes.append(size)
-        try:
-            await agent.wallet.spend('org', size)
-        except errors.GatewayError:
-            return
-        context.given_tokens.append((fleet.timers.now(), size))
+    ask = make_asker(context)
 
     # One large request for nine small ones.
     pause = (small * 9 + large) / 10 / (context.rate * times)
@@ -432,8 +431,7 @@
 def then_sizes_alike(context):
     given = [size for _, size in context.given_tokens]
     small, large = (
-        given.count(size) / context.asked_sizes.count(size)
-        for size in context.sizes
+        given.count(size) / context.asked.count(size) for size in context.sizes
     )
     assert large >= small / 2, (small, large)
 
@@ -450,24 +448,15 @@
 @in_fleet
 async def when_bursts(context, seconds, count, size):
     fleet = context.fleet
-    context.given_tokens = []
-    context.asked = 0
+    ask = make_asker(context)
     context.seconds = seconds
 
-    async def ask(agent):
-        try:
-            await agent.wallet.spend('org', size)
-        except errors.GatewayError:
-            return
-        context.given_tokens.append((fleet.timers.now(), size))
-
     agents = list(fleet.agents.values())
     pause = count * size / (context.rate / 2)
     for _ in range(int(seconds / pause)):
         agent = fleet.rng.choice(agents)
         for _ in range(count):
-            fleet.tasks.start_soon(ask, agent)
-            context.asked += size
+            fleet.tasks.start_soon(ask, agent, size)
         await fleet.timers.advance(pause)
     await fleet.timers.advance(1.0)
 
@@ -487,17 +476,11 @@
 async def when_first_burst(context, count, size):
     fleet = context.fleet
     await fleet.timers.advance(2.0)
-    context.refusals = []
-
-    async def ask(agent):
-        try:
-            await agent.wallet.spend('org', size)
-        except errors.GatewayError as error:
-            context.refusals.append(error)
+    ask = make_asker(context)
 
     for agent in fleet.agents.values():
         for _ in range(count):
-            fleet.tasks.start_soon(ask, agent)
+            fleet.tasks.start_soon(ask, agent, size)
     await fleet.timers.advance(1.0)
 
 
@@ -513,17 +496,9 @@
 @in_fleet
 async def when_mixed(context, seconds, small, large):
     fleet = context.fleet
-    context.given_tokens = []
-    context.asked = 0
+    ask = make_asker(context)
     context.seconds = seconds
 
-    async def ask(agent, size):
-        try:
-            await agent.wallet.spend('org', size)
-        except errors.GatewayError:
-            return
-        context.given_tokens.append((fleet.timers.now(), size))
-
     agents = list(fleet.agents.values())
     spent = 0
     while spent < context.rate / 2 * seconds:
@@ -531,5 +506,4 @@
         fleet.tasks.start_soon(ask, fleet.rng.choice(agents), size)
         spent += size
         await fleet.timers.advance(size / (context.rate / 2))
-    context.asked = spent
     await fleet.timers.advance(1.0)
