The scenarios on leaving and evacuated servers can fail

Cause: planted faults (leaving servers used, evacuated servers used) were not found: the requests had no shared head, and hashing sent all of them to the other server anyway.

Change: each request has a head of its own, and a scenario shows that sound servers share such requests.

--- a/features/serving/dispatch.feature
+++ b/features/serving/dispatch.feature
@@ -75,6 +75,13 @@
       | is evacuated too |
       | left its address |
 
+  Scenario: Sound servers share the requests
+    Given 1 region with 2 engines and 1 entry VM
+    And a resumable route with 2 sends
+    When 20 requests come
+    Then server i-a0 got 5 requests or more
+    And server i-a1 got 5 requests or more
+
   Scenario: A cold server gets no more than it bears, from all VMs together
     Given 1 region with 2 engines and 4 entry VM
     And a resumable route with 2 sends
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -195,14 +195,21 @@
 async def post_many(world, count, seconds):
     vms = [one.vm for one in world.entries]
     for number in range(count):
+        # Heads differ, so that each server is the first choice for some.
+        head = prompts.Part(f'head-{number}', 50)
         small = dataclasses.replace(
-            PROMPT, tokens=100, output_tokens=8, parts=()
+            PROMPT, tokens=100, output_tokens=8, parts=(head,)
         )
         vm = vms[number % len(vms)]
         world.post(vm, world.request(number, prompt=small))
         await world.timers.advance(seconds / count)
 
 
+@behave.then('server {name} got {least:d} requests or more')
+def then_some(context, name, least):
+    assert len(context.serving.engines[name].arrivals) >= least
+
+
 @behave.then('server {name} got nothing')
 def then_nothing(context, name):
     world = context.serving
