Seeds that all came back empty are tested not to found a second group

Change: a scenario in which all three seeds come back empty while the two other control VMs are down.

--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -25,6 +25,12 @@
     Then for 20 seconds no control VM of the fleet leads
     And no control VM of the fleet confirms a read
 
+  Scenario: Seeds that all came back empty never found a second group
+    Given a fleet of 5 control VMs and 1 entry VMs
+    And the fleet holds version 5
+    When the seeds come back without their disks and the others are down
+    Then for 20 seconds no control VM of the fleet leads
+
   Scenario Outline: An accepted configuration is in force everywhere and stays
     Given a fleet of 5 control VMs and 4 entry VMs
     And the fleet holds version 5
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -205,6 +205,17 @@
         fleet.start(vm)
 
 
+@behave.when('the seeds come back without their disks and the others are down')
+@in_fleet
+async def when_seeds_lost(context):
+    fleet = context.fleet
+    for vm in fleet.control_vms:
+        fleet.crash(vm, loses_disk=vm in fleet.seeds)
+    await fleet.timers.advance(1.0)
+    for vm in fleet.seeds:
+        fleet.start(vm)
+
+
 @behave.then('for {seconds:d} seconds no control VM of the fleet leads')
 @in_fleet
 async def then_none_leads(context, seconds):
