Control VMs elect a leader in about a second, one candidate after the other

A candidate that got no support counted its own candidacy as a sign of the leader and refused the others' for a second; candidates drew their patience from a second's range and met; one that had voted meanwhile stood all the same; an entry VM's poll failed at once without a leader and came back half a second later. Change: signs of the leader and own candidacies are kept apart; voters stand in the order of their names, an election apart; without a known leader half of the patience does; a candidate that voted or heard a leader during its trial stops; a poll waits for a leader up to its limit. Elections are logged.

--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -165,6 +165,12 @@
                 self.round = None
             mine.done.set()
 
+    async def wait_for_leader(self) -> None:
+        """Returns when a leader is known, as soon as one is elected."""
+        replica = self.replica
+        while replica.is_starting or replica.leader is None:
+            await self.timers.sleep(replicas.CONFIRM_POLL_SECONDS)
+
     async def confirm_alone(self) -> None:
         replica = self.replica
         if replica.is_leader:
@@ -267,14 +273,16 @@
         entry = self.hear(message)
         held = message[2]
         is_confirmed = False
+        code = 'not_in_time'
         try:
             with self.timers.limit(timing.CONFIRM_SECONDS):
+                await self.wait_for_leader()
                 await self.confirm()
                 is_confirmed = True
         except errors.GatewayError as error:
-            eliot.log_message(
-                'poll:not_confirmed', vm=entry.vm, code=error.code
-            )
+            code = error.code
+        if not is_confirmed:
+            eliot.log_message('poll:not_confirmed', vm=entry.vm, code=code)
         now = self.timers.now()
         entries = [one.pack() for one in self.roster.alive(now)]
         entries_digest = members.digest(entries)
--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -4,6 +4,7 @@
 import typing
 
 import anyio
+import eliot
 
 from .. import errors
 from . import roles
@@ -12,12 +13,46 @@
     from . import replica as replicas
 
 VOTE_SECONDS = 1.0
+# Beyond a rank, the order of voters is left to chance.
+MOST_RANKED = 5
+
+
+def patience_seconds(replica: 'replicas.Replica', jitter: float) -> float:
+    """Returns after which silence a replica stands for election.
+
+    Voters stand one after the other, each when the election of the one
+    before it would be over, so that their candidacies do not meet. Where no
+    leader is known, as after a restart, half of the patience will do: a
+    living leader would be heard by then, and voters that hear it refuse.
+
+    :param jitter: 0 to 1, drawn anew for each election.
+    """
+    pace = replica.pace
+    seconds = pace.election_seconds
+    if replica.leader is None:
+        seconds /= 2
+    voters = sorted(replica.members.voters)
+    rank = voters.index(replica.vm) if replica.vm in voters else 0
+    return seconds + pace.stagger_seconds * (
+        min(rank, MOST_RANKED) + jitter / 2
+    )
 
 
 async def stand(replica: 'replicas.Replica') -> None:
     """Asks for votes, after asking whether they would be given."""
-    replica.heard_at = replica.timers.now()
-    if not await collect_votes(replica, replica.term + 1, is_trial=True):
+    replica.stood_at = replica.timers.now()
+    term = replica.term
+    has_support = await collect_votes(replica, replica.term + 1, is_trial=True)
+    eliot.log_message(
+        'replica:stands',
+        group=replica.group,
+        term=replica.term + 1,
+        silence=round(replica.timers.now() - replica.heard_at, 3),
+        supported=has_support,
+    )
+    # It may have voted for another or heard a leader in the meantime.
+    is_late = replica.term != term or replica.heard_at > replica.stood_at
+    if not has_support or is_late:
         return
     async with replica.exclusive():
         await replica.storage.save_meta(
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -113,6 +113,7 @@
         self.commit_index = 0
         self.applied_index = 0
         self.heard_at = timers.now()
+        self.stood_at = timers.now()
         self.contacts: dict[str, float] = {}
         self.match: dict[str, int] = {}
         self.told: dict[str, int] = {}
@@ -318,7 +319,7 @@
             eliot.log_message('replica:step_down', group=self.group)
         if self.failure is None:
             self.role = roles.Role.FOLLOWER
-        self.heard_at = self.timers.now()
+        self.heard_at = self.stood_at = self.timers.now()
         self.fail_waiters()
         self.wake_confirmers()
 
@@ -342,29 +343,35 @@
         self.queue.clear()
 
     async def see_term(self, term: int) -> None:
-        """Takes over a higher term that a peer named."""
+        """Takes over a higher term that a peer named, and drops the leader."""
         if term > self.term:
             await self.storage.save_meta(term=term, voted_for='')
+            self.leader = None
             self.become_follower()
 
     async def run_elections(self) -> None:
         """Stands for election when the leader is silent too long."""
+        jitter = self.rng.random()
         while True:
-            patience = self.pace.election_seconds * (1 + self.rng.random())
-            await self.timers.sleep(patience / 4)
+            patience = election.patience_seconds(self, jitter)
+            quiet_since = max(self.heard_at, self.stood_at)
+            left = quiet_since + patience - self.timers.now()
+            pause = min(max(0.0, left), self.pace.heartbeat_seconds)
+            await self.timers.sleep(max(CONFIRM_POLL_SECONDS, pause))
             if self.role is roles.Role.LEADER:
                 self.check_majority()
                 continue
-            me = self.members.get(self.vm)
             is_member = self.has_incarnation(self.vm, self.incarnation)
             if self.vm in self.copies or not is_member:
                 await startup.rejoin_when_left_out(self)
                 continue
+            me = self.members.get(self.vm)
             if me is None or not me.is_voter:
                 continue
-            if me.incarnation != self.incarnation:
-                continue
-            if self.timers.now() - self.heard_at >= patience:
+            quiet_since = max(self.heard_at, self.stood_at)
+            patience = election.patience_seconds(self, jitter)
+            if self.timers.now() - quiet_since >= patience:
+                jitter = self.rng.random()
                 await election.stand(self)
 
     def check_majority(self) -> None:
@@ -410,7 +417,6 @@
             if trial:
                 return [self.term, is_current, self.incarnation]
             await self.see_term(term)
-            self.leader = None
             if not is_current:
                 return [self.term, False, self.incarnation]
             if self.storage.meta.voted_for not in ('', candidate):
