The speed of a server is learned with what other VMs had there

The speed of an engine was learned from this VM's own tokens before a request, while predictions count those of the other VMs as well. Change: the other VMs' tokens count in both. Since the prediction is not too long any more, a tenth of the objective is left for its error.

--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -328,7 +328,7 @@
     async def running(self):
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
-            # The first one makes the servers known, whose loads the next tells.
+            # The first makes the servers known whose loads the next tells.
             self.refresh()
             self.refresh()
             tasks.start_soon(self.keep_views)
--- a/src/greengagegw/serving/admission.py
+++ b/src/greengagegw/serving/admission.py
@@ -21,8 +21,9 @@
 import random
 
 # Share of the objective up to which a request is taken, by how many classes
-# of the service are more urgent: the rest is left to those.
-TAKEN_SHARES = (1.0, 0.7)
+# of the service are more urgent: the rest is left to those. A tenth is left
+# for the prediction's error.
+TAKEN_SHARES = (0.9, 0.65)
 # The same for each priority of organisations that is more urgent.
 ORGANISATION_SHARE = 0.93
 MOST_RANKED_ORGANISATIONS = 3
--- a/src/greengagegw/serving/run.py
+++ b/src/greengagegw/serving/run.py
@@ -104,7 +104,8 @@
         if rate > 0 and server.is_cold(now):
             share = self.decisions.cold_share(job, server)
             server.pace.take(now, share)
-        before = server.waiting_tokens
+        others = self.decisions.backlogs.others(name)
+        before = server.waiting_tokens + others[0]
         self.server = server
         self.running = server.begin(unread, before if unread else 0.0, now)
         if job.request.prompt is not None and job.service.is_engine:
