A VM that cannot serve yet names a time at which it will

Change: the pause is what is left of the 2 s that a start takes, and 1.5 s for a lost lease, spread by half.

--- a/features/serving/dispatch.feature
+++ b/features/serving/dispatch.feature
@@ -33,6 +33,19 @@
     When a request meets a server that is silent
     Then the caller gets an unknown outcome after 4 seconds
 
+  Scenario Outline: A VM that cannot serve yet names a time at which it will
+    Given 1 region with 1 engines and 1 entry VM
+    When the VM has <state>
+    And a request comes <after> seconds later
+    Then it is refused with a pause of <least> to <most> seconds
+
+    Examples:
+      | state                                     | after | least | most |
+      | started and has no configuration          | 0.0   | 2.0   | 3.0  |
+      | started and has no configuration          | 1.0   | 1.0   | 1.5  |
+      | started and has no configuration          | 9.0   | 0.3   | 0.45 |
+      | lost its lease                            | 0.0   | 1.5   | 2.25 |
+
   Scenario: A server that falls silent is left
     Given 1 region with 2 engines and 1 entry VM
     And a resumable route with 2 sends
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -329,3 +329,34 @@
 async def then_got_few(context, name, count):
     got = len(context.serving.engines[name].arrivals)
     assert got <= count, got
+
+
+@behave.when('the VM has started and has no configuration')
+@in_fleet
+async def when_started(context):
+    world = context.serving
+    world.configuration = None
+    world.agents['a0'].view.configuration = None
+    world.dispatchers['a0'].decisions.started_at = world.timers.now()
+
+
+@behave.when('the VM has lost its lease')
+@in_fleet
+async def when_lease_lost(context):
+    context.serving.agents['a0'].has_lease = False
+
+
+@behave.when('a request comes {seconds:g} seconds later')
+@in_fleet
+async def when_later(context, seconds):
+    world = context.serving
+    await world.timers.advance(seconds)
+    world.post('a0', world.request(1, prompt=PROMPT))
+    await world.timers.advance(0.01)
+
+
+@behave.then('it is refused with a pause of {least:g} to {most:g} seconds')
+def then_pause(context, least, most):
+    (outcome,) = context.serving.outcomes
+    assert outcome.error.run == 'not_run'
+    assert least <= outcome.error.retry_after <= most, outcome.error
--- a/src/greengagegw/serving/decisions.py
+++ b/src/greengagegw/serving/decisions.py
@@ -28,6 +28,11 @@
 WAY_BACK_SECONDS = 0.01
 LEAST_TIME_SECONDS = 0.02
 SOON_SECONDS = 0.3
+# From a VM's start until it serves, when the whole fleet has lost its power:
+# a leader is elected in 1.2 s, and told a poll of 0.5 s later.
+START_SECONDS = 2.0
+# A lease outlives an election, so one that has ended tells of an outage.
+OUTAGE_SECONDS = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,6 +71,7 @@
         self.lengths = generations.UsualLengths()
         self.pressures: dict[str, admission.Pressure] = {}
         self.sent_away: dict[tuple[str, str], float] = {}
+        self.started_at = timers.now()
 
     def decide(self, request: ports.Request, now: float) -> jobs.Job:
         """Returns what the configuration in force says of a request.
@@ -74,7 +80,11 @@
         """
         configuration = self.view.configuration
         if configuration is None:
-            raise errors.NotReadyError('no configuration', retry_after=0.5)
+            left = self.started_at + START_SECONDS - now
+            raise errors.NotReadyError(
+                'no configuration',
+                retry_after=self.spread(max(SOON_SECONDS, left)),
+            )
         route = configuration.find_route(request.host, request.path)
         if route is None:
             raise errors.NotFoundError('no route matches')
@@ -82,7 +92,8 @@
         if configuration.needs_keys and not route.is_public:
             if not self.agent.has_lease:
                 raise errors.LeaseError(
-                    'the keys cannot be confirmed', retry_after=0.5
+                    'the keys cannot be confirmed',
+                    retry_after=self.spread(OUTAGE_SECONDS),
                 )
             organisation = configuration.find_organisation(request.key)
             if organisation is None:
@@ -109,6 +120,10 @@
             jobs.Sends(route.most_sends),
         )
 
+    def spread(self, seconds: float) -> float:
+        """Returns a pause that differs, so that callers do not come as one."""
+        return seconds * (1 + admission.RETRY_SPREAD * self.rng.random())
+
     def check_still_allowed(self, job: jobs.Job) -> None:
         """Checks a decision again, right before a request is sent.
 
@@ -119,7 +134,8 @@
         is_keyed = job.organisation is not None
         if is_keyed and not self.agent.has_lease:
             raise errors.LeaseError(
-                'the keys cannot be confirmed', retry_after=0.5
+                'the keys cannot be confirmed',
+                retry_after=self.spread(OUTAGE_SECONDS),
             )
         configuration = self.view.configuration
         if configuration.version == job.version:
