Other regions use entry VMs that leave where a region has no others

A rolling stop had all three entry VMs of a region leaving from 9.0 to 12.4 s; other regions forward to serving VMs only, so three of five engines served nobody. Change: a region's leaving VMs are used by others while it has no serving one, and tell their waits, until they refuse new streams (2.8 s after the signal); what is forwarded is then refused as callers' requests are. Measured: two scenarios failed before (nothing can run engine; no waits known) and pass; features/serving/dispatch and features/fleet/fleet: 70 passed.

--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -85,6 +85,12 @@
       | entry VM e2 is killed  | 3       | e1 e3    |
       | entry VM e2 leaves     | 1       | e1 e3    |
 
+  Scenario: Other regions hear of a region whose entry VMs all leave
+    Given a fleet of 3 control VMs and 1 entry VMs
+    And the fleet holds version 5
+    When in the fleet the only entry VM of a region leaves
+    Then its servers' waits are told within 2 seconds
+
   Scenario: The platform's list is read by one control VM
     Given a fleet of 5 control VMs and 3 entry VMs
     When 30 seconds pass in the fleet
--- a/features/fleet_world.py
+++ b/features/fleet_world.py
@@ -172,7 +172,7 @@
             entry = members.EntryVm(
                 vm, f'{vm}:80', 'a', 'a-1', self.states[vm]
             )
-            return entry, {'waits': {}}
+            return entry, {'waits': {'engine': 0.1}}
 
         agent = agents.Agent(
             self.timers,
--- a/features/serving/dispatch.feature
+++ b/features/serving/dispatch.feature
@@ -72,6 +72,20 @@
     When a request meets a server that is sound
     Then the caller gets the whole answer
 
+  Scenario: A region whose entry VMs all leave still runs what it can end
+    Given region a without engines and region b with 1 engine
+    And a resumable route with 2 sends
+    When all entry VMs of region b leave
+    And a request meets a server that is sound
+    Then the caller gets the whole answer
+
+  Scenario: A leaving VM takes nothing that it may not end
+    Given region a without engines and region b with 1 engine
+    And a resumable route with 2 sends
+    When all entry VMs of region b have left for too long
+    And a request meets a server that is sound
+    Then the caller gets a promise
+
   Scenario Outline: Homes are never left
     Given region a without engines and region b with 1 engine
     And a route at home in <home>
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -74,6 +74,10 @@
     fleet.start('e')
 
 
+async def leave_region(fleet):
+    fleet.states['e1'] = members.EntryState.LEAVING
+
+
 async def hang_disk(fleet):
     leader = fleet.leader()
     lock = leader.disk
@@ -145,6 +149,7 @@
 
 EVENTS = {
     'nothing happens': nothing,
+    'the only entry VM of a region leaves': leave_region,
     'all control VMs are killed at once': kill_controls,
     'two control VMs lose their disks': lose_disks,
     'e is gone for good and f comes for it': replace,
@@ -518,3 +523,12 @@
         spent += size
         await fleet.timers.advance(size / (context.rate / 2))
     await fleet.timers.advance(1.0)
+
+
+@behave.then("its servers' waits are told within {seconds:g} seconds")
+@in_fleet
+async def then_waits(context, seconds):
+    fleet = context.fleet
+    await fleet.timers.advance(seconds)
+    for control in fleet.controls.values():
+        assert control.region_waits() == {'engine': {'a': 0.1}}
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -9,6 +9,7 @@
 from features import fleet_world
 from features import serving_world
 from features.steps.fleet import in_fleet
+from greengagegw.fleet import members
 from greengagegw.platform import documents
 from greengagegw.serving import prompts
 
@@ -360,3 +361,29 @@
     (outcome,) = context.serving.outcomes
     assert outcome.error.run == 'not_run'
     assert least <= outcome.error.retry_after <= most, outcome.error
+
+
+def leave(world, region):
+    world.entries = [
+        dataclasses.replace(one, state=members.EntryState.LEAVING)
+        if one.region == region
+        else one
+        for one in world.entries
+    ]
+    world.refresh()
+
+
+@behave.when('all entry VMs of region {region} leave')
+@in_fleet
+async def when_region_leaves(context, region):
+    leave(context.serving, region)
+
+
+@behave.when('all entry VMs of region {region} have left for too long')
+@in_fleet
+async def when_region_has_left(context, region):
+    world = context.serving
+    leave(world, region)
+    for one in world.entries:
+        if one.region == region:
+            world.dispatchers[one.vm].refuses_new = lambda request: True
--- a/src/greengagegw/fleet/agent.py
+++ b/src/greengagegw/fleet/agent.py
@@ -53,11 +53,7 @@
         return -1 if self.configuration is None else self.configuration.version
 
     def entries_of(self, region: str) -> list[members.EntryVm]:
-        return [
-            one
-            for one in self.entries
-            if one.region == region and one.state is members.EntryState.SERVING
-        ]
+        return members.usable_of(self.entries, region)
 
 
 class Agent:
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -309,16 +309,13 @@
     def region_waits(self) -> dict[str, dict[str, float]]:
         """Returns the least wait by service and region, in seconds."""
         waits: dict[str, dict[str, float]] = {}
-        for vm, load in self.loads.items():
-            heard = self.roster.heard.get(vm)
-            if heard is None:
-                continue
-            if heard[0].state is not members.EntryState.SERVING:
-                continue
-            region = heard[0].region
-            for service, wait in load.get('waits', {}).items():
-                known = waits.setdefault(service, {})
-                known[region] = max(wait, known.get(region, 0.0))
+        entries = self.roster.alive(self.timers.now())
+        for region in {one.region for one in entries}:
+            for entry in members.usable_of(entries, region):
+                load = self.loads.get(entry.vm, {})
+                for service, wait in load.get('waits', {}).items():
+                    known = waits.setdefault(service, {})
+                    known[region] = max(wait, known.get(region, 0.0))
         return waits
 
     # Tokens.
--- a/src/greengagegw/fleet/members.py
+++ b/src/greengagegw/fleet/members.py
@@ -1,5 +1,6 @@
 """The VMs of a deployment, as control VMs hear of them."""
 
+import collections.abc
 import dataclasses
 import enum
 
@@ -44,6 +45,22 @@
         return cls(*names, EntryState(state))
 
 
+def usable_of(
+    entries: collections.abc.Iterable[EntryVm], region: str
+) -> list[EntryVm]:
+    """Returns the VMs of a region that other regions may send requests to.
+
+    Those that leave are among them only where all do: a rolling stop takes
+    the VMs of a small region out together, and its backend servers with them.
+    """
+    found = [one for one in entries if one.region == region]
+    for state in (EntryState.SERVING, EntryState.LEAVING):
+        usable = [one for one in found if one.state is state]
+        if usable:
+            return usable
+    return []
+
+
 class Roster:
     """The entry VMs that have been heard of lately.
 
--- a/src/greengagegw/platform/roles.py
+++ b/src/greengagegw/platform/roles.py
@@ -65,7 +65,10 @@
             settings.domain,
             state,
         )
-        return entry, dispatchers.describe_load(dispatcher)
+        load = dispatchers.describe_load(dispatcher)
+        if process.leaving_seconds > REFUSE_STREAMS_SECONDS:
+            load = {'waits': {}}
+        return entry, load
 
     agent = agents.Agent(
         timers,
@@ -91,9 +94,6 @@
         ),
         process.rng,
     )
-    process.mesh.handlers.calls.update(dispatcher.handlers())
-    process.mesh.handlers.streams.update(dispatcher.stream_handlers())
-    view.updated.append(lambda: pool.update(timers.now()))
 
     def refuses_new(request: ports.Request) -> bool:
         if not process.is_leaving:
@@ -102,6 +102,11 @@
         most = REFUSE_STREAMS_SECONDS if is_long else REFUSE_ALL_SECONDS
         return process.leaving_seconds > most
 
+    dispatcher.refuses_new = refuses_new
+    process.mesh.handlers.calls.update(dispatcher.handlers())
+    process.mesh.handlers.streams.update(dispatcher.stream_handlers())
+    view.updated.append(lambda: pool.update(timers.now()))
+
     def is_ready() -> bool:
         return view.configuration is not None and not process.is_leaving
 
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -42,6 +42,7 @@
         retries: decisions_module.RetrySettings,
         rng: random.Random,
     ) -> None:
+        self.vm = vm
         self.timers = timers
         self.mesh = mesh
         self.agent = agent
@@ -58,6 +59,10 @@
             vm, pool.region, timers, mesh, agent.view, rng
         )
         self.in_flight = 0
+        # Replaced where a VM that leaves must end what it takes in time.
+        self.refuses_new: collections.abc.Callable[[ports.Request], bool] = (
+            lambda request: False
+        )
 
     async def run(self) -> None:
         """Keeps in touch with the other entry VMs until it is cancelled."""
@@ -246,7 +251,12 @@
         """Runs a request of another region's entry VM."""
         packed, *decided = message
         await stream.send('accepted')
-        job = self.adopt(ports.Request.unpack(packed), *decided)
+        request = ports.Request.unpack(packed)
+        if self.refuses_new(request):
+            raise errors.UnavailableError(
+                f'{self.vm} leaves', retry_after=links.SOON_SECONDS
+            )
+        job = self.adopt(request, *decided)
         self.in_flight += 1
         try:
             async with self.run_here(job, self.pool.region) as answer:
