A caller that reads slowly does not cost its server

A server counted as silent when one of this VM's requests was over its predicted time and nothing came on any connection, also when the caller itself did not read; and the pause of such a caller was learned as the server's. One slow caller could have a sound server left out and long answers refused. A length hint of 5,000 digits could not be read and ended the request with an error of ours; a message to a VM of the region that was not sent in time left no line. Change: a server owes a chunk only while one is awaited; a pause in which nothing was awaited is not learned; hints of over nine digits count as none; the line. The least waits of regions are gathered in one pass over the VMs. Measured: two scenarios; the first fails without either part.

--- a/features/serving/dispatch.feature
+++ b/features/serving/dispatch.feature
@@ -54,6 +54,23 @@
     Then all of them are served within 1.5 seconds
     And server i-a0 got at most 15
 
+  Scenario: A caller that reads slowly does not cost its server
+    Given 1 region with 1 engines and 1 entry VM
+    And a resumable route with 2 sends
+    When a caller reads one event and then nothing for 3 seconds
+    Then server i-a0 is not thought silent or slow
+
+  Scenario Outline: A hint of the length that is no count of tokens is ignored
+    When a request has the length hint <hint>
+    Then its expected tokens are <tokens>
+
+    Examples:
+      | hint                           | tokens |
+      | 320                            | 320    |
+      | -4                             | 0      |
+      | many                           | 0      |
+      | 99999999999999999999           | 0      |
+
   Scenario: A server works no more for a caller that has gone
     Given 1 region with 1 engines and 1 entry VM
     And a resumable route with 2 sends
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -10,6 +10,7 @@
 from features import serving_world
 from features.steps.fleet import in_fleet
 from greengagegw.fleet import members
+from greengagegw.platform import callers
 from greengagegw.platform import documents
 from greengagegw.serving import prompts
 
@@ -387,3 +388,53 @@
     for one in world.entries:
         if one.region == region:
             world.dispatchers[one.vm].refuses_new = lambda request: True
+
+
+@behave.when(
+    'a caller reads one event and then nothing for {seconds:g} seconds'
+)
+@in_fleet
+async def when_slow_caller(context, seconds):
+    world = context.serving
+    dispatcher = world.dispatchers['a0']
+
+    async def read():
+        async with dispatcher.handle(
+            world.request(1, prompt=PROMPT)
+        ) as answer:
+            await anext(answer.chunks)
+            await world.timers.sleep(seconds)
+            async for _ in answer.chunks:
+                pass
+
+    world.tasks.start_soon(read)
+    await world.timers.advance(seconds - 0.1)
+    server = dispatcher.pool.servers['i-a0']
+    context.ejected_until = server.ejected_until
+    await world.timers.advance(1.0)
+    context.server = server
+
+
+@behave.then('server i-a0 is not thought silent or slow')
+def then_sound(context):
+    assert context.ejected_until == 0.0
+    assert context.server.ejected_until == 0.0
+    now = context.serving.timers.now()
+    assert context.server.event_pace.seconds(now) < 0.06
+
+
+@behave.when('a request has the length hint {hint}')
+def when_hint(context, hint):
+    context.prompt = callers.decode_prompt(
+        {
+            'headers': [
+                (b'greengagegw-token-count', b'1460,80'),
+                (b'greengagegw-length-hint', hint.encode()),
+            ]
+        }
+    )
+
+
+@behave.then('its expected tokens are {tokens:d}')
+def then_expected(context, tokens):
+    assert context.prompt.expected_tokens == tokens
--- a/src/greengagegw/fleet/agent.py
+++ b/src/greengagegw/fleet/agent.py
@@ -53,7 +53,9 @@
         return -1 if self.configuration is None else self.configuration.version
 
     def entries_of(self, region: str) -> list[members.EntryVm]:
-        return members.usable_of(self.entries, region)
+        return members.usable(
+            [one for one in self.entries if one.region == region]
+        )
 
 
 class Agent:
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -309,9 +309,11 @@
     def region_waits(self) -> dict[str, dict[str, float]]:
         """Returns the least wait by service and region, in seconds."""
         waits: dict[str, dict[str, float]] = {}
-        entries = self.roster.alive(self.timers.now())
-        for region in {one.region for one in entries}:
-            for entry in members.usable_of(entries, region):
+        by_region: dict[str, list[members.EntryVm]] = {}
+        for entry, _ in self.roster.heard.values():
+            by_region.setdefault(entry.region, []).append(entry)
+        for region, entries in by_region.items():
+            for entry in members.usable(entries):
                 load = self.loads.get(entry.vm, {})
                 for service, wait in load.get('waits', {}).items():
                     known = waits.setdefault(service, {})
--- a/src/greengagegw/fleet/members.py
+++ b/src/greengagegw/fleet/members.py
@@ -45,19 +45,16 @@
         return cls(*names, EntryState(state))
 
 
-def usable_of(
-    entries: collections.abc.Iterable[EntryVm], region: str
-) -> list[EntryVm]:
+def usable(entries: collections.abc.Sequence[EntryVm]) -> list[EntryVm]:
     """Returns the VMs of a region that other regions may send requests to.
 
     Those that leave are among them only where all do: a rolling stop takes
     the VMs of a small region out together, and its backend servers with them.
     """
-    found = [one for one in entries if one.region == region]
     for state in (EntryState.SERVING, EntryState.LEAVING):
-        usable = [one for one in found if one.state is state]
-        if usable:
-            return usable
+        found = [one for one in entries if one.state is state]
+        if found:
+            return found
     return []
 
 
--- a/src/greengagegw/platform/callers.py
+++ b/src/greengagegw/platform/callers.py
@@ -16,6 +16,8 @@
 from ..serving import prompts
 
 BODY_SECONDS = 10.0
+# Longer hints are no counts of tokens.
+HINT_DIGITS = 9
 
 
 class Callers:
@@ -260,7 +262,8 @@
     model = find(scope, names.MODEL)
     hint = find(scope, names.LENGTH_HINT)
     # A hint that is no number is none: the request itself is sound.
-    expected = int(hint) if hint.isascii() and hint.isdigit() else 0
+    is_number = hint.isascii() and hint.isdigit()
+    expected = int(hint) if is_number and len(hint) <= HINT_DIGITS else 0
     return prompts.Prompt(model, tokens, output_tokens, parts, expected)
 
 
--- a/src/greengagegw/serving/backlogs.py
+++ b/src/greengagegw/serving/backlogs.py
@@ -127,8 +127,11 @@
                     tasks.start_soon(self.tell, vm, mine)
 
     async def tell(self, vm: str, loads: dict[str, list[float]]) -> None:
+        code = 'not_in_time'
         try:
             with self.timers.limit(REPEAT_SECONDS):
                 await self.mesh.notify(vm, SHARE_METHOD, [self.vm, loads])
-        except errors.PeerError as error:
-            eliot.log_message('backlog:not_told', vm=vm, code=error.code)
+                return
+        except errors.GatewayError as error:
+            code = error.code
+        eliot.log_message('backlog:not_told', vm=vm, code=code)
--- a/src/greengagegw/serving/run.py
+++ b/src/greengagegw/serving/run.py
@@ -18,6 +18,8 @@
 SHORTEST_SILENCE_SECONDS = 1.5
 RETRY_STATUSES = frozenset({500, 502, 503, 504})
 EVENT_END = b'\n\n'
+# A caller that takes an event later than this after it came is a slow one.
+READ_SECONDS = 0.02
 # Waiting less than this says nothing on a server, since a route's time may
 # be short.
 LEAST_FAILURE_SECONDS = 1.0
@@ -201,6 +203,7 @@
     ) -> collections.abc.AsyncIterator[bytes]:
         """Yields the body as it arrives."""
         while True:
+            self.await_chunk()
             try:
                 chunk = await jobs.in_time(
                     self.timers, self.job, anext(answer.chunks)
@@ -215,15 +218,23 @@
         self.note_whole()
         await self.close(is_whole=True)
 
+    def await_chunk(self) -> None:
+        if self.running is not None:
+            self.running.awaited_since = self.timers.now()
+
     def note_chunk(self, chunk: bytes) -> None:
         """Takes in how fast the server generates."""
         if self.server is None:
             return
         now = self.server.heard_at = self.timers.now()
+        awaited_since = self.running.awaited_since
+        self.running.awaited_since = None
         count = chunk.count(EVENT_END) if self.job.route.is_stream else 0
         if not count:
             return
-        if self.events:
+        # A caller that reads slowly says nothing of the server.
+        is_read = awaited_since - self.event_at <= READ_SECONDS
+        if self.events and is_read:
             self.server.event_pace.learn(count, now - self.event_at, now)
         self.events += count
         self.event_at = now
@@ -282,6 +293,7 @@
             if not job.may_be_sent:
                 silence = left
             chunk = None
+            self.await_chunk()
             try:
                 with self.timers.limit(max(0.0, min(silence, left))):
                     chunk = await anext(answer.chunks)
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -34,7 +34,9 @@
     """A request of this VM at a server.
 
     :ivar tokens_before: tokens that must be read before its first event.
-    :ivar expected_at: timer seconds at which it should be answered.
+    :ivar awaited_since: timer seconds from which the server owes something:
+        an answer from when it was predicted, a chunk from when the last one
+        was passed on. None while the caller does not read.
     :ivar waiting: ended when the request is to go elsewhere.
     :ivar may_move: takes a repeat, and returns whether there is one.
     """
@@ -42,7 +44,7 @@
     sent_at: float
     unread_tokens: float
     tokens_before: float
-    expected_at: float
+    awaited_since: float | None
     may_move: collections.abc.Callable[[], bool]
     waiting: anyio.CancelScope | None = None
     has_begun: bool = False
@@ -116,10 +118,14 @@
 
     def silence(self, now: float) -> float:
         """Returns for how long it has owed this VM a sign of life."""
-        if not self.runs:
+        awaited_since = [
+            one.awaited_since
+            for one in self.runs
+            if one.awaited_since is not None
+        ]
+        if not awaited_since:
             return 0.0
-        expected = min(one.expected_at for one in self.runs)
-        return max(0.0, now - max(self.heard_at, expected))
+        return max(0.0, now - max(self.heard_at, min(awaited_since)))
 
     def leave_silent(self, now: float) -> None:
         """Gives a silent server nothing new, and sends elsewhere what may."""
@@ -143,6 +149,7 @@
         if one.has_begun:
             return
         one.has_begun = True
+        one.awaited_since = None
         self.heard_at = now
         self.waiting_tokens = max(0.0, self.waiting_tokens - one.unread_tokens)
         if one.tokens_before:
