A server of long calls is not taken for a silent one

Cause: seen in reading. A server that sends nothing for 0.75 s over its prediction is left, which holds for engines, whose streams always tell something. A service whose calls take seconds sends nothing meanwhile either, so that a lone call that takes long would have left out a sound server. Change: for plain services it is four times their usual time, and nothing before a first answer was measured, which now sets the usual time by itself. Measured: a scenario that fails with a tenth in place of four times.

--- a/features/serving/dispatch.feature
+++ b/features/serving/dispatch.feature
@@ -60,6 +60,12 @@
     When a caller reads one event and then nothing for 3 seconds
     Then server i-a0 is not thought silent or slow
 
+  Scenario: A service of long calls has no server left out for them
+    Given 1 region with 1 engines and 1 entry VM
+    And a safe route with 2 sends
+    When calls take 1 seconds each, and one takes 3 seconds
+    Then server i-adesk is not left out
+
   Scenario Outline: A hint of the length that is no count of tokens is ignored
     When a request has the length hint <hint>
     Then its expected tokens are <tokens>
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -31,6 +31,7 @@
 NEAR_SECONDS = 0.0014
 READ_RATE = 55_000.0
 STEP_SECONDS = 0.01
+CALL_SECONDS = 0.09
 EVENT_TOKENS = 8
 ENGINE_MEMORY = 400_000
 # How often control VMs are polled, and how old what they tell may be.
@@ -119,7 +120,7 @@
         timers = self.world.timers
         prompt = order.request.prompt
         if prompt is None:
-            await timers.sleep(0.09 * self.slow)
+            await timers.sleep(CALL_SECONDS * self.slow)
             return
         async with self.reading.turn(0 if order.is_resumed else 1):
             unread = prompt.tokens - self.cache.cached_tokens(prompt)
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -438,3 +438,28 @@
 @behave.then('its expected tokens are {tokens:d}')
 def then_expected(context, tokens):
     assert context.prompt.expected_tokens == tokens
+
+
+@behave.when(
+    'calls take {usual:g} seconds each, and one takes {long:g} seconds'
+)
+@in_fleet
+async def when_long_calls(context, usual, long):
+    world = context.serving
+    configure(
+        context,
+        kind='safe',
+        service='desk',
+        targetLatencyMs=9000,
+    )
+    engine = world.engines['i-adesk']
+    for number, seconds in enumerate([usual] * 20 + [long]):
+        engine.slow = seconds / serving_world.CALL_SECONDS
+        world.post('a0', world.request(number, patience=20.0))
+        await world.timers.advance(seconds)
+    context.server = world.dispatchers['a0'].pool.servers['i-adesk']
+
+
+@behave.then('server i-adesk is not left out')
+def then_not_left_out(context):
+    assert context.server.ejected_until == 0.0, context.server.failures
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -26,6 +26,8 @@
 # Beyond what was predicted, after which a server that sends nothing on any
 # connection is left: over the pauses of 0.6 s that callers count as late.
 SILENT_SECONDS = 0.75
+# Plain calls differ in how long they take, and send nothing meanwhile.
+SILENT_SERVICE_TIMES = 4.0
 WATCH_SECONDS = 0.1
 
 
@@ -63,6 +65,7 @@
         self.event_pace = generations.EventPace(now)
         self.read_rate = engine_model.FIRST_READ_RATE
         self.service_seconds = engine_model.FIRST_SERVICE_SECONDS
+        self.is_measured = False
         self.failures = 0.0
         self.failed_at = now
         self.ejected_until = 0.0
@@ -127,6 +130,15 @@
             return 0.0
         return max(0.0, now - max(self.heard_at, min(awaited_since)))
 
+    @property
+    def longest_silence(self) -> float:
+        """Seconds of silence after which this server is left."""
+        if self.cache.capacity:
+            return SILENT_SECONDS
+        if not self.is_measured:
+            return math.inf
+        return max(SILENT_SECONDS, SILENT_SERVICE_TIMES * self.service_seconds)
+
     def leave_silent(self, now: float) -> None:
         """Gives a silent server nothing new, and sends elsewhere what may."""
         eliot.log_message(
@@ -165,7 +177,9 @@
                 0.0, self.waiting_tokens - one.unread_tokens
             )
         if is_whole:
-            self.service_seconds += engine_model.SERVICE_SMOOTHING * (
+            share = engine_model.SERVICE_SMOOTHING if self.is_measured else 1.0
+            self.is_measured = True
+            self.service_seconds += share * (
                 now - one.sent_at - self.service_seconds
             )
 
@@ -242,7 +256,7 @@
     def leave_silent(self, now: float) -> None:
         """Finds the servers that have fallen silent."""
         for server in self.servers.values():
-            if server.silence(now) > SILENT_SECONDS:
+            if server.silence(now) > server.longest_silence:
                 server.leave_silent(now)
 
     def forget(self, name: str) -> None:
