What has homes is led there while entry VMs leave

A rolling stop of one second a VM had all five entry VMs of both homes leaving from 7.4 s, each for 5.2 s, and look-ups then named the VMs of the third region. Change: while nothing serves in the homes, look-ups for what has homes name the VMs that leave in the caller's region or the homes.

--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -85,6 +85,17 @@
       | entry VM e2 is killed  | 3       | e1 e3    |
       | entry VM e2 leaves     | 1       | e1 e3    |
 
+  Scenario Outline: What has homes is led there while entry VMs leave
+    When the entry VMs of the homes a and b are <homes> and those of c <others>
+    Then a look-up from <region> for what has homes names those of <named>
+
+    Examples:
+      | homes    | others  | region | named |
+      | serving  | serving | a      | a     |
+      | leaving  | serving | a      | a b   |
+      | leaving  | serving | c      | c     |
+      | starting | serving | a      | c     |
+
   Scenario: Other regions hear of a region whose entry VMs all leave
     Given a fleet of 3 control VMs and 1 entry VMs
     And the fleet holds version 5
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -532,3 +532,25 @@
     await fleet.timers.advance(seconds)
     for control in fleet.controls.values():
         assert control.region_waits() == {'engine': {'a': 0.1}}
+
+
+@behave.when(
+    'the entry VMs of the homes a and b are {homes} and those of c {others}'
+)
+def when_states(context, homes, others):
+    context.entries = [
+        members.EntryVm(
+            region, region, region, f'{region}-1', members.EntryState(state)
+        )
+        for region, state in (('a', homes), ('b', homes), ('c', others))
+    ]
+
+
+@behave.then(
+    'a look-up from {region} for what has homes names those of {named}'
+)
+def then_led(context, region, named):
+    found = members.choose_entries(
+        context.entries, region, f'{region}-1', frozenset({'a', 'b'}), 64
+    )
+    assert found == named.split(), found
--- a/src/greengagegw/fleet/members.py
+++ b/src/greengagegw/fleet/members.py
@@ -108,12 +108,20 @@
 
     Those of the caller's own region come first, whatever its failure
     domain, so that one domain's burst spreads over the region. Without
-    any, those of the homes of what it asks for are named.
+    any, those of the homes of what it asks for are named. What has homes is
+    not led elsewhere while VMs leave there: these serve for some seconds, in
+    which the first of a rolling stop is back.
     """
     serving = [one for one in entries if one.state is EntryState.SERVING]
     near = [one for one in serving if one.region == region]
     if not near and homes:
         near = [one for one in serving if one.region in homes]
+        near = near or [
+            one
+            for one in entries
+            if one.state is EntryState.LEAVING
+            and (one.region == region or one.region in homes)
+        ]
     near = near or serving
     near.sort(key=lambda one: (one.domain != domain, one.vm))
     return [one.callers_address for one in near[:most]]
