The test runner prints each failure's step and message

Change: step and message of each failure are printed after the results. Measured: a scenario made to fail prints both.

--- a/features/run.py
+++ b/features/run.py
@@ -30,7 +30,9 @@
             *(sys.argv[1:] or [str(FOLDER)]),
         ]
         code = behave.__main__.main(arguments)
-        counts = count(json.loads(results.read_text() or '[]'))
+        features = json.loads(results.read_text() or '[]')
+    counts = count(features)
+    print_messages(features)
     passed = counts['passed']
     failed = sum(
         number
@@ -55,6 +57,21 @@
     return counts
 
 
+def print_messages(features: list[dict]) -> None:
+    """Prints the step and the message of each failure."""
+    for feature in features:
+        for element in feature.get('elements', []):
+            for step in element.get('steps', []):
+                result = step.get('result', {})
+                if 'error_message' not in result:
+                    continue
+                message = result['error_message']
+                if isinstance(message, list):
+                    message = '\n'.join(message)
+                print(f'{element["location"]}: {step["name"]}')
+                print(message)
+
+
 def print_known_red() -> None:
     """Prints the faults that are known and not run."""
     file = FOLDER.parent / 'KNOWN-RED.txt'
