Regions and servers are chosen by when an answer will be whole, too

Only the wait for the first event was compared, and that was short. Change: entry VMs tell the pace of their servers with their waits; regions and servers are compared by the wait and 0.3 of the time from the first event to the end, those that would begin in time first. An answer's length is taken from the caller's estimate before any was whole. A long prompt is judged by a usual one's time at the whole limit, since the largest tenth fell behind otherwise.

--- a/features/load_patterns.py
+++ b/features/load_patterns.py
@@ -69,6 +69,8 @@
     :ivar lost: engines that are gone after three seconds.
     :ivar slow: times as long that one engine takes.
     :ivar output: times as long as usual that answers are.
+    :ivar event_delay: seconds by which an event comes later while its engine
+        reads prompts, which it does in chunks between the events.
     :ivar returns: whether refused callers come back once, when told.
     """
 
@@ -78,6 +80,7 @@
     slow: float = 1.0
     returns: bool = True
     output: float = 1.0
+    event_delay: float = 0.0
 
 
 PATTERNS = {
@@ -87,6 +90,9 @@
     'half of the servers gone': Pattern(lost=('i-a0', 'i-b0')),
     'one server five times slower': Pattern(slow=5.0),
     'answers eight times as long': Pattern(output=8.0),
+    'a peak that slows the smallest region': Pattern(
+        rate=0.6, region_shares=(0.1, 0.1, 0.8), event_delay=0.2
+    ),
 }
 
 
@@ -106,6 +112,8 @@
             self.begin = world.timers.now()
             if self.pattern.slow > 1:
                 world.engines['i-a0'].slow = self.pattern.slow
+            for engine in world.engines.values():
+                engine.event_delay = self.pattern.event_delay
             for kind in KINDS:
                 world.tasks.start_soon(self.send_all, kind)
             await world.timers.advance(3.0)
@@ -219,6 +227,15 @@
 
         return share(largest), share(asked)
 
+    def whole_seconds(self, kind, percent):
+        """Returns how long answers that were begun took, at a percentile."""
+        taken = sorted(
+            (one.ended_at or math.inf) - one.sent_at
+            for one in self.world.outcomes
+            if one.kind == kind and (one.error is None or one.first_at)
+        )
+        return taken[len(taken) * percent // 100]
+
     def told_seconds(self):
         """Returns how long the slowest refusal took to be told."""
         return max(
--- a/features/serving/load.feature
+++ b/features/serving/load.feature
@@ -24,6 +24,12 @@
     Then at least 85 percent of all requests are served on time
     And at most 20 percent of the long answers that were begun fail
 
+  Scenario: Long answers are whole soon where one region is full
+    When a peak that slows the smallest region is replayed
+    Then at least 95 percent of all requests are served on time
+    And 90 percent of the long answers are whole within half of their callers' time
+    And at most 2 percent of the long answers that were begun fail
+
   Scenario: Overload starves no class, and the urgent one does not come last
     When twice what can be served is replayed
     Then at least 40 percent of all requests are served on time
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -88,6 +88,7 @@
         self.closed = []
         self.tokens_read = 0
         self.slow = 1.0
+        self.event_delay = 0.0
 
     @contextlib.asynccontextmanager
     async def serve(self, order):
@@ -145,6 +146,8 @@
             yield event
             # A step takes longer the more requests share it.
             pause = STEP_SECONDS * (1 + self.running / 16) * self.slow
+            if self.reading.is_busy:
+                pause += self.event_delay
             await self.world.timers.sleep(pause)
 
 
@@ -358,11 +361,16 @@
             },
         )
         loads = loads or self.loads
-        waits = collections.defaultdict(dict)
-        for entry in self.entries:
-            for service, wait in loads[entry.vm]['waits'].items():
-                known = waits[service].get(entry.region, 0.0)
-                waits[service][entry.region] = max(known, wait)
+        told = {}
+        for figure in ('waits', 'paces'):
+            told[figure] = collections.defaultdict(dict)
+            for entry in self.entries:
+                load = loads[entry.vm].get(figure, {})
+                for service, seconds in load.items():
+                    known = told[figure][service]
+                    known[entry.region] = max(
+                        seconds, known.get(entry.region, 0.0)
+                    )
         for entry in self.entries:
             view = self.agents[entry.vm].view
             view.configuration = self.configuration
@@ -373,7 +381,8 @@
                 name: engine.instance for name, engine in self.engines.items()
             }
             view.list_read_at = view.waits_at = self.timers.now()
-            view.waits = {name: dict(one) for name, one in waits.items()}
+            view.waits = copy.deepcopy(dict(told['waits']))
+            view.paces = copy.deepcopy(dict(told['paces']))
             self.dispatchers[entry.vm].pool.update(self.timers.now())
 
     def request(
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -531,7 +531,7 @@
     fleet = context.fleet
     await fleet.timers.advance(seconds)
     for control in fleet.controls.values():
-        assert control.region_waits() == {'engine': {'a': 0.1}}
+        assert control.region_loads('waits') == {'engine': {'a': 0.1}}
 
 
 @behave.when(
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -55,6 +55,16 @@
     assert failed * 100 <= percent * len(begun), (failed, len(begun))
 
 
+@behave.then(
+    '{percent:d} percent of the long answers are whole within half of their'
+    " callers' time"
+)
+def then_whole_soon(context, percent):
+    kinds = {kind.name: kind for kind in load_patterns.KINDS}
+    taken = context.replay.whole_seconds('long', percent)
+    assert taken <= kinds['long'].patience / 2, taken
+
+
 def class_shares(replay):
     return {
         kind.name: replay.share(lambda one, name=kind.name: one.kind == name)
--- a/src/greengagegw/fleet/agent.py
+++ b/src/greengagegw/fleet/agent.py
@@ -30,6 +30,7 @@
     :ivar lease_until: boot seconds until which keys may be accepted.
     :ivar list_read_at: timer seconds when the instance list was read.
     :ivar waits: seconds of wait by service and region.
+    :ivar paces: seconds between events of answers by service and region.
     """
 
     def __init__(self) -> None:
@@ -45,6 +46,7 @@
         self.controls: tuple[str, ...] = ()
         self.leader: str | None = None
         self.waits: dict[str, dict[str, float]] = {}
+        self.paces: dict[str, dict[str, float]] = {}
         self.waits_at = -1e9
         self.updated: list[collections.abc.Callable[[], None]] = []
 
@@ -233,6 +235,7 @@
             view.controls = tuple(reply['controls']) or view.controls
             view.leader = reply['leader']
         view.waits = reply['waits']
+        view.paces = reply.get('paces', {})
         view.waits_at = asked_at
         for notify in view.updated:
             notify()
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -296,7 +296,8 @@
             'entries_digest': entries_digest,
             'controls': [one.vm for one in self.replica.members.members],
             'leader': self.replica.leader,
-            'waits': self.region_waits(),
+            'waits': self.region_loads('waits'),
+            'paces': self.region_loads('paces'),
         }
         if self.store.packed and held['version'] < self.store.version:
             reply['document'] = self.store.packed
@@ -306,19 +307,26 @@
             reply['entries'] = entries
         return reply
 
-    def region_waits(self) -> dict[str, dict[str, float]]:
-        """Returns the least wait by service and region, in seconds."""
-        waits: dict[str, dict[str, float]] = {}
+    def region_loads(self, figure: str) -> dict[str, dict[str, float]]:
+        """Returns a figure of the entry VMs' loads by service and region.
+
+        The VMs of a region know of each other's load with some delay, so the
+        highest that one of them tells is the best guess.
+
+        :param figure: what each VM tells in seconds by service, ``waits`` for
+            one.
+        """
+        loads: dict[str, dict[str, float]] = {}
         by_region: dict[str, list[members.EntryVm]] = {}
         for entry, _ in self.roster.heard.values():
             by_region.setdefault(entry.region, []).append(entry)
         for region, entries in by_region.items():
             for entry in members.usable(entries):
                 load = self.loads.get(entry.vm, {})
-                for service, wait in load.get('waits', {}).items():
-                    known = waits.setdefault(service, {})
-                    known[region] = max(wait, known.get(region, 0.0))
-        return waits
+                for service, seconds in load.get(figure, {}).items():
+                    known = loads.setdefault(service, {})
+                    known[region] = max(seconds, known.get(region, 0.0))
+        return loads
 
     # Tokens.
 
--- a/src/greengagegw/serving/admission.py
+++ b/src/greengagegw/serving/admission.py
@@ -35,8 +35,6 @@
 # less than this share of the longest was refused before.
 NEW_PATIENCE_SHARE = 0.8
 USUAL_PATIENCE_SHARE = 0.92
-# Share of the limit up to which a prompt is taken by its usual size.
-LONG_SHARE = 0.97
 SIZE_SMOOTHING = 0.05
 SHORTEST_RETRY_SECONDS = 0.2
 LONGEST_RETRY_SECONDS = 8.0
@@ -103,11 +101,13 @@
     def __init__(self) -> None:
         self.seconds: dict[str, float] = {}
 
-    def excess(self, route: str, seconds: float) -> float:
-        """Returns by how many seconds a prompt takes longer than usual."""
+    def learn(self, route: str, seconds: float) -> None:
         usual = self.seconds.get(route, seconds)
         self.seconds[route] = usual + SIZE_SMOOTHING * (seconds - usual)
-        return max(0.0, seconds - usual)
+
+    def excess(self, route: str, seconds: float) -> float:
+        """Returns by how many seconds a prompt takes longer than usual."""
+        return max(0.0, seconds - self.seconds.get(route, seconds))
 
 
 class Pressure:
@@ -146,6 +146,15 @@
     return min(claim.time_left, max(claim.objective * share, late_limit))
 
 
+def is_taken(predicted: float, excess: float, claim: Claim) -> bool:
+    """Decides on a request.
+
+    :param predicted: seconds from now until it begins to be answered.
+    :param excess: seconds of that in which its prompt is longer than usual.
+    """
+    return predicted - excess <= limit_of(claim)
+
+
 def judge(
     predicted: float,
     excess: float,
@@ -153,16 +162,14 @@
     pressure: float,
     rng: random.Random,
 ) -> Verdict:
-    """Decides on a request.
+    """Decides on a request, and when it may return if it is refused.
 
-    :param predicted: seconds from now until it begins to be answered.
-    :param excess: seconds of that in which its prompt is longer than usual.
     :param pressure: share of the service's requests refused lately.
     """
-    limit = limit_of(claim)
-    if predicted <= limit or predicted - excess <= limit * LONG_SHARE:
+    if is_taken(predicted, excess, claim):
         return Verdict(True)
-    return Verdict(False, retry_after(predicted - limit, pressure, rng))
+    pause = predicted - limit_of(claim)
+    return Verdict(False, retry_after(pause, pressure, rng))
 
 
 def retry_after(excess: float, pressure: float, rng: random.Random) -> float:
--- a/src/greengagegw/serving/decisions.py
+++ b/src/greengagegw/serving/decisions.py
@@ -196,24 +196,38 @@
         """
         now = self.timers.now()
         here = self.pool.region
-        here_wait = None
-        if allowed is None or here in allowed:
-            here_wait = self.predict_here(job, now)
         reading = 0.0
         prompt = job.request.prompt
         if job.service.is_engine and prompt is not None:
             reading = prompt.tokens / engine_model.FIRST_READ_RATE
-        waits = {}
+        here_wait = None
+        offers = {}
+        if allowed is None or here in allowed:
+            here_wait = self.predict_here(job, now)
+        if here_wait is not None:
+            offers[here] = placement.Offer(
+                here_wait,
+                self.ending(job, self.pace_here(job, now)),
+                self.is_late(job, here_wait, reading, now),
+            )
+        paces = self.view.paces.get(job.service.name, {})
         for region, wait in self.view.waits.get(job.service.name, {}).items():
             if region == here or not self.view.entries_of(region):
                 continue
             away = self.sent_away.get((job.service.name, region), 0.0)
             away /= engine_model.FIRST_READ_RATE
-            waits[region] = wait + reading + away
-        regions = placement.choose_region(here, here_wait, waits, allowed)
+            pace = paces.get(region, generations.USUAL_EVENT_SECONDS)
+            wait += reading + away
+            offers[region] = placement.Offer(
+                wait,
+                self.ending(job, pace),
+                self.is_late(job, wait, reading, now),
+            )
+        self.sizes.learn(job.route.name, reading)
+        regions = placement.choose_region(here, offers, allowed)
         if not regions:
             return []
-        best = here_wait if regions[0] == here else waits[regions[0]]
+        best = offers[regions[0]].wait
         verdict = self.judge(job, best, reading, now)
         self.log(
             'request:planned',
@@ -224,7 +238,10 @@
             tokens=None if prompt is None else prompt.cost,
             regions=regions,
             here=round(-1.0 if here_wait is None else here_wait, 3),
-            waits={name: round(wait, 3) for name, wait in waits.items()},
+            waits={name: round(one.wait, 3) for name, one in offers.items()},
+            endings={
+                name: round(one.ending, 3) for name, one in offers.items()
+            },
             waits_age=round(now - self.view.waits_at, 3),
             taken=verdict.is_taken,
         )
@@ -249,23 +266,23 @@
         """
         excess = self.sizes.excess(job.route.name, reading)
         pressure = self.find_pressure(job, now)
-        claim = admission.Claim(
-            job.objective,
-            job.until - now,
-            job.rank,
-            job.organisation_rank,
-            job.has_returned,
-        )
         verdict = admission.judge(
             predicted,
             excess,
-            claim,
+            job.claim(now),
             pressure.refused_share(now),
             self.rng,
         )
         pressure.note(not verdict.is_taken, now)
         return verdict
 
+    def is_late(
+        self, job: jobs.Job, predicted: float, reading: float, now: float
+    ) -> bool:
+        """Returns whether a request would not be taken."""
+        excess = self.sizes.excess(job.route.name, reading)
+        return not admission.is_taken(predicted, excess, job.claim(now))
+
     def find_pressure(self, job: jobs.Job, now: float) -> admission.Pressure:
         pressure = self.pressures.get(job.service.name)
         if pressure is None:
@@ -294,6 +311,26 @@
         unread = prompt.tokens - server.cache.cached_tokens(prompt)
         return engine_model.first_event_seconds(load, unread), float(unread)
 
+    def ending(self, job: jobs.Job, pace: float) -> float:
+        """Returns the seconds from the first event of an answer to its end.
+
+        :param pace: seconds between events.
+        """
+        prompt = job.request.prompt
+        if not job.service.is_engine or prompt is None:
+            return 0.0
+        return self.lengths.expect(job.route.name, prompt) * pace
+
+    def pace_here(self, job: jobs.Job, now: float) -> float:
+        """Returns the seconds between events of this region's best server."""
+        return min(
+            (
+                one.event_pace.seconds(now)
+                for one in self.pool.usable(job.service, now)
+            ),
+            default=generations.USUAL_EVENT_SECONDS,
+        )
+
     def is_too_slow(
         self,
         job: jobs.Job,
@@ -305,12 +342,10 @@
 
         :param first: predicted seconds until its first event.
         """
-        prompt = job.request.prompt
-        if not job.service.is_engine or prompt is None or job.sends.count:
+        ending = self.ending(job, server.event_pace.seconds(now))
+        if not ending or job.sends.count:
             return False
-        events = self.lengths.expect(job.route.name, prompt)
-        pace = server.event_pace.seconds(now)
-        return not generations.fits(first, events, pace, job.until - now)
+        return not generations.fits(first, ending, job.until - now)
 
     def predict_here(self, job: jobs.Job, now: float) -> float | None:
         """Returns the least predicted seconds in this region."""
@@ -357,11 +392,13 @@
         head = prompt.parts[0].name if prompt and prompt.parts else ''
         candidates = []
         for name, one in usable.items():
-            wait = self.predict(job, one, now)[0]
+            wait, unread = self.predict(job, one, now)
             candidates.append(
                 placement.Candidate(
                     name,
                     wait,
+                    self.ending(job, one.event_pace.seconds(now)),
+                    self.is_late(job, wait, unread / one.read_rate, now),
                     one.failure_share(now),
                     self.is_too_slow(job, one, wait, now),
                     bool(head) and head in one.cache.held,
@@ -375,7 +412,9 @@
             )
         server = usable[chosen.name]
         unread = self.predict(job, server, now)[1]
-        verdict = self.judge(job, chosen.wait, unread / server.read_rate, now)
+        reading = unread / server.read_rate
+        self.sizes.learn(job.route.name, reading)
+        verdict = self.judge(job, chosen.wait, reading, now)
         self.log(
             'request:placed',
             job,
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -337,24 +337,37 @@
 
 
 def describe_load(dispatcher: Dispatcher) -> dict:
-    """Returns the load of this VM's region for the control VMs."""
+    """Returns the load of this VM's region for the control VMs.
+
+    ``waits`` has the least seconds until an answer begins by service,
+    ``paces`` the least seconds between events.
+    """
     now = dispatcher.timers.now()
     configuration = dispatcher.view.configuration
     waits = {}
-    if configuration is not None:
-        for service in configuration.services.values():
-            found = [
-                engine_model.first_event_seconds(load, 0.0)
-                if service.is_engine
-                else engine_model.answer_seconds(load)
-                for load in (
-                    one.load(
-                        dispatcher.backlogs.others(one.instance.name), now
-                    )
-                    for one in dispatcher.pool.usable(service, now)
-                    if not one.is_cold(now)
-                )
-            ]
-            if found:
-                waits[service.name] = min(found)
-    return {'waits': waits}
+    paces = {}
+    services = {} if configuration is None else configuration.services
+    for service in services.values():
+        servers = [
+            one
+            for one in dispatcher.pool.usable(service, now)
+            if not one.is_cold(now)
+        ]
+        if not servers:
+            continue
+        loads = [
+            one.load(dispatcher.backlogs.others(one.instance.name), now)
+            for one in servers
+        ]
+        if service.is_engine:
+            waits[service.name] = min(
+                engine_model.first_event_seconds(load, 0.0) for load in loads
+            )
+            paces[service.name] = min(
+                one.event_pace.seconds(now) for one in servers
+            )
+        else:
+            waits[service.name] = min(
+                engine_model.answer_seconds(load) for load in loads
+            )
+    return {'waits': waits, 'paces': paces}
--- a/src/greengagegw/serving/generations.py
+++ b/src/greengagegw/serving/generations.py
@@ -16,6 +16,9 @@
 # An engine that generates nothing for so long is as fast as any.
 EVENT_MEMORY_SECONDS = 2.0
 LENGTH_SMOOTHING = 0.05
+# Tokens of one event before any answer was whole: engines send some tokens
+# together.
+FIRST_EVENT_TOKENS = 8
 # Callers' estimates are half too short and half too long, by a factor of 1.6
 # mostly. An answer that should take so many times what is left will more
 # probably fail than be whole.
@@ -69,18 +72,20 @@
 
     def expect(self, route: str, prompt: prompts.Prompt) -> float:
         """Returns the events of an answer to come; 0 if nothing is known."""
-        usual = self.events.get(route, 0.0)
-        tokens = self.tokens.get(route, 0.0)
+        if route not in self.events:
+            return prompt.expected_tokens / FIRST_EVENT_TOKENS
+        usual = self.events[route]
+        tokens = self.tokens[route]
         if not tokens or not prompt.expected_tokens:
             return usual
         return usual * prompt.expected_tokens / tokens
 
 
-def fits(first: float, events: float, pace: float, left: float) -> bool:
+def fits(first: float, ending: float, left: float) -> bool:
     """Returns whether a generation will probably be whole in time.
 
     :param first: seconds until its first event.
-    :param pace: seconds between events.
+    :param ending: seconds from then to its end.
     :param left: seconds until its caller gives up.
     """
-    return first + events * pace <= left * END_SHARE
+    return first + ending <= left * END_SHARE
--- a/src/greengagegw/serving/jobs.py
+++ b/src/greengagegw/serving/jobs.py
@@ -6,6 +6,7 @@
 
 from .. import errors
 from .. import timers as timer_service
+from . import admission
 from ..fleet import configuration as configurations
 from . import ports
 from . import servers as server_pool
@@ -35,6 +36,16 @@
     has_returned: bool
     sends: 'Sends'
 
+    def claim(self, now: float) -> admission.Claim:
+        """Returns what it may ask for now, in timer seconds."""
+        return admission.Claim(
+            self.objective,
+            self.until - now,
+            self.rank,
+            self.organisation_rank,
+            self.has_returned,
+        )
+
     @property
     def may_be_sent(self) -> bool:
         """Whether the operator allows one more backend server."""
--- a/src/greengagegw/serving/placement.py
+++ b/src/greengagegw/serving/placement.py
@@ -2,7 +2,10 @@
 
 The load patterns behind it: sessions that share a long head of their
 prompts should meet the cache that holds it, a burst on one head must not
-pile up there, and servers that fail part of their requests get few.
+pile up there, and servers that fail part of their requests get few. A
+server that reads prompts all the time begins answers soon enough, but its
+events come so slowly that long answers run out of their callers' time, while
+those of other regions are fast.
 """
 
 import collections.abc
@@ -16,6 +19,10 @@
 # Seconds that a server's share of failures costs it: a server that fails
 # half of its requests is left while others wait under a second.
 FAILURE_SECONDS = 2.0
+# Part of the seconds from an answer's first event to its end that counts
+# beside the wait for the first one: callers read a stream as it comes, and a
+# longer way for it is worth a few times what it costs.
+ENDING_SHARE = 0.3
 # What crossing to another region costs beyond its round trip: bytes
 # between regions are scarce.
 CROSSING_SECONDS = 0.1
@@ -27,6 +34,8 @@
     """A backend server that may take a request.
 
     :ivar wait: predicted seconds until it begins to answer.
+    :ivar ending: predicted seconds from then to the end of the answer.
+    :ivar is_late: whether it would begin later than a request is taken for.
     :ivar failures: share of its last requests that failed, 0 to 1.
     :ivar is_too_slow: whether it would not complete the answer in time.
     :ivar has_head: whether it has the shared head of the prompt cached.
@@ -34,6 +43,8 @@
 
     name: str
     wait: float
+    ending: float
+    is_late: bool
     failures: float
     is_too_slow: bool
     has_head: bool
@@ -55,11 +66,12 @@
     if head and not any(one.has_head for one in listed):
         preferred = max(listed, key=lambda one: rank(head, one.name)).name
 
-    def cost(one: Candidate) -> tuple[bool, float, int]:
-        seconds = one.wait + FAILURE_SECONDS * one.failures
+    def cost(one: Candidate) -> tuple[bool, bool, float, int]:
+        seconds = one.wait + ENDING_SHARE * one.ending
+        seconds += FAILURE_SECONDS * one.failures
         if one.has_head or one.name == preferred:
             seconds -= AFFINITY_SECONDS
-        return one.is_too_slow, seconds, rank(head, one.name)
+        return one.is_too_slow, one.is_late, seconds, rank(head, one.name)
 
     return min(listed, key=cost)
 
@@ -69,23 +81,37 @@
     return xxhash.xxh3_64_intdigest(f'{head}/{name}'.encode())
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """What a region would do with a request.
+
+    :ivar wait: predicted seconds until the answer begins.
+    :ivar ending: predicted seconds from then to the end of the answer.
+    :ivar is_late: whether it would begin later than a request is taken for.
+    """
+
+    wait: float
+    ending: float
+    is_late: bool
+
+
 def choose_region(
     here: str,
-    here_wait: float | None,
-    waits: dict[str, float],
+    offers: dict[str, Offer],
     allowed: frozenset[str] | None,
 ) -> list[str]:
     """Returns the regions to try, best first.
 
-    :param here_wait: predicted seconds in this region; None if nothing in
-        it can run the request.
-    :param waits: predicted seconds in the other regions.
+    :param offers: by region, of those that can run the request.
     """
-    costs = {
-        region: wait + ROUND_TRIP_SECONDS + CROSSING_SECONDS
-        for region, wait in waits.items()
-        if region != here and (allowed is None or region in allowed)
-    }
-    if here_wait is not None and (allowed is None or here in allowed):
-        costs[here] = here_wait
-    return sorted(costs, key=costs.__getitem__)
+
+    def cost(region: str) -> tuple[bool, float]:
+        offer = offers[region]
+        seconds = offer.wait + ENDING_SHARE * offer.ending
+        if region != here:
+            seconds += ROUND_TRIP_SECONDS + CROSSING_SECONDS
+        return offer.is_late, seconds
+
+    return sorted(
+        (one for one in offers if allowed is None or one in allowed), key=cost
+    )
