A control VM that just started stands for election after a heartbeat

Cause: after the loss of everything a voter waited half of an election's patience (0.5 s) before it asked for votes, and an attempt that everybody had refused went on waiting for a second. Voters that hear a leader refuse a trial vote, so standing early disturbs none. Change: where no leader is known, a heartbeat (0.25 s) of silence will do; an attempt ends when all have answered.

--- a/features/fleet/recovery.feature
+++ b/features/fleet/recovery.feature
@@ -13,10 +13,13 @@
       | the leader and another are killed after a lost disk |
 
   Scenario Outline: A fleet that lost its power serves again soon
+    Refused callers are told to come back 2 seconds after a VM's start; 0.6 of
+    these are for programs to start.
+
     When in fleets of 5 control VMs <event>
-    Then all entry VMs have a lease and a configuration within 3 seconds
+    Then all entry VMs have a lease and a configuration within <time> seconds
 
     Examples:
-      | event                                         |
-      | all VMs are restarted                         |
-      | all VMs are restarted, two without their disk |
+      | event                                         | time |
+      | all VMs are restarted                         | 1.4  |
+      | all VMs are restarted, two without their disk | 3    |
--- a/features/steps/recovery.py
+++ b/features/steps/recovery.py
@@ -92,7 +92,7 @@
 
 
 @behave.then(
-    'all entry VMs have a lease and a configuration within {seconds:d} seconds'
+    'all entry VMs have a lease and a configuration within {seconds:g} seconds'
 )
 def then_serving(context, seconds):
     async def check(fleet, seed):
--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -22,15 +22,15 @@
 
     Voters stand one after the other, each when the election of the one
     before it would be over, so that their candidacies do not meet. Where no
-    leader is known, as after a restart, half of the patience will do: a
-    living leader would be heard by then, and voters that hear it refuse.
+    leader is known, as after a restart, a heartbeat will do: a living leader
+    would be heard by then, and voters that hear it refuse.
 
     :param jitter: 0 to 1, drawn anew for each election.
     """
     pace = replica.pace
     seconds = pace.election_seconds
     if replica.leader is None:
-        seconds /= 2
+        seconds = pace.heartbeat_seconds
     voters = sorted(replica.members.voters)
     rank = voters.index(replica.vm) if replica.vm in voters else 0
     return seconds + pace.stagger_seconds * (
@@ -79,7 +79,9 @@
         is_trial,
     ]
     votes = {replica.vm}
-    enough = anyio.Event()
+    others = set(replica.members.voters) - votes
+    unheard = set(others)
+    is_over = anyio.Event()
 
     async def ask_one(vm: str) -> None:
         with contextlib.suppress(errors.GatewayError):
@@ -91,16 +93,16 @@
             elif their_term > replica.term:
                 async with replica.exclusive():
                     await replica.see_term(their_term)
-        if replica.members.is_majority(votes):
-            enough.set()
+        unheard.discard(vm)
+        if not unheard or replica.members.is_majority(votes):
+            is_over.set()
 
     async with anyio.create_task_group() as tasks:
-        for vm in replica.members.voters:
-            if vm != replica.vm:
-                tasks.start_soon(ask_one, vm)
+        for vm in sorted(others):
+            tasks.start_soon(ask_one, vm)
         if replica.members.is_majority(votes):
             return True
         with replica.timers.limit(VOTE_SECONDS):
-            await enough.wait()
+            await is_over.wait()
         tasks.cancel_scope.cancel()
     return replica.members.is_majority(votes)
