Test runs on one machine take addresses of their own

Cause: the processes of features/program and the streams of features/peers both used 127.79.1.1:8082 in one run, and two runs side by side met at all fixed addresses (seen: the deployment of features/regions did not start while another was up). A likely cause of the finding that the processes did not start; that it was the cause then is not shown. Change: each deployment of the tests takes a block of loopback addresses that no other run holds.

--- a/features/processes.py
+++ b/features/processes.py
@@ -14,6 +14,7 @@
 import yaml
 
 from features import world as worlds
+from standins import blocks
 from standins import deployment as deployments
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -33,7 +34,9 @@
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
-        self.deployment = deployments.Deployment(SHAPE, folder, block=79)
+        self.deployment = deployments.Deployment(
+            SHAPE, folder, block=blocks.take_block()
+        )
         self.running: dict[str, subprocess.Popen] = {}
         self.keys: dict[str, str] = {}
         self.notes: dict = {}
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -15,11 +15,13 @@
 from greengagegw import errors
 from greengagegw import settings as settings_module
 from greengagegw import timers
+from standins import blocks
 from standins import network
 
 SECRET = 'a-secret-of-sixteen-or-more'  # noqa: S105
-HOST = '127.79.1.1'
-OTHER_HOST = '127.79.1.2'
+BLOCK = blocks.take_block()
+HOST = f'127.{BLOCK}.1.1'
+OTHER_HOST = f'127.{BLOCK}.1.2'
 PORT = 8082
 WAIT_SECONDS = 20.0
 CHUNK = b'x' * 32768
@@ -256,12 +258,12 @@
                 )
             await anyio.sleep_forever()
 
-    fake = await anyio.create_tcp_listener(local_host='127.79.1.3')
+    fake = await anyio.create_tcp_listener(local_host=f'127.{BLOCK}.1.3')
     port = fake.extra(anyio.abc.SocketAttribute.local_port)
     pair.tasks.start_soon(fake.serve, serve)
 
     async def connect(host, _):
-        return await anyio.connect_tcp('127.79.1.3', port)
+        return await anyio.connect_tcp(f'127.{BLOCK}.1.3', port)
 
     pair.dialler.connect_socket = connect
     return await pair.fails(seconds=10.0)
--- a/features/steps/roles.py
+++ b/features/steps/roles.py
@@ -14,14 +14,16 @@
 import orjson
 
 from features import fleet_world
+from standins import blocks
 from standins import http_server
 
 ROOT = pathlib.Path(__file__).parents[2]
 # Addresses of the loopback network that no other test uses.
-CONTROL_HOSTS = ('127.88.0.1', '127.88.1.1', '127.88.2.1')
-ENTRY_HOST = '127.88.0.9'
-LIST_HOST = '127.88.0.7'
-BACKEND_HOST = '127.88.0.8'
+BLOCK = blocks.take_block()
+CONTROL_HOSTS = tuple(f'127.{BLOCK}.{at}.1' for at in range(3))
+ENTRY_HOST = f'127.{BLOCK}.0.9'
+LIST_HOST = f'127.{BLOCK}.0.7'
+BACKEND_HOST = f'127.{BLOCK}.0.8'
 PORT = 8080
 READY_PORT = 8081
 FIRST_PORT = 7600
--- a/features/world.py
+++ b/features/world.py
@@ -7,6 +7,7 @@
 import anyio
 import httpx
 
+from standins import blocks
 from standins import deployment as deployments
 from standins import http_server
 
@@ -52,7 +53,9 @@
     """The deployment, its keys, and the last answers."""
 
     def __init__(self, folder: pathlib.Path) -> None:
-        self.deployment = deployments.Deployment(SMALL, folder, block=78)
+        self.deployment = deployments.Deployment(
+            SMALL, folder, block=blocks.take_block()
+        )
         self.keys: dict[str, str] = {}
         self.answers: list[httpx.Response] = []
         self.request: dict = {}
