greengagegw explain tells a request's story from logs

Cause: an on-call engineer had to search the logs of all entry VMs by hand; what a VM believed at that time stood on lines that do not name the request. Change: a command reads the logs of several VMs, from files or standard input, and prints a request's lines in order with a time line and the beliefs of its VMs in the 5 s before; summaries of failures by reason and of late requests.

--- a/src/greengagegw/cli/main.py
+++ b/src/greengagegw/cli/main.py
@@ -13,6 +13,7 @@
 # memory counts.
 COMMANDS = {
     'check': 'serve',
+    'explain': 'explain',
     'keys': 'keys',
     'platform': 'platform',
     'report': 'report',
--- a/src/greengagegw/errors.py
+++ b/src/greengagegw/errors.py
@@ -387,6 +387,12 @@
     exit_code = 2
 
 
+class UnknownRequestError(GatewayError):
+    """No line of the logs names a request."""
+
+    code = 'unknown_request'
+
+
 class RemoteError(GatewayError):
     """An error that another VM or the operators' interface reported."""
 
