--- a/features/callers/requests.feature
+++ b/features/callers/requests.feature
@@ -17,6 +17,16 @@
       | plain         | piedmont-2 | 201    |
       | plain         | coastal-1  | 201    |
 
+  Scenario Outline: A text completion comes back with its text
+    When a caller sends a <kind> request through piedmont-2
+    Then the answer is whole and has status 200
+    And each of its choices has a text and no message
+
+    Examples:
+      | kind                |
+      | completion          |
+      | streamed completion |
+
   Scenario Outline: A bad request is refused and not run
     When a caller sends a request with <fault>
     Then the error is <code> with status <status> and run not_run
