Honour the announcements and pauses of backend servers

Cause: a leaving backend server says so in the headers of its responses, possibly before the instance list does, and one that is full may name a time for which it wants no requests. Neither was decoded, so such servers got further requests until the list showed them as draining. Change: platform/ decodes both once, into ports.ServerNotice. A run of a server (name and start time) that announced its departure is excluded, also after an older list, a list that lacks it, or a restart of this VM, since entry VMs of a region exchange the announcements. A pause excludes the server from this VM without counting as a failure, and rejected requests are told to return when it ends. Retry-After must be a finite, non-negative number. Servers that the list loses for up to 30 s keep their state.

--- a/features/platform/documents.feature
+++ b/features/platform/documents.feature
@@ -73,6 +73,27 @@
     When a client sends headers of the gateway and hop-by-hop headers
     Then the backend server gets only the gateway's values of them
 
+  Scenario Outline: What a backend server says of itself is decoded
+    When a backend server responds with status <status>, id <id> and <headers>
+    Then it is <leaving>, and wants no requests for <pause> seconds
+
+    Examples:
+      | status | id  | headers                                  | leaving | pause |
+      | 200    | r-1 | Server-Leaving: 1                        | leaving | 0     |
+      | 500    | r-1 | server-leaving: 1                        | leaving | 0     |
+      | 503    | -   | Server-Leaving: 1, Retry-After: 2        | leaving | 2     |
+      | 200    | r-1 | Server-Leaving: 0                        | staying | 0     |
+      | 421    | r-1 | Server-Leaving: 1                        | staying | 0     |
+      | 200    | r-2 | Server-Leaving: 1                        | staying | 0     |
+      | 503    | r-1 | Retry-After: 0.4                         | staying | 0.4   |
+      | 503    | r-2 | Retry-After: 0.4                         | staying | 0     |
+      | 200    | r-1 | Retry-After: 3                           | staying | 0     |
+      | 429    | r-1 | Retry-After: 3                           | staying | 0     |
+      | 503    | r-1 | Retry-After: soon                        | staying | 0     |
+      | 503    | r-1 | Retry-After: nan                         | staying | 0     |
+      | 503    | r-1 | Retry-After: inf                         | staying | 0     |
+      | 503    | r-1 | Retry-After: -1                          | staying | 0     |
+
   Scenario Outline: A response of a backend server is checked
     When a backend server responds with status <status> and <headers>
     Then the result is <result>
--- a/features/serving/dispatch.feature
+++ b/features/serving/dispatch.feature
@@ -139,6 +139,53 @@
       | is evacuated     |
       | left its address |
 
+  Scenario Outline: A server that announced that it is leaving gets nothing new
+    Given 1 region with 2 engines and <entries> entry VM
+    And a resumable route with 2 attempts
+    When VM a0 hears from server i-a0 that it is leaving
+    And <event>
+    And 20 requests arrive
+    Then server i-a0 got no more requests
+
+    Examples:
+      | entries | event                                        |
+      | 1       | an older list arrives                        |
+      | 1       | one list without server i-a0 arrives         |
+      | 3       | 2 seconds pass                               |
+      | 3       | all VMs but a0 restart, and 6 seconds pass   |
+      | 3       | no message of a0 arrives for 3 seconds       |
+      | 1       | 90 seconds pass                              |
+
+  Scenario: Another run of a server that left is used
+    Given 1 region with 2 engines and 2 entry VM
+    And a resumable route with 2 attempts
+    When VM a0 hears from server i-a0 that it is leaving
+    And another run of server i-a0 starts
+    And 20 requests arrive
+    Then server i-a0 got 5 requests or more
+
+  Scenario Outline: A server gets no requests for as long as it asked
+    Given 1 region with 2 engines and 1 entry VM
+    And a resumable route with 2 attempts
+    When VM a0 is asked by server i-a0 to pause for <pauses> seconds
+    And <event>
+    And requests arrive at 10 a second for 8 seconds
+    Then for <seconds> seconds server i-a0 got no requests, and then some
+
+    Examples:
+      | pauses  | event                                | seconds |
+      | 3       | an older list arrives                | 3       |
+      | 3       | one list without server i-a0 arrives | 3       |
+      | 5 and 1 | an older list arrives                | 5       |
+
+  Scenario: Requests that no server wants are rejected until one does
+    Given 1 region with 2 engines and 1 entry VM
+    And a resumable route with 2 attempts
+    When all servers reject requests and ask for 4 seconds
+    And a request arrives 1 seconds later
+    Then it is rejected with a retry delay of 3 to 8 seconds
+    And no server counts as failed
+
   Scenario: Healthy servers share the requests
     Given 1 region with 2 engines and 1 entry VM
     And a resumable route with 2 attempts
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -90,11 +90,18 @@
         self.prefilled_tokens = 0
         self.slowdown = 1.0
         self.event_delay = 0.0
+        self.is_leaving = False
+        self.pause_seconds = 0.0
 
     @contextlib.asynccontextmanager
-    async def serve(self, backend_request):
+    async def serve(self, backend_request, on_notice):
         timers = self.world.timers
         self.arrivals.append((timers.now(), backend_request))
+        if self.pause_seconds:
+            on_notice(ports.ServerNotice(self.is_leaving, self.pause_seconds))
+            raise errors.BackendRefusedError(
+                'the engine is full', retry_after=self.pause_seconds
+            )
         fault = self.pending_faults.pop(0) if self.pending_faults else None
         if fault == 'unreachable':
             raise errors.BackendConnectError('the engine is unreachable')
@@ -114,6 +121,7 @@
         try:
             await self.prefill(backend_request)
             status = 500 if fault == 'responds with an error' else 200
+            on_notice(ports.ServerNotice(self.is_leaving))
             load = ports.ReportedLoad(self.running, 0, self.instance.slots)
             yield ports.Response(
                 status, (), self.generate(backend_request, fault), load
@@ -184,7 +192,7 @@
 
 
 class InMemoryMesh:
-    """A peer port for streams and notifications without a network."""
+    """A peer port without a network."""
 
     def __init__(self, world):
         self.world = world
@@ -200,6 +208,13 @@
         handler = self.world.dispatchers[vm].handlers()[method]
         await handler('peer', copy.deepcopy(message))
 
+    async def call(self, vm, method, message, timeout_seconds):
+        if vm in self.world.unreachable_vms:
+            raise errors.PeerUnreachableError(f'{vm} is unreachable')
+        await self.world.timers.sleep(2 * INTRA_REGION_SECONDS)
+        handler = self.world.dispatchers[vm].handlers()[method]
+        return copy.deepcopy(await handler('peer', copy.deepcopy(message)))
+
     @contextlib.asynccontextmanager
     async def open(self, vm, method, message):
         world = self.world
@@ -340,8 +355,13 @@
             random.Random(self.rng.random()),
         )
 
-    def send(self, instance, backend_request):
-        return self.engines[instance.name].serve(backend_request)
+    def restart(self, entry):
+        """Replaces the dispatcher of an entry VM by one that knows nothing."""
+        self.add_dispatcher(entry)
+        self.tasks.start_soon(self.dispatchers[entry.vm].run)
+
+    def send(self, instance, backend_request, on_notice):
+        return self.engines[instance.name].serve(backend_request, on_notice)
 
     @contextlib.asynccontextmanager
     async def running(self):
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -229,6 +229,31 @@
     assert context.sent.url.target == b'/chat/x?a=%2F'
 
 
+@behave.when(
+    'a backend server responds with status {status:d}, id {name} and {headers}'
+)
+def when_notice(context, status, name, headers):
+    pairs = [tuple(one.split(': ')) for one in headers.split(', ')]
+    if name != '-':
+        pairs.append(('Greengagegw-Attempt-Id', name))
+    request = client_application.decode_request(
+        make_scope([(b'greengagegw-attempt-id', b'r-1')]), b''
+    )
+    context.notice = backend_client.decode_notice(
+        ports.BackendRequest(request, None, 3.0, 1, None, True),
+        types.SimpleNamespace(
+            status=status,
+            headers=[(one.encode(), two.encode()) for one, two in pairs],
+        ),
+    )
+
+
+@behave.then('it is {state}, and wants no requests for {seconds:g} seconds')
+def then_notice(context, state, seconds):
+    expected = ports.ServerNotice(state == 'leaving', seconds)
+    assert context.notice == expected, context.notice
+
+
 @behave.when('a backend server responds with status {status:d} and {headers}')
 def when_response(context, status, headers):
     response_headers = {
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -12,6 +12,7 @@
 from greengagegw.fleet import members
 from greengagegw.platform import client_application
 from greengagegw.platform import documents
+from greengagegw.serving import ports
 from greengagegw.serving import prompts
 
 FAULTS = {
@@ -212,6 +213,139 @@
         await world.timers.advance(seconds / count)
 
 
+@behave.when('VM {vm} hears from server {name} that it is leaving')
+@in_fleet
+async def when_announced(context, vm, name):
+    world = context.serving
+    engine = world.engines[name]
+    engine.is_leaving = True
+    pool = world.dispatchers[vm].pool
+    others = [one for one in world.engines if one != name]
+    for other in others:
+        pool.servers[other].ejected_until = world.timers.now() + 1.0
+    world.start_request(vm, world.request('first', prompt=PROMPT))
+    await world.timers.advance(1.0)
+    context.arrivals_before = len(engine.arrivals)
+    assert context.arrivals_before == 1
+
+
+@behave.when('an older list arrives')
+@in_fleet
+async def when_older_list(context):
+    context.serving.refresh()
+
+
+@behave.when('one list without server {name} arrives')
+@in_fleet
+async def when_list_without(context, name):
+    world = context.serving
+    engine = world.engines.pop(name)
+    world.refresh()
+    world.engines[name] = engine
+    world.refresh()
+
+
+@behave.when('{seconds:d} seconds pass')
+@in_fleet
+async def when_seconds_pass(context, seconds):
+    await context.serving.timers.advance(seconds)
+
+
+@behave.when('all VMs but {vm} restart, and {seconds:d} seconds pass')
+@in_fleet
+async def when_others_restart(context, vm, seconds):
+    world = context.serving
+    for one in world.entries:
+        if one.vm != vm:
+            world.restart(one)
+    world.refresh()
+    await world.timers.advance(seconds)
+
+
+@behave.when('no message of {vm} arrives for {seconds:d} seconds')
+@in_fleet
+async def when_mute(context, vm, seconds):
+    world = context.serving
+    for one in world.entries:
+        pool = world.dispatchers[one.vm].pool
+        if one.vm != vm:
+            # As if the announcement had been lost on its way.
+            pool.leaving.expiry.clear()
+    world.unreachable_vms.add(vm)
+    await world.timers.advance(seconds)
+    world.unreachable_vms.discard(vm)
+    world.refresh()
+    await world.timers.advance(6.0)
+
+
+@behave.when('another run of server {name} starts')
+@in_fleet
+async def when_started_again(context, name):
+    world = context.serving
+    engine = world.engines[name]
+    engine.is_leaving = False
+    born = engine.instance.born + 1
+    engine.instance = dataclasses.replace(engine.instance, born=born)
+    world.refresh()
+    # A new run counts as cold until the list would say that it is.
+    await world.timers.advance(3.0)
+
+
+@behave.then('server {name} got no more requests')
+def then_got_no_more(context, name):
+    world = context.serving
+    assert len(world.engines[name].arrivals) == context.arrivals_before
+    assert count_arrivals(world) >= 20
+
+
+@behave.when('VM a0 is asked by server {name} to pause for {pauses} seconds')
+@in_fleet
+async def when_rejects(context, name, pauses):
+    world = context.serving
+    engine = world.engines[name]
+    server = world.dispatchers['a0'].pool.servers[name]
+    for seconds in pauses.split(' and '):
+        engine.pause_seconds = float(seconds)
+        notice = ports.ServerNotice(False, engine.pause_seconds)
+        world.dispatchers['a0'].pool.record_notice(
+            server.instance, notice, world.timers.now()
+        )
+    engine.pause_seconds = 0.0
+    context.paused_at = world.timers.now()
+
+
+@behave.when('requests arrive at {rate:d} a second for {seconds:d} seconds')
+@in_fleet
+async def when_rate(context, rate, seconds):
+    await start_requests(context.serving, rate * seconds, seconds)
+
+
+@behave.then(
+    'for {seconds:d} seconds server {name} got no requests, and then some'
+)
+def then_paused(context, seconds, name):
+    engine = context.serving.engines[name]
+    times = [at - context.paused_at for at, _ in engine.arrivals]
+    assert times and min(times) >= seconds, times
+
+
+@behave.when('all servers reject requests and ask for {seconds:d} seconds')
+@in_fleet
+async def when_all_reject(context, seconds):
+    world = context.serving
+    for engine in world.engines.values():
+        engine.pause_seconds = float(seconds)
+    world.start_request('a0', world.request('first', prompt=PROMPT))
+    await world.timers.advance(0.1)
+    world.outcomes.clear()
+
+
+@behave.then('no server counts as failed')
+def then_none_failed(context):
+    for server in context.serving.dispatchers['a0'].pool.servers.values():
+        assert server.failure_rate == 0.0 and server.ejected_until == 0.0
+
+
 @behave.then('server {name} got {min_count:d} requests or more')
 def then_got_at_least(context, name, min_count):
     assert len(context.serving.engines[name].arrivals) >= min_count
--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -2,8 +2,10 @@
 
 import collections.abc
 import contextlib
+import math
 import ssl
 
+import eliot
 import httpcore
 
 from .. import errors
@@ -20,6 +22,7 @@
 KEEP_ALIVE_SECONDS = 3.0
 MAX_IDLE_CONNECTIONS = 32
 WRONG_INSTANCE_STATUS = 421
+OVERLOADED_STATUS = 503
 # To a client these statuses mean that the request did not run. A backend
 # server says so with NOT_EXECUTED, so without it they are not passed on.
 NOT_RUN_STATUSES = (408, 429, 503)
@@ -82,9 +85,12 @@
         self,
         instance: instances.Instance,
         backend_request: ports.BackendRequest,
+        on_notice: collections.abc.Callable[[ports.ServerNotice], None],
     ) -> collections.abc.AsyncIterator[ports.Response]:
         """Sends a request to one instance and enters its response.
 
+        :param on_notice: called with what the instance says of itself, also
+            if its response is a rejection.
         :raises BackendConnectError: if nothing was sent.
         :raises BackendRefusedError: if the server did not run the request.
         :raises BackendError: if the request may have run.
@@ -102,6 +108,7 @@
                 f'{instance.name} disconnected before it responded'
             ) from error
         try:
+            on_notice(decode_notice(backend_request, response))
             check_response(instance, backend_request, response)
             yield ports.Response(
                 response.status,
@@ -168,6 +175,26 @@
     return {name.lower(): value for name, value in headers}
 
 
+def decode_notice(
+    backend_request: ports.BackendRequest, response: httpcore.Response
+) -> ports.ServerNotice:
+    """Returns what the backend server says of itself in a response.
+
+    A response of another instance or to another request says nothing of it.
+    """
+    headers = headers_by_name(response.headers)
+    request_id = backend_request.request.request_id.encode('latin-1')
+    is_own = headers.get(http_names.REQUEST_ID, request_id) == request_id
+    if response.status == WRONG_INSTANCE_STATUS or not is_own:
+        return ports.ServerNotice()
+    pause_seconds = None
+    if response.status == OVERLOADED_STATUS:
+        pause_seconds = decode_retry_after(headers.get(http_names.RETRY_AFTER))
+    return ports.ServerNotice(
+        headers.get(http_names.SERVER_LEAVING) == b'1', pause_seconds or 0.0
+    )
+
+
 def check_response(
     instance: instances.Instance,
     backend_request: ports.BackendRequest,
@@ -234,7 +261,13 @@
 
 def decode_retry_after(value: bytes | None) -> float | None:
     """Returns seconds, None if the value is missing or invalid."""
+    if value is None:
+        return None
     try:
-        return None if value is None else float(value)
+        seconds = float(value)
     except ValueError:
+        seconds = math.nan
+    if not math.isfinite(seconds) or seconds < 0:
+        eliot.log_message('backend:bad_retry_after', value=repr(value)[:50])
         return None
+    return seconds
--- a/src/greengagegw/platform/http_names.py
+++ b/src/greengagegw/platform/http_names.py
@@ -13,6 +13,8 @@
 INSTANCE_LOAD = b'greengagegw-instance-load'
 NOT_EXECUTED = b'greengagegw-not-executed'
 RETRY_AFTER = b'retry-after'
+# '1' in every response of a backend server that is about to leave.
+SERVER_LEAVING = b'server-leaving'
 MODEL = b'greengagegw-model'
 # Tokens of the prompt and maximum tokens of the output.
 TOKEN_COUNTS = b'greengagegw-token-count'
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -13,6 +13,7 @@
 from .. import errors
 from .. import timers as timer_service
 from . import backlog_exchange as backlog_exchange_module
+from . import departures
 from . import engine_model
 from . import execution as execution_module
 from ..fleet import agent as agents
@@ -59,6 +60,13 @@
         self.planner = planner_module.RequestPlanner(
             vm, timers, agent, pool, self.backlog_exchange, retry_settings, rng
         )
+        self.departure_exchange = departures.DepartureExchange(
+            pool.leaving,
+            self.backlog_exchange.region_peers,
+            timers,
+            mesh,
+            rng,
+        )
         self.links = links.RegionLinks(
             vm, pool.region, timers, mesh, agent.view, rng
         )
@@ -74,13 +82,17 @@
         """
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.backlog_exchange.run)
+            tasks.start_soon(self.departure_exchange.run)
             tasks.start_soon(self.links.maintain_links)
             while True:
                 await self.timers.sleep(server_pool.SILENCE_CHECK_SECONDS)
                 self.pool.eject_silent_servers(self.timers.now())
 
     def handlers(self) -> dict[str, peers.Handler]:
-        return self.backlog_exchange.handlers()
+        return {
+            **self.backlog_exchange.handlers(),
+            **self.departure_exchange.handlers(),
+        }
 
     def stream_handlers(self) -> dict[str, peers.StreamHandler]:
         return {SERVE_METHOD: self.serve_for_peer}
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -2,11 +2,13 @@
 
 import collections.abc
 import contextlib
+import functools
 
 import anyio
 
 from .. import errors
 from . import events
+from ..fleet import instances
 from . import jobs
 from . import planner as planner_module
 from . import ports
@@ -163,7 +165,13 @@
                     self.timers,
                     job,
                     self.stack.enter_async_context(
-                        self.backend.send(server.instance, backend_request)
+                        self.backend.send(
+                            server.instance,
+                            backend_request,
+                            functools.partial(
+                                self.record_notice, server.instance
+                            ),
+                        )
                     ),
                 )
             if in_flight.response_scope.cancelled_caught:
@@ -209,6 +217,11 @@
         )
         return response
 
+    def record_notice(
+        self, instance: instances.Instance, notice: ports.ServerNotice
+    ) -> None:
+        self.planner.pool.record_notice(instance, notice, self.timers.now())
+
     def log_failure(self, server: server_pool.Server, code: str) -> None:
         self.planner.log(
             'request:send_failed',
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -382,8 +382,12 @@
         now = self.timers.now()
         rejection_rate = self.rejection_rate_of(job, now)
         rejection_rate.record(True, now)
+        seconds = max(
+            MIN_RETRY_AFTER_SECONDS,
+            self.pool.pause_seconds_left(job.service, now),
+        )
         return admission.compute_retry_after(
-            MIN_RETRY_AFTER_SECONDS, rejection_rate.current_rate(now), self.rng
+            seconds, rejection_rate.current_rate(now), self.rng
         )
 
     def predict_wait(
--- a/src/greengagegw/serving/ports.py
+++ b/src/greengagegw/serving/ports.py
@@ -108,6 +108,19 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerNotice:
+    """What a backend server says of itself in the head of a response.
+
+    :ivar is_leaving: whether it is about to leave, so must get no new
+        requests.
+    :ivar pause_seconds: seconds for which it wants no requests from this VM.
+    """
+
+    is_leaving: bool = False
+    pause_seconds: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
     """A response whose body is still being received.
@@ -126,10 +139,15 @@
     """The connection to the backend servers of this region."""
 
     def send(
-        self, instance: instances.Instance, backend_request: BackendRequest
+        self,
+        instance: instances.Instance,
+        backend_request: BackendRequest,
+        on_notice: collections.abc.Callable[[ServerNotice], None],
     ) -> contextlib.AbstractAsyncContextManager[Response]:
         """Sends a request to one instance and enters its response.
 
+        :param on_notice: called with what the instance says of itself, also
+            if its response is a rejection.
         :raises BackendConnectError: if nothing was sent.
         :raises BackendRefusedError: if the server did not run the request.
         :raises BackendError: if the request may have run.
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -8,6 +8,7 @@
 import eliot
 
 from . import cold_pacing
+from . import departures
 from . import engine_model
 from ..fleet import agent as agents
 from ..fleet import configuration as configurations
@@ -29,6 +30,9 @@
 # Non-streaming calls vary in duration and send nothing until they respond.
 SILENCE_SERVICE_TIME_FACTOR = 4.0
 SILENCE_CHECK_SECONDS = 0.1
+# A server that the list has lost is remembered for this time, since a single
+# unreadable entry makes a server disappear from one version of the list.
+UNLISTED_RETENTION_SECONDS = 30.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -62,6 +66,8 @@
     :ivar failure_rate: average of recent outcomes as of ``failure_rate_at``.
     :ivar cold_until: timer seconds until which it counts as cold even if the
         instance list does not say so.
+    :ivar paused_until: timer seconds until which it wants no requests from
+        this VM.
     """
 
     def __init__(
@@ -80,6 +86,7 @@
         self.ejected_until = 0.0
         self.ejections = 0
         self.cold_until = 0.0
+        self.paused_until = 0.0
         self.cold_pacer = cold_pacing.SendPacer(now)
         self.prefix_cache = prompts.PrefixCacheModel(memory_tokens)
         self.reported_load: ports.ReportedLoad | None = None
@@ -96,6 +103,7 @@
         if instance.born != self.instance.born:
             self.prefix_cache = prompts.PrefixCacheModel(memory_tokens)
             self.ejected_until = 0.0
+            self.paused_until = 0.0
             self.cold_until = now + MAX_LIST_LAG_SECONDS
         self.instance = instance
 
@@ -225,6 +233,19 @@
         if not has_failed:
             self.ejections = 0
 
+    def pause(self, seconds: float, now: float) -> None:
+        """Excludes the server for as long as it wants no requests.
+
+        It has no capacity, but has not failed, so the pause is not held
+        against it. A shorter pause does not replace a longer one.
+        """
+        self.paused_until = max(self.paused_until, now + seconds)
+        eliot.log_message(
+            'server:paused',
+            server=self.instance.name,
+            seconds=round(seconds, 3),
+        )
+
     def eject(self, now: float) -> None:
         """Excludes the server for a time that doubles with each ejection."""
         pause = FIRST_EJECTION_SECONDS * 2**self.ejections
@@ -238,6 +259,8 @@
     """The servers of this region, updated from the fleet view.
 
     :param region_by_domain: the region of each failure domain.
+    :ivar servers: servers by name, including those lost from the list.
+    :ivar listed_at: timer seconds at which each server was last listed.
     """
 
     def __init__(
@@ -250,8 +273,10 @@
         self.region = region
         self.region_by_domain = region_by_domain
         self.servers: dict[str, Server] = {}
+        self.listed_at: dict[str, float] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.moved: set[str] = set()
+        self.leaving = departures.LeavingServers()
 
     def update(self, now: float) -> None:
         """Updates the servers from the instance list and the evacuations.
@@ -267,9 +292,13 @@
             for name, one in view.instances.items()
             if self.region_by_domain.get(one.domain) == self.region
         }
-        self.moved &= set(local_instances)
-        for name in set(self.servers) - set(local_instances):
-            del self.servers[name]
+        self.leaving.update(local_instances.values(), now)
+        self.listed_at.update(dict.fromkeys(local_instances, now))
+        for name, listed_at in list(self.listed_at.items()):
+            if now - listed_at > UNLISTED_RETENTION_SECONDS:
+                del self.listed_at[name]
+                self.servers.pop(name, None)
+                self.moved.discard(name)
         for name, one in local_instances.items():
             cache_tokens = 0
             if configuration is not None:
@@ -300,16 +329,45 @@
         """Excludes an instance that another one replaced at its address."""
         self.moved.add(name)
 
-    def usable_servers(
+    def record_notice(
         self,
-        service: configurations.Service,
+        instance: instances.Instance,
+        notice: ports.ServerNotice,
         now: float,
-        excluded: frozenset[str] | set[str] = frozenset(),
-    ) -> list[Server]:
-        """Returns the servers of a service that may get a request now.
+    ) -> None:
+        """Records what a server said of itself in a response.
 
-        :param excluded: names of servers to leave out.
+        :param instance: the server as it was when the request was sent; a
+            later run of the same name is not affected.
         """
+        if notice.is_leaving:
+            self.leaving.record_announcement(instance, now)
+        server = self.servers.get(instance.name)
+        if (
+            notice.pause_seconds
+            and server is not None
+            and server.instance.born == instance.born
+        ):
+            server.pause(notice.pause_seconds, now)
+
+    def pause_seconds_left(
+        self, service: configurations.Service, now: float
+    ) -> float:
+        """Returns the seconds until the first paused server is usable.
+
+        :returns: 0 if none is paused.
+        """
+        pauses = [
+            self.servers[one.name].paused_until - now
+            for one in self.listed_instances(service)
+            if one.name in self.servers
+        ]
+        return min((one for one in pauses if one > 0), default=0.0)
+
+    def listed_instances(
+        self, service: configurations.Service
+    ) -> list[instances.Instance]:
+        """Returns the instances that are not leaving, moved or evacuated."""
         listed = instances.usable(
             self.view.instances,
             service.name,
@@ -318,10 +376,28 @@
             self.view.evacuated_domains,
         )
         return [
-            self.servers[one.name]
+            one
             for one in listed
-            if one.name in self.servers
-            and one.name not in excluded
-            and one.name not in self.moved
-            and self.servers[one.name].ejected_until <= now
+            if one.name not in self.moved and one not in self.leaving
+        ]
+
+    def usable_servers(
+        self,
+        service: configurations.Service,
+        now: float,
+        excluded: frozenset[str] | set[str] = frozenset(),
+    ) -> list[Server]:
+        """Returns the servers of a service that may get a request now.
+
+        :param excluded: names of servers to leave out.
+        """
+        known = [
+            self.servers[one.name]
+            for one in self.listed_instances(service)
+            if one.name in self.servers and one.name not in excluded
+        ]
+        return [
+            one
+            for one in known
+            if one.ejected_until <= now and one.paused_until <= now
         ]
