Keep a VM running after a malformed message, and mend both known failures

Cause: a frame with values of other types, a malformed reply of a control VM or a malformed backlog raised exceptions that nothing caught, which ended the process with all its requests. A control VM that had just started answered a read at once with 503, before the leader's first message. A test edited the table on the revision of a VM that had not yet applied the edits before it. Change: frames are checked for the types of their values; a malformed one ends its connection only. Replies to polls are decoded as a whole before any part is applied, and lists, grants and backlogs before they are stored. Periodic work is restarted after an unexpected exception, which is logged with its traceback, as are those of handlers. Reads wait for a known leader within their time limit. The test waits until the VM has the newest revision.

--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -55,6 +55,12 @@
     Then control VM d of the fleet does not confirm a read
     And control VM a of the fleet reads version 9
 
+  Scenario: A read waits until the control VM knows the leader
+    Given a fleet of 5 control VMs and 1 entry VMs
+    And the fleet holds version 5
+    When control VM d of the fleet has just restarted
+    Then control VM d of the fleet reads version 5
+
   Scenario Outline: A revoked key is rejected within its bound
     Given a fleet of 5 control VMs and 2 entry VMs
     And the fleet holds version 5
--- a/features/operators/table_and_keys.feature
+++ b/features/operators/table_and_keys.feature
@@ -49,7 +49,6 @@
     When 6 operators put different tables based on the same revision
     Then exactly one is accepted and the others get the current revision
 
-  @known_red
   Scenario: A retried edit gets the outcome of the first attempt
     When an operator puts a table and retries it through another VM
     Then both have the same outcome and the revision increased once
--- a/features/peers/streams.feature
+++ b/features/peers/streams.feature
@@ -25,6 +25,22 @@
       | a peer that skips the proof             |
       | a peer that replays a recorded proof    |
 
+  Scenario Outline: A malformed frame ends only the connection that it came on
+    When an authenticated peer sends <frame>
+    Then the connection is closed
+    And a real peer is still served
+
+    Examples:
+      | frame                                   |
+      | a call with a list as its ID            |
+      | a call with a list as its method        |
+      | a reply with a list as its ID           |
+      | data that is not bytes                  |
+      | data that is not msgpack                |
+      | a credit of text                        |
+      | a reset without an error                |
+      | a reset with an error without a message |
+
   Scenario Outline: A dialled VM that is not the expected one is rejected
     When a VM dials a listener that <fault>
     Then the call fails as <code> and not run
--- a/features/platform/roles.feature
+++ b/features/platform/roles.feature
@@ -3,7 +3,6 @@
   settings files of the platform and with stand-ins for its instance list and
   for a backend server.
 
-  @known_red
   Scenario: A configuration is accepted, a request is served, a stop is clean
     Given 3 control VMs and an entry VM run as processes
     When an operator sends a configuration
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -273,6 +273,16 @@
     assert isinstance(outcome, errors.GatewayError), outcome
 
 
+@behave.when('control VM {vm} of the fleet has just restarted')
+@in_fleet
+async def when_just_restarted(context, vm):
+    fleet = context.fleet
+    fleet.crash(vm)
+    await fleet.timers.advance(1.0)
+    fleet.start(vm)
+    await fleet.timers.advance(0.05)
+
+
 @behave.then('control VM {vm} of the fleet reads version {version:d}')
 @in_fleet
 async def then_reads(context, vm, version):
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -158,6 +158,9 @@
     view = world.deployment.vms['piedmont-1'].view
 
     async def put_both():
+        # The view of a VM follows an accepted edit within seconds, and an
+        # edit based on an older revision is rejected.
+        await world.wait_for_revision(world.newest_revision())
         world.notes['before'] = view.configuration.table_revision
         etag = f'"{view.configuration.table_revision}"'
         text = f'{worlds.TABLE}region,again{view.revision},1,,,,,,\n'
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -198,6 +198,39 @@
     context.stream = call(context, connect)
 
 
+# What follows the kind in frames after the handshake. Stream 1 is open.
+MALFORMED_FRAMES = {
+    'a call with a list as its ID': (frames.Kind.CALL, [1], 'echo', 'x'),
+    'a call with a list as its method': (frames.Kind.CALL, 2, ['echo'], 'x'),
+    'a reply with a list as its ID': (frames.Kind.REPLY, [1], True, 'x'),
+    'data that is not bytes': (frames.Kind.DATA, 1, 7),
+    'data that is not msgpack': (frames.Kind.DATA, 1, b'\xc1'),
+    'a credit of text': (frames.Kind.CREDIT, 1, 'much'),
+    'a reset without an error': (frames.Kind.RESET, 1, None),
+    'a reset with an error without a message': (
+        frames.Kind.RESET,
+        1,
+        {'code': 'overloaded'},
+    ),
+}
+
+
+@behave.when('an authenticated peer sends {frame}')
+def send_malformed(context, frame):
+    async def connect():
+        stream = await anyio.connect_tcp(HOST, PORT)
+        reader = frames.FrameReader(stream, 65536)
+        await handshake.authenticate_as_dialler(
+            stream, reader, 'guild', 'dialler', 'listener', SECRET
+        )
+        await stream.send(frames.encode(frames.Kind.OPEN, 1, 'flood', None))
+        await reader.receive()
+        await stream.send(frames.encode(*MALFORMED_FRAMES[frame]))
+        return stream
+
+    context.stream = call(context, connect)
+
+
 @behave.then('the connection is closed')
 def check_closed(context):
     async def read():
--- a/features/steps/recovery.py
+++ b/features/steps/recovery.py
@@ -1,8 +1,11 @@
 """Steps for simulated fleets that lose many VMs at once."""
 
+import functools
+
 import behave
 
 from features import fleet_world
+from features.steps.fleet import in_fleet
 
 SEEDS = range(6)
 REGION_DELAY_SECONDS = 0.055
@@ -102,3 +105,63 @@
             assert agent.view.configuration.version == 5
 
     run_with_seeds(context, check)
+
+
+# Changes to a reply of a control VM, or the whole reply instead.
+MALFORMED_REPLIES = {
+    'nothing': None,
+    'a list': [1],
+    'an empty map': {},
+    'loads of text': {'loads': {'a': 'high'}},
+    'an unread document': {'document': b'no document', 'version': 99},
+    'instances of text': {'instances': ['i-1'], 'list_digest': 1},
+    'a grant of text': [1, {'org': 'many'}],
+}
+
+
+async def reply_malformed(handler, malformed, peer, message):
+    reply = await handler(peer, message)
+    if malformed and isinstance(malformed, dict):
+        return reply | malformed
+    return malformed
+
+
+@behave.when(
+    'for {seconds:g} seconds all control VMs reply to {method} with {message}'
+)
+@in_fleet
+async def when_malformed(context, seconds, method, message):
+    fleet = context.fleet
+    limited = fleet_world.tenant(ratePerS=10**6, burst=10**6)
+    assert await fleet.put(5, tenants=[limited]) == [True, 5]
+    await fleet.timers.advance(2.0)
+    for agent in fleet.agents.values():
+        fleet.tasks.start_soon(agent.quota_client.acquire, 'org', 100)
+    malformed = MALFORMED_REPLIES[message]
+    handlers = {
+        vm: fleet.network.handlers[vm][method] for vm in fleet.control_vms
+    }
+    for vm, handler in handlers.items():
+        fleet.network.handlers[vm][method] = functools.partial(
+            reply_malformed, handler, malformed
+        )
+    await fleet.timers.advance(seconds)
+    for vm, handler in handlers.items():
+        fleet.network.handlers[vm][method] = handler
+    await fleet.timers.advance(2.0)
+
+
+@behave.then(
+    'version {version:d} is in force on all entry VMs'
+    ' {seconds:g} seconds later'
+)
+@in_fleet
+async def then_in_force_later(context, version, seconds):
+    fleet = context.fleet
+    assert await fleet.put(version) == [True, version]
+    await fleet.timers.advance(seconds)
+    for vm, agent in fleet.agents.items():
+        assert agent.has_lease, vm
+        assert agent.view.version == version, vm
+        assert [*agent.view.instances] == ['i-1'], vm
+        assert 'engine' in agent.view.loads['a'], vm
--- a/features/world.py
+++ b/features/world.py
@@ -104,6 +104,10 @@
             with anyio.fail_after(TIMEOUT_SECONDS):
                 await vm.view.wait_for_revision(revision)
 
+    def newest_revision(self) -> int:
+        """Returns the highest revision that any VM has applied."""
+        return max(one.view.revision for one in self.deployment.vms.values())
+
     async def reset(self) -> None:
         """Clears the faults, records and load state of the last scenario."""
         for backend in self.backend_servers():
--- a/src/greengagegw/adapters/frames.py
+++ b/src/greengagegw/adapters/frames.py
@@ -33,20 +33,21 @@
     PONG = 11
 
 
-# The number of values that follow the kind in a frame.
-VALUE_COUNTS = {
-    Kind.HELLO: 4,
-    Kind.CHALLENGE: 4,
-    Kind.PROOF: 1,
-    Kind.CALL: 3,
-    Kind.REPLY: 3,
-    Kind.OPEN: 3,
-    Kind.DATA: 2,
-    Kind.END: 1,
-    Kind.RESET: 2,
-    Kind.CREDIT: 2,
-    Kind.PING: 0,
-    Kind.PONG: 0,
+# The types of the values that follow the kind in a frame. The handshake checks
+# the versions and names that it receives.
+VALUE_TYPES: dict[Kind, tuple[type, ...]] = {
+    Kind.HELLO: (object, object, str, bytes),
+    Kind.CHALLENGE: (object, object, bytes, bytes),
+    Kind.PROOF: (bytes,),
+    Kind.CALL: (int, str, object),
+    Kind.REPLY: (int, bool, object),
+    Kind.OPEN: (int, str, object),
+    Kind.DATA: (int, bytes),
+    Kind.END: (int,),
+    Kind.RESET: (int, dict),
+    Kind.CREDIT: (int, int),
+    Kind.PING: (),
+    Kind.PONG: (),
 }
 
 
@@ -54,7 +55,7 @@
 class Frame:
     """A frame.
 
-    :ivar values: as many items as :data:`VALUE_COUNTS` has for the kind.
+    :ivar values: of the types that :data:`VALUE_TYPES` has for the kind.
     """
 
     kind: Kind
@@ -80,11 +81,18 @@
         raise errors.PeerProtocolError(
             'a frame is not a msgpack list with a known kind'
         ) from error
-    if len(values) != VALUE_COUNTS[kind]:
+    types = VALUE_TYPES[kind]
+    if len(values) != len(types):
         raise errors.PeerProtocolError(
             f'a {kind.name} frame has {len(values)} values '
-            f'instead of {VALUE_COUNTS[kind]}'
+            f'instead of {len(types)}'
         )
+    for value, expected in zip(values, types, strict=True):
+        if not isinstance(value, expected):
+            raise errors.PeerProtocolError(
+                f'a {kind.name} frame has a {type(value).__name__} '
+                f'instead of a {expected.__name__}'
+            )
     return Frame(kind, tuple(values))
 
 
--- a/src/greengagegw/adapters/peer_connection.py
+++ b/src/greengagegw/adapters/peer_connection.py
@@ -11,6 +11,8 @@
 
 import anyio
 import anyio.abc
+import eliot
+import msgpack
 
 from .. import errors
 from .. import timers as timer_service
@@ -29,6 +31,14 @@
     anyio.ClosedResourceError,
     OSError,
 )
+# Raised by the handling of a frame whose values are not what they should be.
+MALFORMED_VALUE_ERRORS = (
+    TypeError,
+    ValueError,
+    KeyError,
+    AttributeError,
+    msgpack.UnpackException,
+)
 
 
 class Handlers:
@@ -169,11 +179,15 @@
                 tasks.start_soon(self.send_heartbeats, tasks.cancel_scope)
                 try:
                     await self.read_frames(tasks)
-                except CONNECTION_LOST_ERRORS + (
-                    anyio.EndOfStream,
-                    errors.PeerError,
-                ):
+                except CONNECTION_LOST_ERRORS + (anyio.EndOfStream,):
                     pass
+                except errors.PeerError as error:
+                    eliot.log_message(
+                        'peer:closed',
+                        peer=self.peer,
+                        code=error.code,
+                        reason=error.message,
+                    )
                 tasks.cancel_scope.cancel()
         finally:
             self.close()
@@ -227,7 +241,13 @@
                 raise errors.PeerProtocolError(
                     f'{self.peer} sent {frame.kind.name} after the handshake'
                 )
-            handle_frame(tasks, *frame.values)
+            try:
+                handle_frame(tasks, *frame.values)
+            except MALFORMED_VALUE_ERRORS as error:
+                raise errors.PeerProtocolError(
+                    f'{self.peer} sent a malformed {frame.kind.name} frame:'
+                    f' {error!r}'
+                ) from error
 
     def on_call(
         self,
@@ -261,11 +281,20 @@
             if call_id != NO_REPLY_ID:
                 await self.send(frames.Kind.REPLY, call_id, True, value)
         except Exception as error:
+            self.log_handler_failure(method, error)
             if call_id != NO_REPLY_ID:
                 await self.send_error(call_id, error)
         finally:
             self.calls_running -= 1
 
+    def log_handler_failure(self, method: str, error: Exception) -> None:
+        """Logs an exception that the protocol does not provide for."""
+        if not isinstance(error, errors.GatewayError):
+            eliot.write_traceback()
+            eliot.log_message(
+                'peer:handler_failed', peer=self.peer, method=method
+            )
+
     async def send_error(self, call_id: int, error: Exception) -> None:
         with contextlib.suppress(errors.PeerError):
             packed = error_codec.pack(error)
@@ -310,6 +339,7 @@
                 await handler(self.peer, message, stream)
                 await stream.finish()
             except Exception as error:
+                self.log_handler_failure(method, error)
                 with contextlib.suppress(errors.PeerError):
                     packed = error_codec.pack(error)
                     await self.send(
--- a/src/greengagegw/fleet/agent.py
+++ b/src/greengagegw/fleet/agent.py
@@ -4,22 +4,26 @@
 import random
 import time
 import typing
-import zlib
 
 import anyio
 import eliot
 
 from .. import errors
+from .. import supervision
 from .. import timers as timer_service
 from . import configuration as configurations
 from . import instances as instance_list
 from . import loads
 from . import members
+from . import poll_reply
 from ..ports import peers
 from . import quota
 from . import timing
 
 
+Decode = collections.abc.Callable[[bytes], configurations.Configuration]
+
+
 def boot_seconds() -> float:
     """Returns seconds since boot, including time when the VM was suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -84,9 +88,7 @@
         describe: collections.abc.Callable[
             [], tuple[members.EntryVm, dict[str, loads.RegionLoad]]
         ],
-        decode: collections.abc.Callable[
-            [bytes], configurations.Configuration
-        ],
+        decode: Decode,
         lease_seconds: float,
         rng: random.Random,
         boot_clock: collections.abc.Callable[[], float] = boot_seconds,
@@ -118,12 +120,20 @@
         """Runs until it is cancelled."""
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
-            tasks.start_soon(self.quota_client.run)
-            while True:
-                started_at = self.timers.now()
-                await self.poll()
-                elapsed = self.timers.now() - started_at
-                await self.timers.sleep(timing.POLL_INTERVAL_SECONDS - elapsed)
+            for name, function in (
+                ('quotas', self.quota_client.run),
+                ('polls', self.poll_periodically),
+            ):
+                tasks.start_soon(
+                    supervision.run_supervised, self.timers, name, function
+                )
+
+    async def poll_periodically(self) -> None:
+        while True:
+            started_at = self.timers.now()
+            await self.poll()
+            elapsed = self.timers.now() - started_at
+            await self.timers.sleep(timing.POLL_INTERVAL_SECONDS - elapsed)
 
     def known_control_vms(self) -> list[str]:
         """Returns the known control VMs, the preferred one first."""
@@ -210,69 +220,67 @@
             eliot.log_message('poll:failed', vm=vm, code=error.code)
             return False
         try:
-            self.apply_reply(reply, requested_at)
+            decoded = poll_reply.decode(reply, self.view.version, self.decode)
         except errors.GatewayError as error:
             eliot.log_message(
                 'poll:bad_reply', vm=vm, code=error.code, reason=error.message
             )
             return False
-        is_current = self.view.version >= reply['version']
-        if reply['is_confirmed'] and is_current:
+        self.apply_reply(decoded, requested_at)
+        is_current = self.view.version >= decoded.version
+        if decoded.is_confirmed and is_current:
             expires_at = boot_requested_at + self.lease_seconds
             self.view.lease_expires_at = max(
                 self.view.lease_expires_at, expires_at
             )
-        return reply['is_confirmed']
+        return decoded.is_confirmed
 
-    def apply_reply(self, reply: dict, requested_at: float) -> None:
+    def apply_reply(
+        self, reply: poll_reply.PollReply, requested_at: float
+    ) -> None:
         """Updates the view from a reply, without yielding to other tasks."""
         view = self.view
-        document = reply.get('document')
-        if document is not None and reply['version'] > view.version:
-            view.configuration = self.decode(zlib.decompress(document))
+        configuration = reply.configuration
+        if configuration is not None and configuration.version > view.version:
+            view.configuration = configuration
             self.quota_client.register(
                 one.name
-                for one in view.configuration.organisations.values()
+                for one in configuration.organisations.values()
                 if one.is_limited
             )
             eliot.log_message('configuration:in_force', version=view.version)
-        if reply['changes'] >= view.changes:
-            view.changes = reply['changes']
-            evacuated = frozenset(reply['evacuated'])
-            if evacuated != view.evacuated_domains:
+        if reply.changes >= view.changes:
+            view.changes = reply.changes
+            if reply.evacuated_domains != view.evacuated_domains:
                 eliot.log_message(
-                    'evacuation:in_force', domains=reply['evacuated']
+                    'evacuation:in_force',
+                    domains=sorted(reply.evacuated_domains),
                 )
-            view.evacuated_domains = evacuated
+            view.evacuated_domains = reply.evacuated_domains
         self.apply_instance_list(reply, requested_at)
-        if 'entries' in reply:
-            view.entry_vms = tuple(
-                members.EntryVm.unpack(one) for one in reply['entries']
-            )
-            view.entry_vms_digest = reply['entries_digest']
-        if reply['is_confirmed'] or not view.control_vms:
-            view.control_vms = tuple(reply['controls']) or view.control_vms
-            view.leader = reply['leader']
-        view.loads = {
-            region: loads.unpack(one) for region, one in reply['loads'].items()
-        }
+        if reply.entry_vms is not None:
+            view.entry_vms = reply.entry_vms
+            view.entry_vms_digest = reply.entry_vms_digest
+        if reply.is_confirmed or not view.control_vms:
+            view.control_vms = reply.control_vms or view.control_vms
+            view.leader = reply.leader
+        view.loads = reply.loads
         view.loads_requested_at = requested_at
         for callback in view.update_callbacks:
             callback()
 
-    def apply_instance_list(self, reply: dict, requested_at: float) -> None:
+    def apply_instance_list(
+        self, reply: poll_reply.PollReply, requested_at: float
+    ) -> None:
         view = self.view
-        read_at = requested_at - reply['list_age']
+        read_at = requested_at - reply.list_age
         if read_at < view.instance_list_read_at:
             return
-        if 'instances' in reply:
-            view.instances = {
-                one[0]: instance_list.Instance.unpack(one)
-                for one in reply['instances']
-            }
-            view.instance_list_digest = reply['list_digest']
+        if reply.instances is not None:
+            view.instances = reply.instances
+            view.instance_list_digest = reply.list_digest
             view.instance_list_read_at = read_at
-        elif reply['list_digest'] == view.instance_list_digest:
+        elif reply.list_digest == view.instance_list_digest:
             view.instance_list_read_at = read_at
 
     def fair_rate(self, name: str) -> float:
@@ -297,10 +305,9 @@
         """
         if self.view.leader is None:
             raise errors.NotLeaderError('no leader of the control group', None)
-        epoch, granted = await self.mesh.call(
+        return await self.mesh.call(
             self.view.leader,
             'fleet.take',
             [wanted, returned],
             timing.GRANT_REQUEST_TIMEOUT_SECONDS,
         )
-        return epoch, granted
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -12,6 +12,7 @@
 import eliot
 
 from .. import errors
+from .. import supervision
 from .. import timers as timer_service
 from . import configuration as configurations
 from . import instances as instance_list
@@ -110,8 +111,13 @@
     async def run(self) -> None:
         """Runs until it is cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.refresh_list_periodically)
-            tasks.start_soon(self.maintain_registry)
+            for name, function in (
+                ('instance list', self.refresh_list_periodically),
+                ('registry', self.maintain_registry),
+            ):
+                tasks.start_soon(
+                    supervision.run_supervised, self.timers, name, function
+                )
 
     @property
     def configuration(self) -> configurations.Configuration | None:
@@ -148,6 +154,7 @@
         with self.timers.move_on_after(
             timing.CONTROL_CALL_TIMEOUT_SECONDS * 2
         ):
+            await self.wait_for_leader()
             await self.wait_until_current()
             return self.store
         raise errors.ReplicationError(
@@ -212,6 +219,10 @@
                 None,
                 timing.CONTROL_CALL_TIMEOUT_SECONDS,
             )
+            if not isinstance(index, int):
+                raise errors.PeerProtocolError(
+                    f'{replica.leader} sent a commit index of {index!r}'
+                )
         while replica.applied_index < index:
             await self.timers.sleep(replicas.STATE_POLL_SECONDS)
 
@@ -263,16 +274,25 @@
 
     async def request_list(self, leader: str) -> None:
         requested_at = self.timers.now()
-        digest, age, packed = await self.mesh.call(
+        reply = await self.mesh.call(
             leader,
             'fleet.list',
             self.instance_cache.digest,
             timing.CONTROL_CALL_TIMEOUT_SECONDS,
         )
+        try:
+            digest, age, packed = reply
+            requested_at -= age
+            for one in packed or ():
+                instance_list.Instance.unpack(one)
+        except (TypeError, ValueError) as error:
+            raise errors.PeerProtocolError(
+                f'{leader} sent a malformed instance list'
+            ) from error
         if packed is None and digest == self.instance_cache.digest:
             packed = self.instance_cache.packed
         if packed is not None:
-            self.instance_cache.update(packed, requested_at - age)
+            self.instance_cache.update(packed, requested_at)
 
     async def on_instance_list(self, peer: str, digest: int) -> list:
         age = self.timers.now() - self.instance_cache.read_at
--- /dev/null
+++ b/src/greengagegw/fleet/poll_reply.py
@@ -0,0 +1,103 @@
+"""The reply of a control VM to a poll, as entry VMs receive it."""
+
+import dataclasses
+import typing
+import zlib
+
+from .. import errors
+from . import configuration as configurations
+from . import instances as instance_list
+from . import loads
+from . import members
+
+if typing.TYPE_CHECKING:
+    from . import agent as agents
+
+DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    zlib.error,
+    errors.ConfigurationError,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PollReply:
+    """The state of the deployment, without what the entry VM has.
+
+    :ivar is_confirmed: whether a majority confirmed that it is current.
+    :ivar version: version of the configuration that the control VM holds.
+    :ivar configuration: None if the entry VM has it.
+    :ivar changes: number of effective commands that the reply reflects.
+    :ivar list_age: seconds since the instance list was read.
+    :ivar instances: by name; None if the entry VM has the list.
+    :ivar entry_vms: None if the entry VM has them.
+    """
+
+    is_confirmed: bool
+    version: int
+    configuration: configurations.Configuration | None
+    changes: int
+    evacuated_domains: frozenset[str]
+    list_digest: int
+    list_age: float
+    instances: dict[str, instance_list.Instance] | None
+    entry_vms_digest: int
+    entry_vms: tuple[members.EntryVm, ...] | None
+    control_vms: tuple[str, ...]
+    leader: str | None
+    loads: dict[str, dict[str, loads.RegionLoad]]
+
+
+def decode(
+    reply: typing.Any, held_version: int, decode_document: 'agents.Decode'
+) -> PollReply:
+    """Returns a reply whose parts are all valid.
+
+    :param held_version: version of the configuration that this VM has.
+    :raises PeerProtocolError: if any part is malformed.
+    """
+    try:
+        return _decode(reply, held_version, decode_document)
+    except DECODE_ERRORS as error:
+        raise errors.PeerProtocolError(
+            f'a reply to a poll is malformed: {type(error).__name__} {error}'
+        ) from error
+
+
+def _decode(
+    reply: dict[str, typing.Any],
+    held_version: int,
+    decode_document: 'agents.Decode',
+) -> PollReply:
+    configuration = instances = entry_vms = None
+    version = int(reply['version'])
+    document = reply.get('document')
+    if document is not None and version > held_version:
+        configuration = decode_document(zlib.decompress(document))
+    if 'instances' in reply:
+        unpacked = [
+            instance_list.Instance.unpack(one) for one in reply['instances']
+        ]
+        instances = {one.name: one for one in unpacked}
+    if 'entries' in reply:
+        entry_vms = tuple(
+            members.EntryVm.unpack(one) for one in reply['entries']
+        )
+    return PollReply(
+        bool(reply['is_confirmed']),
+        version,
+        configuration,
+        int(reply['changes']),
+        frozenset(reply['evacuated']),
+        int(reply['list_digest']),
+        float(reply['list_age']),
+        instances,
+        int(reply['entries_digest']),
+        entry_vms,
+        tuple(reply['controls']),
+        reply['leader'],
+        {region: loads.unpack(one) for region, one in reply['loads'].items()},
+    )
--- a/src/greengagegw/fleet/quota.py
+++ b/src/greengagegw/fleet/quota.py
@@ -336,7 +336,9 @@
         if self.no_reply_since is None:
             self.no_reply_since = now
         try:
-            epoch, granted = await self.request_grants(wanted, returned)
+            epoch, granted = decode_grants(
+                await self.request_grants(wanted, returned)
+            )
         except errors.GatewayError as error:
             eliot.log_message('quota:no_leader', code=error.code)
             return False
@@ -386,3 +388,20 @@
                 expires_at,
             )
             self.find_quota(name).pool.grants.append(grant)
+
+
+def decode_grants(reply: typing.Any) -> tuple[int, dict[str, tuple]]:
+    """Returns the leader's epoch, and grant ID and tokens by organisation.
+
+    :raises PeerProtocolError: if the reply is malformed.
+    """
+    try:
+        epoch, granted = reply
+        return epoch, {
+            name: (grant_id, float(tokens))
+            for name, (grant_id, tokens) in granted.items()
+        }
+    except (TypeError, ValueError, AttributeError) as error:
+        raise errors.PeerProtocolError(
+            'the leader sent malformed grants'
+        ) from error
--- a/src/greengagegw/serving/backlog_exchange.py
+++ b/src/greengagegw/serving/backlog_exchange.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import dataclasses
+import typing
 
 import anyio
 import anyio.abc
@@ -79,7 +80,7 @@
         )
 
     async def on_backlog(self, peer: str, message: list) -> None:
-        vm, by_server = message
+        vm, by_server = decode_backlog(peer, message)
         self.remove_peer(vm)
         self.peer_backlogs[vm] = PeerBacklog(self.timers.now(), by_server)
         for server, values in by_server.items():
@@ -141,3 +142,22 @@
         except errors.GatewayError as error:
             code = error.code
         eliot.log_message('backlog:not_told', vm=vm, code=code)
+
+
+def decode_backlog(
+    peer: str, message: typing.Any
+) -> tuple[str, dict[str, list[float]]]:
+    """Returns the VM of a message, and its backlog by server.
+
+    :raises PeerProtocolError: if the message is malformed.
+    """
+    try:
+        vm, by_server = message
+        return str(vm), {
+            str(server): [float(tokens), float(requests)]
+            for server, (tokens, requests) in by_server.items()
+        }
+    except (TypeError, ValueError, AttributeError) as error:
+        raise errors.PeerProtocolError(
+            f'{peer} sent a malformed backlog'
+        ) from error
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -11,6 +11,7 @@
 import anyio
 
 from .. import errors
+from .. import supervision
 from .. import timers as timer_service
 from . import backlog_exchange as backlog_exchange_module
 from . import departures
@@ -81,12 +82,20 @@
         Runs until cancelled.
         """
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.backlog_exchange.run)
-            tasks.start_soon(self.departure_exchange.run)
-            tasks.start_soon(self.links.maintain_links)
-            while True:
-                await self.timers.sleep(server_pool.SILENCE_CHECK_SECONDS)
-                self.pool.eject_silent_servers(self.timers.now())
+            for name, function in (
+                ('backlogs', self.backlog_exchange.run),
+                ('departures', self.departure_exchange.run),
+                ('links', self.links.maintain_links),
+                ('silence', self.check_silence),
+            ):
+                tasks.start_soon(
+                    supervision.run_supervised, self.timers, name, function
+                )
+
+    async def check_silence(self) -> None:
+        while True:
+            await self.timers.sleep(server_pool.SILENCE_CHECK_SECONDS)
+            self.pool.eject_silent_servers(self.timers.now())
 
     def handlers(self) -> dict[str, peers.Handler]:
         return {
