Read the settings at once on SIGHUP, and never end a process by it

Cause: SIGHUP was only logged, and settings were polled once a second, so a change took up to a second longer. While a process imported its modules, and after its signal handler was removed at the end of a stop, SIGHUP had its default action and killed it. Change: SIGHUP wakes the reader of the settings, which reads the given file. Result: two scenarios with processes: 4 clients send requests during 11 SIGHUPs and a changed file, every request is answered and the change is read within a second; all processes survive SIGHUP from their start on, and one during its stop.

--- a/features/platform/roles.feature
+++ b/features/platform/roles.feature
@@ -10,5 +10,14 @@
     And a request through the entry VM gets the backend server's response
     And a request with an unknown key is rejected with 401
     And the metrics of both roles are served
+    When the entry VM gets SIGHUP under load and its settings change
+    Then every request got its response, and the settings were read at once
     When the entry VM gets SIGTERM
     Then it is no longer ready and exits with code 0
+
+  Scenario: SIGHUP does not end a process that starts or stops
+    Given 3 control VMs and an entry VM run as processes
+    When each of them gets SIGHUP from its start on
+    Then all of them are ready
+    When the entry VM gets SIGTERM and then SIGHUP
+    Then it is no longer ready and exits with code 0
--- a/features/steps/roles.py
+++ b/features/steps/roles.py
@@ -2,10 +2,12 @@
 
 import contextlib
 import pathlib
+import re
 import signal
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 import anyio
@@ -29,6 +31,8 @@
 FIRST_INTERNAL_PORT = 7600
 TIMEOUT_SECONDS = 40.0
 REGIONS = ('a', 'b', 'c')
+# Without SIGHUP the settings are read once in this time.
+SETTINGS_POLL_SECONDS = 1.0
 
 
 def make_settings(name, host, region, listeners, folder=''):
@@ -112,6 +116,7 @@
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.processes_started = []
+    context.settings_files = []
     context.add_cleanup(stop_all, context.processes_started)
     listeners = {'control': PORT, 'directory': READY_PORT}
     for host, region in zip(CONTROL_HOSTS, REGIONS, strict=True):
@@ -125,6 +130,7 @@
 def start(context, folder, role, host, region, listeners, data):
     file = pathlib.Path(folder.name) / f'{role}-{region}.conf'
     file.write_text(make_settings(role, host, region, listeners, data))
+    context.settings_files.append(file)
     log = open(file.with_suffix('.log'), 'w')  # noqa: SIM115
     context.add_cleanup(log.close)
     program = str(ROOT / 'deploy' / 'greengagegw.py')
@@ -223,6 +229,89 @@
         assert name in response.text, response.text
 
 
+@behave.when('the entry VM gets SIGHUP under load and its settings change')
+def when_reloaded(context):
+    statuses = context.statuses = []
+    is_done = threading.Event()
+
+    def send_requests():
+        while not is_done.is_set():
+            statuses.append(send_request('key-1').status_code)
+
+    senders = [threading.Thread(target=send_requests) for _ in range(4)]
+    for one in senders:
+        one.start()
+    file = context.settings_files[-1]
+    text = file.read_text()
+    for _ in range(10):
+        context.entry.send_signal(signal.SIGHUP)
+        time.sleep(0.05)
+    context.changed_at = time.monotonic()
+    file.write_text(text.replace(f',{CONTROL_HOSTS[2]}:{PORT}\n', '\n'))
+    context.entry.send_signal(signal.SIGHUP)
+    log = file.with_suffix('.log')
+    wait_until(lambda: 'settings:reloaded' in log.read_text())
+    context.reload_seconds = time.monotonic() - context.changed_at
+    is_done.set()
+    for one in senders:
+        one.join()
+
+
+@behave.then(
+    'every request got its response, and the settings were read at once'
+)
+def then_reloaded(context):
+    assert context.statuses and set(context.statuses) == {200}
+    assert context.reload_seconds < SETTINGS_POLL_SECONDS
+
+
+@behave.when('each of them gets SIGHUP from its start on')
+def when_hangups(context):
+    for process in context.processes_started:
+        wait_until(lambda one=process: ignores_hangup(one))
+    when_ready_under_hangups(context)
+
+
+def ignores_hangup(process):
+    """Returns whether the program has started to ignore or handle SIGHUP."""
+    status = pathlib.Path(f'/proc/{process.pid}/status').read_text()
+    masks = re.findall(r'Sig(?:Ign|Cgt):\s*(\w+)', status)
+    return any(int(one, 16) >> (signal.SIGHUP - 1) & 1 for one in masks)
+
+
+def when_ready_under_hangups(context):
+    def is_up():
+        for process in context.processes_started:
+            process.send_signal(signal.SIGHUP)
+        return is_running_and_ready()
+
+    document = orjson.dumps(fleet_world.document(3))
+
+    def is_accepted():
+        response = httpx.put(
+            f'http://{CONTROL_HOSTS[1]}:{PORT}/-/config', content=document
+        )
+        return response.status_code == 200
+
+    wait_until(is_accepted)
+    wait_until(is_up)
+
+
+@behave.then('all of them are ready')
+def then_all_ready(context):
+    assert is_ready()
+    assert all(one.poll() is None for one in context.processes_started)
+
+
+@behave.when('the entry VM gets SIGTERM and then SIGHUP')
+def when_stopped_and_reloaded(context):
+    context.entry.send_signal(signal.SIGTERM)
+    deadline = time.monotonic() + TIMEOUT_SECONDS
+    while context.entry.poll() is None and time.monotonic() < deadline:
+        context.entry.send_signal(signal.SIGHUP)
+        time.sleep(0.01)
+
+
 @behave.when('the entry VM gets SIGTERM')
 def when_stopped(context):
     context.entry.send_signal(signal.SIGTERM)
--- a/src/greengagegw/cli/platform.py
+++ b/src/greengagegw/cli/platform.py
@@ -28,7 +28,7 @@
     try:
         settings = platform_settings.read(file)
         anyio.run(
-            functools.partial(ROLES[role], settings),
+            functools.partial(ROLES[role], settings, file),
             backend_options={'use_uvloop': True},
         )
     finally:
--- a/src/greengagegw/platform/process.py
+++ b/src/greengagegw/platform/process.py
@@ -1,7 +1,6 @@
 """The process of a VM, as both roles need it."""
 
 import collections.abc
-import os
 import random
 import signal
 import ssl
@@ -44,22 +43,30 @@
 class Process:
     """The settings, timers, peer mesh, signals and metrics of a process.
 
+    :param settings_file: that the settings were read from; None for the
+        platform's default.
     :param port: internal port that the mesh listens on.
     :ivar leaving_since: timer seconds of the stop signal, None before.
     :ivar stopped: set when the servers are to shut down.
+    :ivar reload_requested: set when the settings are to be read at once.
     :ivar loop_lag: delay of the event loop in seconds, when last measured.
     """
 
     def __init__(
-        self, settings: platform_settings.Settings, port: int
+        self,
+        settings: platform_settings.Settings,
+        settings_file: str | None,
+        port: int,
     ) -> None:
         self.settings = settings
+        self.settings_file = settings_file
         self.vm = f'{settings.host}:{port}'
         self.port = port
         self.timers = timer_service.Timers()
         self.rng = random.Random()  # noqa: S311
         self.leaving_since: float | None = None
         self.stopped = anyio.Event()
+        self.reload_requested = anyio.Event()
         self.metrics = fleet_metrics.FleetMetrics()
         self.loop_lag = 0.0
         self.ssl_context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
@@ -136,15 +143,18 @@
         await asgi.send_response(send, 200 if is_found else 404, headers, body)
 
     async def watch_settings(self) -> None:
-        """Reads the settings file regularly and applies changes."""
-        file = os.environ.get(
-            platform_settings.FILE_VARIABLE, platform_settings.DEFAULT_FILE
-        )
+        """Reads the settings file regularly and on SIGHUP.
+
+        A change of the seeds applies at once, other changes at a restart. An
+        invalid file is logged and changes nothing.
+        """
         latest = self.settings
         while True:
-            await self.timers.sleep(SETTINGS_POLL_INTERVAL_SECONDS)
+            with self.timers.move_on_after(SETTINGS_POLL_INTERVAL_SECONDS):
+                await self.reload_requested.wait()
+                self.reload_requested = anyio.Event()
             try:
-                latest = platform_settings.read(file)
+                latest = platform_settings.read(self.settings_file)
             except errors.SettingsError as error:
                 eliot.log_message('settings:refused', reason=error.message)
                 continue
@@ -156,18 +166,20 @@
         self,
         stop: collections.abc.Callable[[], collections.abc.Awaitable[None]],
     ) -> None:
-        """Stops the process on SIGTERM or SIGINT.
-
-        SIGHUP is only logged, as the settings are polled.
-        """
+        """Stops the process on SIGTERM or SIGINT, reloads on SIGHUP."""
         received = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*received) as signals:
             async for number in signals:
                 eliot.log_message('signal:received', number=int(number))
-                if number != signal.SIGHUP:
-                    self.leaving_since = self.timers.now()
-                    await stop()
-                    return
+                if number == signal.SIGHUP:
+                    self.reload_requested.set()
+                    continue
+                self.leaving_since = self.timers.now()
+                await stop()
+                break
+        # The receiver restores the default, which would end the process
+        # before its last responses are sent.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
 def log_start(role: str, process: Process) -> None:
--- a/src/greengagegw/platform/roles.py
+++ b/src/greengagegw/platform/roles.py
@@ -44,9 +44,12 @@
 DRAIN_POLL_INTERVAL_SECONDS = 0.05
 
 
-async def run_entry(settings: platform_settings.Settings) -> None:
+async def run_entry(
+    settings: platform_settings.Settings, settings_file: str | None
+) -> None:
     """Runs an entry VM until the stop signal.
 
+    :param settings_file: that is read again when it changes.
     :raises SettingsError: if a listener of the role is not set.
     """
     if settings.client_endpoint is None or settings.readiness_endpoint is None:
@@ -54,7 +57,9 @@
             ('listen.front and listen.ready: required for an entry VM',)
         )
     # A control VM on the same host uses the first port.
-    process = processes.Process(settings, settings.internal_port_range[0] + 1)
+    process = processes.Process(
+        settings, settings_file, settings.internal_port_range[0] + 1
+    )
     timers = process.timers
     view = agents.FleetView()
     pool = server_pool.ServerPool(view, settings.region, settings.regions)
@@ -256,16 +261,21 @@
     )
 
 
-async def run_control(settings: platform_settings.Settings) -> None:
+async def run_control(
+    settings: platform_settings.Settings, settings_file: str | None
+) -> None:
     """Runs a control VM until the stop signal.
 
+    :param settings_file: that is read again when it changes.
     :raises SettingsError: if the data folder or the listener is not set.
     """
     if not settings.data_folder or settings.control_endpoint is None:
         raise errors.SettingsError(
             ('dataDir and listen.control: required for a control VM',)
         )
-    process = processes.Process(settings, settings.internal_port_range[0])
+    process = processes.Process(
+        settings, settings_file, settings.internal_port_range[0]
+    )
     timers = process.timers
     store = stores.Store()
     folder = files.Folder(pathlib.Path(settings.data_folder))
