Resume a stream that sends single bytes but no complete event

Cause: the time limit of a stalled stream started again with each chunk, so a server that sent a byte now and then held its stream until the deadline. Change: the limit counts the time in which the stream was read without a complete event. Time in which the client does not read does not count. Result: 5 new rows in features/serving/dispatch: single bytes lead to another server (before: cut at the deadline), a stream with an event a second is not interrupted, a silent server's non-idempotent call is not sent elsewhere.

--- a/features/serving/dispatch.feature
+++ b/features/serving/dispatch.feature
@@ -23,6 +23,11 @@
       | safe      | 1            | responds with an error        | the server's error    | 1        |
       | resumable | 2            | disconnects after 2 events    | the complete response | 2        |
       | resumable | 2            | goes silent after 2 events    | the complete response | 2        |
+      | resumable | 2            | sends single bytes after 2 events | the complete response | 2    |
+      | resumable | 2            | is slow after 2 events        | the complete response | 1        |
+      | stream    | 2            | is slow after 2 events        | the complete response | 1        |
+      | stream    | 2            | sends single bytes after 2 events | a truncated response | 1     |
+      | unsafe    | 2            | is silent                     | an unknown outcome    | 1        |
       | resumable | 1            | disconnects after 2 events    | a truncated response  | 1        |
       | stream    | 2            | disconnects after 2 events    | a truncated response  | 1        |
       | stream    | 2            | disconnects before responding | an unknown outcome    | 1        |
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -162,6 +162,12 @@
                 )
             if fault == 'goes silent after 2 events' and number == 3:
                 await self.world.timers.sleep(1000)
+            if fault == 'sends single bytes after 2 events' and number == 3:
+                for byte in event[:-1]:
+                    yield bytes([byte])
+                    await self.world.timers.sleep(1.0)
+            if fault == 'is slow after 2 events' and number > 2:
+                await self.world.timers.sleep(1.0)
             yield event
             # A step takes longer the more requests are batched in it.
             pause = STEP_SECONDS * (1 + self.running / 16) * self.slowdown
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -3,10 +3,12 @@
 import collections.abc
 import contextlib
 import functools
+import math
 
 import anyio
 
 from .. import errors
+from .. import timers as timer_service
 from . import events
 from ..fleet import instances
 from . import jobs
@@ -301,9 +303,13 @@
         splitter = events.EventSplitter(self.job.request.resume_after)
         while True:
             try:
-                async for chunk in self.chunks_before_stall(response):
+                stall_timer = StallTimer(self.timers, self.stall_timeout)
+                async for chunk in self.chunks_before_stall(
+                    response, stall_timer
+                ):
                     complete_events = splitter.feed(chunk)
                     if complete_events:
+                        stall_timer.waited_seconds = 0.0
                         yield complete_events
                 if splitter.buffer:
                     raise errors.BrokenStreamError(
@@ -318,28 +324,34 @@
         self.record_completion()
         await self.close(is_complete=True)
 
+    @property
+    def stall_timeout(self) -> float:
+        """Seconds without a complete event after which a stream has stalled.
+
+        Infinite if no other server may resume the stream.
+        """
+        if not self.job.has_attempts_left:
+            return math.inf
+        return max(
+            MIN_STALL_SECONDS,
+            STALL_OBJECTIVE_FACTOR * self.job.route.event_gap_objective,
+        )
+
     async def chunks_before_stall(
-        self, response: ports.Response
+        self, response: ports.Response, stall_timer: 'StallTimer'
     ) -> collections.abc.AsyncIterator[bytes]:
         """Yields chunks of a response.
 
-        :raises BackendTimeoutError: if a pause between chunks is too long.
+        :raises BackendTimeoutError: if the stream has stalled or the client's
+            deadline has passed.
         """
         job = self.job
-        stall_timeout = max(
-            MIN_STALL_SECONDS,
-            STALL_OBJECTIVE_FACTOR * job.route.event_gap_objective,
-        )
         while True:
             seconds_left = job.deadline - self.timers.now()
-            if not job.has_attempts_left:
-                stall_timeout = seconds_left
             chunk = None
             self.record_chunk_wait()
             try:
-                with self.timers.move_on_after(
-                    max(0.0, min(stall_timeout, seconds_left))
-                ):
+                with stall_timer.limit(seconds_left):
                     chunk = await anext(response.chunks)
             except StopAsyncIteration:
                 return
@@ -381,3 +393,33 @@
         raise errors.BrokenStreamError(
             'the stream was interrupted and could not be resumed'
         ) from error
+
+
+class StallTimer:
+    """Measures how long a stream has been read without a complete event.
+
+    A server that sends a byte now and then has stalled as one that sends
+    nothing has. Time in which the client does not read does not count.
+
+    :param timeout: seconds after which the stream has stalled.
+    :ivar waited_seconds: since the last complete event.
+    """
+
+    def __init__(self, timers: timer_service.Timers, timeout: float) -> None:
+        self.timers = timers
+        self.timeout = timeout
+        self.waited_seconds = 0.0
+
+    @contextlib.contextmanager
+    def limit(self, seconds_left: float) -> collections.abc.Iterator[None]:
+        """Cancels a read when the stream has stalled.
+
+        :param seconds_left: upper bound of the read.
+        """
+        began_at = self.timers.now()
+        seconds = min(self.timeout - self.waited_seconds, seconds_left)
+        try:
+            with self.timers.move_on_after(max(0.0, seconds)):
+                yield
+        finally:
+            self.waited_seconds += self.timers.now() - began_at
