Compare the echoed request ID before the status of a response

Cause: a rejection was taken for this request's own before its ID was looked at, so a late second copy of a rejection on a connection in use again would have been reported as not run. Non-idempotent requests were not affected, as they have a connection each. Change: another ID is an error first; a response without the ID stays one.

--- /dev/null
+++ b/features/platform/connections.feature
@@ -0,0 +1,23 @@
+Feature: Connections to backend servers that are in use again
+  The platform's HTTP client on real sockets, with a backend server that sends
+  bytes which belong to no request.
+
+  Scenario Outline: No request gets a late second copy of another's response
+    Given a backend server that sends a second copy of each response <time>
+    When 30 requests follow one another, each after <pause> seconds
+    Then each gets its own response, or an error that does not say not run
+
+    Examples:
+      | time                             | pause |
+      | at once                          | 0.0   |
+      | at once                          | 0.01  |
+      | in the same write                | 0.0   |
+      | 0.02 seconds later               | 0.0   |
+      | 0.02 seconds later               | 0.05  |
+      | after it got the next request    | 0.0   |
+
+  Scenario: A server without such copies keeps its connection
+    Given a backend server that sends no second copies
+    When 30 requests follow one another, each after 0.0 seconds
+    Then each gets its own response
+    And the server accepted 1 connection
--- a/features/platform/documents.feature
+++ b/features/platform/documents.feature
@@ -108,3 +108,5 @@
       | 429    | id and stamp             | BackendStatusError   |
       | 503    | a not-executed header    | BackendRefusedError  |
       | 421    | id and stamp             | WrongInstanceError   |
+      | 503    | a rejection of another id | BackendError        |
+      | 421    | a rejection of another id | BackendError        |
--- /dev/null
+++ b/features/steps/connections.py
@@ -0,0 +1,162 @@
+"""Steps for the connections to backend servers of the platform."""
+
+import re
+import ssl
+
+import anyio
+import behave
+
+from features import fleet_world
+from features.steps.fleet import in_fleet
+from greengagegw import errors
+from greengagegw.platform import backend_client
+from greengagegw.platform import client_application
+from greengagegw.serving import ports
+from greengagegw import timers as timer_service
+from standins import loopback_blocks
+
+HOST = f'127.{loopback_blocks.reserve_block()}.1.1'
+PORT = 8080
+REQUEST_TIMEOUT_SECONDS = 5.0
+REQUEST_ID = re.compile(rb'greengagegw-attempt-id: (\S+)')
+
+
+class CopyingServer:
+    """A backend server that sends each response once more.
+
+    :ivar time: when it sends the second copy.
+    """
+
+    def __init__(self, time):
+        self.time = time
+        self.connections = 0
+
+    async def serve(self, stream):
+        self.connections += 1
+        copy = b''
+        try:
+            async with stream, anyio.create_task_group() as tasks:
+                while True:
+                    head = b''
+                    while b'\r\n\r\n' not in head:
+                        head += await stream.receive()
+                    if self.time == 'after it got the next request':
+                        await stream.send(copy or b'')
+                    copy = make_response(head)
+                    if self.time == 'in the same write':
+                        await stream.send(copy * 2)
+                        continue
+                    await stream.send(copy)
+                    if self.time == 'at once':
+                        await stream.send(copy)
+                    elif self.time == '0.02 seconds later':
+                        tasks.start_soon(self.send_late, stream, copy)
+        except* (
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            pass
+
+    async def send_late(self, stream, copy):
+        await anyio.sleep(0.02)
+        await stream.send(copy)
+
+
+def make_response(head):
+    name = REQUEST_ID.search(head.lower()).group(1)
+    return (
+        b'HTTP/1.1 200 OK\r\nGreengagegw-Attempt-Id: %s\r\n'
+        b'Greengagegw-Server-Stamp: s\r\nContent-Length: %d\r\n\r\n%s'
+        % (name, len(name), name)
+    )
+
+
+@behave.given(
+    'a backend server that sends a second copy of each response {time}'
+)
+@in_fleet
+async def given_copies(context, time):
+    await start_server(context, time)
+
+
+@behave.given('a backend server that sends no second copies')
+@in_fleet
+async def given_no_copies(context):
+    await start_server(context, 'never')
+
+
+async def start_server(context, time):
+    context.server = CopyingServer(time)
+    context.listener = await anyio.create_tcp_listener(
+        local_host=HOST, local_port=PORT
+    )
+
+
+@behave.when(
+    '{count:d} requests follow one another, each after {pause:g} seconds'
+)
+@in_fleet
+async def when_requests_follow(context, count, pause):
+    context.outcomes = []
+    timers = timer_service.Timers()
+    client = backend_client.BackendClient(
+        timers, ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    )
+    instance = fleet_world.instance(address=f'{HOST}:{PORT}')
+    async with context.listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(timers.run)
+        tasks.start_soon(context.listener.serve, context.server.serve)
+        for number in range(count):
+            await anyio.sleep(pause)
+            context.outcomes.append(
+                await send(client, instance, f'r-{number}')
+            )
+        await client.prune_transports(())
+        tasks.cancel_scope.cancel()
+
+
+async def send(client, instance, name):
+    """Returns the ID, and the body or the error of its request."""
+    scope = {
+        'method': 'GET',
+        'path': '/',
+        'raw_path': b'/',
+        'query_string': b'',
+        'headers': [
+            (b'host', b'h.example'),
+            (b'greengagegw-attempt-id', name.encode()),
+        ],
+    }
+    request = client_application.decode_request(scope, b'')
+    backend_request = ports.BackendRequest(request, None, 3.0, 0, None, True)
+    try:
+        with anyio.fail_after(REQUEST_TIMEOUT_SECONDS):
+            async with client.send(
+                instance, backend_request, lambda notice: None
+            ) as response:
+                body = b''.join([one async for one in response.chunks])
+    except errors.BackendError as error:
+        return name, error
+    return name, body.decode()
+
+
+@behave.then(
+    'each gets its own response, or an error that does not say not run'
+)
+def then_own_or_error(context):
+    for name, outcome in context.outcomes:
+        if isinstance(outcome, errors.GatewayError):
+            assert outcome.run != errors.NOT_RUN, outcome
+        else:
+            assert outcome == name, (name, outcome)
+
+
+@behave.then('each gets its own response')
+def then_own(context):
+    assert all(one == two for one, two in context.outcomes), context.outcomes
+
+
+@behave.then('the server accepted {count:d} connection')
+def then_connections(context, count):
+    assert context.server.connections == count, context.server.connections
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -266,6 +266,10 @@
             (b'Greengagegw-Server-Stamp', b's'),
         ],
         'no stamp': [(b'Greengagegw-Attempt-Id', b'r-1')],
+        'a rejection of another id': [
+            (b'Greengagegw-Attempt-Id', b'r-2'),
+            (b'Greengagegw-Not-Executed', b'full'),
+        ],
         'a not-executed header': [(b'Greengagegw-Not-Executed', b'full')],
     }[headers]
     request = client_application.decode_request(
--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -208,6 +208,13 @@
     """
     headers = headers_by_name(response.headers)
     status = response.status
+    request_id = backend_request.request.request_id
+    echoed = headers.get(http_names.REQUEST_ID, b'').decode('latin-1')
+    # A second copy of a rejection says nothing of this request.
+    if echoed and echoed != request_id:
+        raise errors.BackendError(
+            f'{instance.name} responded with another request ID'
+        )
     if status == WRONG_INSTANCE_STATUS:
         raise errors.WrongInstanceError(
             f'another instance has the address of {instance.name}'
@@ -219,10 +226,9 @@
                 headers.get(http_names.RETRY_AFTER)
             ),
         )
-    echoed = headers.get(http_names.REQUEST_ID, b'').decode('latin-1')
-    if echoed != backend_request.request.request_id:
+    if not echoed:
         raise errors.BackendError(
-            f'{instance.name} responded with another request ID'
+            f'{instance.name} responded without the request ID'
         )
     if http_names.SERVER_STAMP not in headers or status in NOT_RUN_STATUSES:
         raise errors.BackendStatusError(
