Send a heartbeat only if nothing else arrives on a connection

Cause: both ends of each connection between VMs sent a PING every interval, and answered the other's, whatever else was sent: eight frames a second for each connection on the platform, each with a system call and a task, which grows with the square of the VMs of a region. Change: the end that dialled sends a PING after an interval in which it received nothing, the other end after two and a half. The time after which a silent connection is closed stays. Result: a new scenario on real sockets counts 2 frames an interval or fewer on an idle connection (4 before: failed). features/regions, features/backends and features/peers pass. Processor time was not measured.

--- a/features/peers/streams.feature
+++ b/features/peers/streams.feature
@@ -66,6 +66,11 @@
     When a call gets no reply and 5 seconds pass
     Then the call fails as peer_timeout
 
+  Scenario: The two ends of an idle connection do not both send heartbeats
+    When a connection is idle for 20 seconds
+    Then at most one ping and one pong were sent in each heartbeat interval
+    And the connection is still in use
+
   Scenario: A silent connection is closed and replaced
     Given a connection on which nothing arrives
     When a call is made and 10 seconds pass
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -231,6 +231,42 @@
     context.stream = call(context, connect)
 
 
+@behave.when('a connection is idle for {seconds:d} seconds')
+def stay_idle(context, seconds):
+    pair = context.pair
+
+    async def wait():
+        await pair.call_echo()
+        (context.idle,) = pair.dialler.dialled.values()
+        (accepted,) = pair.listener.accepted
+        ends = (context.idle, accepted)
+        sent_before = sum(one.bytes_sent for one in ends)
+        for _ in range(seconds * 4):
+            await pair.timers.advance(0.25)
+            # Lets the frames arrive, which the fake time does not wait for.
+            await anyio.sleep(0.01)
+        context.idle_bytes = sum(one.bytes_sent for one in ends) - sent_before
+        context.idle_intervals = seconds / context.idle.heartbeat_seconds
+
+    call(context, wait)
+
+
+@behave.then(
+    'at most one ping and one pong were sent in each heartbeat interval'
+)
+def check_heartbeats(context):
+    size = len(frames.encode(frames.Kind.PING))
+    assert 0 < context.idle_bytes <= 2 * size * context.idle_intervals, (
+        context.idle_bytes
+    )
+
+
+@behave.then('the connection is still in use')
+def check_in_use(context):
+    assert not context.idle.is_closed
+    assert list(context.pair.dialler.dialled.values()) == [context.idle]
+
+
 @behave.then('the connection is closed')
 def check_closed(context):
     async def read():
--- a/src/greengagegw/adapters/peer_connection.py
+++ b/src/greengagegw/adapters/peer_connection.py
@@ -26,6 +26,9 @@
 NO_REPLY_ID = 0
 # Time limit for sending the RESET of a stream that its reader closes early.
 RESET_TIMEOUT_SECONDS = 0.2
+# Heartbeat intervals without a frame of the peer after which a ping is sent.
+DIALLER_IDLE_INTERVALS = 1.0
+LISTENER_IDLE_INTERVALS = 2.5
 CONNECTION_LOST_ERRORS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -52,7 +55,8 @@
 class Connection:
     """A connection after its handshake.
 
-    :param heartbeat_seconds: interval of the pings to the peer.
+    :param is_dialler: whether this side opened the connection.
+    :param heartbeat_seconds: interval at which pings to the peer are due.
     :param silence_seconds: time without a frame from the peer after which
         the connection is closed.
     :ivar peer: name of the VM at the other side.
@@ -67,7 +71,9 @@
         timers: timer_service.Timers,
         heartbeat_seconds: float,
         silence_seconds: float,
+        is_dialler: bool,
     ) -> None:
+        self.is_dialler = is_dialler
         self.socket = socket
         self.reader = reader
         self.max_frame_bytes = reader.max_body_bytes
@@ -207,15 +213,25 @@
             stream.fail(error)
 
     async def send_heartbeats(self, scope: anyio.CancelScope) -> None:
-        """Sends heartbeats, and closes a connection without any frames."""
+        """Sends heartbeats, and closes a connection without any frames.
+
+        Any frame of the peer shows that it is alive, so an end sends a
+        heartbeat only if it has received nothing for a while, the listening
+        end after a longer one: the heartbeats of the dialling end are enough.
+        If frames are lost in one direction, the end that receives nothing
+        closes the connection, which ends it for the other one.
+        """
+        idle_intervals = DIALLER_IDLE_INTERVALS
+        if not self.is_dialler:
+            idle_intervals = LISTENER_IDLE_INTERVALS
         while True:
             await self.timers.sleep(self.heartbeat_seconds)
-            if (
-                self.timers.now() - self.last_received_at
-                > self.silence_seconds
-            ):
+            silence = self.timers.now() - self.last_received_at
+            if silence > self.silence_seconds:
                 scope.cancel()
                 return
+            if silence < idle_intervals * self.heartbeat_seconds:
+                continue
             with self.timers.move_on_after(self.silence_seconds):
                 with contextlib.suppress(errors.PeerError):
                     await self.send(frames.Kind.PING)
--- a/src/greengagegw/adapters/peer_mesh.py
+++ b/src/greengagegw/adapters/peer_mesh.py
@@ -135,7 +135,7 @@
         if peer is None:
             await anyio.aclose_forcefully(socket)
             return
-        connection = self.make_connection(socket, reader, peer)
+        connection = self.make_connection(socket, reader, peer, False)
         self.accepted.add(connection)
         try:
             await connection.run()
@@ -148,6 +148,7 @@
         socket: anyio.abc.ByteStream,
         reader: frames.FrameReader,
         peer: str,
+        is_dialler: bool,
     ) -> peer_connection.Connection:
         return peer_connection.Connection(
             socket,
@@ -157,6 +158,7 @@
             self.timers,
             self.settings.timeouts.heartbeat_seconds,
             self.settings.timeouts.peer_silence_seconds,
+            is_dialler,
         )
 
     @property
@@ -235,7 +237,7 @@
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(socket)
             raise
-        return self.make_connection(socket, reader, peer.vm)
+        return self.make_connection(socket, reader, peer.vm, True)
 
     async def run_dialled(
         self, vm: str, connection: peer_connection.Connection
