--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -225,8 +225,8 @@
         entry_vm = self.links.choose_entry_vm(region)
         destination = (job.service.name, region)
         tokens = 0.0
-        if job.request.prompt is not None and job.service.is_engine:
-            tokens = float(job.request.prompt.tokens)
+        if job.generation_prompt is not None:
+            tokens = float(job.generation_prompt.tokens)
         self.planner.log(
             'request:forwarded', job, region=region, vm=entry_vm.vm
         )
@@ -262,7 +262,7 @@
                     self.timers, job, stream.receive()
                 )
                 release_tokens()
-                self.planner.record_forwarded_prefix(
+                self.planner.region_prefixes.record_response(
                     job, region, self.timers.now()
                 )
                 status, headers = response_head
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -150,8 +150,8 @@
             self.acquire_reroute,
         )
         server.record_start(in_flight)
-        if job.request.prompt is not None and job.service.is_engine:
-            server.prefix_cache.record_prompt(job.request.prompt)
+        if job.generation_prompt is not None:
+            server.prefix_cache.record_prompt(job.generation_prompt)
         backend_request = ports.BackendRequest(
             job.request,
             job.organisation,
--- a/src/greengagegw/serving/jobs.py
+++ b/src/greengagegw/serving/jobs.py
@@ -9,6 +9,7 @@
 from . import admission
 from ..fleet import configuration as configurations
 from . import ports
+from . import prompts
 from . import servers as server_pool
 
 
@@ -58,6 +59,11 @@
             urgent_rejection_rate,
         )
 
+    @property
+    def generation_prompt(self) -> prompts.Prompt | None:
+        """The prompt, None if no engine has to prefill one."""
+        return self.request.prompt if self.service.is_engine else None
+
     @property
     def has_attempts_left(self) -> bool:
         """Whether the route's attempt limit allows another server."""
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import math
 import random
 import typing
 
@@ -22,7 +21,7 @@
 from . import jobs
 from . import placement
 from . import ports
-from . import prompts
+from . import prefixes
 from . import retry_budget
 from . import servers as server_pool
 
@@ -34,12 +33,6 @@
 # Time from a VM's start until it serves after a power loss of the whole fleet:
 # a leader is elected in 1.2 s, and the VM learns of it a poll of 0.5 s later.
 STARTUP_SECONDS = 2.0
-# A shorter prefix is prefilled sooner than a request crosses to its home.
-MIN_HOME_PREFIX_TOKENS = 1000
-# How long another region is expected to keep a prefix in its caches.
-FORWARDED_PREFIX_SECONDS = 15.0
-# Bounds the memory for what is known of prefixes.
-MAX_KNOWN_PREFIXES = 4096
 # A lease outlasts an election, so an expired one indicates an outage.
 OUTAGE_SECONDS = 1.5
 
@@ -58,82 +51,9 @@
     window_seconds: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PromptTokens:
-    """What a region would prefill of a prompt, as far as this VM knows.
-
-    :ivar uncached: tokens that the region has not prefilled for this VM.
-    :ivar uncached_prefix: part of them that it may have prefilled for other
-        VMs, since it is the home of the prefix.
-    """
-
-    uncached: int
-    uncached_prefix: int
-
-
-class HomeRegions:
-    """Finds the region of the home server of a prompt's shared prefix.
-
-    The home server is chosen among the instances of all regions, on which all
-    VMs agree up to the lag of the list.
-
-    :ivar found: region by service, prefix and allowed regions, for the
-        instance list ``instances``.
-    """
-
-    def __init__(
-        self, view: agents.FleetView, region_by_domain: dict[str, str]
-    ) -> None:
-        self.view = view
-        self.region_by_domain = region_by_domain
-        self.instances: dict | None = None
-        self.found: dict[tuple, str] = {}
-
-    def find(self, job: jobs.Job, allowed: frozenset[str] | None) -> str:
-        """Returns the home region of a job, empty if it has none.
-
-        :param allowed: regions that may run the request; None for all.
-        """
-        prompt = job.request.prompt
-        if (
-            not job.service.is_engine
-            or prompt is None
-            or prompt.shared_tokens < MIN_HOME_PREFIX_TOKENS
-        ):
-            return ''
-        is_new_list = self.instances is not self.view.instances
-        if is_new_list or len(self.found) >= MAX_KNOWN_PREFIXES:
-            self.instances = self.view.instances
-            self.found.clear()
-        key = (job.service.name, prompt.shared_prefix, allowed)
-        if key not in self.found:
-            self.found[key] = self.compute(*key)
-        return self.found[key]
-
-    def compute(
-        self, service: str, prefix: str, allowed: frozenset[str] | None
-    ) -> str:
-        region_by_name = {
-            one.name: self.region_by_domain.get(one.domain, '')
-            for one in self.view.instances.values()
-            if one.service == service and not one.is_leaving
-        }
-        home = placement.home_name(
-            prefix,
-            (
-                name
-                for name, region in region_by_name.items()
-                if allowed is None or region in allowed
-            ),
-        )
-        return region_by_name.get(home, '')
-
-
 class RequestPlanner:
     """Decides on requests from the state that one entry VM has.
 
-    :ivar forwarded_prefixes: timer seconds at which another region responded
-        to a request with a prefix, by region and prefix.
     :ivar forwarded_tokens: prompt tokens forwarded to another region without a
         response yet, by service and region.
     """
@@ -163,8 +83,9 @@
         self.rejection_rates: dict[str, admission.RejectionRate] = {}
         self.urgent_rejection_rates: dict[str, admission.RejectionRate] = {}
         self.forwarded_tokens: dict[tuple[str, str], float] = {}
-        self.forwarded_prefixes: dict[tuple[str, str], float] = {}
-        self.home_regions = HomeRegions(self.view, pool.region_by_domain)
+        self.region_prefixes = prefixes.RegionPrefixes(
+            self.view, pool.region_by_domain
+        )
         self.started_at = timers.now()
 
     def create_job(self, request: ports.Request, now: float) -> jobs.Job:
@@ -309,7 +230,7 @@
         """
         now = self.timers.now()
         local_region = self.pool.region
-        home_region = self.home_regions.find(job, allowed)
+        home_region = self.region_prefixes.find_home(job, allowed)
         estimates = self.estimate_remote_regions(job, home_region, now)
         local_wait = None
         if allowed is None or local_region in allowed:
@@ -369,56 +290,19 @@
 
     def local_prompt_tokens(
         self, job: jobs.Job, home_region: str, now: float
-    ) -> PromptTokens:
+    ) -> prefixes.PromptTokens:
         """Returns what this region would prefill of a prompt."""
-        prompt = job.request.prompt
-        if not job.service.is_engine or prompt is None:
-            return PromptTokens(0, 0)
+        prompt = job.generation_prompt
+        if prompt is None:
+            return prefixes.NO_TOKENS
         cached_tokens = max(
             one.prefix_cache.cached_tokens(prompt)
             for one in self.pool.usable_servers(job.service, now)
         )
-        return self.prompt_tokens(
+        return prefixes.tokens_to_prefill(
             prompt, cached_tokens, home_region == self.pool.region
         )
 
-    def remote_prompt_tokens(
-        self, job: jobs.Job, region: str, home_region: str, now: float
-    ) -> PromptTokens:
-        """Returns what another region would prefill of a prompt."""
-        prompt = job.request.prompt
-        if not job.service.is_engine or prompt is None:
-            return PromptTokens(0, 0)
-        sent_at = self.forwarded_prefixes.get(
-            (region, prompt.shared_prefix), -math.inf
-        )
-        is_cached = now - sent_at < FORWARDED_PREFIX_SECONDS
-        return self.prompt_tokens(
-            prompt,
-            prompt.shared_tokens if is_cached else 0,
-            home_region == region,
-        )
-
-    @staticmethod
-    def prompt_tokens(
-        prompt: prompts.Prompt, cached_tokens: int, is_home: bool
-    ) -> PromptTokens:
-        prefix_tokens = max(0, prompt.shared_tokens - cached_tokens)
-        return PromptTokens(
-            prompt.tokens - cached_tokens, prefix_tokens if is_home else 0
-        )
-
-    def record_forwarded_prefix(
-        self, job: jobs.Job, region: str, now: float
-    ) -> None:
-        """Records that a region has prefilled the prompt of a request."""
-        prompt = job.request.prompt
-        if prompt is None or not prompt.shared_prefix:
-            return
-        if len(self.forwarded_prefixes) >= MAX_KNOWN_PREFIXES:
-            self.forwarded_prefixes.clear()
-        self.forwarded_prefixes[region, prompt.shared_prefix] = now
-
     def estimate_remote_regions(
         self, job: jobs.Job, home_region: str, now: float
     ) -> dict[str, placement.RegionEstimate]:
@@ -435,7 +319,9 @@
                 (job.service.name, region), 0.0
             )
             wait = load.wait + forwarded / load.total_speed
-            tokens = self.remote_prompt_tokens(job, region, home_region, now)
+            tokens = self.region_prefixes.remote_prompt_tokens(
+                job, region, home_region, now
+            )
             wait += tokens.uncached / load.speed
             estimates[region] = self.estimate_region(
                 job, wait, tokens, load.pace, load.speed, now
@@ -446,7 +332,7 @@
         self,
         job: jobs.Job,
         wait_seconds: float,
-        tokens: PromptTokens,
+        tokens: prefixes.PromptTokens,
         interval: float,
         tokens_per_second: float,
         now: float,
@@ -468,8 +354,8 @@
 
         :param tokens_per_second: prefill rate.
         """
-        prompt = job.request.prompt
-        if not job.service.is_engine or prompt is None:
+        prompt = job.generation_prompt
+        if prompt is None:
             return 0.0
         return prompt.tokens / tokens_per_second
 
@@ -561,8 +447,8 @@
         """Returns seconds until the response begins, and uncached tokens."""
         peer_totals = self.backlog_exchange.peer_totals(server.instance.name)
         load = server.estimate_load(peer_totals, now)
-        prompt = job.request.prompt
-        if not job.service.is_engine or prompt is None:
+        prompt = job.generation_prompt
+        if prompt is None:
             return engine_model.response_seconds(load), 0.0
         uncached_tokens = prompt.tokens - server.prefix_cache.cached_tokens(
             prompt
@@ -576,8 +462,8 @@
         job: jobs.Job, server: server_pool.Server
     ) -> int:
         """Returns the shared tokens that this VM has not sent to a server."""
-        prompt = job.request.prompt
-        if not job.service.is_engine or prompt is None:
+        prompt = job.generation_prompt
+        if prompt is None:
             return 0
         cached_tokens = server.prefix_cache.cached_tokens(prompt)
         return max(0, prompt.shared_tokens - cached_tokens)
@@ -587,8 +473,8 @@
 
         :param interval: seconds between events.
         """
-        prompt = job.request.prompt
-        if not job.service.is_engine or prompt is None:
+        prompt = job.generation_prompt
+        if prompt is None:
             return 0.0
         return (
             self.response_lengths.predict_events(job.route.name, prompt)
