--- a/src/greengagegw/serving/placement.py
+++ b/src/greengagegw/serving/placement.py
@@ -8,10 +8,11 @@
 exchanging messages, and other servers get it only if their queues are shorter
 by more than the prefill costs. A long prefix is also worth crossing to the
 region of its home server, as prefilling it takes longer than the round trip.
-Servers that fail part
-of their requests get fewer. A server that prefills prompts all the time begins
-responses soon enough, but its events follow so slowly that long responses
-exceed their clients' deadlines, while servers of other regions are fast.
+
+Servers that fail part of their requests get fewer. A server that prefills
+prompts all the time begins responses soon enough, but its events follow so
+slowly that long responses exceed their clients' deadlines, while servers of
+other regions are fast.
 """
 
 import collections.abc
