--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -30,6 +30,8 @@
     def __init__(self, time):
         self.time = time
         self.connections = 0
+        # The late copy and the next response are written by two tasks.
+        self.send_lock = anyio.Lock()
 
     async def serve(self, stream):
         self.connections += 1
@@ -46,7 +48,8 @@
                     if self.time == 'in the same write':
                         await stream.send(copy * 2)
                         continue
-                    await stream.send(copy)
+                    async with self.send_lock:
+                        await stream.send(copy)
                     if self.time == 'at once':
                         await stream.send(copy)
                     elif self.time == '0.02 seconds later':
@@ -60,7 +63,8 @@
 
     async def send_late(self, stream, copy):
         await anyio.sleep(0.02)
-        await stream.send(copy)
+        async with self.send_lock:
+            await stream.send(copy)
 
 
 def make_response(head):
