Log responses that end with their connection

A response with neither a length nor chunks ends when its connection is closed, and no log line said so: an orderly close in the middle of such a body could not be told from its end, nor from a failure lost between VMs or in the HTTP server of the gateway.

The platform's client now reports whether a body ends that way, and the VM that ran the request logs request:ended_by_close with the events received and the bytes after the last complete event. The counter greengagegw_events_total{event="request:ended_by_close"} follows from it.

Tests: features/platform/connections reads such bodies on real sockets, ended by a close and by a reset, and bodies with a length and with chunks, whole and cut.

--- a/features/platform/connections.feature
+++ b/features/platform/connections.feature
@@ -21,3 +21,17 @@
     When 30 requests follow one another, each after 0.0 seconds
     Then each gets its own response
     And the server accepted 1 connection
+
+  Scenario Outline: Only an orderly close may end a body without a length
+    Given a backend server whose response has <framing> and ends by <ending>
+    When its body is read
+    Then the body is <result>
+
+    Examples:
+      | framing               | ending           | result                           |
+      | its whole length      | an orderly close | complete, and not ended by close |
+      | all of its chunks     | an orderly close | complete, and not ended by close |
+      | no length and chunks  | an orderly close | complete, and ended by close     |
+      | no length and chunks  | a reset          | broken                           |
+      | a length too long     | an orderly close | broken                           |
+      | chunks without an end | an orderly close | broken                           |
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -1,9 +1,13 @@
 """Steps for the connections to backend servers of the platform."""
 
+import contextlib
 import re
+import socket
 import ssl
+import struct
 
 import anyio
+import anyio.abc
 import behave
 
 from features import fleet_world
@@ -18,6 +22,8 @@
 HOST = f'127.{loopback_blocks.reserve_block()}.1.1'
 PORT = 8080
 REQUEST_TIMEOUT_SECONDS = 5.0
+# An unsent rest is discarded, and the connection reset.
+NO_LINGER = struct.pack('ii', 1, 0)
 REQUEST_ID = re.compile(rb'greengagegw-attempt-id: (\S+)')
 
 
@@ -103,6 +109,17 @@
 @in_fleet
 async def when_requests_follow(context, count, pause):
     context.outcomes = []
+    async with connected_client(context) as (client, instance):
+        for number in range(count):
+            await anyio.sleep(pause)
+            context.outcomes.append(
+                await send(client, instance, f'r-{number}')
+            )
+
+
+@contextlib.asynccontextmanager
+async def connected_client(context):
+    """Enters a client and the instance that is the scenario's server."""
     timers = timer_service.Timers()
     client = backend_client.BackendClient(
         timers, ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
@@ -111,17 +128,12 @@
     async with context.listener, anyio.create_task_group() as tasks:
         tasks.start_soon(timers.run)
         tasks.start_soon(context.listener.serve, context.server.serve)
-        for number in range(count):
-            await anyio.sleep(pause)
-            context.outcomes.append(
-                await send(client, instance, f'r-{number}')
-            )
+        yield client, instance
         await client.prune_transports(())
         tasks.cancel_scope.cancel()
 
 
-async def send(client, instance, name):
-    """Returns the ID, and the body or the error of its request."""
+def make_request(name):
     scope = {
         'method': 'GET',
         'path': '/',
@@ -133,11 +145,15 @@
         ],
     }
     request = client_application.decode_request(scope, b'')
-    backend_request = ports.BackendRequest(request, None, 3.0, 0, None, True)
+    return ports.BackendRequest(request, None, 3.0, 0, None, True)
+
+
+async def send(client, instance, name):
+    """Returns the ID, and the body or the error of its request."""
     try:
         with anyio.fail_after(REQUEST_TIMEOUT_SECONDS):
             async with client.send(
-                instance, backend_request, lambda notice: None
+                instance, make_request(name), lambda notice: None
             ) as response:
                 body = b''.join([one async for one in response.chunks])
     except errors.BackendError as error:
@@ -164,3 +180,74 @@
 @behave.then('the server accepted {count:d} connection')
 def then_connections(context, count):
     assert context.server.connections == count, context.server.connections
+
+
+BODIES = {
+    'its whole length': b'Content-Length: 5\r\n\r\nwhole',
+    'all of its chunks': (
+        b'Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n'
+    ),
+    'no length and chunks': b'\r\nwhole',
+    'a length too long': b'Content-Length: 6\r\n\r\nwhole',
+    'chunks without an end': b'Transfer-Encoding: chunked\r\n\r\n5\r\nwhole',
+}
+
+
+class ClosingServer:
+    """A backend server that closes each connection after its response."""
+
+    def __init__(self, body, is_reset):
+        self.body = body
+        self.is_reset = is_reset
+
+    async def serve(self, stream):
+        async with stream:
+            head = b''
+            while b'\r\n\r\n' not in head:
+                head += await stream.receive()
+            name = REQUEST_ID.search(head.lower()).group(1)
+            await stream.send(
+                b'HTTP/1.1 200 OK\r\nGreengagegw-Attempt-Id: %s\r\n'
+                b'Greengagegw-Server-Stamp: s\r\n%s' % (name, self.body)
+            )
+            if self.is_reset:
+                # The body is read before the reset discards it.
+                await anyio.sleep(0.05)
+                stream.extra(anyio.abc.SocketAttribute.raw_socket).setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+                )
+
+
+@behave.given(
+    'a backend server whose response has {framing} and ends by {ending}'
+)
+@in_fleet
+async def given_ending(context, framing, ending):
+    context.server = ClosingServer(BODIES[framing], ending == 'a reset')
+    context.listener = await anyio.create_tcp_listener(
+        local_host=HOST, local_port=PORT
+    )
+
+
+@behave.when('its body is read')
+@in_fleet
+async def when_body_read(context):
+    async with connected_client(context) as (client, instance):
+        context.body = context.error = None
+        try:
+            async with client.send(
+                instance, make_request('r-1'), lambda notice: None
+            ) as response:
+                context.ends_by_close = response.ends_by_close
+                context.body = b''.join([one async for one in response.chunks])
+        except errors.BrokenStreamError as error:
+            context.error = error
+
+
+@behave.then('the body is {result}')
+def then_body(context, result):
+    if result == 'broken':
+        assert context.error is not None, context.body
+        return
+    assert (context.body, context.error) == (b'whole', None), context.error
+    assert context.ends_by_close == (result == 'complete, and ended by close')
--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -26,6 +26,7 @@
 # To a client these statuses mean that the request did not run. A backend
 # server says so with NOT_EXECUTED, so without it they are not passed on.
 NOT_RUN_STATUSES = (408, 429, 503)
+BODILESS_STATUSES = (204, 304)
 # Engines schedule by priorities from 0 to 9; a request without one has 5.
 RESUMPTION_PRIORITY = b'4'
 DEFAULT_PRIORITY = b'5'
@@ -119,6 +120,7 @@
                         http_names.INSTANCE_LOAD
                     )
                 ),
+                ends_by_close(request.method, response),
             )
         finally:
             await response.aclose()
@@ -238,6 +240,20 @@
         )
 
 
+def ends_by_close(method: bytes, response: httpcore.Response) -> bool:
+    """Returns whether the body of a response ends with its connection.
+
+    (RFC 9112, section 6.3.)
+    """
+    if method == b'HEAD' or response.status in BODILESS_STATUSES:
+        return False
+    headers = headers_by_name(response.headers)
+    return (
+        b'transfer-encoding' not in headers
+        and b'content-length' not in headers
+    )
+
+
 async def iterate_body(
     instance: instances.Instance, response: httpcore.Response
 ) -> collections.abc.AsyncIterator[bytes]:
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -237,6 +237,7 @@
         self, response: ports.Response
     ) -> collections.abc.AsyncIterator[bytes]:
         """Yields the body of a response as it arrives."""
+        splitter = events.EventSplitter(None)
         while True:
             self.record_chunk_wait()
             try:
@@ -249,10 +250,29 @@
                 self.record_stream_failure(error)
                 raise
             self.record_chunk(chunk)
+            if self.job.route.is_stream:
+                splitter.feed(chunk)
             yield chunk
+        self.log_end(response, splitter)
         self.record_completion()
         await self.close(is_complete=True)
 
+    def log_end(
+        self, response: ports.Response, splitter: events.EventSplitter
+    ) -> None:
+        """Logs the end of a body that ended with its connection.
+
+        Only its content shows whether such a body is complete.
+        """
+        if response.ends_by_close and self.server is not None:
+            self.planner.log(
+                'request:ended_by_close',
+                self.job,
+                server=self.server.instance.name,
+                events=self.event_count,
+                unfinished_bytes=len(splitter.buffer),
+            )
+
     def record_chunk_wait(self) -> None:
         if self.in_flight is not None:
             self.in_flight.waiting_since = self.timers.now()
@@ -311,6 +331,7 @@
                     if complete_events:
                         stall_timer.waited_seconds = 0.0
                         yield complete_events
+                self.log_end(response, splitter)
                 if splitter.buffer:
                     raise errors.BrokenStreamError(
                         'the stream ended in the middle of an event'
--- a/src/greengagegw/serving/ports.py
+++ b/src/greengagegw/serving/ports.py
@@ -127,12 +127,15 @@
 
     :ivar chunks: the body; raises BrokenStreamError if it ends early.
     :ivar load: the load that the server reported, if any.
+    :ivar ends_by_close: whether the body ends with its connection, so that
+        an orderly close in the middle of it looks like its end.
     """
 
     status: int
     headers: RawHeaders
     chunks: collections.abc.AsyncIterator[bytes]
     load: ReportedLoad | None = None
+    ends_by_close: bool = False
 
 
 class BackendPort(typing.Protocol):
