--- a/features/serving/dispatch.feature
+++ b/features/serving/dispatch.feature
@@ -32,6 +32,24 @@
       | stream    | 2            | disconnects after 2 events    | a truncated response  | 1        |
       | stream    | 2            | disconnects before responding | an unknown outcome    | 1        |
 
+  @known_red
+  Scenario Outline: A stream cut off by an orderly close does not look complete
+    Given <regions>
+    And a <kind> route with <max_attempts> attempts
+    When a request is sent to a server that <fault>
+    Then the caller gets <result>
+
+    Examples:
+      | regions                                         | kind      | max_attempts | fault                         | result                |
+      | 1 region with 2 engines and 1 entry VM          | stream    | 2            | closes within the third event | a truncated response  |
+      | region a without engines and region b with 1 engine | stream | 2           | closes within the third event | a truncated response  |
+      | 1 region with 2 engines and 1 entry VM          | stream    | 2            | closes before the first event | an unknown outcome    |
+      | region a without engines and region b with 1 engine | stream | 2           | closes before the first event | an unknown outcome    |
+      | 1 region with 2 engines and 1 entry VM          | resumable | 1            | closes within the third event | a truncated response  |
+      | 1 region with 2 engines and 1 entry VM          | resumable | 1            | closes before the first event | an unknown outcome    |
+      | 1 region with 2 engines and 1 entry VM          | resumable | 2            | closes within the third event | the complete response |
+      | 1 region with 2 engines and 1 entry VM          | resumable | 2            | closes before the first event | the complete response |
+
   Scenario: The caller gets an error when the route's timeout expires
     Given 1 region with 1 engines and 1 entry VM
     And a unsafe route with 1 attempts
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -37,6 +37,11 @@
 CACHE_CAPACITY_TOKENS = 400_000
 # Interval between polls of the control VMs, and the age of their reports.
 POLL_SECONDS = 0.5
+# Faults of a response without a length that ends with its connection.
+CLOSE_FAULTS = (
+    'closes before the first event',
+    'closes within the third event',
+)
 
 
 class PrefillQueue:
@@ -124,7 +129,11 @@
             on_notice(ports.ServerNotice(self.is_leaving))
             load = ports.ReportedLoad(self.running, 0, self.instance.slots)
             yield ports.Response(
-                status, (), self.generate(backend_request, fault), load
+                status,
+                (),
+                self.generate(backend_request, fault),
+                load,
+                fault in CLOSE_FAULTS,
             )
         finally:
             self.running -= 1
@@ -152,6 +161,8 @@
         if prompt is None:
             yield b'whole'
             return
+        if fault == 'closes before the first event':
+            return
         count = max(1, prompt.max_output_tokens // EVENT_TOKENS)
         first = int(backend_request.resume_after or 0) + 1
         for number in range(first, count + 1):
@@ -161,6 +172,9 @@
                 raise errors.BrokenStreamError(
                     'the connection broke after 2 events'
                 )
+            if fault == 'closes within the third event' and number == 3:
+                yield event[:7]
+                return
             if fault == 'goes silent after 2 events' and number == 3:
                 await self.world.timers.sleep(1000)
             if fault == 'sends single bytes after 2 events' and number == 3:
