Detect streams that are cut off by an orderly close

Cause: the end of a stream was taken from its framing alone. A response with neither a length nor chunks ends with its connection, so every orderly close looked like its end. Only streams that may be resumed were checked for an unfinished event, since the check was part of resuming.

Change: every event stream is read as events, and its end is checked, whether or not it may be resumed. A stream that ends within an event, or by a close before its first event, has broken off: it is resumed where the route allows it, and otherwise the client's response is aborted, or gets a 502 if it has not started. Clients get complete events only. A failure status of a stream's route is no event stream and is passed on as it is; a resumable stream whose server answered with an error page used to be resumed elsewhere under the page's status.

Why it works: an event stream shows by its last event whether it is complete, which does not depend on how the body is delimited.

The serving world records the status with the first chunk, as the HTTP layer sends it.

--- a/features/serving/dispatch.feature
+++ b/features/serving/dispatch.feature
@@ -29,10 +29,11 @@
       | stream    | 2            | sends single bytes after 2 events | a truncated response | 1     |
       | unsafe    | 2            | is silent                     | an unknown outcome    | 1        |
       | resumable | 1            | disconnects after 2 events    | a truncated response  | 1        |
+      | resumable | 1            | responds with an error page   | the server's error    | 1        |
+      | stream    | 2            | responds with an error page   | the server's error    | 1        |
       | stream    | 2            | disconnects after 2 events    | a truncated response  | 1        |
       | stream    | 2            | disconnects before responding | an unknown outcome    | 1        |
 
-  @known_red
   Scenario Outline: A stream cut off by an orderly close does not look complete
     Given <regions>
     And a <kind> route with <max_attempts> attempts
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -37,6 +37,7 @@
 CACHE_CAPACITY_TOKENS = 400_000
 # Interval between polls of the control VMs, and the age of their reports.
 POLL_SECONDS = 0.5
+ERROR_FAULTS = ('responds with an error', 'responds with an error page')
 # Faults of a response without a length that ends with its connection.
 CLOSE_FAULTS = (
     'closes before the first event',
@@ -125,7 +126,7 @@
         self.running += 1
         try:
             await self.prefill(backend_request)
-            status = 500 if fault == 'responds with an error' else 200
+            status = 500 if fault in ERROR_FAULTS else 200
             on_notice(ports.ServerNotice(self.is_leaving))
             load = ports.ReportedLoad(self.running, 0, self.instance.slots)
             yield ports.Response(
@@ -163,6 +164,9 @@
             return
         if fault == 'closes before the first event':
             return
+        if fault == 'responds with an error page':
+            yield b'an error page'
+            return
         count = max(1, prompt.max_output_tokens // EVENT_TOKENS)
         first = int(backend_request.resume_after or 0) + 1
         for number in range(first, count + 1):
@@ -489,11 +493,13 @@
         self.outcomes.append(outcome)
         try:
             async with self.dispatchers[vm].handle(request) as response:
-                outcome.status = response.status
                 async for chunk in response.chunks:
                     if outcome.first_at is None:
                         outcome.first_at = self.timers.now()
+                        # The status is sent with the first chunk.
+                        outcome.status = response.status
                     outcome.body += chunk
+                outcome.status = response.status
         except errors.GatewayError as error:
             outcome.error = error
         outcome.ended_at = self.timers.now()
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -385,8 +385,9 @@
         )
         try:
             response = await execution.first_response()
-            if job.route.is_stream and job.route.is_resumable:
-                chunks = execution.resumed_chunks(response)
+            is_event_stream = response.status == 200 and job.route.is_stream
+            if is_event_stream:
+                chunks = execution.stream_events(response)
             else:
                 chunks = execution.stream_chunks(response)
             yield ports.Response(response.status, response.headers, chunks)
--- a/src/greengagegw/serving/events.py
+++ b/src/greengagegw/serving/events.py
@@ -13,10 +13,12 @@
     beginning of the interrupted event twice.
 
     :ivar last_id: ID of the last event that ``feed`` returned.
+    :ivar count: events that ``feed`` returned.
     """
 
     def __init__(self, last_id: str | None) -> None:
         self.last_id = last_id
+        self.count = 0
         self.buffer = b''
 
     def feed(self, chunk: bytes) -> bytes:
@@ -25,6 +27,7 @@
         end = 0
         for match in EVENT_END.finditer(self.buffer):
             end = match.end()
+            self.count += 1
         complete, self.buffer = self.buffer[:end], self.buffer[end:]
         for match in ID_FIELD.finditer(complete):
             self.last_id = match.group(1).decode('latin-1')
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -237,7 +237,6 @@
         self, response: ports.Response
     ) -> collections.abc.AsyncIterator[bytes]:
         """Yields the body of a response as it arrives."""
-        splitter = events.EventSplitter(None)
         while True:
             self.record_chunk_wait()
             try:
@@ -250,28 +249,39 @@
                 self.record_stream_failure(error)
                 raise
             self.record_chunk(chunk)
-            if self.job.route.is_stream:
-                splitter.feed(chunk)
             yield chunk
-        self.log_end(response, splitter)
-        self.record_completion()
         await self.close(is_complete=True)
 
-    def log_end(
+    def check_stream_end(
         self, response: ports.Response, splitter: events.EventSplitter
     ) -> None:
-        """Logs the end of a body that ended with its connection.
+        """Checks that a stream that ended without an error is complete.
+
+        A body that ends with its connection does not show by its framing
+        whether it is complete; its events do.
 
-        Only its content shows whether such a body is complete.
+        :raises BrokenStreamError: if it ended within an event, or without
+            any event although nothing else marks its end.
         """
         if response.ends_by_close and self.server is not None:
             self.planner.log(
                 'request:ended_by_close',
                 self.job,
                 server=self.server.instance.name,
-                events=self.event_count,
+                events=splitter.count,
                 unfinished_bytes=len(splitter.buffer),
             )
+        if splitter.buffer:
+            raise errors.BrokenStreamError(
+                'the stream ended in the middle of an event, after'
+                f' {len(splitter.buffer)} of its bytes'
+            )
+        is_empty = not splitter.count and splitter.last_id is None
+        if response.ends_by_close and is_empty:
+            raise errors.BrokenStreamError(
+                'the connection was closed before the first event of a stream'
+                ' without a length'
+            )
 
     def record_chunk_wait(self) -> None:
         if self.in_flight is not None:
@@ -316,10 +326,16 @@
                 self.server.record_outcome(True, self.timers.now())
             self.log_failure(self.server, error.code)
 
-    async def resumed_chunks(
+    async def stream_events(
         self, response: ports.Response
     ) -> collections.abc.AsyncIterator[bytes]:
-        """Yields complete events; resumes on another server on failure."""
+        """Yields the complete events of a stream as they arrive.
+
+        If the route allows it, a stream that breaks off is resumed on another
+        server.
+
+        :raises BackendError: if the stream breaks off for good.
+        """
         splitter = events.EventSplitter(self.job.request.resume_after)
         while True:
             try:
@@ -331,14 +347,12 @@
                     if complete_events:
                         stall_timer.waited_seconds = 0.0
                         yield complete_events
-                self.log_end(response, splitter)
-                if splitter.buffer:
-                    raise errors.BrokenStreamError(
-                        'the stream ended in the middle of an event'
-                    )
+                self.check_stream_end(response, splitter)
                 break
             except errors.BackendError as error:
                 self.record_stream_failure(error)
+                if not self.job.route.is_resumable:
+                    raise
                 splitter.discard_partial_event()
                 await self.close()
                 response = await self.resume(splitter.last_id, error)
@@ -351,11 +365,12 @@
 
         Infinite if no other server may resume the stream.
         """
-        if not self.job.has_attempts_left:
+        job = self.job
+        if not job.route.is_resumable or not job.has_attempts_left:
             return math.inf
         return max(
             MIN_STALL_SECONDS,
-            STALL_OBJECTIVE_FACTOR * self.job.route.event_gap_objective,
+            STALL_OBJECTIVE_FACTOR * job.route.event_gap_objective,
         )
 
     async def chunks_before_stall(
