Take only an event of its own for the end marker of a stream

A caller of an engine whose text quotes 'data: [DONE]' got no error when that stream broke off later: the end was taken from its bytes, not from its events, so a truncated stream counted as complete.

The marker now has to be an event. Test: features/backends/failures, 'A stream that cannot be resumed ends with an error event' with quoted_end: 32 passed, 1 failed on the code before, 33 passed with the change. The check for the marker looks at events as well, since the text may quote it.

--- a/features/backends/failures.feature
+++ b/features/backends/failures.feature
@@ -55,10 +55,11 @@
     Then the stream ends with an error event <code> and run ran
 
     Examples:
-      | fault     | code            |
-      | cut       | stream_broken   |
-      | early_end | stream_broken   |
-      | hang      | backend_timeout |
+      | fault      | code            |
+      | cut        | stream_broken   |
+      | early_end  | stream_broken   |
+      | quoted_end | stream_broken   |
+      | hang       | backend_timeout |
 
   Scenario Outline: A call that may not be repeated is not retried
     Given every plain service fails with <fault>
--- a/src/greengagegw/streams.py
+++ b/src/greengagegw/streams.py
@@ -50,8 +50,9 @@
             return b''
         self.partial_event = content[end:]
         events = content[:end] if self.partial_event else content
+        # The text of an event may contain the marker as well.
         if END_MARKER in events:
-            self.is_complete = True
+            self.is_complete = END_MARKER in events.split(EVENT_SEPARATOR)
         if USAGE_FIELD in events and has_usage(events):
             return self.filter_usage(events)
         return events
