Buffer responses without a length for clients of HTTP/1.0

A client of HTTP/1.0 took a response that broke off for complete: it knows no chunks, so the connection was closed in the same way after a whole body and after an aborted one.

Such a response is read first and sent with its length, or an error is sent in its place; the limit is 16 MiB. reading a whole body is one function now (streams.read_body).

--- a/features/platform/connections.feature
+++ b/features/platform/connections.feature
@@ -35,3 +35,15 @@
       | no length and chunks  | a reset          | broken                           |
       | a length too long     | an orderly close | broken                           |
       | chunks without an end | an orderly close | broken                           |
+
+  Scenario Outline: A response that breaks off does not look complete
+    Given an entry VM whose response <ending> after its first chunk
+    When a client of HTTP/<version> reads it to the end of the connection
+    Then the client has <result>
+
+    Examples:
+      | version | ending     | result                         |
+      | 1.1     | breaks off | a body without its last chunk  |
+      | 1.0     | breaks off | an error instead of the body   |
+      | 1.1     | is whole   | the whole body in chunks       |
+      | 1.0     | is whole   | the whole body with its length |
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -5,6 +5,7 @@
 import socket
 import ssl
 import struct
+import types
 
 import anyio
 import anyio.abc
@@ -12,6 +13,7 @@
 
 from features import fleet_world
 from features.steps.fleet import in_fleet
+from greengagegw.adapters import servers
 from greengagegw import errors
 from greengagegw.platform import backend_client
 from greengagegw.platform import client_application
@@ -251,3 +253,91 @@
         return
     assert (context.body, context.error) == (b'whole', None), context.error
     assert context.ends_by_close == (result == 'complete, and ended by close')
+
+
+class StubDispatcher:
+    """Responds with two chunks, or breaks off after the first."""
+
+    def __init__(self, is_whole):
+        self.is_whole = is_whole
+        self.view = types.SimpleNamespace(configuration=None)
+
+    @contextlib.asynccontextmanager
+    async def handle(self, request):
+        yield ports.Response(200, (), self.chunks())
+
+    async def chunks(self):
+        yield b'first'
+        if not self.is_whole:
+            raise errors.BrokenStreamError('the backend server broke off')
+        yield b'last'
+
+
+@behave.given('an entry VM whose response {ending} after its first chunk')
+def given_entry(context, ending):
+    context.dispatcher = StubDispatcher(ending == 'is whole')
+
+
+@behave.when(
+    'a client of HTTP/{version} reads it to the end of the connection'
+)
+@in_fleet
+async def when_client_reads(context, version):
+    timers = timer_service.Timers()
+    application = client_application.ClientApplication(
+        timers, context.dispatcher, lambda: False, lambda request: False
+    )
+    stop = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(timers.run)
+        tasks.start_soon(
+            servers.serve,
+            application,
+            (HOST, PORT),
+            servers.ServerSettings(16384, 0.2, 1.0),
+            stop.wait,
+        )
+        context.received = await exchange(
+            f'GET / HTTP/{version}\r\nHost: h.example\r\n\r\n'.encode()
+        )
+        stop.set()
+        await anyio.sleep(0.1)
+        tasks.cancel_scope.cancel()
+
+
+async def exchange(request):
+    """Returns everything that the entry VM sends on one connection."""
+    with anyio.fail_after(REQUEST_TIMEOUT_SECONDS):
+        while True:
+            try:
+                stream = await anyio.connect_tcp(HOST, PORT)
+                break
+            except OSError:
+                await anyio.sleep(0.02)
+        received = b''
+        async with stream:
+            await stream.send(request)
+            with contextlib.suppress(
+                anyio.EndOfStream, anyio.BrokenResourceError
+            ):
+                while True:
+                    received += await stream.receive()
+    return received
+
+
+@behave.then('the client has {result}')
+def then_client_has(context, result):
+    head, _, body = context.received.partition(b'\r\n\r\n')
+    status = int(head.split()[1])
+    length = re.search(rb'content-length: (\d+)', head.lower())
+    if result == 'an error instead of the body':
+        assert status == 502 and b'first' not in body, context.received
+        return
+    assert status == 200, context.received
+    if result == 'a body without its last chunk':
+        assert b'chunked' in head.lower() and b'first' in body
+        assert not body.endswith(b'0\r\n\r\n'), context.received
+    elif result == 'the whole body in chunks':
+        assert body == b'5\r\nfirst\r\n4\r\nlast\r\n0\r\n\r\n', body
+    else:
+        assert body == b'firstlast' and int(length.group(1)) == 9, head
--- a/src/greengagegw/adapters/asgi.py
+++ b/src/greengagegw/adapters/asgi.py
@@ -139,6 +139,19 @@
         raise ClientDisconnected
 
 
+def ends_by_close(
+    scope: dict, headers: collections.abc.Iterable[tuple[bytes, bytes]]
+) -> bool:
+    """Returns whether only the end of the connection ends a response.
+
+    HTTP/1.0 has no chunks, so without a length such a client takes an aborted
+    response for complete.
+    """
+    return scope['http_version'] == '1.0' and not any(
+        name.lower() == b'content-length' for name, _ in headers
+    )
+
+
 async def send_response(
     send: Send, status: int, headers: list[tuple[bytes, bytes]], body: bytes
 ) -> None:
--- a/src/greengagegw/adapters/client_http.py
+++ b/src/greengagegw/adapters/client_http.py
@@ -10,6 +10,7 @@
 from .. import errors
 from .. import gateway as gateways
 from .. import settings as settings_module
+from .. import streams
 from .. import timers as timer_service
 from . import asgi
 from ..ports import backends
@@ -54,7 +55,7 @@
             await self.send_health(scope['path'], send)
             return
         request_id = uuid.uuid4().hex
-        writer = ResponseWriter(send, request_id)
+        writer = ResponseWriter(scope, send, request_id)
         try:
             await self.process_request(scope, receive, writer, request_id)
         except asgi.ClientDisconnected:
@@ -106,7 +107,8 @@
 class ResponseWriter:
     """Writes the response to a request, or the error in its place."""
 
-    def __init__(self, send: asgi.Send, request_id: str) -> None:
+    def __init__(self, scope: dict, send: asgi.Send, request_id: str) -> None:
+        self.scope = scope
         self.send = send
         self.request_id = request_id
         self.is_started = False
@@ -118,11 +120,16 @@
         Status and headers wait for the first chunk, so that an earlier
         failure can still change the status.
         """
-        first_chunk = await anext(response.chunks, b'')
         headers = [
             (name.encode(), value.encode()) for name, value in response.headers
         ]
         headers.append((b'x-request-id', self.request_id.encode()))
+        if asgi.ends_by_close(self.scope, headers):
+            body = await streams.read_body(response.chunks)
+            self.is_started = True
+            await asgi.send_response(self.send, response.status, headers, body)
+            return
+        first_chunk = await anext(response.chunks, b'')
         content_type = dict(response.headers).get('content-type', '')
         self.is_event_stream = content_type.startswith(EVENT_STREAM_TYPE)
         await self.send(
--- a/src/greengagegw/local_execution.py
+++ b/src/greengagegw/local_execution.py
@@ -16,7 +16,6 @@
 from .policy import retry
 from .ports import backends
 
-MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 MAX_RESUMES_PER_RESPONSE = 3
 
 
@@ -190,7 +189,7 @@
             first = await anext(response.chunks, b'')
             chunks = self.iterate_stream(server, spec, response, first, usage)
         elif spec.call.kind == 'model':
-            body = await read_body(response.chunks)
+            body = await streams.read_body(response.chunks)
             if response.status < 400:
                 usage.tokens = streams.read_body_usage(body)
             else:
@@ -287,23 +286,6 @@
         return response.chunks
 
 
-async def read_body(chunks: collections.abc.AsyncIterator[bytes]) -> bytes:
-    """Returns a whole body.
-
-    :raises BackendError: if it breaks off or is too large to buffer.
-    """
-    parts = []
-    size = 0
-    async for chunk in chunks:
-        parts.append(chunk)
-        size += len(chunk)
-        if size > MAX_BUFFERED_BYTES:
-            raise errors.BackendError(
-                f'the response exceeds {MAX_BUFFERED_BYTES} bytes'
-            )
-    return b''.join(parts)
-
-
 async def read_prefix(
     chunks: collections.abc.AsyncIterator[bytes],
 ) -> list[bytes]:
@@ -313,7 +295,7 @@
     async for chunk in chunks:
         parts.append(chunk)
         size += len(chunk)
-        if size > MAX_BUFFERED_BYTES:
+        if size > streams.MAX_BUFFERED_BYTES:
             break
     return parts
 
--- a/src/greengagegw/platform/client_application.py
+++ b/src/greengagegw/platform/client_application.py
@@ -7,6 +7,7 @@
 import orjson
 
 from .. import errors
+from .. import streams
 from .. import timers as timer_service
 from ..adapters import asgi
 from ..fleet import configuration as configurations
@@ -60,7 +61,7 @@
         self, scope: dict, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         """Serves one HTTP request."""
-        writer = ResponseWriter(send, self.is_leaving)
+        writer = ResponseWriter(scope, send, self.is_leaving)
         started_at = self.timers.now()
         request_id = find_header(scope, http_names.REQUEST_ID)
         outcome = 'answered'
@@ -134,9 +135,11 @@
 
     def __init__(
         self,
+        scope: dict,
         send: asgi.Send,
         is_leaving: collections.abc.Callable[[], bool],
     ) -> None:
+        self.scope = scope
         self.send = send
         self.is_leaving = is_leaving
         self.status = 0
@@ -149,6 +152,12 @@
 
         :raises BrokenStreamError: if the response ends early.
         """
+        if asgi.ends_by_close(self.scope, response.headers):
+            body = await streams.read_body(response.chunks)
+            headers = [*response.headers, *self.connection_headers()]
+            self.status = response.status
+            await asgi.send_response(self.send, self.status, headers, body)
+            return
         first = await anext(response.chunks, b'')
         headers = [*response.headers, *self.connection_headers()]
         await self.send(
--- a/src/greengagegw/streams.py
+++ b/src/greengagegw/streams.py
@@ -1,4 +1,6 @@
-"""Reads the token usage of engine responses while they are forwarded."""
+"""Reads responses, and the token usage of engines while they are forwarded."""
+
+import collections.abc
 
 import orjson
 
@@ -9,6 +11,7 @@
 USAGE_FIELD = b'"usage"'
 NULL_USAGE_FIELDS = (b'"usage":null', b'"usage": null')
 MAX_EVENT_BYTES = 1024 * 1024
+MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 
 
 class EventStreamFilter:
@@ -114,3 +117,20 @@
             'the response body is not valid JSON'
         ) from error
     return read_usage(content) if isinstance(content, dict) else None
+
+
+async def read_body(chunks: collections.abc.AsyncIterator[bytes]) -> bytes:
+    """Returns a whole body.
+
+    :raises BackendError: if it breaks off or is too large to buffer.
+    """
+    parts = []
+    size = 0
+    async for chunk in chunks:
+        parts.append(chunk)
+        size += len(chunk)
+        if size > MAX_BUFFERED_BYTES:
+            raise errors.BackendError(
+                f'the response exceeds {MAX_BUFFERED_BYTES} bytes'
+            )
+    return b''.join(parts)
