Limit the size of an event that is buffered

A backend server that sends an event without end filled the memory of an entry VM and stalled it, and with it every other caller of that VM, until the client's timeout: the unfinished event was buffered without a limit and searched from its beginning with each chunk.

Now an event over 1 MiB (streams.MAX_EVENT_BYTES, as in our own interface) has broken off, and only new bytes are searched. A stream is resumed elsewhere if its route allows it.

--- a/features/serving/dispatch.feature
+++ b/features/serving/dispatch.feature
@@ -51,6 +51,18 @@
       | 1 region with 2 engines and 1 entry VM          | resumable | 2            | closes within the third event | the complete response |
       | 1 region with 2 engines and 1 entry VM          | resumable | 2            | closes before the first event | the complete response |
 
+  Scenario Outline: An event without end is not buffered without limit
+    Given 1 region with 2 engines and 1 entry VM
+    And a <kind> route with 2 attempts
+    When a request is sent to a server that sends an endless event
+    Then the caller gets <result>
+    And the server was cut off within 2 MiB
+
+    Examples:
+      | kind      | result                |
+      | resumable | the complete response |
+      | stream    | a truncated response  |
+
   Scenario: The caller gets an error when the route's timeout expires
     Given 1 region with 1 engines and 1 entry VM
     And a unsafe route with 1 attempts
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -37,6 +37,7 @@
 CACHE_CAPACITY_TOKENS = 400_000
 # Interval between polls of the control VMs, and the age of their reports.
 POLL_SECONDS = 0.5
+ENDLESS_CHUNK = b'x' * (256 * 1024)
 ERROR_FAULTS = ('responds with an error', 'responds with an error page')
 # Faults of a response without a length that ends with its connection.
 CLOSE_FAULTS = (
@@ -94,6 +95,7 @@
         self.arrivals = []
         self.closed = []
         self.prefilled_tokens = 0
+        self.endless_bytes = 0
         self.slowdown = 1.0
         self.event_delay = 0.0
         self.is_leaving = False
@@ -179,6 +181,11 @@
             if fault == 'closes within the third event' and number == 3:
                 yield event[:7]
                 return
+            if fault == 'sends an endless event' and number == 3:
+                while True:
+                    self.endless_bytes += len(ENDLESS_CHUNK)
+                    yield ENDLESS_CHUNK
+                    await self.world.timers.sleep(0.05)
             if fault == 'goes silent after 2 events' and number == 3:
                 await self.world.timers.sleep(1000)
             if fault == 'sends single bytes after 2 events' and number == 3:
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -138,6 +138,13 @@
     assert found == attempts, found
 
 
+@behave.then('the server was cut off within {limit:d} MiB')
+def then_cut_off(context, limit):
+    engines = context.serving.engines.values()
+    found = sum(one.endless_bytes for one in engines)
+    assert 0 < found <= limit * 1024 * 1024, found
+
+
 @behave.when('a caller aborts a streamed response')
 @in_fleet
 async def when_disconnects(context):
--- a/src/greengagegw/serving/events.py
+++ b/src/greengagegw/serving/events.py
@@ -2,7 +2,12 @@
 
 import re
 
+from .. import errors
+from .. import streams
+
 EVENT_END = re.compile(rb'\r?\n\r?\n')
+# Bytes of an EVENT_END that may be at the end of the buffer.
+MAX_PARTIAL_END_BYTES = 3
 ID_FIELD = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
 
 
@@ -22,15 +27,25 @@
         self.buffer = b''
 
     def feed(self, chunk: bytes) -> bytes:
-        """Returns the events that a chunk completes, as bytes."""
+        """Returns the events that a chunk completes, as bytes.
+
+        :raises BrokenStreamError: if an event exceeds
+            :data:`~greengagegw.streams.MAX_EVENT_BYTES`.
+        """
+        searched = max(0, len(self.buffer) - MAX_PARTIAL_END_BYTES)
         self.buffer += chunk
         end = 0
-        for match in EVENT_END.finditer(self.buffer):
+        for match in EVENT_END.finditer(self.buffer, searched):
             end = match.end()
             self.count += 1
         complete, self.buffer = self.buffer[:end], self.buffer[end:]
         for match in ID_FIELD.finditer(complete):
             self.last_id = match.group(1).decode('latin-1')
+        if not complete and len(self.buffer) > streams.MAX_EVENT_BYTES:
+            raise errors.BrokenStreamError(
+                f'an event of {len(self.buffer)} bytes or more exceeds the'
+                f' limit of {streams.MAX_EVENT_BYTES} bytes'
+            )
         return complete
 
     def discard_partial_event(self) -> None:
