Limit what is read of load reports and instance lists

The head of a response was limited already, by h11.

Both reads now have a limit (64 KiB for a load report, 4 MiB for a page of the instance list) and close the connection beyond it.

--- a/features/platform/connections.feature
+++ b/features/platform/connections.feature
@@ -47,3 +47,14 @@
       | 1.0     | breaks off | an error instead of the body   |
       | 1.1     | is whole   | the whole body in chunks       |
       | 1.0     | is whole   | the whole body with its length |
+
+  Scenario Outline: Bytes without end are not read without limit
+    Given a server that sends a <part> without end
+    When <reader> reads from it
+    Then the read fails and the server was cut off within <limit> MiB
+
+    Examples:
+      | part | reader                    | limit |
+      | head | the platform's client     | 2     |
+      | body | the instance list         | 6     |
+      | body | the poll of a load report | 2     |
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -13,11 +13,15 @@
 
 from features import fleet_world
 from features.steps.fleet import in_fleet
+from greengagegw.adapters import backend_http
 from greengagegw.adapters import servers
 from greengagegw import errors
 from greengagegw.platform import backend_client
 from greengagegw.platform import client_application
+from greengagegw.platform import instance_list
+from greengagegw.platform import settings as platform_settings
 from greengagegw.serving import ports
+from greengagegw import settings as settings_module
 from greengagegw import timers as timer_service
 from standins import loopback_blocks
 
@@ -341,3 +345,90 @@
         assert body == b'5\r\nfirst\r\n4\r\nlast\r\n0\r\n\r\n', body
     else:
         assert body == b'firstlast' and int(length.group(1)) == 9, head
+
+
+ENDLESS_CHUNK = b'x' * 65536
+
+
+class EndlessServer:
+    """Sends a head or a body until the client closes the connection."""
+
+    def __init__(self, part):
+        self.part = part
+        self.sent_bytes = 0
+
+    async def serve(self, stream):
+        async with stream:
+            await stream.receive()
+            await stream.send(b'HTTP/1.1 200 OK\r\n')
+            await stream.send(b'\r\n' if self.part == 'body' else b'Name: ')
+            with contextlib.suppress(anyio.BrokenResourceError):
+                while True:
+                    await stream.send(ENDLESS_CHUNK)
+                    self.sent_bytes += len(ENDLESS_CHUNK)
+
+
+@behave.given('a server that sends a {part} without end')
+@in_fleet
+async def given_endless(context, part):
+    context.server = EndlessServer(part)
+    context.listener = await anyio.create_tcp_listener(
+        local_host=HOST, local_port=PORT
+    )
+
+
+@behave.when('{reader} reads from it')
+@in_fleet
+async def when_reads(context, reader):
+    context.error = None
+    async with connected_client(context) as (client, instance):
+        try:
+            with anyio.fail_after(REQUEST_TIMEOUT_SECONDS):
+                await READERS[reader](client, instance)
+        except errors.BackendError as error:
+            context.error = error
+        await anyio.sleep(0.1)
+
+
+async def read_from_client(client, instance):
+    async with client.send(instance, make_request('r-1'), lambda notice: None):
+        pass
+
+
+async def read_instance_list(client, instance):
+    endpoint = platform_settings.Endpoint(HOST, PORT)
+    await instance_list.InstanceListClient(
+        endpoint, client.timers, client.ssl_context
+    ).read()
+
+
+async def read_load_report(client, instance):
+    server = settings_module.BackendServer(
+        name='i-1', service='s', region='a', url=f'http://{HOST}:{PORT}'
+    )
+    backend = backend_http.HttpBackend(
+        server,
+        settings_module.Timeouts(),
+        client.timers,
+        'd',
+        client.ssl_context,
+    )
+    try:
+        await backend.fetch_load()
+    finally:
+        await backend.close()
+
+
+READERS = {
+    "the platform's client": read_from_client,
+    'the instance list': read_instance_list,
+    'the poll of a load report': read_load_report,
+}
+
+
+@behave.then('the read fails and the server was cut off within {limit:d} MiB')
+def then_cut_off_in_limit(context, limit):
+    assert context.error is not None
+    sent_bytes = context.server.sent_bytes
+    # Bytes in the buffers of the kernel count as sent.
+    assert sent_bytes <= limit * 1024 * 1024, sent_bytes
--- a/src/greengagegw/adapters/backend_http.py
+++ b/src/greengagegw/adapters/backend_http.py
@@ -18,6 +18,7 @@
 # request is written to a connection that the server is just closing.
 KEEP_ALIVE_SECONDS = 3.0
 LOAD_PATH = '/load'
+MAX_LOAD_REPORT_BYTES = 64 * 1024
 RESUME_HEADER = 'x-resume-offset'
 RUN_HEADER = 'x-run'
 MODEL_REJECTION_STATUSES = (429, 503)
@@ -248,7 +249,11 @@
                 self.load_request
             )
             try:
-                report = orjson.loads(await response.aread())
+                report = orjson.loads(
+                    await backend_transport.read_limited(
+                        response.aiter_raw(), MAX_LOAD_REPORT_BYTES
+                    )
+                )
             finally:
                 await response.aclose()
             return backends.LoadReport(
--- a/src/greengagegw/adapters/backend_transport.py
+++ b/src/greengagegw/adapters/backend_transport.py
@@ -136,6 +136,24 @@
         return NetworkStream(stream)
 
 
+async def read_limited(
+    chunks: collections.abc.AsyncIterable[bytes], max_bytes: int
+) -> bytes:
+    """Returns a whole body.
+
+    :raises httpcore.RemoteProtocolError: if it is over ``max_bytes``.
+    """
+    body = b''
+    async for chunk in chunks:
+        body += chunk
+        if len(body) > max_bytes:
+            raise httpcore.RemoteProtocolError(
+                f'a body of {len(body)} bytes or more exceeds the limit of'
+                f' {max_bytes} bytes'
+            )
+    return body
+
+
 class ResponseBody(httpx.AsyncByteStream):
     """The body of a response from httpcore."""
 
--- a/src/greengagegw/platform/instance_list.py
+++ b/src/greengagegw/platform/instance_list.py
@@ -18,6 +18,7 @@
 READ_TIMEOUT_SECONDS = 1.0
 KEEP_ALIVE_SECONDS = 5.0
 MAX_PAGES = 200
+MAX_PAGE_BYTES = 4 * 1024 * 1024
 READY_STATE = 'ready'
 DRAINING_STATE = 'draining'
 
@@ -73,7 +74,9 @@
         try:
             response = await self.transport.pool.handle_async_request(request)
             try:
-                content = await response.aread()
+                content = await backend_transport.read_limited(
+                    response.stream, MAX_PAGE_BYTES
+                )
             finally:
                 await response.aclose()
         except backend_transport.HTTP_ERRORS as error:
