--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -110,7 +110,7 @@
     context.instances = instance_list.decode_entries(
         [
             valid,
-            valid | {'id': 'i-2', 'state': 'draining'},
+            valid | {'id': 'i-2', 'state': 'draining', 'version': 'v1.1'},
             valid | {'id': 'i-3', 'remainingMs': 900},
             valid | {'id': 'i-4', 'coldLeftMs': 2000},
             valid | {'id': 7},
@@ -132,6 +132,8 @@
 def then_valid_instances(context):
     found = {one.name: one for one in context.instances}
     assert sorted(found) == ['i-1', 'i-2', 'i-3', 'i-4'], found
+    versions = [one.software_version for one in context.instances]
+    assert versions == ['', 'v1.1', '', ''], versions
     leaving = [name for name, one in found.items() if one.is_leaving]
     assert leaving == ['i-2', 'i-3'], leaving
     assert [name for name, one in found.items() if one.is_cold] == ['i-4']
--- a/src/greengagegw/fleet/instances.py
+++ b/src/greengagegw/fleet/instances.py
@@ -13,6 +13,8 @@
     :ivar is_leaving: whether it is draining, so must get no new requests.
     :ivar is_cold: whether it sustains only a low request rate yet.
     :ivar born: start time in Unix milliseconds, 0 if unknown.
+    :ivar software_version: version of the server's own software; empty if the
+        list does not say.
     """
 
     name: str
@@ -23,6 +25,7 @@
     is_leaving: bool
     is_cold: bool
     born: int
+    software_version: str = ''
 
     def pack(self) -> list:
         return list(dataclasses.astuple(self))
--- a/src/greengagegw/platform/client_application.py
+++ b/src/greengagegw/platform/client_application.py
@@ -259,6 +259,7 @@
         ),
         prompt=decode_prompt(scope),
         resume_after=find_header(scope, http_names.RESUME_AFTER) or None,
+        resumed_request=find_header(scope, http_names.RESUMED_REQUEST) or None,
     )
 
 
--- a/src/greengagegw/platform/http_names.py
+++ b/src/greengagegw/platform/http_names.py
@@ -5,6 +5,8 @@
 DEADLINE_MS = b'greengagegw-deadline-ms'
 PROMPT_SEGMENTS = b'greengagegw-prompt-prefix'
 RESUME_AFTER = b'last-event-id'
+# Request ID of the attempt that received the first event of a stream.
+RESUMED_REQUEST = b'resumes'
 # Signature that proves that a response comes from a backend server.
 SERVER_STAMP = b'greengagegw-server-stamp'
 ORGANISATION = b'greengagegw-tenant'
--- a/src/greengagegw/platform/instance_list.py
+++ b/src/greengagegw/platform/instance_list.py
@@ -129,6 +129,9 @@
     slots = entry.get('slots')
     cold_left_ms = entry.get('coldLeftMs', 0)
     born = entry.get('born', 0)
+    software_version = entry.get('version')
+    if not isinstance(software_version, str):
+        software_version = ''
     for number in (slots, cold_left_ms, born):
         if isinstance(number, bool) or not isinstance(number, int | float):
             return None
@@ -151,4 +154,5 @@
         is_leaving,
         cold_left_ms > 0,
         int(born),
+        software_version,
     )
--- a/src/greengagegw/serving/ports.py
+++ b/src/greengagegw/serving/ports.py
@@ -22,6 +22,8 @@
         complete response; None if it does not say.
     :ivar prompt: size of the generation; None for other calls.
     :ivar resume_after: ID of the event after which a stream resumes.
+    :ivar resumed_request: ID of the client's request that received the first
+        event of the stream; None if the client does not say.
     """
 
     request_id: str
@@ -35,6 +37,7 @@
     client_timeout_seconds: float | None
     prompt: prompts.Prompt | None
     resume_after: str | None
+    resumed_request: str | None = None
 
     def pack(self) -> list:
         """Returns the request without its key, to forward it to another VM."""
