--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -172,7 +172,9 @@
         count = max(1, prompt.max_output_tokens // EVENT_TOKENS)
         first = int(backend_request.resume_after or 0) + 1
         for number in range(first, count + 1):
-            event = f'id: {number}\ndata: {number}\n\n'.encode()
+            writer = self.instance.software_version
+            data = f'{writer} {number}' if writer else number
+            event = f'id: {number}\ndata: {data}\n\n'.encode()
             if fault == 'disconnects after 2 events' and number == 3:
                 yield event[:7]
                 raise errors.BrokenStreamError(
@@ -375,6 +377,12 @@
         )
         self.engines[name] = EmulatedEngine(self, instance)
 
+    def set_version(self, name, version):
+        engine = self.engines[name]
+        engine.instance = dataclasses.replace(
+            engine.instance, software_version=version
+        )
+
     def add_dispatcher(self, entry):
         agent = StubAgent()
         self.agents[entry.vm] = agent
--- /dev/null
+++ b/features/steps/versions.py
@@ -0,0 +1,236 @@
+"""Steps for streams of backend servers with several software versions."""
+
+import dataclasses
+import re
+
+import behave
+import orjson
+
+from features import fleet_world
+from features import serving_world
+from features.steps.fleet import in_fleet
+from greengagegw.platform import documents
+from greengagegw.serving import prompts
+
+PROMPT = prompts.Prompt('m', 100, 80, (prompts.Segment('own', 100),))
+EVENT_COUNT = 10
+BREAKS_OFF = 'disconnects after 2 events'
+EVENT = re.compile(rb'id: (\d+)\ndata: (\S+) \d+\n\n')
+
+
+@dataclasses.dataclass(slots=True)
+class Stream:
+    """A stream as its client received it, over all of its requests.
+
+    :ivar vm: entry VM of its first request.
+    """
+
+    vm: str
+    outcome: serving_world.Outcome
+    resumed: serving_world.Outcome | None = None
+
+    @property
+    def events(self):
+        body = self.outcome.body
+        if self.resumed is not None:
+            body += self.resumed.body
+        return EVENT.findall(body)
+
+    @property
+    def writers(self):
+        return {writer for _, writer in self.events}
+
+    @property
+    def is_complete(self):
+        last = self.resumed or self.outcome
+        ids = [int(one) for one, _ in self.events]
+        return last.error is None and ids == list(range(1, EVENT_COUNT + 1))
+
+
+@behave.given(
+    'region {region} with {vms:d} entry VMs and engines of {versions}'
+)
+@in_fleet
+async def given_versions(context, region, vms, versions):
+    layouts = getattr(context, 'layouts', {})
+    layouts[region] = (vms, versions.split(', '))
+    context.layouts = layouts
+
+
+async def start(context, **changes):
+    layout = {
+        region: (len(versions), vms)
+        for region, (vms, versions) in context.layouts.items()
+    }
+    routes = [fleet_world.route(resumable=True, **changes)]
+    world = serving_world.ServingWorld(layout, routes=routes)
+    for region, (_, versions) in context.layouts.items():
+        for at, version in enumerate(versions):
+            world.set_version(f'i-{region}{at}', version)
+    context.serving = world
+    context.streams = []
+
+
+def enter(context):
+    manager = context.portal.wrap_async_context_manager(
+        context.serving.running()
+    )
+    manager.__enter__()
+    context.add_cleanup(manager.__exit__, None, None, None)
+
+
+@behave.given('a route with {attempts:d} attempts')
+def given_attempts(context, attempts):
+    context.portal.call(start_with, context, {'maxAttempts': attempts})
+    enter(context)
+
+
+@behave.given('a route with 1 attempt and home regions {regions}')
+def given_homes(context, regions):
+    changes = {'maxAttempts': 1, 'homeRegions': regions.split(', ')}
+    context.portal.call(start_with, context, changes)
+    enter(context)
+
+
+@behave.given('a route that shares its requests between two services')
+def given_shares(context):
+    context.portal.call(start_with, context, {'maxAttempts': 1})
+    world = context.serving
+    world.add_engine('i-other0', 'a-1', 'other')
+    world.set_version('i-other0', 'other')
+    document = fleet_world.document(
+        routes=[
+            fleet_world.route(
+                resumable=True,
+                maxAttempts=1,
+                service=None,
+                trafficSplit=[
+                    {'service': 'engine', 'weight': 50},
+                    {'service': 'other', 'weight': 50},
+                ],
+            )
+        ]
+    )
+    del document['routes'][0]['service']
+    engine = next(
+        one for one in document['services'] if one['name'] == 'engine'
+    )
+    document['services'].append(engine | {'name': 'other'})
+    world.configuration = documents.decode(orjson.dumps(document))
+    enter(context)
+
+
+async def start_with(context, changes):
+    await start(context, **changes)
+
+
+@behave.when('{count:d} streams break off after 2 events')
+@in_fleet
+async def when_break_off(context, count):
+    world = context.serving
+    vms = [one.vm for one in world.entries if one.region == 'a']
+    # Until the loads of the other regions are known.
+    await world.timers.advance(1.0)
+    for number in range(count):
+        faults = [BREAKS_OFF]
+        for engine in world.engines.values():
+            engine.pending_faults = faults
+        vm = vms[number % len(vms)]
+        request = world.request(number, prompt=PROMPT)
+        world.start_request(vm, request)
+        await world.timers.advance(1.5)
+        context.streams.append(Stream(vm, world.outcomes[-1]))
+        assert not faults, world.outcomes[-1]
+
+
+@behave.when('{seconds:g} seconds pass')
+@in_fleet
+async def when_pass(context, seconds):
+    await context.serving.timers.advance(seconds)
+
+
+@behave.when('the VMs that got them restart')
+@in_fleet
+async def when_restart(context):
+    vms = {one.vm for one in context.streams}
+    await restart(context.serving, vms - {min(vms)})
+
+
+@behave.when('all VMs restart')
+@in_fleet
+async def when_all_restart(context):
+    await restart(context.serving, {one.vm for one in context.serving.entries})
+
+
+async def restart(world, vms):
+    for entry in world.entries:
+        if entry.vm in vms:
+            world.restart(entry)
+    world.refresh()
+    world.refresh()
+
+
+@behave.when('the engines of {version} leave')
+@in_fleet
+async def when_leave(context, version):
+    world = context.serving
+    for engine in world.engines.values():
+        if engine.instance.software_version == version:
+            engine.instance = dataclasses.replace(
+                engine.instance, is_leaving=True
+            )
+    world.refresh()
+
+
+@behave.when('their clients resume them at {place}')
+@in_fleet
+async def when_resume(context, place):
+    world = context.serving
+    for number, stream in enumerate(context.streams):
+        request = dataclasses.replace(
+            world.request(f'{number}-resumed', prompt=PROMPT),
+            resume_after='2',
+            resumed_request=stream.outcome.request_id,
+        )
+        vm = choose_vm(world, stream, place)
+        world.start_request(vm, request)
+        await world.timers.advance(1.5)
+        stream.resumed = world.outcomes[-1]
+
+
+def choose_vm(world, stream, place):
+    region = stream.vm[0]
+    if place == 'the same VM':
+        return stream.vm
+    if place == 'a VM of another region':
+        return next(one.vm for one in world.entries if one.region != region)
+    vms = [one.vm for one in world.entries if one.region == region]
+    return vms[(vms.index(stream.vm) + 1) % len(vms)]
+
+
+@behave.then(
+    '{count:d} of them are complete, and none has events of two {kind}'
+)
+def then_complete(context, count, kind):
+    mixed = [one for one in context.streams if len(one.writers) > 1]
+    assert not mixed, (len(mixed), mixed[0])
+    complete = [one for one in context.streams if one.is_complete]
+    assert len(complete) == count, (len(complete), context.streams[0])
+    assert len(set().union(*(one.writers for one in context.streams))) > (
+        1 if count and len(context.serving.engines) > 4 else 0
+    )
+
+
+@behave.then(
+    'those of {version} are complete, and the others are rejected as not run'
+)
+def then_others_rejected(context, version):
+    counts = {True: 0, False: 0}
+    for one in context.streams:
+        is_complete = one.writers == {version.encode()}
+        counts[is_complete] += 1
+        assert one.is_complete == is_complete, one
+        if not is_complete:
+            error = one.resumed.error
+            assert (error.status, error.run) == (503, 'not_run'), error
+    assert all(counts.values()), counts
