Resume a stream only at the software version that began it

Cause: a version was no property of a backend server at all, so a stream that broke off went on at any server of its service, or of another service of its route: within its response, since the failed server was merely excluded, and over the client's requests, since any VM may get the second one and none knew what began the first.

Change: the version in the instance list decides which servers may go on with a stream. The first response fixes it for the rest of that response, also for a forwarded request. For clients, the VM that serves a stream records its origin (service and software version, by organisation and request ID) and sends it to two other VMs of its region, chosen by rendezvous hashing; a VM that gets Resumes asks these, and then one VM of each other region, and only servers of that service and version may get the request. If the version has no server left, or the origin is unknown while the service has several versions, the request is rejected as not run. A stream without a possible successor is no longer cut off for a pause.

Why it works: the origin is fixed when the response begins, before the client has any event, and survives the VM that served it; where it is unknown, a rejection is always correct. Each stream costs two messages, however large the fleet.

--- a/features/serving/versions.feature
+++ b/features/serving/versions.feature
@@ -1,4 +1,3 @@
-@known_red
 Feature: Streams of one software version
   What two software versions of a service's backend servers generate does not
   fit together. The real dispatchers with emulated engines of several
@@ -62,3 +61,30 @@
     When 20 streams break off after 2 events
     And their clients resume them at another VM
     Then 20 of them are complete, and none has events of two services
+
+  Scenario: The origin of a stream is that of the client's own organisation
+    Given region a with 3 entry VMs and engines of v1, v1, v2, v2
+    And a route with 1 attempt and home regions a
+    When 20 streams break off after 2 events
+    And another organisation sends requests with the same IDs
+    And their clients resume them at another VM
+    Then 20 of them are complete, and none has events of two versions
+
+  Scenario Outline: A malformed message about origins is reported as such
+    Given region a with 3 entry VMs and engines of v1, v1, v2, v2
+    And a route with 1 attempt and home regions a
+    When VM a0 gets <message> as a <kind> of origins
+    Then it is a protocol error of its sender
+
+    Examples:
+      | kind  | message                         |
+      | list  | null                            |
+      | list  | 7                               |
+      | list  | [["o", "r"]]                    |
+      | list  | [[["o", 1], ["engine", "v1"]]]  |
+      | list  | [[["o", "r"], ["engine"]]]      |
+      | list  | [[["o", "r"], ["engine", null]]] |
+      | query | null                            |
+      | query | [true]                          |
+      | query | [true, "or"]                    |
+      | query | [true, ["o", "r", "s"]]         |
--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -9,8 +9,10 @@
 from features import fleet_world
 from features import serving_world
 from features.steps.fleet import in_fleet
+from greengagegw import errors
 from greengagegw.platform import documents
 from greengagegw.serving import prompts
+from greengagegw.serving import stream_origins
 
 PROMPT = prompts.Prompt('m', 100, 80, (prompts.Segment('own', 100),))
 EVENT_COUNT = 10
@@ -63,7 +65,11 @@
         for region, (vms, versions) in context.layouts.items()
     }
     routes = [fleet_world.route(resumable=True, **changes)]
-    world = serving_world.ServingWorld(layout, routes=routes)
+    tenants = [
+        fleet_world.tenant(),
+        fleet_world.tenant(name='other', apiKeys=['key-2']),
+    ]
+    world = serving_world.ServingWorld(layout, routes=routes, tenants=tenants)
     for region, (_, versions) in context.layouts.items():
         for at, version in enumerate(versions):
             world.set_version(f'i-{region}{at}', version)
@@ -234,3 +240,38 @@
             error = one.resumed.error
             assert (error.status, error.run) == (503, 'not_run'), error
     assert all(counts.values()), counts
+
+
+@behave.when('another organisation sends requests with the same IDs')
+@in_fleet
+async def when_same_ids(context):
+    world = context.serving
+    for stream in context.streams:
+        request = dataclasses.replace(
+            world.request(0, prompt=PROMPT, key='key-2'),
+            request_id=stream.outcome.request_id,
+        )
+        world.start_request('a2', request)
+        await world.timers.advance(1.5)
+        assert world.outcomes[-1].error is None, world.outcomes[-1]
+
+
+@behave.when('VM {vm} gets {message} as a {kind} of origins')
+@in_fleet
+async def when_malformed(context, vm, message, kind):
+    method = {
+        'list': stream_origins.RECORD_METHOD,
+        'query': stream_origins.FIND_METHOD,
+    }[kind]
+    handler = context.serving.dispatchers[vm].handlers()[method]
+    context.error = None
+    try:
+        await handler('a1', orjson.loads(message))
+    except errors.GatewayError as error:
+        context.error = error
+
+
+@behave.then('it is a protocol error of its sender')
+def then_protocol_error(context):
+    assert isinstance(context.error, errors.PeerProtocolError), context.error
+    assert 'a1' in context.error.message
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -26,6 +26,7 @@
 from . import ports
 from ..ports import peers
 from . import servers as server_pool
+from . import stream_origins
 
 SERVE_METHOD = 'fleet.serve'
 
@@ -71,6 +72,14 @@
         self.links = links.RegionLinks(
             vm, pool.region, timers, mesh, agent.view, rng
         )
+        self.origin_exchange = stream_origins.OriginExchange(
+            pool.region,
+            self.backlog_exchange.region_peers,
+            lambda: {one.region for one in agent.view.entry_vms},
+            self.links,
+            timers,
+            mesh,
+        )
         self.in_flight_count = 0
         self.rejects_request: collections.abc.Callable[
             [ports.Request], bool
@@ -86,6 +95,7 @@
                 ('backlogs', self.backlog_exchange.run),
                 ('departures', self.departure_exchange.run),
                 ('links', self.links.maintain_links),
+                ('stream origins', self.origin_exchange.run),
                 ('silence', self.check_silence),
             ):
                 tasks.start_soon(
@@ -101,6 +111,7 @@
         return {
             **self.backlog_exchange.handlers(),
             **self.departure_exchange.handlers(),
+            **self.origin_exchange.handlers(),
         }
 
     def stream_handlers(self) -> dict[str, peers.StreamHandler]:
@@ -119,9 +130,12 @@
         self.in_flight_count += 1
         try:
             job = self.planner.create_job(request, arrived_at)
+            if job.resumes_stream:
+                job = await self.restrict_to_origin(job)
             cost = await self.charge(job)
             try:
                 async with self.dispatch(job) as response:
+                    self.record_origin(job, response)
                     yield response
             except errors.GatewayError as error:
                 if error.run == errors.NOT_RUN and cost:
@@ -130,6 +144,35 @@
         finally:
             self.in_flight_count -= 1
 
+    async def restrict_to_origin(self, job: jobs.Job) -> jobs.Job:
+        """Returns a job that resumes a stream where it began.
+
+        :raises UnavailableError: if the stream cannot be resumed.
+        """
+        origin = None
+        if job.request.resumed_request is not None:
+            origin = await self.origin_exchange.find(
+                stream_key(job, job.request.resumed_request)
+            )
+        self.planner.log(
+            'request:resumes',
+            job,
+            resumes=job.request.resumed_request,
+            origin=None if origin is None else origin.pack(),
+        )
+        return self.planner.restrict_to_origin(job, origin)
+
+    def record_origin(self, job: jobs.Job, response: ports.Response) -> None:
+        """Records what begins a stream, before the client gets any of it."""
+        if job.route.is_resumable and response.software_version is not None:
+            self.origin_exchange.origins.record(
+                stream_key(job, job.request.request_id),
+                stream_origins.StreamOrigin(
+                    job.service.name, response.software_version
+                ),
+                self.timers.now(),
+            )
+
     async def charge(self, job: jobs.Job) -> float:
         """Acquires the cost of a request from its organisation's quota.
 
@@ -252,6 +295,7 @@
             job.objective_left,
             job.is_client_retry,
             job.attempts.max_count - job.attempts.count,
+            job.software_version,
         ]
         try:
             async with self.mesh.open(
@@ -265,10 +309,13 @@
                 self.planner.region_prefixes.record_response(
                     job, region, self.timers.now()
                 )
-                status, headers = response_head
+                status, headers, software_version = response_head
                 pairs = tuple((name, value) for name, value in headers)
                 yield ports.Response(
-                    status, pairs, self.receive_chunks(job, stream)
+                    status,
+                    pairs,
+                    self.receive_chunks(job, stream),
+                    software_version=software_version,
                 )
         except anyio.EndOfStream as error:
             raise errors.PeerLostError(
@@ -308,7 +355,13 @@
         self.in_flight_count += 1
         try:
             async with self.run_locally(job, self.pool.region) as response:
-                await stream.send([response.status, list(response.headers)])
+                await stream.send(
+                    [
+                        response.status,
+                        list(response.headers),
+                        response.software_version,
+                    ]
+                )
                 async for chunk in response.chunks:
                     await stream.send(chunk)
         finally:
@@ -325,6 +378,7 @@
         objective_left: float,
         is_client_retry: bool,
         attempts_left: int,
+        software_version: str | None,
     ) -> jobs.Job:
         """Returns the job of a forwarded request.
 
@@ -371,6 +425,7 @@
             configuration.organisation_priority_rank(organisation),
             is_client_retry,
             jobs.Attempts(attempts_left),
+            software_version,
         )
 
     # Servers of this region.
@@ -390,11 +445,20 @@
                 chunks = execution.stream_events(response)
             else:
                 chunks = execution.stream_chunks(response)
-            yield ports.Response(response.status, response.headers, chunks)
+            yield ports.Response(
+                response.status,
+                response.headers,
+                chunks,
+                software_version=execution.job.software_version,
+            )
         finally:
             await execution.close()
 
 
+def stream_key(job: jobs.Job, request_id: str) -> stream_origins.StreamKey:
+    return stream_origins.StreamKey(job.organisation or '', request_id)
+
+
 def estimate_region_loads(
     dispatcher: Dispatcher,
 ) -> dict[str, loads.RegionLoad]:
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import dataclasses
 import functools
 import math
 
@@ -96,6 +97,11 @@
                         response.status,
                     )
                     continue
+            # The rest of the response has to fit what this server began.
+            self.job = dataclasses.replace(
+                self.job,
+                software_version=choice.server.instance.software_version,
+            )
             return response
 
     def has_alternative(self) -> bool:
@@ -106,9 +112,7 @@
         now = self.timers.now()
         return any(
             planner.may_send(job, one, now)
-            for one in planner.pool.usable_servers(
-                job.service, now, self.excluded
-            )
+            for one in planner.usable_servers(job, now, self.excluded)
         )
 
     def acquire_reroute(self) -> bool:
@@ -365,12 +369,11 @@
 
         Infinite if no other server may resume the stream.
         """
-        job = self.job
-        if not job.route.is_resumable or not job.has_attempts_left:
+        if not self.has_alternative():
             return math.inf
         return max(
             MIN_STALL_SECONDS,
-            STALL_OBJECTIVE_FACTOR * job.route.event_gap_objective,
+            STALL_OBJECTIVE_FACTOR * self.job.route.event_gap_objective,
         )
 
     async def chunks_before_stall(
--- a/src/greengagegw/serving/jobs.py
+++ b/src/greengagegw/serving/jobs.py
@@ -27,6 +27,8 @@
         priorities.
     :ivar is_client_retry: whether the client retries a rejected request.
     :ivar attempts: counts the backend servers that the request was sent to.
+    :ivar software_version: only servers of this version may get the request;
+        None for all.
     """
 
     request: ports.Request
@@ -40,6 +42,7 @@
     organisation_priority_rank: int
     is_client_retry: bool
     attempts: 'Attempts'
+    software_version: str | None = None
 
     def admission_request(
         self, urgent_rejection_rate: float, now: float
@@ -59,6 +62,11 @@
             urgent_rejection_rate,
         )
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the client resumes a stream of an earlier request."""
+        return self.route.is_stream and self.request.resume_after is not None
+
     @property
     def generation_prompt(self) -> prompts.Prompt | None:
         """The prompt, None if no engine has to prefill one."""
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -17,6 +17,7 @@
 from . import cold_pacing
 from . import engine_model
 from ..fleet import agent as agents
+from ..fleet import instances
 from . import generations
 from . import jobs
 from . import placement
@@ -24,6 +25,7 @@
 from . import prefixes
 from . import retry_budget
 from . import servers as server_pool
+from . import stream_origins
 
 DEFAULT_CLIENT_TIMEOUT_SECONDS = 30.0
 # Part of the client timeout reserved for returning the response.
@@ -142,6 +144,44 @@
             jobs.Attempts(route.max_attempts),
         )
 
+    def restrict_to_origin(
+        self, job: jobs.Job, origin: stream_origins.StreamOrigin | None
+    ) -> jobs.Job:
+        """Returns a job that resumes a stream where it began.
+
+        :param origin: what began the stream; None if no VM knows it.
+        :raises UnavailableError: if the stream cannot be resumed.
+        """
+        request = job.request
+        if origin is None:
+            service = job.service.name
+            versions = self.pool.software_versions.of_service(service)
+            if len(versions) > 1:
+                raise errors.UnavailableError(
+                    f'{service} has the software versions'
+                    f' {", ".join(sorted(versions))}, and it is not known'
+                    f' which of them began the stream of request'
+                    f' {request.resumed_request}',
+                    retry_after=self.rejected_retry_after(job),
+                )
+            return job
+        configuration = self.view.configuration
+        service = configuration.services.get(origin.service)
+        if service is None or not job.route.serves(origin.service):
+            raise errors.UnavailableError(
+                f'the route no longer serves {origin.service}, which began'
+                f' the stream of request {request.resumed_request}',
+                retry_after=self.rejected_retry_after(job),
+            )
+        return dataclasses.replace(
+            job,
+            service=service,
+            priority_rank=configuration.priority_rank(
+                job.route, origin.service
+            ),
+            software_version=origin.software_version,
+        )
+
     def add_jitter(self, seconds: float) -> float:
         """Adds jitter to a pause, so that clients do not retry at once."""
         return seconds * (1 + admission.RETRY_AFTER_JITTER * self.rng.random())
@@ -298,7 +338,7 @@
             return prefixes.NO_TOKENS
         cached_tokens = max(
             one.prefix_cache.cached_tokens(prompt)
-            for one in self.pool.usable_servers(job.service, now)
+            for one in self.usable_servers(job, now)
         )
         return prefixes.tokens_to_prefill(
             prompt, cached_tokens, home_region == self.pool.region
@@ -315,6 +355,8 @@
                 continue
             if not self.view.usable_entry_vms(region):
                 continue
+            if not self.has_software_version(job, region):
+                continue
             # Reported loads do not include requests forwarded since.
             forwarded = self.forwarded_tokens.get(
                 (job.service.name, region), 0.0
@@ -484,7 +526,7 @@
 
     def local_speeds(self, job: jobs.Job, now: float) -> tuple[float, float]:
         """Returns the best event interval and prefill rate of this region."""
-        servers = self.pool.usable_servers(job.service, now)
+        servers = self.usable_servers(job, now)
         return (
             min(one.event_interval.current_seconds(now) for one in servers),
             max(one.prefill_rate for one in servers),
@@ -515,7 +557,7 @@
 
         :returns: None if no server may get the request.
         """
-        servers = self.pool.usable_servers(job.service, now)
+        servers = self.usable_servers(job, now)
         return min(
             (
                 self.predict_wait(job, server, now)[0]
@@ -525,6 +567,37 @@
             default=None,
         )
 
+    def usable_servers(
+        self,
+        job: jobs.Job,
+        now: float,
+        excluded: frozenset[str] | set[str] = frozenset(),
+    ) -> list[server_pool.Server]:
+        """Returns the servers of this region that may get a request now.
+
+        :param excluded: names of servers to leave out.
+        """
+        return [
+            one
+            for one in self.pool.usable_servers(job.service, now, excluded)
+            if job.software_version in (None, one.instance.software_version)
+        ]
+
+    def has_software_version(self, job: jobs.Job, region: str) -> bool:
+        """Returns whether another region has a server for a request."""
+        if job.software_version is None:
+            return True
+        return any(
+            one.software_version == job.software_version
+            for one in instances.usable(
+                self.view.instances,
+                job.service.name,
+                region,
+                self.pool.region_by_domain,
+                self.view.evacuated_domains,
+            )
+        )
+
     def may_send(
         self, job: jobs.Job, server: server_pool.Server, now: float
     ) -> bool:
@@ -559,7 +632,7 @@
         now = self.timers.now()
         servers = {
             one.instance.name: one
-            for one in self.pool.usable_servers(job.service, now, excluded)
+            for one in self.usable_servers(job, now, excluded)
             if self.may_send(job, one, now)
         }
         prompt = job.request.prompt
@@ -591,8 +664,9 @@
         )
         if chosen is None:
             raise errors.UnavailableError(
-                f'no backend server of {job.service.name} is usable in'
-                f' region {self.pool.region}',
+                f'no backend server of {job.service.name}'
+                f'{describe_version(job)} is usable in region'
+                f' {self.pool.region}',
                 retry_after=self.rejected_retry_after(job),
             )
         server = servers[chosen.name]
@@ -640,3 +714,10 @@
             version=job.version,
             **fields,
         )
+
+
+def describe_version(job: jobs.Job) -> str:
+    """Returns which software version a request needs, for a message."""
+    if job.software_version is None:
+        return ''
+    return f' with software version {job.software_version or "unknown"}'
--- a/src/greengagegw/serving/ports.py
+++ b/src/greengagegw/serving/ports.py
@@ -132,6 +132,8 @@
     :ivar load: the load that the server reported, if any.
     :ivar ends_by_close: whether the body ends with its connection, so that
         an orderly close in the middle of it looks like its end.
+    :ivar software_version: of the backend server that began it; None if a VM
+        that forwards it does not know.
     """
 
     status: int
@@ -139,6 +141,7 @@
     chunks: collections.abc.AsyncIterator[bytes]
     load: ReportedLoad | None = None
     ends_by_close: bool = False
+    software_version: str | None = None
 
 
 class BackendPort(typing.Protocol):
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -16,6 +16,7 @@
 from . import generations
 from . import ports
 from . import prompts
+from . import stream_origins
 
 FAILURE_SMOOTHING = 0.25
 FAILURE_DECAY_SECONDS = 5.0
@@ -277,6 +278,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.moved: set[str] = set()
         self.leaving = departures.LeavingServers()
+        self.software_versions = stream_origins.SoftwareVersions()
 
     def update(self, now: float) -> None:
         """Updates the servers from the instance list and the evacuations.
@@ -293,6 +295,7 @@
             if self.region_by_domain.get(one.domain) == self.region
         }
         self.leaving.update(local_instances.values(), now)
+        self.software_versions.update(view.instances.values(), now)
         self.listed_at.update(dict.fromkeys(local_instances, now))
         for name, listed_at in list(self.listed_at.items()):
             if now - listed_at > UNLISTED_RETENTION_SECONDS:
--- /dev/null
+++ b/src/greengagegw/serving/stream_origins.py
@@ -0,0 +1,341 @@
+"""Which service and software version began each stream.
+
+What two software versions generate does not fit together, so a stream goes on
+only at the version that began it. A client may resume a stream at any entry
+VM, and the VM that served it may be gone by then. Each VM therefore sends the
+origins of its streams to two VMs of its region, chosen by rendezvous hashing.
+A VM that is to resume a stream asks those two, and then the other regions.
+"""
+
+import collections.abc
+import dataclasses
+import functools
+import typing
+
+import anyio
+import anyio.abc
+import eliot
+
+from .. import errors
+from .. import timers as timer_service
+from ..fleet import instances
+from . import links as region_links
+from . import placement
+from ..ports import peers
+
+RECORD_METHOD = 'serving.stream_origins'
+FIND_METHOD = 'serving.find_stream_origin'
+# Longer than any stream between its first event and its resumption.
+RETENTION_SECONDS = 120.0
+MAX_ORIGINS = 20_000
+HOLDERS_PER_ORIGIN = 2
+# Groups the origins of a burst into one message.
+SEND_INTERVAL_SECONDS = 0.01
+REGION_TIMEOUT_SECONDS = 0.15
+# Allows for a round trip between regions beyond the one within the region.
+OTHER_REGION_TIMEOUT_SECONDS = 0.4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamKey:
+    """Identifies a stream.
+
+    :ivar organisation: whose request it was; empty for a route without keys.
+    :ivar request_id: ID of the request that received its first event.
+    """
+
+    organisation: str
+    request_id: str
+
+    def pack(self) -> list:
+        return [self.organisation, self.request_id]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """What began a stream.
+
+    :ivar software_version: of the backend server.
+    """
+
+    service: str
+    software_version: str
+
+    def pack(self) -> list:
+        return [self.service, self.software_version]
+
+
+class StreamOrigins:
+    """The origins that one VM knows, the oldest first.
+
+    :ivar new_origins: origins of this VM's own streams that are not sent yet.
+    """
+
+    def __init__(self) -> None:
+        self.known: dict[StreamKey, tuple[StreamOrigin, float]] = {}
+        self.new_origins: dict[StreamKey, StreamOrigin] = {}
+        self.has_new_origins = anyio.Event()
+
+    def record(self, key: StreamKey, origin: StreamOrigin, now: float) -> None:
+        """Records the origin of a stream that this VM serves."""
+        self.add(key, origin, now)
+        self.new_origins[key] = origin
+        self.has_new_origins.set()
+
+    def add(self, key: StreamKey, origin: StreamOrigin, now: float) -> None:
+        """Adds an origin, and forgets those that are too old or too many."""
+        self.known.pop(key, None)
+        self.known[key] = (origin, now)
+        while self.known:
+            oldest = next(iter(self.known))
+            age_seconds = now - self.known[oldest][1]
+            if (
+                age_seconds <= RETENTION_SECONDS
+                and len(self.known) <= MAX_ORIGINS
+            ):
+                return
+            del self.known[oldest]
+
+    def find(self, key: StreamKey) -> StreamOrigin | None:
+        found = self.known.get(key)
+        return None if found is None else found[0]
+
+    def take_new_origins(self) -> dict[StreamKey, StreamOrigin]:
+        origins, self.new_origins = self.new_origins, {}
+        self.has_new_origins = anyio.Event()
+        return origins
+
+
+class SoftwareVersions:
+    """The software versions of each service that were listed lately."""
+
+    def __init__(self) -> None:
+        self.listed_at: dict[tuple[str, str], float] = {}
+
+    def update(
+        self, listed: collections.abc.Iterable[instances.Instance], now: float
+    ) -> None:
+        """Adds the versions in an instance list, and forgets old ones."""
+        for one in listed:
+            self.listed_at[one.service, one.software_version] = now
+        for version, listed_at in list(self.listed_at.items()):
+            if now - listed_at > RETENTION_SECONDS:
+                del self.listed_at[version]
+
+    def of_service(self, service: str) -> set[str]:
+        return {version for name, version in self.listed_at if name == service}
+
+
+class OriginExchange:
+    """Exchanges the origins of streams with other entry VMs.
+
+    :param region_peers: returns the other entry VMs of the region.
+    :param regions: returns the regions that have entry VMs.
+    """
+
+    def __init__(
+        self,
+        region: str,
+        region_peers: collections.abc.Callable[[], list[str]],
+        regions: collections.abc.Callable[[], set[str]],
+        links: region_links.RegionLinks,
+        timers: timer_service.Timers,
+        mesh: peers.PeerPort,
+    ) -> None:
+        self.region = region
+        self.region_peers = region_peers
+        self.regions = regions
+        self.links = links
+        self.timers = timers
+        self.mesh = mesh
+        self.origins = StreamOrigins()
+
+    def handlers(self) -> dict[str, peers.Handler]:
+        return {RECORD_METHOD: self.on_record, FIND_METHOD: self.on_find}
+
+    async def on_record(self, peer: str, message: typing.Any) -> None:
+        now = self.timers.now()
+        for key, origin in decode_origins(peer, message):
+            self.origins.add(key, origin, now)
+
+    async def on_find(self, peer: str, message: typing.Any) -> list | None:
+        """Returns an origin that this VM, or its region, knows."""
+        is_for_region, key = decode_query(peer, message)
+        origin = self.origins.find(key)
+        if origin is None and is_for_region:
+            origin = await self.find_in_region(key)
+        return None if origin is None else origin.pack()
+
+    def choose_holders(self, key: StreamKey) -> list[str]:
+        """Returns the other VMs of the region that hold an origin."""
+        return sorted(
+            self.region_peers(),
+            key=lambda vm: placement.rendezvous_score(key.request_id, vm),
+        )[:HOLDERS_PER_ORIGIN]
+
+    async def run(self) -> None:
+        """Sends the origins of this VM's streams until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self.origins.has_new_origins.wait()
+                by_holder: dict[str, list] = {}
+                for key, origin in self.origins.take_new_origins().items():
+                    packed = [key.pack(), origin.pack()]
+                    for vm in self.choose_holders(key):
+                        by_holder.setdefault(vm, []).append(packed)
+                for vm, message in by_holder.items():
+                    tasks.start_soon(self.send_origins, vm, message)
+                await self.timers.sleep(SEND_INTERVAL_SECONDS)
+
+    async def send_origins(self, vm: str, message: list) -> None:
+        code = 'not_in_time'
+        try:
+            with self.timers.move_on_after(REGION_TIMEOUT_SECONDS):
+                await self.mesh.notify(vm, RECORD_METHOD, message)
+                return
+        except errors.GatewayError as error:
+            code = error.code
+        eliot.log_message(
+            'stream_origins:not_told', vm=vm, code=code, count=len(message)
+        )
+
+    async def find(self, key: StreamKey) -> StreamOrigin | None:
+        """Returns the origin of a stream, None if no VM knows it."""
+        origin = self.origins.find(key)
+        if origin is None:
+            origin = await self.find_in_region(key)
+        if origin is None:
+            origin = await self.find_in_other_regions(key)
+        return origin
+
+    async def find_in_region(self, key: StreamKey) -> StreamOrigin | None:
+        message = [False, key.pack()]
+        return await self.ask_first(
+            [
+                functools.partial(
+                    self.ask, vm, message, REGION_TIMEOUT_SECONDS
+                )
+                for vm in self.choose_holders(key)
+            ]
+        )
+
+    async def find_in_other_regions(
+        self, key: StreamKey
+    ) -> StreamOrigin | None:
+        message = [True, key.pack()]
+        return await self.ask_first(
+            [
+                functools.partial(self.ask_region, region, message)
+                for region in sorted(self.regions() - {self.region})
+            ]
+        )
+
+    async def ask_region(
+        self, region: str, message: list
+    ) -> StreamOrigin | None:
+        try:
+            vm = self.links.choose_entry_vm(region).vm
+        except errors.PeerUnreachableError as error:
+            eliot.log_message(
+                'stream_origins:not_asked', region=region, code=error.code
+            )
+            return None
+        return await self.ask(vm, message, OTHER_REGION_TIMEOUT_SECONDS)
+
+    async def ask(
+        self, vm: str, message: list, timeout_seconds: float
+    ) -> StreamOrigin | None:
+        try:
+            reply = await self.mesh.call(
+                vm, FIND_METHOD, message, timeout_seconds
+            )
+            return None if reply is None else decode_origin(vm, reply)
+        except errors.GatewayError as error:
+            eliot.log_message(
+                'stream_origins:not_asked', vm=vm, code=error.code
+            )
+            return None
+
+    @staticmethod
+    async def ask_first(
+        questions: list[
+            collections.abc.Callable[
+                [], collections.abc.Awaitable[StreamOrigin | None]
+            ]
+        ],
+    ) -> StreamOrigin | None:
+        """Returns the first origin in the replies, None if there is none."""
+        found: StreamOrigin | None = None
+        async with anyio.create_task_group() as tasks:
+
+            async def ask_one(
+                question: collections.abc.Callable[
+                    [], collections.abc.Awaitable[StreamOrigin | None]
+                ],
+            ) -> None:
+                nonlocal found
+                origin = await question()
+                if origin is not None:
+                    found = origin
+                    tasks.cancel_scope.cancel()
+
+            for question in questions:
+                tasks.start_soon(ask_one, question)
+        return found
+
+
+def decode_origins(
+    peer: str, message: typing.Any
+) -> list[tuple[StreamKey, StreamOrigin]]:
+    """Returns the origins in a message.
+
+    :raises PeerProtocolError: if it is malformed.
+    """
+    try:
+        pairs = [(key, origin) for key, origin in message]
+    except (TypeError, ValueError) as error:
+        raise errors.PeerProtocolError(
+            f'{peer} sent stream origins that are not pairs'
+        ) from error
+    return [
+        (decode_key(peer, key), decode_origin(peer, origin))
+        for key, origin in pairs
+    ]
+
+
+def decode_query(peer: str, message: typing.Any) -> tuple[bool, StreamKey]:
+    """Returns whether to ask the region as well, and the stream.
+
+    :raises PeerProtocolError: if the message is malformed.
+    """
+    try:
+        is_for_region, key = message
+    except (TypeError, ValueError) as error:
+        raise errors.PeerProtocolError(
+            f'{peer} sent a malformed query for a stream origin'
+        ) from error
+    return bool(is_for_region), decode_key(peer, key)
+
+
+def decode_key(peer: str, packed: typing.Any) -> StreamKey:
+    return StreamKey(*decode_names(peer, packed))
+
+
+def decode_origin(peer: str, packed: typing.Any) -> StreamOrigin:
+    """Returns an origin.
+
+    :raises PeerProtocolError: if it is malformed.
+    """
+    return StreamOrigin(*decode_names(peer, packed))
+
+
+def decode_names(peer: str, packed: typing.Any) -> tuple[str, str]:
+    if (
+        not isinstance(packed, list)
+        or len(packed) != 2
+        or not all(isinstance(one, str) for one in packed)
+    ):
+        raise errors.PeerProtocolError(
+            f'{peer} sent {repr(packed)[:100]} instead of a pair of names'
+        )
+    return packed[0], packed[1]
