Do not resume an engine's stream after its software was replaced

A caller of our own interface got a stream of two software versions when an engine was upgraded in the middle of it: the rest was requested from the same engine at a byte offset, whatever it ran by then.

An engine says its version in X-Software-Version; a stream whose rest comes from another one ends with an error event. Engines that send no version are resumed as before, since nothing tells their versions apart.

--- a/features/backends/failures.feature
+++ b/features/backends/failures.feature
@@ -61,6 +61,11 @@
       | quoted_end | stream_broken   |
       | hang       | backend_timeout |
 
+  Scenario: A stream is not resumed by another software version
+    Given every engine breaks its next stream with upgrade
+    When a caller sends a streamed chat request
+    Then the stream ends with an error event stream_broken and run ran
+
   Scenario Outline: A call that may not be repeated is not retried
     Given every plain service fails with <fault>
     When a caller sends a registration
--- a/src/greengagegw/adapters/backend_http.py
+++ b/src/greengagegw/adapters/backend_http.py
@@ -21,6 +21,7 @@
 MAX_LOAD_REPORT_BYTES = 64 * 1024
 RESUME_HEADER = 'x-resume-offset'
 RUN_HEADER = 'x-run'
+SOFTWARE_VERSION_HEADER = 'x-software-version'
 MODEL_REJECTION_STATUSES = (429, 503)
 RESPONSE_HEADERS = frozenset(
     {
@@ -120,6 +121,7 @@
                 self.read_body(response),
                 self.name,
                 self.settings.region,
+                response.headers.get(SOFTWARE_VERSION_HEADER, ''),
             )
         finally:
             await response.aclose()
--- a/src/greengagegw/local_execution.py
+++ b/src/greengagegw/local_execution.py
@@ -258,7 +258,7 @@
                 ):
                     raise error
                 chunks = await self.resume(
-                    stack, server, spec, stream_filter, error
+                    stack, server, spec, response, stream_filter, error
                 )
 
     async def resume(
@@ -266,11 +266,13 @@
         stack: contextlib.AsyncExitStack,
         server: backend_pool.ServerState,
         spec: CallSpec,
+        begun: backends.Response,
         stream_filter: streams.EventStreamFilter,
         error: errors.BackendError,
     ) -> collections.abc.AsyncIterator[bytes]:
         """Requests the rest of a broken stream on a new connection.
 
+        :param begun: the response that broke off.
         :raises BackendError: the error that broke the stream, if it cannot
             be resumed.
         """
@@ -283,6 +285,14 @@
             raise error from resume_error
         if response.status != 206:
             raise error
+        if response.software_version != begun.software_version:
+            eliot.log_message(
+                'call:not_resumed',
+                backend_server=server.name,
+                begun_by=begun.software_version,
+                now=response.software_version,
+            )
+            raise error
         return response.chunks
 
 
--- a/src/greengagegw/ports/backends.py
+++ b/src/greengagegw/ports/backends.py
@@ -36,6 +36,8 @@
 
     :ivar chunks: yields the body as it arrives and raises a BackendError if
         the rest of the body is lost.
+    :ivar software_version: version of the backend server's software; empty if
+        it does not say.
     """
 
     status: int
@@ -43,6 +45,7 @@
     chunks: collections.abc.AsyncIterator[bytes]
     backend_server: str = ''
     region: str = ''
+    software_version: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -43,8 +43,8 @@
 
     :ivar fault: the fault to inject, or empty for none: ``429``, ``500``,
         ``503``, ``reset``, ``silent``, ``garbage``, ``crossed``, ``cut``,
-        ``hang``, ``early_end``, ``quoted_end``, ``no_report`` or
-        ``report_stops``.
+        ``hang``, ``early_end``, ``quoted_end``, ``upgrade``,
+        ``no_report`` or ``report_stops``.
     :ivar fault_count: the number of requests that the fault still affects;
         faults of the load report do not count.
     :ivar started_request_ids: IDs of the requests that started at offset 0.
@@ -62,6 +62,7 @@
         self.name = name
         self.settings = settings or EngineSettings()
         self.server = http_server.Server(host, port, self.handle)
+        self.software_version = 'v1'
         self.fault = ''
         self.fault_count = 1000000
         self.is_leaving = False
@@ -177,7 +178,10 @@
         await anyio.sleep(self.first_token_seconds(content))
         if fault == 'crossed':
             request_id = 'of-another-request'
-        headers = [('x-request-id', request_id)]
+        headers = [
+            ('x-request-id', request_id),
+            ('x-software-version', self.software_version),
+        ]
         content['is_text'] = request.path == TEXT_COMPLETION_PATH
         tokens = generate_tokens(content)
         self.generated_token_count += len(tokens)
@@ -265,6 +269,9 @@
                 if fault == 'cut':
                     await writer.send(event[: len(event) // 2])
                     await writer.abort()
+                if fault == 'upgrade':
+                    self.software_version = 'v2'
+                    await writer.abort()
                 if fault == 'hang':
                     await anyio.sleep_forever()
                 if fault == 'quoted_end':
