--- a/src/greengagegw/adapters/backend_http.py
+++ b/src/greengagegw/adapters/backend_http.py
@@ -18,8 +18,10 @@
 # request is written to a connection that the server is just closing.
 KEEP_ALIVE_SECONDS = 3.0
 LOAD_PATH = '/load'
+MAX_LOAD_REPORT_BYTES = 64 * 1024
 RESUME_HEADER = 'x-resume-offset'
 RUN_HEADER = 'x-run'
+SOFTWARE_VERSION_HEADER = 'x-software-version'
 MODEL_REJECTION_STATUSES = (429, 503)
 RESPONSE_HEADERS = frozenset(
     {
@@ -119,6 +121,7 @@
                 self.read_body(response),
                 self.name,
                 self.settings.region,
+                response.headers.get(SOFTWARE_VERSION_HEADER, ''),
             )
         finally:
             await response.aclose()
@@ -248,7 +251,11 @@
                 self.load_request
             )
             try:
-                report = orjson.loads(await response.aread())
+                report = orjson.loads(
+                    await backend_transport.read_limited(
+                        response.aiter_raw(), MAX_LOAD_REPORT_BYTES
+                    )
+                )
             finally:
                 await response.aclose()
             return backends.LoadReport(
--- a/src/greengagegw/platform/instance_list.py
+++ b/src/greengagegw/platform/instance_list.py
@@ -18,6 +18,7 @@
 READ_TIMEOUT_SECONDS = 1.0
 KEEP_ALIVE_SECONDS = 5.0
 MAX_PAGES = 200
+MAX_PAGE_BYTES = 4 * 1024 * 1024
 READY_STATE = 'ready'
 DRAINING_STATE = 'draining'
 
@@ -73,7 +74,9 @@
         try:
             response = await self.transport.pool.handle_async_request(request)
             try:
-                content = await response.aread()
+                content = await backend_transport.read_limited(
+                    response.stream, MAX_PAGE_BYTES
+                )
             finally:
                 await response.aclose()
         except backend_transport.HTTP_ERRORS as error:
@@ -126,6 +129,9 @@
     slots = entry.get('slots')
     cold_left_ms = entry.get('coldLeftMs', 0)
     born = entry.get('born', 0)
+    software_version = entry.get('version')
+    if not isinstance(software_version, str):
+        software_version = ''
     for number in (slots, cold_left_ms, born):
         if isinstance(number, bool) or not isinstance(number, int | float):
             return None
@@ -148,4 +154,5 @@
         is_leaving,
         cold_left_ms > 0,
         int(born),
+        software_version,
     )
--- a/src/greengagegw/serving/ports.py
+++ b/src/greengagegw/serving/ports.py
@@ -22,6 +22,8 @@
         complete response; None if it does not say.
     :ivar prompt: size of the generation; None for other calls.
     :ivar resume_after: ID of the event after which a stream resumes.
+    :ivar resumed_request: ID of the client's request that received the first
+        event of the stream; None if the client does not say.
     """
 
     request_id: str
@@ -35,6 +37,7 @@
     client_timeout_seconds: float | None
     prompt: prompts.Prompt | None
     resume_after: str | None
+    resumed_request: str | None = None
 
     def pack(self) -> list:
         """Returns the request without its key, to forward it to another VM."""
@@ -129,6 +132,8 @@
     :ivar load: the load that the server reported, if any.
     :ivar ends_by_close: whether the body ends with its connection, so that
         an orderly close in the middle of it looks like its end.
+    :ivar software_version: of the backend server that began it; None if a VM
+        that forwards it does not know.
     """
 
     status: int
@@ -136,6 +141,7 @@
     chunks: collections.abc.AsyncIterator[bytes]
     load: ReportedLoad | None = None
     ends_by_close: bool = False
+    software_version: str | None = None
 
 
 class BackendPort(typing.Protocol):
