Begin a stream anew at another server until its first event

While servers of several software versions serve side by side, a caller got a 502 if its stream broke off between the head and the first event and the region had no other server of that version: the version was fixed by the head.

A response is now passed on from its first event on. Until then the request may be sent to any server, and the head is that of the server whose events follow.

--- a/features/serving/versions.feature
+++ b/features/serving/versions.feature
@@ -15,6 +15,17 @@
     When 20 streams break off after 2 events
     Then 0 of them are complete, and none has events of two versions
 
+  Scenario Outline: A response without an event begins anew at any version
+    Given region a with 3 entry VMs and engines of v1, v2
+    And a route with 2 attempts
+    When 20 streams meet an engine that <fault>
+    Then 20 of them are complete, and none has events of two versions
+
+    Examples:
+      | fault                              |
+      | disconnects before the first event |
+      | closes before the first event      |
+
   Scenario Outline: A client's stream does not go on at another software version
     Given region a with 3 entry VMs and engines of v1, v1, v2, v2
     And region b with 3 entry VMs and engines of v1, v2, v3
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -133,7 +133,7 @@
             load = ports.ReportedLoad(self.running, 0, self.instance.slots)
             yield ports.Response(
                 status,
-                (),
+                ((b'stamp', self.instance.software_version.encode()),),
                 self.generate(backend_request, fault),
                 load,
                 fault in CLOSE_FAULTS,
@@ -166,6 +166,10 @@
             return
         if fault == 'closes before the first event':
             return
+        if fault == 'disconnects before the first event':
+            raise errors.BrokenStreamError(
+                'the connection broke before the first event'
+            )
         if fault == 'responds with an error page':
             yield b'an error page'
             return
@@ -316,6 +320,7 @@
     error: errors.GatewayError | None = None
     size: int = 0
     key: str = ''
+    headers: tuple = ()
 
     @property
     def is_on_time(self):
@@ -513,6 +518,7 @@
                         outcome.first_at = self.timers.now()
                         # The status is sent with the first chunk.
                         outcome.status = response.status
+                        outcome.headers = response.headers
                     outcome.body += chunk
                 outcome.status = response.status
         except errors.GatewayError as error:
--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -16,7 +16,6 @@
 
 PROMPT = prompts.Prompt('m', 100, 80, (prompts.Segment('own', 100),))
 EVENT_COUNT = 10
-BREAKS_OFF = 'disconnects after 2 events'
 EVENT = re.compile(rb'id: (\d+)\ndata: (\S+) \d+\n\n')
 
 
@@ -133,12 +132,23 @@
 @behave.when('{count:d} streams break off after 2 events')
 @in_fleet
 async def when_break_off(context, count):
+    await send_streams(context, count, 'disconnects after 2 events')
+
+
+@behave.when('{count:d} streams meet an engine that {fault}')
+@in_fleet
+async def when_meet_fault(context, count, fault):
+    await send_streams(context, count, fault)
+
+
+async def send_streams(context, count, fault):
+    """Sends streams of which each has the fault at its first engine."""
     world = context.serving
     vms = [one.vm for one in world.entries if one.region == 'a']
     # Until the loads of the other regions are known.
     await world.timers.advance(1.0)
     for number in range(count):
-        faults = [BREAKS_OFF]
+        faults = [fault]
         for engine in world.engines.values():
             engine.pending_faults = faults
         vm = vms[number % len(vms)]
@@ -220,6 +230,11 @@
 def then_complete(context, count, kind):
     mixed = [one for one in context.streams if len(one.writers) > 1]
     assert not mixed, (len(mixed), mixed[0])
+    for one in context.streams:
+        if one.outcome.headers:
+            # The head is of the server that began the stream.
+            stamp = dict(one.outcome.headers)[b'stamp']
+            assert stamp == one.events[0][1], one
     complete = [one for one in context.streams if one.is_complete]
     assert len(complete) == count, (len(complete), context.streams[0])
     assert len(set().union(*(one.writers for one in context.streams))) > (
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -440,17 +440,7 @@
         )
         try:
             response = await execution.first_response()
-            is_event_stream = response.status == 200 and job.route.is_stream
-            if is_event_stream:
-                chunks = execution.stream_events(response)
-            else:
-                chunks = execution.stream_chunks(response)
-            yield ports.Response(
-                response.status,
-                response.headers,
-                chunks,
-                software_version=execution.job.software_version,
-            )
+            yield response
         finally:
             await execution.close()
 
