Forward requests to VMs of the release before and from them

While a deployment is upgraded, a VM without software versions could not read a forwarded request, nor its response be read. The version is now sent only with a request that needs one, and its absence in a response means that it is unknown.

--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -238,7 +238,8 @@
                         break
             if response is None:
                 raise failure or errors.UnavailableError(
-                    f'no region can run {job.service.name} now',
+                    f'no region can run {job.service.name}'
+                    f'{planner_module.describe_version(job)} now',
                     retry_after=self.planner.rejected_retry_after(job),
                 )
             yield response
@@ -295,8 +296,9 @@
             job.objective_left,
             job.is_client_retry,
             job.attempts.max_count - job.attempts.count,
-            job.software_version,
         ]
+        if job.software_version is not None:
+            message.append(job.software_version)
         try:
             async with self.mesh.open(
                 entry_vm.vm, SERVE_METHOD, message
@@ -309,13 +311,14 @@
                 self.planner.region_prefixes.record_response(
                     job, region, self.timers.now()
                 )
-                status, headers, software_version = response_head
+                # A VM of an earlier release sends no software version.
+                status, headers, *versions = response_head
                 pairs = tuple((name, value) for name, value in headers)
                 yield ports.Response(
                     status,
                     pairs,
                     self.receive_chunks(job, stream),
-                    software_version=software_version,
+                    software_version=versions[0] if versions else None,
                 )
         except anyio.EndOfStream as error:
             raise errors.PeerLostError(
@@ -378,7 +381,7 @@
         objective_left: float,
         is_client_retry: bool,
         attempts_left: int,
-        software_version: str | None,
+        software_version: str | None = None,
     ) -> jobs.Job:
         """Returns the job of a forwarded request.
 
