Read the response of a claimed call with streams.read_body

Only our own interface was affected; the platform's roles do not use it.

A check of all attributes of the package's modules found no other such name.

--- a/src/greengagegw/gateway.py
+++ b/src/greengagegw/gateway.py
@@ -19,6 +19,7 @@
 from . import region_routing
 from . import request_parsing
 from . import settings as settings_module
+from . import streams
 from . import table as tables
 from . import timers as timer_service
 from .allowance import quota_client as quota_clients
@@ -344,9 +345,7 @@
             )
         try:
             async with self.router.route(spec, row) as active_call:
-                body = await local_execution.read_body(
-                    active_call.response.chunks
-                )
+                body = await streams.read_body(active_call.response.chunks)
                 response = ledger_client.StoredResponse(
                     active_call.response.status,
                     active_call.response.headers,
