Log the ends of backend servers with the requests they interrupted

What callers saw: servers crash one after the other (BUDGET). The logs could not tell whether requests with a common prompt segment did it, servers that were sent too much while cold, or neither: a response that breaks off looks the same after a crash and a reset connection, and no line has the segments.

Change: a VM checks after a broken response, by one connection, whether the server still listens. If nothing does, or another instance has its address, 'server:ended' has the interrupted requests, their segments and how long each ran; otherwise 'server:interrupted' says that the server goes on. The end of a server that was leaving is marked so.

No decision depends on it yet.

--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -37,6 +37,8 @@
 CACHE_CAPACITY_TOKENS = 400_000
 # Interval between polls of the control VMs, and the age of their reports.
 POLL_SECONDS = 0.5
+# From the crash of an engine until another instance starts.
+RESTART_SECONDS = 3.0
 ENDLESS_CHUNK = b'x' * (256 * 1024)
 ERROR_FAULTS = ('responds with an error', 'responds with an error page')
 # Faults of a response without a length that ends with its connection.
@@ -100,10 +102,23 @@
         self.event_delay = 0.0
         self.is_leaving = False
         self.pause_seconds = 0.0
+        # When it crashed, None while it runs.
+        self.crashed_at = None
+        # Whether its responses have no length and end with the connection.
+        self.closes_orderly = False
+
+    def crash(self):
+        """Ends the engine; another instance starts some seconds later."""
+        if self.crashed_at is None:
+            self.crashed_at = self.world.timers.now()
+            self.world.crashes.append(self.crashed_at)
+            self.world.tasks.start_soon(self.world.replace_engine, self)
 
     @contextlib.asynccontextmanager
     async def serve(self, backend_request, on_notice):
         timers = self.world.timers
+        if self.crashed_at is not None:
+            raise errors.BackendConnectError('the engine has crashed')
         self.arrivals.append((timers.now(), backend_request))
         if self.pause_seconds:
             on_notice(ports.ServerNotice(self.is_leaving, self.pause_seconds))
@@ -136,7 +151,7 @@
                 ((b'stamp', self.instance.software_version.encode()),),
                 self.generate(backend_request, fault),
                 load,
-                fault in CLOSE_FAULTS,
+                fault in CLOSE_FAULTS or self.closes_orderly,
             )
         finally:
             self.running -= 1
@@ -156,6 +171,8 @@
             unread = prompt.tokens - self.cache.cached_tokens(prompt)
             self.world.count_shared_tokens(self, prompt)
             await timers.sleep(unread / PREFILL_RATE * self.slowdown)
+            if self.crashed_at is not None:
+                raise errors.BackendError('the engine crashed')
             self.cache.record_prompt(prompt)
             self.prefilled_tokens += unread
 
@@ -173,9 +190,16 @@
         if fault == 'responds with an error page':
             yield b'an error page'
             return
+        names = {one.name for one in prompt.segments}
+        if names & self.world.crashing_segments:
+            self.crash()
         count = max(1, prompt.max_output_tokens // EVENT_TOKENS)
         first = int(backend_request.resume_after or 0) + 1
         for number in range(first, count + 1):
+            if self.crashed_at is not None:
+                if self.closes_orderly:
+                    return
+                raise errors.BrokenStreamError('the engine crashed')
             writer = self.instance.software_version
             data = f'{writer} {number}' if writer else number
             event = f'id: {number}\ndata: {data}\n\n'.encode()
@@ -354,6 +378,11 @@
         self.asked_shared_tokens = 0
         self.reread_tokens = collections.Counter()
         self.read_segments = set()
+        # A prompt with one of these segments crashes each engine that begins
+        # to generate from it.
+        self.crashing_segments = set()
+        self.crashes = []
+        self.ended_engines = []
         routes = routes or [fleet_world.route()]
         self.configuration = documents.decode(
             orjson.dumps(fleet_world.document(routes=routes, tenants=tenants))
@@ -382,6 +411,24 @@
         )
         self.engines[name] = EmulatedEngine(self, instance)
 
+    async def replace_engine(self, crashed):
+        """Starts another instance in place of a crashed one."""
+        await self.timers.sleep(RESTART_SECONDS)
+        name = crashed.instance.name
+        del self.engines[name]
+        self.ended_engines.append(crashed)
+        number = len(self.ended_engines)
+        replacement = EmulatedEngine(
+            self,
+            dataclasses.replace(
+                crashed.instance,
+                name=f'{name.partition("-r")[0]}-r{number}',
+                born=int(self.timers.now() * 1000),
+            ),
+        )
+        replacement.closes_orderly = crashed.closes_orderly
+        self.engines[replacement.instance.name] = replacement
+
     def set_version(self, name, version):
         engine = self.engines[name]
         engine.instance = dataclasses.replace(
@@ -418,8 +465,17 @@
         self.add_dispatcher(entry)
         self.tasks.start_soon(self.dispatchers[entry.vm].run)
 
-    def send(self, instance, backend_request, on_notice):
-        return self.engines[instance.name].serve(backend_request, on_notice)
+    @contextlib.asynccontextmanager
+    async def send(self, instance, backend_request, on_notice):
+        engine = self.engines.get(instance.name)
+        if engine is None:
+            raise errors.BackendConnectError('the engine is gone')
+        async with engine.serve(backend_request, on_notice) as response:
+            yield response
+
+    async def is_refusing_connections(self, instance):
+        engine = self.engines.get(instance.name)
+        return engine is None or engine.crashed_at is not None
 
     @contextlib.asynccontextmanager
     async def running(self):
--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -5,6 +5,7 @@
 import math
 import ssl
 
+import anyio
 import eliot
 import httpcore
 
@@ -125,6 +126,24 @@
         finally:
             await response.aclose()
 
+    async def is_refusing_connections(
+        self, instance: instances.Instance
+    ) -> bool:
+        host, _, port = instance.address.rpartition(':')
+        try:
+            with self.timers.move_on_after(CONNECT_TIMEOUT_SECONDS):
+                stream = await anyio.connect_tcp(host, int(port))
+                await stream.aclose()
+        except OSError as error:
+            eliot.log_message(
+                'backend:not_listening',
+                server=instance.name,
+                address=instance.address,
+                reason=str(error),
+            )
+            return True
+        return False
+
 
 def make_request(
     instance: instances.Instance, backend_request: ports.BackendRequest
--- a/src/greengagegw/serving/departures.py
+++ b/src/greengagegw/serving/departures.py
@@ -29,6 +29,10 @@
 Run = tuple[str, int]
 
 
+def run_of(instance: instances.Instance) -> Run:
+    return instance.name, instance.born
+
+
 class LeavingServers:
     """The runs of backend servers that are known to be leaving.
 
@@ -42,13 +46,13 @@
         self.has_new_runs = anyio.Event()
 
     def __contains__(self, instance: instances.Instance) -> bool:
-        return (instance.name, instance.born) in self.expiry
+        return run_of(instance) in self.expiry
 
     def record_announcement(
         self, instance: instances.Instance, now: float
     ) -> None:
         """Records what a server announced to this VM."""
-        run = (instance.name, instance.born)
+        run = run_of(instance)
         if self.merge([run], now):
             eliot.log_message('server:leaving', server=run[0], born=run[1])
             self.new_runs.append(run)
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -25,6 +25,7 @@
 from . import planner as planner_module
 from . import ports
 from ..ports import peers
+from . import server_ends
 from . import servers as server_pool
 from . import stream_origins
 
@@ -80,6 +81,9 @@
             timers,
             mesh,
         )
+        self.end_detector = server_ends.EndDetector(
+            timers, pool, backend, lambda end: None
+        )
         self.in_flight_count = 0
         self.rejects_request: collections.abc.Callable[
             [ports.Request], bool
@@ -97,6 +101,7 @@
                 ('links', self.links.maintain_links),
                 ('stream origins', self.origin_exchange.run),
                 ('silence', self.check_silence),
+                ('server ends', self.end_detector.run),
             ):
                 tasks.start_soon(
                     supervision.run_supervised, self.timers, name, function
@@ -439,7 +444,7 @@
     ) -> collections.abc.AsyncIterator[ports.Response]:
         """Enters the response of a server of this region."""
         execution = execution_module.RequestExecution(
-            self.planner, self.backend, job
+            self.planner, self.backend, self.end_detector, job
         )
         try:
             response = await execution.first_response()
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -15,6 +15,7 @@
 from . import jobs
 from . import planner as planner_module
 from . import ports
+from . import server_ends
 from . import servers as server_pool
 
 # A stream that pauses for this multiple of its event gap objective is resumed
@@ -42,10 +43,12 @@
         self,
         planner: planner_module.RequestPlanner,
         backend: ports.BackendPort,
+        end_detector: server_ends.EndDetector,
         job: jobs.Job,
     ) -> None:
         self.planner = planner
         self.backend = backend
+        self.end_detector = end_detector
         self.timers = planner.timers
         self.job = job
         self.excluded: set[str] = set()
@@ -215,12 +218,16 @@
                 )
         except errors.BackendConnectError:
             job.attempts.count -= 1
+            self.end_detector.check_again(server.instance)
             server.record_outcome(True, self.timers.now())
             server.eject(self.timers.now())
             self.log_failure(server, 'connect')
             raise
         except errors.WrongInstanceError:
             self.planner.pool.mark_moved(name)
+            self.end_detector.record_end(
+                server.instance, 'another instance has its address'
+            )
             self.log_failure(server, 'wrong_instance')
             raise
         except errors.BackendRefusedError:
@@ -232,6 +239,7 @@
         except errors.BackendError as error:
             waited = self.timers.now() - now
             is_timeout = isinstance(error, errors.BackendTimeoutError)
+            self.record_interruption(error)
             if not is_timeout or waited >= MIN_FAILURE_WAIT_SECONDS:
                 server.record_outcome(True, self.timers.now())
             self.log_failure(server, error.code)
@@ -257,6 +265,16 @@
     ) -> None:
         self.planner.pool.record_notice(instance, notice, self.timers.now())
 
+    def record_interruption(self, error: errors.BackendError) -> None:
+        """Records a failure that the end of the server may have caused."""
+        has_responded = isinstance(
+            error, errors.BackendTimeoutError | errors.BackendStatusError
+        )
+        if self.server is not None and not has_responded:
+            self.end_detector.record_interruption(
+                self.server.instance, self.job, self.in_flight.sent_at
+            )
+
     def log_failure(self, server: server_pool.Server, code: str) -> None:
         self.planner.log(
             'request:send_failed',
@@ -357,6 +375,7 @@
             is_over = self.timers.now() >= self.job.deadline
             if not is_over:
                 self.server.record_outcome(True, self.timers.now())
+            self.record_interruption(error)
             self.log_failure(self.server, error.code)
 
     async def stream_events(
--- a/src/greengagegw/serving/ports.py
+++ b/src/greengagegw/serving/ports.py
@@ -161,3 +161,12 @@
         :raises BackendRefusedError: if the server did not run the request.
         :raises BackendError: if the request may have run.
         """
+
+    async def is_refusing_connections(
+        self, instance: instances.Instance
+    ) -> bool:
+        """Returns whether nothing listens at the address of an instance.
+
+        Opens a connection and closes it. An attempt that gets no reply in
+        time says nothing, since a packet may be lost.
+        """
--- /dev/null
+++ b/src/greengagegw/serving/server_ends.py
@@ -0,0 +1,191 @@
+"""Detects that a backend server has ended under requests of this VM.
+
+A connection that breaks may have been reset while its server goes on. Only a
+server that no longer accepts connections, or that another run has replaced,
+has ended.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+
+import anyio
+import anyio.abc
+import eliot
+
+from .. import timers as timer_service
+from . import departures
+from ..fleet import instances
+from . import jobs
+from . import ports
+from . import servers as server_pool
+
+# Connections to a server that ended break within this time of each other.
+SETTLE_SECONDS = 0.05
+# An interruption is related to an end of its server that is noticed within
+# this time. A server that has crashed starts again after some seconds.
+RELATED_SECONDS = 3.0
+MAX_RUNS = 200
+MAX_REQUESTS_PER_RUN = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InterruptedRequest:
+    """A request whose response broke off.
+
+    :ivar segments: names of its prompt's segments, in their order.
+    :ivar sent_at: timer seconds.
+    :ivar interrupted_at: timer seconds.
+    """
+
+    request_id: str
+    segments: tuple[str, ...]
+    sent_at: float
+    interrupted_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerEnd:
+    """The end of a server's run, as one VM noticed it.
+
+    :ivar requests: requests of this VM that it interrupted.
+    """
+
+    service: str
+    run: departures.Run
+    requests: tuple[InterruptedRequest, ...]
+
+
+class EndDetector:
+    """Relates interrupted requests to the ends of their servers.
+
+    :param on_end: called with each end of a server that was running requests.
+        Called again for requests whose interruption is noticed later.
+    :ivar interrupted: recent interruptions by run, the oldest run first.
+    :ivar ended: runs that have ended, the oldest first.
+    """
+
+    def __init__(
+        self,
+        timers: timer_service.Timers,
+        pool: server_pool.ServerPool,
+        backend: ports.BackendPort,
+        on_end: collections.abc.Callable[[ServerEnd], None],
+    ) -> None:
+        self.timers = timers
+        self.pool = pool
+        self.backend = backend
+        self.on_end = on_end
+        self.interrupted: collections.OrderedDict[
+            departures.Run, list[InterruptedRequest]
+        ] = collections.OrderedDict()
+        self.ended: collections.OrderedDict[departures.Run, None] = (
+            collections.OrderedDict()
+        )
+        self.unchecked: dict[departures.Run, instances.Instance] = {}
+        self.has_unchecked = anyio.Event()
+
+    def record_interruption(
+        self, instance: instances.Instance, job: jobs.Job, sent_at: float
+    ) -> None:
+        """Records that the connection broke before a response was complete."""
+        self.add_request(instance, job, sent_at)
+        if departures.run_of(instance) in self.ended:
+            self.report(instance, 'had ended already')
+        else:
+            self.check_again(instance)
+
+    def check_again(self, instance: instances.Instance) -> None:
+        """Checks whether a server that interrupted requests has ended."""
+        run = departures.run_of(instance)
+        if run in self.interrupted:
+            self.unchecked[run] = instance
+            self.has_unchecked.set()
+
+    def add_request(
+        self, instance: instances.Instance, job: jobs.Job, sent_at: float
+    ) -> None:
+        """Adds a request that an end of the server may have interrupted."""
+        prompt = job.generation_prompt
+        if prompt is None:
+            return
+        run = departures.run_of(instance)
+        requests = self.interrupted.setdefault(run, [])
+        if len(requests) < MAX_REQUESTS_PER_RUN:
+            requests.append(
+                InterruptedRequest(
+                    job.request.request_id,
+                    tuple(one.name for one in prompt.segments),
+                    sent_at,
+                    self.timers.now(),
+                )
+            )
+        while len(self.interrupted) > MAX_RUNS:
+            self.interrupted.popitem(last=False)
+
+    def record_end(self, instance: instances.Instance, reason: str) -> None:
+        """Records that a run is known to have ended."""
+        run = departures.run_of(instance)
+        if run in self.ended:
+            return
+        self.ended[run] = None
+        while len(self.ended) > MAX_RUNS:
+            self.ended.popitem(last=False)
+        self.report(instance, reason)
+
+    def report(self, instance: instances.Instance, reason: str) -> None:
+        """Reports the requests that the end of a run interrupted."""
+        run = departures.run_of(instance)
+        now = self.timers.now()
+        requests = tuple(
+            one
+            for one in self.interrupted.pop(run, ())
+            if now - one.interrupted_at <= RELATED_SECONDS
+        )
+        if not requests:
+            return
+        # A server that leaves ends with whatever it still runs.
+        is_leaving = self.pool.is_leaving(instance)
+        eliot.log_message(
+            'server:ended',
+            server=run[0],
+            born=run[1],
+            service=instance.service,
+            software=instance.software_version,
+            reason=reason,
+            leaving=is_leaving,
+            requests=[
+                [
+                    one.request_id,
+                    list(one.segments),
+                    round(one.interrupted_at - one.sent_at, 3),
+                ]
+                for one in requests
+            ],
+        )
+        if not is_leaving:
+            self.on_end(ServerEnd(instance.service, run, requests))
+
+    async def run(self) -> None:
+        """Checks servers that interrupted requests, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self.has_unchecked.wait()
+                self.has_unchecked = anyio.Event()
+                unchecked, self.unchecked = self.unchecked, {}
+                for instance in unchecked.values():
+                    tasks.start_soon(self.check, instance)
+
+    async def check(self, instance: instances.Instance) -> None:
+        await self.timers.sleep(SETTLE_SECONDS)
+        if await self.backend.is_refusing_connections(instance):
+            self.record_end(instance, 'refuses connections')
+        else:
+            eliot.log_message(
+                'server:interrupted',
+                server=instance.name,
+                service=instance.service,
+                requests=len(
+                    self.interrupted.get(departures.run_of(instance), ())
+                ),
+            )
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -353,6 +353,15 @@
         ):
             server.pause(notice.pause_seconds, now)
 
+    def is_leaving(self, instance: instances.Instance) -> bool:
+        """Returns whether a run is known to be leaving or evacuated."""
+        listed = self.view.instances.get(instance.name, instance)
+        return (
+            listed.is_leaving
+            or instance in self.leaving
+            or instance.domain in self.view.evacuated_domains
+        )
+
     def pause_seconds_left(
         self, service: configurations.Service, now: float
     ) -> float:
