Log the request limits that backend servers name

What callers saw: a back end in need got more requests than the limit that it had named (LIMIT). Whether a VM had heard the limit, from whom and when was in no log, so that a limit that is not read, one that each VM obeys by itself and one that others do not know of look the same.

Change: the header is decoded, and each VM logs server:limited and server:unlimited with the limit and the one before. The response to a request that was sent before a limit was named does not take it back. No decision depends on it yet.

--- a/features/platform/documents.feature
+++ b/features/platform/documents.feature
@@ -73,6 +73,23 @@
     When a client sends headers of the gateway and hop-by-hop headers
     Then the backend server gets only the gateway's values of them
 
+  Scenario Outline: The request limit of a backend server is decoded
+    When a backend server responds with status <status>, id <id> and <headers>
+    Then its request limit is <limit>
+
+    Examples:
+      | status | id  | headers             | limit     |
+      | 200    | r-1 | Server-Limit: 1.6   | 1.6       |
+      | 503    | -   | server-limit: 12    | 12        |
+      | 429    | r-1 | Server-Limit: 0     | 0         |
+      | 200    | r-1 | Retry-After: 3      | none      |
+      | 200    | r-2 | Server-Limit: 1.6   | not known |
+      | 421    | r-1 | Server-Limit: 1.6   | not known |
+      | 200    | r-1 | Server-Limit: few   | not known |
+      | 200    | r-1 | Server-Limit: -1    | not known |
+      | 200    | r-1 | Server-Limit: nan   | not known |
+      | 200    | r-1 | Server-Limit: inf   | not known |
+
   Scenario Outline: What a backend server says of itself is decoded
     When a backend server responds with status <status>, id <id> and <headers>
     Then it is <leaving>, and wants no requests for <pause> seconds
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -10,6 +10,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 
 import anyio
@@ -106,6 +107,8 @@
         self.event_delay = 0.0
         self.is_leaving = False
         self.pause_seconds = 0.0
+        # Requests a second that it names as its limit.
+        self.request_limit = math.inf
         # When it crashed, None while it runs.
         self.crashed_at = None
         # Whether its responses have no length and end with the connection.
@@ -148,7 +151,11 @@
         try:
             await self.prefill(backend_request)
             status = 500 if fault in ERROR_FAULTS else 200
-            on_notice(ports.ServerNotice(self.is_leaving))
+            on_notice(
+                ports.ServerNotice(
+                    self.is_leaving, request_limit=self.request_limit
+                )
+            )
             load = ports.ReportedLoad(self.running, 0, self.instance.slots)
             yield ports.Response(
                 status,
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -1,5 +1,6 @@
 """Steps for the adapter to the platform."""
 
+import math
 import types
 
 import behave
@@ -252,8 +253,17 @@
 
 @behave.then('it is {state}, and wants no requests for {seconds:g} seconds')
 def then_notice(context, state, seconds):
-    expected = ports.ServerNotice(state == 'leaving', seconds)
-    assert context.notice == expected, context.notice
+    notice = context.notice
+    expected = (state == 'leaving', seconds)
+    assert (notice.is_leaving, notice.pause_seconds) == expected, notice
+
+
+@behave.then('its request limit is {limit}')
+def then_limit(context, limit):
+    expected = {'not known': None, 'none': math.inf}.get(limit)
+    if limit not in ('not known', 'none'):
+        expected = float(limit)
+    assert context.notice.request_limit == expected, context.notice
 
 
 @behave.when('a backend server responds with status {status:d} and {headers}')
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -315,7 +315,7 @@
         engine.pause_seconds = float(seconds)
         notice = ports.ServerNotice(False, engine.pause_seconds)
         world.dispatchers['a0'].pool.record_notice(
-            server.instance, notice, world.timers.now()
+            server.instance, notice, world.timers.now(), world.timers.now()
         )
     engine.pause_seconds = 0.0
     context.paused_at = world.timers.now()
--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -212,7 +212,9 @@
     if response.status == OVERLOADED_STATUS:
         pause_seconds = decode_retry_after(headers.get(http_names.RETRY_AFTER))
     return ports.ServerNotice(
-        headers.get(http_names.SERVER_LEAVING) == b'1', pause_seconds or 0.0
+        headers.get(http_names.SERVER_LEAVING) == b'1',
+        pause_seconds or 0.0,
+        decode_request_limit(headers.get(http_names.SERVER_LIMIT)),
     )
 
 
@@ -304,11 +306,29 @@
     """Returns seconds, None if the value is missing or invalid."""
     if value is None:
         return None
+    seconds = decode_number(value)
+    if seconds is None:
+        eliot.log_message('backend:bad_retry_after', value=repr(value)[:50])
+    return seconds
+
+
+def decode_request_limit(value: bytes | None) -> float | None:
+    """Returns requests a second, infinite if there is no value.
+
+    :returns: None if the value is invalid.
+    """
+    if value is None:
+        return math.inf
+    rate = decode_number(value)
+    if rate is None:
+        eliot.log_message('backend:bad_server_limit', value=repr(value)[:50])
+    return rate
+
+
+def decode_number(value: bytes) -> float | None:
+    """Returns a finite number that is not negative, None for any other."""
     try:
-        seconds = float(value)
+        number = float(value)
     except ValueError:
-        seconds = math.nan
-    if not math.isfinite(seconds) or seconds < 0:
-        eliot.log_message('backend:bad_retry_after', value=repr(value)[:50])
         return None
-    return seconds
+    return number if math.isfinite(number) and number >= 0 else None
--- a/src/greengagegw/platform/http_names.py
+++ b/src/greengagegw/platform/http_names.py
@@ -17,6 +17,8 @@
 RETRY_AFTER = b'retry-after'
 # '1' in every response of a backend server that is about to leave.
 SERVER_LEAVING = b'server-leaving'
+# Requests a second that a backend server takes from all VMs together.
+SERVER_LIMIT = b'server-limit'
 MODEL = b'greengagegw-model'
 # Tokens of the prompt and maximum tokens of the output.
 TOKEN_COUNTS = b'greengagegw-token-count'
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -214,7 +214,7 @@
                             server.instance,
                             backend_request,
                             functools.partial(
-                                self.record_notice, server.instance
+                                self.record_notice, server.instance, now
                             ),
                         )
                     ),
@@ -268,9 +268,14 @@
         return response
 
     def record_notice(
-        self, instance: instances.Instance, notice: ports.ServerNotice
+        self,
+        instance: instances.Instance,
+        asked_at: float,
+        notice: ports.ServerNotice,
     ) -> None:
-        self.planner.pool.record_notice(instance, notice, self.timers.now())
+        self.planner.pool.record_notice(
+            instance, notice, asked_at, self.timers.now()
+        )
 
     def record_interruption(self, error: errors.BackendError) -> None:
         """Records a failure that the end of the server may have caused."""
--- a/src/greengagegw/serving/ports.py
+++ b/src/greengagegw/serving/ports.py
@@ -118,10 +118,13 @@
     :ivar is_leaving: whether it is about to leave, so must get no new
         requests.
     :ivar pause_seconds: seconds for which it wants no requests from this VM.
+    :ivar request_limit: requests a second that it takes from all VMs together;
+        infinite if it names no limit, None if nothing is known of it.
     """
 
     is_leaving: bool = False
     pause_seconds: float = 0.0
+    request_limit: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -16,6 +16,7 @@
 from . import generations
 from . import ports
 from . import prompts
+from . import request_limits
 from . import stream_origins
 
 FAILURE_SMOOTHING = 0.25
@@ -278,6 +279,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.moved: set[str] = set()
         self.leaving = departures.LeavingServers()
+        self.limits = request_limits.NamedLimits()
         self.software_versions = stream_origins.SoftwareVersions()
 
     def update(self, now: float) -> None:
@@ -336,13 +338,22 @@
         self,
         instance: instances.Instance,
         notice: ports.ServerNotice,
+        asked_at: float,
         now: float,
     ) -> None:
         """Records what a server said of itself in a response.
 
         :param instance: the server as it was when the request was sent; a
             later run of the same name is not affected.
+        :param asked_at: timer seconds when the request was sent.
         """
+        if notice.request_limit is not None:
+            self.limits.record(
+                departures.run_of(instance),
+                notice.request_limit,
+                asked_at,
+                now,
+            )
         if notice.is_leaving:
             self.leaving.record_announcement(instance, now)
         server = self.servers.get(instance.name)
