Obey the request limits that backend servers name

Nothing in the gateway limited what all VMs together send to a warm server; only cold ones were paced.

Change: the entry VMs of a region tell each other what servers say of their limits, in the exchange that leaving servers use, now a type of its own. Up to four of them share a limit in equal parts, paced like that of a cold server, for every request that is sent. Rejected clients are told when a server may take one; other regions are not offered a limited server's capacity.

Why it works: equal shares of the same VMs add up to the limit without a message for each request, and a VM that restarts learns the limits from the others.

The landed check 'at least half of its limit' was wrong where other servers have room and cached prompts: those may well get the requests. It is replaced: there 95 percent must be on time, and where all servers are limited they must get 80 percent of their limits (30 where 12 VMs have a twelfth of the requests each and four may send).

--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -1,10 +1,17 @@
 """Steps for request limits of backend servers."""
 
+import dataclasses
+import math
+
 import behave
+import orjson
 
 from features import serving_world
 from features.steps.fleet import in_fleet
 from features.steps.server_ends import prompt
+from greengagegw import errors
+from greengagegw.serving import ports
+from greengagegw.serving import request_limits
 
 WINDOW_SECONDS = 4.0
 # A VM obeys a limit this long after the first response that named it.
@@ -87,11 +94,143 @@
         assert most <= allowed, (engine.instance.name, most, allowed)
 
 
-@behave.then('each of them gets at least half of its limit over all')
-def then_used(context):
+@behave.then(
+    'each of them gets at least {percent:d} percent of its limit over all'
+)
+def then_used(context, percent):
     world = context.serving
     for engine in context.limited:
         seconds = world.timers.now() - context.limited_at
         got = len(arrivals_since(engine, context.limited_at))
-        wanted = 0.5 * engine.request_limit * seconds
+        wanted = percent / 100 * engine.request_limit * seconds
         assert got >= wanted, (engine.instance.name, got, wanted)
+
+
+def outcomes_since_limit(context):
+    now = context.serving.timers.now()
+    return [
+        one
+        for one in context.serving.outcomes
+        if context.limited_at <= one.sent_at < now - 1.0
+    ]
+
+
+@behave.then('{percent:d} percent of the requests since are on time')
+def then_on_time(context, percent):
+    outcomes = outcomes_since_limit(context)
+    on_time = sum(one.is_on_time for one in outcomes)
+    assert 100 * on_time >= percent * len(outcomes) > 0, (
+        on_time,
+        len(outcomes),
+        {str(one.error) for one in outcomes if not one.is_on_time},
+    )
+
+
+@behave.then('those that are rejected are told when to come back')
+def then_told(context):
+    failures = [
+        one.error
+        for one in outcomes_since_limit(context)
+        if one.error is not None
+    ]
+    assert failures
+    for error in failures:
+        assert (error.status, error.run) == (503, errors.NOT_RUN), error
+        assert error.retry_after >= 0.3, error
+
+
+async def restart(context):
+    world = context.serving
+    world.restart(world.entries[2])
+    world.refresh()
+    await world.timers.advance(2.0)
+
+
+async def restart_alone(context):
+    context.serving.unreachable_vms = {'a0', 'a1'}
+    await restart(context)
+    # The others tell it.
+    await context.serving.timers.advance(8.0)
+
+
+async def change_limit(context, limit=2.0):
+    set_limit(context, 1, limit)
+    await send_requests(context, 20, 4.0)
+
+
+async def take_back(context):
+    await change_limit(context, math.inf)
+
+
+async def get_earlier_response(context):
+    world = context.serving
+    world.dispatchers['a0'].pool.record_notice(
+        context.limited[0].instance,
+        ports.ServerNotice(request_limit=math.inf),
+        context.limited_at,
+        world.timers.now(),
+    )
+    await world.timers.advance(0.5)
+
+
+async def start_another_run(context):
+    engine = context.limited[0]
+    engine.instance = dataclasses.replace(engine.instance, born=7)
+    context.serving.refresh()
+
+
+EVENTS = {
+    'VM a2 restarts': restart,
+    'VM a2 restarts and can reach no other VM': restart_alone,
+    'the engine changes its limit to 2': change_limit,
+    'the engine takes its limit back': take_back,
+    'a response to an earlier request arrives at a0': get_earlier_response,
+    'another run of the engine starts': start_another_run,
+}
+
+
+@behave.when('{event} at the limited engine')
+@in_fleet
+async def when_event(context, event):
+    await EVENTS[event](context)
+
+
+@behave.then('VM a2 holds a limit of {limit} for the engine')
+def then_holds(context, limit):
+    limits = context.serving.dispatchers['a2'].pool.limits
+    expected = math.inf if limit == 'none' else float(limit)
+    assert limits.rate_of(context.limited[0].instance) == expected, (
+        limits.by_run
+    )
+
+
+@behave.when(
+    '{count:d} engines name a limit of {limit:g} a second and streams that'
+    ' break off come {rate:d} times a second for {seconds:d} seconds'
+)
+@in_fleet
+async def when_break_off(context, count, limit, rate, seconds):
+    await send_requests(context, rate, 1.0)
+    set_limit(context, count, limit)
+    for engine in context.serving.engines.values():
+        engine.pending_faults = ['disconnects after 2 events'] * 1000
+    await send_requests(context, rate, seconds)
+
+
+@behave.when('VM a0 gets {message} as limits')
+@in_fleet
+async def when_malformed(context, message):
+    handlers = context.serving.dispatchers['a0'].handlers()
+    context.error = None
+    try:
+        await handlers[request_limits.LIMITS_METHOD](
+            'a1', orjson.loads(message)
+        )
+    except errors.GatewayError as error:
+        context.error = error
+
+
+@behave.then('the limits are a protocol error of their sender')
+def then_protocol_error(context):
+    assert isinstance(context.error, errors.PeerProtocolError), context.error
+    assert 'a1' in context.error.message
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -5,6 +5,7 @@
 
 import collections.abc
 import contextlib
+import math
 import random
 import typing
 
@@ -26,6 +27,8 @@
 from . import planner as planner_module
 from . import ports
 from ..ports import peers
+from . import region_exchange
+from . import request_limits
 from . import server_ends
 from . import servers as server_pool
 from . import stream_origins
@@ -64,13 +67,29 @@
         self.planner = planner_module.RequestPlanner(
             vm, timers, agent, pool, self.backlog_exchange, retry_settings, rng
         )
-        self.departure_exchange = departures.DepartureExchange(
-            pool.leaving,
-            self.backlog_exchange.region_peers,
-            timers,
-            mesh,
-            rng,
-        )
+        self.exchanges = [
+            region_exchange.RegionExchange(
+                method,
+                event,
+                facts,
+                self.backlog_exchange.region_peers,
+                timers,
+                mesh,
+                rng,
+            )
+            for method, event, facts in (
+                (
+                    departures.DEPARTURES_METHOD,
+                    'server:leaving_not_told',
+                    pool.leaving,
+                ),
+                (
+                    request_limits.LIMITS_METHOD,
+                    'server:limit_not_told',
+                    pool.limits,
+                ),
+            )
+        ]
         self.links = links.RegionLinks(
             vm, pool.region, timers, mesh, agent.view, rng
         )
@@ -99,7 +118,7 @@
         async with anyio.create_task_group() as tasks:
             for name, function in (
                 ('backlogs', self.backlog_exchange.run),
-                ('departures', self.departure_exchange.run),
+                *((one.method, one.run) for one in self.exchanges),
                 ('links', self.links.maintain_links),
                 ('stream origins', self.origin_exchange.run),
                 ('silence', self.check_silence),
@@ -116,9 +135,14 @@
             self.pool.eject_silent_servers(self.timers.now())
 
     def handlers(self) -> dict[str, peers.Handler]:
+        exchanged = {
+            method: handler
+            for one in self.exchanges
+            for method, handler in one.handlers().items()
+        }
         return {
+            **exchanged,
             **self.backlog_exchange.handlers(),
-            **self.departure_exchange.handlers(),
             **self.origin_exchange.handlers(),
             **self.end_reporter.handlers(),
         }
@@ -474,7 +498,7 @@
 ) -> dict[str, loads.RegionLoad]:
     """Returns the estimated load of this VM's region, by service.
 
-    Cold servers do not count.
+    Cold servers, and those that limit their requests, do not count.
     """
     now = dispatcher.timers.now()
     configuration = dispatcher.view.configuration
@@ -485,6 +509,7 @@
             one
             for one in dispatcher.pool.usable_servers(service, now)
             if not one.is_cold(now)
+            and math.isinf(dispatcher.pool.limits.rate_of(one.instance))
         ]
         if not servers:
             continue
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -178,10 +178,7 @@
         server, uncached_tokens = choice.server, choice.uncached_tokens
         name = server.instance.name
         self.excluded.add(name)
-        rate = job.service.cold_start_rate
-        if rate > 0 and server.is_cold(now):
-            share = self.planner.cold_share(job, server)
-            server.cold_pacer.try_acquire(now, share)
+        server.pacer.record_send(now)
         peer_totals = self.planner.backlog_exchange.peer_totals(name)
         tokens_ahead = server.queued_tokens + peer_totals[0]
         self.server = server
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import random
 import typing
 
@@ -14,7 +15,6 @@
 from .. import timers as timer_service
 from . import admission
 from . import backlog_exchange as backlog_exchange_module
-from . import cold_pacing
 from . import engine_model
 from ..fleet import agent as agents
 from ..fleet import instances
@@ -23,7 +23,9 @@
 from . import placement
 from . import ports
 from . import prefixes
+from . import request_limits
 from . import retry_budget
+from . import send_pacing
 from . import servers as server_pool
 from . import stream_origins
 
@@ -511,7 +513,7 @@
         rejection_rate.record(True, now)
         seconds = max(
             MIN_RETRY_AFTER_SECONDS,
-            self.pool.pause_seconds_left(job.service, now),
+            self.seconds_until_usable(job, now),
         )
         return admission.compute_retry_after(
             seconds, rejection_rate.current_rate(now), self.rng
@@ -634,24 +636,54 @@
     def may_send(
         self, job: jobs.Job, server: server_pool.Server, now: float
     ) -> bool:
-        """Returns whether a server is warm, or cold within its rate limit."""
-        rate = job.service.cold_start_rate
-        if rate <= 0 or not server.is_cold(now):
-            return True
-        return (
-            self.cold_share(job, server) > 0
-            and now >= server.cold_pacer.next_at
-        )
+        """Returns whether the limits of a server allow a request now."""
+        return now >= server.pacer.next_at(self.send_rate(job, server, now))
+
+    def send_rate(
+        self, job: jobs.Job, server: server_pool.Server, now: float
+    ) -> float:
+        """Returns the requests a second that this VM may send to a server.
+
+        :returns: infinity for a warm server that has named no limit.
+        """
+        rate = math.inf
+        cold_rate = job.service.cold_start_rate
+        if cold_rate > 0 and server.is_cold(now):
+            sharing_count = self.count_sharing_vms(server, int(cold_rate))
+            rate = cold_rate / sharing_count if sharing_count else 0.0
+        limit = self.pool.limits.rate_of(server.instance)
+        if limit < math.inf:
+            sharing_count = self.count_sharing_vms(
+                server, request_limits.MAX_SHARING_VMS
+            )
+            share = request_limits.share_of_vm(limit, sharing_count)
+            rate = min(rate, share)
+        return rate
 
-    def cold_share(self, job: jobs.Job, server: server_pool.Server) -> float:
+    def count_sharing_vms(
+        self, server: server_pool.Server, max_count: int
+    ) -> int:
+        """Returns how many VMs share a limit, 0 if this one does not."""
         entry_vms = [
             one.vm for one in self.view.usable_entry_vms(self.pool.region)
         ]
-        rate = job.service.cold_start_rate
-        sharing_count = cold_pacing.count_sharing_vms(
-            self.vm, entry_vms, server.instance.name, rate
+        return send_pacing.count_sharing_vms(
+            self.vm, entry_vms, server.instance.name, max_count
         )
-        return rate / sharing_count if sharing_count else 0.0
+
+    def seconds_until_usable(self, job: jobs.Job, now: float) -> float:
+        """Returns the seconds until a paused or paced server is usable.
+
+        :returns: 0 if there is none.
+        """
+        waits = self.pool.pauses(job.service, now)
+        for server in self.usable_servers(job, now):
+            seconds = (
+                server.pacer.next_at(self.send_rate(job, server, now)) - now
+            )
+            if 0 < seconds < math.inf:
+                waits.append(seconds)
+        return min(waits, default=0.0)
 
     def choose_server(
         self, job: jobs.Job, excluded: set[str]
--- a/src/greengagegw/serving/request_limits.py
+++ b/src/greengagegw/serving/request_limits.py
@@ -1,17 +1,31 @@
 """Request rates to which backend servers in need limit all entry VMs.
 
-A server names its limit in its responses for as long as it holds.
+A server names its limit in its responses for as long as it holds. The entry
+VMs of its region tell each other, and share the limit.
 """
 
+import collections.abc
 import dataclasses
 import math
+import typing
 
+import anyio
 import eliot
 
+from .. import errors
 from . import departures
 from ..fleet import instances
 
+LIMITS_METHOD = 'serving.request_limits'
 MAX_RUNS = 500
+# Each VM may send its request at any moment of its interval, so a server may
+# get one request for each of them beyond its limit in a short time.
+MAX_SHARING_VMS = 4
+# A server that takes no requests is asked this often, since only a response
+# tells that it takes some again.
+MIN_RATE = 0.1
+# A run that is not listed for this time has ended.
+RETENTION_SECONDS = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,10 +45,15 @@
     """The limits of the runs of backend servers, as far as they are known.
 
     :ivar by_run: the run that named its limit first comes first.
+    :ivar new_runs: runs of which this VM has learned another limit itself.
+    :ivar listed_at: timer seconds at which each run was last listed.
     """
 
     def __init__(self) -> None:
         self.by_run: dict[departures.Run, NamedLimit] = {}
+        self.new_runs: set[departures.Run] = set()
+        self.has_news = anyio.Event()
+        self.listed_at: dict[departures.Run, float] = {}
 
     def rate_of(self, instance: instances.Instance) -> float:
         """Returns the requests a second that a server takes from all VMs."""
@@ -49,19 +68,18 @@
         rate: float,
         asked_at: float,
         now: float,
-    ) -> bool:
+    ) -> None:
         """Records what a server says in a response to this VM.
 
         :param rate: infinite if it names no limit.
         :param asked_at: timer seconds when the request was sent. The response
             to an earlier request than the one that named a limit does not
             take that limit back.
-        :returns: whether the limit has changed.
         """
         known = self.by_run.get(run)
         if math.isinf(rate):
             if known is None or asked_at <= known.named_at:
-                return False
+                return
             now = asked_at
         has_changed = self.merge(run, NamedLimit(rate, now))
         if has_changed:
@@ -72,7 +90,8 @@
                 limit=encode_rate(rate),
                 before=encode_rate(known.rate if known else math.inf),
             )
-        return has_changed
+            self.new_runs.add(run)
+            self.has_news.set()
 
     def merge(self, run: departures.Run, limit: NamedLimit) -> bool:
         """Keeps the newer one of two limits.
@@ -87,8 +106,104 @@
         self.by_run[run] = limit
         while len(self.by_run) > MAX_RUNS:
             del self.by_run[next(iter(self.by_run))]
+        self.listed_at.setdefault(run, limit.named_at)
         return known is None or known.rate != limit.rate
 
+    def update(
+        self, listed: collections.abc.Iterable[instances.Instance], now: float
+    ) -> None:
+        """Forgets the runs that were not listed for long."""
+        if not self.by_run:
+            return
+        for one in listed:
+            run = departures.run_of(one)
+            if run in self.by_run:
+                self.listed_at[run] = now
+        for run, listed_at in list(self.listed_at.items()):
+            if now - listed_at > RETENTION_SECONDS or run not in self.by_run:
+                del self.listed_at[run]
+                self.by_run.pop(run, None)
+
+    def take_news(self, now: float) -> list:
+        runs, self.new_runs = self.new_runs, set()
+        self.has_news = anyio.Event()
+        return self.pack_runs(runs, now)
+
+    def pack(self, now: float) -> list:
+        return self.pack_runs(self.by_run, now)
+
+    def pack_runs(
+        self, runs: collections.abc.Iterable[departures.Run], now: float
+    ) -> list:
+        return [
+            [
+                *run,
+                encode_rate(self.by_run[run].rate),
+                now - self.by_run[run].named_at,
+            ]
+            for run in runs
+            if run in self.by_run
+        ]
+
+    def merge_message(
+        self, peer: str, message: typing.Any, now: float
+    ) -> None:
+        """Merges the limits that another VM knows.
+
+        :raises PeerProtocolError: if the message is malformed.
+        """
+        for run, limit in decode_limits(peer, message, now):
+            if self.merge(run, limit):
+                eliot.log_message(
+                    'server:limit_heard',
+                    peer=peer,
+                    server=run[0],
+                    limit=encode_rate(limit.rate),
+                    age=round(now - limit.named_at, 3),
+                )
+
+
+def share_of_vm(rate: float, sharing_count: int) -> float:
+    """Returns the requests a second that one VM may send to a server.
+
+    :param rate: limit of the server.
+    :param sharing_count: VMs that share it; 0 if this VM is not one of them.
+    """
+    if math.isinf(rate):
+        return math.inf
+    return max(rate, MIN_RATE) / sharing_count if sharing_count else 0.0
+
+
+def decode_limits(
+    peer: str, message: typing.Any, now: float
+) -> list[tuple[departures.Run, NamedLimit]]:
+    """Returns the limits in a message.
+
+    :param now: timer seconds, to which the ages in the message relate.
+    :raises PeerProtocolError: if it is malformed.
+    """
+    try:
+        limits = [
+            (
+                (str(name), int(born)),
+                NamedLimit(
+                    math.inf if rate is None else float(rate),
+                    now - float(age),
+                ),
+            )
+            for name, born, rate, age in message
+        ]
+    except (TypeError, ValueError) as error:
+        raise errors.PeerProtocolError(
+            f'{peer} sent malformed request limits: {error}'
+        ) from error
+    for (name, _), limit in limits:
+        if not limit.rate >= 0 or not limit.named_at <= now:
+            raise errors.PeerProtocolError(
+                f'{peer} sent the request limit {limit.rate} of {name}'
+            )
+    return limits
+
 
 def encode_rate(rate: float) -> float | None:
     """Returns a rate for a log line or message, None if it is infinite."""
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -7,7 +7,6 @@
 import anyio
 import eliot
 
-from . import cold_pacing
 from . import departures
 from . import engine_model
 from ..fleet import agent as agents
@@ -17,6 +16,7 @@
 from . import ports
 from . import prompts
 from . import request_limits
+from . import send_pacing
 from . import stream_origins
 
 FAILURE_SMOOTHING = 0.25
@@ -89,7 +89,7 @@
         self.ejections = 0
         self.cold_until = 0.0
         self.paused_until = 0.0
-        self.cold_pacer = cold_pacing.SendPacer(now)
+        self.pacer = send_pacing.SendPacer()
         self.prefix_cache = prompts.PrefixCacheModel(memory_tokens)
         self.reported_load: ports.ReportedLoad | None = None
         self.reported_at = -1e9
@@ -297,6 +297,7 @@
             if self.region_by_domain.get(one.domain) == self.region
         }
         self.leaving.update(local_instances.values(), now)
+        self.limits.update(local_instances.values(), now)
         self.software_versions.update(view.instances.values(), now)
         self.listed_at.update(dict.fromkeys(local_instances, now))
         for name, listed_at in list(self.listed_at.items()):
@@ -373,19 +374,16 @@
             or instance.domain in self.view.evacuated_domains
         )
 
-    def pause_seconds_left(
+    def pauses(
         self, service: configurations.Service, now: float
-    ) -> float:
-        """Returns the seconds until the first paused server is usable.
-
-        :returns: 0 if none is paused.
-        """
+    ) -> list[float]:
+        """Returns the seconds until each paused server is usable."""
         pauses = [
             self.servers[one.name].paused_until - now
             for one in self.listed_instances(service)
             if one.name in self.servers
         ]
-        return min((one for one in pauses if one > 0), default=0.0)
+        return [one for one in pauses if one > 0]
 
     def listed_instances(
         self, service: configurations.Service
