Hold back messages under which engines end, on our own interface

A message that crashes each engine that begins to answer it took down up to three engines for each call, and further ones with each call that had it.

Cause: as on the platform, an engine's end was held against the engine alone, and nothing related it to what its calls had in common.

Change: a VM that loses the connection of a call checks whether the engine still listens. All VMs exchange ends with the digests of the interrupted calls' messages, sound messages and holds, at once and all of it every 5 s and at their start, in the exchange of leaving servers, which is now a type of its own. Each decides by the function that the platform uses. Calls are checked when they come, before each attempt and before a stream is resumed; a VM of an earlier release sends no digests with a call, so they are read from its body. Operators list and lift holds over HTTP and on the command line. Holds are not in the control group's log, since VMs of an earlier release cannot skip an event there.

--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -20,10 +20,10 @@
 from greengagegw import errors
 from greengagegw.fleet import agent as agents
 from greengagegw.fleet import crash_watch
-from greengagegw.fleet import held_prompts
 from greengagegw.fleet import loads as region_loads
 from greengagegw.fleet import members
 from greengagegw.fleet import store as stores
+from greengagegw import held_prompts
 from greengagegw.platform import documents
 from greengagegw.serving import dispatcher as dispatchers
 from greengagegw.serving import planner
@@ -125,6 +125,9 @@
     async def serve(self, backend_request, on_notice):
         timers = self.world.timers
         if self.crashed_at is not None:
+            if self.world.has_stale_connections:
+                await timers.sleep(2 * INTRA_REGION_SECONDS)
+                raise errors.BackendError('a kept connection was closed')
             raise errors.BackendConnectError('the engine has crashed')
         self.arrivals.append((timers.now(), backend_request))
         if self.pause_seconds:
@@ -398,6 +401,8 @@
         # to generate from it.
         self.crashing_segments = set()
         self.crashes = []
+        # Whether requests still go out on kept connections to crashed engines.
+        self.has_stale_connections = False
         self.ended_engines = []
         self.has_leader = True
         self.leader_count = 0
--- a/features/steps/holds.py
+++ b/features/steps/holds.py
@@ -6,8 +6,8 @@
 from features.steps.fleet import in_fleet
 from greengagegw import errors
 from greengagegw.fleet import crash_watch
-from greengagegw.fleet import held_prompts
 from greengagegw.fleet import store as stores
+from greengagegw import held_prompts
 from greengagegw.platform import operator_application
 from greengagegw.serving import server_ends
 
--- a/src/greengagegw/adapters/backend_http.py
+++ b/src/greengagegw/adapters/backend_http.py
@@ -241,6 +241,15 @@
                 f'{idle_timeout.timeout_seconds:g} s'
             )
 
+    async def is_refusing_connections(self) -> bool:
+        url = self.settings.url
+        return await backend_transport.is_refusing_connections(
+            str(url.host),
+            int(url.port or 0),
+            self.timers,
+            self.timeouts.connect_seconds,
+        )
+
     async def fetch_load(self) -> backends.LoadReport:
         """Returns the server's load, fetched on a separate connection.
 
--- a/src/greengagegw/adapters/backend_transport.py
+++ b/src/greengagegw/adapters/backend_transport.py
@@ -15,9 +15,12 @@
 import anyio
 import anyio.abc
 import anyio.streams.tls
+import eliot
 import httpcore
 import httpx
 
+from .. import timers as timer_service
+
 CONNECTION_LOST_ERRORS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -136,6 +139,30 @@
         return NetworkStream(stream)
 
 
+async def is_refusing_connections(
+    host: str, port: int, timers: timer_service.Timers, timeout: float
+) -> bool:
+    """Returns whether nothing listens at an address.
+
+    An attempt that gets no reply in time says nothing, since a packet may be
+    lost.
+
+    :param timeout: in seconds.
+    """
+    try:
+        with timers.move_on_after(timeout):
+            stream = await anyio.connect_tcp(host, port)
+            await stream.aclose()
+    except OSError as error:
+        eliot.log_message(
+            'backend:not_listening',
+            address=f'{host}:{port}',
+            reason=str(error),
+        )
+        return True
+    return False
+
+
 async def read_limited(
     chunks: collections.abc.AsyncIterable[bytes], max_bytes: int
 ) -> bytes:
--- a/src/greengagegw/adapters/operator_http.py
+++ b/src/greengagegw/adapters/operator_http.py
@@ -9,6 +9,7 @@
 import eliot
 import orjson
 
+from .. import crash_guard
 from .. import errors
 from .. import metrics as metric_sets
 from .. import settings as settings_module
@@ -21,6 +22,7 @@
 
 MAX_BODY_BYTES = tables.MAX_TABLE_BYTES + 65536
 ETAG_PATTERN = re.compile(r'"(\d+)"\Z')
+HOLD_PATH_PATTERN = re.compile(r'/admin/held-prompts/([0-9a-f]{16})\Z')
 KEY_PATH_PATTERN = re.compile(r'/admin/keys/([0-9a-f]{12})\Z')
 EDIT_ID_PATTERN = re.compile(r'[\x21-\x7e]{1,128}\Z')
 
@@ -46,6 +48,7 @@
         settings: settings_module.Settings,
         operations: operation_sets.Operations,
         view: views.ConfigurationView,
+        guard: crash_guard.CrashGuard,
         metrics: metric_sets.Metrics,
         describe_status: collections.abc.Callable[[], dict],
         update_gauges: collections.abc.Callable[[], None],
@@ -53,12 +56,14 @@
         self.settings = settings
         self.operations = operations
         self.view = view
+        self.guard = guard
         self.metrics = metrics
         self.describe_status = describe_status
         self.update_gauges = update_gauges
         self.routes = {
             ('GET', '/admin/table'): self.get_table,
             ('PUT', '/admin/table'): self.put_table,
+            ('GET', '/admin/held-prompts'): self.list_holds,
             ('GET', '/admin/keys'): self.list_keys,
             ('POST', '/admin/keys'): self.give_key,
             ('GET', '/admin/status'): self.get_status,
@@ -102,10 +107,15 @@
             return make_json_response(
                 await self.operations.withdraw_key(match[1])
             )
+        hold_match = HOLD_PATH_PATTERN.match(path)
+        if hold_match and method == 'DELETE':
+            return self.lift_hold(hold_match[1])
         route = self.routes.get((method, path))
         if route is not None:
             return await route(headers, body)
-        if any(path == route_path for _, route_path in self.routes) or match:
+        if any(path == route_path for _, route_path in self.routes) or (
+            match or hold_match
+        ):
             raise errors.MethodNotAllowedError(
                 f'{path} does not support the method {method}'
             )
@@ -157,6 +167,14 @@
         etag = f'"{outcome["revision"]}"'.encode()
         return make_json_response(outcome, ((b'etag', etag),))
 
+    async def list_holds(self, headers: dict, body: bytes) -> Response:
+        return make_json_response({'held': self.guard.describe_holds()})
+
+    def lift_hold(self, hold_id: str) -> Response:
+        if not self.guard.lift(hold_id):
+            raise errors.NotFoundError(f'there is no hold {hold_id}')
+        return make_json_response({'id': hold_id, 'lifted': True})
+
     async def list_keys(self, headers: dict, body: bytes) -> Response:
         return make_json_response(self.operations.list_keys())
 
--- a/src/greengagegw/cli/main.py
+++ b/src/greengagegw/cli/main.py
@@ -14,6 +14,7 @@
 COMMANDS = {
     'check': 'serve',
     'explain': 'explain',
+    'holds': 'holds',
     'keys': 'keys',
     'platform': 'platform',
     'report': 'report',
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -13,11 +13,11 @@
 import eliot
 
 from .. import errors
+from .. import held_prompts
 from .. import supervision
 from .. import timers as timer_service
 from . import configuration as configurations
 from . import crash_watch
-from . import held_prompts
 from . import instances as instance_list
 from . import loads
 from . import members
--- a/src/greengagegw/fleet/crash_watch.py
+++ b/src/greengagegw/fleet/crash_watch.py
@@ -15,8 +15,8 @@
 import eliot
 
 from .. import errors
+from .. import held_prompts
 from .. import timers as timer_service
-from . import held_prompts
 from ..policy import crash_attribution
 
 REPORT_METHOD = 'fleet.server_end'
--- a/src/greengagegw/fleet/poll_reply.py
+++ b/src/greengagegw/fleet/poll_reply.py
@@ -5,8 +5,8 @@
 import zlib
 
 from .. import errors
+from .. import held_prompts
 from . import configuration as configurations
-from . import held_prompts
 from . import instances as instance_list
 from . import loads
 from . import members
--- a/src/greengagegw/fleet/store.py
+++ b/src/greengagegw/fleet/store.py
@@ -9,7 +9,7 @@
 
 import msgpack
 
-from . import held_prompts
+from .. import held_prompts
 
 # The oldest hold yields to a new one.
 MAX_HOLDS = 256
--- a/src/greengagegw/forwarding.py
+++ b/src/greengagegw/forwarding.py
@@ -14,6 +14,7 @@
 
 from . import errors
 from . import local_execution
+from . import request_parsing
 from . import settings as settings_module
 from . import timers as timer_service
 from .control import view as views
@@ -340,6 +341,7 @@
         'weight': spec.weight,
         'prefix': spec.prefix,
         'removes_usage': spec.removes_usage,
+        'segments': list(spec.segments),
         'wait': min(spec.max_wait_seconds, MAX_FORWARDED_WAIT_SECONDS),
     }
 
@@ -347,7 +349,17 @@
 def unpack_spec(
     packed: dict[str, typing.Any], body: bytes
 ) -> local_execution.CallSpec:
-    """Returns the specification packed by :func:`pack_spec`."""
+    """Returns the specification packed by :func:`pack_spec`.
+
+    A VM of an earlier release packs no segments.
+    """
+    segments = packed.get('segments')
+    if segments is None:
+        segments = ()
+        if packed['call']['kind'] == 'model':
+            segments = request_parsing.read_segments(
+                packed['call']['path'], body
+            )
     values = dict(packed['call'])
     values['headers'] = tuple(
         (name, value) for name, value in values['headers']
@@ -358,6 +370,7 @@
         packed['wait'],
         packed['prefix'],
         packed['removes_usage'],
+        tuple(segments),
     )
 
 
--- a/src/greengagegw/gateway.py
+++ b/src/greengagegw/gateway.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from . import backend_pool
+from . import crash_guard
 from . import errors
 from . import keys
 from . import local_execution
@@ -74,7 +75,9 @@
         ledger: ledger_client.LedgerClient,
         membership: gossip.Gossip,
         metrics: metric_sets.Metrics,
+        guard: crash_guard.CrashGuard,
     ) -> None:
+        self.guard = guard
         self.settings = settings
         self.timers = timers
         self.view = view
@@ -252,7 +255,9 @@
             self.settings.timeouts.queue_seconds,
             model_request.prefix,
             model_request.adds_usage,
+            model_request.segments,
         )
+        self.guard.check(service, spec.segments)
         async with self.reserve_tokens(row, call) as token_usage:
             async with self.router.route(spec, row) as active_call:
                 token_usage.usage = active_call.usage
--- a/src/greengagegw/fleet/held_prompts.py
+++ b/src/greengagegw/held_prompts.py
@@ -2,6 +2,8 @@
 
 import collections.abc
 import dataclasses
+import datetime
+import typing
 
 import msgpack
 import xxhash
@@ -32,6 +34,26 @@
     def matches(self, service: str, segments: frozenset[str]) -> bool:
         return service == self.service and segments.issuperset(self.segments)
 
+    def is_wider(self, other: 'Hold') -> bool:
+        """Returns whether this hold has all prompts of another, and more."""
+        return self.service == other.service and set(self.segments) < set(
+            other.segments
+        )
+
+    def describe(self) -> dict[str, typing.Any]:
+        """Returns the hold as operators see it."""
+        since = datetime.datetime.fromtimestamp(self.since, datetime.UTC)
+        return {
+            'id': self.hold_id,
+            'service': self.service,
+            'segments': self.segments,
+            'since': since.isoformat(timespec='milliseconds'),
+            'reason': f'{len(self.ended_servers)} backend servers ended under'
+            ' prompts with these segments',
+            'servers': self.ended_servers,
+            'requests': self.requests,
+        }
+
     def pack(self) -> list:
         return [
             self.service,
@@ -56,11 +78,18 @@
 class HoldIndex:
     """Finds the hold of a prompt.
 
+    Leaves out the holds that another one includes.
+
     :ivar by_segment: holds by their service and first segment.
     """
 
     def __init__(self, holds: collections.abc.Iterable[Hold] = ()) -> None:
-        self.holds = tuple(holds)
+        candidates = tuple(holds)
+        self.holds = tuple(
+            one
+            for one in candidates
+            if not any(other.is_wider(one) for other in candidates)
+        )
         self.by_segment: dict[tuple[str, str], list[Hold]] = {}
         for one in self.holds:
             key = (one.service, one.segments[0])
--- a/src/greengagegw/local_execution.py
+++ b/src/greengagegw/local_execution.py
@@ -8,11 +8,13 @@
 import eliot
 
 from . import backend_pool
+from . import crash_guard
 from . import errors
 from . import fair_queue
 from . import metrics as metric_sets
 from . import streams
 from . import timers as timer_service
+from .policy import crash_attribution
 from .policy import retry
 from .ports import backends
 
@@ -48,6 +50,7 @@
     :ivar prefix: beginning of the prompt, for prefix cache affinity.
     :ivar removes_usage: drops the usage from a stream, since the client did
         not ask for it.
+    :ivar segments: digests of the prompt's messages.
     """
 
     call: backends.Call
@@ -55,6 +58,7 @@
     max_wait_seconds: float
     prefix: bytes = b''
     removes_usage: bool = False
+    segments: tuple[str, ...] = ()
 
 
 class LocalExecutor:
@@ -68,7 +72,9 @@
         rng: random.Random,
         metrics: metric_sets.Metrics,
         retry_percent: int,
+        guard: crash_guard.CrashGuard,
     ) -> None:
+        self.guard = guard
         self.pool = pool
         self.queues = queues
         self.timers = timers
@@ -97,8 +103,12 @@
         while True:
             stack = contextlib.AsyncExitStack()
             async with stack:
+                self.check_held(spec, run)
                 server = await self.acquire(queue, spec, excluded, run)
                 stack.callback(queue.release, server)
+                # It may have been held back while it waited.
+                self.check_held(spec, run)
+                started_at = self.timers.now()
                 try:
                     active_call = await self.start_call(stack, server, spec)
                 except errors.GatewayError as error:
@@ -107,6 +117,7 @@
                     if error.run != errors.NOT_RUN:
                         run = errors.UNKNOWN
                     self.record_failure(queue.service, server, error)
+                    self.record_interruption(spec, server, error, started_at)
                     self.check_retry(error, spec.call, attempts, run)
                 else:
                     yield active_call
@@ -114,6 +125,44 @@
             await self.timers.sleep(retry.backoff_seconds(attempts, self.rng))
             excluded = self.usable_exclusions(queue, excluded)
 
+    def check_held(self, spec: CallSpec, run: str) -> None:
+        """Checks, right before a call is sent, that it is not held back.
+
+        :param run: whether an earlier attempt of the call was run.
+        :raises HeldPromptError: if it is.
+        """
+        try:
+            self.guard.check(spec.call.service, spec.segments)
+        except errors.HeldPromptError as error:
+            error.run = run
+            raise
+
+    def record_interruption(
+        self,
+        spec: CallSpec,
+        server: backend_pool.ServerState,
+        error: errors.GatewayError,
+        sent_at: float,
+    ) -> None:
+        """Records a failure that the end of the engine may have caused."""
+        has_responded = isinstance(
+            error,
+            errors.BackendTimeoutError
+            | errors.BackendStatusError
+            | errors.BackendRefusedError
+            | errors.BackendConnectError,
+        )
+        if has_responded or not isinstance(error, errors.BackendError):
+            return
+        self.guard.record_interruption(
+            spec.call.service,
+            server.name,
+            crash_attribution.Interruption(
+                spec.call.request_id, spec.segments, sent_at
+            ),
+            server.port.is_refusing_connections,
+        )
+
     async def acquire(
         self,
         queue: fair_queue.ServiceQueue,
@@ -187,11 +236,14 @@
         response = await stack.enter_async_context(server.port.send(spec.call))
         if spec.call.stream and response.status < 400:
             first = await anext(response.chunks, b'')
-            chunks = self.iterate_stream(server, spec, response, first, usage)
+            chunks = self.iterate_stream(
+                server, spec, response, first, usage, started_at
+            )
         elif spec.call.kind == 'model':
             body = await streams.read_body(response.chunks)
             if response.status < 400:
                 usage.tokens = streams.read_body_usage(body)
+                self.guard.record_sound(spec.call.service, spec.segments)
             else:
                 usage.tokens = 0
             chunks = iterate_chunks([body])
@@ -223,6 +275,7 @@
         response: backends.Response,
         first: bytes,
         usage: Usage,
+        sent_at: float,
     ) -> collections.abc.AsyncIterator[bytes]:
         """Yields the events of a stream, which is resumed when it breaks.
 
@@ -247,11 +300,13 @@
                 except errors.BackendError as stream_error:
                     error = stream_error
                 if stream_filter.is_complete:
+                    self.guard.record_sound(spec.call.service, spec.segments)
                     return
                 error = error or errors.BrokenStreamError(
                     f'the stream of {server.name} ended without its end marker'
                 )
                 error.run = errors.RAN
+                self.record_interruption(spec, server, error, sent_at)
                 resumes += 1
                 if not server.settings.resumes or (
                     resumes > MAX_RESUMES_PER_RESPONSE
@@ -278,10 +333,11 @@
         """
         self.metrics.resumes.labels(spec.call.service).inc()
         try:
+            self.guard.check(spec.call.service, spec.segments)
             response = await stack.enter_async_context(
                 server.port.send(spec.call, stream_filter.bytes_received)
             )
-        except errors.BackendError as resume_error:
+        except (errors.BackendError, errors.HeldPromptError) as resume_error:
             raise error from resume_error
         if response.status != 206:
             raise error
--- a/src/greengagegw/serving/region_exchange.py
+++ b/src/greengagegw/peer_exchange.py
@@ -1,4 +1,4 @@
-"""Exchanges what the entry VMs of a region learn from backend servers."""
+"""Exchanges what VMs learn from backend servers."""
 
 import collections.abc
 import random
@@ -8,9 +8,9 @@
 import anyio.abc
 import eliot
 
-from .. import errors
-from .. import timers as timer_service
-from ..ports import peers
+from . import errors
+from . import timers as timer_service
+from .ports import peers
 
 EXCHANGE_INTERVAL_SECONDS = 5.0
 CALL_TIMEOUT_SECONDS = 1.0
@@ -40,15 +40,15 @@
         """
 
 
-class RegionExchange:
-    """Exchanges facts with the other entry VMs of the region.
+class PeerExchange:
+    """Exchanges facts with other VMs.
 
     News is sent to all of them at once. Besides, each VM exchanges what it
     knows with one other VM at its start and at regular intervals, so a lost
     message or a restart delays it only.
 
     :param event: name of the log line for a VM that was not told.
-    :param region_peers: returns the other entry VMs of the region.
+    :param list_peers: returns the other VMs.
     """
 
     def __init__(
@@ -56,7 +56,7 @@
         method: str,
         event: str,
         facts: Facts,
-        region_peers: collections.abc.Callable[[], list[str]],
+        list_peers: collections.abc.Callable[[], list[str]],
         timers: timer_service.Timers,
         mesh: peers.PeerPort,
         rng: random.Random,
@@ -64,7 +64,7 @@
         self.method = method
         self.event = event
         self.facts = facts
-        self.region_peers = region_peers
+        self.list_peers = list_peers
         self.timers = timers
         self.mesh = mesh
         self.rng = rng
@@ -86,14 +86,14 @@
             while True:
                 await self.facts.has_news.wait()
                 news = self.facts.take_news(self.timers.now())
-                for vm in self.region_peers():
+                for vm in self.list_peers():
                     tasks.start_soon(self.exchange, vm, news)
 
     async def exchange_periodically(self) -> None:
         while True:
-            region_peers = self.region_peers()
-            if region_peers:
-                vm = self.rng.choice(region_peers)
+            peer_vms = self.list_peers()
+            if peer_vms:
+                vm = self.rng.choice(peer_vms)
                 await self.exchange(vm, self.facts.pack(self.timers.now()))
                 await self.timers.sleep(EXCHANGE_INTERVAL_SECONDS)
             else:
--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -5,7 +5,6 @@
 import math
 import ssl
 
-import anyio
 import eliot
 import httpcore
 
@@ -130,19 +129,9 @@
         self, instance: instances.Instance
     ) -> bool:
         host, _, port = instance.address.rpartition(':')
-        try:
-            with self.timers.move_on_after(CONNECT_TIMEOUT_SECONDS):
-                stream = await anyio.connect_tcp(host, int(port))
-                await stream.aclose()
-        except OSError as error:
-            eliot.log_message(
-                'backend:not_listening',
-                server=instance.name,
-                address=instance.address,
-                reason=str(error),
-            )
-            return True
-        return False
+        return await backend_transport.is_refusing_connections(
+            host, int(port), self.timers, CONNECT_TIMEOUT_SECONDS
+        )
 
 
 def make_request(
--- a/src/greengagegw/platform/operator_application.py
+++ b/src/greengagegw/platform/operator_application.py
@@ -1,6 +1,5 @@
 """ASGI application for operators and for the lookup of entry VMs."""
 
-import datetime
 import urllib.parse
 
 import eliot
@@ -174,23 +173,7 @@
         """Returns which prompts are held back, since when and why."""
         store = await self.control.read()
         return 200, orjson.dumps(
-            {
-                'held': [
-                    {
-                        'id': one.hold_id,
-                        'service': one.service,
-                        'segments': one.segments,
-                        'since': datetime.datetime.fromtimestamp(
-                            one.since, datetime.UTC
-                        ).isoformat(timespec='milliseconds'),
-                        'reason': f'{len(one.ended_servers)} backend servers'
-                        ' ended under prompts with these segments',
-                        'servers': one.ended_servers,
-                        'requests': one.requests,
-                    }
-                    for one in store.holds.values()
-                ]
-            }
+            {'held': [one.describe() for one in store.holds.values()]}
         )
 
     async def lift_hold(self, hold_id: str) -> tuple[int, bytes]:
--- a/src/greengagegw/ports/backends.py
+++ b/src/greengagegw/ports/backends.py
@@ -79,3 +79,6 @@
 
     async def fetch_load(self) -> LoadReport:
         """Returns the server's current load."""
+
+    async def is_refusing_connections(self) -> bool:
+        """Returns whether nothing listens at the server's address."""
--- a/src/greengagegw/request_parsing.py
+++ b/src/greengagegw/request_parsing.py
@@ -6,6 +6,7 @@
 import urllib.parse
 
 import orjson
+import xxhash
 
 from . import errors
 from . import settings as settings_module
@@ -34,6 +35,7 @@
 )
 IDEMPOTENCY_KEY = re.compile(r'[\x21-\x7e]{1,255}\Z')
 PREFIX_BYTES = 512
+MAX_SEGMENTS = 64
 # Charged to the organisation's token quota for a call of a plain service.
 PLAIN_CALL_TOKENS = 1
 # Upper bound of the tokens that a chat template adds to each message.
@@ -48,6 +50,7 @@
     :ivar adds_usage: the gateway requests the usage and the client did not,
         so it is removed from the stream.
     :ivar prefix: beginning of the prompt, for prefix cache affinity.
+    :ivar segments: digests of the prompt's messages.
     """
 
     model: str
@@ -56,6 +59,7 @@
     tokens: int
     adds_usage: bool
     prefix: bytes
+    segments: tuple[str, ...] = ()
 
 
 def check_key_disclosure(request: clients.ClientRequest) -> None:
@@ -125,9 +129,32 @@
         tokens,
         adds_usage,
         serialized[:PREFIX_BYTES],
+        digest_segments(prompt),
     )
 
 
+def digest_segments(prompt: typing.Any) -> tuple[str, ...]:
+    """Returns the digests of the messages of a prompt, in their order.
+
+    The middle of a long conversation is left out.
+    """
+    parts = prompt if isinstance(prompt, list) else [prompt]
+    if len(parts) > MAX_SEGMENTS:
+        half = MAX_SEGMENTS // 2
+        parts = [*parts[:half], *parts[-half:]]
+    return tuple(
+        xxhash.xxh64_hexdigest(orjson.dumps(one)) for one in parts if one
+    )
+
+
+def read_segments(path: str, body: bytes) -> tuple[str, ...]:
+    """Returns the segments of a call that another VM has parsed.
+
+    :raises BadRequestError: if the body is not an inference request.
+    """
+    return digest_segments(_read_prompt(path, _read_object(body)))
+
+
 def _read_object(body: bytes) -> dict[str, typing.Any]:
     try:
         content = orjson.loads(body)
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -12,6 +12,7 @@
 import anyio
 
 from .. import errors
+from .. import peer_exchange
 from .. import supervision
 from .. import timers as timer_service
 from . import backlog_exchange as backlog_exchange_module
@@ -27,7 +28,6 @@
 from . import planner as planner_module
 from . import ports
 from ..ports import peers
-from . import region_exchange
 from . import request_limits
 from . import server_ends
 from . import servers as server_pool
@@ -68,7 +68,7 @@
             vm, timers, agent, pool, self.backlog_exchange, retry_settings, rng
         )
         self.exchanges = [
-            region_exchange.RegionExchange(
+            peer_exchange.PeerExchange(
                 method,
                 event,
                 facts,
--- a/src/greengagegw/serving/end_reports.py
+++ b/src/greengagegw/serving/end_reports.py
@@ -11,10 +11,10 @@
 import eliot
 
 from .. import errors
+from .. import held_prompts
 from .. import timers as timer_service
 from ..fleet import agent as agents
 from ..fleet import crash_watch
-from ..fleet import held_prompts
 from ..fleet import timing
 from ..ports import peers
 from . import server_ends
--- a/src/greengagegw/vm.py
+++ b/src/greengagegw/vm.py
@@ -11,6 +11,7 @@
 import eliot
 
 from . import backend_pool
+from . import crash_guard
 from . import errors
 from . import fair_queue
 from . import forwarding
@@ -18,10 +19,12 @@
 from . import load_polling
 from . import local_execution
 from . import metrics as metric_sets
+from . import peer_exchange
 from . import region_routing
 from . import replica_placement
 from . import settings as settings_module
 from . import status
+from . import supervision
 from . import timers as timer_service
 from .adapters import backend_http
 from .adapters import client_http
@@ -73,8 +76,10 @@
         self.entry_closed = anyio.Event()
         self.stopped = anyio.Event()
         self.stop_requested = anyio.Event()
+        self.guard = crash_guard.CrashGuard(timers)
         self.build_execution()
         self.build_membership()
+        self.build_guard()
         self.build_control()
         self.build_allowance()
         self.build_ledger()
@@ -125,6 +130,7 @@
             self.rng,
             self.metrics,
             self.settings.limits.retry_budget_percent,
+            self.guard,
         )
 
     def build_membership(self) -> None:
@@ -149,6 +155,21 @@
         )
         self.add_handlers(self.load_poller)
 
+    def build_guard(self) -> None:
+        peer_vms = [
+            one.vm for one in self.settings.peers if one.vm != self.settings.vm
+        ]
+        self.guard_exchange = peer_exchange.PeerExchange(
+            crash_guard.EXCHANGE_METHOD,
+            'crash:not_told',
+            self.guard,
+            lambda: [vm for vm in peer_vms if self.membership.is_alive(vm)],
+            self.timers,
+            self.mesh,
+            self.rng,
+        )
+        self.add_handlers(self.guard_exchange)
+
     def build_control(self) -> None:
         self.distribution = distributions.Distribution(
             self.settings,
@@ -325,6 +346,7 @@
             self.ledger,
             self.membership,
             self.metrics,
+            self.guard,
         )
 
     def build_servers(self) -> None:
@@ -335,6 +357,7 @@
             self.settings,
             self.operations,
             self.view,
+            self.guard,
             self.metrics,
             functools.partial(status.describe_vm, self),
             functools.partial(status.update_gauges, self),
@@ -377,6 +400,13 @@
         tasks.start_soon(self.ledger.run)
         tasks.start_soon(self.load_poller.run)
         tasks.start_soon(self.lease.run)
+        for name, function in (
+            ('engine ends', self.guard.run),
+            ('engine end exchange', self.guard_exchange.run),
+        ):
+            tasks.start_soon(
+                supervision.run_supervised, self.timers, name, function
+            )
         for replica in self.replicas.values():
             tasks.start_soon(self.run_replica, replica)
         tasks.start_soon(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -65,6 +65,8 @@
         self.software_version = 'v1'
         self.fault = ''
         self.fault_count = 1000000
+        # A prompt that contains this text crashes the engine.
+        self.crashing_text = b''
         self.is_leaving = False
         self.running_count = 0
         self.waiting_count = 0
@@ -176,6 +178,9 @@
         if not offset:
             self.started_request_ids.append(request_id)
         await anyio.sleep(self.first_token_seconds(content))
+        if self.crashing_text and self.crashing_text in request.body:
+            self.server.crash()
+            await anyio.sleep_forever()
         if fault == 'crossed':
             request_id = 'of-another-request'
         headers = [
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -91,6 +91,9 @@
 ]
 
 
+RESTART_SECONDS = 1.0
+
+
 class Server:
     """Serves a handler on one address."""
 
@@ -99,6 +102,7 @@
         self.port = port
         self.handler = handler
         self.connection_count = 0
+        self.crash_requested = anyio.Event()
 
     @property
     def url(self) -> str:
@@ -115,8 +119,23 @@
         if not self.port:
             self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
         task_status.started()
-        async with listener:
-            await listener.serve(self.serve_connection)
+        while True:
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(self.cancel_on_crash, tasks.cancel_scope)
+                await listener.serve(self.serve_connection)
+            await anyio.sleep(RESTART_SECONDS)
+            listener = await anyio.create_tcp_listener(
+                local_host=self.host, local_port=self.port
+            )
+
+    def crash(self) -> None:
+        """Drops all connections, and refuses new ones for some time."""
+        self.crash_requested.set()
+
+    async def cancel_on_crash(self, scope: anyio.CancelScope) -> None:
+        await self.crash_requested.wait()
+        self.crash_requested = anyio.Event()
+        scope.cancel()
 
     async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         self.connection_count += 1
