Ask for all suspected segments before a prompt is held back

Cause: the leader asked the entry VMs for the soundness of the first 200 segments of all interrupted requests, in the order of their names. After crashes of many busy servers there are more, and a first segment that came later by name was taken for one that was never sound.

Change: it asks for those that three ends are held against, which are few, and no longer cuts them off. They are found in one pass over the interruptions; segments of fewer ends are left out at once.

--- a/features/fleet/holds.feature
+++ b/features/fleet/holds.feature
@@ -46,6 +46,12 @@
       | e3 | after 3 servers ended |
       | e3 | before the last end   |
 
+  Scenario: A sound segment is not held back among many that were interrupted
+    Given a fleet of 5 control VMs and 3 entry VMs
+    And the fleet holds version 4
+    When 3 servers end, each under 60 prompts with one sound segment
+    Then in the next 5 seconds no entry VM holds back the segment
+
   Scenario: An operator sees what is held back, since when and why, and lifts it
     Given a fleet of 5 control VMs and 3 entry VMs
     And the fleet holds version 4
--- a/features/steps/holds.py
+++ b/features/steps/holds.py
@@ -46,6 +46,31 @@
     await end_servers(context.fleet, context.fleet.entry_vms)
 
 
+@behave.when('3 servers end, each under 60 prompts with one sound segment')
+@in_fleet
+async def when_many_prompts(context):
+    fleet = context.fleet
+    for end in range(3):
+        now = fleet.timers.now()
+        requests = tuple(
+            server_ends.InterruptedRequest(
+                f'r-{end}-{number}',
+                # Of all names that of the sound segment comes last.
+                (SEGMENT, f'a{end}-{number}', f'b{end}-{number}'),
+                now - 0.1,
+                now,
+            )
+            for number in range(60)
+        )
+        fleet.reporters['e1'].record(
+            server_ends.ServerEnd('engine', (f'i-{end}', 0), requests)
+        )
+        await fleet.timers.advance(END_INTERVAL_SECONDS)
+        fleet.reporters['e2'].sound_segments.record(
+            'engine', [SEGMENT], fleet.timers.now()
+        )
+
+
 @behave.when(
     '3 servers end under prompts with a segment, each seen by VM {vm}'
 )
--- a/features/steps/server_ends.py
+++ b/features/steps/server_ends.py
@@ -25,6 +25,8 @@
     context.add_cleanup(manager.__exit__, None, None, None)
     context.logged = []
     eliot.add_destinations(context.logged.append)
+    # The first destination gets what was logged before.
+    context.logged.clear()
     context.add_cleanup(eliot.remove_destination, context.logged.append)
     dispatcher = context.serving.dispatchers['a0']
     context.ends = []
--- a/src/greengagegw/fleet/crash_watch.py
+++ b/src/greengagegw/fleet/crash_watch.py
@@ -28,8 +28,7 @@
 NARROW_SECONDS = 5.0
 MAX_ENDS_PER_SERVICE = 100
 MAX_SERVICES = 100
-MAX_REQUESTS_PER_END = 200
-MAX_SEGMENTS_ASKED = 200
+MAX_REQUESTS_PER_END = 128
 MAX_REQUESTS_IN_HOLD = 5
 RETRY_SECONDS = 0.5
 
@@ -134,17 +133,15 @@
             one.service == service for one in self.wide_holds()
         ):
             return
-        suspects = sorted(
-            {
-                name
-                for end in self.list_ends(service)
-                for one in end.interruptions
-                for name in one.segments
-            }
+        sound_at = self.sound_at.setdefault(service, {})
+        suspects = set(
+            crash_attribution.find_suspects(self.list_ends(service), sound_at)
         )
+        for one in self.wide_holds():
+            if one.service == service:
+                suspects.update(one.segments)
         asked_at = self.timers.now()
-        ages = await self.ask_sound(service, suspects[:MAX_SEGMENTS_ASKED])
-        sound_at = self.sound_at.setdefault(service, {})
+        ages = await self.ask_sound(service, sorted(suspects))
         for name, age in ages.items():
             sound_at[name] = max(sound_at.get(name, -1e9), asked_at - age)
         for blame in self.find_new_culprits(service):
--- a/src/greengagegw/policy/crash_attribution.py
+++ b/src/greengagegw/policy/crash_attribution.py
@@ -88,18 +88,11 @@
     open_ends = list(ends)
     culprits: list[Blame] = []
     while True:
-        names = {
-            name
-            for end in open_ends
-            for one in end.interruptions
-            for name in one.segments
-        }
-        blames = [blame_segment(name, open_ends, sound_at) for name in names]
-        strong = [one for one in blames if len(one.ends) >= min_ends]
+        suspects = find_suspects(open_ends, sound_at, min_ends).values()
         strong = [
             one
-            for one in strong
-            if not any(other.is_narrower(one) for other in strong)
+            for one in suspects
+            if not any(other.is_narrower(one) for other in suspects)
         ]
         if not strong:
             return culprits
@@ -115,26 +108,56 @@
         open_ends = [one for one in open_ends if not best.covers(one)]
 
 
+def find_suspects(
+    ends: collections.abc.Iterable[ServerEnd],
+    sound_at: collections.abc.Mapping[str, float],
+    min_ends: int = MIN_ENDS,
+) -> dict[str, Blame]:
+    """Returns the segments that enough ends are held against.
+
+    The parameters are those of :func:`find_culprits`.
+    """
+    by_name: dict[str, list[tuple[ServerEnd, list[Interruption]]]] = {}
+    for end in ends:
+        for one in end.interruptions:
+            for name in one.segments:
+                found = by_name.setdefault(name, [])
+                if not found or found[-1][0] is not end:
+                    found.append((end, []))
+                found[-1][1].append(one)
+    blames = {
+        name: blame_segment(name, found, sound_at)
+        for name, found in by_name.items()
+        # Most segments are in one request only.
+        if len(found) >= min_ends
+    }
+    return {
+        name: blame
+        for name, blame in blames.items()
+        if len(blame.ends) >= min_ends
+    }
+
+
 def blame_segment(
     name: str,
-    ends: collections.abc.Iterable[ServerEnd],
+    found: collections.abc.Iterable[tuple[ServerEnd, list[Interruption]]],
     sound_at: collections.abc.Mapping[str, float],
 ) -> Blame:
     """Returns the ends that are held against a segment.
 
     Several servers that end at once, as in a power loss, count as one end: a
     request counts only if it was sent after the end counted before. The
-    segments that it always came with are blamed together with it, unless
-    they were in a sound response since.
+    segments that it always came with are blamed together with it, unless they
+    were in a sound response since.
+
+    :param found: ends with the interrupted requests that had the segment.
     """
     counted: list[ServerEnd] = []
     suspects: list[Interruption] = []
     counted_until = sound_at.get(name, -math.inf)
-    for end in ends:
+    for end, interruptions in found:
         matching = [
-            one
-            for one in end.interruptions
-            if name in one.segments and one.sent_at >= counted_until
+            one for one in interruptions if one.sent_at >= counted_until
         ]
         if matching and end.at > counted_until:
             counted.append(end)
