Do not blame requests for servers that had ended before

Cause: when many servers end at once, a request that is repeated goes out on a kept connection to a server that has ended too, and breaks off again within 1 to 2 ms. That counted as an end under the request, sent after the one before.

Change: a request counts only if it was sent before its server ended, as any VM saw it, and ran longer than a round trip and a step of an engine. Besides, a response that has begun and breaks off while its server goes on shows that its prompt is sound.

--- a/features/serving/crashing_prompts.feature
+++ b/features/serving/crashing_prompts.feature
@@ -62,6 +62,25 @@
       | connections break every 0.2 seconds              |
       | engines are replaced every 2 seconds             |
 
+  Scenario Outline: Requests that were sent to ended servers are not blamed
+    Given the engines of three regions
+    And kept connections to crashed engines
+    And sound requests with the segments <segments> every <seconds> seconds
+    When sound requests come for 20 seconds while all engines crash at once every 5 seconds
+    Then nothing is held back
+
+    Examples:
+      | segments     | seconds |
+      | rare         | 4.9     |
+      | rare         | 0.7     |
+      | session, own | 0.3     |
+
+  Scenario: A response that breaks off while its server goes on is sound
+    Given the engines of three regions
+    And sound requests with the segments rare every 1 seconds
+    When sound requests come for 20 seconds while connections break and engines crash at times
+    Then nothing is held back
+
   Scenario Outline: What is held back stays so
     Given the engines of three regions
     When requests with a crashing segment come 2 times a second for 12 seconds
--- a/features/steps/crashing_prompts.py
+++ b/features/steps/crashing_prompts.py
@@ -47,6 +47,11 @@
     context.rare = ([*segments.split(', ')], seconds)
 
 
+@behave.given('kept connections to crashed engines')
+def given_kept(context):
+    context.serving.has_stale_connections = True
+
+
 @behave.given('crashing requests whose first segment no other request has')
 def given_own_head(context):
     context.crashing_head = 'seldom'
@@ -215,6 +220,12 @@
         engine.pending_faults = ['disconnects after 2 events']
 
 
+async def break_and_crash(world):
+    await break_connection(world)
+    if world.rng.random() < 0.1:
+        await crash_one(world)
+
+
 async def replace_one(world):
     engines = [
         one
@@ -235,6 +246,7 @@
         8.0,
     ),
     'connections break every 0.2 seconds': (break_connection, 0.2),
+    'connections break and engines crash at times': (break_and_crash, 0.3),
     'engines are replaced every 2 seconds': (replace_one, 2.0),
 }
 
--- a/src/greengagegw/policy/crash_attribution.py
+++ b/src/greengagegw/policy/crash_attribution.py
@@ -10,6 +10,9 @@
 import dataclasses
 import math
 
+# An engine needs longer to begin an answer. A request that was interrupted
+# sooner went out on a connection that its server had closed before.
+MIN_RUN_SECONDS = 0.005
 # Fewer ends may be a coincidence.
 MIN_ENDS = 3
 # With as many ends, segments that cannot be told apart are all blamed.
@@ -146,9 +149,9 @@
     """Returns the ends that are held against a segment.
 
     Several servers that end at once, as in a power loss, count as one end: a
-    request counts only if it was sent after the end counted before. The
-    segments that it always came with are blamed together with it, unless they
-    were in a sound response since.
+    request counts only if it was sent after the end counted before, and before
+    its own server ended. The segments that it always came with are blamed
+    together with it, unless they were in a sound response since.
 
     :param found: ends with the interrupted requests that had the segment.
     """
@@ -157,7 +160,9 @@
     counted_until = sound_at.get(name, -math.inf)
     for end, interruptions in found:
         matching = [
-            one for one in interruptions if one.sent_at >= counted_until
+            one
+            for one in interruptions
+            if counted_until <= one.sent_at <= end.at - MIN_RUN_SECONDS
         ]
         if matching and end.at > counted_until:
             counted.append(end)
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -280,8 +280,14 @@
             error, errors.BackendTimeoutError | errors.BackendStatusError
         )
         if self.server is not None and not has_responded:
+            now = self.timers.now()
             self.end_detector.record_interruption(
-                self.server.instance, self.job, self.in_flight.sent_at
+                self.server.instance,
+                self.job,
+                self.in_flight.sent_at,
+                (lambda: self.record_soundness(now))
+                if self.event_count
+                else None,
             )
 
     def log_failure(self, server: server_pool.Server, code: str) -> None:
--- a/src/greengagegw/serving/server_ends.py
+++ b/src/greengagegw/serving/server_ends.py
@@ -64,6 +64,8 @@
         Called again for requests whose interruption is noticed later.
     :ivar interrupted: recent interruptions by run, the oldest run first.
     :ivar ended: runs that have ended, the oldest first.
+    :ivar on_sound: called for responses that broke off if their server is
+        found to go on.
     """
 
     def __init__(
@@ -83,14 +85,28 @@
         self.ended: collections.OrderedDict[departures.Run, None] = (
             collections.OrderedDict()
         )
+        self.on_sound: dict[
+            departures.Run, list[collections.abc.Callable[[], None]]
+        ] = {}
         self.unchecked: dict[departures.Run, instances.Instance] = {}
         self.has_unchecked = anyio.Event()
 
     def record_interruption(
-        self, instance: instances.Instance, job: jobs.Job, sent_at: float
+        self,
+        instance: instances.Instance,
+        job: jobs.Job,
+        sent_at: float,
+        on_sound: collections.abc.Callable[[], None] | None = None,
     ) -> None:
-        """Records that the connection broke before a response was complete."""
+        """Records that the connection broke before a response was complete.
+
+        :param on_sound: called if the server goes on; None if the response
+            had not begun.
+        """
         self.add_request(instance, job, sent_at)
+        if on_sound is not None:
+            run = departures.run_of(instance)
+            self.on_sound.setdefault(run, []).append(on_sound)
         if departures.run_of(instance) in self.ended:
             self.report(instance, 'had ended already')
         else:
@@ -204,9 +220,13 @@
 
     async def check(self, instance: instances.Instance) -> None:
         await self.timers.sleep(SETTLE_SECONDS)
-        if await self.backend.is_refusing_connections(instance):
+        has_ended = await self.backend.is_refusing_connections(instance)
+        on_sound = self.on_sound.pop(departures.run_of(instance), [])
+        if has_ended:
             self.record_end(instance, 'refuses connections')
         else:
+            for record_soundness in on_sound:
+                record_soundness()
             eliot.log_message(
                 'server:interrupted',
                 server=instance.name,
