Use one type for interrupted requests, and one function for holds

Callers see nothing of it. The server ends of the platform and of our own interface had the same interruption in two types, and made a hold from the same fields in two places; both are one now. A response that broke off at a server that runs no prompts no longer leaves a callback behind.

--- a/features/steps/crashes.py
+++ b/features/steps/crashes.py
@@ -207,6 +207,7 @@
             f'r-{number}',
             ('system', 'melon', f'q{number}'),
             guards.timers.now() - 0.1,
+            guards.timers.now(),
         )
         guard.record_interruption(SERVICE, f'e{number}', interruption, refuse)
         guard.record_sound(SERVICE, ['system'])
@@ -305,7 +306,7 @@
     now = context.guards.timers.now()
     for number in range(300):
         interruption = crash_attribution.Interruption(
-            f'r-{number}', (f's{number}',), now
+            f'r-{number}', (f's{number}',), now, now
         )
         guard.add_end(SERVICE, f'e{number}', now, [interruption])
         hold = held_prompts.Hold(SERVICE, (f'h{number}',), number, (), ())
--- a/features/steps/holds.py
+++ b/features/steps/holds.py
@@ -9,6 +9,7 @@
 from greengagegw.fleet import store as stores
 from greengagegw import held_prompts
 from greengagegw.platform import operator_application
+from greengagegw.policy import crash_attribution
 from greengagegw.serving import server_ends
 
 SEGMENT = 'crashing'
@@ -24,7 +25,7 @@
                 'engine',
                 (f'i-{number}', 0),
                 (
-                    server_ends.InterruptedRequest(
+                    crash_attribution.Interruption(
                         f'r-{number}',
                         ('head', SEGMENT, f'own{number}'),
                         now - 0.1,
@@ -53,7 +54,7 @@
     for end in range(3):
         now = fleet.timers.now()
         requests = tuple(
-            server_ends.InterruptedRequest(
+            crash_attribution.Interruption(
                 f'r-{end}-{number}',
                 # Of all names that of the sound segment comes last.
                 (SEGMENT, f'a{end}-{number}', f'b{end}-{number}'),
--- a/src/greengagegw/crash_guard.py
+++ b/src/greengagegw/crash_guard.py
@@ -32,7 +32,6 @@
 MAX_CALLS_PER_END = 100
 MAX_SOUND_SEGMENTS = 20_000
 MAX_HOLDS = 256
-MAX_REQUESTS_IN_HOLD = 5
 # A hold lasts until an operator lifts it.
 RETRY_AFTER_SECONDS = 60
 
@@ -82,7 +81,7 @@
     :ivar new_ends: ends to be announced; so are ``new_sound`` and
         ``new_states``.
     :ivar interrupted: calls by service and engine, until the engine has been
-        checked, with the timer seconds of their interruption.
+        checked.
     """
 
     def __init__(self, timers: timer_service.Timers) -> None:
@@ -99,8 +98,7 @@
         self.new_states: list[HoldState] = []
         self.has_news = anyio.Event()
         self.interrupted: dict[
-            tuple[str, str],
-            list[tuple[float, crash_attribution.Interruption]],
+            tuple[str, str], list[crash_attribution.Interruption]
         ] = {}
         self.unchecked: list[tuple] = []
         self.has_unchecked = anyio.Event()
@@ -170,7 +168,7 @@
             self.unchecked.append((service, engine, is_refusing))
             self.has_unchecked.set()
         if len(waiting) < MAX_CALLS_PER_END:
-            waiting.append((self.timers.now(), interruption))
+            waiting.append(interruption)
 
     async def run(self) -> None:
         """Checks engines that interrupted calls, until cancelled."""
@@ -197,13 +195,11 @@
             'engine:ended' if has_ended else 'engine:interrupted',
             backend_server=engine,
             service=service,
-            calls=[[one.request_id, list(one.segments)] for _, one in calls],
+            calls=[[one.request_id, list(one.segments)] for one in calls],
         )
         if has_ended and calls:
-            first_at = min(at for at, _ in calls)
-            end = self.add_end(
-                service, engine, first_at, [one for _, one in calls]
-            )
+            first_at = min(one.interrupted_at for one in calls)
+            end = self.add_end(service, engine, first_at, calls)
             self.new_ends.append(end)
             self.has_news.set()
 
@@ -284,20 +280,8 @@
                 self.hold(service, blame)
 
     def hold(self, service: str, blame: crash_attribution.Blame) -> None:
-        requests = dict.fromkeys(
-            one.request_id
-            for end in blame.ends
-            for one in end.interruptions
-            if blame.segments.issubset(one.segments)
-        )
         now = self.timers.wall_time()
-        hold = held_prompts.Hold(
-            service,
-            tuple(sorted(blame.segments)),
-            now,
-            tuple(end.run[0] for end in blame.ends),
-            tuple(list(requests)[:MAX_REQUESTS_IN_HOLD]),
-        )
+        hold = held_prompts.make_hold(service, blame, now)
         eliot.log_message(
             'prompt:held',
             id=hold.hold_id,
@@ -394,7 +378,12 @@
                     end.engine,
                     now - end.at,
                     [
-                        [one.request_id, list(one.segments), now - one.sent_at]
+                        [
+                            one.request_id,
+                            list(one.segments),
+                            now - one.sent_at,
+                            now - one.interrupted_at,
+                        ]
                         for one in end.interruptions.values()
                     ],
                 ]
@@ -468,8 +457,11 @@
                         str(request_id),
                         tuple(str(one) for one in segments),
                         now - float(sent_age),
+                        now - float(interrupted_age),
+                    )
+                    for request_id, segments, sent_age, interrupted_age in (
+                        calls
                     )
-                    for request_id, segments, sent_age in calls
                 ],
             )
             for service, engine, age, calls in packed_ends
--- a/src/greengagegw/fleet/crash_watch.py
+++ b/src/greengagegw/fleet/crash_watch.py
@@ -29,7 +29,6 @@
 MAX_ENDS_PER_SERVICE = 100
 MAX_SERVICES = 100
 MAX_REQUESTS_PER_END = 128
-MAX_REQUESTS_IN_HOLD = 5
 RETRY_SECONDS = 0.5
 
 # Returns, for each of a service's segments that was in a sound response, the
@@ -90,12 +89,13 @@
         if service not in self.ends and len(self.ends) >= MAX_SERVICES:
             self.ends.pop(next(iter(self.ends)))
         ends = self.ends.setdefault(service, collections.OrderedDict())
-        first_at = min(at for at, _ in interruptions)
+        first_at = min(one.interrupted_at for one in interruptions)
         end = ends.setdefault(run, ReportedEnd(first_at, {}))
         end.at = min(end.at, first_at)
-        for at, one in interruptions:
+        for one in interruptions:
             if len(end.interruptions) < MAX_REQUESTS_PER_END:
-                end.interruptions[one.request_id, round(at, 1)] = one
+                key = one.request_id, round(one.interrupted_at, 1)
+                end.interruptions[key] = one
         while len(ends) > MAX_ENDS_PER_SERVICE:
             ends.popitem(last=False)
         self.request_evaluation(service)
@@ -197,19 +197,7 @@
         ]
 
     async def hold(self, service: str, blame: crash_attribution.Blame) -> None:
-        requests = dict.fromkeys(
-            one.request_id
-            for end in blame.ends
-            for one in end.interruptions
-            if blame.segments.issubset(one.segments)
-        )
-        hold = held_prompts.Hold(
-            service,
-            tuple(sorted(blame.segments)),
-            self.timers.wall_time(),
-            tuple(end.run[0] for end in blame.ends),
-            tuple(list(requests)[:MAX_REQUESTS_IN_HOLD]),
-        )
+        hold = held_prompts.make_hold(service, blame, self.timers.wall_time())
         now = self.timers.now()
         eliot.log_message(
             'prompt:held',
@@ -257,12 +245,8 @@
 
 def decode_report(
     peer: str, message: typing.Any, now: float
-) -> tuple[
-    str,
-    tuple[str, int],
-    list[tuple[float, crash_attribution.Interruption]],
-]:
-    """Returns the service, the run, and when each request was interrupted.
+) -> tuple[str, tuple[str, int], list[crash_attribution.Interruption]]:
+    """Returns the service, the run and the interruptions in a report.
 
     :param now: timer seconds, to which the ages in the message relate.
     :raises PeerProtocolError: if it is malformed.
@@ -270,13 +254,11 @@
     try:
         service, name, born, requests = message
         interruptions = [
-            (
+            crash_attribution.Interruption(
+                str(request_id),
+                tuple(str(one) for one in segments),
+                now - float(sent_age),
                 now - float(interrupted_age),
-                crash_attribution.Interruption(
-                    str(request_id),
-                    tuple(str(one) for one in segments),
-                    now - float(sent_age),
-                ),
             )
             for request_id, segments, sent_age, interrupted_age in requests
         ]
--- a/src/greengagegw/held_prompts.py
+++ b/src/greengagegw/held_prompts.py
@@ -8,6 +8,11 @@
 import msgpack
 import xxhash
 
+from .policy import crash_attribution
+
+# Requests that are named in a hold.
+MAX_REQUESTS = 5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hold:
@@ -107,3 +112,25 @@
                 if one.matches(service, names):
                     return one
         return None
+
+
+def make_hold(
+    service: str, blame: crash_attribution.Blame, since: float
+) -> Hold:
+    """Returns the hold of prompts that explain the ends of servers.
+
+    :param since: Unix seconds.
+    """
+    requests = dict.fromkeys(
+        one.request_id
+        for end in blame.ends
+        for one in end.interruptions
+        if blame.segments.issubset(one.segments)
+    )
+    return Hold(
+        service,
+        tuple(sorted(blame.segments)),
+        since,
+        tuple(end.run[0] for end in blame.ends),
+        tuple(list(requests)[:MAX_REQUESTS]),
+    )
--- a/src/greengagegw/local_execution.py
+++ b/src/greengagegw/local_execution.py
@@ -158,7 +158,10 @@
             spec.call.service,
             server.name,
             crash_attribution.Interruption(
-                spec.call.request_id, spec.segments, sent_at
+                spec.call.request_id,
+                spec.segments,
+                sent_at,
+                self.timers.now(),
             ),
             server.port.is_refusing_connections,
         )
--- a/src/greengagegw/policy/crash_attribution.py
+++ b/src/greengagegw/policy/crash_attribution.py
@@ -25,11 +25,13 @@
 
     :ivar segments: names of its prompt's segments, in their order.
     :ivar sent_at: seconds.
+    :ivar interrupted_at: seconds.
     """
 
     request_id: str
     segments: tuple[str, ...]
     sent_at: float
+    interrupted_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagegw/serving/server_ends.py
+++ b/src/greengagegw/serving/server_ends.py
@@ -18,6 +18,7 @@
 from . import departures
 from ..fleet import instances
 from . import jobs
+from ..policy import crash_attribution
 from . import ports
 from . import servers as server_pool
 
@@ -30,21 +31,6 @@
 MAX_REQUESTS_PER_RUN = 64
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class InterruptedRequest:
-    """A request whose response broke off.
-
-    :ivar segments: names of its prompt's segments, in their order.
-    :ivar sent_at: timer seconds.
-    :ivar interrupted_at: timer seconds.
-    """
-
-    request_id: str
-    segments: tuple[str, ...]
-    sent_at: float
-    interrupted_at: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerEnd:
     """The end of a server's run, as one VM noticed it.
@@ -54,7 +40,7 @@
 
     service: str
     run: departures.Run
-    requests: tuple[InterruptedRequest, ...]
+    requests: tuple[crash_attribution.Interruption, ...]
 
 
 class EndDetector:
@@ -80,7 +66,7 @@
         self.backend = backend
         self.on_end = on_end
         self.interrupted: collections.OrderedDict[
-            departures.Run, collections.deque[InterruptedRequest]
+            departures.Run, collections.deque[crash_attribution.Interruption]
         ] = collections.OrderedDict()
         self.ended: collections.OrderedDict[departures.Run, None] = (
             collections.OrderedDict()
@@ -104,13 +90,13 @@
             had not begun.
         """
         self.add_request(instance, job, sent_at)
-        if on_sound is not None:
-            run = departures.run_of(instance)
-            self.on_sound.setdefault(run, []).append(on_sound)
-        if departures.run_of(instance) in self.ended:
+        run = departures.run_of(instance)
+        if run in self.ended:
             self.report(instance, 'had ended already')
-        else:
-            self.check_again(instance)
+            return
+        if on_sound is not None and run in self.interrupted:
+            self.on_sound.setdefault(run, []).append(on_sound)
+        self.check_again(instance)
 
     def record_close(
         self,
@@ -152,7 +138,7 @@
             run, collections.deque(maxlen=MAX_REQUESTS_PER_RUN)
         )
         requests.append(
-            InterruptedRequest(
+            crash_attribution.Interruption(
                 job.request.request_id,
                 tuple(one.name for one in prompt.segments),
                 sent_at,
