Do not blame requests for servers that end together

Cause: a power loss ends several servers at once. A request that waits at one of them counted for its segment like a crash of its own, so a rare segment that was caught by three such losses, before any of its responses began, was blamed.

Change: ends of several servers within 20 ms of each other count for nobody, unless a request of the later one was sent after the earlier, as the gateway's own repeat of a crashing request is. Within 100 ms, which covers the latency of reports from several regions, a segment has to be found at all of the servers.

--- a/features/serving/crashing_prompts.feature
+++ b/features/serving/crashing_prompts.feature
@@ -75,6 +75,18 @@
       | rare         | 0.7     |
       | session, own | 0.3     |
 
+  Scenario Outline: Servers that end together, before any answer has begun, blame nobody
+    Given the engines of three regions, which need <slowdown> times as long
+    And sound requests with the segments <segments> every <seconds> seconds
+    When sound requests come for 20 seconds while all engines of a region crash at once every 4 seconds
+    Then nothing is held back
+
+    Examples:
+      | slowdown | segments     | seconds |
+      | 1        | rare         | 0.7     |
+      | 100      | rare         | 0.7     |
+      | 100      | session, own | 0.3     |
+
   Scenario: A response that breaks off while its server goes on is sound
     Given the engines of three regions
     And sound requests with the segments rare every 1 seconds
@@ -119,3 +131,26 @@
     And the hold is lifted
     Then the next request with the segment reaches an engine
     And the segment is held back again after 3 more crashes
+
+  Scenario Outline: Ends are attributed to what they have in common
+    A server and its time, and the segments of the requests that it
+    interrupted, each sent the given seconds before.
+
+    When servers end: <ends>
+    Then <culprits> is to blame
+
+    Examples: One server after the other
+      | ends                                                           | culprits |
+      | A 1.0 x+a 0.1, B 2.0 x+b 0.1, C 3.0 x+c 0.1                    | x        |
+      | A 1.0 x+a 0.1, B 2.0 x+b 0.1, C 3.0 y+c 0.1                    | nothing  |
+      | A 1.0 x+h 0.1, B 2.0 x+h 0.1 h+b 0.1, C 3.0 x+h 0.1            | x+h      |
+      | A 1.0 x+a 0.1, B 1.2 x+a 0.15, C 1.4 x+a 0.15                  | x+a      |
+      | A 1.0 x+a 0.1, B 1.2 x+b 0.5, C 1.4 x+c 0.8                    | nothing  |
+      | A 1.0 x+a 0.1, B 1.006 x+a 0.006, C 2.0 x+b 0.1                | x        |
+      | A 1.0 x+a 0.1, B 2.0 x+b 0.001, C 3.0 x+c 0.1                  | nothing  |
+
+    Examples: Several servers together
+      | ends                                                           | culprits |
+      | A 1.0 x+a 0.1, B 1.0 y 0.1, A 4.0 x+b 0.1, C 4.01 y 0.1, B 7.0 x+c 0.1, C 7.0 z 0.2 | nothing |
+      | A 1.0 x+a 0.1, B 1.06 y 0.1, A 4.0 x+b 0.1, C 4.05 z 0.1, B 7.0 x+c 0.1, C 7.06 z 0.2 | nothing |
+      | A 1.0 x+a 0.1, B 1.06 x+b 0.1, A 4.0 x+b 0.1, C 7.0 x+c 0.1    | x        |
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -453,6 +453,7 @@
             ),
         )
         replacement.closes_orderly = crashed.closes_orderly
+        replacement.slowdown = crashed.slowdown
         self.engines[replacement.instance.name] = replacement
 
     def set_version(self, name, version):
--- a/features/steps/crashing_prompts.py
+++ b/features/steps/crashing_prompts.py
@@ -10,6 +10,7 @@
 from features.steps.server_ends import prompt
 from greengagegw import errors
 from greengagegw.fleet import store as stores
+from greengagegw.policy import crash_attribution
 
 LAYOUT = {'a': (3, 3), 'b': (1, 2), 'c': (1, 2)}
 CRASHING = 'crashing'
@@ -47,6 +48,15 @@
     context.rare = ([*segments.split(', ')], seconds)
 
 
+@behave.given(
+    'the engines of three regions, which need {slowdown:g} times as long'
+)
+def given_slow(context, slowdown):
+    given_engines(context)
+    for engine in context.serving.engines.values():
+        engine.slowdown = slowdown
+
+
 @behave.given('kept connections to crashed engines')
 def given_kept(context):
     context.serving.has_stale_connections = True
@@ -205,6 +215,13 @@
             await world.timers.sleep(gap_seconds)
 
 
+async def crash_region(world):
+    for engine in list(world.engines.values()):
+        instance = engine.instance
+        if instance.service == 'engine' and instance.domain == 'a-1':
+            engine.crash()
+
+
 async def crash_one(world):
     engines = [
         one
@@ -241,6 +258,10 @@
 CRASHES = {
     'an engine crashes every 2 seconds': (crash_one, 2.0),
     'all engines crash at once every 5 seconds': (crash_all, 5.0),
+    'all engines of a region crash at once every 4 seconds': (
+        crash_region,
+        4.0,
+    ),
     'all engines crash one after the other, 0.3 s apart': (
         lambda world: crash_all(world, 0.3),
         8.0,
@@ -386,3 +407,36 @@
         await replay(context, 2.0, 1.0)
     assert list_held(world) == [{CRASHING}]
     assert len(world.crashes) - context.crashes >= count
+
+
+@behave.when('servers end: {ends}')
+def when_servers_end(context, ends):
+    parsed = []
+    for number, end in enumerate(ends.split(', ')):
+        server, at, *requests = end.split()
+        at = float(at)
+        parsed.append(
+            crash_attribution.ServerEnd(
+                (server, number),
+                at,
+                tuple(
+                    crash_attribution.Interruption(
+                        f'r-{number}-{index}',
+                        tuple(segments.split('+')),
+                        at - float(before),
+                        at,
+                    )
+                    for index, (segments, before) in enumerate(
+                        zip(requests[::2], requests[1::2], strict=True)
+                    )
+                ),
+            )
+        )
+    context.culprits = crash_attribution.find_culprits(parsed, {})
+
+
+@behave.then('{culprits} is to blame')
+def then_to_blame(context, culprits):
+    expected = [] if culprits == 'nothing' else [set(culprits.split('+'))]
+    found = [set(one.segments) for one in context.culprits]
+    assert found == expected, found
--- a/src/greengagegw/policy/crash_attribution.py
+++ b/src/greengagegw/policy/crash_attribution.py
@@ -13,6 +13,12 @@
 # An engine needs longer to begin an answer. A request that was interrupted
 # sooner went out on a connection that its server had closed before.
 MIN_RUN_SECONDS = 0.005
+# Servers that end within this time of each other have a common cause, such as
+# a power loss, which is no request.
+TOGETHER_SECONDS = 0.02
+# What ends a server has to be found at the others that end within this time,
+# which covers the latency of reports from several regions.
+SIMULTANEOUS_SECONDS = 0.1
 # Fewer ends may be a coincidence.
 MIN_ENDS = 3
 # With as many ends, segments that cannot be told apart are all blamed.
@@ -122,16 +128,25 @@
 
     The parameters are those of :func:`find_culprits`.
     """
-    by_name: dict[str, list[tuple[ServerEnd, list[Interruption]]]] = {}
-    for end in ends:
+    ends = list(ends)
+    by_name: dict[str, dict[int, list[Interruption]]] = {}
+    for at, end in enumerate(ends):
         for one in end.interruptions:
             for name in one.segments:
-                found = by_name.setdefault(name, [])
-                if not found or found[-1][0] is not end:
-                    found.append((end, []))
-                found[-1][1].append(one)
+                found = by_name.setdefault(name, {})
+                found.setdefault(at, []).append(one)
+    simultaneous = [find_simultaneous(ends, at) for at in range(len(ends))]
     blames = {
-        name: blame_segment(name, found, sound_at)
+        name: blame_segment(
+            name,
+            [
+                (ends[at], interruptions)
+                for at, interruptions in found.items()
+                if simultaneous[at] is not None
+                and simultaneous[at].issubset(found)
+            ],
+            sound_at,
+        )
         for name, found in by_name.items()
         # Most segments are in one request only.
         if len(found) >= min_ends
@@ -143,6 +158,45 @@
     }
 
 
+def find_simultaneous(ends: list[ServerEnd], at: int) -> set[int] | None:
+    """Returns the positions of the ends at the same time as another one.
+
+    :param at: position of that end.
+    :returns: None if several servers ended together.
+    """
+    others: set[int] = set()
+    for step in (-1, 1):
+        other = at + step
+        while 0 <= other < len(ends):
+            first, second = sorted((at, other))
+            apart_seconds = ends[second].at - ends[first].at
+            if apart_seconds > SIMULTANEOUS_SECONDS:
+                break
+            if apart_seconds <= TOGETHER_SECONDS and not has_followed(
+                ends[first], ends[second]
+            ):
+                return None
+            others.add(other)
+            other += step
+    return others
+
+
+def has_followed(first: ServerEnd, second: ServerEnd) -> bool:
+    """Returns whether a request of the second end was sent after the first.
+
+    A request that ends its server may be repeated at once at another one.
+    """
+    return any(
+        first.at <= one.sent_at and has_run(one, second)
+        for one in second.interruptions
+    )
+
+
+def has_run(interruption: Interruption, end: ServerEnd) -> bool:
+    """Returns whether a server may have begun a request before it ended."""
+    return interruption.sent_at <= end.at - MIN_RUN_SECONDS
+
+
 def blame_segment(
     name: str,
     found: collections.abc.Iterable[tuple[ServerEnd, list[Interruption]]],
@@ -150,10 +204,9 @@
 ) -> Blame:
     """Returns the ends that are held against a segment.
 
-    Several servers that end at once, as in a power loss, count as one end: a
-    request counts only if it was sent after the end counted before, and before
-    its own server ended. The segments that it always came with are blamed
-    together with it, unless they were in a sound response since.
+    A request counts only if it was sent after the end counted before, and
+    before its own server ended. The segments that it always came with are
+    blamed together with it, unless they were in a sound response since.
 
     :param found: ends with the interrupted requests that had the segment.
     """
@@ -164,7 +217,7 @@
         matching = [
             one
             for one in interruptions
-            if counted_until <= one.sent_at <= end.at - MIN_RUN_SECONDS
+            if counted_until <= one.sent_at and has_run(one, end)
         ]
         if matching and end.at > counted_until:
             counted.append(end)
