--- a/src/greengagegw/policy/crash_attribution.py
+++ b/src/greengagegw/policy/crash_attribution.py
@@ -68,7 +68,11 @@
 
     @property
     def rank(self) -> tuple[int, bool]:
-        """A prompt that is sent again meets several ends by itself."""
+        """Orders explanations, the best one last.
+
+        More ends explain more. A single prompt that is sent again and again
+        meets several ends even if it causes none.
+        """
         return len(self.ends), self.prompt_count > 1
 
     def is_narrower(self, other: 'Blame') -> bool:
@@ -78,6 +82,7 @@
         )
 
     def covers(self, end: ServerEnd) -> bool:
+        """Returns whether an end interrupted a prompt that is blamed."""
         return any(
             self.segments.issubset(one.segments) for one in end.interruptions
         )
@@ -86,7 +91,6 @@
 def find_culprits(
     ends: collections.abc.Iterable[ServerEnd],
     sound_at: collections.abc.Mapping[str, float],
-    min_ends: int = MIN_ENDS,
 ) -> list[Blame]:
     """Returns what explains the ends of one service's servers.
 
@@ -99,7 +103,7 @@
     open_ends = list(ends)
     culprits: list[Blame] = []
     while True:
-        suspects = find_suspects(open_ends, sound_at, min_ends).values()
+        suspects = find_suspects(open_ends, sound_at).values()
         strong = [
             one
             for one in suspects
@@ -122,7 +126,6 @@
 def find_suspects(
     ends: collections.abc.Iterable[ServerEnd],
     sound_at: collections.abc.Mapping[str, float],
-    min_ends: int = MIN_ENDS,
 ) -> dict[str, Blame]:
     """Returns the segments that enough ends are held against.
 
@@ -149,12 +152,12 @@
         )
         for name, found in by_name.items()
         # Most segments are in one request only.
-        if len(found) >= min_ends
+        if len(found) >= MIN_ENDS
     }
     return {
         name: blame
         for name, blame in blames.items()
-        if len(blame.ends) >= min_ends
+        if len(blame.ends) >= MIN_ENDS
     }
 
 
