Log the ends of servers of plain requests, with digests of the requests

The record of the incident does not show whether the requests at the ends of entry-desk's servers are the same: an end was logged only if it interrupted a prompt, and nothing in the logs tells two requests with the same path and body from two others.

server:ended is now logged for requests of every kind, with a digest of path, caller and body, so that neither a body nor a key gets into the logs. Nothing else depends on it yet.

--- a/features/serving/server_ends.feature
+++ b/features/serving/server_ends.feature
@@ -7,6 +7,11 @@
     When 3 requests run and their engine crashes
     Then the end of the engine is logged with 3 requests and their segments
 
+  Scenario: The end of a server of plain requests is logged with their digests
+    Given region a with 1 entry VM and 2 engines
+    When 3 plain requests, two of them the same, run and their server crashes
+    Then the end of the server is logged with 3 requests and 2 digests
+
   Scenario Outline: A connection that breaks is not the end of its server
     Given region a with 1 entry VM and 2 engines
     When a request meets an engine that <fault>
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -111,6 +111,7 @@
         self.request_limit = math.inf
         # When it crashed, None while it runs.
         self.crashed_at = None
+        self.crashed = anyio.Event()
         # Whether its responses have no length and end with the connection.
         self.closes_orderly = False
 
@@ -118,6 +119,7 @@
         """Ends the engine; another instance starts some seconds later."""
         if self.crashed_at is None:
             self.crashed_at = self.world.timers.now()
+            self.crashed.set()
             self.world.crashes.append(self.crashed_at)
             self.world.tasks.start_soon(self.world.replace_engine, self)
 
@@ -177,7 +179,7 @@
         timers = self.world.timers
         prompt = backend_request.request.prompt
         if prompt is None:
-            await timers.sleep(CALL_SECONDS * self.slowdown)
+            await self.run_call(CALL_SECONDS * self.slowdown)
             return
         async with self.prefill_queue.slot(
             0 if backend_request.is_resumption else 1
@@ -190,6 +192,11 @@
             self.cache.record_prompt(prompt)
             self.prefilled_tokens += unread
 
+    async def run_call(self, seconds):
+        with self.world.timers.move_on_after(seconds):
+            await self.crashed.wait()
+            raise errors.BackendError('the server crashed')
+
     async def generate(self, backend_request, fault):
         prompt = backend_request.request.prompt
         if prompt is None:
@@ -603,6 +610,7 @@
         prompt=None,
         timeout_seconds=12.0,
         key='key-1',
+        body=b'{}',
     ):
         return ports.Request(
             request_id=f'r-{number}',
@@ -611,7 +619,7 @@
             host='h.example',
             path=path,
             headers=(),
-            body=b'{}',
+            body=body,
             key=key,
             client_timeout_seconds=timeout_seconds,
             prompt=prompt,
--- a/features/steps/server_ends.py
+++ b/features/steps/server_ends.py
@@ -5,6 +5,7 @@
 import behave
 import eliot
 
+from features import fleet_world
 from features import serving_world
 from features.steps.fleet import in_fleet
 from greengagegw.serving import prompts
@@ -19,7 +20,13 @@
 
 @behave.given('region a with 1 entry VM and {engines:d} engines')
 def given_region(context, engines):
-    world = serving_world.ServingWorld({'a': (engines, 1)})
+    routes = [
+        fleet_world.route(),
+        fleet_world.route(
+            name='r2', pathPrefix='/desk/', kind='safe', service='desk'
+        ),
+    ]
+    world = serving_world.ServingWorld({'a': (engines, 1)}, routes=routes)
     manager = context.portal.wrap_async_context_manager(world.running())
     context.serving = manager.__enter__()
     context.add_cleanup(manager.__exit__, None, None, None)
@@ -57,6 +64,34 @@
     await context.serving.timers.advance(1.0)
 
 
+@behave.when(
+    '3 plain requests, two of them the same, run and their server crashes'
+)
+@in_fleet
+async def when_server_crashes(context):
+    world = context.serving
+    for number, body in enumerate((b'same', b'same', b'other')):
+        request = world.request(number, path='/desk/x', body=body)
+        world.start_request('a0', request)
+    await world.timers.advance(0.05)
+    server = world.engines['i-adesk']
+    assert server.running == 3, server.running
+    server.crash()
+    await world.timers.advance(1.0)
+
+
+@behave.then(
+    'the end of the server is logged with {count:d} requests and {digests:d}'
+    ' digests'
+)
+def then_digests(context, count, digests):
+    [end] = logged_ends(context)
+    assert len(end['requests']) == count, end
+    found = {digest for *_, digest in end['requests']}
+    assert len(found) == digests and '' not in found, found
+    assert not any('same' in str(one) for one in end['requests'])
+
+
 @behave.when('3 requests run and their engine leaves and ends')
 @in_fleet
 async def when_leaves(context):
@@ -94,7 +129,7 @@
 )
 def then_logged(context, count):
     [end] = logged_ends(context)
-    segments = {name: names for name, names, _ in end['requests']}
+    segments = {name: names for name, names, *_ in end['requests']}
     assert segments == {
         f'r-{number}': ['head', f'own{number}'] for number in range(count)
     }, segments
--- a/src/greengagegw/policy/crash_attribution.py
+++ b/src/greengagegw/policy/crash_attribution.py
@@ -8,6 +8,7 @@
 
 import collections.abc
 import dataclasses
+import hashlib
 import math
 
 # An engine needs longer to begin an answer. A request that was interrupted
@@ -23,6 +24,9 @@
 MIN_ENDS = 3
 # With as many ends, segments that cannot be told apart are all blamed.
 MAX_UNDECIDED_ENDS = 5
+# Distinguishes the digests of requests from the names of segments.
+DIGEST_PREFIX = 'request:'
+DIGEST_BYTES = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,12 +36,14 @@
     :ivar segments: names of its prompt's segments, in their order.
     :ivar sent_at: seconds.
     :ivar interrupted_at: seconds.
+    :ivar digest: of the request, empty if it is not known.
     """
 
     request_id: str
     segments: tuple[str, ...]
     sent_at: float
     interrupted_at: float
+    digest: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,6 +94,21 @@
         )
 
 
+def digest_request(caller: str, path: bytes, body: bytes) -> str:
+    """Returns what identifies the repeats of a request.
+
+    :param caller: the organisation, empty if there is none.
+    :param path: with the query.
+    """
+    # The lengths keep the parts apart.
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (caller.encode(), path):
+        digest.update(len(part).to_bytes(4))
+        digest.update(part)
+    digest.update(body)
+    return DIGEST_PREFIX + digest.hexdigest()
+
+
 def find_culprits(
     ends: collections.abc.Iterable[ServerEnd],
     sound_at: collections.abc.Mapping[str, float],
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -464,6 +464,7 @@
             is_client_retry,
             jobs.Attempts(attempts_left),
             software_version,
+            jobs.digest_request(organisation, request),
         )
         self.planner.check_held(job)
         return job
--- a/src/greengagegw/serving/jobs.py
+++ b/src/greengagegw/serving/jobs.py
@@ -8,6 +8,7 @@
 from .. import timers as timer_service
 from . import admission
 from ..fleet import configuration as configurations
+from ..policy import crash_attribution
 from . import ports
 from . import prompts
 from . import servers as server_pool
@@ -29,6 +30,8 @@
     :ivar attempts: counts the backend servers that the request was sent to.
     :ivar software_version: only servers of this version may get the request;
         None for all.
+    :ivar digest: identifies the repeats of the request, by its path, caller
+        and body.
     """
 
     request: ports.Request
@@ -43,6 +46,7 @@
     is_client_retry: bool
     attempts: 'Attempts'
     software_version: str | None = None
+    digest: str = ''
 
     def admission_request(
         self, urgent_rejection_rate: float, now: float
@@ -99,6 +103,15 @@
     uncached_tokens: float
 
 
+def digest_request(organisation: str | None, request: ports.Request) -> str:
+    """Returns what identifies the repeats of a request, also on other VMs."""
+    return crash_attribution.digest_request(
+        organisation or '',
+        b'%s\n%s' % (request.host.encode(), request.target),
+        request.body,
+    )
+
+
 async def await_until_deadline(
     timers: timer_service.Timers,
     job: Job,
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -146,6 +146,7 @@
             configuration.organisation_priority_rank(organisation_name),
             elapsed_seconds > 0,
             jobs.Attempts(route.max_attempts),
+            digest=jobs.digest_request(organisation_name, request),
         )
         self.check_held(job)
         return job
--- a/src/greengagegw/serving/server_ends.py
+++ b/src/greengagegw/serving/server_ends.py
@@ -131,8 +131,7 @@
     ) -> None:
         """Adds a request that an end of the server may have interrupted."""
         prompt = job.generation_prompt
-        if prompt is None:
-            return
+        segments = () if prompt is None else prompt.segments
         run = departures.run_of(instance)
         requests = self.interrupted.setdefault(
             run, collections.deque(maxlen=MAX_REQUESTS_PER_RUN)
@@ -140,9 +139,10 @@
         requests.append(
             crash_attribution.Interruption(
                 job.request.request_id,
-                tuple(one.name for one in prompt.segments),
+                tuple(one.name for one in segments),
                 sent_at,
                 self.timers.now(),
+                job.digest,
             )
         )
         while len(self.interrupted) > MAX_RUNS:
@@ -187,12 +187,14 @@
                     one.request_id,
                     list(one.segments),
                     round(one.interrupted_at - one.sent_at, 3),
+                    one.digest,
                 ]
                 for one in requests
             ],
         )
-        if not is_leaving:
-            self.on_end(ServerEnd(instance.service, run, requests))
+        prompted = tuple(one for one in requests if one.segments)
+        if prompted and not is_leaving:
+            self.on_end(ServerEnd(instance.service, run, prompted))
 
     async def run(self) -> None:
         """Checks servers that interrupted requests, until cancelled."""
