--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -109,6 +109,7 @@
         self.pause_seconds = 0.0
         # Requests a second that it names as its limit.
         self.request_limit = math.inf
+        self.status = 200
         # When it crashed, None while it runs.
         self.crashed_at = None
         self.crashed = anyio.Event()
@@ -155,7 +156,7 @@
         self.running += 1
         try:
             await self.prefill(backend_request)
-            status = 500 if fault in ERROR_FAULTS else 200
+            status = 500 if fault in ERROR_FAULTS else self.status
             on_notice(
                 ports.ServerNotice(
                     self.is_leaving, request_limit=self.request_limit
@@ -178,8 +179,11 @@
     async def prefill(self, backend_request):
         timers = self.world.timers
         prompt = backend_request.request.prompt
+        is_crashing = (
+            backend_request.request.body in self.world.crashing_bodies
+        )
         if prompt is None:
-            await self.run_call(CALL_SECONDS * self.slowdown)
+            await self.run_call(CALL_SECONDS * self.slowdown, is_crashing)
             return
         async with self.prefill_queue.slot(
             0 if backend_request.is_resumption else 1
@@ -192,9 +196,12 @@
             self.cache.record_prompt(prompt)
             self.prefilled_tokens += unread
 
-    async def run_call(self, seconds):
+    async def run_call(self, seconds, is_crashing):
         with self.world.timers.move_on_after(seconds):
             await self.crashed.wait()
+        if is_crashing:
+            self.crash()
+        if self.crashed_at is not None:
             raise errors.BackendError('the server crashed')
 
     async def generate(self, backend_request, fault):
@@ -212,7 +219,10 @@
             yield b'an error page'
             return
         names = {one.name for one in prompt.segments}
-        if names & self.world.crashing_segments:
+        if (
+            names & self.world.crashing_segments
+            or backend_request.request.body in self.world.crashing_bodies
+        ):
             self.crash()
         count = max(1, prompt.max_output_tokens // EVENT_TOKENS)
         first = int(backend_request.resume_after or 0) + 1
@@ -407,6 +417,8 @@
         # A prompt with one of these segments crashes each engine that begins
         # to generate from it.
         self.crashing_segments = set()
+        # A request with one of these bodies crashes each server that runs it.
+        self.crashing_bodies = set()
         self.crashes = []
         # Whether requests still go out on kept connections to crashed engines.
         self.has_stale_connections = False
@@ -461,6 +473,7 @@
         )
         replacement.closes_orderly = crashed.closes_orderly
         replacement.slowdown = crashed.slowdown
+        replacement.status = crashed.status
         self.engines[replacement.instance.name] = replacement
 
     def set_version(self, name, version):
