Rename held prompts to held requests

A hold names traits, of which the segments of a prompt are one kind, so that the same holds, log lines and pages can serve requests without a prompt. The log lines prompt:held, prompt:not_held, prompt:vm_not_asked, prompt:bad_reply and prompt:holds_in_force become hold:made, hold:not_made, hold:vm_not_asked, hold:bad_reply and hold:in_force.

--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -23,7 +23,7 @@
 from greengagegw.fleet import loads as region_loads
 from greengagegw.fleet import members
 from greengagegw.fleet import store as stores
-from greengagegw import held_prompts
+from greengagegw import held_requests
 from greengagegw.platform import documents
 from greengagegw.serving import dispatcher as dispatchers
 from greengagegw.serving import planner
@@ -613,7 +613,7 @@
             view.leader = (
                 f'{CONTROL_VM}{self.leader_count}' if self.has_leader else None
             )
-            view.holds = held_prompts.HoldIndex(self.store.holds.values())
+            view.holds = held_requests.HoldIndex(self.store.holds.values())
             self.dispatchers[entry.vm].pool.update(self.timers.now())
 
     def request(
--- a/features/steps/crashes.py
+++ b/features/steps/crashes.py
@@ -13,7 +13,7 @@
 from greengagegw import crash_guard
 from greengagegw import errors
 from greengagegw import forwarding
-from greengagegw import held_prompts
+from greengagegw import held_requests
 from greengagegw import peer_exchange
 from greengagegw.policy import crash_attribution
 from greengagegw import request_parsing
@@ -277,7 +277,7 @@
     await guards.timers.advance(seconds)
     expected = [('melon',)] if what == 'the message' else []
     for vm, guard in guards.guards.items():
-        held = [one.segments for one in guard.index.holds]
+        held = [one.traits for one in guard.index.holds]
         assert held == expected, (vm, held)
 
 
@@ -309,7 +309,7 @@
             f'r-{number}', (f's{number}',), now, now
         )
         guard.add_end(SERVICE, f'e{number}', now, [interruption])
-        hold = held_prompts.Hold(SERVICE, (f'h{number}',), number, (), ())
+        hold = held_requests.Hold(SERVICE, (f'h{number}',), number, (), ())
         guard.apply(crash_guard.HoldState(hold, float(number)))
     for number in range(30_000):
         guard.record_sound(SERVICE, [f'm{number}'])
--- a/features/steps/crashing_prompts.py
+++ b/features/steps/crashing_prompts.py
@@ -149,7 +149,7 @@
 
 
 def list_held(world):
-    return [set(one.segments) for one in world.store.holds.values()]
+    return [set(one.traits) for one in world.store.holds.values()]
 
 
 @behave.then('just the crashing segment is held back')
@@ -438,5 +438,5 @@
 @behave.then('{culprits} is to blame')
 def then_to_blame(context, culprits):
     expected = [] if culprits == 'nothing' else [set(culprits.split('+'))]
-    found = [set(one.segments) for one in context.culprits]
+    found = [set(one.traits) for one in context.culprits]
     assert found == expected, found
--- a/features/steps/crashing_requests.py
+++ b/features/steps/crashing_requests.py
@@ -171,7 +171,7 @@
         for one in end.interruptions.values()
         if one.request_id in hold.requests
     }
-    assert digests and digests.issubset(hold.segments), hold
+    assert digests and digests.issubset(hold.traits), hold
     outcomes = [one for one in world.outcomes if one.profile == 'sound']
     held = [
         one
--- a/features/steps/holds.py
+++ b/features/steps/holds.py
@@ -7,7 +7,7 @@
 from greengagegw import errors
 from greengagegw.fleet import crash_watch
 from greengagegw.fleet import store as stores
-from greengagegw import held_prompts
+from greengagegw import held_requests
 from greengagegw.platform import operator_application
 from greengagegw.policy import crash_attribution
 from greengagegw.serving import server_ends
@@ -258,7 +258,7 @@
 
 
 def make_hold(number):
-    return held_prompts.Hold('engine', (f's{number}',), number, ('i',), ())
+    return held_requests.Hold('engine', (f's{number}',), number, ('i',), ())
 
 
 @behave.when('a store gets {count:d} holds')
--- a/src/greengagegw/crash_guard.py
+++ b/src/greengagegw/crash_guard.py
@@ -16,7 +16,7 @@
 import eliot
 
 from . import errors
-from . import held_prompts
+from . import held_requests
 from . import timers as timer_service
 from .policy import crash_attribution
 
@@ -51,7 +51,7 @@
     at: float
     interruptions: dict[tuple, crash_attribution.Interruption]
 
-    def matches(self, hold: held_prompts.Hold) -> bool:
+    def matches(self, hold: held_requests.Hold) -> bool:
         return any(
             hold.matches(self.service, frozenset(one.segments))
             for one in self.interruptions.values()
@@ -65,7 +65,7 @@
     :ivar changed_at: Unix seconds.
     """
 
-    hold: held_prompts.Hold
+    hold: held_requests.Hold
     changed_at: float
     is_lifted: bool = False
 
@@ -92,7 +92,7 @@
         )
         self.peer_sound_at: dict[SegmentKey, float] = {}
         self.states: dict[str, HoldState] = {}
-        self.index = held_prompts.HoldIndex()
+        self.index = held_requests.HoldIndex()
         self.new_ends: list[EngineEnd] = []
         self.new_sound: list[SegmentKey] = []
         self.new_states: list[HoldState] = []
@@ -141,8 +141,8 @@
         )
         if any(
             one.service == service
-            and len(one.segments) > 1
-            and names.intersection(one.segments)
+            and len(one.traits) > 1
+            and names.intersection(one.traits)
             for one in self.index.holds
         ):
             # Fewer segments explain the ends now.
@@ -276,17 +276,17 @@
             sound_at,
         )
         for blame in culprits:
-            if self.index.find(service, blame.segments) is None:
+            if self.index.find(service, blame.traits) is None:
                 self.hold(service, blame)
 
     def hold(self, service: str, blame: crash_attribution.Blame) -> None:
         now = self.timers.wall_time()
-        hold = held_prompts.make_hold(service, blame, now)
+        hold = held_requests.make_hold(service, blame, now)
         eliot.log_message(
-            'prompt:held',
+            'hold:made',
             id=hold.hold_id,
             service=service,
-            segments=list(hold.segments),
+            segments=list(hold.traits),
             engines=list(hold.ended_servers),
             min_ends=crash_attribution.MIN_ENDS,
             requests=list(hold.requests),
@@ -311,7 +311,7 @@
                 self.states, key=lambda one: self.states[one].changed_at
             )
             del self.states[oldest]
-        self.index = held_prompts.HoldIndex(
+        self.index = held_requests.HoldIndex(
             one.hold for one in self.states.values() if not one.is_lifted
         )
         if state.is_lifted:
@@ -472,7 +472,7 @@
         ]
         states = [
             HoldState(
-                held_prompts.Hold.unpack(hold), float(at), bool(is_lifted)
+                held_requests.Hold.unpack(hold), float(at), bool(is_lifted)
             )
             for hold, at, is_lifted in packed_states
         ]
--- a/src/greengagegw/fleet/agent.py
+++ b/src/greengagegw/fleet/agent.py
@@ -9,7 +9,7 @@
 import eliot
 
 from .. import errors
-from .. import held_prompts
+from .. import held_requests
 from .. import supervision
 from .. import timers as timer_service
 from . import configuration as configurations
@@ -51,7 +51,7 @@
         self.changes = -1
         self.evacuated_domains: frozenset[str] = frozenset()
         self.hold_changes = -1
-        self.holds = held_prompts.HoldIndex()
+        self.holds = held_requests.HoldIndex()
         self.lease_expires_at = 0.0
         self.instances: dict[str, instance_list.Instance] = {}
         self.instance_list_digest = 0
@@ -283,10 +283,10 @@
         before = {one.hold_id for one in view.holds.holds}
         after = {one.hold_id for one in reply.holds}
         view.hold_changes = reply.hold_changes
-        view.holds = held_prompts.HoldIndex(reply.holds)
+        view.holds = held_requests.HoldIndex(reply.holds)
         if before != after:
             eliot.log_message(
-                'prompt:holds_in_force',
+                'hold:in_force',
                 held=sorted(after - before),
                 lifted=sorted(before - after),
                 count=len(after),
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -13,7 +13,7 @@
 import eliot
 
 from .. import errors
-from .. import held_prompts
+from .. import held_requests
 from .. import supervision
 from .. import timers as timer_service
 from . import configuration as configurations
@@ -403,7 +403,7 @@
         self.replica.require_leader()
         self.crash_watch.record(peer, message)
 
-    async def submit_hold(self, hold: held_prompts.Hold) -> None:
+    async def submit_hold(self, hold: held_requests.Hold) -> None:
         await self.submit(stores.hold_command(hold))
 
     async def ask_sound_segments(
@@ -426,12 +426,10 @@
                 for name, age in dict(reply).items():
                     ages[name] = min(float(age), ages.get(name, math.inf))
             except errors.GatewayError as error:
-                eliot.log_message(
-                    'prompt:vm_not_asked', vm=vm, code=error.code
-                )
+                eliot.log_message('hold:vm_not_asked', vm=vm, code=error.code)
             except (TypeError, ValueError) as error:
                 eliot.log_message(
-                    'prompt:bad_reply', vm=vm, reason=str(error)[:200]
+                    'hold:bad_reply', vm=vm, reason=str(error)[:200]
                 )
 
         async with anyio.create_task_group() as tasks:
--- a/src/greengagegw/fleet/crash_watch.py
+++ b/src/greengagegw/fleet/crash_watch.py
@@ -15,7 +15,7 @@
 import eliot
 
 from .. import errors
-from .. import held_prompts
+from .. import held_requests
 from .. import timers as timer_service
 from ..policy import crash_attribution
 
@@ -37,7 +37,7 @@
     [str, list[str]], collections.abc.Awaitable[dict[str, float]]
 ]
 SubmitHold = collections.abc.Callable[
-    [held_prompts.Hold], collections.abc.Awaitable[typing.Any]
+    [held_requests.Hold], collections.abc.Awaitable[typing.Any]
 ]
 
 
@@ -63,7 +63,7 @@
         timers: timer_service.Timers,
         ask_sound: AskSound,
         submit_hold: SubmitHold,
-        holds: collections.abc.Callable[[], tuple[held_prompts.Hold, ...]],
+        holds: collections.abc.Callable[[], tuple[held_requests.Hold, ...]],
     ) -> None:
         self.timers = timers
         self.ask_sound = ask_sound
@@ -73,7 +73,7 @@
             str, collections.OrderedDict[tuple[str, int], ReportedEnd]
         ] = {}
         self.sound_at: dict[str, dict[str, float]] = {}
-        self.known_holds: tuple[held_prompts.Hold, ...] = ()
+        self.known_holds: tuple[held_requests.Hold, ...] = ()
         self.changed_services: set[str] = set()
         self.has_changes = anyio.Event()
 
@@ -112,7 +112,7 @@
                     await self.evaluate(service)
                 except errors.GatewayError as error:
                     eliot.log_message(
-                        'prompt:not_held',
+                        'hold:not_made',
                         service=service,
                         code=error.code,
                         reason=error.message,
@@ -139,7 +139,7 @@
         )
         for one in self.wide_holds():
             if one.service == service:
-                suspects.update(one.segments)
+                suspects.update(one.traits)
         asked_at = self.timers.now()
         ages = await self.ask_sound(service, sorted(suspects))
         for name, age in ages.items():
@@ -153,9 +153,9 @@
                 NARROW_SECONDS, lambda: self.request_evaluation(service)
             )
 
-    def wide_holds(self) -> list[held_prompts.Hold]:
+    def wide_holds(self) -> list[held_requests.Hold]:
         """Returns the holds of which a segment may be found to be sound."""
-        return [one for one in self.holds() if len(one.segments) > 1]
+        return [one for one in self.holds() if len(one.traits) > 1]
 
     def request_evaluation(self, service: str) -> None:
         self.changed_services.add(service)
@@ -192,18 +192,18 @@
             blame
             for blame in found
             if not any(
-                one.matches(service, blame.segments) for one in self.holds()
+                one.matches(service, blame.traits) for one in self.holds()
             )
         ]
 
     async def hold(self, service: str, blame: crash_attribution.Blame) -> None:
-        hold = held_prompts.make_hold(service, blame, self.timers.wall_time())
+        hold = held_requests.make_hold(service, blame, self.timers.wall_time())
         now = self.timers.now()
         eliot.log_message(
-            'prompt:held',
+            'hold:made',
             id=hold.hold_id,
             service=service,
-            segments=list(hold.segments),
+            segments=list(hold.traits),
             servers=list(hold.ended_servers),
             ends_ago=[round(now - end.at, 2) for end in blame.ends],
             min_ends=crash_attribution.MIN_ENDS,
@@ -230,15 +230,14 @@
 
 
 def find_lifted(
-    before: tuple[held_prompts.Hold, ...], now: tuple[held_prompts.Hold, ...]
-) -> list[held_prompts.Hold]:
+    before: tuple[held_requests.Hold, ...], now: tuple[held_requests.Hold, ...]
+) -> list[held_requests.Hold]:
     """Returns the holds that are no longer in force, not even in part."""
     return [
         one
         for one in before
         if not any(
-            other.matches(one.service, frozenset(one.segments))
-            for other in now
+            other.matches(one.service, frozenset(one.traits)) for other in now
         )
     ]
 
--- a/src/greengagegw/fleet/poll_reply.py
+++ b/src/greengagegw/fleet/poll_reply.py
@@ -5,7 +5,7 @@
 import zlib
 
 from .. import errors
-from .. import held_prompts
+from .. import held_requests
 from . import configuration as configurations
 from . import instances as instance_list
 from . import loads
@@ -54,7 +54,7 @@
     leader: str | None
     loads: dict[str, dict[str, loads.RegionLoad]]
     hold_changes: int = -1
-    holds: tuple[held_prompts.Hold, ...] | None = None
+    holds: tuple[held_requests.Hold, ...] | None = None
 
 
 def decode(
@@ -93,7 +93,7 @@
             members.EntryVm.unpack(one) for one in reply['entries']
         )
     if 'holds' in reply:
-        holds = tuple(held_prompts.Hold.unpack(one) for one in reply['holds'])
+        holds = tuple(held_requests.Hold.unpack(one) for one in reply['holds'])
     return PollReply(
         bool(reply['is_confirmed']),
         version,
--- a/src/greengagegw/fleet/store.py
+++ b/src/greengagegw/fleet/store.py
@@ -9,7 +9,7 @@
 
 import msgpack
 
-from .. import held_prompts
+from .. import held_requests
 
 # The oldest hold yields to a new one.
 MAX_HOLDS = 256
@@ -30,7 +30,7 @@
     return msgpack.packb([EVACUATE if is_evacuated else READMIT, domain])
 
 
-def hold_command(hold: held_prompts.Hold) -> bytes:
+def hold_command(hold: held_requests.Hold) -> bytes:
     """Returns the command that holds prompts back."""
     return msgpack.packb([HOLD, hold.pack()])
 
@@ -56,7 +56,7 @@
         self.packed = b''
         self.evacuated: frozenset[str] = frozenset()
         self.changes = 0
-        self.holds: dict[str, held_prompts.Hold] = {}
+        self.holds: dict[str, held_requests.Hold] = {}
         self.hold_changes = 0
 
     @property
@@ -79,7 +79,7 @@
         elif name == READMIT:
             self.evacuated -= {arguments[0]}
         elif name == HOLD:
-            self.hold(held_prompts.Hold.unpack(arguments[0]))
+            self.hold(held_requests.Hold.unpack(arguments[0]))
         elif name == LIFT:
             self.lift(arguments[0])
         has_changed = before != (self.version, self.evacuated)
@@ -94,17 +94,17 @@
             self.version = version
             self.packed = packed
 
-    def hold(self, hold: held_prompts.Hold) -> None:
+    def hold(self, hold: held_requests.Hold) -> None:
         """Adds a hold, which replaces those that it includes."""
         if any(
-            one.matches(hold.service, frozenset(hold.segments))
+            one.matches(hold.service, frozenset(hold.traits))
             for one in self.holds.values()
         ):
             return
         self.holds = {
             key: one
             for key, one in self.holds.items()
-            if not hold.matches(one.service, frozenset(one.segments))
+            if not hold.matches(one.service, frozenset(one.traits))
         }
         self.holds[hold.hold_id] = hold
         while len(self.holds) > MAX_HOLDS:
@@ -133,5 +133,5 @@
         self.version, self.packed, evacuated, self.changes, *rest = values
         self.evacuated = frozenset(evacuated)
         packed_holds, self.hold_changes = rest or ([], 0)
-        holds = [held_prompts.Hold.unpack(one) for one in packed_holds]
+        holds = [held_requests.Hold.unpack(one) for one in packed_holds]
         self.holds = {one.hold_id: one for one in holds}
--- a/src/greengagegw/held_prompts.py
+++ b/src/greengagegw/held_requests.py
@@ -1,4 +1,4 @@
-"""Prompts that are held back because they end backend servers."""
+"""Requests that are held back because they end backend servers."""
 
 import collections.abc
 import dataclasses
@@ -16,16 +16,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hold:
-    """Prompts of a service that are held back.
+    """Requests of a service that are held back.
 
-    :ivar segments: names; prompts that have all of them are held back.
+    :ivar traits: requests that have all of them are held back.
     :ivar since: Unix seconds.
-    :ivar ended_servers: names of the servers that ended under such prompts.
+    :ivar ended_servers: names of the servers that ended under such requests.
     :ivar requests: IDs of some of the requests.
     """
 
     service: str
-    segments: tuple[str, ...]
+    traits: tuple[str, ...]
     since: float
     ended_servers: tuple[str, ...]
     requests: tuple[str, ...]
@@ -33,16 +33,16 @@
     @property
     def hold_id(self) -> str:
         """Identifies the hold, also if it is lifted and made again."""
-        key = msgpack.packb([self.service, sorted(self.segments)])
+        key = msgpack.packb([self.service, sorted(self.traits)])
         return xxhash.xxh64_hexdigest(key)
 
-    def matches(self, service: str, segments: frozenset[str]) -> bool:
-        return service == self.service and segments.issuperset(self.segments)
+    def matches(self, service: str, traits: frozenset[str]) -> bool:
+        return service == self.service and traits.issuperset(self.traits)
 
     def is_wider(self, other: 'Hold') -> bool:
-        """Returns whether this hold has all prompts of another, and more."""
-        return self.service == other.service and set(self.segments) < set(
-            other.segments
+        """Returns whether this hold has all requests of another, and more."""
+        return self.service == other.service and set(self.traits) < set(
+            other.traits
         )
 
     def describe(self) -> dict[str, typing.Any]:
@@ -51,7 +51,7 @@
         return {
             'id': self.hold_id,
             'service': self.service,
-            'segments': self.segments,
+            'segments': self.traits,
             'since': since.isoformat(timespec='milliseconds'),
             'reason': f'{len(self.ended_servers)} backend servers ended under'
             ' prompts with these segments',
@@ -62,7 +62,7 @@
     def pack(self) -> list:
         return [
             self.service,
-            list(self.segments),
+            list(self.traits),
             self.since,
             list(self.ended_servers),
             list(self.requests),
@@ -70,10 +70,10 @@
 
     @classmethod
     def unpack(cls, values: list) -> 'Hold':
-        service, segments, since, ended_servers, requests = values
+        service, traits, since, ended_servers, requests = values
         return cls(
             str(service),
-            tuple(segments),
+            tuple(traits),
             float(since),
             tuple(ended_servers),
             tuple(requests),
@@ -81,11 +81,11 @@
 
 
 class HoldIndex:
-    """Finds the hold of a prompt.
+    """Finds the hold of a request.
 
     Leaves out the holds that another one includes.
 
-    :ivar by_segment: holds by their service and first segment.
+    :ivar by_trait: holds by their service and first trait.
     """
 
     def __init__(self, holds: collections.abc.Iterable[Hold] = ()) -> None:
@@ -95,20 +95,20 @@
             for one in candidates
             if not any(other.is_wider(one) for other in candidates)
         )
-        self.by_segment: dict[tuple[str, str], list[Hold]] = {}
+        self.by_trait: dict[tuple[str, str], list[Hold]] = {}
         for one in self.holds:
-            key = (one.service, one.segments[0])
-            self.by_segment.setdefault(key, []).append(one)
+            key = (one.service, one.traits[0])
+            self.by_trait.setdefault(key, []).append(one)
 
     def find(
-        self, service: str, segments: collections.abc.Iterable[str]
+        self, service: str, traits: collections.abc.Iterable[str]
     ) -> Hold | None:
-        """Returns the hold that matches a prompt, None if it may run."""
+        """Returns the hold that matches a request, None if it may run."""
         if not self.holds:
             return None
-        names = frozenset(segments)
+        names = frozenset(traits)
         for name in names:
-            for one in self.by_segment.get((service, name), ()):
+            for one in self.by_trait.get((service, name), ()):
                 if one.matches(service, names):
                     return one
         return None
@@ -117,7 +117,7 @@
 def make_hold(
     service: str, blame: crash_attribution.Blame, since: float
 ) -> Hold:
-    """Returns the hold of prompts that explain the ends of servers.
+    """Returns the hold of requests that explain the ends of servers.
 
     :param since: Unix seconds.
     """
@@ -125,11 +125,11 @@
         one.request_id
         for end in blame.ends
         for one in end.interruptions
-        if blame.segments.issubset(one.segments)
+        if blame.traits.issubset(one.segments)
     )
     return Hold(
         service,
-        tuple(sorted(blame.segments)),
+        tuple(sorted(blame.traits)),
         since,
         tuple(end.run[0] for end in blame.ends),
         tuple(list(requests)[:MAX_REQUESTS]),
--- a/src/greengagegw/platform/http_names.py
+++ b/src/greengagegw/platform/http_names.py
@@ -64,7 +64,7 @@
 CONFIGURATION_PATH = '/-/config'
 EVACUATION_PATH = '/-/evacuations/'
 # Not in the platform's protocol: prompts that are held back.
-HELD_PROMPTS_PATH = '/-/held-prompts'
+HOLDS_PATH = '/-/held-prompts'
 RESOLVE_PATH = '/-/resolve'
 READY_PATH = '/-/readyz'
 INSTANCES_TARGET = b'/instances'
--- a/src/greengagegw/platform/operator_application.py
+++ b/src/greengagegw/platform/operator_application.py
@@ -85,10 +85,10 @@
             domain = path.removeprefix(http_names.EVACUATION_PATH)
             if domain and method in ('POST', 'DELETE'):
                 return await self.evacuate(domain, method == 'POST')
-        if path == http_names.HELD_PROMPTS_PATH and method == 'GET':
-            return await self.list_held_prompts()
-        if path.startswith(f'{http_names.HELD_PROMPTS_PATH}/'):
-            hold_id = path.removeprefix(f'{http_names.HELD_PROMPTS_PATH}/')
+        if path == http_names.HOLDS_PATH and method == 'GET':
+            return await self.list_holds()
+        if path.startswith(f'{http_names.HOLDS_PATH}/'):
+            hold_id = path.removeprefix(f'{http_names.HOLDS_PATH}/')
             if method == 'DELETE':
                 return await self.lift_hold(hold_id)
         raise errors.NotFoundError(f'{method} {path}')
@@ -169,7 +169,7 @@
         )
         return 200, b'{}'
 
-    async def list_held_prompts(self) -> tuple[int, bytes]:
+    async def list_holds(self) -> tuple[int, bytes]:
         """Returns which prompts are held back, since when and why."""
         store = await self.control.read()
         return 200, orjson.dumps(
--- a/src/greengagegw/policy/crash_attribution.py
+++ b/src/greengagegw/policy/crash_attribution.py
@@ -62,13 +62,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Blame:
-    """Segments that were together in a request at each of several ends.
+    """Traits that were together in a request at each of several ends.
 
-    :ivar segments: a prompt that has all of them is blamed.
+    :ivar traits: a request that has all of them is blamed.
     :ivar prompt_count: different prompts among the interrupted requests.
     """
 
-    segments: frozenset[str]
+    traits: frozenset[str]
     ends: tuple[ServerEnd, ...]
     prompt_count: int
 
@@ -83,14 +83,14 @@
 
     def is_narrower(self, other: 'Blame') -> bool:
         """Returns whether fewer prompts, blamed as well, are enough."""
-        return other.segments < self.segments and (
+        return other.traits < self.traits and (
             len(self.ends) >= len(other.ends) or self.prompt_count > 1
         )
 
     def covers(self, end: ServerEnd) -> bool:
         """Returns whether an end interrupted a prompt that is blamed."""
         return any(
-            self.segments.issubset(one.segments) for one in end.interruptions
+            self.traits.issubset(one.segments) for one in end.interruptions
         )
 
 
@@ -132,10 +132,10 @@
         ]
         if not strong:
             return culprits
-        best = max(strong, key=lambda one: (one.rank, sorted(one.segments)))
+        best = max(strong, key=lambda one: (one.rank, sorted(one.traits)))
         if len(best.ends) < MAX_UNDECIDED_ENDS and any(
             one.rank == best.rank
-            and one.segments != best.segments
+            and one.traits != best.traits
             and set(one.ends) & set(best.ends)
             for one in strong
         ):
@@ -252,10 +252,10 @@
     common = set(suspects[0].segments).intersection(
         *(one.segments for one in suspects)
     )
-    segments = frozenset(
+    traits = frozenset(
         one
         for one in common
         if one == name or sound_at.get(one, -math.inf) < counted[0].at
     )
     prompts = {one.segments for one in suspects}
-    return Blame(segments, tuple(counted), len(prompts))
+    return Blame(traits, tuple(counted), len(prompts))
--- a/src/greengagegw/serving/end_reports.py
+++ b/src/greengagegw/serving/end_reports.py
@@ -11,7 +11,7 @@
 import eliot
 
 from .. import errors
-from .. import held_prompts
+from .. import held_requests
 from .. import timers as timer_service
 from ..fleet import agent as agents
 from ..fleet import crash_watch
@@ -82,7 +82,7 @@
             collections.deque(maxlen=MAX_REPORTS)
         )
         self.received_by: dict[server_ends.ServerEnd, str] = {}
-        self.known_holds: tuple[held_prompts.Hold, ...] = ()
+        self.known_holds: tuple[held_requests.Hold, ...] = ()
         self.has_reports = anyio.Event()
         self.last_code = ''
 
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -168,13 +168,13 @@
             'request:held',
             job,
             hold=hold.hold_id,
-            segments=list(hold.segments),
+            segments=list(hold.traits),
             since=round(hold.since, 3),
         )
         raise errors.HeldPromptError(
             f'{len(hold.ended_servers)} backend servers of'
             f' {job.service.name} ended under prompts with'
-            f' {", ".join(hold.segments)}, which are held back'
+            f' {", ".join(hold.traits)}, which are held back'
             f' (hold {hold.hold_id})',
             retry_after=self.add_jitter(HELD_RETRY_AFTER_SECONDS),
         )
