Hold back plain calls under which servers end, on our own interface

The same cause on our own interface: a plain call that crashes each server that runs it was repeated and sent on without limit, since a call without a prompt taught nothing.

The exchange of ends between the VMs keeps its form.

--- a/features/backends/crashes.feature
+++ b/features/backends/crashes.feature
@@ -13,6 +13,15 @@
     When an operator lifts the hold at piedmont-1
     Then a prompt with melon reaches an engine through coastal-1
 
+  @deployment
+  Scenario: A plain call under which three servers ended is rejected at every VM
+    Given each plain service crashes on an entry with melon
+    When a caller sends the entry with melon until it is held back
+    Then at most 6 of them have reached a plain service
+    And through every VM the entry is rejected as request_held
+    And through every VM an entry of pears is registered
+    And an operator sees the digest of the entry, and neither its body nor its key
+
   Scenario Outline: VMs learn of each other's ends
     Given 3 VMs that exchange what they know of ends
     When 3 engines end under prompts with a message, each seen by another VM
--- a/features/steps/crashes.py
+++ b/features/steps/crashes.py
@@ -8,6 +8,7 @@
 
 from features import fakes
 from features.steps.callers import call
+from features.steps.callers import PLAIN_SERVICE_PATH
 from features.steps.fleet import in_fleet
 from features import world as worlds
 from greengagegw import crash_guard
@@ -131,6 +132,102 @@
         context.hold_id = one['id']
 
 
+def all_plain_services(context):
+    return list(context.world.deployment.plain_services.values())
+
+
+@behave.given('each plain service crashes on an entry with {text}')
+def given_crashing_plain(context, text):
+    run_seconds = {}
+    for one in all_plain_services(context):
+        run_seconds[one] = one.run_seconds
+        one.run_seconds = 0.02
+        one.crashing_text = text.encode()
+
+    def restore():
+        for one in all_plain_services(context):
+            one.crashing_text = b''
+            one.run_seconds = run_seconds[one]
+        for vm in all_vms(context).values():
+            for hold_id in list(vm.guard.states):
+                vm.guard.lift(hold_id)
+
+    context.add_cleanup(restore)
+
+
+def register(context, text, vm=worlds.ENTRY_VM):
+    call(
+        context,
+        context.world.send,
+        path=PLAIN_SERVICE_PATH,
+        via=vm,
+        json={'entry': text},
+    )
+    return context.world.responses[-1]
+
+
+@behave.when('a caller sends the entry with {text} until it is held back')
+def when_entry_held(context, text):
+    for _ in range(MAX_PROMPTS):
+        response = register(context, text)
+        if response.json().get('error', {}).get('code') == 'request_held':
+            return
+        call(context, anyio.sleep, 0.4)
+    raise AssertionError(context.world.responses[-1].text)
+
+
+def count_entries(context, text='melon'):
+    return sum(
+        text.encode() in request.body
+        for one in all_plain_services(context)
+        for request in one.received_requests
+    )
+
+
+@behave.then('at most {count:d} of them have reached a plain service')
+def then_reached_plain(context, count):
+    assert 3 <= count_entries(context) <= count, count_entries(context)
+    call(context, anyio.sleep, 1.2)
+
+
+@behave.then('through every VM the entry is rejected as request_held')
+def then_entry_rejected(context):
+    before = count_entries(context)
+    for vm in all_vms(context):
+        response = register(context, 'melon', vm)
+        error = response.json()['error']
+        assert (response.status_code, error['code']) == (503, 'request_held')
+        assert error['run'] == 'not_run', error
+    assert count_entries(context) == before
+
+
+@behave.then('through every VM an entry of pears is registered')
+def then_registered(context):
+    for vm in all_vms(context):
+        response = register(context, 'pears', vm)
+        assert response.status_code == 201, response.text
+
+
+@behave.then(
+    'an operator sees the digest of the entry, and neither its body nor its'
+    ' key'
+)
+def then_digest(context):
+    held = call(
+        context,
+        operate,
+        context,
+        'GET',
+        worlds.ENTRY_VM,
+        '/admin/held-prompts',
+    )
+    [one] = held['held']
+    assert not one['segments'] and len(one['digests']) == 1, one
+    assert len(one['servers']) >= 3, one
+    for secret in ('melon', context.world.keys['orchard']):
+        assert secret not in str(held), held
+
+
 @behave.when('an operator lifts the hold at {vm}')
 def when_lifted(context, vm):
     path = f'/admin/held-prompts/{context.hold_id}'
--- a/src/greengagegw/crash_guard.py
+++ b/src/greengagegw/crash_guard.py
@@ -1,9 +1,9 @@
-"""Holds back prompts under which engines end, on our own interface.
+"""Holds back calls under which backend servers end, on our own interface.
 
-A VM that loses the connection of a call checks whether its engine still
-listens. The VMs exchange the ends of engines with the calls that were
-interrupted, the segments that were in sound responses since, and what is held
-back. Each of them decides from that by itself.
+A VM that loses the connection of a call checks whether its engine, or other
+backend server, still listens. The VMs exchange the ends of engines with the
+calls that were interrupted, the traits that were in sound responses since, and
+what is held back. Each of them decides from that by itself.
 """
 
 import collections
@@ -30,12 +30,12 @@
 RETENTION_SECONDS = 600.0
 MAX_ENDS = 100
 MAX_CALLS_PER_END = 100
-MAX_SOUND_SEGMENTS = 20_000
+MAX_SOUND_TRAITS = 20_000
 MAX_HOLDS = 256
 # A hold lasts until an operator lifts it.
 RETRY_AFTER_SECONDS = 60
 
-SegmentKey = tuple[str, str]
+TraitKey = tuple[str, str]
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,7 +43,7 @@
     """The end of an engine.
 
     :ivar at: timer seconds of the first interruption.
-    :ivar interruptions: interrupted calls by request ID and segments.
+    :ivar interruptions: interrupted calls by request ID and traits.
     """
 
     service: str
@@ -53,7 +53,7 @@
 
     def matches(self, hold: held_requests.Hold) -> bool:
         return any(
-            hold.matches(self.service, frozenset(one.segments))
+            hold.matches(self.service, frozenset(one.traits))
             for one in self.interruptions.values()
         )
 
@@ -71,12 +71,12 @@
 
 
 class CrashGuard:
-    """What one VM knows of prompts that end engines.
+    """What one VM knows of calls that end engines.
 
     :ivar ends: recent ends, the first one first.
     :ivar sound_at: timer seconds of the last sound response of this VM by
-        service and segment, the oldest first.
-    :ivar peer_sound_at: the same of the other VMs, for segments in ``ends``.
+        service and trait, the oldest first.
+    :ivar peer_sound_at: the same of the other VMs, for traits in ``ends``.
     :ivar states: holds and lifted holds by ID.
     :ivar new_ends: ends to be announced; so are ``new_sound`` and
         ``new_states``.
@@ -87,14 +87,14 @@
     def __init__(self, timers: timer_service.Timers) -> None:
         self.timers = timers
         self.ends: list[EngineEnd] = []
-        self.sound_at: collections.OrderedDict[SegmentKey, float] = (
+        self.sound_at: collections.OrderedDict[TraitKey, float] = (
             collections.OrderedDict()
         )
-        self.peer_sound_at: dict[SegmentKey, float] = {}
+        self.peer_sound_at: dict[TraitKey, float] = {}
         self.states: dict[str, HoldState] = {}
         self.index = held_requests.HoldIndex()
         self.new_ends: list[EngineEnd] = []
-        self.new_sound: list[SegmentKey] = []
+        self.new_sound: list[TraitKey] = []
         self.new_states: list[HoldState] = []
         self.has_news = anyio.Event()
         self.interrupted: dict[
@@ -106,31 +106,31 @@
     # Calls of this VM.
 
     def check(
-        self, service: str, segments: collections.abc.Iterable[str]
+        self, service: str, traits: collections.abc.Iterable[str]
     ) -> None:
-        """Checks that a prompt is not held back.
+        """Checks that a call is not held back.
 
         :raises HeldRequestError: if it is.
         """
-        hold = self.index.find(service, segments)
+        hold = self.index.find(service, traits)
         if hold is None:
             return
         eliot.log_message('request:held', service=service, hold=hold.hold_id)
         raise hold.make_error(retry_after=RETRY_AFTER_SECONDS)
 
     def record_sound(
-        self, service: str, segments: collections.abc.Iterable[str]
+        self, service: str, traits: collections.abc.Iterable[str]
     ) -> None:
-        """Records that the response to a prompt was complete."""
+        """Records that the response to a call was complete."""
         now = self.timers.now()
-        for name in segments:
+        for name in traits:
             self.sound_at[service, name] = now
             self.sound_at.move_to_end((service, name))
-        while len(self.sound_at) > MAX_SOUND_SEGMENTS:
+        while len(self.sound_at) > MAX_SOUND_TRAITS:
             self.sound_at.popitem(last=False)
         if not self.ends:
             return
-        names = set(segments)
+        names = set(traits)
         self.announce_sound(
             {(service, name) for name in names} & self.suspected()
         )
@@ -140,7 +140,7 @@
             and names.intersection(one.traits)
             for one in self.index.holds
         ):
-            # Fewer segments explain the ends now.
+            # Fewer traits explain the ends now.
             self.decide(service)
 
     def record_interruption(
@@ -156,7 +156,7 @@
 
         :param is_refusing: returns whether the engine refuses connections.
         """
-        if not interruption.segments:
+        if not interruption.traits:
             return
         waiting = self.interrupted.setdefault((service, engine), [])
         if not waiting:
@@ -190,7 +190,7 @@
             'engine:ended' if has_ended else 'engine:interrupted',
             backend_server=engine,
             service=service,
-            calls=[[one.request_id, list(one.segments)] for one in calls],
+            calls=[[one.request_id, list(one.traits)] for one in calls],
         )
         if has_ended and calls:
             first_at = min(one.interrupted_at for one in calls)
@@ -200,12 +200,12 @@
 
     # Decisions.
 
-    def suspected(self) -> set[SegmentKey]:
+    def suspected(self) -> set[TraitKey]:
         return {
             (end.service, name)
             for end in self.ends
             for one in end.interruptions.values()
-            for name in one.segments
+            for name in one.traits
         }
 
     def add_end(
@@ -231,9 +231,7 @@
         end.at = min(end.at, at)
         for one in interruptions:
             if len(end.interruptions) < MAX_CALLS_PER_END:
-                end.interruptions.setdefault(
-                    (one.request_id, one.segments), one
-                )
+                end.interruptions.setdefault((one.request_id, one.traits), one)
         self.ends.sort(key=lambda one: one.at)
         now = self.timers.now()
         self.ends = [
@@ -255,9 +253,9 @@
         known_before = self.timers.now() - DECISION_DELAY_SECONDS
         sound_at: dict[str, float] = {}
         for known in (self.sound_at, self.peer_sound_at):
-            for (name, segment), at in known.items():
+            for (name, trait), at in known.items():
                 if name == service:
-                    sound_at[segment] = max(at, sound_at.get(segment, at))
+                    sound_at[trait] = max(at, sound_at.get(trait, at))
         culprits = crash_attribution.find_culprits(
             [
                 crash_attribution.ServerEnd(
@@ -281,7 +279,7 @@
             'hold:made',
             id=hold.hold_id,
             service=service,
-            segments=list(hold.traits),
+            traits=list(hold.traits),
             engines=list(hold.ended_servers),
             min_ends=crash_attribution.MIN_ENDS,
             requests=list(hold.requests),
@@ -338,7 +336,7 @@
 
     # Exchange with the other VMs.
 
-    def announce_sound(self, keys: set[SegmentKey]) -> None:
+    def announce_sound(self, keys: set[TraitKey]) -> None:
         """Announces soundness that the other VMs may not know of."""
         for key in keys:
             if self.sound_at[key] > self.peer_sound_at.get(key, -1e9) + 1.0:
@@ -361,7 +359,7 @@
     def pack_facts(
         self,
         ends: collections.abc.Iterable[EngineEnd],
-        keys: collections.abc.Iterable[SegmentKey],
+        keys: collections.abc.Iterable[TraitKey],
         states: collections.abc.Iterable[HoldState],
         now: float,
     ) -> list:
@@ -375,7 +373,7 @@
                     [
                         [
                             one.request_id,
-                            list(one.segments),
+                            list(one.traits),
                             now - one.sent_at,
                             now - one.interrupted_at,
                         ]
@@ -425,7 +423,7 @@
             state.is_lifted
             and wall_at <= state.changed_at
             and any(
-                state.hold.matches(service, frozenset(one.segments))
+                state.hold.matches(service, frozenset(one.traits))
                 for one in interruptions
             )
             for state in self.states.values()
@@ -434,7 +432,7 @@
 
 def decode_message(
     peer: str, message: typing.Any, now: float
-) -> tuple[list[tuple], list[tuple[SegmentKey, float]], list[HoldState]]:
+) -> tuple[list[tuple], list[tuple[TraitKey, float]], list[HoldState]]:
     """Returns the ends, soundness and holds in a message.
 
     :param now: timer seconds, to which the ages in the message relate.
@@ -448,13 +446,13 @@
                 str(engine),
                 now - float(age),
                 [
-                    crash_attribution.Interruption(
+                    crash_attribution.make_interruption(
                         str(request_id),
-                        tuple(str(one) for one in segments),
+                        (str(one) for one in traits),
                         now - float(sent_age),
                         now - float(interrupted_age),
                     )
-                    for request_id, segments, sent_age, interrupted_age in (
+                    for request_id, traits, sent_age, interrupted_age in (
                         calls
                     )
                 ],
@@ -462,8 +460,8 @@
             for service, engine, age, calls in packed_ends
         ]
         sound = [
-            ((str(service), str(segment)), now - float(age))
-            for service, segment, age in packed_sound
+            ((str(service), str(trait)), now - float(age))
+            for service, trait, age in packed_sound
         ]
         states = [
             HoldState(
--- a/src/greengagegw/gateway.py
+++ b/src/greengagegw/gateway.py
@@ -257,7 +257,7 @@
             model_request.adds_usage,
             model_request.segments,
         )
-        self.guard.check(service, spec.segments)
+        self.guard.check(service, spec.traits)
         async with self.reserve_tokens(row, call) as token_usage:
             async with self.router.route(spec, row) as active_call:
                 token_usage.usage = active_call.usage
--- a/src/greengagegw/local_execution.py
+++ b/src/greengagegw/local_execution.py
@@ -51,6 +51,8 @@
     :ivar removes_usage: drops the usage from a stream, since the client did
         not ask for it.
     :ivar segments: digests of the prompt's messages.
+    :ivar traits: what the call may have in common with others of its service:
+        the segments, and the digest of its path, caller and body.
     """
 
     call: backends.Call
@@ -59,6 +61,14 @@
     prefix: bytes = b''
     removes_usage: bool = False
     segments: tuple[str, ...] = ()
+    traits: tuple[str, ...] = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        call = self.call
+        digest = crash_attribution.digest_request(
+            call.organisation, call.path.encode(), call.body
+        )
+        object.__setattr__(self, 'traits', (*self.segments, digest))
 
 
 class LocalExecutor:
@@ -132,7 +142,7 @@
         :raises HeldRequestError: if it is.
         """
         try:
-            self.guard.check(spec.call.service, spec.segments)
+            self.guard.check(spec.call.service, spec.traits)
         except errors.HeldRequestError as error:
             error.run = run
             raise
@@ -157,9 +167,9 @@
         self.guard.record_interruption(
             spec.call.service,
             server.name,
-            crash_attribution.Interruption(
+            crash_attribution.make_interruption(
                 spec.call.request_id,
-                spec.segments,
+                spec.traits,
                 sent_at,
                 self.timers.now(),
             ),
@@ -246,13 +256,15 @@
             body = await streams.read_body(response.chunks)
             if response.status < 400:
                 usage.tokens = streams.read_body_usage(body)
-                self.guard.record_sound(spec.call.service, spec.segments)
+                self.guard.record_sound(spec.call.service, spec.traits)
             else:
                 usage.tokens = 0
             chunks = iterate_chunks([body])
         else:
             buffered = await read_prefix(response.chunks)
-            chunks = iterate_chunks(buffered, response.chunks)
+            chunks = self.iterate_plain(
+                spec, response.status, buffered, response.chunks
+            )
         server.record_success()
         stack.callback(self.record_end, server, spec, usage, started_at)
         return ActiveCall(dataclasses.replace(response, chunks=chunks), usage)
@@ -271,6 +283,19 @@
             spec.call.service, spec.call.organisation
         ).inc(seconds)
 
+    async def iterate_plain(
+        self,
+        spec: CallSpec,
+        status: int,
+        buffered: list[bytes],
+        rest: collections.abc.AsyncIterator[bytes],
+    ) -> collections.abc.AsyncIterator[bytes]:
+        """Yields the body of a plain response."""
+        async for chunk in iterate_chunks(buffered, rest):
+            yield chunk
+        if status < 500:
+            self.guard.record_sound(spec.call.service, spec.traits)
+
     async def iterate_stream(
         self,
         server: backend_pool.ServerState,
@@ -303,7 +328,7 @@
                 except errors.BackendError as stream_error:
                     error = stream_error
                 if stream_filter.is_complete:
-                    self.guard.record_sound(spec.call.service, spec.segments)
+                    self.guard.record_sound(spec.call.service, spec.traits)
                     return
                 error = error or errors.BrokenStreamError(
                     f'the stream of {server.name} ended without its end marker'
@@ -336,7 +361,7 @@
         """
         self.metrics.resumes.labels(spec.call.service).inc()
         try:
-            self.guard.check(spec.call.service, spec.segments)
+            self.guard.check(spec.call.service, spec.traits)
             response = await stack.enter_async_context(
                 server.port.send(spec.call, stream_filter.bytes_received)
             )
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -13,6 +13,7 @@
     :ivar fault: the fault to inject: ``not_run``, ``503``, ``reset_before``,
         ``reset_after``, ``silent``, or empty for none.
     :ivar executed_bodies: bodies of the executed requests.
+    :ivar crashing_text: a request whose body contains it crashes the service.
     """
 
     def __init__(
@@ -22,6 +23,7 @@
         self.run_seconds = run_seconds
         self.server = http_server.Server(host, port, self.handle)
         self.fault = ''
+        self.crashing_text = b''
         self.is_leaving = False
         self.running_count = 0
         self.received_requests: list[http_server.Request] = []
@@ -81,5 +83,8 @@
         if self.fault == 'silent':
             await anyio.sleep_forever()
         await anyio.sleep(self.run_seconds)
+        if self.crashing_text and self.crashing_text in request.body:
+            self.server.crash()
+            await anyio.sleep_forever()
         body = orjson.dumps({'registered': number, 'by': self.name})
         await writer.send_response(201, body)
