--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -14,6 +14,7 @@
 import random
 
 import anyio
+import anyio.lowlevel
 import orjson
 
 from features import fleet_world
@@ -41,6 +42,8 @@
 CACHE_CAPACITY_TOKENS = 400_000
 # Interval between polls of the control VMs, and the age of their reports.
 POLL_SECONDS = 0.5
+CONNECT_TIMEOUT_SECONDS = 0.4
+KEPT_CONNECTIONS = 4
 CONTROL_VM = 'control'
 # From the crash of an engine until another instance starts.
 RESTART_SECONDS = 3.0
@@ -266,8 +269,9 @@
 class InMemoryStream:
     """One end of an in-memory stream between two VMs, with network delay."""
 
-    def __init__(self, world, sending, receiving):
+    def __init__(self, world, sending, receiving, delay):
         self.world = world
+        self.delay = delay
         self.sending = sending
         self.receiving = receiving
 
@@ -277,7 +281,7 @@
     async def receive(self):
         sent_at, message = await self.receiving.receive()
         await self.world.timers.sleep(
-            sent_at + INTER_REGION_SECONDS - self.world.timers.now()
+            sent_at + self.delay - self.world.timers.now()
         )
         if isinstance(message, errors.GatewayError):
             raise message
@@ -287,8 +291,15 @@
 class InMemoryMesh:
     """A peer port without a network."""
 
-    def __init__(self, world):
+    def __init__(self, world, vm=None):
         self.world = world
+        self.vm = vm
+
+    def delay_to(self, vm):
+        regions = {one.vm: one.region for one in self.world.entries}
+        if regions.get(self.vm) == regions[vm]:
+            return INTRA_REGION_SECONDS
+        return INTER_REGION_SECONDS
 
     async def connect(self, vm):
         if vm in self.world.unreachable_vms:
@@ -322,8 +333,9 @@
         there, here = [
             anyio.create_memory_object_stream(100) for _ in range(2)
         ]
-        far = InMemoryStream(world, here[0], there[1])
-        near = InMemoryStream(world, there[0], here[1])
+        delay = self.delay_to(vm)
+        far = InMemoryStream(world, here[0], there[1], delay)
+        near = InMemoryStream(world, there[0], here[1], delay)
         with anyio.CancelScope() as scope:
             world.tasks.start_soon(self.serve, vm, message, far, scope)
         try:
@@ -334,7 +346,7 @@
     async def serve(self, vm, message, far, _):
         with anyio.CancelScope() as scope:
             far.cancelled = scope
-            await self.world.timers.sleep(INTER_REGION_SECONDS)
+            await self.world.timers.sleep(self.delay_to(vm))
             try:
                 await self.world.dispatchers[vm].serve_for_peer(
                     'peer', message, far
@@ -344,6 +356,96 @@
             far.sending.close()
 
 
+class BackendPort:
+    """The connections of one entry VM to the servers of its region."""
+
+    def __init__(self, world, vm):
+        self.world = world
+        self.vm = vm
+        # Kept connections, which look sound until a request is sent.
+        self.kept_count = KEPT_CONNECTIONS
+
+    @property
+    def fault(self):
+        return self.world.partitioned_vms.get(self.vm)
+
+    @contextlib.asynccontextmanager
+    async def send(self, instance, backend_request, on_notice):
+        if self.fault is not None:
+            await self.fail()
+        self.world.direct_sends.append(
+            (self.vm, backend_request.request.request_id)
+        )
+        engine = self.world.engines.get(instance.name)
+        if engine is None:
+            raise errors.BackendConnectError('the engine is gone')
+        async with contextlib.AsyncExitStack() as stack:
+            response = await self.until_partitioned(
+                stack.enter_async_context(
+                    engine.serve(backend_request, on_notice)
+                )
+            )
+            yield dataclasses.replace(
+                response, chunks=self.pass_chunks(response.chunks)
+            )
+
+    async def fail(self):
+        if self.fault == 'hang':
+            self.kept_count -= 1
+            if self.kept_count >= 0:
+                await self.world.timers.sleep(1000)
+            await self.world.timers.sleep(CONNECT_TIMEOUT_SECONDS)
+        raise errors.BackendConnectError('the connection failed')
+
+    async def pass_chunks(self, chunks):
+        while True:
+            try:
+                yield await self.until_partitioned(anext(chunks))
+            except StopAsyncIteration:
+                return
+
+    async def until_partitioned(self, awaitable):
+        """Returns the result unless a partition begins before."""
+        result = []
+        failure = None
+        async with anyio.create_task_group() as tasks:
+
+            async def watch():
+                while self.fault not in ('hang', 'are reset'):
+                    await self.world.partitioned.wait()
+                    await anyio.lowlevel.checkpoint()
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(watch)
+            try:
+                result.append(await awaitable)
+            except (errors.GatewayError, StopAsyncIteration) as error:
+                failure = error
+            tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        if result:
+            return result[0]
+        if self.fault == 'hang':
+            await self.world.timers.sleep(1000)
+        raise errors.BrokenStreamError('the connection was reset')
+
+    async def can_connect(self, instance):
+        if self.fault == 'hang':
+            await self.world.timers.sleep(CONNECT_TIMEOUT_SECONDS)
+        return self.fault is None and not self.has_ended(instance)
+
+    async def is_refusing_connections(self, instance):
+        if self.fault == 'hang':
+            await self.world.timers.sleep(CONNECT_TIMEOUT_SECONDS)
+            return False
+        return self.fault is not None or self.has_ended(instance)
+
+    def has_ended(self, instance):
+        engine = self.world.engines.get(instance.name)
+        return engine is None or engine.crashed_at is not None
+
+
 class StubQuotaClient:
     def __init__(self):
         self.spent = 0.0
@@ -381,6 +483,7 @@
     size: int = 0
     key: str = ''
     headers: tuple = ()
+    vm: str = ''
 
     @property
     def is_on_time(self):
@@ -407,6 +510,11 @@
         self.entries = []
         self.forwarded = collections.Counter()
         self.unreachable_vms = set()
+        # Faults of connections to servers, by VM.
+        self.partitioned_vms = {}
+        self.partitioned = anyio.Event()
+        # VMs with the requests that they sent to their own servers.
+        self.direct_sends = []
         self.tasks = None
         self.outcomes = []
         self.agents = {}
@@ -489,10 +597,10 @@
         self.dispatchers[entry.vm] = dispatchers.Dispatcher(
             entry.vm,
             self.timers,
-            InMemoryMesh(self),
+            InMemoryMesh(self, entry.vm),
             agent,
             pool,
-            self,
+            BackendPort(self, entry.vm),
             planner.RetrySettings(0.2, 50, 10.0),
             random.Random(self.rng.random()),
         )
@@ -543,17 +651,15 @@
         self.add_dispatcher(entry)
         self.tasks.start_soon(self.dispatchers[entry.vm].run)
 
-    @contextlib.asynccontextmanager
-    async def send(self, instance, backend_request, on_notice):
-        engine = self.engines.get(instance.name)
-        if engine is None:
-            raise errors.BackendConnectError('the engine is gone')
-        async with engine.serve(backend_request, on_notice) as response:
-            yield response
+    def partition(self, vms, fault):
+        """Partitions VMs from all servers.
 
-    async def is_refusing_connections(self, instance):
-        engine = self.engines.get(instance.name)
-        return engine is None or engine.crashed_at is not None
+        :param fault: what connections do: ``hang``, ``are reset``, or ``are
+            refused``, while those in use go on.
+        """
+        self.partitioned_vms = dict.fromkeys(vms, fault)
+        self.partitioned.set()
+        self.partitioned = anyio.Event()
 
     @contextlib.asynccontextmanager
     async def running(self):
@@ -649,6 +755,7 @@
             self.timers.now(),
             objective,
             key=request.key,
+            vm=vm,
         )
         self.outcomes.append(outcome)
         try:
