Do not blame traits that were sound shortly before for three ends

A segment that most prompts share would have been held back, and with it most requests of a service, if three servers crashed in such quick succession that no sound response with it came in between: an end counts against a trait unless a response was sound since the end counted before.

What was sound at some time now needs five ends, and is not blamed together with a trait that never was.

--- a/features/serving/crashing_prompts.feature
+++ b/features/serving/crashing_prompts.feature
@@ -154,3 +154,13 @@
       | A 1.0 x+a 0.1, B 1.0 y 0.1, A 4.0 x+b 0.1, C 4.01 y 0.1, B 7.0 x+c 0.1, C 7.0 z 0.2 | nothing |
       | A 1.0 x+a 0.1, B 1.06 y 0.1, A 4.0 x+b 0.1, C 4.05 z 0.1, B 7.0 x+c 0.1, C 7.06 z 0.2 | nothing |
       | A 1.0 x+a 0.1, B 1.06 x+b 0.1, A 4.0 x+b 0.1, C 7.0 x+c 0.1    | x        |
+
+  Scenario Outline: Traits that were sound shortly before are not blamed at three ends
+    When <traits> were sound at 0.9, and servers end: <ends>
+    Then <culprits> is to blame
+
+    Examples:
+      | traits | ends                                                                          | culprits |
+      | h      | A 1.0 h+a 0.1, B 1.3 h+b 0.1, C 1.6 h+c 0.1                                   | nothing  |
+      | h      | A 1.0 h+a 0.1, B 1.3 h+b 0.1, C 1.6 h+c 0.1, D 1.9 h+d 0.1, E 2.2 h+e 0.1     | h        |
+      | h      | A 1.0 h+x 0.1, B 1.3 h+x+b 0.1, C 1.6 h+x+c 0.1                               | x        |
--- a/features/steps/crashing_prompts.py
+++ b/features/steps/crashing_prompts.py
@@ -411,6 +411,15 @@
 
 @behave.when('servers end: {ends}')
 def when_servers_end(context, ends):
+    find_culprits(context, ends, {})
+
+
+@behave.when('{traits} were sound at {at:g}, and servers end: {ends}')
+def when_sound_before(context, traits, at, ends):
+    find_culprits(context, ends, dict.fromkeys(traits.split('+'), at))
+
+
+def find_culprits(context, ends, sound_at):
     parsed = []
     for number, end in enumerate(ends.split(', ')):
         server, at, *requests = end.split()
@@ -432,7 +441,7 @@
                 ),
             )
         )
-    context.culprits = crash_attribution.find_culprits(parsed, {})
+    context.culprits = crash_attribution.find_culprits(parsed, sound_at)
 
 
 @behave.then('{culprits} is to blame')
--- a/src/greengagegw/policy/crash_attribution.py
+++ b/src/greengagegw/policy/crash_attribution.py
@@ -26,6 +26,9 @@
 MIN_ENDS = 3
 # With as many ends, traits that cannot be told apart are all blamed.
 MAX_UNDECIDED_ENDS = 5
+# Ends that are held against traits all of which were sound before. Servers
+# that crash in quick succession leave no time for sound responses in between.
+MIN_ENDS_IF_SOUND_BEFORE = 5
 # Distinguishes the digests of requests from the names of segments.
 DIGEST_PREFIX = 'request:'
 DIGEST_BYTES = 12
@@ -150,7 +153,12 @@
     open_ends = list(ends)
     culprits: list[Blame] = []
     while True:
-        suspects = find_suspects(open_ends, sound_at).values()
+        suspects = [
+            one
+            for one in find_suspects(open_ends, sound_at).values()
+            if len(one.ends) >= MIN_ENDS_IF_SOUND_BEFORE
+            or not one.traits.issubset(sound_at)
+        ]
         strong = [
             one
             for one in suspects
@@ -256,7 +264,8 @@
 
     A request counts only if it was sent after the end counted before, and
     before its own server ended. The traits that it always came with are
-    blamed together with it, unless they were in a sound response since.
+    blamed together with it, unless they were in a sound response since, or
+    ever if it was in none.
 
     :param found: ends with the interrupted requests that had the trait.
     """
@@ -278,10 +287,10 @@
     common = set(suspects[0].traits).intersection(
         *(one.traits for one in suspects)
     )
-    traits = frozenset(
-        one
-        for one in common
-        if one == name or sound_at.get(one, -math.inf) < counted[0].at
-    )
+    never_sound = common.difference(sound_at)
+    # Beside a trait that was never sound, one that ever was is not needed.
+    traits = never_sound or {
+        one for one in common if one == name or sound_at[one] < counted[0].at
+    }
     requests = {one.segments or one.digest for one in suspects}
-    return Blame(traits, tuple(counted), len(requests))
+    return Blame(frozenset(traits), tuple(counted), len(requests))
