Do not report ends that a VM that lost its servers takes for such

A VM whose connections to all servers are refused took each server that interrupted a request for ended and reported it to the leader. Three such partitions could have had a request held back that nothing speaks against, on all VMs.

Before a VM reports a server that refuses connections, it asks up to three others of its region for a connection, those that answered last first. If none accepts one, it has lost its servers and reports nothing (server:end_not_confirmed). Where the region has no other server, the end is reported as before.

--- a/features/serving/lost_servers.feature
+++ b/features/serving/lost_servers.feature
@@ -25,7 +25,6 @@
       | a1 a2 b1 c0    | are refused      |
       | a0 a1 a2       | hang             |
 
-  @known_red
   Scenario Outline: What a VM that lost its servers takes for their ends blames nothing
     Given the servers of three regions
     When one lookup comes 20 times a second for 20 seconds while connections from <vms> to servers break every 4 seconds
--- a/src/greengagegw/serving/server_ends.py
+++ b/src/greengagegw/serving/server_ends.py
@@ -29,6 +29,8 @@
 RELATED_SECONDS = 3.0
 MAX_RUNS = 200
 MAX_REQUESTS_PER_RUN = 64
+# Servers beside one that refuses connections that are asked for one.
+MAX_SERVERS_TO_ASK = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -210,7 +212,15 @@
         has_ended = await self.backend.is_refusing_connections(instance)
         on_sound = self.on_sound.pop(departures.run_of(instance), [])
         if has_ended:
-            self.record_end(instance, 'refuses connections')
+            if await self.reaches_another(instance):
+                self.record_end(instance, 'refuses connections')
+            else:
+                eliot.log_message(
+                    'server:end_not_confirmed',
+                    server=instance.name,
+                    service=instance.service,
+                    reason='this VM reaches no other server either',
+                )
         else:
             for record_soundness in on_sound:
                 record_soundness()
@@ -222,3 +232,29 @@
                     self.interrupted.get(departures.run_of(instance), ())
                 ),
             )
+
+    async def reaches_another(self, instance: instances.Instance) -> bool:
+        """Returns whether a server beside one that has ended is reached.
+
+        A VM that lost its servers would take all of them for ended. True if
+        the region has no other server.
+        """
+        others = [
+            server.instance
+            for name, server in self.pool.servers.items()
+            if name != instance.name and self.pool.is_present(server.instance)
+        ]
+        # Those that answered last are the most likely to be there.
+        others.sort(
+            key=lambda one: self.pool.servers[one.name].last_activity_at,
+            reverse=True,
+        )
+        accepted: list[bool] = []
+
+        async def ask(other: instances.Instance) -> None:
+            accepted.append(await self.backend.is_accepting_connections(other))
+
+        async with anyio.create_task_group() as tasks:
+            for other in others[:MAX_SERVERS_TO_ASK]:
+                tasks.start_soon(ask, other)
+        return any(accepted) or not others
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -348,6 +348,14 @@
             if server.silent_seconds(now) > server.silence_timeout:
                 server.eject_silent(now)
 
+    def is_present(self, instance: instances.Instance) -> bool:
+        """Returns whether a server is listed and is not known to leave."""
+        return (
+            instance.name in self.view.instances
+            and instance.name not in self.moved
+            and instance not in self.leaving
+        )
+
     def start_probes(self, now: float) -> list[Server]:
         """Returns the servers to which a connection is to be opened now."""
         servers = [
