Lift holds that nobody asks for any more

A hold lasted until an operator lifted it or 256 newer ones existed, also after what crashed servers was gone for good.

Entry VMs tell the leader every 30 s at most which holds have rejected requests; the leader lifts one that has rejected none for an hour. A new leader counts anew, so a hold lasts longer then, never shorter. A leader of an earlier release does not know the message; the entry VM logs that and goes on.

--- a/features/fleet/holds.feature
+++ b/features/fleet/holds.feature
@@ -81,3 +81,23 @@
       | ["engine", "i-1", 0, []]               |
       | ["engine", "i-1", 0, [["r", 5, 1, 1]]] |
       | ["engine", "i-1", "x", [["r", ["s"], 1, 1]]] |
+
+  Scenario Outline: A hold that nobody asks for any more is lifted after an hour
+    Given a hold of the leading control VM
+    When for the hold <events>
+    Then the hold is <state>
+
+    Examples:
+      | events                                                    | state     |
+      | 3500 seconds pass                                         | in force  |
+      | 3700 seconds pass                                         | lifted    |
+      | 3500 seconds pass, it is asked for, 3500 seconds pass     | in force  |
+      | 3500 seconds pass, it is asked for, 3700 seconds pass     | lifted    |
+      | 3500 seconds pass, another leads meanwhile, 3500 seconds pass | in force |
+
+  Scenario: An entry VM tells the leader which holds have rejected requests
+    Given a fleet of 5 control VMs and 3 entry VMs
+    And the fleet holds version 4
+    When 3 servers end under prompts with a segment, each seen by another VM
+    And VM e2 rejects a request for the hold and 60 seconds pass
+    Then the leader knows that the hold was asked for within 60 seconds
--- a/features/steps/holds.py
+++ b/features/steps/holds.py
@@ -1,16 +1,19 @@
 """Steps for holds on prompts, in a fleet of control and entry VMs."""
 
+import anyio
 import behave
 import orjson
 
 from features.steps.fleet import in_fleet
 from greengagegw import errors
 from greengagegw.fleet import crash_watch
+from greengagegw.fleet import hold_expiry
 from greengagegw.fleet import store as stores
 from greengagegw import held_requests
 from greengagegw.platform import operator_application
 from greengagegw.policy import crash_attribution
 from greengagegw.serving import server_ends
+from greengagegw import timers as timer_service
 
 SEGMENT = 'crashing'
 END_INTERVAL_SECONDS = 0.3
@@ -316,3 +319,74 @@
 def then_protocol_error(context):
     assert isinstance(context.error, errors.PeerProtocolError), context.error
     assert 'e1' in context.error.message
+
+
+@behave.given('a hold of the leading control VM')
+def given_leader(context):
+    timers = timer_service.ManualTimers()
+    store = stores.Store()
+    store.apply(stores.hold_command(make_hold(1)))
+    context.leads = True
+
+    async def lift(hold_id):
+        store.apply(stores.lift_command(hold_id))
+
+    context.expiry = hold_expiry.HoldExpiry(
+        timers,
+        lambda: context.leads,
+        lambda: tuple(store.holds.values()),
+        lift,
+    )
+    context.store = store
+
+
+async def run_expiry(context, events):
+    expiry = context.expiry
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(expiry.run)
+        for event in events.split(', '):
+            if event == 'it is asked for':
+                expiry.record_asked('e1', [make_hold(1).hold_id, 'unknown'])
+            elif event == 'another leads meanwhile':
+                context.leads = False
+                await expiry.timers.advance(60.0)
+                context.leads = True
+            else:
+                await expiry.timers.advance(float(event.split()[0]))
+        tasks.cancel_scope.cancel()
+
+
+@behave.when('for the hold {events}')
+def when_pass(context, events):
+    context.portal.call(run_expiry, context, events)
+
+
+@behave.then('the hold is {state}')
+def then_state(context, state):
+    assert bool(context.store.holds) == (state == 'in force')
+
+
+@behave.when(
+    'VM {vm} rejects a request for the hold and {seconds:d} seconds pass'
+)
+@in_fleet
+async def when_rejects(context, vm, seconds):
+    fleet = context.fleet
+    await fleet.timers.advance(5.0)
+    [hold] = fleet.agents[vm].view.holds.holds
+    context.hold_id = hold.hold_id
+    context.asked_from = fleet.timers.now()
+    fleet.agents[vm].view.asked_holds.add(hold.hold_id)
+    await fleet.timers.advance(float(seconds))
+
+
+@behave.then(
+    'the leader knows that the hold was asked for within {most:d} seconds'
+)
+def then_asked(context, most):
+    expiry = context.fleet.controls[context.fleet.leader().vm].hold_expiry
+    later = expiry.asked_at[context.hold_id] - context.asked_from
+    assert 0 <= later <= most, later
+    assert not any(
+        one.view.asked_holds for one in context.fleet.agents.values()
+    )
--- a/src/greengagegw/fleet/agent.py
+++ b/src/greengagegw/fleet/agent.py
@@ -36,7 +36,9 @@
     :ivar changes: number of effective commands in the control group's state
         that the view reflects.
     :ivar hold_changes: number of commands that ``holds`` reflects.
-    :ivar holds: prompts that are held back.
+    :ivar holds: requests that are held back.
+    :ivar asked_holds: IDs of the holds that have rejected requests since the
+        leader was told.
     :ivar lease_expires_at: boot clock seconds until which keys may be
         accepted.
     :ivar instance_list_read_at: timer seconds when the instance list was
@@ -52,6 +54,7 @@
         self.evacuated_domains: frozenset[str] = frozenset()
         self.hold_changes = -1
         self.holds = held_requests.HoldIndex()
+        self.asked_holds: set[str] = set()
         self.lease_expires_at = 0.0
         self.instances: dict[str, instance_list.Instance] = {}
         self.instance_list_digest = 0
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -18,6 +18,7 @@
 from .. import timers as timer_service
 from . import configuration as configurations
 from . import crash_watch
+from . import hold_expiry
 from . import instances as instance_list
 from . import loads
 from . import members
@@ -106,6 +107,12 @@
             self.submit_hold,
             lambda: tuple(self.store.holds.values()),
         )
+        self.hold_expiry = hold_expiry.HoldExpiry(
+            timers,
+            lambda: replica.is_leader,
+            lambda: tuple(self.store.holds.values()),
+            self.submit_lift,
+        )
 
     def handlers(self) -> dict[str, peers.Handler]:
         """Returns the handlers of this VM for the peer port."""
@@ -116,6 +123,7 @@
             'fleet.take': self.on_grant_request,
             'fleet.list': self.on_instance_list,
             crash_watch.REPORT_METHOD: self.on_server_end,
+            hold_expiry.ASKED_METHOD: self.on_holds_asked,
         }
 
     async def run(self) -> None:
@@ -124,7 +132,8 @@
             for name, function in (
                 ('instance list', self.refresh_list_periodically),
                 ('registry', self.maintain_registry),
-                ('crashing prompts', self.crash_watch.run),
+                ('crashing requests', self.crash_watch.run),
+                ('hold expiry', self.hold_expiry.run),
             ):
                 tasks.start_soon(
                     supervision.run_supervised, self.timers, name, function
@@ -403,6 +412,13 @@
         self.replica.require_leader()
         self.crash_watch.record(peer, message)
 
+    async def on_holds_asked(self, peer: str, message: list) -> None:
+        self.replica.require_leader()
+        self.hold_expiry.record_asked(peer, message)
+
+    async def submit_lift(self, hold_id: str) -> None:
+        await self.submit(stores.lift_command(hold_id))
+
     async def submit_hold(self, hold: held_requests.Hold) -> None:
         await self.submit(stores.hold_command(hold))
 
--- a/src/greengagegw/serving/end_reports.py
+++ b/src/greengagegw/serving/end_reports.py
@@ -15,6 +15,7 @@
 from .. import timers as timer_service
 from ..fleet import agent as agents
 from ..fleet import crash_watch
+from ..fleet import hold_expiry
 from ..fleet import timing
 from ..ports import peers
 from . import server_ends
@@ -84,6 +85,7 @@
         self.received_by: dict[server_ends.ServerEnd, str] = {}
         self.known_holds: tuple[held_requests.Hold, ...] = ()
         self.has_reports = anyio.Event()
+        self.asked_told_at = timers.now()
         self.last_code = ''
 
     def handlers(self) -> dict[str, peers.Handler]:
@@ -113,6 +115,7 @@
             self.has_reports = anyio.Event()
             self.drop_old()
             await self.send_reports()
+            await self.tell_asked_holds()
 
     def drop_old(self) -> None:
         """Drops reports that are too old, or whose hold was lifted."""
@@ -165,6 +168,31 @@
             self.last_code = ''
             self.received_by[end] = leader
 
+    async def tell_asked_holds(self) -> None:
+        """Tells the leader which holds have rejected requests, at times."""
+        now = self.timers.now()
+        leader, asked = self.view.leader, self.view.asked_holds
+        is_due = now - self.asked_told_at >= hold_expiry.REPORT_SECONDS
+        if leader is None or not asked or not is_due:
+            return
+        self.asked_told_at = now
+        try:
+            await self.mesh.call(
+                leader,
+                hold_expiry.ASKED_METHOD,
+                sorted(asked),
+                timing.CONTROL_CALL_TIMEOUT_SECONDS,
+            )
+        except errors.GatewayError as error:
+            eliot.log_message(
+                'hold:asked_not_told',
+                leader=leader,
+                code=error.code,
+                retry_after=hold_expiry.REPORT_SECONDS,
+            )
+            return
+        self.view.asked_holds = set()
+
 
 def pack_end(end: server_ends.ServerEnd, now: float) -> list:
     """Returns the message that reports an end, with ages in seconds."""
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -162,6 +162,7 @@
         hold = self.view.holds.find(job.service.name, job.traits)
         if hold is None:
             return
+        self.view.asked_holds.add(hold.hold_id)
         self.log(
             'request:held',
             job,
