Do not take unreachable engines for ended, on our own interface

An end now counts if one of up to three other servers of the region does not refuse a connection, or if there is no other (engine:end_not_confirmed).

--- a/features/backends/crashes.feature
+++ b/features/backends/crashes.feature
@@ -22,6 +22,12 @@
     And through every VM an entry of pears is registered
     And an operator sees the digest of the entry, and neither its body nor its key
 
+  @deployment
+  Scenario: A VM that all servers refuse takes none of them for ended
+    Given no VM has seen the end of an engine
+    When a prompt runs in piedmont and all servers there reset and refuse connections
+    Then no VM knows of the end of an engine
+
   Scenario Outline: VMs learn of each other's ends
     Given 3 VMs that exchange what they know of ends
     When 3 engines end under prompts with a message, each seen by another VM
--- a/features/steps/crashes.py
+++ b/features/steps/crashes.py
@@ -1,5 +1,6 @@
 """Steps for prompts under which engines end."""
 
+import functools
 import random
 
 import anyio
@@ -228,6 +229,51 @@
         assert secret not in str(held), held
 
 
+def piedmont_servers(context):
+    deployment = context.world.deployment
+    found = {**deployment.engines, **deployment.plain_services}
+    return {name: one for name, one in found.items() if 'piedmont' in name}
+
+
+@behave.given('no VM has seen the end of an engine')
+def given_no_ends(context):
+    for vm in all_vms(context).values():
+        vm.guard.ends.clear()
+
+
+@behave.when(
+    'a prompt runs in piedmont and all servers there reset and refuse'
+    ' connections'
+)
+def when_all_refuse(context):
+    servers = piedmont_servers(context)
+    assert len(servers) >= 2, servers
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                functools.partial(
+                    context.world.send,
+                    via='piedmont-1',
+                    json=prompt_with('pear', 1) | {'max_tokens': 400},
+                )
+            )
+            await context.world.wait_until(
+                lambda: any(one.running_count for one in servers.values())
+            )
+            for one in servers.values():
+                one.server.crash()
+        await anyio.sleep(1.0)
+
+    call(context, run)
+
+
+@behave.then('no VM knows of the end of an engine')
+def then_no_ends(context):
+    known = [one for vm in all_vms(context).values() for one in vm.guard.ends]
+    assert not known, known
+
+
 @behave.when('an operator lifts the hold at {vm}')
 def when_lifted(context, vm):
     path = f'/admin/held-prompts/{context.hold_id}'
--- a/src/greengagegw/local_execution.py
+++ b/src/greengagegw/local_execution.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import functools
 import random
 
 import eliot
@@ -19,6 +20,8 @@
 from .ports import backends
 
 MAX_RESUMES_PER_RESPONSE = 3
+# Servers beside one that refuses connections that are asked for one.
+MAX_SERVERS_TO_ASK = 3
 
 
 @dataclasses.dataclass(slots=True)
@@ -173,9 +176,29 @@
                 sent_at,
                 self.timers.now(),
             ),
-            server.port.is_refusing_connections,
+            functools.partial(self.has_ended, server),
         )
 
+    async def has_ended(self, server: backend_pool.ServerState) -> bool:
+        """Returns whether a server refuses connections, but others do not.
+
+        A VM that lost its servers would take all of them for ended. True if
+        the region has no other server.
+        """
+        if not await server.port.is_refusing_connections():
+            return False
+        others = [one for one in self.pool.by_name.values() if one != server]
+        for one in others[:MAX_SERVERS_TO_ASK]:
+            if not await one.port.is_refusing_connections():
+                return True
+        if others:
+            eliot.log_message(
+                'engine:end_not_confirmed',
+                backend_server=server.name,
+                reason='this VM reaches no other server either',
+            )
+        return not others
+
     async def acquire(
         self,
         queue: fair_queue.ServiceQueue,
