Move requests that wait for lost servers to other VMs

A request that waited for a response of a server when the VM lost its servers waited until its deadline and got 504, since only a server that this VM reaches could take it over.

When the probe of a silent server fails, its requests without a response that may be repeated are given up there, within the retry budget and the attempts of their route, and planned once more. A server that is silent but accepts connections keeps its requests as before; a forwarded request stays where it is; a call that may not be repeated is not sent again.

--- a/features/serving/lost_servers.feature
+++ b/features/serving/lost_servers.feature
@@ -25,6 +25,16 @@
       | a1 a2 b1 c0    | are refused      |
       | a0 a1 a2       | hang             |
 
+  Scenario Outline: Requests that wait for a lost server are given up with it
+    Given the servers of three regions
+    When 3 <kind> requests run at a0 and its connections to servers hang
+    Then each of them is <outcome> within <seconds> seconds
+
+    Examples:
+      | kind   | outcome  | seconds |
+      | safe   | answered | 4       |
+      | unsafe | run once | 15      |
+
   Scenario Outline: What a VM that lost its servers takes for their ends blames nothing
     Given the servers of three regions
     When one lookup comes 20 times a second for 20 seconds while connections from <vms> to servers break every 4 seconds
--- a/features/steps/lost_servers.py
+++ b/features/steps/lost_servers.py
@@ -3,7 +3,9 @@
 import behave
 
 from features.steps import crashing_requests
+from features.steps.crashing_requests import PATHS
 from features.steps.fleet import in_fleet
+from greengagegw import errors
 
 STREAMS = (
     ('safe', None, 4, 'safe'),
@@ -36,6 +38,45 @@
     context.judged_until = world.timers.now() - 1.0
 
 
+@behave.when(
+    '{count:d} {kind} requests run at {vm} and its connections to servers hang'
+)
+@in_fleet
+async def when_hang(context, count, kind, vm):
+    world = context.serving
+    # The time that a request takes is known from those before.
+    for number in range(20):
+        request = world.request(number, path=PATHS[kind], body=b'%d' % number)
+        await send_and_advance(world, vm, request)
+    world.outcomes.clear()
+    for number in range(100, 100 + count):
+        request = world.request(number, path=PATHS[kind], body=b'%d' % number)
+        world.start_request(vm, request)
+    await world.timers.advance(0.02)
+    world.partition([vm], 'hang')
+
+
+async def send_and_advance(world, vm, request):
+    world.start_request(vm, request)
+    await world.timers.advance(0.2)
+
+
+@behave.then('each of them is {outcome} within {seconds:g} seconds')
+@in_fleet
+async def then_outcome(context, outcome, seconds):
+    world = context.serving
+    await world.timers.advance(seconds)
+    for one in world.outcomes:
+        assert one.ended_at is not None, one
+        if outcome == 'answered':
+            assert one.error is None and one.status == 200, one
+        else:
+            assert one.error is not None, one
+            assert one.error.run != errors.NOT_RUN, one
+    if outcome == 'run once':
+        then_once(context)
+
+
 @behave.when('the partition ends')
 def when_ends(context):
     context.serving.partition([], '')
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -152,6 +152,8 @@
         """Finds out whether an ejected server accepts connections again."""
         accepts = await self.backend.is_accepting_connections(server.instance)
         server.record_probe(accepts, self.timers.now())
+        if not accepts:
+            server.reroute_waiting(may_leave=True)
 
     def handlers(self) -> dict[str, peers.Handler]:
         exchanged = {
@@ -279,7 +281,12 @@
                 except errors.GatewayError as error:
                     failure = self.preferred_failure(failure, error)
                     is_final = not job.has_attempts_left
-                    if error.run != errors.NOT_RUN and not is_final:
+                    # A retry was acquired when the server was given up.
+                    is_rerouted = region == self.pool.region and isinstance(
+                        error, errors.BackendUnresponsiveError
+                    )
+                    is_unknown = error.run != errors.NOT_RUN
+                    if is_unknown and not is_rerouted and not is_final:
                         is_final = not self.planner.acquire_retry(job, error)
                     if is_final:
                         break
@@ -315,7 +322,9 @@
         :raises GatewayError: if there is none.
         """
         if region == self.pool.region and self.planner.reaches_servers(job):
-            return await stack.enter_async_context(self.run_locally(job))
+            return await stack.enter_async_context(
+                self.run_locally(job, may_leave=True)
+            )
         service = job.service.name
         tried: set[str] = set()
         while True:
@@ -453,7 +462,7 @@
         job = self.create_forwarded_job(request, *decision)
         self.in_flight_count += 1
         try:
-            async with self.run_locally(job) as response:
+            async with self.run_locally(job, may_leave=False) as response:
                 await stream.send(
                     [
                         response.status,
@@ -536,15 +545,19 @@
 
     @contextlib.asynccontextmanager
     async def run_locally(
-        self, job: jobs.Job
+        self, job: jobs.Job, may_leave: bool
     ) -> collections.abc.AsyncIterator[ports.Response]:
-        """Enters the response of a server of this region."""
+        """Enters the response of a server of this region.
+
+        :param may_leave: whether other VMs may run the request.
+        """
         execution = execution_module.RequestExecution(
             self.planner,
             self.backend,
             self.end_detector,
             self.end_reporter,
             job,
+            may_leave,
         )
         try:
             response = await execution.first_response()
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -37,6 +37,7 @@
 class RequestExecution:
     """Executes one request on the servers of this region, with retries.
 
+    :param may_leave: whether other VMs may run the request.
     :ivar excluded: names of the servers that were tried already.
     :ivar server: the server that runs the request now, if any.
     :ivar last_event_at: timer seconds of the last event of a stream.
@@ -49,8 +50,10 @@
         end_detector: server_ends.EndDetector,
         end_reporter: end_reports.EndReporter,
         job: jobs.Job,
+        may_leave: bool,
     ) -> None:
         self.planner = planner
+        self.may_leave = may_leave
         self.backend = backend
         self.end_detector = end_detector
         self.end_reporter = end_reporter
@@ -154,11 +157,15 @@
             for one in planner.usable_servers(job, now, self.excluded)
         )
 
-    def acquire_reroute(self) -> bool:
-        """Acquires a retry if another server may get the request."""
-        return self.has_alternative() and self.planner.acquire_retry(
-            self.job, None
+    def acquire_reroute(self, may_leave: bool) -> bool:
+        """Acquires a retry if another server may get the request.
+
+        :param may_leave: whether it may be one that only other VMs reach.
+        """
+        has_alternative = self.has_alternative() or (
+            may_leave and self.may_leave and self.job.route.is_retryable
         )
+        return has_alternative and self.planner.acquire_retry(self.job, None)
 
     async def send(
         self,
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -49,7 +49,8 @@
         for a response the predicted time, for a chunk the time at which the
         previous one was passed on. None while the client does not read.
     :ivar acquire_reroute: acquires a retry on another server, and returns
-        whether there was one.
+        whether there was one; called with whether it may be a server that
+        only other VMs reach.
     :ivar response_scope: cancelled to send the request to another server.
     """
 
@@ -57,7 +58,7 @@
     uncached_tokens: float
     prefill_tokens: float
     waiting_since: float | None
-    acquire_reroute: collections.abc.Callable[[], bool]
+    acquire_reroute: collections.abc.Callable[[bool], bool]
     response_scope: anyio.CancelScope | None = None
     has_response: bool = False
 
@@ -181,12 +182,19 @@
         self.last_activity_at = now
         self.record_outcome(True, now)
         self.eject(now)
+        self.reroute_waiting(may_leave=False)
+
+    def reroute_waiting(self, may_leave: bool) -> None:
+        """Sends the requests without a response elsewhere, if possible.
+
+        :param may_leave: whether other VMs may run them.
+        """
         for one in self.in_flight:
             scope = one.response_scope
             if (
                 scope is not None
                 and not one.has_response
-                and one.acquire_reroute()
+                and one.acquire_reroute(may_leave)
             ):
                 scope.cancel()
 
