--- a/src/greengagegw/cli/holds.py
+++ b/src/greengagegw/cli/holds.py
@@ -1,4 +1,4 @@
-"""The holds commands, for prompts under which backend servers end."""
+"""The holds commands, for requests under which backend servers end."""
 
 import click
 
@@ -7,7 +7,7 @@
 
 @click.group()
 def holds() -> None:
-    """Lists and lifts holds on prompts that end backend servers."""
+    """Lists and lifts holds on requests that end backend servers."""
 
 
 @holds.command('list')
--- a/src/greengagegw/fleet/poll_reply.py
+++ b/src/greengagegw/fleet/poll_reply.py
@@ -37,7 +37,7 @@
     :ivar entry_vms: None if the entry VM has them.
     :ivar hold_changes: number of commands that the holds reflect; -1 if the
         control VM is of an earlier release.
-    :ivar holds: prompts that are held back; None if the entry VM has them.
+    :ivar holds: requests that are held back; None if the entry VM has them.
     """
 
     is_confirmed: bool
--- a/src/greengagegw/fleet/store.py
+++ b/src/greengagegw/fleet/store.py
@@ -1,7 +1,7 @@
 """Replicated state of the control group.
 
 It holds the newest configuration document as the operator sent it, the set
-of evacuated failure domains, and the prompts that are held back.
+of evacuated failure domains, and the requests that are held back.
 """
 
 import typing
@@ -31,7 +31,7 @@
 
 
 def hold_command(hold: held_requests.Hold) -> bytes:
-    """Returns the command that holds prompts back."""
+    """Returns the command that holds requests back."""
     return msgpack.packb([HOLD, hold.pack()])
 
 
@@ -46,7 +46,7 @@
     :ivar packed: the configuration document, compressed with zlib.
     :ivar changes: number of commands that changed the configuration or the
         evacuations.
-    :ivar holds: prompts that are held back, by ID, the oldest first.
+    :ivar holds: requests that are held back, by ID, the oldest first.
     :ivar hold_changes: number of commands that changed the holds. Replicas of
         an earlier release do not have it.
     """
--- a/src/greengagegw/platform/http_names.py
+++ b/src/greengagegw/platform/http_names.py
@@ -63,7 +63,7 @@
 
 CONFIGURATION_PATH = '/-/config'
 EVACUATION_PATH = '/-/evacuations/'
-# Not in the platform's protocol: prompts that are held back.
+# Not in the platform's protocol: requests that are held back.
 HOLDS_PATH = '/-/held-prompts'
 RESOLVE_PATH = '/-/resolve'
 READY_PATH = '/-/readyz'
--- a/src/greengagegw/platform/operator_application.py
+++ b/src/greengagegw/platform/operator_application.py
@@ -170,7 +170,7 @@
         return 200, b'{}'
 
     async def list_holds(self) -> tuple[int, bytes]:
-        """Returns which prompts are held back, since when and why."""
+        """Returns which requests are held back, since when and why."""
         store = await self.control.read()
         return 200, orjson.dumps(
             {'held': [one.describe() for one in store.holds.values()]}
--- a/src/greengagegw/platform/roles.py
+++ b/src/greengagegw/platform/roles.py
@@ -225,7 +225,7 @@
     )
     add_gauge(
         'greengagegw_prompt_holds',
-        'Holds on prompts that end backend servers',
+        'Holds on requests that end backend servers',
         lambda: len(view.holds.holds),
     )
 
@@ -266,7 +266,7 @@
     )
     add_gauge(
         'greengagegw_prompt_holds',
-        'Holds on prompts that end backend servers',
+        'Holds on requests that end backend servers',
         lambda: len(control.store.holds),
     )
 
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -290,19 +290,15 @@
                         is_final = not self.planner.acquire_retry(job, error)
                     if is_final:
                         break
-                    is_lost = (
+                    if (
                         region == self.pool.region
                         and not has_lost_servers
                         and not self.planner.reaches_servers(job)
-                    )
-                    if is_lost:
+                    ):
                         has_lost_servers = True
-                        try:
-                            regions = self.planner.plan_regions(job, allowed)
-                        except errors.OverloadedError as rejection:
-                            failure = self.preferred_failure(
-                                failure, rejection
-                            )
+                        regions, failure = self.plan_again(
+                            job, allowed, failure
+                        )
             if response is None:
                 raise failure or errors.UnavailableError(
                     f'no region can run {job.service.name}'
@@ -311,6 +307,22 @@
                 )
             yield response
 
+    def plan_again(
+        self,
+        job: jobs.Job,
+        allowed: frozenset[str] | None,
+        failure: errors.GatewayError,
+    ) -> tuple[list[str], errors.GatewayError]:
+        """Plans a request again after this VM has lost its servers.
+
+        :returns: the regions to try, and the failure to report if none of
+            them responds.
+        """
+        try:
+            return self.planner.plan_regions(job, allowed), failure
+        except errors.OverloadedError as error:
+            return [], self.preferred_failure(failure, error)
+
     async def enter_region(
         self, stack: contextlib.AsyncExitStack, job: jobs.Job, region: str
     ) -> ports.Response:
@@ -328,6 +340,7 @@
         service = job.service.name
         tried: set[str] = set()
         while True:
+            self.planner.recheck_authorization(job)
             entry_vm = self.links.choose_entry_vm(region, service, tried)
             try:
                 return await stack.enter_async_context(
@@ -339,7 +352,8 @@
                 errors.UnavailableError,
                 errors.PeerUnreachableError,
             ) as error:
-                # VMs of an earlier release report no NoServerError.
+                # Not just NoServerError, which VMs of an earlier release do
+                # not report.
                 self.links.record_unable(entry_vm.vm, service)
                 tried.add(entry_vm.vm)
                 is_last = len(tried) >= MAX_VMS_PER_REGION
@@ -370,7 +384,6 @@
 
         :raises PeerError: if it does not accept the request.
         """
-        self.planner.recheck_authorization(job)
         region = entry_vm.region
         destination = (job.service.name, region)
         tokens = 0.0
