Do not poll the event loop until a timer is due

A profile of a control VM with 90 entry VMs showed 201,577 expirations of scopes with a deadline in 10 s, and each of these iterations of the event loop polls all sockets.

Cause: the timer service waited with anyio.move_on_after. The event loop measures time in milliseconds and rounds delays, so a deadline within the current millisecond has its callback called at once, which schedules it anew, until the millisecond has passed.

The service now schedules one callback of the event loop for its first timer, with the delay rounded up to milliseconds. This also saves a task switch and a scope for each change of the first timer.

The new test failed before: 24,558 callbacks for 50 sleeps of 0.2 ms, now at most 100.

--- /dev/null
+++ b/features/program/timers.feature
@@ -0,0 +1,21 @@
+Feature: The timer service in an event loop
+  The event loop measures time in milliseconds. A deadline that lies within the
+  current millisecond had it poll all sockets until then: some 200 times for
+  each timer on a control VM, which took most of its processor time.
+
+  Scenario Outline: A timer wakes the event loop at most twice
+    Given the timer service in the event loop of the program
+    When a task sleeps 50 times for <milliseconds> ms
+    Then the event loop was asked for at most 2 callbacks for each sleep
+    And no sleep was shorter than <milliseconds> ms
+
+    Examples:
+      | milliseconds |
+      | 0.2          |
+      | 3.4          |
+      | 5.0          |
+
+  Scenario: A timer that is due before the first one is called in time
+    Given the timer service in the event loop of the program
+    When a callback in 20 ms is scheduled after one in 60 ms
+    Then the callbacks are called in the order of their due times
--- /dev/null
+++ b/features/steps/timers.py
@@ -0,0 +1,92 @@
+"""Steps for the timer service in a real event loop."""
+
+import asyncio
+import time
+
+import anyio
+import behave
+
+from greengagegw import timers as timer_service
+
+
+def run_with_timers(function):
+    """Runs an asynchronous function beside a timer service.
+
+    :returns: the number of delayed callbacks that were scheduled meanwhile.
+    """
+
+    async def main():
+        timers = timer_service.Timers()
+        loop = asyncio.get_running_loop()
+        count = 0
+        schedule = loop.call_at, loop.call_later
+
+        def counting(index):
+            def call(*arguments, **options):
+                nonlocal count
+                count += 1
+                return schedule[index](*arguments, **options)
+
+            return call
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(timers.run)
+            await anyio.wait_all_tasks_blocked()
+            loop.call_at, loop.call_later = counting(0), counting(1)
+            await function(timers)
+            scheduled = count
+            tasks.cancel_scope.cancel()
+        return scheduled
+
+    return anyio.run(main, backend_options={'use_uvloop': True})
+
+
+@behave.given('the timer service in the event loop of the program')
+def given_timer_service(context):
+    context.durations = []
+    context.called = []
+
+
+@behave.when('a task sleeps {count:d} times for {milliseconds:g} ms')
+def when_sleeping(context, count, milliseconds):
+    async def sleep(timers):
+        for _ in range(count):
+            started_at = time.monotonic()
+            await timers.sleep(milliseconds / 1000)
+            context.durations.append(time.monotonic() - started_at)
+
+    context.scheduled = run_with_timers(sleep)
+
+
+@behave.then(
+    'the event loop was asked for at most {count:d} callbacks for each sleep'
+)
+def then_few_callbacks(context, count):
+    limit = count * len(context.durations)
+    assert context.scheduled <= limit, (context.scheduled, limit)
+
+
+@behave.then('no sleep was shorter than {milliseconds:g} ms')
+def then_long_enough(context, milliseconds):
+    assert min(context.durations) >= milliseconds / 1000, context.durations
+
+
+@behave.when(
+    'a callback in {second:d} ms is scheduled after one in {first:d} ms'
+)
+def when_scheduled(context, second, first):
+    async def schedule(timers):
+        for milliseconds in (first, second):
+            timers.call_later(
+                milliseconds / 1000,
+                lambda delay=milliseconds: context.called.append(delay),
+            )
+        await anyio.sleep((first + 30) / 1000)
+
+    context.due = sorted((first, second))
+    run_with_timers(schedule)
+
+
+@behave.then('the callbacks are called in the order of their due times')
+def then_in_order(context):
+    assert context.called == context.due, context.called
--- a/src/greengagegw/timers.py
+++ b/src/greengagegw/timers.py
@@ -4,6 +4,7 @@
 time with :class:`ManualTimers`.
 """
 
+import asyncio
 import collections.abc
 import contextlib
 import heapq
@@ -41,12 +42,21 @@
 
     Times are seconds of a monotonic clock. Callbacks are called only while
     :meth:`run` runs.
+
+    :ivar wake_after: schedules :meth:`wake`; None while the service does not
+        run.
+    :ivar wake_at: monotonic seconds of the next wake-up, infinity if there is
+        none.
     """
 
     def __init__(self) -> None:
         self.pending: list[tuple[float, int, Timer]] = []
         self.sequence = itertools.count()
-        self.first_changed = anyio.Event()
+        self.wake_after: (
+            collections.abc.Callable[[float], asyncio.TimerHandle] | None
+        ) = None
+        self.wake_handle: asyncio.TimerHandle | None = None
+        self.wake_at = math.inf
 
     def now(self) -> float:
         """Returns the monotonic time in seconds."""
@@ -66,10 +76,9 @@
         """
         due_at = self.now() + max(delay, 0.0)
         timer = Timer(due_at, callback)
-        is_first = not self.pending or due_at < self.pending[0][0]
         heapq.heappush(self.pending, (due_at, next(self.sequence), timer))
-        if is_first:
-            self.first_changed.set()
+        if due_at < self.wake_at:
+            self.schedule_wake()
         return timer
 
     async def sleep(self, delay: float) -> None:
@@ -115,16 +124,45 @@
 
     async def run(self) -> None:
         """Runs the service until it is cancelled."""
-        while True:
-            self.run_due_callbacks()
-            self.drop_cancelled()
-            self.first_changed = anyio.Event()
-            if not self.pending:
-                await self.first_changed.wait()
-                continue
-            delay = self.pending[0][0] - self.now()
-            with anyio.move_on_after(max(delay, 0)):
-                await self.first_changed.wait()
+        loop = asyncio.get_running_loop()
+
+        def wake_after(delay: float) -> asyncio.TimerHandle:
+            milliseconds = max(1, math.ceil(delay * 1000))
+            return loop.call_later(milliseconds / 1000, self.wake)
+
+        self.wake_after = wake_after
+        self.wake()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            self.wake_after = None
+            if self.wake_handle is not None:
+                self.wake_handle.cancel()
+
+    def wake(self) -> None:
+        """Calls every callback that is due, and schedules the next call."""
+        self.wake_at = -math.inf
+        self.run_due_callbacks()
+        self.wake_at = math.inf
+        self.schedule_wake()
+
+    def schedule_wake(self) -> None:
+        """Schedules a wake-up for the first timer, unless one is due before.
+
+        Delays are rounded up to milliseconds, the resolution of the event
+        loop: a deadline within the current millisecond would have it poll
+        until then.
+        """
+        self.drop_cancelled()
+        if self.wake_after is None or not self.pending:
+            return
+        due_at = self.pending[0][0]
+        if due_at >= self.wake_at:
+            return
+        if self.wake_handle is not None:
+            self.wake_handle.cancel()
+        self.wake_at = due_at
+        self.wake_handle = self.wake_after(due_at - self.now())
 
     def drop_cancelled(self) -> None:
         """Removes cancelled timers from the front of the queue."""
