Do not have brittle servers reject requests

The platform lets servers say in their responses that they crash if they have to reject more than N requests in a second (Server-Brittle: N).

The VMs of a region now tell each other of the limit, as they do for request limits. They divide the slots of a brittle server among themselves, and a VM that was rejected pauses so that all of them stay within the limit. A server that has just started counts as brittle if others of its service do.

--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -112,6 +112,10 @@
         self.pause_seconds = 0.0
         # Requests a second that it names as its limit.
         self.request_limit = math.inf
+        # Requests that it can reject in a second without crashing.
+        self.rejection_limit = math.inf
+        self.rejected_at = []
+        self.queue_size = 30
         self.status = 200
         # When it crashed, None while it runs.
         self.crashed_at = None
@@ -154,7 +158,9 @@
             )
         if fault == 'silent':
             await timers.sleep(1000)
-        if self.running >= self.instance.slots + 30:
+        if self.running >= self.instance.slots + self.queue_size:
+            self.record_rejection()
+            on_notice(ports.ServerNotice(rejection_limit=self.rejection_limit))
             raise errors.BackendRefusedError('the engine is full')
         self.running += 1
         try:
@@ -162,7 +168,9 @@
             status = 500 if fault in ERROR_FAULTS else self.status
             on_notice(
                 ports.ServerNotice(
-                    self.is_leaving, request_limit=self.request_limit
+                    self.is_leaving,
+                    request_limit=self.request_limit,
+                    rejection_limit=self.rejection_limit,
                 )
             )
             load = ports.ReportedLoad(self.running, 0, self.instance.slots)
@@ -179,6 +187,14 @@
                 (timers.now(), backend_request.request.request_id)
             )
 
+    def record_rejection(self):
+        """Crashes a brittle engine that has rejected too many requests."""
+        now = self.world.timers.now()
+        self.rejected_at.append(now)
+        recent = sum(now - at < 1.0 for at in self.rejected_at)
+        if recent > self.rejection_limit:
+            self.crash()
+
     async def prefill(self, backend_request):
         timers = self.world.timers
         prompt = backend_request.request.prompt
@@ -582,6 +598,8 @@
         replacement.closes_orderly = crashed.closes_orderly
         replacement.slowdown = crashed.slowdown
         replacement.status = crashed.status
+        replacement.rejection_limit = crashed.rejection_limit
+        replacement.queue_size = crashed.queue_size
         self.engines[replacement.instance.name] = replacement
 
     def set_version(self, name, version):
--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -211,7 +211,8 @@
     return ports.ServerNotice(
         headers.get(http_names.SERVER_LEAVING) == b'1',
         pause_seconds or 0.0,
-        decode_request_limit(headers.get(http_names.SERVER_LIMIT)),
+        decode_limit(headers, http_names.SERVER_LIMIT),
+        decode_limit(headers, http_names.SERVER_BRITTLE),
     )
 
 
@@ -309,17 +310,21 @@
     return seconds
 
 
-def decode_request_limit(value: bytes | None) -> float | None:
-    """Returns requests a second, infinite if there is no value.
+def decode_limit(headers: dict[bytes, bytes], name: bytes) -> float | None:
+    """Returns a limit by second, infinite if the header is missing.
 
     :returns: None if the value is invalid.
     """
+    value = headers.get(name)
     if value is None:
         return math.inf
-    rate = decode_number(value)
-    if rate is None:
-        eliot.log_message('backend:bad_server_limit', value=repr(value)[:50])
-    return rate
+    limit = decode_number(value)
+    if limit is None:
+        eliot.log_message(
+            f'backend:bad_{name.decode().replace("-", "_")}',
+            value=repr(value)[:50],
+        )
+    return limit
 
 
 def decode_number(value: bytes) -> float | None:
--- a/src/greengagegw/platform/http_names.py
+++ b/src/greengagegw/platform/http_names.py
@@ -19,6 +19,8 @@
 SERVER_LEAVING = b'server-leaving'
 # Requests a second that a backend server takes from all VMs together.
 SERVER_LIMIT = b'server-limit'
+# Requests that a brittle backend server can reject in a second.
+SERVER_BRITTLE = b'server-brittle'
 MODEL = b'greengagegw-model'
 # Tokens of the prompt and maximum tokens of the output.
 TOKEN_COUNTS = b'greengagegw-token-count'
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -101,6 +101,11 @@
                     'server:limit_not_told',
                     pool.limits,
                 ),
+                (
+                    request_limits.REJECTION_LIMITS_METHOD,
+                    'server:brittle_not_told',
+                    pool.rejection_limits,
+                ),
             )
         ]
         self.origin_exchange = stream_origins.OriginExchange(
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -242,6 +242,7 @@
             self.log_failure(server, 'wrong_instance')
             raise
         except errors.BackendRefusedError:
+            self.planner.record_rejection(server)
             self.log_failure(server, 'refused')
             raise
         except errors.BackendUnresponsiveError as error:
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -642,7 +642,18 @@
     def may_send(
         self, job: jobs.Job, server: server_pool.Server, now: float
     ) -> bool:
-        """Returns whether the limits of a server allow a request now."""
+        """Returns whether the limits of a server allow a request now.
+
+        The slots of a brittle server are divided among the VMs, since it may
+        crash if it has to reject requests: what the others run there is known
+        a report later, in which all of them would fill the same free slot.
+        """
+        if self.pool.is_brittle(server):
+            slots = max(1, server.instance.slots)
+            sharing_count = self.count_sharing_vms(server, slots)
+            share = slots // sharing_count if sharing_count else 0
+            if server.in_flight_count >= share:
+                return False
         return now >= server.pacer.next_at(self.send_rate(job, server, now))
 
     def send_rate(
@@ -666,6 +677,13 @@
             rate = min(rate, share)
         return rate
 
+    def record_rejection(self, server: server_pool.Server) -> None:
+        """Records that a server rejected a request of this VM."""
+        entry_vms = self.view.usable_entry_vms(self.pool.region)
+        self.pool.record_rejection(
+            server, max(1, len(entry_vms)), self.timers.now()
+        )
+
     def count_sharing_vms(
         self, server: server_pool.Server, max_count: int
     ) -> int:
--- a/src/greengagegw/serving/ports.py
+++ b/src/greengagegw/serving/ports.py
@@ -120,11 +120,14 @@
     :ivar pause_seconds: seconds for which it wants no requests from this VM.
     :ivar request_limit: requests a second that it takes from all VMs together;
         infinite if it names no limit, None if nothing is known of it.
+    :ivar rejection_limit: requests that it can reject in a second for lack of
+        capacity without crashing; infinite and None as for the request limit.
     """
 
     is_leaving: bool = False
     pause_seconds: float = 0.0
     request_limit: float | None = None
+    rejection_limit: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagegw/serving/request_limits.py
+++ b/src/greengagegw/serving/request_limits.py
@@ -1,6 +1,7 @@
-"""Request rates to which backend servers in need limit all entry VMs.
+"""Limits that backend servers in need name to all entry VMs.
 
-A server names its limit in its responses for as long as it holds. The entry
+A server names in its responses, for as long as they hold, how many requests a
+second it takes, or how many it can reject a second without crashing. The entry
 VMs of its region tell each other, and share the limit.
 """
 
@@ -17,6 +18,7 @@
 from ..fleet import instances
 
 LIMITS_METHOD = 'serving.request_limits'
+REJECTION_LIMITS_METHOD = 'serving.rejection_limits'
 MAX_RUNS = 500
 # Each VM may send its request at any moment of its interval, so a server may
 # get one request for each of them beyond its limit in a short time.
@@ -28,6 +30,23 @@
 RETENTION_SECONDS = 60.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitEvents:
+    """The log messages for one kind of limit."""
+
+    named: str
+    withdrawn: str
+    heard: str
+
+
+REQUEST_LIMIT_EVENTS = LimitEvents(
+    'server:limited', 'server:unlimited', 'server:limit_heard'
+)
+REJECTION_LIMIT_EVENTS = LimitEvents(
+    'server:brittle', 'server:not_brittle', 'server:brittle_heard'
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NamedLimit:
     """What a server last said of its limit.
@@ -44,12 +63,14 @@
 class NamedLimits:
     """The limits of the runs of backend servers, as far as they are known.
 
+    :param events: log messages for this kind of limit.
     :ivar by_run: the run that named its limit first comes first.
     :ivar new_runs: runs of which this VM has learned another limit itself.
     :ivar listed_at: timer seconds at which each run was last listed.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, events: LimitEvents = REQUEST_LIMIT_EVENTS) -> None:
+        self.events = events
         self.by_run: dict[departures.Run, NamedLimit] = {}
         self.new_runs: set[departures.Run] = set()
         self.has_news = anyio.Event()
@@ -62,6 +83,10 @@
         limit = self.by_run.get(departures.run_of(instance))
         return math.inf if limit is None else limit.rate
 
+    def is_known(self, instance: instances.Instance) -> bool:
+        """Returns whether a server has said whether it has a limit."""
+        return departures.run_of(instance) in self.by_run
+
     def record(
         self,
         run: departures.Run,
@@ -84,7 +109,9 @@
         has_changed = self.merge(run, NamedLimit(rate, now))
         if has_changed:
             eliot.log_message(
-                'server:limited' if rate < math.inf else 'server:unlimited',
+                self.events.named
+                if rate < math.inf
+                else self.events.withdrawn,
                 server=run[0],
                 born=run[1],
                 limit=encode_rate(rate),
@@ -155,7 +182,7 @@
         for run, limit in decode_limits(peer, message, now):
             if self.merge(run, limit):
                 eliot.log_message(
-                    'server:limit_heard',
+                    self.events.heard,
                     peer=peer,
                     server=run[0],
                     limit=encode_rate(limit.rate),
@@ -174,6 +201,18 @@
     return max(rate, MIN_RATE) / sharing_count if sharing_count else 0.0
 
 
+def rejection_pause(limit: float, sharing_count: int) -> float:
+    """Returns how long a VM pauses after a brittle server has rejected it.
+
+    Each of the VMs that send to the server may be rejected once in this time,
+    so all of them together stay within the limit.
+
+    :param limit: rejections a second that the server can take.
+    :param sharing_count: VMs that send to the server.
+    """
+    return sharing_count / max(limit, MIN_RATE)
+
+
 def decode_limits(
     peer: str, message: typing.Any, now: float
 ) -> list[tuple[departures.Run, NamedLimit]]:
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -305,6 +305,9 @@
         self.moved: set[str] = set()
         self.leaving = departures.LeavingServers()
         self.limits = request_limits.NamedLimits()
+        self.rejection_limits = request_limits.NamedLimits(
+            request_limits.REJECTION_LIMIT_EVENTS
+        )
         self.software_versions = stream_origins.SoftwareVersions()
 
     def update(self, now: float) -> None:
@@ -323,6 +326,7 @@
         }
         self.leaving.update(local_instances.values(), now)
         self.limits.update(local_instances.values(), now)
+        self.rejection_limits.update(local_instances.values(), now)
         self.software_versions.update(view.instances.values(), now)
         self.listed_at.update(dict.fromkeys(local_instances, now))
         for name, listed_at in list(self.listed_at.items()):
@@ -395,13 +399,13 @@
             later run of the same name is not affected.
         :param asked_at: timer seconds when the request was sent.
         """
-        if notice.request_limit is not None:
-            self.limits.record(
-                departures.run_of(instance),
-                notice.request_limit,
-                asked_at,
-                now,
-            )
+        run = departures.run_of(instance)
+        for limits, limit in (
+            (self.limits, notice.request_limit),
+            (self.rejection_limits, notice.rejection_limit),
+        ):
+            if limit is not None:
+                limits.record(run, limit, asked_at, now)
         if notice.is_leaving:
             self.leaving.record_announcement(instance, now)
         server = self.servers.get(instance.name)
@@ -412,6 +416,44 @@
         ):
             server.pause(notice.pause_seconds, now)
 
+    def is_brittle(self, server: Server) -> bool:
+        """Returns whether a server crashes if it has to reject requests."""
+        return math.isfinite(self.rejection_limit_of(server))
+
+    def rejection_limit_of(self, server: Server) -> float:
+        """Returns how many requests a second a server can reject.
+
+        A run that has said nothing yet, such as one that has just started, is
+        as brittle as the others of its service.
+
+        :returns: infinity if it is not brittle.
+        """
+        limits = self.rejection_limits
+        if not limits.by_run or limits.is_known(server.instance):
+            return limits.rate_of(server.instance)
+        return min(
+            (
+                limits.rate_of(one.instance)
+                for name, one in self.servers.items()
+                if one.instance.service == server.instance.service
+                and name in self.view.instances
+            ),
+            default=math.inf,
+        )
+
+    def record_rejection(
+        self, server: Server, sharing_count: int, now: float
+    ) -> None:
+        """Pauses a brittle server that rejected a request.
+
+        :param sharing_count: entry VMs that send to the server.
+        """
+        limit = self.rejection_limit_of(server)
+        if math.isfinite(limit):
+            server.pause(
+                request_limits.rejection_pause(limit, sharing_count), now
+            )
+
     def is_leaving(self, instance: instances.Instance) -> bool:
         """Returns whether a run is known to be leaving or evacuated."""
         listed = self.view.instances.get(instance.name, instance)
