Send and handle messages without a reply without tasks

The frames of a connection are written by one task of it, which needs no lock around each frame. A message can be posted without waiting, and one whose handler is marked never_waits is handled by the reader. PONGs, and errors of calls that are not accepted, need no task either.

--- a/bench/allowance_cost.py
+++ b/bench/allowance_cost.py
@@ -51,7 +51,10 @@
         return response
 
     async def notify(self, vm, method, message):
-        await super().notify(vm, method, message)
+        self.post(vm, method, message)
+
+    def post(self, vm, method, message):
+        super().post(vm, method, message)
         if method.startswith(self.method_prefix):
             size = len(msgpack.packb(message)) + len(method)
             self.network.bytes += size + FRAME_BYTES
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -119,7 +119,7 @@
                 raise errors.PeerUnreachableError(f'{vm} is down')
             return await handler(vm, message)
         reply = PendingReply()
-        self.post(vm, method, message, reply)
+        self.send(vm, method, message, reply)
         with network.timers.move_on_after(timeout or 3.0):
             await reply.done.wait()
         if reply.error is not None:
@@ -130,9 +130,13 @@
 
     async def notify(self, vm, method, message):
         self.network.calls[method] += 1
-        self.post(vm, method, message, PendingReply())
+        self.send(vm, method, message, PendingReply())
 
-    def post(self, vm, method, message, reply):
+    def post(self, vm, method, message):
+        self.network.calls[method] += 1
+        self.send(vm, method, message, PendingReply())
+
+    def send(self, vm, method, message, reply):
         network = self.network
         deliveries = (
             2 if network.rng.random() < network.faults.duplicate_rate else 1
--- a/features/peers/streams.feature
+++ b/features/peers/streams.feature
@@ -99,7 +99,17 @@
     Then the other VM has received it <count> times and sent nothing back
 
     Examples:
-      | method              | count |
-      | a method            | 1     |
-      | a method that fails | 1     |
-      | an unknown method   | 0     |
+      | method                    | count |
+      | a method                  | 1     |
+      | a method that fails       | 1     |
+      | a method that never waits | 1     |
+      | such a method that fails  | 1     |
+      | an unknown method         | 0     |
+
+  Scenario: A message that is posted before there is a connection
+    When a message is posted without a connection
+    Then the other VM receives it once, and a later one at once
+
+  Scenario: A message that is posted to a VM that is down
+    When a message is posted to a VM that is down
+    Then the sender goes on
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -312,6 +312,13 @@
         handler = self.world.dispatchers[vm].handlers()[method]
         await handler('peer', copy.deepcopy(message))
 
+    def post(self, vm, method, message):
+        async def deliver():
+            with contextlib.suppress(errors.GatewayError):
+                await self.notify(vm, method, message)
+
+        self.world.tasks.start_soon(deliver)
+
     async def call(self, vm, method, message, timeout_seconds):
         if vm.startswith(CONTROL_VM):
             await self.world.timers.sleep(2 * INTER_REGION_SECONDS)
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -13,6 +13,7 @@
 from greengagegw.adapters import peer_mesh
 from greengagegw.adapters import peer_stream
 from greengagegw import errors
+from greengagegw.ports import peers as peer_port
 from greengagegw import settings as settings_module
 from greengagegw import timers
 from standins import loopback_blocks
@@ -480,6 +481,8 @@
 METHODS = {
     'a method': 'record',
     'a method that fails': 'record_and_fail',
+    'a method that never waits': 'record_at_once',
+    'such a method that fails': 'fail_at_once',
     'an unknown method': 'nothing',
 }
 
@@ -496,6 +499,14 @@
         context.received.append((peer, message))
         raise errors.OverloadedError('no')
 
+    @peer_port.never_waits
+    async def record_at_once(peer, message):
+        await record(peer, message)
+
+    @peer_port.never_waits
+    async def fail_at_once(peer, message):
+        await record_and_fail(peer, message)
+
     async def count_reply_bytes():
         """Returns the bytes that the listener sends for one call."""
         before = pair.listener.total_bytes_sent
@@ -505,6 +516,8 @@
     async def send():
         pair.listener.handlers.calls['record'] = record
         pair.listener.handlers.calls['record_and_fail'] = record_and_fail
+        pair.listener.handlers.calls['record_at_once'] = record_at_once
+        pair.listener.handlers.calls['fail_at_once'] = fail_at_once
         await pair.call_echo()
         context.reply_bytes = await count_reply_bytes()
         before = pair.listener.total_bytes_sent
@@ -515,6 +528,49 @@
     call(context, send)
 
 
+@behave.when('a message is posted without a connection')
+def post_unconnected(context):
+    pair = context.pair
+    context.received = []
+
+    async def record(peer, message):
+        context.received.append((peer, message))
+
+    async def send():
+        pair.listener.handlers.calls['record'] = record
+        # The second is dropped, since the first has not been sent yet.
+        for _ in range(2):
+            pair.dialler.post('listener', 'record', 'news')
+        with anyio.fail_after(TIMEOUT_SECONDS):
+            while not context.received:
+                await anyio.sleep(0.01)
+        await pair.call_echo()
+        pair.dialler.post('listener', 'record', 'more')
+        await pair.call_echo()
+
+    call(context, send)
+
+
+@behave.then('the other VM receives it once, and a later one at once')
+def check_posted(context):
+    assert [message for _, message in context.received] == ['news', 'more']
+
+
+@behave.when('a message is posted to a VM that is down')
+def post_to_lost(context):
+    async def send():
+        context.pair.dialler.post('nowhere', 'record', 'news')
+        await anyio.sleep(0.05)
+
+    call(context, send)
+
+
+@behave.then('the sender goes on')
+def check_goes_on(context):
+    assert call(context, context.pair.call_echo) == ['dialler', 'hello']
+    assert not context.pair.dialler.posting_to
+
+
 @behave.then(
     'the other VM has received it {count:d} times and sent nothing back'
 )
--- a/src/greengagegw/adapters/peer_connection.py
+++ b/src/greengagegw/adapters/peer_connection.py
@@ -26,6 +26,9 @@
 NO_REPLY_ID = 0
 # Time limit for sending the RESET of a stream that its reader closes early.
 RESET_TIMEOUT_SECONDS = 0.2
+# Bytes that may wait to be written while the peer reads slowly. Up to here
+# frames are sent without waiting.
+MAX_UNSENT_BYTES = 65536
 # Heartbeat intervals without a frame of the peer after which a ping is sent.
 DIALLER_IDLE_INTERVALS = 1.0
 LISTENER_IDLE_INTERVALS = 2.5
@@ -92,32 +95,73 @@
         self.last_used_at = timers.now()
         self.bytes_sent = 0
         self.is_closed = False
-        self.send_lock = anyio.Lock()
+        self.unsent = bytearray()
+        self.unsent_changed = anyio.Event()
+        self.unsent_written = anyio.Event()
 
     async def send(self, kind: frames.Kind, *values: typing.Any) -> None:
-        """Sends a frame.
+        """Sends a frame, after waiting if the peer reads slowly.
 
         :raises FrameTooLargeError: if the frame is over the limit.
         :raises PeerLostError: if the connection is closed or broken.
         """
+        data = self.encode(kind, *values)
+        while len(self.unsent) >= MAX_UNSENT_BYTES and not self.is_closed:
+            await self.unsent_written.wait()
+        self.append(data)
+
+    def send_nowait(self, kind: frames.Kind, *values: typing.Any) -> bool:
+        """Sends a frame, or drops it if the peer reads slowly.
+
+        :returns: whether it will be sent.
+        :raises FrameTooLargeError: if the frame is over the limit.
+        :raises PeerLostError: if the connection is closed or broken.
+        """
+        data = self.encode(kind, *values)
+        if len(self.unsent) >= MAX_UNSENT_BYTES and not self.is_closed:
+            return False
+        self.append(data)
+        return True
+
+    def encode(self, kind: frames.Kind, *values: typing.Any) -> bytes:
         data = frames.encode(kind, *values)
         if len(data) > self.max_frame_bytes:
             raise errors.FrameTooLargeError(
                 f'a frame of {len(data)} bytes is over the limit of '
                 f'{self.max_frame_bytes} bytes'
             )
+        return data
+
+    def append(self, data: bytes) -> None:
         if self.is_closed:
             raise errors.PeerLostError(
                 f'the connection to {self.peer} is closed'
             )
-        try:
-            async with self.send_lock:
-                await self.socket.send(data)
-        except CONNECTION_LOST_ERRORS as error:
-            raise errors.PeerLostError(
-                f'lost the connection to {self.peer}'
-            ) from error
-        self.bytes_sent += len(data)
+        if not self.unsent:
+            self.unsent_changed.set()
+        self.unsent += data
+
+    async def write_until_lost(self, scope: anyio.CancelScope) -> None:
+        """Writes frames, and ends the connection if it is broken."""
+        with contextlib.suppress(*CONNECTION_LOST_ERRORS):
+            await self.write_unsent()
+        scope.cancel()
+
+    async def write_unsent(self) -> None:
+        """Writes the frames that are sent until the connection ends.
+
+        One task writes for all senders: frames that are sent together become
+        one write, and a sender needs no lock, which would cost it iterations
+        of the event loop.
+        """
+        while True:
+            await self.unsent_changed.wait()
+            self.unsent_changed = anyio.Event()
+            data, self.unsent = bytes(self.unsent), bytearray()
+            await self.socket.send(data)
+            self.bytes_sent += len(data)
+            self.unsent_written.set()
+            self.unsent_written = anyio.Event()
 
     async def call(
         self, method: str, message: typing.Any, timeout: float
@@ -153,6 +197,16 @@
         self.last_used_at = self.timers.now()
         await self.send(frames.Kind.CALL, NO_REPLY_ID, method, message)
 
+    def post(self, method: str, message: typing.Any) -> None:
+        """Sends a message that gets no reply, without waiting.
+
+        It is dropped if the peer reads slowly.
+
+        :raises PeerLostError: if the connection is closed or broken.
+        """
+        self.last_used_at = self.timers.now()
+        self.send_nowait(frames.Kind.CALL, NO_REPLY_ID, method, message)
+
     @contextlib.asynccontextmanager
     async def open(
         self, method: str, message: typing.Any
@@ -183,6 +237,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self.send_heartbeats, tasks.cancel_scope)
+                tasks.start_soon(self.write_until_lost, tasks.cancel_scope)
                 try:
                     await self.read_frames(tasks)
                 except CONNECTION_LOST_ERRORS + (anyio.EndOfStream,):
@@ -203,6 +258,7 @@
     def close(self) -> None:
         """Fails all pending calls and open streams."""
         self.is_closed = True
+        self.unsent_written.set()
         error = errors.PeerLostError(f'lost the connection to {self.peer}')
         for reply in self.replies.values():
             reply.fail(error)
@@ -232,9 +288,8 @@
                 return
             if silence < idle_intervals * self.heartbeat_seconds:
                 continue
-            with self.timers.move_on_after(self.silence_seconds):
-                with contextlib.suppress(errors.PeerError):
-                    await self.send(frames.Kind.PING)
+            with contextlib.suppress(errors.PeerError):
+                self.send_nowait(frames.Kind.PING)
 
     async def read_frames(self, tasks: anyio.abc.TaskGroup) -> None:
         """Handles the frames of the peer until the connection ends."""
@@ -272,18 +327,33 @@
         method: str,
         message: typing.Any,
     ) -> None:
-        if (
-            self.calls_running >= MAX_CALLS_IN_FLIGHT
-            and call_id == NO_REPLY_ID
-        ):
-            return
+        is_notification = call_id == NO_REPLY_ID
         if self.calls_running >= MAX_CALLS_IN_FLIGHT:
-            error = errors.OverloadedError(
-                f'{self.peer} has {MAX_CALLS_IN_FLIGHT} calls in flight'
-            )
-            tasks.start_soon(self.send_error, call_id, error)
+            if not is_notification:
+                error = errors.OverloadedError(
+                    f'{self.peer} has {MAX_CALLS_IN_FLIGHT} calls in flight'
+                )
+                self.send_error(call_id, error)
             return
-        tasks.start_soon(self.serve_call, call_id, method, message)
+        handler = self.handlers.calls.get(method)
+        if is_notification and getattr(handler, 'never_waits', False):
+            self.handle_at_once(method, handler(self.peer, message))
+        else:
+            tasks.start_soon(self.serve_call, call_id, method, message)
+
+    def handle_at_once(
+        self, method: str, coroutine: collections.abc.Coroutine
+    ) -> None:
+        """Runs a handler that never waits, without a task of its own."""
+        try:
+            coroutine.send(None)
+        except StopIteration:
+            return
+        except Exception as error:
+            self.log_handler_failure(method, error)
+            return
+        coroutine.close()
+        eliot.log_message('peer:handler_waits', method=method)
 
     async def serve_call(
         self, call_id: int, method: str, message: typing.Any
@@ -299,7 +369,7 @@
         except Exception as error:
             self.log_handler_failure(method, error)
             if call_id != NO_REPLY_ID:
-                await self.send_error(call_id, error)
+                self.send_error(call_id, error)
         finally:
             self.calls_running -= 1
 
@@ -311,10 +381,11 @@
                 'peer:handler_failed', peer=self.peer, method=method
             )
 
-    async def send_error(self, call_id: int, error: Exception) -> None:
+    def send_error(self, call_id: int, error: Exception) -> None:
+        """Replies with an error, which may be dropped as the reply may."""
         with contextlib.suppress(errors.PeerError):
             packed = error_codec.pack(error)
-            await self.send(frames.Kind.REPLY, call_id, False, packed)
+            self.append(self.encode(frames.Kind.REPLY, call_id, False, packed))
 
     def on_reply(
         self,
@@ -403,11 +474,8 @@
             stream.credit_arrived.set()
 
     def on_ping(self, tasks: anyio.abc.TaskGroup) -> None:
-        tasks.start_soon(self.send_pong)
-
-    async def send_pong(self) -> None:
         with contextlib.suppress(errors.PeerError):
-            await self.send(frames.Kind.PONG)
+            self.send_nowait(frames.Kind.PONG)
 
     def on_pong(self, tasks: anyio.abc.TaskGroup) -> None:
         """Does nothing, since any frame counts as a heartbeat."""
--- a/src/greengagegw/adapters/peer_mesh.py
+++ b/src/greengagegw/adapters/peer_mesh.py
@@ -100,6 +100,7 @@
         self.accepted: set[peer_connection.Connection] = set()
         self.dial_locks: dict[str, anyio.Lock] = {}
         self.dial_failed_at: dict[str, float] = {}
+        self.posting_to: set[str] = set()
         self.tasks: anyio.abc.TaskGroup | None = None
         self.bytes_sent = 0
         self.connect_socket = anyio.connect_tcp
@@ -268,6 +269,31 @@
         connection = await self.connect(vm)
         await connection.notify(method, message)
 
+    def post(self, vm: str, method: str, message: typing.Any) -> None:
+        """Sends a message, after dialling in the background if necessary.
+
+        Messages posted to a VM while it is dialled are dropped.
+        """
+        connection = self.dialled.get(vm)
+        if connection is not None and not connection.is_closed:
+            try:
+                connection.post(method, message)
+            except errors.GatewayError as error:
+                log_not_sent(vm, method, error)
+        elif vm not in self.posting_to and self.tasks is not None:
+            self.posting_to.add(vm)
+            self.tasks.start_soon(self.connect_and_post, vm, method, message)
+
+    async def connect_and_post(
+        self, vm: str, method: str, message: typing.Any
+    ) -> None:
+        try:
+            await self.notify(vm, method, message)
+        except errors.GatewayError as error:
+            log_not_sent(vm, method, error)
+        finally:
+            self.posting_to.discard(vm)
+
     @contextlib.asynccontextmanager
     async def open(
         self, vm: str, method: str, message: typing.Any
@@ -275,3 +301,7 @@
         connection = await self.connect(vm)
         async with connection.open(method, message) as stream:
             yield stream
+
+
+def log_not_sent(vm: str, method: str, error: errors.GatewayError) -> None:
+    eliot.log_message('peer:not_sent', vm=vm, method=method, code=error.code)
--- a/src/greengagegw/fleet/agent.py
+++ b/src/greengagegw/fleet/agent.py
@@ -170,7 +170,7 @@
             if is_due or entry != self.announced:
                 self.announced, self.heartbeat_sent_at = entry, now
                 for vm in known[1:]:
-                    self.tasks.start_soon(self.send_heartbeat, vm, message[:2])
+                    self.mesh.post(vm, 'fleet.beat', message[:2])
             if await self.poll_control_vm(known[0], message):
                 return
         self.preferred_control_vm = None
@@ -202,13 +202,6 @@
                 await confirmed.wait()
                 tasks.cancel_scope.cancel()
 
-    async def send_heartbeat(self, vm: str, message: list) -> None:
-        try:
-            with self.timers.move_on_after(timing.POLL_TIMEOUT_SECONDS):
-                await self.mesh.notify(vm, 'fleet.beat', message)
-        except errors.GatewayError as error:
-            eliot.log_message('beat:failed', vm=vm, code=error.code)
-
     def held_versions(self) -> dict:
         return {
             'version': self.view.version,
--- a/src/greengagegw/load_polling.py
+++ b/src/greengagegw/load_polling.py
@@ -166,6 +166,7 @@
         with contextlib.suppress(errors.GatewayError):
             await self.mesh.notify(vm, METHOD, rows)
 
+    @peers.never_waits
     async def on_reports(self, peer: str, message: list) -> None:
         """Stores the reports of another VM that are newer than those here."""
         now = self.timers.now()
--- a/src/greengagegw/ports/peers.py
+++ b/src/greengagegw/ports/peers.py
@@ -42,6 +42,12 @@
         :raises PeerError: if the message was certainly not sent.
         """
 
+    def post(self, vm: str, method: str, message: typing.Any) -> None:
+        """Sends a message that gets no reply and may be lost.
+
+        Neither waits nor raises an error if the VM cannot be reached.
+        """
+
     def open(
         self, vm: str, method: str, message: typing.Any
     ) -> contextlib.AbstractAsyncContextManager[PeerStream]:
@@ -54,3 +60,12 @@
 StreamHandler = collections.abc.Callable[
     [str, typing.Any, PeerStream], collections.abc.Awaitable[None]
 ]
+
+
+def never_waits(handler: Handler) -> Handler:
+    """Marks a handler whose coroutine returns without waiting for anything.
+
+    A message without a reply is then handled without a task of its own.
+    """
+    handler.never_waits = True
+    return handler
--- a/src/greengagegw/serving/stream_origins.py
+++ b/src/greengagegw/serving/stream_origins.py
@@ -153,6 +153,7 @@
     def handlers(self) -> dict[str, peers.Handler]:
         return {RECORD_METHOD: self.on_record, FIND_METHOD: self.on_find}
 
+    @peers.never_waits
     async def on_record(self, peer: str, message: typing.Any) -> None:
         now = self.timers.now()
         for key, origin in decode_origins(peer, message):
