Share the summary of the fleet among the polls of 0.1 s

Each poll packed and hashed the list of all entry VMs and combined the loads of all regions, which is quadratic in the size of the fleet.

--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -108,6 +108,11 @@
     When in the fleet the only entry VM of a region leaves
     Then the loads of its servers are reported within 2 seconds
 
+  # Fails if the cost of the polls is quadratic in the number of entry VMs.
+  Scenario: Polls share the summary of the fleet
+    Given a control VM with 200 entry VMs
+    Then their polls of 5 seconds compute 51 summaries
+
   Scenario: One control VM reads the instance list of the platform
     Given a fleet of 5 control VMs and 3 entry VMs
     When 30 seconds pass in the fleet
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -7,8 +7,10 @@
 
 from features import fleet_world
 from greengagegw import errors
+from greengagegw.fleet import fleet_summary
 from greengagegw.fleet import members
 from greengagegw.fleet import store as stores
+from greengagegw.fleet import timing
 
 
 def in_fleet(step):
@@ -574,3 +576,36 @@
         context.entries, region, f'{region}-1', frozenset({'a', 'b'}), 64
     )
     assert found == named.split(), found
+
+
+@behave.given('a control VM with {count:d} entry VMs')
+def given_summaries(context, count):
+    context.registry = members.EntryVmRegistry(timing.ENTRY_VM_TIMEOUT_SECONDS)
+    context.computed = 0
+
+    def combine():
+        context.computed += 1
+        return {}
+
+    context.summary_cache = fleet_summary.SummaryCache(
+        context.registry, combine
+    )
+    context.entries = [
+        members.EntryVm(
+            f'e{at}', f'e{at}:80', 'a', 'a-1', members.EntryState.SERVING
+        )
+        for at in range(count)
+    ]
+    for entry in context.entries:
+        context.registry.record_heartbeat(entry, 0.0)
+
+
+@behave.then('their polls of {seconds:d} seconds compute {count:d} summaries')
+def then_summaries(context, seconds, count):
+    polls = 2 * seconds * len(context.entries)
+    for at in range(polls):
+        now = seconds * at / polls
+        entry = context.entries[at % len(context.entries)]
+        assert not context.registry.record_heartbeat(entry, now)
+        context.summary_cache.get(now)
+    assert context.computed <= count, context.computed
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -18,6 +18,7 @@
 from .. import timers as timer_service
 from . import configuration as configurations
 from . import crash_watch
+from . import fleet_summary
 from . import hold_expiry
 from . import instances as instance_list
 from . import loads
@@ -91,6 +92,9 @@
             timing.ENTRY_VM_TIMEOUT_SECONDS
         )
         self.loads: dict[str, dict[str, loads.RegionLoad]] = {}
+        self.summary_cache = fleet_summary.SummaryCache(
+            self.registry, self.region_loads
+        )
         self.instance_cache = InstanceListCache()
         self.quota_allocator = quota_allocator.QuotaAllocator(
             timers, quota_debt
@@ -332,17 +336,20 @@
                 )
             for entry in self.registry.remove_expired(self.timers.now()):
                 self.loads.pop(entry.vm, None)
+                self.summary_cache.invalidate()
                 eliot.log_message('roster:silent', vm=entry.vm)
 
     def record_heartbeat(self, message: list) -> members.EntryVm:
         entry = members.EntryVm.unpack(message[0])
         if self.registry.record_heartbeat(entry, self.timers.now()):
+            self.summary_cache.invalidate()
             eliot.log_message(
                 'roster:heard', vm=entry.vm, state=entry.state.value
             )
         self.loads[entry.vm] = loads.unpack(message[1])
         return entry
 
+    @peers.never_waits
     async def on_heartbeat(self, peer: str, message: list) -> None:
         self.record_heartbeat(message)
 
@@ -364,8 +371,7 @@
         if not is_confirmed:
             eliot.log_message('poll:not_confirmed', vm=entry.vm, code=code)
         now = self.timers.now()
-        entries = [one.pack() for one in self.registry.live_entry_vms(now)]
-        entries_digest = members.digest(entries)
+        summary = self.summary_cache.get(now)
         reply = {
             'is_confirmed': is_confirmed,
             'version': self.store.version,
@@ -373,13 +379,10 @@
             'evacuated': sorted(self.store.evacuated),
             'list_digest': self.instance_cache.digest,
             'list_age': now - self.instance_cache.read_at,
-            'entries_digest': entries_digest,
+            'entries_digest': summary.entries_digest,
             'controls': [one.vm for one in self.replica.members.members],
             'leader': self.replica.leader,
-            'loads': {
-                region: {name: one.pack() for name, one in by_service.items()}
-                for region, by_service in self.region_loads().items()
-            },
+            'loads': summary.loads,
         }
         held_changes = held_versions.get('hold_changes')
         reply['hold_changes'] = self.store.hold_changes
@@ -389,8 +392,8 @@
             reply['document'] = self.store.packed
         if held_versions['list_digest'] != self.instance_cache.digest:
             reply['instances'] = self.instance_cache.packed
-        if held_versions['entries_digest'] != entries_digest:
-            reply['entries'] = entries
+        if held_versions['entries_digest'] != summary.entries_digest:
+            reply['entries'] = summary.entries
         return reply
 
     def region_loads(self) -> dict[str, dict[str, loads.RegionLoad]]:
