Record which versions and services may have begun a stream

After a restart of all entry VMs, the origin of a stream is unknown, and the stream went on at the only version that the VM knew, which need not be the one that began it. A stream of unknown origin goes on only if one service and version can have begun it, and is rejected as not run otherwise.

The step that restarts all VMs polls a third time, since the loads of other regions arrive a poll later.

--- a/features/serving/versions.feature
+++ b/features/serving/versions.feature
@@ -66,6 +66,81 @@
       | v1, v1, v1     | 20    |
       | v1, v1, v2, v2 | 0     |
 
+  Scenario Outline: A restart of all entry VMs never mixes versions
+    Given region a with 3 entry VMs and engines of v1, v1
+    And region b with 3 entry VMs and engines of v1, v1
+    And a route with 1 attempt and home regions <homes>
+    When 6 streams break off after 2 events
+    And <event>
+    And their clients resume them at <vm>
+    Then none has events of two versions, and the incomplete ones are rejected as not run
+    And <rejected> of them are rejected as not run
+
+    Examples: Both versions are present and known
+      | homes | event                                                | vm                                       | rejected |
+      | a, b  | all VMs restart while half of the engines get version v2 | the same VM                              | 6        |
+      | a, b  | all VMs restart while half of the engines get version v2 | another VM, without Resumes              | 6        |
+      | b     | all VMs restart while half of the engines get version v2 | another VM                               | 6        |
+      | a, b  | all VMs restart while half of the engines get version v2 | a VM of another region, without Resumes  | 6        |
+
+    Examples: Both are present, and one is known so far
+      | homes | event                                                                               | vm                          | rejected |
+      | a, b  | all VMs restart and know only the engines that get v2 | the same VM                 | 6        |
+      | a, b  | all VMs restart and know only the engines that get v2 | another VM, without Resumes | 6        |
+      | b     | all VMs restart and know only the engines that get v2 | another VM                  | 6        |
+      | a, b  | all VMs restart and know only the engines that get v2 | a VM of another region      | 6        |
+
+    Examples: The old version is gone
+      | homes | event                                        | vm                                  | rejected |
+      | a, b  | all VMs restart while all engines get version v2 | the same VM                         | 6        |
+      | a, b  | all VMs restart while all engines get version v2 | another VM, without Resumes         | 6        |
+      | b     | all VMs restart while all engines get version v2 | another VM                          | 6        |
+      | b     | all VMs restart while all engines get version v2 | another VM, without Resumes         | 6        |
+      | a, b  | all VMs restart while all engines get version v2 | a VM of another region              | 6        |
+
+    Examples: No release is in progress
+      | homes | event                                                      | vm                          | rejected |
+      | a, b  | all VMs restart                                            | another VM                  | 0        |
+      | b     | all VMs restart                                            | another VM, without Resumes | 0        |
+      | a, b  | all VMs and the control VMs restart                        | another VM                  | 0        |
+      | a, b  | all VMs restart and poll a control VM of an earlier release | another VM                  | 6        |
+
+  Scenario Outline: The history of versions survives a restart of control VMs
+    Given region a with 3 entry VMs and engines of v1, v1
+    And a route with 1 attempt and home regions a
+    When 6 streams break off after 2 events
+    And the version of all engines becomes v2
+    And all VMs and the control VMs restart
+    And <seconds> seconds pass
+    And their clients resume them at <vm>
+    Then none has events of two versions, and the incomplete ones are rejected as not run
+    And 6 of them are rejected as not run
+
+    Examples:
+      | seconds | vm                          |
+      | 0.1     | another VM                  |
+      | 0.1     | another VM, without Resumes |
+      | 100     | the same VM                 |
+
+  Scenario: A route that moved to another service does not continue streams there
+    Given region a with 3 entry VMs and engines of v1, v1
+    And a route with 1 attempt and home regions a
+    When 6 streams break off after 2 events
+    And the route moves to another service
+    And all VMs restart
+    And their clients resume them at another VM
+    Then none has events of two services, and the incomplete ones are rejected as not run
+    And 6 of them are rejected as not run
+
+  Scenario: A route split over two services does not mix them after a restart
+    Given region a with 3 entry VMs and engines of v1, v1
+    And a route that shares its requests between two services
+    When 20 streams break off after 2 events
+    And all VMs and the control VMs restart
+    And their clients resume them at another VM
+    Then none has events of two services, and the incomplete ones are rejected as not run
+    And 20 of them are rejected as not run
+
   Scenario: A stream goes on at the service that began it
     Given region a with 3 entry VMs and engines of v1, v1
     And a route that shares its requests between two services
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -23,6 +23,7 @@
 from greengagegw.fleet import crash_watch
 from greengagegw.fleet import loads as region_loads
 from greengagegw.fleet import members
+from greengagegw.fleet import origin_history
 from greengagegw.fleet import store as stores
 from greengagegw import held_requests
 from greengagegw.platform import documents
@@ -531,9 +532,18 @@
         # Whether requests still go out on kept connections to crashed engines.
         self.has_stale_connections = False
         self.ended_engines = []
+        # Versions that the instance list shows, None for all.
+        self.listed_versions = None
+        # Whether the control VMs send the history of versions.
+        self.has_origin_history = True
         self.has_leader = True
         self.leader_count = 0
         self.store = stores.Store()
+        # The configuration is stored only in a snapshot of the state.
+        self.store.apply(stores.put_command(1, b'{}'))
+        self.history_recorder = origin_history.HistoryRecorder()
+        self.has_configuration = False
+        self.history_number = 1
         self.crash_watch = self.make_crash_watch()
         routes = routes or [fleet_world.route()]
         self.configuration = documents.decode(
@@ -605,6 +615,14 @@
             random.Random(self.rng.random()),
         )
 
+    def restart_control_vms(self):
+        """Restarts all control VMs, which keep their replicated state."""
+        content = self.store.save()
+        self.store = stores.Store()
+        self.store.restore(content)
+        self.history_recorder = origin_history.HistoryRecorder()
+        self.change_leader()
+
     def make_crash_watch(self):
         return crash_watch.CrashWatch(
             self.timers,
@@ -693,6 +711,10 @@
             },
         )
         loads = loads or self.loads
+        instances = {
+            name: engine.instance for name, engine in self.engines.items()
+        }
+        self.record_history(instances.values())
         reported = {
             region: region_loads.combine(
                 loads[entry.vm]
@@ -710,8 +732,13 @@
                 if one.vm not in self.unreachable_vms
             )
             view.instances = {
-                name: engine.instance for name, engine in self.engines.items()
+                name: one
+                for name, one in instances.items()
+                if self.listed_versions is None
+                or one.software_version in self.listed_versions
             }
+            if self.has_origin_history:
+                view.history = self.store.history
             view.instance_list_read_at = view.loads_requested_at = (
                 self.timers.now()
             )
@@ -722,6 +749,23 @@
             view.holds = held_requests.HoldIndex(self.store.holds.values())
             self.dispatchers[entry.vm].pool.update(self.timers.now())
 
+    def record_history(self, listed):
+        """Writes the history as the leading control VM would."""
+        if not self.has_leader:
+            return
+        history = self.history_recorder.update(
+            self.store.history,
+            listed,
+            self.configuration if self.has_configuration else None,
+            self.history_number,
+            self.timers.now(),
+        )
+        # No configuration is stored when the control group starts.
+        self.has_configuration = True
+        if history is not None:
+            self.history_number += 1
+            self.store.apply(stores.history_command(history))
+
     def request(
         self,
         number,
--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -117,12 +117,16 @@
         ]
     )
     del document['routes'][0]['service']
+    add_other_service(document)
+    world.configuration = documents.decode(orjson.dumps(document))
+    enter(context)
+
+
+def add_other_service(document):
     engine = next(
         one for one in document['services'] if one['name'] == 'engine'
     )
     document['services'].append(engine | {'name': 'other'})
-    world.configuration = documents.decode(orjson.dumps(document))
-    enter(context)
 
 
 async def start_with(context, changes):
@@ -182,8 +186,76 @@
     for entry in world.entries:
         if entry.vm in vms:
             world.restart(entry)
-    world.refresh()
-    world.refresh()
+    # The third poll brings the loads that restarted VMs report.
+    for _ in range(3):
+        world.refresh()
+
+
+@behave.when('all VMs and the control VMs restart')
+@in_fleet
+async def when_controls_restart(context):
+    world = context.serving
+    world.restart_control_vms()
+    await restart(world, {one.vm for one in world.entries})
+
+
+@behave.when('all VMs restart and poll a control VM of an earlier release')
+@in_fleet
+async def when_earlier_release(context):
+    world = context.serving
+    world.has_origin_history = False
+    await restart(world, {one.vm for one in world.entries})
+
+
+@behave.when('the version of {which} engines becomes {version}')
+@in_fleet
+async def when_get_version(context, which, version):
+    change_versions(context.serving, which, version)
+
+
+@behave.when('all VMs restart while {which} engines get version {version}')
+@in_fleet
+async def when_change_and_restart(context, which, version):
+    world = context.serving
+    change_versions(world, which, version)
+    await restart(world, {one.vm for one in world.entries})
+
+
+@behave.when('all VMs restart and know only the engines that get {version}')
+@in_fleet
+async def when_change_and_hide(context, version):
+    world = context.serving
+    change_versions(world, 'half of the', version)
+    # The lists that the restarted VMs get first show one of two versions.
+    world.listed_versions = {version}
+    await restart(world, {one.vm for one in world.entries})
+
+
+def change_versions(world, which, version):
+    engines = [
+        engine.instance.name
+        for engine in world.engines.values()
+        if engine.instance.service == 'engine'
+    ]
+    step = {'all': 1, 'half of the': 2}[which]
+    for name in engines[::step]:
+        world.set_version(name, version)
+
+
+@behave.when('the route moves to another service')
+@in_fleet
+async def when_route_moves(context):
+    world = context.serving
+    world.add_engine('i-other0', 'a-1', 'other')
+    world.set_version('i-other0', 'other')
+    document = fleet_world.document(
+        2,
+        routes=[
+            fleet_world.route(resumable=True, maxAttempts=1, service='other')
+        ],
+    )
+    add_other_service(document)
+    world.configuration = documents.decode(orjson.dumps(document))
 
 
 @behave.when('the engines of {version} leave')
@@ -202,11 +274,12 @@
 @in_fleet
 async def when_resume(context, place):
     world = context.serving
+    place, *omitted = place.split(', without ')
     for number, stream in enumerate(context.streams):
         request = dataclasses.replace(
             world.request(f'{number}-resumed', prompt=PROMPT),
             resume_after='2',
-            resumed_request=stream.outcome.request_id,
+            resumed_request=None if omitted else stream.outcome.request_id,
         )
         vm = choose_vm(world, stream, place)
         world.start_request(vm, request)
@@ -257,6 +330,24 @@
     assert all(counts.values()), counts
 
 
+@behave.then(
+    'none has events of two {kind}, and the incomplete ones are rejected as'
+    ' not run'
+)
+def then_rejected(context, kind):
+    for one in context.streams:
+        assert len(one.writers) == 1, one
+        if not one.is_complete:
+            error = one.resumed.error
+            assert (error.status, error.run) == (503, 'not_run'), one
+
+
+@behave.then('{count:d} of them are rejected as not run')
+def then_count_rejected(context, count):
+    rejected = [one for one in context.streams if one.resumed.error]
+    assert len(rejected) == count, (len(rejected), context.streams[0])
+
+
 @behave.when('another organisation sends requests with the same IDs')
 @in_fleet
 async def when_same_ids(context):
--- a/src/greengagegw/fleet/agent.py
+++ b/src/greengagegw/fleet/agent.py
@@ -16,6 +16,7 @@
 from . import instances as instance_list
 from . import loads
 from . import members
+from . import origin_history
 from . import poll_reply
 from ..ports import peers
 from . import quota
@@ -39,6 +40,7 @@
     :ivar holds: requests that are held back.
     :ivar asked_holds: IDs of the holds that have rejected requests since the
         leader was told.
+    :ivar history: what may have begun a stream; None if it is not known.
     :ivar lease_expires_at: boot clock seconds until which keys may be
         accepted.
     :ivar instance_list_read_at: timer seconds when the instance list was
@@ -55,6 +57,7 @@
         self.hold_changes = -1
         self.holds = held_requests.HoldIndex()
         self.asked_holds: set[str] = set()
+        self.history: origin_history.OriginHistory | None = None
         self.lease_expires_at = 0.0
         self.instances: dict[str, instance_list.Instance] = {}
         self.instance_list_digest = 0
@@ -215,6 +218,9 @@
             'list_digest': self.view.instance_list_digest,
             'entries_digest': self.view.entry_vms_digest,
             'hold_changes': self.view.hold_changes,
+            'history': (
+                -1 if self.view.history is None else self.view.history.number
+            ),
         }
 
     async def poll_control_vm(self, vm: str, message: list) -> bool:
@@ -267,6 +273,10 @@
                 )
             view.evacuated_domains = reply.evacuated_domains
         self.apply_holds(reply)
+        if reply.history is not None and (
+            view.history is None or reply.history.number > view.history.number
+        ):
+            view.history = reply.history
         self.apply_instance_list(reply, requested_at)
         if reply.entry_vms is not None:
             view.entry_vms = reply.entry_vms
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -18,6 +18,7 @@
 from .. import timers as timer_service
 from . import configuration as configurations
 from . import crash_watch
+from . import history_keeper
 from . import hold_expiry
 from . import instances as instance_list
 from . import loads
@@ -113,6 +114,9 @@
             lambda: tuple(self.store.holds.values()),
             self.submit_lift,
         )
+        self.history_keeper = history_keeper.HistoryKeeper(
+            vm, timers, mesh, replica, store, self
+        )
 
     def handlers(self) -> dict[str, peers.Handler]:
         """Returns the handlers of this VM for the peer port."""
@@ -124,6 +128,7 @@
             'fleet.list': self.on_instance_list,
             crash_watch.REPORT_METHOD: self.on_server_end,
             hold_expiry.ASKED_METHOD: self.on_holds_asked,
+            **self.history_keeper.handlers(),
         }
 
     async def run(self) -> None:
@@ -134,6 +139,7 @@
                 ('registry', self.maintain_registry),
                 ('crashing requests', self.crash_watch.run),
                 ('hold expiry', self.hold_expiry.run),
+                ('origin history', self.history_keeper.run),
             ):
                 tasks.start_soon(
                     supervision.run_supervised, self.timers, name, function
@@ -151,6 +157,14 @@
             self.decoded_configuration = self.decode(self.store.document)
         return self.decoded_configuration
 
+    @property
+    def listed_instances(self) -> list[instance_list.Instance]:
+        """The backend servers of the newest instance list."""
+        return [
+            instance_list.Instance.unpack(one)
+            for one in self.instance_cache.packed
+        ]
+
     # Operations for operators.
 
     async def submit(self, command: bytes) -> list:
@@ -385,6 +399,10 @@
         reply['hold_changes'] = self.store.hold_changes
         if held_changes != self.store.hold_changes:
             reply['holds'] = [one.pack() for one in self.store.holds.values()]
+        # A replica whose state may be out of date does not send its history.
+        history = self.history_keeper.current_history if is_confirmed else None
+        if history and held_versions.get('history') != history.number:
+            reply['history'] = history.pack()
         if self.store.packed and held_versions['version'] < self.store.version:
             reply['document'] = self.store.packed
         if held_versions['list_digest'] != self.instance_cache.digest:
--- a/src/greengagegw/fleet/poll_reply.py
+++ b/src/greengagegw/fleet/poll_reply.py
@@ -10,6 +10,7 @@
 from . import instances as instance_list
 from . import loads
 from . import members
+from . import origin_history
 
 if typing.TYPE_CHECKING:
     from . import agent as agents
@@ -38,6 +39,8 @@
     :ivar hold_changes: number of commands that the holds reflect; -1 if the
         control VM is of an earlier release.
     :ivar holds: requests that are held back; None if the entry VM has them.
+    :ivar history: what may have begun a stream; None if the entry VM has it or
+        the control VM does not know it.
     """
 
     is_confirmed: bool
@@ -55,6 +58,7 @@
     loads: dict[str, dict[str, loads.RegionLoad]]
     hold_changes: int = -1
     holds: tuple[held_requests.Hold, ...] | None = None
+    history: origin_history.OriginHistory | None = None
 
 
 def decode(
@@ -110,4 +114,5 @@
         {region: loads.unpack(one) for region, one in reply['loads'].items()},
         int(reply.get('hold_changes', -1)),
         holds,
+        origin_history.unpack_if_present(reply.get('history')),
     )
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -184,17 +184,7 @@
         """
         request = job.request
         if origin is None:
-            service = job.service.name
-            versions = self.pool.software_versions.of_service(service)
-            if len(versions) > 1:
-                raise errors.UnavailableError(
-                    f'{service} has the software versions'
-                    f' {", ".join(sorted(versions))}, and it is not known'
-                    f' which of them began the stream of request'
-                    f' {request.resumed_request}',
-                    retry_after=self.rejected_retry_after(job),
-                )
-            return job
+            origin = self.find_only_origin(job)
         configuration = self.view.configuration
         service = configuration.services.get(origin.service)
         if service is None or not job.route.serves(origin.service):
@@ -212,6 +202,44 @@
             software_version=origin.software_version,
         )
 
+    def find_only_origin(self, job: jobs.Job) -> stream_origins.StreamOrigin:
+        """Returns the only possible origin of a stream.
+
+        :raises UnavailableError: if there is none, or more than one.
+        """
+        possible: list[stream_origins.StreamOrigin] = []
+        history = self.view.history
+        if history is None:
+            unknown = 'no history'
+        elif not history.is_complete:
+            unknown = 'incomplete history'
+        else:
+            possible = stream_origins.find_possible_origins(
+                job.route, history, self.pool.software_versions
+            )
+            if len(possible) == 1:
+                return possible[0]
+            unknown = 'several origins' if possible else 'no origin'
+        self.log(
+            'request:origin_unknown',
+            job,
+            resumes=job.request.resumed_request,
+            unknown=unknown,
+            possible=[one.pack() for one in possible],
+            history=None if history is None else history.number,
+        )
+        named = ', '.join(
+            f'{one.service} {one.software_version or "without a version"}'
+            for one in possible
+        )
+        raise errors.UnavailableError(
+            'it is not known which backend servers began the stream of request'
+            f' {job.request.resumed_request or "(not named)"}; possible:'
+            f' {named or "unknown"}. The request has to be started anew,'
+            ' without Last-Event-Id',
+            retry_after=self.rejected_retry_after(job),
+        )
+
     def add_jitter(self, seconds: float) -> float:
         """Adds jitter to a pause, so that clients do not retry at once."""
         return seconds * (1 + admission.RETRY_AFTER_JITTER * self.rng.random())
--- a/src/greengagegw/serving/stream_origins.py
+++ b/src/greengagegw/serving/stream_origins.py
@@ -18,7 +18,9 @@
 
 from .. import errors
 from .. import timers as timer_service
+from ..fleet import configuration as configurations
 from ..fleet import instances
+from ..fleet import origin_history
 from . import links as region_links
 from . import placement
 from ..ports import peers
@@ -126,6 +128,28 @@
         return {version for name, version in self.listed_at if name == service}
 
 
+def find_possible_origins(
+    route: configurations.Route,
+    history: origin_history.OriginHistory,
+    known_versions: SoftwareVersions,
+) -> list[StreamOrigin]:
+    """Returns what may have begun a stream of a route.
+
+    :param history: of the control group.
+    :param known_versions: that this VM has seen itself.
+    """
+    services = {one.service for one in route.shares if one.weight > 0}
+    services |= history.services.get((route.host, route.prefix), frozenset())
+    return [
+        StreamOrigin(service, version)
+        for service in sorted(services)
+        for version in sorted(
+            known_versions.of_service(service)
+            | history.versions.get(service, frozenset())
+        )
+    ]
+
+
 class OriginExchange:
     """Exchanges the origins of streams with other entry VMs.
 
