--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -604,7 +604,11 @@
         prompt = job.generation_prompt
         peer_totals = self.backlog_exchange.peer_totals
         servers = self.usable_servers(job, now, excluded)
-        if self.pool.limits.by_run or job.service.cold_start_rate > 0:
+        if (
+            self.pool.limits.by_run
+            or self.pool.rejection_limits.by_run
+            or job.service.cold_start_rate > 0
+        ):
             may_send = [self.may_send(job, one, now) for one in servers]
         else:
             may_send = [True] * len(servers)
