Decode the slowdown that backend servers report

Some servers add a fourth number to Greengagegw-Instance-Load. decode_load accepted exactly three, so the load of all these servers was unknown and nothing was logged. Invalid values are now logged as backend:bad_load.

--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -27,6 +27,9 @@
 # server says so with NOT_EXECUTED, so without it they are not passed on.
 NOT_RUN_STATUSES = (408, 429, 503)
 BODILESS_STATUSES = (204, 304)
+# Far above the slots of any server; a larger number is an error of the server
+# and would overflow in the predictions.
+MAX_REPORTED_COUNT = 1_000_000
 # Engines schedule by priorities from 0 to 9; a request without one has 5.
 RESUMPTION_PRIORITY = b'4'
 DEFAULT_PRIORITY = b'5'
@@ -289,14 +292,31 @@
 
 
 def decode_load(value: bytes | None) -> ports.ReportedLoad | None:
-    """Returns the load in a header value, None if it is missing or invalid."""
+    """Returns the load in a header value, None if it is missing or invalid.
+
+    The value contains running requests, waiting requests and slots, and from
+    some servers the time that work takes, in percent of the normal time.
+    Further numbers are ignored.
+    """
     if value is None:
         return None
     try:
-        running, waiting, slots = (int(one) for one in value.split(b','))
+        running, waiting, slots = (int(one) for one in value.split(b',')[:3])
+        percents = [float(one) for one in value.split(b',')[3:4]]
     except ValueError:
+        log_bad_load(value)
+        return None
+    counts = (running, waiting, slots)
+    has_valid_counts = 0 <= min(counts) and max(counts) <= MAX_REPORTED_COUNT
+    if not has_valid_counts or any(not 0 < one < math.inf for one in percents):
+        log_bad_load(value)
         return None
-    return ports.ReportedLoad(running, waiting, slots)
+    slowdown = percents[0] / 100 if percents else None
+    return ports.ReportedLoad(*counts, slowdown)
+
+
+def log_bad_load(value: bytes) -> None:
+    eliot.log_message('backend:bad_load', value=repr(value)[:50])
 
 
 def decode_retry_after(value: bytes | None) -> float | None:
--- a/src/greengagegw/serving/ports.py
+++ b/src/greengagegw/serving/ports.py
@@ -104,11 +104,14 @@
     :ivar running: requests that it runs.
     :ivar waiting: requests that wait for a slot.
     :ivar slots: requests that it can run concurrently.
+    :ivar slowdown: factor by which work takes longer at present (1.0 is
+        normal); None if the server does not report it.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
