Predict waits by the long-term speed and reported slowdown of servers

Prefill rates, event intervals and service times are kept for the normal speed and multiplied by the reported slowdown, which loses its weight within 0.5 s. Long-term speeds are measured relative to the service, at the same share of busy slots. Servers that report no slowdown and do not differ are predicted as before.

--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -107,6 +107,8 @@
         self.prefilled_tokens = 0
         self.endless_bytes = 0
         self.slowdown = 1.0
+        # Whether it reports how slow its machine is at present.
+        self.reports_slowdown = False
         self.event_delay = 0.0
         self.is_leaving = False
         self.pause_seconds = 0.0
@@ -165,7 +167,12 @@
                     self.is_leaving, request_limit=self.request_limit
                 )
             )
-            load = ports.ReportedLoad(self.running, 0, self.instance.slots)
+            load = ports.ReportedLoad(
+                self.running,
+                0,
+                self.instance.slots,
+                self.slowdown if self.reports_slowdown else None,
+            )
             yield ports.Response(
                 status,
                 ((b'stamp', self.instance.software_version.encode()),),
--- a/features/steps/cost.py
+++ b/features/steps/cost.py
@@ -1,9 +1,26 @@
 """Steps for the cost of requests and the remaining work of servers."""
 
+import dataclasses
+import math
+import random
+
 import behave
 import eliot
 
+from features import fleet_world
+from features import serving_world
+from features.steps.fleet import in_fleet
 from greengagegw.platform import backend_client
+from greengagegw.serving import engine_model
+from greengagegw.serving import ports
+from greengagegw.serving import prompts
+from greengagegw.serving import server_speed
+from greengagegw.serving import servers as server_pool
+
+EVENT_SECONDS = 0.04
+TURN_TOKENS = 1500
+# Share of the prefill capacity of one normal engine.
+TURN_LOAD = 0.7
 
 
 @behave.when('a response has the instance load {value}')
@@ -31,3 +48,160 @@
         expected = None if slowdown == 'none' else float(slowdown)
         assert found.slowdown == expected, found
     assert len(context.bad_loads) == (0 if count == 'no' else int(count))
+
+
+@behave.given('servers of the speeds {first}, {second} and {third}')
+def given_speeds(context, first, second, third):
+    durations = server_speed.ServiceDurations()
+    context.true_speeds = [float(one) for one in (first, second, third)]
+    context.speeds = [
+        server_speed.ServerSpeed(durations, 0.0) for _ in context.true_speeds
+    ]
+
+
+@behave.when(
+    'the slowdown of each changes {changes:d} times a second, and it serves'
+    ' {rate:d} requests a second for {seconds:d} seconds'
+)
+def when_slowdowns_change(context, changes, rate, seconds):
+    rng = random.Random(5)
+    slowdowns = [
+        [rng.lognormvariate(0.2, 0.5) for _ in range(changes * seconds + 1)]
+        for _ in context.speeds
+    ]
+    for number in range(rate * seconds):
+        now = number / rate
+        for at, speed in enumerate(context.speeds):
+            # A response of 20 events, each at the slowdown of its time.
+            spent = 0.0
+            for _ in range(20):
+                index = int(max(0.0, now - spent) * changes)
+                spent += EVENT_SECONDS * slowdowns[at][index]
+            speed.record_report(slowdowns[at][int(now * changes)], now)
+            speed.record_duration(
+                server_speed.EVENT,
+                0.5,
+                spent / 20 / context.true_speeds[at],
+                now,
+            )
+    context.now = float(seconds)
+
+
+def relative_speeds(context):
+    found = [one.speed(context.now) for one in context.speeds]
+    return [one / found[1] for one in found]
+
+
+@behave.then(
+    'their speeds relative to each other are known within {percent:d} percent'
+)
+def then_speeds(context, percent):
+    for found, true in zip(
+        relative_speeds(context), context.true_speeds, strict=True
+    ):
+        assert abs(found / true - 1) <= percent / 100, (found, true)
+    assert server_speed.speeds_differ(context.speeds, context.now)
+
+
+@behave.then('the next outlier changes no speed by more than 10 percent')
+def then_bounded(context):
+    for speed in context.speeds:
+        for seconds in (1e6, 1e-9):
+            before = speed.speed(context.now)
+            speed.record_duration(
+                server_speed.EVENT, 0.5, seconds, context.now
+            )
+            after = speed.speed(context.now)
+            assert 0.9 <= after / before <= 1.1, (before, after)
+
+
+@behave.then('no speeds differ')
+def then_no_difference(context):
+    found = relative_speeds(context)
+    assert not server_speed.speeds_differ(context.speeds, context.now), found
+
+
+@behave.given(
+    'a server that always reported 100 percent, and 300 percent just now'
+)
+def given_slow_server(context):
+    context.server = server_pool.Server(
+        fleet_world.instance(), 100_000, server_speed.ServiceDurations(), 0.0
+    )
+    for number in range(100):
+        load = ports.ReportedLoad(1, 0, 64, 1.0)
+        context.server.record_load(load, number * 0.1)
+    context.now = 10.0
+    load = ports.ReportedLoad(1, 0, 64, 3.0)
+    context.server.record_load(load, context.now)
+
+
+@behave.when(
+    '{seconds:g} seconds pass until a prompt of 5000 tokens is placed'
+)
+def when_placed_later(context, seconds):
+    context.now += seconds
+
+
+@behave.when('another run of that server is listed')
+def when_other_run(context):
+    instance = dataclasses.replace(context.server.instance, born=1)
+    context.server.update(instance, 100_000, context.now)
+
+
+@behave.then(
+    'its predicted prefill takes {low:g} to {high:g} times as long as normal'
+)
+def then_prefill(context, low, high):
+    load = context.server.estimate_load([0.0, 0.0], context.now)
+    seconds = engine_model.first_event_seconds(load, 5000.0)
+    normal = 5000 / engine_model.INITIAL_PREFILL_RATE
+    factor = (seconds - engine_model.BASE_LATENCY_SECONDS) / normal
+    assert low - 1e-9 <= factor <= high + 1e-9, factor
+
+
+@behave.when(
+    'one server after the other takes {factor:d} times as long for'
+    ' {seconds:g} seconds and reports it, while {count:d} requests arrive'
+)
+@in_fleet
+async def when_slow_in_turn(context, factor, seconds, count):
+    world = context.serving
+    context.logged = []
+    eliot.add_destinations(context.logged.append)
+    context.add_cleanup(eliot.remove_destination, context.logged.append)
+    engines = [world.engines[name] for name in ('i-a0', 'i-a1')]
+    pause = TURN_TOKENS / serving_world.PREFILL_RATE / TURN_LOAD
+    context.sent_to_slow = 0
+    for number in range(count):
+        turn = int(number * pause / seconds) % 2
+        for at, engine in enumerate(engines):
+            engine.reports_slowdown = True
+            engine.slowdown = float(factor) if at == turn else 1.0
+        before = len(engines[turn].arrivals)
+        segment = prompts.Segment(f'own-{number}', TURN_TOKENS)
+        prompt = prompts.Prompt('m', TURN_TOKENS, 16, (segment,))
+        world.start_request('a0', world.request(number, prompt=prompt))
+        await world.timers.advance(pause)
+        context.sent_to_slow += len(engines[turn].arrivals) - before
+    context.asked = count
+    await world.timers.advance(5.0)
+
+
+@behave.then(
+    'half of the responses began within a factor of {factor:g} of the'
+    ' predicted time'
+)
+def then_predicted(context, factor):
+    errors = sorted(
+        abs(math.log(one['seconds'] / one['predicted']))
+        for one in context.logged
+        if one['message_type'] == 'request:begun'
+    )
+    median = errors[len(errors) // 2]
+    assert median <= math.log(factor), math.exp(median)
+
+
+@behave.then('the slow server got at most a third of the requests')
+def then_slow_avoided(context):
+    assert context.sent_to_slow <= context.asked / 3, context.sent_to_slow
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -616,8 +616,8 @@
             )
         region_loads[service.name] = loads.RegionLoad(
             min(waits),
-            min(one.event_interval.current_seconds(now) for one in servers),
-            max(one.prefill_rate for one in servers),
-            sum(one.prefill_rate for one in servers),
+            min(one.current_event_interval(now) for one in servers),
+            max(one.current_prefill_rate(now) for one in servers),
+            sum(one.current_prefill_rate(now) for one in servers),
         )
     return region_loads
--- a/src/greengagegw/serving/engine_model.py
+++ b/src/greengagegw/serving/engine_model.py
@@ -28,8 +28,9 @@
     :ivar queued_tokens: prompt tokens that are not prefilled yet.
     :ivar running: requests that have a slot or wait for one.
     :ivar slots: requests that the server runs concurrently.
-    :ivar prefill_rate: prompt tokens a second.
-    :ivar service_seconds: mean service time of a non-streaming call.
+    :ivar prefill_rate: prompt tokens a second at the present slowdown.
+    :ivar service_seconds: mean service time of a non-streaming call at the
+        present slowdown.
     """
 
     queued_tokens: float
@@ -64,7 +65,10 @@
 
 
 def update_prefill_rate(
-    rate: float, prefilled_tokens: float, seconds: float
+    rate: float,
+    prefilled_tokens: float,
+    seconds: float,
+    slowdown: float = 1.0,
 ) -> float:
     """Returns the prefill rate, updated by the time to a first event.
 
@@ -72,11 +76,12 @@
     :param prefilled_tokens: tokens that were prefilled until the event,
         including the request's own.
     :param seconds: from sending the request to its first event.
+    :param slowdown: factor by which the server was slower than normal.
     """
     prefill_seconds = seconds - BASE_LATENCY_SECONDS
     # Short prompts measure the base latency rather than the rate.
     if prefill_seconds <= BASE_LATENCY_SECONDS or prefilled_tokens < 1000:
         return rate
-    measured = prefilled_tokens / prefill_seconds
+    measured = prefilled_tokens * slowdown / prefill_seconds
     smoothed = rate + PREFILL_RATE_SMOOTHING * (measured - rate)
     return min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, smoothed))
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -256,8 +256,7 @@
             self.log_failure(server, error.code)
             raise
         if response.load is not None:
-            server.reported_load = response.load
-            server.reported_at = self.timers.now()
+            server.record_load(response.load, self.timers.now())
         server.record_outcome(response.status >= 500, self.timers.now())
         seconds = self.timers.now() - now
         server.record_first_byte(self.in_flight, self.timers.now())
@@ -375,8 +374,8 @@
         # A slow client delays the read, which does not measure the server.
         is_reading = waiting_since - self.last_event_at <= SLOW_READ_SECONDS
         if self.event_count and is_reading:
-            self.server.event_interval.update(
-                count, now - self.last_event_at, now
+            self.server.record_events(
+                self.in_flight, count, now - self.last_event_at, now
             )
         if not self.event_count:
             self.first_event_at = now
--- a/src/greengagegw/serving/generations.py
+++ b/src/greengagegw/serving/generations.py
@@ -42,14 +42,16 @@
         self.average = current + smoothing * (seconds / count - current)
         self.updated_at = now
 
-    def current_seconds(self, now: float) -> float:
+    def current_seconds(
+        self,
+        now: float,
+        default_seconds: float = DEFAULT_EVENT_INTERVAL_SECONDS,
+    ) -> float:
         """Returns the event interval in seconds, decayed to the default."""
         decay = math.exp(
             (self.updated_at - now) / EVENT_INTERVAL_DECAY_SECONDS
         )
-        return DEFAULT_EVENT_INTERVAL_SECONDS + decay * (
-            self.average - DEFAULT_EVENT_INTERVAL_SECONDS
-        )
+        return default_seconds + decay * (self.average - default_seconds)
 
 
 class ResponseLengths:
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -565,8 +565,8 @@
         """Returns the best event interval and prefill rate of this region."""
         servers = self.usable_servers(job, now)
         return (
-            min(one.event_interval.current_seconds(now) for one in servers),
-            max(one.prefill_rate for one in servers),
+            min(one.current_event_interval(now) for one in servers),
+            max(one.current_prefill_rate(now) for one in servers),
         )
 
     def is_too_slow(
@@ -581,7 +581,7 @@
         :param first_event_wait: predicted seconds until its first event.
         """
         generation_seconds = self.generation_seconds(
-            job, server.event_interval.current_seconds(now)
+            job, server.current_event_interval(now)
         )
         if not generation_seconds or job.attempts.count:
             return False
@@ -716,18 +716,19 @@
                     name,
                     wait_seconds,
                     self.generation_seconds(
-                        job, one.event_interval.current_seconds(now)
+                        job, one.current_event_interval(now)
                     ),
                     self.exceeds_wait_limit(
                         job,
                         wait_seconds,
-                        uncached_tokens / one.prefill_rate,
+                        uncached_tokens / one.current_prefill_rate(now),
                         now,
                     ),
                     one.current_failure_rate(now),
                     self.is_too_slow(job, one, wait_seconds, now),
-                    uncached_tokens / one.prefill_rate,
-                    self.uncached_prefix_tokens(job, one) / one.prefill_rate,
+                    uncached_tokens / one.current_prefill_rate(now),
+                    self.uncached_prefix_tokens(job, one)
+                    / one.current_prefill_rate(now),
                 )
             )
         chosen = placement.choose_server(
@@ -742,7 +743,7 @@
             )
         server = servers[chosen.name]
         uncached_tokens = self.predict_wait(job, server, now)[1]
-        prefill_seconds = uncached_tokens / server.prefill_rate
+        prefill_seconds = uncached_tokens / server.current_prefill_rate(now)
         self.prefill_times.update(job.route.name, prefill_seconds)
         decision = self.decide_admission(
             job, chosen.wait_seconds, prefill_seconds, now
@@ -756,7 +757,7 @@
             predicted=round(chosen.wait_seconds, 3),
             unread=uncached_tokens,
             failures=round(chosen.failure_rate, 2),
-            event_pace=round(server.event_interval.current_seconds(now), 3),
+            event_pace=round(server.current_event_interval(now), 3),
             too_slow=chosen.is_too_slow,
             list_age=round(now - self.view.instance_list_read_at, 3),
             backlog_age=round(self.backlog_exchange.max_age_seconds(now), 3),
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -1,5 +1,6 @@
 """The state of the region's backend servers as one entry VM sees it."""
 
+import collections
 import collections.abc
 import dataclasses
 import math
@@ -17,6 +18,7 @@
 from . import prompts
 from . import request_limits
 from . import send_pacing
+from . import server_speed
 from . import stream_origins
 
 FAILURE_SMOOTHING = 0.25
@@ -52,6 +54,8 @@
         whether there was one; called with whether it may be a server that
         only other VMs reach.
     :ivar response_scope: cancelled to send the request to another server.
+    :ivar timed_events: events after the first one that were read at once.
+    :ivar timed_seconds: sum of the intervals before these.
     """
 
     sent_at: float
@@ -61,6 +65,8 @@
     acquire_reroute: collections.abc.Callable[[bool], bool]
     response_scope: anyio.CancelScope | None = None
     has_response: bool = False
+    timed_events: int = 0
+    timed_seconds: float = 0.0
 
 
 class Server:
@@ -75,12 +81,22 @@
         connection, since it was ejected.
     :ivar paused_until: timer seconds until which it wants no requests from
         this VM.
+    :ivar prefill_rate: prompt tokens a second when it is not slowed down.
+    :ivar service_seconds: mean service time when it is not slowed down.
+
+    :param durations: typical durations of its service.
     """
 
     def __init__(
-        self, instance: instances.Instance, memory_tokens: int, now: float
+        self,
+        instance: instances.Instance,
+        memory_tokens: int,
+        durations: server_speed.ServiceDurations,
+        now: float,
     ) -> None:
         self.instance = instance
+        self.durations = durations
+        self.speed = server_speed.ServerSpeed(durations, now)
         self.queued_tokens = 0.0
         self.in_flight: set[InFlightRequest] = set()
         self.last_activity_at = now
@@ -113,6 +129,7 @@
             self.ejected_until = 0.0
             self.needs_probe = False
             self.paused_until = 0.0
+            self.speed = server_speed.ServerSpeed(self.durations, now)
             self.cold_until = now + MAX_LIST_LAG_SECONDS
         self.instance = instance
 
@@ -134,12 +151,60 @@
         ):
             reported = self.reported_load.running + self.reported_load.waiting
             running = max(running, float(reported))
+        queued_tokens = self.queued_tokens + peer_tokens
         return engine_model.EngineLoad(
-            self.queued_tokens + peer_tokens,
+            queued_tokens,
             running,
             max(1, self.instance.slots),
-            self.prefill_rate,
-            self.service_seconds,
+            self.current_prefill_rate(now, queued_tokens),
+            self.service_seconds
+            * self.speed.slowdown(now, self.service_seconds),
+        )
+
+    def current_prefill_rate(
+        self, now: float, queued_tokens: float = 0.0
+    ) -> float:
+        """Returns the prompt tokens a second at the present slowdown.
+
+        :param queued_tokens: tokens that are prefilled at this rate.
+        """
+        seconds = queued_tokens / self.prefill_rate
+        return self.prefill_rate / self.speed.slowdown(now, seconds)
+
+    def current_event_interval(self, now: float) -> float:
+        """Returns the predicted seconds between the events of a stream."""
+        interval = self.event_interval.current_seconds(
+            now,
+            generations.DEFAULT_EVENT_INTERVAL_SECONDS
+            / self.speed.distinct_speed(now),
+        )
+        return interval * self.speed.slowdown(now)
+
+    def busy_share(self, now: float) -> float:
+        """Returns the share of its slots that are busy."""
+        slots = max(1, self.instance.slots)
+        if (
+            self.reported_load is not None
+            and now - self.reported_at < MAX_REPORT_AGE_SECONDS
+        ):
+            return self.reported_load.running / slots
+        return self.in_flight_count / slots
+
+    def record_load(self, load: ports.ReportedLoad, now: float) -> None:
+        """Records the load that the server reported with a response."""
+        self.reported_load = load
+        self.reported_at = now
+        if load.slowdown is not None:
+            self.speed.record_report(load.slowdown, now)
+
+    def record_events(
+        self, request: InFlightRequest, count: int, seconds: float, now: float
+    ) -> None:
+        """Records that ``count`` events of a stream took some seconds."""
+        request.timed_events += count
+        request.timed_seconds += seconds
+        self.event_interval.update(
+            count, seconds / self.speed.slowdown(now), now
         )
 
     def record_start(self, request: InFlightRequest) -> None:
@@ -213,6 +278,7 @@
                 self.prefill_rate,
                 request.prefill_tokens,
                 now - request.sent_at,
+                self.speed.slowdown(now),
             )
 
     def record_end(
@@ -234,10 +300,24 @@
                 else 1.0
             )
             self.has_service_time = True
+            self.record_duration(request, now)
+            seconds = (now - request.sent_at) / self.speed.slowdown(now)
             self.service_seconds += smoothing * (
-                now - request.sent_at - self.service_seconds
+                seconds - self.service_seconds
             )
 
+    def record_duration(self, request: InFlightRequest, now: float) -> None:
+        """Records how long a complete response took, for the speed."""
+        if request.timed_events:
+            kind = server_speed.EVENT
+            seconds = request.timed_seconds / request.timed_events
+        elif not self.prefix_cache.capacity:
+            kind, seconds = server_speed.CALL, now - request.sent_at
+        else:
+            # The first event alone measures the queue before the prompt.
+            return
+        self.speed.record_duration(kind, self.busy_share(now), seconds, now)
+
     def current_failure_rate(self, now: float) -> float:
         elapsed = now - self.failure_rate_at
         return self.failure_rate * math.exp(-elapsed / FAILURE_DECAY_SECONDS)
@@ -306,6 +386,9 @@
         self.leaving = departures.LeavingServers()
         self.limits = request_limits.NamedLimits()
         self.software_versions = stream_origins.SoftwareVersions()
+        self.durations: dict[str, server_speed.ServiceDurations] = (
+            collections.defaultdict(server_speed.ServiceDurations)
+        )
 
     def update(self, now: float) -> None:
         """Updates the servers from the instance list and the evacuations.
@@ -338,7 +421,9 @@
             if name in self.servers:
                 self.servers[name].update(one, cache_tokens, now)
             else:
-                self.servers[name] = Server(one, cache_tokens, now)
+                self.servers[name] = Server(
+                    one, cache_tokens, self.durations[one.service], now
+                )
             if one.domain in readmitted:
                 self.servers[name].cold_until = now + MAX_LIST_LAG_SECONDS
 
