Add distributions of request costs and the remaining work of servers

Histograms with logarithmic buckets are learned by route, path, organisation and shared prefix, at most 2000 of them. Nothing uses them yet.

--- a/features/serving/cost.feature
+++ b/features/serving/cost.feature
@@ -69,3 +69,37 @@
     When one server after the other takes 4 times as long for 0.5 seconds and reports it, while 400 requests arrive
     Then half of the responses began within a factor of 2 of the predicted time
     And the slow server got at most a third of the requests
+
+  Scenario: Lengths are predicted as distributions, by classes of requests
+    A mean over all requests takes every request for a medium one.
+
+    Given responses of 2 events on path /a and of 20 to 200 events on path /b
+    Then the median for path /a is 2 to 3 events
+    And the median for path /b is 80 to 140 events
+    And the 95th percentile for path /b is 160 to 250 events
+    And the median for path /c is that of the whole route
+    And nothing is predicted for a route without history
+
+  Scenario: A long response is expected to stay long
+    Given responses of 2 events on path /a and of 20 to 200 events on path /b
+    Then a request of the route is expected to have more events left after 5 than at its begin
+
+  Scenario: One outlier moves no prediction far
+    Given responses of 2 events on path /a and of 20 to 200 events on path /b
+    When one response on path /a has 1000000 events
+    Then the median for path /a is 2 to 3 events
+    And the 95th percentile for path /a is 2 to 3 events
+
+  Scenario: The number of learned classes is bounded
+    When responses arrive on 10000 paths
+    Then at most 2000 classes are kept
+
+  Scenario: Old lengths are forgotten
+    Given responses of 2 events on path /a and of 20 to 200 events on path /b
+    When 300 seconds later 30 responses on path /a have 50 events
+    Then the median for path /a is 45 to 60 events
+
+  Scenario: Remaining work depends on what was generated already
+    Given responses of 2 events on path /a and of 20 to 200 events on path /b
+    Then two new requests on path /b are more work than ten on path /a
+    And a request on path /b that is almost done is less work than a new one
--- a/features/steps/cost.py
+++ b/features/steps/cost.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 import random
+import types
 
 import behave
 import eliot
@@ -14,6 +15,8 @@
 from greengagegw.serving import engine_model
 from greengagegw.serving import ports
 from greengagegw.serving import prompts
+from greengagegw.serving import remaining_work
+from greengagegw.serving import request_cost
 from greengagegw.serving import server_speed
 from greengagegw.serving import servers as server_pool
 
@@ -205,3 +208,115 @@
 @behave.then('the slow server got at most a third of the requests')
 def then_slow_avoided(context):
     assert context.sent_to_slow <= context.asked / 3, context.sent_to_slow
+
+
+def cost_job(path, route='chat'):
+    request = types.SimpleNamespace(path=path)
+    return types.SimpleNamespace(
+        route=types.SimpleNamespace(name=route),
+        request=request,
+        organisation='org',
+        generation_prompt=prompts.Prompt('m', 10, 800, ()),
+    )
+
+
+@behave.given(
+    'responses of 2 events on path /a and of 20 to 200 events on path /b'
+)
+def given_responses(context):
+    rng = random.Random(2)
+    context.costs = request_cost.RequestCosts()
+    context.now = 0.0
+    for _ in range(200):
+        context.now += 0.05
+        context.costs.record(cost_job('/a'), 2, context.now)
+        events = rng.randint(20, 200)
+        context.costs.record(cost_job('/b'), events, context.now)
+    context.now += 1.0
+
+
+@behave.when('one response on path /a has 1000000 events')
+def when_outlier(context):
+    context.costs.record(cost_job('/a'), 1e6, context.now)
+
+
+@behave.when('300 seconds later 30 responses on path /a have 50 events')
+def when_lengths_change(context):
+    context.now += 300.0
+    for _ in range(30):
+        context.costs.record(cost_job('/a'), 50, context.now)
+
+
+@behave.when('responses arrive on {count:d} paths')
+def when_many_paths(context, count):
+    context.costs = request_cost.RequestCosts()
+    for number in range(count):
+        job = cost_job(f'/{number}')
+        context.costs.record(job, 5, number * 0.01)
+        context.costs.predict(job, number * 0.01)
+
+
+@behave.then('at most {count:d} classes are kept')
+def then_few_classes(context, count):
+    assert len(context.costs.histograms) <= count
+    assert len(context.costs.cache) <= count
+
+
+@behave.then('the median for path {path} is that of the whole route')
+def then_route_median(context, path):
+    costs, now = context.costs, context.now
+    found = costs.predict(cost_job(path), now).quantile(0.5)
+    route = costs.combine([('events', 'chat')], now).quantile(0.5)
+    assert found == route, (found, route)
+
+
+@behave.then('the {name} for path {path} is {low:g} to {high:g} events')
+def then_quantile(context, name, path, low, high):
+    share = {'median': 0.5, '95th percentile': 0.95}[name]
+    distribution = context.costs.predict(cost_job(path), context.now)
+    found = distribution.quantile(share)
+    # Bucket limits are a factor of 1.25 apart.
+    assert low / 1.25 <= found <= high, found
+
+
+@behave.then('nothing is predicted for a route without history')
+def then_no_history(context):
+    job = cost_job('/a', 'other')
+    assert context.costs.predict(job, context.now) is None
+
+
+@behave.then(
+    'a request of the route is expected to have more events left after 5 than'
+    ' at its begin'
+)
+def then_stays_long(context):
+    distribution = context.costs.predict(cost_job('/c'), context.now)
+    left = distribution.mean_remaining(5)
+    assert left > distribution.mean_remaining(0), left
+
+
+def running(context, path, event_count=0):
+    return types.SimpleNamespace(
+        uncached_tokens=100.0,
+        has_response=event_count > 0,
+        cost=context.costs.predict(cost_job(path), context.now),
+        event_count=event_count,
+    )
+
+
+@behave.then('two new requests on path /b are more work than ten on path /a')
+def then_more_work(context):
+    long = remaining_work.sum_up([running(context, '/b')] * 2)
+    short = remaining_work.sum_up([running(context, '/a')] * 10)
+    assert long.events > short.events, (long, short)
+    assert (long.prefill_tokens, short.prefill_tokens) == (200.0, 1000.0)
+
+
+@behave.then(
+    'a request on path /b that is almost done is less work than a new one'
+)
+def then_less_work(context):
+    new = remaining_work.sum_up([running(context, '/b')])
+    old = remaining_work.sum_up([running(context, '/b', 150)])
+    assert old.events < new.events / 2, (new, old)
+    assert old.prefill_tokens == 0.0
