--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -619,8 +619,8 @@
             waits.append(one.predict_wait(prompt, peer_totals, now)[0])
         region_loads[service.name] = loads.RegionLoad(
             min(waits),
-            min(one.event_interval.current_seconds(now) for one in servers),
-            max(one.prefill_rate for one in servers),
-            sum(one.prefill_rate for one in servers),
+            min(one.current_event_interval(now) for one in servers),
+            max(one.current_prefill_rate(now) for one in servers),
+            sum(one.current_prefill_rate(now) for one in servers),
         )
     return region_loads
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -626,7 +626,7 @@
             may_send,
             waits,
             uncached_tokens,
-            [one.event_interval.current_seconds(now) for one in servers],
+            [one.current_event_interval(now) for one in servers],
         )
 
     def known_forecast(
@@ -673,7 +673,12 @@
         """Returns the best event interval and prefill rate of this region."""
         return (
             min(forecast.event_intervals),
-            max([one.prefill_rate for one in forecast.servers]),
+            max(
+                [
+                    one.current_prefill_rate(forecast.made_at)
+                    for one in forecast.servers
+                ]
+            ),
         )
 
     def make_candidates(
@@ -702,7 +707,7 @@
         ):
             if not may_send:
                 continue
-            prefill_rate = server.prefill_rate
+            prefill_rate = server.current_prefill_rate(now)
             prefill_seconds = uncached_tokens / prefill_rate
             excess = prefill_seconds - typical_seconds
             generation_seconds = event_count * interval
@@ -886,7 +891,7 @@
             predicted=round(chosen.wait_seconds, 3),
             unread=uncached_tokens,
             failures=round(chosen.failure_rate, 2),
-            event_pace=round(server.event_interval.current_seconds(now), 3),
+            event_pace=round(server.current_event_interval(now), 3),
             too_slow=chosen.is_too_slow,
             list_age=round(now - self.view.instance_list_read_at, 3),
             backlog_age=round(self.backlog_exchange.max_age_seconds(now), 3),
