Keep the origins of streams on control VMs during a release

While a route has several possible origins, entry VMs send the origins of its streams to two control VMs, in at most one message per 50 ms for each, and query all control VMs for an origin that they do not find. A restart of all entry VMs during a release then costs no stream whose client sends Resumes. Control VMs keep origins in memory, for 120 s and at most 200,000.

The scenario for streams of unknown origin restarts the control VMs as well, which hold the origins otherwise; the restart of the entry VMs alone is a scenario of its own, with complete streams.

--- a/features/serving/versions.feature
+++ b/features/serving/versions.feature
@@ -57,14 +57,55 @@
     Given region a with 3 entry VMs and engines of <versions>
     And a route with 1 attempt and home regions a
     When 20 streams break off after 2 events
-    And all VMs restart
+    And <event>
     And their clients resume them at another VM
     Then <count> of them are complete, and none has events of two versions
 
     Examples:
-      | versions       | count |
-      | v1, v1, v1     | 20    |
-      | v1, v1, v2, v2 | 0     |
+      | versions       | event                               | count |
+      | v1, v1, v1     | all VMs restart                     | 20    |
+      | v1, v1, v2, v2 | all VMs and the control VMs restart | 0     |
+
+  Scenario Outline: Control VMs know the origins of streams during a release
+    Given region a with 3 entry VMs and engines of v1, v1, v1, v1
+    And region b with 3 entry VMs and engines of v1, v1, v1, v1
+    And a route with 1 attempt and home regions <homes>
+    And <fault>
+    When 6 streams break off after 2 events
+    And the version of half of the engines becomes v2
+    And 1 seconds pass
+    And 6 more streams break off after 2 events
+    And 0.2 seconds pass
+    And all VMs restart
+    And their clients resume them at <vm>
+    Then none has events of two versions, and the incomplete ones are rejected as not run
+    And <rejected> of them are rejected as not run
+
+    Examples:
+      | homes | fault                          | vm                          | rejected |
+      | a     | all control VMs are reachable  | the same VM                 | 0        |
+      | a     | all control VMs are reachable  | another VM                  | 0        |
+      | a, b  | all control VMs are reachable  | a VM of another region      | 0        |
+      | b     | all control VMs are reachable  | another VM                  | 0        |
+      | a     | all control VMs are reachable  | another VM, without Resumes | 12       |
+      | a     | one control VM is unreachable  | another VM                  | 0        |
+      | a     | all control VMs are unreachable | another VM                 | 12       |
+
+  Scenario: Origins are sent to control VMs during a release only
+    Given region a with 3 entry VMs and engines of v1, v1
+    And a route with 1 attempt and home regions a
+    When 20 streams break off after 2 events
+    Then no VM has sent origins to control VMs
+    When the version of half of the engines becomes v2
+    And 1 seconds pass
+    Then each VM has sent them to two control VMs, each in 1 message
+    When 100 streams are sent within 1 second
+    Then each VM has sent at most 20 messages a second to each control VM
+
+  Scenario: A control VM keeps a bounded number of origins
+    When a control VM gets 200500 origins within 1 second
+    Then it has the newest 200000 of them
+    And 121 seconds later another origin is its only one
 
   Scenario Outline: A restart of all entry VMs never mixes versions
     Given region a with 3 entry VMs and engines of v1, v1
@@ -132,14 +173,19 @@
     Then none has events of two services, and the incomplete ones are rejected as not run
     And 6 of them are rejected as not run
 
-  Scenario: A route split over two services does not mix them after a restart
+  Scenario Outline: A route split over two services does not mix them after a restart
     Given region a with 3 entry VMs and engines of v1, v1
     And a route that shares its requests between two services
     When 20 streams break off after 2 events
-    And all VMs and the control VMs restart
+    And <event>
     And their clients resume them at another VM
     Then none has events of two services, and the incomplete ones are rejected as not run
-    And 20 of them are rejected as not run
+    And <rejected> of them are rejected as not run
+
+    Examples:
+      | event                               | rejected |
+      | all VMs and the control VMs restart | 20       |
+      | all VMs restart                     | 0        |
 
   Scenario: A stream goes on at the service that began it
     Given region a with 3 entry VMs and engines of v1, v1
@@ -174,3 +220,15 @@
       | query | [true]                          |
       | query | [true, "or"]                    |
       | query | [true, ["o", "r", "s"]]         |
+
+  Scenario Outline: A control VM reports a malformed message about origins
+    When a control VM gets <message> as a <kind> of origins
+    Then it is a protocol error of its sender
+
+    Examples:
+      | kind  | message                          |
+      | list  | null                             |
+      | list  | [["o", "r"]]                     |
+      | list  | [[["o", "r"], ["engine", null]]] |
+      | query | null                             |
+      | query | ["o", 1]                         |
--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -1,5 +1,6 @@
 """Steps for streams of backend servers with several software versions."""
 
+import collections
 import dataclasses
 import re
 
@@ -10,9 +11,11 @@
 from features import serving_world
 from features.steps.fleet import in_fleet
 from greengagegw import errors
+from greengagegw.fleet import origin_table
 from greengagegw.platform import documents
 from greengagegw.serving import prompts
 from greengagegw.serving import stream_origins
+from greengagegw import timers as timer_service
 
 PROMPT = prompts.Prompt('m', 100, 80, (prompts.Segment('own', 100),))
 EVENT_COUNT = 10
@@ -145,13 +148,125 @@
     await send_streams(context, count, fault)
 
 
+@behave.when('{count:d} more streams break off after 2 events')
+@in_fleet
+async def when_more_break_off(context, count):
+    await send_streams(context, count, 'disconnects after 2 events')
+
+
+@behave.given('all control VMs are reachable')
+def given_reachable(context):
+    assert not context.serving.unreachable_vms
+
+
+@behave.given('one control VM is unreachable')
+def given_one_unreachable(context):
+    context.serving.unreachable_vms.add(serving_world.CONTROL_VMS[0])
+
+
+@behave.given('all control VMs are unreachable')
+def given_unreachable(context):
+    context.serving.unreachable_vms.update(serving_world.CONTROL_VMS)
+
+
+@behave.then('no VM has sent origins to control VMs')
+def then_none_sent(context):
+    assert not context.serving.origin_messages
+
+
+@behave.then('each VM has sent them to two control VMs, each in 1 message')
+def then_sent_once(context):
+    messages = context.serving.origin_messages
+    senders = collections.Counter(vm for vm, _ in messages)
+    assert senders == {'a0': 2, 'a1': 2, 'a2': 2}, messages
+    assert set(messages.values()) == {1}, messages
+    for stream in context.streams:
+        key = origin_table.StreamKey('org', stream.outcome.request_id)
+        holders = [
+            one
+            for one in context.serving.origin_servers.values()
+            if one.table.find(key)
+        ]
+        assert len(holders) == 2, stream
+
+
+@behave.when('{count:d} streams are sent within 1 second')
+@in_fleet
+async def when_many_sent(context, count):
+    world = context.serving
+    world.origin_messages.clear()
+    vms = [one.vm for one in world.entries]
+    for number in range(count):
+        request = world.request(f'many-{number}', prompt=PROMPT)
+        world.start_request(vms[number % len(vms)], request)
+        await world.timers.advance(1 / count)
+
+
+@behave.then(
+    'each VM has sent at most 20 messages a second to each control VM'
+)
+def then_bounded(context):
+    messages = context.serving.origin_messages
+    assert len(messages) == 6, messages
+    assert 5 < max(messages.values()) <= 20, messages
+
+
+@behave.when('a control VM gets {count:d} origins within 1 second')
+def when_gets_many(context, count):
+    context.timers = timer_service.ManualTimers()
+    context.server = origin_table.OriginServer(context.timers)
+    for number in range(count):
+        context.server.table.add(
+            origin_table.StreamKey('org', f'r-{number}'),
+            origin_table.StreamOrigin('engine', 'v1'),
+            context.timers.now() + number / count,
+        )
+    context.count = count
+
+
+@behave.then('it has the newest {count:d} of them')
+def then_newest_origins(context, count):
+    table = context.server.table
+    assert len(table.known) == count
+    for number, is_known in ((context.count - count, True), (0, False)):
+        key = origin_table.StreamKey('org', f'r-{number}')
+        assert (table.find(key) is not None) == is_known
+
+
+@behave.then('{seconds:d} seconds later another origin is its only one')
+def then_only_one(context, seconds):
+    table = context.server.table
+    key = origin_table.StreamKey('org', 'new')
+    origin = origin_table.StreamOrigin('engine', 'v1')
+    table.add(key, origin, context.timers.now() + 1 + seconds)
+    assert list(table.known) == [key]
+
+
+@behave.when('a control VM gets {message} as a {kind} of origins')
+@in_fleet
+async def when_control_malformed(context, message, kind):
+    server = origin_table.OriginServer(timer_service.ManualTimers())
+    handler = server.handlers()[
+        {
+            'list': origin_table.RECORD_METHOD,
+            'query': origin_table.FIND_METHOD,
+        }[kind]
+    ]
+    context.error = None
+    try:
+        await handler('a1', orjson.loads(message))
+    except errors.GatewayError as error:
+        context.error = error
+
+
 async def send_streams(context, count, fault):
     """Sends streams of which each has the fault at its first engine."""
     world = context.serving
     vms = [one.vm for one in world.entries if one.region == 'a']
     # Until the loads of the other regions are known.
     await world.timers.advance(1.0)
-    for number in range(count):
+    begun = len(context.streams)
+    for number in range(begun, begun + count):
         faults = [fault]
         for engine in world.engines.values():
             engine.pending_faults = faults
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -23,6 +23,7 @@
 from . import instances as instance_list
 from . import loads
 from . import members
+from . import origin_table
 from ..ports import peers
 from . import quota_allocator
 from ..replication import client as replication_client
@@ -117,6 +118,7 @@
         self.history_keeper = history_keeper.HistoryKeeper(
             vm, timers, mesh, replica, store, self
         )
+        self.origin_server = origin_table.OriginServer(timers)
 
     def handlers(self) -> dict[str, peers.Handler]:
         """Returns the handlers of this VM for the peer port."""
@@ -129,6 +131,7 @@
             crash_watch.REPORT_METHOD: self.on_server_end,
             hold_expiry.ASKED_METHOD: self.on_holds_asked,
             **self.history_keeper.handlers(),
+            **self.origin_server.handlers(),
         }
 
     async def run(self) -> None:
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -16,6 +16,7 @@
 from .. import supervision
 from .. import timers as timer_service
 from . import backlog_exchange as backlog_exchange_module
+from . import control_origins
 from . import departures
 from . import end_reports
 from . import engine_model
@@ -24,6 +25,7 @@
 from ..fleet import configuration as configurations
 from ..fleet import loads
 from ..fleet import members
+from ..fleet import origin_table
 from . import jobs
 from . import links
 from . import planner as planner_module
@@ -111,6 +113,9 @@
             timers,
             mesh,
         )
+        self.control_origins = control_origins.ControlOrigins(
+            vm, agent.view, pool.software_versions, timers, mesh
+        )
         self.end_reporter = end_reports.EndReporter(agent.view, timers, mesh)
         self.end_detector = server_ends.EndDetector(
             timers, pool, backend, self.end_reporter.record
@@ -131,6 +136,7 @@
                 *((one.method, one.run) for one in self.exchanges),
                 ('links', self.links.maintain_links),
                 ('stream origins', self.origin_exchange.run),
+                ('origins to control VMs', self.control_origins.run),
                 ('silence', self.check_silence),
                 ('server ends', self.end_detector.run),
                 ('server end reports', self.end_reporter.run),
@@ -205,8 +211,9 @@
         """
         origin = None
         if job.request.resumed_request is not None:
+            key = stream_key(job, job.request.resumed_request)
             origin = await self.origin_exchange.find(
-                stream_key(job, job.request.resumed_request)
+                key, self.control_origins.questions(key, job.route)
             )
         self.planner.log(
             'request:resumes',
@@ -219,13 +226,13 @@
     def record_origin(self, job: jobs.Job, response: ports.Response) -> None:
         """Records what begins a stream, before the client gets any of it."""
         if job.route.is_resumable and response.software_version is not None:
-            self.origin_exchange.origins.record(
-                stream_key(job, job.request.request_id),
-                stream_origins.StreamOrigin(
-                    job.service.name, response.software_version
-                ),
-                self.timers.now(),
+            key = stream_key(job, job.request.request_id)
+            origin = origin_table.StreamOrigin(
+                job.service.name, response.software_version
             )
+            now = self.timers.now()
+            self.origin_exchange.origins.record(key, origin, now)
+            self.control_origins.record(key, origin, job.route, now)
 
     async def charge(self, job: jobs.Job) -> float:
         """Acquires the cost of a request from its organisation's quota.
@@ -579,8 +586,8 @@
             await execution.close()
 
 
-def stream_key(job: jobs.Job, request_id: str) -> stream_origins.StreamKey:
-    return stream_origins.StreamKey(job.organisation or '', request_id)
+def stream_key(job: jobs.Job, request_id: str) -> origin_table.StreamKey:
+    return origin_table.StreamKey(job.organisation or '', request_id)
 
 
 def estimate_region_loads(
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -18,6 +18,7 @@
 from . import engine_model
 from ..fleet import agent as agents
 from ..fleet import instances
+from ..fleet import origin_table
 from . import generations
 from . import jobs
 from . import links
@@ -175,7 +176,7 @@
         )
 
     def restrict_to_origin(
-        self, job: jobs.Job, origin: stream_origins.StreamOrigin | None
+        self, job: jobs.Job, origin: origin_table.StreamOrigin | None
     ) -> jobs.Job:
         """Returns a job that resumes a stream where it began.
 
@@ -202,12 +203,12 @@
             software_version=origin.software_version,
         )
 
-    def find_only_origin(self, job: jobs.Job) -> stream_origins.StreamOrigin:
+    def find_only_origin(self, job: jobs.Job) -> origin_table.StreamOrigin:
         """Returns the only possible origin of a stream.
 
         :raises UnavailableError: if there is none, or more than one.
         """
-        possible: list[stream_origins.StreamOrigin] = []
+        possible: list[origin_table.StreamOrigin] = []
         history = self.view.history
         if history is None:
             unknown = 'no history'
--- a/src/greengagegw/serving/stream_origins.py
+++ b/src/greengagegw/serving/stream_origins.py
@@ -8,7 +8,6 @@
 """
 
 import collections.abc
-import dataclasses
 import functools
 import typing
 
@@ -21,14 +20,13 @@
 from ..fleet import configuration as configurations
 from ..fleet import instances
 from ..fleet import origin_history
+from ..fleet import origin_table
 from . import links as region_links
 from . import placement
 from ..ports import peers
 
 RECORD_METHOD = 'serving.stream_origins'
 FIND_METHOD = 'serving.find_stream_origin'
-# Longer than any stream between its first event and its resumption.
-RETENTION_SECONDS = 120.0
 MAX_ORIGINS = 20_000
 HOLDERS_PER_ORIGIN = 2
 # Groups the origins of a burst into one message.
@@ -37,72 +35,38 @@
 # Allows for a round trip between regions beyond the one within the region.
 OTHER_REGION_TIMEOUT_SECONDS = 0.4
 
+Question = collections.abc.Callable[
+    [], collections.abc.Awaitable[origin_table.StreamOrigin | None]
+]
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamKey:
-    """Identifies a stream.
 
-    :ivar organisation: whose request it was; empty for a route without keys.
-    :ivar request_id: ID of the request that received its first event.
-    """
-
-    organisation: str
-    request_id: str
-
-    def pack(self) -> list:
-        return [self.organisation, self.request_id]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamOrigin:
-    """What began a stream.
-
-    :ivar software_version: of the backend server.
-    """
-
-    service: str
-    software_version: str
-
-    def pack(self) -> list:
-        return [self.service, self.software_version]
-
-
-class StreamOrigins:
-    """The origins that one VM knows, the oldest first.
+class StreamOrigins(origin_table.OriginTable):
+    """The origins that one entry VM knows.
 
     :ivar new_origins: origins of this VM's own streams that are not sent yet.
     """
 
     def __init__(self) -> None:
-        self.known: dict[StreamKey, tuple[StreamOrigin, float]] = {}
-        self.new_origins: dict[StreamKey, StreamOrigin] = {}
+        super().__init__(MAX_ORIGINS)
+        self.new_origins: dict[
+            origin_table.StreamKey, origin_table.StreamOrigin
+        ] = {}
         self.has_new_origins = anyio.Event()
 
-    def record(self, key: StreamKey, origin: StreamOrigin, now: float) -> None:
+    def record(
+        self,
+        key: origin_table.StreamKey,
+        origin: origin_table.StreamOrigin,
+        now: float,
+    ) -> None:
         """Records the origin of a stream that this VM serves."""
         self.add(key, origin, now)
         self.new_origins[key] = origin
         self.has_new_origins.set()
 
-    def add(self, key: StreamKey, origin: StreamOrigin, now: float) -> None:
-        """Adds an origin, and forgets those that are too old or too many."""
-        self.known.pop(key, None)
-        self.known[key] = (origin, now)
-        while self.known:
-            oldest = next(iter(self.known))
-            age_seconds = now - self.known[oldest][1]
-            if (
-                age_seconds <= RETENTION_SECONDS
-                and len(self.known) <= MAX_ORIGINS
-            ):
-                return
-            del self.known[oldest]
-
-    def find(self, key: StreamKey) -> StreamOrigin | None:
-        found = self.known.get(key)
-        return None if found is None else found[0]
-
-    def take_new_origins(self) -> dict[StreamKey, StreamOrigin]:
+    def take_new_origins(
+        self,
+    ) -> dict[origin_table.StreamKey, origin_table.StreamOrigin]:
         origins, self.new_origins = self.new_origins, {}
         self.has_new_origins = anyio.Event()
         return origins
@@ -121,7 +85,7 @@
         for one in listed:
             self.listed_at[one.service, one.software_version] = now
         for version, listed_at in list(self.listed_at.items()):
-            if now - listed_at > RETENTION_SECONDS:
+            if now - listed_at > origin_table.RETENTION_SECONDS:
                 del self.listed_at[version]
 
     def of_service(self, service: str) -> set[str]:
@@ -132,7 +96,7 @@
     route: configurations.Route,
     history: origin_history.OriginHistory,
     known_versions: SoftwareVersions,
-) -> list[StreamOrigin]:
+) -> list[origin_table.StreamOrigin]:
     """Returns what may have begun a stream of a route.
 
     :param history: of the control group.
@@ -141,7 +105,7 @@
     services = {one.service for one in route.shares if one.weight > 0}
     services |= history.services.get((route.host, route.prefix), frozenset())
     return [
-        StreamOrigin(service, version)
+        origin_table.StreamOrigin(service, version)
         for service in sorted(services)
         for version in sorted(
             known_versions.of_service(service)
@@ -179,7 +143,7 @@
 
     async def on_record(self, peer: str, message: typing.Any) -> None:
         now = self.timers.now()
-        for key, origin in decode_origins(peer, message):
+        for key, origin in origin_table.decode_origins(peer, message):
             self.origins.add(key, origin, now)
 
     async def on_find(self, peer: str, message: typing.Any) -> list | None:
@@ -190,7 +154,7 @@
             origin = await self.find_in_region(key)
         return None if origin is None else origin.pack()
 
-    def choose_holders(self, key: StreamKey) -> list[str]:
+    def choose_holders(self, key: origin_table.StreamKey) -> list[str]:
         """Returns the other VMs of the region that hold an origin."""
         return sorted(
             self.region_peers(),
@@ -208,33 +172,40 @@
                     for vm in self.choose_holders(key):
                         by_holder.setdefault(vm, []).append(packed)
                 for vm, message in by_holder.items():
-                    tasks.start_soon(self.send_origins, vm, message)
+                    tasks.start_soon(
+                        send_origins,
+                        self.timers,
+                        self.mesh,
+                        vm,
+                        RECORD_METHOD,
+                        message,
+                        REGION_TIMEOUT_SECONDS,
+                    )
                 await self.timers.sleep(SEND_INTERVAL_SECONDS)
 
-    async def send_origins(self, vm: str, message: list) -> None:
-        code = 'not_in_time'
-        try:
-            with self.timers.move_on_after(REGION_TIMEOUT_SECONDS):
-                await self.mesh.notify(vm, RECORD_METHOD, message)
-                return
-        except errors.GatewayError as error:
-            code = error.code
-        eliot.log_message(
-            'stream_origins:not_told', vm=vm, code=code, count=len(message)
-        )
+    async def find(
+        self,
+        key: origin_table.StreamKey,
+        other_questions: collections.abc.Sequence[Question] = (),
+    ) -> origin_table.StreamOrigin | None:
+        """Returns the origin of a stream, None if no VM knows it.
 
-    async def find(self, key: StreamKey) -> StreamOrigin | None:
-        """Returns the origin of a stream, None if no VM knows it."""
+        :param other_questions: to others than entry VMs.
+        """
         origin = self.origins.find(key)
         if origin is None:
             origin = await self.find_in_region(key)
         if origin is None:
-            origin = await self.find_in_other_regions(key)
+            origin = await ask_first(
+                [*self.other_region_questions(key), *other_questions]
+            )
         return origin
 
-    async def find_in_region(self, key: StreamKey) -> StreamOrigin | None:
+    async def find_in_region(
+        self, key: origin_table.StreamKey
+    ) -> origin_table.StreamOrigin | None:
         message = [False, key.pack()]
-        return await self.ask_first(
+        return await ask_first(
             [
                 functools.partial(
                     self.ask, vm, message, REGION_TIMEOUT_SECONDS
@@ -243,20 +214,18 @@
             ]
         )
 
-    async def find_in_other_regions(
-        self, key: StreamKey
-    ) -> StreamOrigin | None:
+    def other_region_questions(
+        self, key: origin_table.StreamKey
+    ) -> list[Question]:
         message = [True, key.pack()]
-        return await self.ask_first(
-            [
-                functools.partial(self.ask_region, region, message)
-                for region in sorted(self.regions() - {self.region})
-            ]
-        )
+        return [
+            functools.partial(self.ask_region, region, message)
+            for region in sorted(self.regions() - {self.region})
+        ]
 
     async def ask_region(
         self, region: str, message: list
-    ) -> StreamOrigin | None:
+    ) -> origin_table.StreamOrigin | None:
         try:
             vm = self.links.choose_entry_vm(region).vm
         except errors.PeerUnreachableError as error:
@@ -268,66 +237,69 @@
 
     async def ask(
         self, vm: str, message: list, timeout_seconds: float
-    ) -> StreamOrigin | None:
-        try:
-            reply = await self.mesh.call(
-                vm, FIND_METHOD, message, timeout_seconds
-            )
-            return None if reply is None else decode_origin(vm, reply)
-        except errors.GatewayError as error:
-            eliot.log_message(
-                'stream_origins:not_asked', vm=vm, code=error.code
-            )
-            return None
-
-    @staticmethod
-    async def ask_first(
-        questions: list[
-            collections.abc.Callable[
-                [], collections.abc.Awaitable[StreamOrigin | None]
-            ]
-        ],
-    ) -> StreamOrigin | None:
-        """Returns the first origin in the replies, None if there is none."""
-        found: StreamOrigin | None = None
-        async with anyio.create_task_group() as tasks:
-
-            async def ask_one(
-                question: collections.abc.Callable[
-                    [], collections.abc.Awaitable[StreamOrigin | None]
-                ],
-            ) -> None:
-                nonlocal found
-                origin = await question()
-                if origin is not None:
-                    found = origin
-                    tasks.cancel_scope.cancel()
-
-            for question in questions:
-                tasks.start_soon(ask_one, question)
-        return found
-
-
-def decode_origins(
-    peer: str, message: typing.Any
-) -> list[tuple[StreamKey, StreamOrigin]]:
-    """Returns the origins in a message.
-
-    :raises PeerProtocolError: if it is malformed.
-    """
+    ) -> origin_table.StreamOrigin | None:
+        return await ask(self.mesh, vm, FIND_METHOD, message, timeout_seconds)
+
+
+async def ask(
+    mesh: peers.PeerPort,
+    vm: str,
+    method: str,
+    message: list,
+    timeout_seconds: float,
+) -> origin_table.StreamOrigin | None:
+    """Returns the origin that a VM knows, None if it knows none."""
     try:
-        pairs = [(key, origin) for key, origin in message]
-    except (TypeError, ValueError) as error:
-        raise errors.PeerProtocolError(
-            f'{peer} sent stream origins that are not pairs'
-        ) from error
-    return [
-        (decode_key(peer, key), decode_origin(peer, origin))
-        for key, origin in pairs
-    ]
+        reply = await mesh.call(vm, method, message, timeout_seconds)
+        return None if reply is None else origin_table.decode_origin(vm, reply)
+    except errors.GatewayError as error:
+        eliot.log_message('stream_origins:not_asked', vm=vm, code=error.code)
+        return None
+
+
+async def ask_first(
+    questions: list[Question],
+) -> origin_table.StreamOrigin | None:
+    """Returns the first origin in the replies, None if there is none."""
+    found: origin_table.StreamOrigin | None = None
+    async with anyio.create_task_group() as tasks:
+
+        async def ask_one(question: Question) -> None:
+            nonlocal found
+            origin = await question()
+            if origin is not None:
+                found = origin
+                tasks.cancel_scope.cancel()
+
+        for question in questions:
+            tasks.start_soon(ask_one, question)
+    return found
+
+
+async def send_origins(
+    timers: timer_service.Timers,
+    mesh: peers.PeerPort,
+    vm: str,
+    method: str,
+    message: list,
+    timeout_seconds: float,
+) -> None:
+    """Sends origins to a VM, which may be lost."""
+    code = 'not_in_time'
+    try:
+        with timers.move_on_after(timeout_seconds):
+            await mesh.notify(vm, method, message)
+            return
+    except errors.GatewayError as error:
+        code = error.code
+    eliot.log_message(
+        'stream_origins:not_told', vm=vm, code=code, count=len(message)
+    )
 
 
-def decode_query(peer: str, message: typing.Any) -> tuple[bool, StreamKey]:
+def decode_query(
+    peer: str, message: typing.Any
+) -> tuple[bool, origin_table.StreamKey]:
     """Returns whether to ask the region as well, and the stream.
 
     :raises PeerProtocolError: if the message is malformed.
@@ -338,28 +310,4 @@
         raise errors.PeerProtocolError(
             f'{peer} sent a malformed query for a stream origin'
         ) from error
-    return bool(is_for_region), decode_key(peer, key)
-
-
-def decode_key(peer: str, packed: typing.Any) -> StreamKey:
-    return StreamKey(*decode_names(peer, packed))
-
-
-def decode_origin(peer: str, packed: typing.Any) -> StreamOrigin:
-    """Returns an origin.
-
-    :raises PeerProtocolError: if it is malformed.
-    """
-    return StreamOrigin(*decode_names(peer, packed))
-
-
-def decode_names(peer: str, packed: typing.Any) -> tuple[str, str]:
-    if (
-        not isinstance(packed, list)
-        or len(packed) != 2
-        or not all(isinstance(one, str) for one in packed)
-    ):
-        raise errors.PeerProtocolError(
-            f'{peer} sent {repr(packed)[:100]} instead of a pair of names'
-        )
-    return packed[0], packed[1]
+    return bool(is_for_region), origin_table.decode_key(peer, key)
