Use a new software version only once the history has it

A stream that an unrecorded version began could go on at another version after a restart of all entry VMs. Streams of resumable routes are therefore sent to servers of recorded versions. If none of those is usable in the region, others are used, and each use is logged (request:unrecorded_version).

--- a/features/serving/versions.feature
+++ b/features/serving/versions.feature
@@ -91,6 +91,35 @@
       | a     | one control VM is unreachable  | another VM                  | 0        |
       | a     | all control VMs are unreachable | another VM                 | 12       |
 
+  Scenario: A new version is used once it is recorded
+    Given region a with 3 entry VMs and engines of v1, v1, v1, v1
+    And a route with 1 attempt and home regions a
+    And the log lines of entry VMs are recorded
+    When no control VM leads
+    And the version of half of the engines becomes v2
+    And 1 seconds pass
+    And 6 streams break off after 2 events
+    Then they were begun by v1
+    When their clients resume them at another VM
+    Then none has events of two versions, and the incomplete ones are rejected as not run
+    And 0 of them are rejected as not run
+    And no use of an unrecorded version is logged
+    When a control VM leads again
+    And 1 seconds pass
+    And 40 streams are sent within 1 second
+    Then engines of v2 have begun some of them
+
+  Scenario: An unrecorded version is used if no recorded one is usable
+    Given region a with 3 entry VMs and engines of v1, v1, v1, v1
+    And a route with 1 attempt and home regions a
+    And the log lines of entry VMs are recorded
+    When no control VM leads
+    And the version of half of the engines becomes v2
+    And the engines of v1 leave
+    And 6 more streams break off after 2 events
+    Then they were begun by v2
+    And each use of the unrecorded version v2 is logged
+
   Scenario: Origins are sent to control VMs during a release only
     Given region a with 3 entry VMs and engines of v1, v1
     And a route with 1 attempt and home regions a
--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -5,6 +5,7 @@
 import re
 
 import behave
+import eliot
 import orjson
 
 from features import fleet_world
@@ -169,6 +170,59 @@
     context.serving.unreachable_vms.update(serving_world.CONTROL_VMS)
 
 
+@behave.given('the log lines of entry VMs are recorded')
+def given_logged(context):
+    context.logged = []
+    eliot.add_destinations(context.logged.append)
+    # The first destination gets what was logged before.
+    context.logged.clear()
+    context.add_cleanup(eliot.remove_destination, context.logged.append)
+
+
+@behave.when('no control VM leads')
+def when_none_leads(context):
+    context.serving.has_leader = False
+
+
+@behave.when('a control VM leads again')
+def when_leads(context):
+    context.serving.has_leader = True
+
+
+@behave.then('they were begun by {version}')
+def then_begun_by(context, version):
+    writers = set().union(*(one.writers for one in context.streams))
+    assert writers == {version.encode()}, writers
+
+
+@behave.then('engines of {version} have begun some of them')
+def then_begun_some(context, version):
+    count = context.sent_count
+    bodies = [one.body for one in context.serving.outcomes[-count:]]
+    writers = {EVENT.findall(one)[0][1].decode() for one in bodies if one}
+    assert version in writers, writers
+
+
+def unrecorded_uses(context):
+    return [
+        (one['request'], one['software'])
+        for one in context.logged
+        if one.get('message_type') == 'request:unrecorded_version'
+    ]
+
+
+@behave.then('no use of an unrecorded version is logged')
+def then_none_logged(context):
+    assert not unrecorded_uses(context)
+
+
+@behave.then('each use of the unrecorded version {version} is logged')
+def then_logged(context, version):
+    assert unrecorded_uses(context) == [
+        (one.outcome.request_id, version) for one in context.streams
+    ]
+
+
 @behave.then('no VM has sent origins to control VMs')
 def then_none_sent(context):
     assert not context.serving.origin_messages
@@ -195,6 +249,7 @@
 async def when_many_sent(context, count):
     world = context.serving
     world.origin_messages.clear()
+    context.sent_count = count
     vms = [one.vm for one in world.entries]
     for number in range(count):
         request = world.request(f'many-{number}', prompt=PROMPT)
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -643,11 +643,39 @@
 
         :param excluded: names of servers to leave out.
         """
-        return [
+        usable = [
             one
             for one in self.pool.usable_servers(job.service, now, excluded)
             if job.software_version in (None, one.instance.software_version)
         ]
+        if self.unrecorded_versions(job, usable):
+            recorded = self.view.history.versions.get(
+                job.service.name, frozenset()
+            )
+            return [
+                one
+                for one in usable
+                if one.instance.software_version in recorded
+            ] or usable
+        return usable
+
+    def unrecorded_versions(
+        self, job: jobs.Job, servers: list[server_pool.Server]
+    ) -> set[str]:
+        """Returns the versions that the history lacks, for a new stream.
+
+        A stream that they began could go on at another version after a
+        restart of all entry VMs.
+        """
+        history = self.view.history
+        if (
+            history is None
+            or not job.route.is_resumable
+            or job.software_version is not None
+        ):
+            return set()
+        versions = {one.instance.software_version for one in servers}
+        return versions - history.versions.get(job.service.name, frozenset())
 
     def reaches_servers(self, job: jobs.Job) -> bool:
         """Returns whether this VM has a usable server of this region."""
@@ -791,6 +819,14 @@
             backlog_age=round(self.backlog_exchange.max_age_seconds(now), 3),
             taken=decision.is_admitted,
         )
+        if self.unrecorded_versions(job, [server]):
+            self.log(
+                'request:unrecorded_version',
+                job,
+                server=chosen.name,
+                software=server.instance.software_version,
+                history=self.view.history.number,
+            )
         if not decision.is_admitted:
             raise errors.OverloadedError(
                 f'{job.service.name} would begin to answer in'
