--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -19,6 +19,7 @@
 from ..fleet import agent as agents
 from ..fleet import instances
 from ..fleet import members
+from ..fleet import origin_table
 from . import generations
 from . import jobs
 from . import links
@@ -209,7 +210,7 @@
         )
 
     def restrict_to_origin(
-        self, job: jobs.Job, origin: stream_origins.StreamOrigin | None
+        self, job: jobs.Job, origin: origin_table.StreamOrigin | None
     ) -> jobs.Job:
         """Returns a job that resumes a stream where it began.
 
@@ -236,12 +237,12 @@
             software_version=origin.software_version,
         )
 
-    def find_only_origin(self, job: jobs.Job) -> stream_origins.StreamOrigin:
+    def find_only_origin(self, job: jobs.Job) -> origin_table.StreamOrigin:
         """Returns the only possible origin of a stream.
 
         :raises UnavailableError: if there is none, or more than one.
         """
-        possible: list[stream_origins.StreamOrigin] = []
+        possible: list[origin_table.StreamOrigin] = []
         history = self.view.history
         if history is None:
             unknown = 'no history'
@@ -738,13 +739,40 @@
         :param excluded: names of servers to leave out.
         """
         usable = self.pool.usable_servers(job.service, now, excluded)
-        if job.software_version is None:
-            return usable
-        return [
-            one
-            for one in usable
-            if one.instance.software_version == job.software_version
-        ]
+        if job.software_version is not None:
+            return [
+                one
+                for one in usable
+                if one.instance.software_version == job.software_version
+            ]
+        if self.unrecorded_versions(job, usable):
+            recorded = self.view.history.versions.get(
+                job.service.name, frozenset()
+            )
+            return [
+                one
+                for one in usable
+                if one.instance.software_version in recorded
+            ] or usable
+        return usable
+
+    def unrecorded_versions(
+        self, job: jobs.Job, servers: list[server_pool.Server]
+    ) -> set[str]:
+        """Returns the versions that the history lacks, for a new stream.
+
+        A stream that they began could go on at another version after a
+        restart of all entry VMs.
+        """
+        history = self.view.history
+        if (
+            history is None
+            or not job.route.is_resumable
+            or job.software_version is not None
+        ):
+            return set()
+        versions = {one.instance.software_version for one in servers}
+        return versions - history.versions.get(job.service.name, frozenset())
 
     def reaches_servers(self, job: jobs.Job) -> bool:
         """Returns whether this VM has a usable server of this region."""
@@ -897,6 +925,14 @@
             backlog_age=round(self.backlog_exchange.max_age_seconds(now), 3),
             taken=decision.is_admitted,
         )
+        if self.unrecorded_versions(job, [server]):
+            self.log(
+                'request:unrecorded_version',
+                job,
+                server=chosen.name,
+                software=server.instance.software_version,
+                history=self.view.history.number,
+            )
         if not decision.is_admitted:
             raise errors.OverloadedError(
                 f'{job.service.name} would begin to answer in'
