Promise returns to rejected clients and balance classes by urgency

Clients that returned after their Retry-After were often rejected again, and less urgent requests were admitted while more urgent ones were rejected. A VM now promises only as many returns as its share of the capacity can serve, admits them before new requests, and lowers the limits of less urgent classes while more urgent ones are rejected. Services with one class and organisation behave as before.

--- a/features/load_patterns.py
+++ b/features/load_patterns.py
@@ -84,6 +84,10 @@
     :ivar event_delay: seconds by which an event is delayed while its engine
         prefills prompts, which it does in chunks between events.
     :ivar layout: engines and entry VMs by region.
+    :ivar burst: multiple of the request rate, and the seconds from the start
+        between which it applies.
+    :ivar clients_give_up: whether clients do not return after a pause that
+        exceeds a third of their time left, rather than after the third.
     """
 
     rate_factor: float = 1.0
@@ -95,6 +99,8 @@
     event_delay: float = 0.0
     profiles: tuple[RequestProfile, ...] = PROFILES
     layout: tuple[tuple[str, tuple[int, int]], ...] = tuple(LAYOUT.items())
+    burst: tuple[float, float, float] = (1.0, 0.0, 0.0)
+    clients_give_up: bool = False
 
 
 PATTERNS = {
@@ -122,6 +128,13 @@
     'a peak that slows the smallest region': LoadPattern(
         rate_factor=0.6, region_shares=(0.1, 0.1, 0.8), event_delay=0.2
     ),
+    'a burst of twice the capacity': LoadPattern(
+        burst=(2.4, 4.0, 8.0), clients_give_up=True
+    ),
+    'a lasting load of twice the capacity': LoadPattern(
+        rate_factor=2.4, clients_give_up=True
+    ),
+    'a load that fits': LoadPattern(rate_factor=0.5, clients_give_up=True),
 }
 
 
@@ -161,7 +174,10 @@
         rate = profile.rate * self.pattern.rate_factor
         names = [name for name, _ in self.pattern.layout]
         while world.timers.now() < self.begin + self.seconds:
-            pause = -math.log(1 - world.rng.random()) / rate
+            factor, begin, end = self.pattern.burst
+            elapsed = world.timers.now() - self.begin
+            factor = factor if begin <= elapsed < end else 1.0
+            pause = -math.log(1 - world.rng.random()) / rate / factor
             await world.timers.sleep(pause)
             region = world.rng.choices(names, self.pattern.region_shares)[0]
             entries = [one for one in world.entries if one.region == region]
@@ -213,7 +229,11 @@
             return
         # Clients retry once, at the latest after a third of the time left.
         left = timeout_seconds - (world.timers.now() - began_at)
-        pause = min(error.retry_after or 0.1, left / 3)
+        pause = error.retry_after or 0.1
+        if pause > left / 3:
+            if self.pattern.clients_give_up:
+                return
+            pause = left / 3
         await world.timers.sleep(pause)
         world.outcomes.remove(outcome)
         left = timeout_seconds - (world.timers.now() - began_at)
@@ -224,6 +244,14 @@
         again.sent_at = began_at
         again.size = suffix_tokens
 
+    def rejected_return_share(self):
+        """Returns the share of the returned clients that were rejected."""
+        returned = [
+            one for one in self.world.outcomes if one.request_id.endswith('b')
+        ]
+        rejected = sum(one.error is not None for one in returned)
+        return rejected / max(1, len(returned))
+
     def on_time_share(self, is_counted=lambda one: True):
         """Returns the share of requests whose response began on time."""
         asked = [one for one in self.world.outcomes if is_counted(one)]
--- a/src/greengagegw/fleet/configuration.py
+++ b/src/greengagegw/fleet/configuration.py
@@ -190,6 +190,13 @@
             for priority in self.organisation_priorities
         )
 
+    def has_competition(self, service: str) -> bool:
+        """Returns whether classes or organisations compete for a service."""
+        return (
+            len(self.organisations) > 1
+            or len(self.priorities_by_service.get(service, ())) > 1
+        )
+
     def find_organisation(self, key: str) -> Organisation | None:
         name = self.keys.get(key)
         return None if name is None else self.organisations[name]
--- a/src/greengagegw/serving/admission.py
+++ b/src/greengagegw/serving/admission.py
@@ -14,7 +14,9 @@
   late, where a typical prompt would be well in time.
 - Rejected requests that are retried during the overload would be rejected
   again. An overloaded service names a time by which the overload should have
-  passed, and retries have precedence over new requests.
+  passed, and retries have precedence over new requests. If classes or
+  organisations compete for a service, ``retry_schedule`` promises returns and
+  ``urgency`` adjusts the limits of its less urgent classes.
 """
 
 import dataclasses
@@ -38,6 +40,8 @@
 # A timeout below this share of the longest one belongs to a retry.
 FIRST_ATTEMPT_TIMEOUT_SHARE = 0.8
 TYPICAL_TIMEOUT_SHARE = 0.92
+# The longest timeouts that VMs have seen differ by less than this share.
+DETECTION_MARGIN_SHARE = 0.02
 PREFILL_SMOOTHING = 0.05
 MIN_RETRY_AFTER_SECONDS = 0.2
 MAX_RETRY_AFTER_SECONDS = 8.0
@@ -74,6 +78,10 @@
     :ivar is_client_retry: whether the request was rejected before.
     :ivar urgent_rejection_rate: share of the recent requests of the service's
         most urgent class that were rejected.
+    :ivar limit_factor: on the share of the objective that the class may wait.
+    :ivar return_objective: the whole objective in seconds if the request is a
+        promised return, else 0. New requests are admitted only up to a share
+        of it, so the return comes before them.
     """
 
     objective_left: float
@@ -82,6 +90,8 @@
     organisation_priority_rank: int
     is_client_retry: bool
     urgent_rejection_rate: float = 0.0
+    limit_factor: float = 1.0
+    return_objective: float = 0.0
 
 
 class ClientRetryDetector:
@@ -103,6 +113,12 @@
             return 0.0
         return max_timeout * TYPICAL_TIMEOUT_SHARE - timeout_seconds
 
+    def detection_seconds(self, route: str, timeout_seconds: float) -> float:
+        """Returns the pause after which a retry is told from a new request."""
+        max_timeout = self.max_timeouts.get(route, timeout_seconds)
+        share = FIRST_ATTEMPT_TIMEOUT_SHARE - DETECTION_MARGIN_SHARE
+        return max(0.0, timeout_seconds - max_timeout * share)
+
 
 class TypicalPrefillTime:
     """The average prefill time of prompts, in seconds by route."""
@@ -146,6 +162,7 @@
 def max_wait_seconds(request: AdmissionRequest) -> float:
     """Returns the longest predicted wait for which a request is admitted."""
     late_limit = request.time_left * LATE_ADMISSION_SHARE
+    late_limit *= request.limit_factor
     share = 1.0
     if not request.is_client_retry:
         share = admission_share(request)
@@ -153,7 +170,12 @@
             request.organisation_priority_rank, MAX_ORGANISATION_PRIORITY_RANK
         )
     return min(
-        request.time_left, max(request.objective_left * share, late_limit)
+        request.time_left,
+        max(
+            request.objective_left * share,
+            late_limit,
+            request.return_objective,
+        ),
     )
 
 
@@ -162,7 +184,7 @@
     rank = min(request.priority_rank, len(ADMISSION_SHARES) - 1)
     pressure = min(1.0, request.urgent_rejection_rate / URGENT_REJECTION_LIMIT)
     reserved = ADMISSION_SHARES[0] - ADMISSION_SHARES[rank]
-    return ADMISSION_SHARES[0] - pressure * reserved
+    return request.limit_factor * (ADMISSION_SHARES[0] - pressure * reserved)
 
 
 def is_admissible(
--- /dev/null
+++ b/src/greengagegw/serving/competition.py
@@ -0,0 +1,103 @@
+"""Decisions for services that classes or organisations compete for.
+
+Keeps the state of one entry VM, by service. Services with a single class and
+organisation have none, and their requests are admitted as without it.
+"""
+
+import dataclasses
+
+from . import admission
+from . import retry_schedule
+from . import urgency
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decided:
+    """A request on which this VM has decided.
+
+    :ivar route: its class.
+    :ivar work: server seconds that it needs.
+    :ivar capacity: server seconds a second that this VM may use, 0 if it has
+        no server.
+    :ivar client_seconds_left: until the client gives up.
+    """
+
+    route: str
+    admission_request: admission.AdmissionRequest
+    is_client_retry: bool
+    work: float
+    capacity: float
+    drain_seconds: float
+    detection_seconds: float
+    client_seconds_left: float
+
+
+class ServiceCompetition:
+    """The requests that compete for one service on one entry VM."""
+
+    def __init__(self, now: float) -> None:
+        self.balance = urgency.UrgencyBalance(now)
+        self.schedule = retry_schedule.RetrySchedule()
+
+    def adjust(
+        self,
+        route: str,
+        request: admission.AdmissionRequest,
+        objective: float,
+        now: float,
+    ) -> admission.AdmissionRequest:
+        """Returns the input of the admission decision, with its limits.
+
+        :param objective: latency objective of the class, in seconds.
+        """
+        rank = request.priority_rank
+        has_precedence = request.is_client_retry and self.schedule.may_precede(
+            route, now
+        )
+        return dataclasses.replace(
+            request,
+            # Other returns have no precedence: they would displace requests
+            # that are on time.
+            is_client_retry=False,
+            limit_factor=self.balance.factor(rank),
+            return_objective=objective if has_precedence else 0.0,
+        )
+
+    def record_admission(self, decided: Decided, now: float) -> None:
+        rank = decided.admission_request.priority_rank
+        self.balance.record(rank, True, now)
+        if decided.is_client_retry:
+            self.schedule.record_return(decided.route, decided.work, now)
+        else:
+            self.schedule.record_new_request(
+                decided.route, decided.work, True, now
+            )
+
+    def record_rejection(
+        self, decided: Decided, jitter: float, now: float
+    ) -> float:
+        """Records a rejection, and returns its Retry-After in seconds.
+
+        :param jitter: random number from 0 to 1.
+        """
+        rank = decided.admission_request.priority_rank
+        self.balance.record(rank, False, now)
+        refusal = retry_schedule.refusal_seconds(decided.client_seconds_left)
+        if decided.is_client_retry:
+            return refusal
+        self.schedule.capacity = decided.capacity
+        self.schedule.record_new_request(
+            decided.route, decided.work, False, now
+        )
+        pause = self.schedule.plan_return(
+            decided.route,
+            retry_schedule.ReturnRequest(
+                decided.work,
+                decided.drain_seconds,
+                decided.detection_seconds,
+                decided.admission_request.time_left,
+            ),
+            jitter,
+            now,
+        )
+        return refusal if pause is None else pause
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -299,6 +299,12 @@
                         regions, failure = self.plan_again(
                             job, allowed, failure
                         )
+            if (
+                response is None
+                and isinstance(failure, errors.OverloadedError)
+                and region != self.pool.region
+            ):
+                self.planner.record_remote_rejection(job, failure)
             if response is None:
                 raise failure or errors.UnavailableError(
                     f'no region can run {job.service.name}'
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -15,6 +15,7 @@
 from .. import timers as timer_service
 from . import admission
 from . import backlog_exchange as backlog_exchange_module
+from . import competition as competition_module
 from . import engine_model
 from ..fleet import agent as agents
 from ..fleet import instances
@@ -91,6 +92,9 @@
         self.response_lengths = generations.ResponseLengths()
         self.rejection_rates: dict[str, admission.RejectionRate] = {}
         self.urgent_rejection_rates: dict[str, admission.RejectionRate] = {}
+        self.competitions: dict[
+            str, competition_module.ServiceCompetition
+        ] = {}
         self.forwarded_tokens: dict[tuple[str, str], float] = {}
         self.region_prefixes = prefixes.RegionPrefixes(
             self.view, pool.region_by_domain
@@ -324,6 +328,16 @@
         decision = self.decide_admission(
             job, best.wait_seconds, best.prefill_seconds, now
         )
+        if not decision.is_admitted or regions[0] != local_region:
+            decision = self.apply_competition(
+                job,
+                decision,
+                best.wait_seconds,
+                self.server_seconds(
+                    job, best.uncached_seconds, best.generation_seconds, now
+                ),
+                now,
+            )
         self.log(
             'request:planned',
             job,
@@ -474,7 +488,97 @@
         self, job: jobs.Job, now: float
     ) -> admission.AdmissionRequest:
         rate = self.urgent_rejection_rate_of(job, now).current_rate(now)
-        return job.admission_request(rate, now)
+        request = job.admission_request(rate, now)
+        competition = self.competition_of(job, now)
+        if competition is None:
+            return request
+        return competition.adjust(
+            job.route.name, request, job.route.latency_objective, now
+        )
+
+    def competition_of(
+        self, job: jobs.Job, now: float
+    ) -> competition_module.ServiceCompetition | None:
+        """Returns the competition for a service, None without any."""
+        name = job.service.name
+        configuration = self.view.configuration
+        if configuration is None or not configuration.has_competition(name):
+            return None
+        competition = self.competitions.get(name)
+        if competition is None:
+            competition = competition_module.ServiceCompetition(now)
+            self.competitions[name] = competition
+        return competition
+
+    def apply_competition(
+        self,
+        job: jobs.Job,
+        decision: admission.AdmissionDecision,
+        wait_seconds: float,
+        server_seconds: float,
+        now: float,
+    ) -> admission.AdmissionDecision:
+        """Records a final decision, and plans the return after a rejection.
+
+        :param wait_seconds: predicted seconds until the response begins.
+        :param server_seconds: work of the request.
+        """
+        competition = self.competition_of(job, now)
+        server_count = len(self.usable_servers(job, now))
+        if competition is None or not server_count:
+            return decision
+        request = self.admission_request(job, now)
+        client_timeout = job.request.client_timeout_seconds
+        decided = competition_module.Decided(
+            job.route.name,
+            request,
+            job.is_client_retry,
+            server_seconds,
+            server_count
+            / max(1, len(self.view.usable_entry_vms(self.pool.region))),
+            max(0.0, wait_seconds - admission.max_wait_seconds(request)),
+            self.client_retries.detection_seconds(
+                job.route.name, client_timeout or 0.0
+            ),
+            max(job.deadline - now, client_timeout or 0.0),
+        )
+        if decision.is_admitted:
+            competition.record_admission(decided, now)
+            return decision
+        retry_after = competition.record_rejection(
+            decided, self.rng.random(), now
+        )
+        return dataclasses.replace(decision, retry_after=retry_after)
+
+    def record_remote_rejection(
+        self, job: jobs.Job, error: errors.GatewayError
+    ) -> None:
+        """Records when a request that another VM rejected may return."""
+        now = self.timers.now()
+        competition = self.competition_of(job, now)
+        if competition is not None and error.retry_after is not None:
+            competition.schedule.record_promise(
+                job.route.name, error.retry_after, job.deadline - now, now
+            )
+
+    def server_seconds(
+        self,
+        job: jobs.Job,
+        prefill_seconds: float,
+        generation_seconds: float,
+        now: float,
+    ) -> float:
+        """Returns the time for which a request occupies a whole server.
+
+        An engine is limited by prefill or by its slots.
+        """
+        servers = self.usable_servers(job, now)
+        if not servers:
+            return 0.0
+        slots = max(1, servers[0].instance.slots)
+        if job.generation_prompt is None:
+            return servers[0].service_seconds / slots
+        return max(prefill_seconds, generation_seconds / slots)
 
     def urgent_rejection_rate_of(
         self, job: jobs.Job, now: float
@@ -495,8 +599,11 @@
         excess_seconds = self.prefill_times.excess_seconds(
             job.route.name, prefill_seconds
         )
+        # Without the limits of the competition: a lower limit would have
+        # prompts prefilled on other servers than those of their prefix.
+        rate = self.urgent_rejection_rate_of(job, now).current_rate(now)
         return not admission.is_admissible(
-            predicted_seconds, excess_seconds, self.admission_request(job, now)
+            predicted_seconds, excess_seconds, job.admission_request(rate, now)
         )
 
     def rejection_rate_of(
@@ -747,6 +854,16 @@
         decision = self.decide_admission(
             job, chosen.wait_seconds, prefill_seconds, now
         )
+        if not job.attempts.count:
+            decision = self.apply_competition(
+                job,
+                decision,
+                chosen.wait_seconds,
+                self.server_seconds(
+                    job, prefill_seconds, chosen.generation_seconds, now
+                ),
+                now,
+            )
         self.log(
             'request:placed',
             job,
--- /dev/null
+++ b/src/greengagegw/serving/retry_schedule.py
@@ -0,0 +1,257 @@
+"""Schedules the returns of rejected clients, and admits them in order.
+
+Clients return once, after the Retry-After of the rejection, if it is at most
+a third of their remaining time. A client that returns during the overload and
+is rejected again has cost the service twice and got nothing. Each entry VM
+therefore promises only as many returns as its own share of the region's
+capacity can serve at the promised times, and sends the other clients away for
+longer than they wait.
+
+Clients choose an entry VM at random, so a return usually reaches another VM
+than the one that promised it. All VMs promise by the same rule, so each gets
+about as many returns as it has promised, and admits up to so many before new
+requests of their class.
+
+Work and capacity are in server seconds: a server does one in a second.
+"""
+
+import bisect
+import collections
+import dataclasses
+import math
+
+# Clients honour Retry-After up to this share of their remaining time.
+HONOURED_SHARE = 1 / 3
+# The rejection reaches the client up to a round trip between regions later,
+# when less time remains.
+LATENCY_MARGIN_SECONDS = 0.15
+# Pauses beyond the honoured share, so that the client does not return.
+REFUSAL_FACTOR = 1.25
+# Part of the admitted work of a class that goes to promised returns before new
+# requests while the service is overloaded. Returns are mostly late by then,
+# and at most one in ten admitted requests may be late, for whatever reason.
+RETURN_SHARE = 0.05
+# Longest period over which a single return is spread.
+MAX_SPREAD_SECONDS = 0.5
+# Period over which the work of new requests is averaged: long enough for some
+# requests a second, short enough to follow bursts of some seconds.
+DEMAND_WINDOW_SECONDS = 2.0
+MEAN_SMOOTHING = 0.1
+# Returns that are admitted ahead of the promises of this VM, in seconds of
+# its capacity and in requests, since their number varies by chance.
+MAX_ADVANCE_SECONDS = 0.5
+MAX_ADVANCE_REQUESTS = 2.0
+# An unused promise expires: its client went to another VM or gave up.
+PROMISE_EXPIRY_SECONDS = 2.5
+# Returns in excess of the promises count longer, so that clients that return
+# although they were sent away displace few new requests.
+EXCESS_EXPIRY_SECONDS = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReturnRequest:
+    """A rejected request that may return.
+
+    :ivar work: server seconds that it needs.
+    :ivar drain_seconds: until the queue is short enough to admit it.
+    :ivar detection_seconds: after which its return differs from a new
+        request.
+    :ivar time_left: seconds until the client's deadline.
+    """
+
+    work: float
+    drain_seconds: float
+    detection_seconds: float
+    time_left: float
+
+
+class WorkRate:
+    """The work of some requests of one class, as a decaying average.
+
+    :ivar mean: typical work of one request.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.work = 0.0
+        self.mean = 0.0
+        self.updated_at = now
+
+    def record(self, work: float, now: float) -> None:
+        self.work = self.current_work(now) + work
+        self.mean += MEAN_SMOOTHING * (work - self.mean)
+        self.updated_at = now
+
+    def current_work(self, now: float) -> float:
+        elapsed = max(0.0, now - self.updated_at)
+        return self.work * math.exp(-elapsed / DEMAND_WINDOW_SECONDS)
+
+    def per_second(self, now: float) -> float:
+        return self.current_work(now) / DEMAND_WINDOW_SECONDS
+
+
+class ReturnCredit:
+    """Compares the returns that were admitted with those that were promised.
+
+    :ivar balance: promised work that has not returned, negative if more
+        returned than was promised; decays to 0.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.balance = 0.0
+        self.updated_at = now
+
+    def add(self, work: float, now: float) -> None:
+        self.balance = self.current_balance(now) + work
+        self.updated_at = now
+
+    def current_balance(self, now: float) -> float:
+        elapsed = max(0.0, now - self.updated_at)
+        expiry = PROMISE_EXPIRY_SECONDS
+        if self.balance < 0:
+            expiry = EXCESS_EXPIRY_SECONDS
+        return self.balance * math.exp(-elapsed / expiry)
+
+
+class ClassReturns:
+    """The returns of one request class.
+
+    :ivar demand: work of new requests.
+    :ivar served: work of admitted requests.
+    :ivar promises: timer seconds and work of the promises to come, in order.
+    :ivar next_at: timer seconds from which on the next one can be promised.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.demand = WorkRate(now)
+        self.served = WorkRate(now)
+        self.credit = ReturnCredit(now)
+        self.promises: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+        self.next_at = now
+
+    def expire_promises(self, now: float) -> None:
+        """Turns promises whose time has come into credit."""
+        while self.promises and self.promises[0][0] <= now:
+            self.credit.add(self.promises.popleft()[1], now)
+
+    def may_precede(self, now: float) -> bool:
+        """Returns whether a return is admitted before new requests."""
+        self.expire_promises(now)
+        advance = max(
+            MAX_ADVANCE_SECONDS * RETURN_SHARE * self.served.per_second(now),
+            MAX_ADVANCE_REQUESTS * self.demand.mean,
+        )
+        return self.credit.current_balance(now) > -advance
+
+    def promise(
+        self, work: float, room: float, earliest: float, latest: float
+    ) -> tuple[float, float] | None:
+        """Promises a return if it can be served.
+
+        :param room: server seconds a second for returns of the class.
+        :param earliest: timer seconds.
+        :returns: the timer seconds from and until which it may return.
+        """
+        begin = max(earliest, self.next_at)
+        if room <= 0 or begin > latest:
+            return None
+        self.next_at = begin + work / room
+        self.promises.append((begin, work))
+        return begin, min(latest, begin + MAX_SPREAD_SECONDS, self.next_at)
+
+
+class RetrySchedule:
+    """The returns to one service on one entry VM.
+
+    :ivar capacity: server seconds a second that this VM may use: its share
+        of the servers of the region.
+    :ivar classes: by name of the route.
+    """
+
+    def __init__(self) -> None:
+        self.capacity = 0.0
+        self.classes: dict[str, ClassReturns] = {}
+
+    def class_of(self, name: str, now: float) -> ClassReturns:
+        known = self.classes.get(name)
+        if known is None:
+            known = self.classes[name] = ClassReturns(now)
+        return known
+
+    def record_new_request(
+        self, name: str, work: float, is_admitted: bool, now: float
+    ) -> None:
+        known = self.class_of(name, now)
+        known.demand.record(work, now)
+        if is_admitted:
+            known.served.record(work, now)
+
+    def record_return(self, name: str, work: float, now: float) -> None:
+        """Records that a return was admitted."""
+        known = self.class_of(name, now)
+        known.served.record(work, now)
+        known.credit.add(-work, now)
+
+    def may_precede(self, name: str, now: float) -> bool:
+        """Returns whether a return is admitted before new requests."""
+        return self.class_of(name, now).may_precede(now)
+
+    def record_promise(
+        self, name: str, retry_after: float, time_left: float, now: float
+    ) -> None:
+        """Records that a VM of another region has promised a return.
+
+        The client returns to a VM of this region, which forwards it again.
+        """
+        if retry_after <= HONOURED_SHARE * time_left:
+            known = self.class_of(name, now)
+            bisect.insort(
+                known.promises, (now + retry_after, known.demand.mean)
+            )
+
+    def plan_return(
+        self, name: str, request: ReturnRequest, jitter: float, now: float
+    ) -> float | None:
+        """Promises a return, and returns the seconds until then.
+
+        :param name: of the route.
+        :param jitter: random number from 0 to 1, which spreads returns.
+        :returns: None if no return within the time that the client honours
+            can be served.
+        """
+        known = self.class_of(name, now)
+        known.expire_promises(now)
+        room = max(
+            self.spare_rate(name, now),
+            RETURN_SHARE * known.served.per_second(now),
+        )
+        # An earlier return would be taken for a new request and rejected.
+        earliest = max(request.drain_seconds, request.detection_seconds)
+        latest = HONOURED_SHARE * (request.time_left - LATENCY_MARGIN_SECONDS)
+        promised = known.promise(
+            request.work, room, now + earliest, now + latest
+        )
+        if promised is None:
+            return None
+        begin, end = promised
+        return begin + jitter * (end - begin) - now
+
+    def spare_rate(self, name: str, now: float) -> float:
+        """Returns the part of a class in the capacity that is left.
+
+        Capacity is left if the new requests of all classes fit.
+        """
+        demands = {
+            one: known.demand.per_second(now)
+            for one, known in self.classes.items()
+        }
+        total = sum(demands.values())
+        if total <= 0:
+            return self.capacity
+        return (self.capacity - total) * demands[name] / total
+
+
+def refusal_seconds(client_seconds_left: float) -> float:
+    """Returns a Retry-After for which the client does not wait."""
+    return REFUSAL_FACTOR * HONOURED_SHARE * client_seconds_left
--- /dev/null
+++ b/src/greengagegw/serving/urgency.py
@@ -0,0 +1,96 @@
+"""Balances the request classes of an overloaded service by their urgency.
+
+Servers process requests in order of arrival, so urgency acts through the
+longest wait up to which a class is admitted. Classes have different
+objectives: a queue that a less urgent class with a longer objective still
+joins may already exceed the objective of the most urgent one. No fixed share
+of the objective prevents this, so the limit of a less urgent class is
+adjusted by the fractions of requests that were admitted.
+"""
+
+import dataclasses
+import math
+
+# A class is overloaded below this admitted fraction.
+SERVED_FRACTION = 0.95
+# A less urgent class is served at least a quarter as often as all requests.
+# The fractions are measured on one VM, and a third leaves room for the error.
+MIN_RELATIVE_FRACTION = 1 / 3
+# Period over which the fractions are averaged; and the time in which a limit
+# changes by the factor e. It is the longer one, as a faster adjustment
+# overshoots and oscillates.
+WINDOW_SECONDS = 2.0
+ADJUSTMENT_SECONDS = 3.0
+MIN_FACTOR = 0.05
+# Fewer requests say little about a fraction.
+MIN_WEIGHT = 4.0
+# Longest step of an adjustment after a pause without requests.
+MAX_STEP_SECONDS = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class ClassState:
+    """Recent requests of a class.
+
+    :ivar asked: decaying number of requests.
+    :ivar served: those of them that were admitted.
+    :ivar factor: on the longest wait up to which the class is admitted.
+    """
+
+    asked: float = 0.0
+    served: float = 0.0
+    factor: float = 1.0
+
+    @property
+    def fraction(self) -> float:
+        return self.served / self.asked if self.asked else 1.0
+
+
+class UrgencyBalance:
+    """Adjusts the admission limits of the classes of one service.
+
+    :ivar classes: by priority rank, 0 for the most urgent one.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.classes: dict[int, ClassState] = {}
+        self.updated_at = now
+
+    def factor(self, rank: int) -> float:
+        """Returns the factor on the longest wait of a class."""
+        state = self.classes.get(rank)
+        return 1.0 if state is None else state.factor
+
+    def record(self, rank: int, is_served: bool, now: float) -> None:
+        """Records the decision on a request, and adjusts the limits."""
+        elapsed = max(0.0, now - self.updated_at)
+        self.updated_at = now
+        decay = math.exp(-elapsed / WINDOW_SECONDS)
+        for state in self.classes.values():
+            state.asked *= decay
+            state.served *= decay
+        state = self.classes.setdefault(rank, ClassState())
+        state.asked += 1.0
+        state.served += is_served
+        self.adjust(min(elapsed, MAX_STEP_SECONDS))
+
+    def adjust(self, elapsed: float) -> None:
+        asked = sum(one.asked for one in self.classes.values())
+        served = sum(one.served for one in self.classes.values())
+        for rank, state in self.classes.items():
+            step = elapsed / ADJUSTMENT_SECONDS
+            if self.is_urgent_overloaded(rank) and (
+                state.fraction > MIN_RELATIVE_FRACTION * served / asked
+            ):
+                step = -step
+            state.factor = min(
+                1.0, max(MIN_FACTOR, state.factor * math.exp(step))
+            )
+
+    def is_urgent_overloaded(self, rank: int) -> bool:
+        """Returns whether requests of a more urgent class are rejected."""
+        return any(
+            state.fraction < SERVED_FRACTION
+            for other, state in self.classes.items()
+            if other < rank and state.asked >= MIN_WEIGHT
+        )
