Report backlogs through relays in regions with more than 8 VMs

Each VM reports to one relay in each of two planes; relays exchange sums and send totals. A report is a map of named sums for each server and one of further sums.

--- /dev/null
+++ b/features/serving/region_relays.feature
@@ -0,0 +1,67 @@
+Feature: Backlogs of a large region
+
+  Each scenario runs in simulated time. It fails if a VM knows the backlog of
+  another one later than 0.3 seconds, not at all, or twice.
+
+  Scenario Outline: The cost and the age of backlogs
+    Given a region of <count> VMs with requests
+    Then all know the backlogs of the others, at most 0.3 seconds old, for 3 seconds
+    And no VM exchanges messages with more than <peers> others
+    And no VM sends more than <messages> messages a second
+
+    # Three and 40 times the square root of the number of VMs.
+    Examples:
+      | count | peers | messages |
+      | 12    | 11    | 139      |
+      | 67    | 25    | 328      |
+      | 120   | 33    | 439      |
+      | 200   | 43    | 566      |
+
+  Scenario Outline: A relay fails
+    Given a region of <count> VMs with requests
+    When the busiest relay <fails>
+    Then all know the backlogs of the others, at most 0.3 seconds old, for 5 seconds
+
+    Examples:
+      | count | fails                 |
+      | 67    | is killed             |
+      | 67    | is frozen for 1.0 s   |
+      | 67    | is not heard          |
+      | 67    | hears nothing         |
+      | 120   | is killed             |
+      | 120   | is frozen for 1.0 s   |
+      | 120   | is not heard          |
+      | 120   | hears nothing         |
+      | 200   | is killed             |
+      | 200   | is frozen for 0.25 s  |
+      | 200   | is frozen for 4.0 s   |
+      | 200   | is not heard          |
+      | 200   | hears nothing         |
+      | 200   | is not heard by relays |
+
+  @known_red
+  Scenario Outline: A rolling restart
+    Given a region of <count> VMs with requests
+    When its VMs are restarted <batch> at a time
+    Then all know the backlogs of the others, at most 0.3 seconds old, meanwhile
+
+    Examples:
+      | count | batch |
+      | 67    | 6     |
+      | 120   | 12    |
+      | 200   | 25    |
+
+  Scenario: A VM whose reports stop is removed
+    Given a region of 67 VMs with requests
+    When the busiest relay is killed
+    And 2.9 seconds pass in the region
+    Then no VM knows a backlog of it
+
+  Scenario: An idle region sends few frames
+    Given an idle region of 12 and one of 120 VMs
+    Then the mean VM of the larger one sends and receives at most twice as many frames
+
+  @known_red
+  Scenario: A relay of an idle region sends few frames
+    Given an idle region of 12 and one of 120 VMs
+    Then the busiest VM of the larger one sends and receives at most twice as many frames
--- a/src/greengagegw/adapters/peer_mesh.py
+++ b/src/greengagegw/adapters/peer_mesh.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import math
 import typing
 
 import anyio
@@ -21,7 +22,6 @@
 
 # Time after a failed dial during which further calls fail immediately.
 REDIAL_DELAY_SECONDS = 0.25
-IDLE_CLOSE_SECONDS = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -280,7 +280,11 @@
                 connection.post(method, message)
             except errors.GatewayError as error:
                 log_not_sent(vm, method, error)
-        elif vm not in self.posting_to and self.tasks is not None:
+            return
+        dial_failed_at = self.dial_failed_at.get(vm, -math.inf)
+        if self.timers.now() - dial_failed_at < REDIAL_DELAY_SECONDS:
+            return
+        if vm not in self.posting_to and self.tasks is not None:
             self.posting_to.add(vm)
             self.tasks.start_soon(self.connect_and_post, vm, method, message)
 
--- a/src/greengagegw/platform/roles.py
+++ b/src/greengagegw/platform/roles.py
@@ -143,6 +143,7 @@
                 or process.leaving_seconds < ACCEPT_SECONDS
             ):
                 await timers.sleep(DRAIN_POLL_INTERVAL_SECONDS)
+            dispatcher.backlog_exchange.leave()
             eliot.log_message(
                 'process:stopped', running=dispatcher.in_flight_count
             )
--- a/src/greengagegw/report/request_timeline.py
+++ b/src/greengagegw/report/request_timeline.py
@@ -16,6 +16,7 @@
 # of single requests and polls are not among them.
 STATE_EVENTS = (
     'backlog:not_told',
+    'peer:not_sent',
     'configuration:in_force',
     'control:lost',
     'control:regained',
--- a/src/greengagegw/serving/backlog_exchange.py
+++ b/src/greengagegw/serving/backlog_exchange.py
@@ -2,49 +2,53 @@
 
 A burst reaches all entry VMs of a region at once. If each of them saw an idle
 server and filled it, the server would get several times the work that it can
-finish in time. Each VM therefore reports its requests in flight to the others.
+finish in time. Each VM therefore reports its requests in flight to the others,
+in large regions through relays.
 """
 
 import collections.abc
 import dataclasses
+import math
 import typing
 
-import anyio
-import anyio.abc
-import eliot
-
 from .. import errors
 from .. import timers as timer_service
 from ..fleet import agent as agents
+from ..fleet import members
 from ..ports import peers
+from . import region_relays
+from . import region_reports
 
+# VMs of earlier releases send and understand only these messages.
 BACKLOG_METHOD = 'serving.backlog'
-# Shorter than the wait of a typical prompt under load.
-SEND_INTERVAL_SECONDS = 0.1
-# Limits what one VM receives: at 150 bytes a message, the budget is 9 KB and
-# a hundredth of a core a second. In large regions each VM sends less often.
+REPORT_METHOD = 'serving.report'
+SUM_METHOD = 'serving.report_sum'
+TOTAL_METHOD = 'serving.report_total'
+# Limits the messages to VMs of earlier releases: in large regions each VM
+# sends to them less often.
 MAX_MESSAGES_PER_SECOND = 40.0
 # An unchanged backlog is sent again, since a message may be lost.
 RESEND_SECONDS = 1.0
-STALE_SECONDS = 2.5
+STALE_SECONDS = region_relays.REPORT_EXPIRY_SECONDS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PeerBacklog:
-    """The backlog that another entry VM reported.
+class PeerReport:
+    """The report that another entry VM sent to this one.
 
     :ivar received_at: timer seconds.
-    :ivar by_server: queued tokens and requests in flight, by server.
     """
 
     received_at: float
-    by_server: dict[str, list[float]]
+    report: region_reports.Report
 
 
 class BacklogExchange:
     """Sums up the backlogs of the region's other entry VMs by server.
 
     :param local_backlog: returns the backlog of this VM, by server.
+    :ivar report_extensions: functions that add further numbers to each report
+        of this VM.
     """
 
     def __init__(
@@ -62,43 +66,115 @@
         self.mesh = mesh
         self.view = view
         self.local_backlog = local_backlog
-        self.peer_backlogs: dict[str, PeerBacklog] = {}
-        self.totals: dict[str, list[float]] = {}
+        self.report_extensions: list[
+            collections.abc.Callable[[region_reports.Report], None]
+        ] = []
+        self.relays = region_relays.RegionRelays(
+            vm, round(1000 * timers.wall_time())
+        )
+        self.view_entries: tuple | None = None
+        self.uses_relays = False
+        self.has_left = False
+        self.direct_reports: dict[str, PeerReport] = {}
+        self.direct_total = region_reports.Report()
+        self.earlier_releases: dict[str, float] = {}
+        self.last_direct: tuple[float, region_reports.Report | None] = (
+            -math.inf,
+            None,
+        )
+        self.last_backlog: tuple[float, dict] = (-math.inf, {})
 
     def handlers(self) -> dict[str, peers.Handler]:
-        return {BACKLOG_METHOD: self.on_backlog}
+        return {
+            BACKLOG_METHOD: self.on_backlog,
+            REPORT_METHOD: self.on_report,
+            SUM_METHOD: self.on_sum,
+            TOTAL_METHOD: self.on_total,
+        }
+
+    # What the other VMs reported.
 
     def peer_totals(self, server_name: str) -> list[float]:
         """Returns the peers' queued tokens and requests at a server."""
-        return self.totals.get(server_name, [0.0, 0.0])
+        values = self.peer_server_sums(server_name)
+        return [
+            values.get(region_reports.TOKENS, 0.0),
+            values.get(region_reports.REQUESTS, 0.0),
+        ]
+
+    def peer_server_sums(self, server_name: str) -> dict[str, float]:
+        """Returns the sums of the peers' numbers for a server, by name."""
+        direct = self.direct_total.servers.get(server_name, {})
+        relayed = self.relayed_report.servers.get(server_name)
+        if relayed is None:
+            return direct
+        return region_reports.add_values(relayed, direct, 1)
+
+    def peer_sums(self) -> dict[str, float]:
+        """Returns the sums of the peers' numbers for no server, by name."""
+        return region_reports.add_values(
+            self.relayed_report.sums, self.direct_total.sums, 1
+        )
+
+    @property
+    def relayed_report(self) -> region_reports.Report:
+        total = self.relays.total
+        return NO_REPORT if total is None else total.message.report
 
     def max_age_seconds(self, now: float) -> float:
         """Returns the age in seconds of the oldest report; 0 for none."""
-        return max(
-            (now - one.received_at for one in self.peer_backlogs.values()),
-            default=0.0,
-        )
+        ages = [now - one.received_at for one in self.direct_reports.values()]
+        if self.relays.total is not None:
+            ages.append(self.relays.total.oldest_age(now))
+        return max(ages, default=0.0)
 
+    @peers.never_waits
     async def on_backlog(self, peer: str, message: list) -> None:
+        """Stores the backlog of a VM of an earlier release."""
         vm, by_server = decode_backlog(peer, message)
+        self.earlier_releases[vm] = self.timers.now()
+        self.store_direct(vm, make_report(by_server))
+
+    @peers.never_waits
+    async def on_report(self, peer: str, message: list) -> None:
+        """Stores a report for this VM alone, or as the sender's relay."""
+        vm, plane, sequence, report = decode(peer, message, REPORT_TYPES)
+        if plane == DIRECT:
+            self.earlier_releases.pop(vm, None)
+            self.store_direct(vm, report)
+        else:
+            self.relays.on_report(
+                region_relays.MemberReport(vm, plane, sequence, report),
+                self.timers.now(),
+            )
+
+    @peers.never_waits
+    async def on_sum(self, peer: str, message: list) -> None:
+        received = region_relays.Sum(*decode(peer, message, SUM_TYPES))
+        self.relays.on_sum(received, self.timers.now())
+
+    @peers.never_waits
+    async def on_total(self, peer: str, message: list) -> None:
+        received = region_relays.Total(*decode(peer, message, SUM_TYPES))
+        self.relays.on_total(received, self.timers.now())
+
+    def store_direct(
+        self, vm: str, report: region_reports.Report | None
+    ) -> None:
         self.remove_peer(vm)
-        self.peer_backlogs[vm] = PeerBacklog(self.timers.now(), by_server)
-        for server, values in by_server.items():
-            total = self.totals.setdefault(server, [0.0, 0.0])
-            for index, value in enumerate(values):
-                total[index] += value
+        if report:
+            self.direct_reports[vm] = PeerReport(self.timers.now(), report)
+            self.direct_total.add(report)
 
     def remove_peer(self, vm: str) -> None:
-        """Subtracts the backlog of a VM from the totals."""
-        backlog = self.peer_backlogs.pop(vm, None)
-        if backlog is None:
-            return
-        for server, values in backlog.by_server.items():
-            total = self.totals[server]
-            for index, value in enumerate(values):
-                total[index] = max(0.0, total[index] - value)
-            if total[1] < 1:
-                del self.totals[server]
+        """Subtracts the report of a VM from the total."""
+        known = self.direct_reports.pop(vm, None)
+        if not self.direct_reports:
+            self.direct_total = region_reports.Report()
+        elif known is not None:
+            self.direct_total.subtract(known.report)
+
+    # What this VM reports.
 
     def region_peers(self) -> list[str]:
         """Returns the other entry VMs of this region."""
@@ -109,39 +185,155 @@
         ]
 
     async def run(self) -> None:
-        """Sends the backlog of this VM to the others until cancelled."""
-        last_sent: dict[str, list[float]] = {}
-        sent_at = -RESEND_SECONDS
-        async with anyio.create_task_group() as tasks:
-            while True:
-                region_peers = self.region_peers()
-                pause = len(region_peers) / MAX_MESSAGES_PER_SECOND
-                await self.timers.sleep(max(SEND_INTERVAL_SECONDS, pause))
-                now = self.timers.now()
-                for vm, backlog in list(self.peer_backlogs.items()):
-                    if now - backlog.received_at > STALE_SECONDS:
-                        self.remove_peer(vm)
-                current = self.local_backlog()
-                is_due = bool(current) and now - sent_at >= RESEND_SECONDS
-                if current == last_sent and not is_due:
-                    continue
-                last_sent, sent_at = current, now
-                for vm in region_peers:
-                    tasks.start_soon(self.send_backlog, vm, current)
-
-    async def send_backlog(
-        self, vm: str, by_server: dict[str, list[float]]
+        """Reports the backlog of this VM to the others until cancelled."""
+        while True:
+            pause = region_relays.REPORT_SECONDS
+            if self.uses_relays:
+                pause = region_relays.SUM_SECONDS
+            await self.timers.sleep(pause)
+            if not self.has_left:
+                self.send_reports(self.timers.now())
+
+    def send_reports(self, now: float) -> None:
+        """Sends the messages that are due."""
+        for vm, known in list(self.direct_reports.items()):
+            if now - known.received_at > STALE_SECONDS:
+                self.remove_peer(vm)
+        backlog = self.local_backlog()
+        own = make_report(backlog)
+        for extend in self.report_extensions:
+            extend(own)
+        self.update_region()
+        if self.uses_relays:
+            self.post_all(self.relays.tick(own, now))
+        else:
+            self.send_directly(own, now)
+        self.send_to_earlier_releases(backlog, now)
+
+    def leave(self) -> None:
+        """Withdraws the report of this VM, which is about to stop."""
+        self.has_left = True
+        self.post_all(self.relays.leave())
+        if not self.uses_relays:
+            self.withdraw_directly()
+
+    def withdraw_directly(self) -> None:
+        for vm in self.region_peers():
+            self.mesh.post(vm, REPORT_METHOD, [self.vm, DIRECT, 0, None])
+
+    def update_region(self) -> None:
+        """Chooses how to report when the list of entry VMs has changed."""
+        if self.view.entry_vms is self.view_entries:
+            return
+        self.view_entries = self.view.entry_vms
+        entries = [
+            one for one in self.view.entry_vms if one.region == self.region
+        ]
+        vms = sorted({self.vm, *(one.vm for one in entries)})
+        uses_relays = len(vms) > region_relays.MAX_DIRECT_VMS
+        if uses_relays and not self.uses_relays:
+            self.last_direct = (-math.inf, None)
+            self.withdraw_directly()
+        if self.uses_relays and not uses_relays:
+            self.post_all(self.relays.leave())
+        self.uses_relays = uses_relays
+        serving = [one.vm for one in members.usable(entries)]
+        self.relays.update_vms(vms, serving or vms)
+
+    def post_all(
+        self, messages: list[tuple[str, region_relays.Message]]
     ) -> None:
-        code = 'not_in_time'
-        try:
-            with self.timers.move_on_after(RESEND_SECONDS):
-                await self.mesh.notify(
-                    vm, BACKLOG_METHOD, [self.vm, by_server]
-                )
-                return
-        except errors.GatewayError as error:
-            code = error.code
-        eliot.log_message('backlog:not_told', vm=vm, code=code)
+        for vm, message in messages:
+            self.mesh.post(vm, *encode(message))
+
+    def send_directly(self, own: region_reports.Report, now: float) -> None:
+        """Reports to all VMs of a small region, unless there is no backlog."""
+        if not own and not self.last_direct[1]:
+            return
+        self.last_direct = (now, own)
+        message = [self.vm, DIRECT, 0, own.pack()]
+        for vm in self.region_peers():
+            self.mesh.post(vm, REPORT_METHOD, message)
+
+    def send_to_earlier_releases(self, backlog: dict, now: float) -> None:
+        """Sends the backlog to VMs that report in the former way."""
+        for vm, received_at in list(self.earlier_releases.items()):
+            if now - received_at > STALE_SECONDS:
+                del self.earlier_releases[vm]
+        sent_at, last = self.last_backlog
+        pause = len(self.earlier_releases) / MAX_MESSAGES_PER_SECOND
+        if now - sent_at < max(region_relays.REPORT_SECONDS, pause):
+            return
+        is_due = bool(backlog) and now - sent_at >= RESEND_SECONDS
+        if backlog == last and not is_due:
+            return
+        self.last_backlog = (now, backlog)
+        for vm in self.earlier_releases:
+            self.mesh.post(vm, BACKLOG_METHOD, [self.vm, backlog])
+
+
+# The plane of a report that its recipient does not pass on.
+DIRECT = -1
+NO_REPORT = region_reports.Report()
+REPORT_TYPES = (str, int, int)
+# Sender, plane, delay, age, oldest age and number of VMs.
+SUM_TYPES = (str, int, float, float, float, int)
+
+
+def make_report(by_server: dict[str, list[float]]) -> region_reports.Report:
+    """Returns the report of a backlog by server."""
+    return region_reports.Report(
+        {
+            server: {
+                region_reports.TOKENS: tokens,
+                region_reports.REQUESTS: requests,
+            }
+            for server, (tokens, requests) in by_server.items()
+        }
+    )
+
+
+def encode(message: region_relays.Message) -> tuple[str, list]:
+    """Returns the method and the content for a message."""
+    packed = None if message.report is None else message.report.pack()
+    if isinstance(message, region_relays.MemberReport):
+        content = [message.vm, message.plane, message.sequence, packed]
+        return REPORT_METHOD, content
+    is_total = isinstance(message, region_relays.Total)
+    return TOTAL_METHOD if is_total else SUM_METHOD, [
+        message.vm,
+        message.plane,
+        round(message.delay, 3),
+        round(message.age, 3),
+        round(message.oldest_age, 3),
+        message.vm_count,
+        packed,
+    ]
+
+
+def decode(peer: str, message: typing.Any, types: tuple[type, ...]) -> list:
+    """Returns the values of a message, the last of which is a report.
+
+    Values after the report are ignored.
+
+    :raises PeerProtocolError: if the message is malformed.
+    """
+    try:
+        values = [
+            convert(value)
+            for convert, value in zip(types, message, strict=False)
+        ]
+        packed = message[len(types)]
+        if values[1] not in (DIRECT, *region_relays.PLANES):
+            raise ValueError(values[1])
+        report = None
+        if packed is not None or types is SUM_TYPES:
+            report = region_reports.Report.unpack(packed)
+    except (TypeError, ValueError, LookupError, AttributeError) as error:
+        raise errors.PeerProtocolError(
+            f'{peer} sent a malformed report'
+        ) from error
+    return [*values, report]
 
 
 def decode_backlog(
--- /dev/null
+++ b/src/greengagegw/serving/region_relays.py
@@ -0,0 +1,508 @@
+"""Decides which VM of a large region reports to which, without I/O.
+
+Each VM reports to one relay in each of two planes. The relays of a plane
+exchange the sums of their members and send the total to them. A VM belongs to
+one plane as a relay, so that a VM that fails breaks only one of the planes,
+and every VM uses the better one of its two totals.
+"""
+
+import dataclasses
+import math
+
+import xxhash
+
+from . import region_reports
+
+PLANES = (0, 1)
+# In regions up to this size each VM reports to all others.
+MAX_DIRECT_VMS = 8
+# The age of a backlog is at most the sum of these three intervals and the
+# transit times. It must be less than 0.3 s.
+REPORT_SECONDS = 0.1
+SUM_SECONDS = 0.05
+TOTAL_SECONDS = 0.1
+# A total is not used beside another one if it is older: one missed total.
+MAX_DELAY_SECONDS = 0.25
+# Interval of messages without any backlog, which only show that a VM lives.
+IDLE_SECONDS = 4.0
+# Time without a total after which a member reports to another relay.
+SILENCE_SECONDS = 0.3
+IDLE_SILENCE_SECONDS = 9.0
+# The same for a VM that receives nothing from any other: it is more likely cut
+# off itself, and by changing its relays it would be missing in both planes.
+CUT_OFF_SILENCE_SECONDS = 0.9
+# The sum of a silent relay is dropped before its members report to another
+# one, since they would be counted twice. Its last total may be TOTAL_SECONDS
+# older than its last sum.
+SUM_EXPIRY_SECONDS = 0.2
+REPORT_EXPIRY_SECONDS = 2.5
+IDLE_EXPIRY_SECONDS = 12.0
+# A VM counts as present if its last report, and the sum that contains it, are
+# not older: two missed reports and one missed sum.
+FRESH_SECONDS = 0.25
+FRESH_SUM_SECONDS = 0.12
+# A relay adds a new member only after this time, and a member uses the totals
+# of a new relay only then. So a VM that moves is missing in the totals of one
+# plane for a moment, but is never counted twice, and the total with more VMs
+# is the better one. Covers SUM_EXPIRY_SECONDS.
+HANDOVER_SECONDS = 0.25
+# A changed list of VMs reaches all of them within a poll of 0.5 s. The relays
+# of the second plane change after the moves that it causes in the first one.
+SECOND_PLANE_DELAY_SECONDS = 1.0
+# A silent relay is avoided for this time, and for longer if it stays silent.
+AVOID_SECONDS = 2.0
+MAX_AVOID_SECONDS = 32.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberReport:
+    """The last report of a member.
+
+    :ivar report: None if the VM now reports elsewhere.
+    """
+
+    vm: str
+    plane: int
+    sequence: int
+    report: region_reports.Report | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sum:
+    """The sum of the reports of several VMs.
+
+    :ivar delay: seconds for which the oldest of the sums that it was made of,
+        without those of silent relays, had been received.
+    :ivar age: seconds since the oldest report was received, without those of
+        VMs that fell silent. Empty reports have no age.
+    :ivar oldest_age: the same with those of VMs that fell silent.
+    :ivar vm_count: VMs whose reports are recent.
+    """
+
+    vm: str
+    plane: int
+    delay: float
+    age: float
+    oldest_age: float
+    vm_count: int
+    report: region_reports.Report
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Total(Sum):
+    """The sum of all reports of a region but the recipient's own."""
+
+
+Message = MemberReport | Sum
+
+
+@dataclasses.dataclass(slots=True)
+class Received:
+    """A message and the timer seconds at which it was received.
+
+    :ivar first_received_at: the same of the first message of its VM.
+    """
+
+    message: Message
+    received_at: float
+    first_received_at: float = -math.inf
+
+    def delay(self, now: float) -> float:
+        """Returns the delay of a sum until now."""
+        return now - self.received_at + getattr(self.message, 'delay', 0.0)
+
+    def age(self, now: float) -> float:
+        """Returns seconds since the oldest recent part was reported."""
+        return now - self.received_at + getattr(self.message, 'age', 0.0)
+
+    def oldest_age(self, now: float) -> float:
+        """Returns seconds since any part was reported; 0 if all are empty."""
+        if not self.message.report:
+            return 0.0
+        elapsed = now - self.received_at
+        return elapsed + getattr(self.message, 'oldest_age', 0.0)
+
+
+class PlaneMember:
+    """What a VM knows in a plane as a member of it.
+
+    :ivar relay: VM to which this one reports, if any.
+    :ivar wait_started_at: since when a total of the relay is awaited.
+    :ivar joined_at: when this VM first reported to the relay.
+    :ivar total: the last total of the relay.
+    """
+
+    def __init__(self) -> None:
+        self.relay: str | None = None
+        self.wait_started_at = 0.0
+        self.joined_at = -math.inf
+        self.sent_at = -math.inf
+        self.sent_report: region_reports.Report | None = None
+        self.total: Received | None = None
+
+
+class PlaneRelay:
+    """What a VM knows in a plane as a relay of it."""
+
+    def __init__(self) -> None:
+        self.reports: dict[str, Received] = {}
+        self.sums: dict[str, Received] = {}
+        self.sums_sent_at = -math.inf
+        self.totals_sent_at = -math.inf
+        self.was_sum_empty = True
+        self.was_total_empty = True
+
+
+class RegionRelays:
+    """One VM as a member, and if others choose it as a relay, of its region.
+
+    :param first_sequence: greater than those of an earlier process of the VM.
+    :ivar total: the sum of the reports of all other VMs, as far as known.
+    """
+
+    def __init__(self, vm: str, first_sequence: int) -> None:
+        self.vm = vm
+        self.sequence = first_sequence
+        self.members = tuple(PlaneMember() for _ in PLANES)
+        self.relays = tuple(PlaneRelay() for _ in PLANES)
+        self.relay_names: list[tuple[str, ...]] = [(), ()]
+        self.next_relay_names: list[tuple[str, ...]] = [(), ()]
+        self.names_changed_at: float | None = None
+        self.total: Received | None = None
+        self.was_busy = False
+        self.avoided: dict[str, tuple[float, float]] = {}
+        self.ticked_at = -math.inf
+        self.heard_at = -math.inf
+
+    def update_vms(self, vms: list[str], relay_candidates: list[str]) -> None:
+        """Chooses the relays of the region, including this VM.
+
+        :param vms: all VMs of the region that report here.
+        :param relay_candidates: those that will remain for some seconds.
+        """
+        count = math.isqrt(max(0, len(vms) - 1)) + 1
+        self.next_relay_names = [
+            tuple(
+                sorted(
+                    (vm for vm in relay_candidates if plane_of(vm) == plane),
+                    key=lambda vm: score('relay', vm),
+                    reverse=True,
+                )[:count]
+            )
+            for plane in PLANES
+        ]
+
+    def apply_relay_names(self, now: float) -> None:
+        """Uses changed relays, those of the second plane after a delay."""
+        first, second = PLANES
+        self.relay_names[first] = self.next_relay_names[first]
+        if self.relay_names[second] == self.next_relay_names[second]:
+            self.names_changed_at = None
+            return
+        if self.names_changed_at is None:
+            self.names_changed_at = now
+        elapsed = now - self.names_changed_at
+        if not self.relay_names[second] or (
+            elapsed >= SECOND_PLANE_DELAY_SECONDS
+        ):
+            self.relay_names[second] = self.next_relay_names[second]
+            self.names_changed_at = None
+
+    # Messages of other VMs.
+
+    def on_report(self, message: MemberReport, now: float) -> None:
+        self.hear(message, now)
+        relay = self.relays[message.plane]
+        known = relay.reports.get(message.vm)
+        # An old message on another connection arrives soon after a newer one.
+        # A sequence that starts again later is that of a new process.
+        if (
+            known is not None
+            and message.sequence < known.message.sequence
+            and now - known.received_at < FRESH_SECONDS
+        ):
+            return
+        if message.report is None:
+            relay.reports.pop(message.vm, None)
+        else:
+            first_at = now if known is None else known.first_received_at
+            relay.reports[message.vm] = Received(message, now, first_at)
+
+    def on_sum(self, message: Sum, now: float) -> None:
+        self.hear(message, now)
+        self.relays[message.plane].sums[message.vm] = Received(message, now)
+
+    def on_total(self, message: Total, now: float) -> None:
+        self.hear(message, now)
+        member = self.members[message.plane]
+        self.avoided.pop(message.vm, None)
+        if message.vm != member.relay:
+            return
+        member.wait_started_at = now
+        if now - member.joined_at >= HANDOVER_SECONDS:
+            member.total = Received(message, now)
+            self.choose_total(now)
+
+    def hear(self, message: Message, now: float) -> None:
+        if message.vm != self.vm:
+            self.heard_at = now
+
+    def choose_total(self, now: float) -> None:
+        """Uses the total of the plane with more VMs, or else the newer one."""
+        candidates = [
+            one.total for one in self.members if one.total is not None
+        ]
+        recent = [
+            one for one in candidates if one.delay(now) <= MAX_DELAY_SECONDS
+        ]
+        self.total = max(
+            recent or candidates,
+            key=lambda one: (one.message.vm_count, -one.age(now)),
+            default=None,
+        )
+
+    # Messages to other VMs.
+
+    def tick(
+        self, own: region_reports.Report, now: float
+    ) -> list[tuple[str, Message]]:
+        """Returns the messages that are due, with their recipients.
+
+        Called every SUM_SECONDS.
+
+        :param own: the report of this VM.
+        """
+        if now - self.ticked_at > SILENCE_SECONDS:
+            # This process was suspended, and its members have left it.
+            self.relays = tuple(PlaneRelay() for _ in PLANES)
+        self.ticked_at = now
+        self.apply_relay_names(now)
+        is_busy = bool(own)
+        messages: list[tuple[str, Message]] = []
+        for plane in PLANES:
+            if is_busy and not self.was_busy:
+                self.members[plane].wait_started_at = max(
+                    now, self.members[plane].wait_started_at
+                )
+            messages += self.report_messages(plane, own, now)
+        self.was_busy = is_busy
+        for plane in PLANES:
+            messages += self.relay_messages(plane, now)
+        self.drop_old_total(now)
+        return self.deliver_own(messages, now)
+
+    def drop_old_total(self, now: float) -> None:
+        for member in self.members:
+            if (
+                member.total is not None
+                and now - member.total.received_at > expiry(member.total)
+            ):
+                member.total = None
+        if self.total is not None and now - self.total.received_at > expiry(
+            self.total
+        ):
+            self.total = None
+            self.choose_total(now)
+
+    def deliver_own(
+        self, messages: list[tuple[str, Message]], now: float
+    ) -> list[tuple[str, Message]]:
+        """Handles the messages to this VM, and returns the others."""
+        others = []
+        for vm, message in messages:
+            if vm != self.vm:
+                others.append((vm, message))
+            elif isinstance(message, MemberReport):
+                self.on_report(message, now)
+            elif isinstance(message, Total):
+                self.on_total(message, now)
+        return others
+
+    def leave(self) -> list[tuple[str, Message]]:
+        """Returns the messages after which no relay counts this VM."""
+        messages = []
+        for plane, member in enumerate(self.members):
+            if member.relay is not None:
+                messages.append((member.relay, self.report(plane, None)))
+            member.relay = member.total = None
+        self.total = None
+        return [one for one in messages if one[0] != self.vm]
+
+    def report(
+        self, plane: int, report: region_reports.Report | None
+    ) -> MemberReport:
+        self.sequence += 1
+        return MemberReport(self.vm, plane, self.sequence, report)
+
+    def report_messages(
+        self, plane: int, own: region_reports.Report, now: float
+    ) -> list[tuple[str, Message]]:
+        member = self.members[plane]
+        messages: list[tuple[str, Message]] = []
+        is_busy = bool(own) or (
+            member.total is not None and bool(member.total.message.report)
+        )
+        limit = SILENCE_SECONDS if is_busy else IDLE_SILENCE_SECONDS
+        if is_busy and now - self.heard_at > SILENCE_SECONDS:
+            limit = CUT_OFF_SILENCE_SECONDS
+        if member.relay is not None and now - member.wait_started_at > limit:
+            self.avoid(member.relay, now)
+        relay = self.choose_relay(plane, now)
+        if relay != member.relay:
+            if member.relay is not None:
+                messages.append((member.relay, self.report(plane, None)))
+            member.relay = relay
+            member.wait_started_at = member.joined_at = now
+            member.sent_at = -math.inf
+        if relay is None:
+            return messages
+        interval = REPORT_SECONDS
+        if not own and not member.sent_report:
+            interval = IDLE_SECONDS
+        if is_due(now, member.sent_at, interval):
+            member.sent_at = now
+            member.sent_report = own
+            messages.append((relay, self.report(plane, own)))
+        return messages
+
+    def avoid(self, relay: str, now: float) -> None:
+        _, seconds = self.avoided.get(relay, (0.0, AVOID_SECONDS / 2))
+        seconds = min(2 * seconds, MAX_AVOID_SECONDS)
+        self.avoided[relay] = (now + seconds, seconds)
+
+    def choose_relay(self, plane: int, now: float) -> str | None:
+        names = self.relay_names[plane]
+        usable = [
+            vm for vm in names if self.avoided.get(vm, (-math.inf,))[0] <= now
+        ]
+        return max(
+            usable or names,
+            key=lambda vm: score(self.vm, vm),
+            default=None,
+        )
+
+    def relay_messages(
+        self, plane: int, now: float
+    ) -> list[tuple[str, Message]]:
+        relay = self.relays[plane]
+        drop_expired(relay.reports, now, expiry)
+        drop_expired(relay.sums, now, sum_expiry)
+        if not relay.reports:
+            return []
+        messages: list[tuple[str, Message]] = []
+        counted = [
+            one
+            for one in relay.reports.values()
+            if now - one.first_received_at >= HANDOVER_SECONDS
+        ]
+        group = sum_of(self.vm, plane, counted, now)
+        interval = SUM_SECONDS
+        if not group.report and relay.was_sum_empty:
+            interval = IDLE_SECONDS
+        if is_due(now, relay.sums_sent_at, interval):
+            relay.sums_sent_at = now
+            relay.was_sum_empty = not group.report
+            for vm in {*self.relay_names[plane], *relay.sums}:
+                if vm != self.vm:
+                    messages.append((vm, group))
+        total = sum_of(
+            self.vm, plane, [Received(group, now), *relay.sums.values()], now
+        )
+        interval = TOTAL_SECONDS
+        if not total.report and relay.was_total_empty:
+            interval = IDLE_SECONDS
+        if is_due(now, relay.totals_sent_at, interval):
+            relay.totals_sent_at = now
+            relay.was_total_empty = not total.report
+            for vm, received in relay.reports.items():
+                messages.append((vm, total_without(total, received, now)))
+        return messages
+
+
+def is_due(now: float, sent_at: float, interval: float) -> bool:
+    # Half of a tick covers its jitter.
+    return now - sent_at >= interval - SUM_SECONDS / 2
+
+
+def plane_of(vm: str) -> int:
+    """Returns the plane in which a VM may be a relay."""
+    return score('plane', vm) % len(PLANES)
+
+
+def score(key: str, vm: str) -> int:
+    """Returns the score of a VM for rendezvous hashing."""
+    return xxhash.xxh3_64_intdigest(f'{key}/{vm}'.encode())
+
+
+def expiry(received: Received) -> float:
+    if received.message.report:
+        return REPORT_EXPIRY_SECONDS
+    return IDLE_EXPIRY_SECONDS
+
+
+def sum_expiry(received: Received) -> float:
+    if received.message.report:
+        return SUM_EXPIRY_SECONDS
+    return IDLE_EXPIRY_SECONDS
+
+
+def drop_expired(by_vm: dict[str, Received], now: float, limit) -> None:
+    for vm, received in list(by_vm.items()):
+        if now - received.received_at > limit(received):
+            del by_vm[vm]
+
+
+def recent_vm_count(received: Received, now: float) -> int:
+    limit = FRESH_SECONDS
+    if isinstance(received.message, Sum):
+        limit = FRESH_SUM_SECONDS
+    if not received.message.report:
+        limit = IDLE_SILENCE_SECONDS
+    if now - received.received_at > limit:
+        return 0
+    return getattr(received.message, 'vm_count', 1)
+
+
+def sum_of(vm: str, plane: int, parts, now: float) -> Sum:
+    """Returns the sum of received reports or sums."""
+    report = region_reports.Report()
+    delay = age = oldest_age = 0.0
+    vm_count = 0
+    for part in parts:
+        recent_count = recent_vm_count(part, now)
+        vm_count += recent_count
+        if part.message.report:
+            report.add(part.message.report)
+            oldest_age = max(oldest_age, part.oldest_age(now))
+            if recent_count:
+                age = max(age, part.age(now))
+        if recent_count and isinstance(part.message, Sum):
+            delay = max(delay, part.delay(now))
+    return Sum(vm, plane, delay, age, oldest_age, vm_count, report)
+
+
+def total_without(total: Sum, member: Received, now: float) -> Total:
+    """Returns the total of a region without the part of a member."""
+    report = total.report
+    if now - member.first_received_at < HANDOVER_SECONDS:
+        return Total(
+            total.vm,
+            total.plane,
+            total.delay,
+            total.age,
+            total.oldest_age,
+            total.vm_count,
+            report,
+        )
+    if member.message.report:
+        report = report.copy()
+        report.subtract(member.message.report)
+    return Total(
+        total.vm,
+        total.plane,
+        total.delay,
+        total.age,
+        total.oldest_age,
+        total.vm_count - recent_vm_count(member, now),
+        report,
+    )
--- /dev/null
+++ b/src/greengagegw/serving/region_reports.py
@@ -0,0 +1,103 @@
+"""Reports of entry VMs that are summed over a region.
+
+A report has numbers for each server and numbers for the VM, by name. Names
+that a VM does not know are summed like the others, so that a later release
+can add some.
+"""
+
+import typing
+
+TOKENS = 'tokens'
+REQUESTS = 'requests'
+
+
+class Report:
+    """Numbers by server and name, and further numbers by name.
+
+    :ivar servers: numbers by server and name.
+    :ivar sums: numbers that belong to no server, by name.
+    """
+
+    __slots__ = ('servers', 'sums')
+
+    def __init__(
+        self,
+        servers: dict[str, dict[str, float]] | None = None,
+        sums: dict[str, float] | None = None,
+    ) -> None:
+        self.servers = {} if servers is None else servers
+        self.sums = {} if sums is None else sums
+
+    def __bool__(self) -> bool:
+        return bool(self.servers or self.sums)
+
+    def copy(self) -> 'Report':
+        """Returns a report that shares the numbers of single servers."""
+        return Report(dict(self.servers), dict(self.sums))
+
+    def add(self, other: 'Report') -> None:
+        """Adds a report, without changing numbers of a shared server."""
+        for server, values in other.servers.items():
+            known = self.servers.get(server)
+            self.servers[server] = (
+                values if known is None else add_values(known, values, 1)
+            )
+        self.sums = add_values(self.sums, other.sums, 1)
+
+    def subtract(self, other: 'Report') -> None:
+        """Subtracts a report that was added."""
+        for server, values in other.servers.items():
+            left = add_values(self.servers.get(server, {}), values, -1)
+            # The rest of a sum of floating-point numbers may not be 0.
+            if left.get(REQUESTS, 0.0) < 1:
+                self.servers.pop(server, None)
+            else:
+                self.servers[server] = left
+        self.sums = add_values(self.sums, other.sums, -1)
+
+    def pack(self) -> list:
+        """Returns the report as a message.
+
+        The names of the numbers are sent once and not for each server.
+        """
+        names = sorted({name for one in self.servers.values() for name in one})
+        return [
+            names,
+            {
+                server: [shorten(values.get(name, 0)) for name in names]
+                for server, values in self.servers.items()
+            },
+            {name: shorten(value) for name, value in self.sums.items()},
+        ]
+
+    @classmethod
+    def unpack(cls, packed: typing.Any) -> 'Report':
+        """Returns the report of a message; later elements are ignored.
+
+        :raises ValueError: or TypeError if the message is malformed.
+        """
+        names, servers, sums, *_ = packed
+        return cls(
+            {
+                str(server): dict(
+                    zip(map(str, names), map(float, values), strict=True)
+                )
+                for server, values in dict(servers).items()
+            },
+            {str(name): float(value) for name, value in dict(sums).items()},
+        )
+
+
+def add_values(
+    values: dict[str, float], others: dict[str, float], factor: int
+) -> dict[str, float]:
+    """Returns the sum, or with factor -1 the difference, but at least 0."""
+    result = dict(values)
+    for name, value in others.items():
+        result[name] = max(0.0, result.get(name, 0.0) + factor * value)
+    return result
+
+
+def shorten(value: float) -> float:
+    """Returns an integer, which takes less bytes, instead of a whole float."""
+    return int(value) if value == int(value) else value
