--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -274,18 +274,29 @@
         self.delay = delay
         self.sending = sending
         self.receiving = receiving
+        self.error = None
+        self.receive_scope = None
 
     async def send(self, message):
         await self.sending.send((self.world.timers.now(), message))
 
     async def receive(self):
-        sent_at, message = await self.receiving.receive()
-        await self.world.timers.sleep(
-            sent_at + self.delay - self.world.timers.now()
-        )
-        if isinstance(message, errors.GatewayError):
-            raise message
-        return message
+        if self.error is not None:
+            raise self.error
+        with anyio.CancelScope() as self.receive_scope:
+            sent_at, message = await self.receiving.receive()
+            await self.world.timers.sleep(
+                sent_at + self.delay - self.world.timers.now()
+            )
+            if isinstance(message, errors.GatewayError):
+                raise message
+            return message
+        raise self.error
+
+    def fail(self, error):
+        self.error = error
+        if self.receive_scope is not None:
+            self.receive_scope.cancel()
 
 
 class InMemoryMesh:
--- a/src/greengagegw/ports/peers.py
+++ b/src/greengagegw/ports/peers.py
@@ -4,6 +4,8 @@
 import contextlib
 import typing
 
+from .. import errors
+
 
 class PeerStream(typing.Protocol):
     """A stream of messages from and to a peer."""
@@ -18,6 +20,12 @@
     async def send(self, message: typing.Any) -> None:
         """Sends a message, after waiting for credit from the reader."""
 
+    def fail(self, error: errors.GatewayError) -> None:
+        """Has pending and later calls raise an error.
+
+        Messages that were received before are returned first.
+        """
+
 
 class PeerPort(typing.Protocol):
     """Calls and streams to the other VMs, by VM name."""
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -454,13 +454,20 @@
     async def receive_chunks(
         self, job: jobs.Job, stream: typing.Any
     ) -> collections.abc.AsyncIterator[bytes]:
-        while True:
-            try:
-                yield await jobs.await_until_deadline(
-                    self.timers, job, stream.receive()
-                )
-            except anyio.EndOfStream:
-                return
+        """Yields the body of a response, with one timer for its deadline."""
+        timer = self.timers.call_later(
+            job.deadline - self.timers.now(),
+            lambda: stream.fail(
+                errors.BackendTimeoutError('the request deadline has passed')
+            ),
+        )
+        try:
+            while True:
+                yield await stream.receive()
+        except anyio.EndOfStream:
+            return
+        finally:
+            timer.cancel()
 
     async def serve_for_peer(
         self, peer: str, message: list, stream: peers.PeerStream
