Keep the connection of a non-idempotent call for idempotent ones

A call that may run only once still gets a new connection, which was closed after it although the next idempotent call to the server opened another one. One such connection stays now. Idle connections are closed after their time rather than at the next use. Tests: no call that may run only once reuses a connection, and a stalled read of a real connection ends.

--- a/features/platform/connections.feature
+++ b/features/platform/connections.feature
@@ -22,6 +22,17 @@
     Then each gets its own response
     And the server accepted 1 connection
 
+  Scenario: A request that may run only once gets a connection of its own
+    Given a backend server that sends no second copies
+    When 3 requests that may run only once follow one another, then 3 others
+    Then each gets its own response
+    And the server accepted 3 connections
+
+  Scenario: A read of a response that has stalled ends when it is overdue
+    Given a backend server that stalls after the first chunk of a response
+    When its body is read with a stall timeout of 0.2 seconds
+    Then the first chunk is read, and the next read ends within 1 second
+
   Scenario Outline: Only an orderly close may end a body without a length
     Given a backend server whose response has <framing> and ends by <ending>
     When its body is read
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -20,6 +20,7 @@
 from greengagegw.platform import client_application
 from greengagegw.platform import instance_list
 from greengagegw.platform import settings as platform_settings
+from greengagegw.serving import execution
 from greengagegw.serving import ports
 from greengagegw import settings as settings_module
 from greengagegw import timers as timer_service
@@ -123,6 +124,21 @@
             )
 
 
+@behave.when(
+    '{once:d} requests that may run only once follow one another, then'
+    ' {others:d} others'
+)
+@in_fleet
+async def when_both_kinds_follow(context, once, others):
+    context.outcomes = []
+    async with connected_client(context) as (client, instance):
+        for number in range(once + others):
+            outcome = await send(
+                client, instance, f'r-{number}', is_retryable=number >= once
+            )
+            context.outcomes.append(outcome)
+
+
 @contextlib.asynccontextmanager
 async def connected_client(context):
     """Enters a client and the instance that is the scenario's server."""
@@ -137,7 +153,7 @@
         tasks.cancel_scope.cancel()
 
 
-def make_request(name):
+def make_request(name, is_retryable=True):
     scope = {
         'method': 'GET',
         'path': '/',
@@ -149,15 +165,17 @@
         ],
     }
     request = client_application.decode_request(scope, b'')
-    return ports.BackendRequest(request, None, 3.0, 0, None, True)
+    return ports.BackendRequest(request, None, 3.0, 0, None, is_retryable)
 
 
-async def send(client, instance, name):
+async def send(client, instance, name, is_retryable=True):
     """Returns the ID, and the body or the error of its request."""
     try:
         with anyio.fail_after(REQUEST_TIMEOUT_SECONDS):
             async with client.send(
-                instance, make_request(name), lambda notice: None
+                instance,
+                make_request(name, is_retryable),
+                lambda notice: None,
             ) as response:
                 body = b''.join([one async for one in response.chunks])
     except errors.BackendError as error:
@@ -181,6 +199,7 @@
     assert all(one == two for one, two in context.outcomes), context.outcomes
 
 
+@behave.then('the server accepted {count:d} connections')
 @behave.then('the server accepted {count:d} connection')
 def then_connections(context, count):
     assert context.server.connections == count, context.server.connections
@@ -257,6 +276,60 @@
     assert context.ends_by_close == (result == 'complete, and ended by close')
 
 
+class StallingServer:
+    """A backend server whose response has one chunk and no end."""
+
+    async def serve(self, stream):
+        async with stream:
+            head = b''
+            while b'\r\n\r\n' not in head:
+                head += await stream.receive()
+            name = REQUEST_ID.search(head.lower()).group(1)
+            await stream.send(
+                b'HTTP/1.1 200 OK\r\nGreengagegw-Attempt-Id: %s\r\n'
+                b'Greengagegw-Server-Stamp: s\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n' % name
+            )
+            await anyio.sleep_forever()
+
+
+@behave.given(
+    'a backend server that stalls after the first chunk of a response'
+)
+@in_fleet
+async def given_stalling(context):
+    context.server = StallingServer()
+    context.listener = await anyio.create_tcp_listener(
+        local_host=HOST, local_port=PORT
+    )
+
+
+@behave.when('its body is read with a stall timeout of {seconds:g} seconds')
+@in_fleet
+async def when_stalled(context, seconds):
+    context.chunks = []
+    async with connected_client(context) as (client, instance):
+        stall_timer = execution.StallTimer(client.timers, seconds)
+        deadline = client.timers.now() + REQUEST_TIMEOUT_SECONDS
+        async with client.send(
+            instance, make_request('r-1'), lambda notice: None
+        ) as response:
+            for _ in range(2):
+                began_at = client.timers.now()
+                context.chunks.append(
+                    await stall_timer.read(response, deadline)
+                )
+                context.read_seconds = client.timers.now() - began_at
+
+
+@behave.then(
+    'the first chunk is read, and the next read ends within {limit:g} second'
+)
+def then_stalled(context, limit):
+    assert context.chunks == [b'first', None], context.chunks
+    assert 0.1 < context.read_seconds < limit, context.read_seconds
+
+
 class StubDispatcher:
     """Responds with two chunks, or breaks off after the first."""
 
--- a/src/greengagegw/adapters/backend_connection.py
+++ b/src/greengagegw/adapters/backend_connection.py
@@ -41,6 +41,8 @@
     :ivar received: bytes that were not parsed yet.
     :ivar waiter: completed when there is more to read.
     :ivar idle_since: monotonic seconds at which the last response ended.
+    :ivar max_idle: idle connections of its pool, including this one, up to
+        which it is kept.
     """
 
     def __init__(self) -> None:
@@ -56,6 +58,7 @@
         self.is_reading_paused = False
         self.can_write: asyncio.Future | None = None
         self.idle_since = 0.0
+        self.max_idle = 0
 
     # Called by the event loop.
 
@@ -241,8 +244,7 @@
 class ConnectionPool:
     """The connections to one backend server.
 
-    :param max_idle: maximal number of idle connections; with 0, each request
-        has a connection of its own.
+    :param max_idle: maximal number of idle connections.
     :param idle_seconds: time after which an idle connection is not used.
     """
 
@@ -251,15 +253,20 @@
         self.idle_seconds = idle_seconds
         self.idle: collections.deque[Connection] = collections.deque()
 
-    async def send(self, request: Request) -> Response:
+    async def send(
+        self, request: Request, needs_new_connection: bool = False
+    ) -> Response:
         """Sends a request, and returns its response once the head is there.
 
+        :param needs_new_connection: whether it may not use an idle one.
         :raises httpcore.ConnectError: if there is no connection.
         :raises httpcore.ConnectTimeout: if there is none in time.
         :raises httpcore.NetworkError: if the connection is lost.
         :raises httpcore.ProtocolError: if the response is no valid HTTP.
         """
-        connection = self.take_idle()
+        connection = None
+        if not needs_new_connection:
+            connection = self.take_idle()
         if connection is None:
             connection = await connect(
                 request.host, request.port, request.connect_seconds
@@ -269,6 +276,9 @@
         except BaseException:
             connection.abort()
             raise
+        # Requests that need a new connection leave at most one idle one, as
+        # they would otherwise fill the pool.
+        connection.max_idle = 1 if needs_new_connection else self.max_idle
         return Response(self, connection, head)
 
     def take_idle(self) -> Connection | None:
@@ -282,13 +292,18 @@
 
     def release(self, connection: Connection) -> None:
         """Keeps a connection whose response is complete, or closes it."""
-        if self.max_idle and connection.start_next_cycle():
+        max_idle = min(self.max_idle, connection.max_idle)
+        if len(self.idle) < max_idle and connection.start_next_cycle():
             self.idle.append(connection)
-            if len(self.idle) > self.max_idle:
-                self.idle.popleft().abort()
         else:
             connection.abort()
 
+    def close_expired(self) -> None:
+        """Closes the connections that were idle for too long."""
+        oldest = time.monotonic() - self.idle_seconds
+        while self.idle and self.idle[0].idle_since < oldest:
+            self.idle.popleft().abort()
+
     def close(self) -> None:
         """Closes the idle connections."""
         self.max_idle = 0
--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -38,31 +38,25 @@
     may get its address later.
 
     :ivar pools: connection pools with keep-alive by instance name.
-    :ivar single_use_pool: opens a connection for each request.
     """
 
     def __init__(self, timers: timer_service.Timers) -> None:
         self.timers = timers
         self.pools: dict[str, backend_connection.ConnectionPool] = {}
-        self.single_use_pool = backend_connection.ConnectionPool(0, 0.0)
 
     def prune_pools(self, instance_names: collections.abc.Container) -> None:
-        """Closes the connection pools of instances that no longer exist.
+        """Closes connections that were idle for long or are not needed.
 
         :param instance_names: names of the instances that still exist.
         """
         for name in [one for one in self.pools if one not in instance_names]:
             self.pools.pop(name).close()
+        for pool in self.pools.values():
+            pool.close_expired()
 
-    def select_pool(
-        self,
-        instance: instances.Instance,
-        backend_request: ports.BackendRequest,
+    def find_pool(
+        self, instance: instances.Instance
     ) -> backend_connection.ConnectionPool:
-        # The server may close an idle connection just as a request is sent,
-        # which leaves it unknown whether the request ran.
-        if not backend_request.is_retryable:
-            return self.single_use_pool
         pool = self.pools.get(instance.name)
         if pool is None:
             pool = self.pools[instance.name] = (
@@ -88,9 +82,13 @@
         :raises BackendError: if the request may have run.
         """
         request = make_request(instance, backend_request)
-        pool = self.select_pool(instance, backend_request)
+        # The server may close an idle connection just as a request is sent,
+        # which leaves it unknown whether the request ran.
+        needs_new_connection = not backend_request.is_retryable
         try:
-            response = await pool.send(request)
+            response = await self.find_pool(instance).send(
+                request, needs_new_connection
+            )
         except backend_transport.CONNECT_ERRORS as error:
             raise errors.BackendConnectError(
                 f'connecting to {instance.name} failed'
