--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
+# Commit that `make bench` compares the working tree with.
+BASE ?= 7249eb6
 
 .PHONY: demo test lint format binary bench capacity experiment clean
 
@@ -38,6 +40,8 @@
 
 bench: $(VENV)/installed
 	$(BIN)/python -m bench.data_path
+	$(BIN)/python -m bench.planning_cost
+	$(BIN)/python -m bench.platform_path $(BASE)
 
 clean:
 	rm -rf $(VENV) dist build
--- a/src/greengagegw/adapters/backend_connection.py
+++ b/src/greengagegw/adapters/backend_connection.py
@@ -10,13 +10,14 @@
 import collections.abc
 import dataclasses
 import select
-import time
 import typing
 
 import anyio
 import h11
 import httpcore
 
+from .. import timers as timer_service
+
 MAX_HEAD_BYTES = 100 * 1024
 # Reading pauses while this much of a response waits for a slow client.
 MAX_BUFFERED_BYTES = 64 * 1024
@@ -40,7 +41,7 @@
 
     :ivar received: bytes that were not parsed yet.
     :ivar waiter: completed when there is more to read.
-    :ivar idle_since: monotonic seconds at which the last response ended.
+    :ivar idle_since: timer seconds at which the last response ended.
     :ivar max_idle: idle connections of its pool, including this one, up to
         which it is kept.
     """
@@ -105,13 +106,9 @@
         self.transport.abort()
         self.wake()
 
-    def is_reusable(self, idle_seconds: float) -> bool:
+    def is_reusable(self) -> bool:
         """Returns whether an idle connection may get another request."""
-        if (
-            self.has_ended
-            or self.received
-            or time.monotonic() - self.idle_since > idle_seconds
-        ):
+        if self.has_ended or self.received:
             return False
         # The server may have closed it since the last turn of the event loop.
         poll = select.poll()
@@ -194,7 +191,6 @@
         ):
             return False
         self.http.start_next_cycle()
-        self.idle_since = time.monotonic()
         return not self.has_ended
 
 
@@ -248,7 +244,13 @@
     :param idle_seconds: time after which an idle connection is not used.
     """
 
-    def __init__(self, max_idle: int, idle_seconds: float) -> None:
+    def __init__(
+        self,
+        max_idle: int,
+        idle_seconds: float,
+        timers: timer_service.Timers,
+    ) -> None:
+        self.timers = timers
         self.max_idle = max_idle
         self.idle_seconds = idle_seconds
         self.idle: collections.deque[Connection] = collections.deque()
@@ -283,9 +285,10 @@
 
     def take_idle(self) -> Connection | None:
         """Returns the connection used last; closes those idle for too long."""
+        self.close_expired()
         while self.idle:
             connection = self.idle.pop()
-            if connection.is_reusable(self.idle_seconds):
+            if connection.is_reusable():
                 return connection
             connection.abort()
         return None
@@ -294,13 +297,14 @@
         """Keeps a connection whose response is complete, or closes it."""
         max_idle = min(self.max_idle, connection.max_idle)
         if len(self.idle) < max_idle and connection.start_next_cycle():
+            connection.idle_since = self.timers.now()
             self.idle.append(connection)
         else:
             connection.abort()
 
     def close_expired(self) -> None:
         """Closes the connections that were idle for too long."""
-        oldest = time.monotonic() - self.idle_seconds
+        oldest = self.timers.now() - self.idle_seconds
         while self.idle and self.idle[0].idle_since < oldest:
             self.idle.popleft().abort()
 
--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -61,7 +61,7 @@
         if pool is None:
             pool = self.pools[instance.name] = (
                 backend_connection.ConnectionPool(
-                    MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS
+                    MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, self.timers
                 )
             )
         return pool
