--- a/src/greengagegw/adapters/backend_connection.py
+++ b/src/greengagegw/adapters/backend_connection.py
@@ -10,13 +10,14 @@
 import collections.abc
 import dataclasses
 import select
-import time
 import typing
 
 import anyio
 import h11
 import httpcore
 
+from .. import timers as timer_service
+
 MAX_HEAD_BYTES = 100 * 1024
 # Reading pauses while this much of a response waits for a slow client.
 MAX_BUFFERED_BYTES = 64 * 1024
@@ -40,7 +41,9 @@
 
     :ivar received: bytes that were not parsed yet.
     :ivar waiter: completed when there is more to read.
-    :ivar idle_since: monotonic seconds at which the last response ended.
+    :ivar idle_since: timer seconds at which the last response ended.
+    :ivar max_idle: idle connections of its pool, including this one, up to
+        which it is kept.
     """
 
     def __init__(self) -> None:
@@ -56,6 +59,7 @@
         self.is_reading_paused = False
         self.can_write: asyncio.Future | None = None
         self.idle_since = 0.0
+        self.max_idle = 0
 
     # Called by the event loop.
 
@@ -102,13 +106,9 @@
         self.transport.abort()
         self.wake()
 
-    def is_reusable(self, idle_seconds: float) -> bool:
+    def is_reusable(self) -> bool:
         """Returns whether an idle connection may get another request."""
-        if (
-            self.has_ended
-            or self.received
-            or time.monotonic() - self.idle_since > idle_seconds
-        ):
+        if self.has_ended or self.received:
             return False
         # The server may have closed it since the last turn of the event loop.
         poll = select.poll()
@@ -191,7 +191,6 @@
         ):
             return False
         self.http.start_next_cycle()
-        self.idle_since = time.monotonic()
         return not self.has_ended
 
 
@@ -241,25 +240,35 @@
 class ConnectionPool:
     """The connections to one backend server.
 
-    :param max_idle: maximal number of idle connections; with 0, each request
-        has a connection of its own.
+    :param max_idle: maximal number of idle connections.
     :param idle_seconds: time after which an idle connection is not used.
     """
 
-    def __init__(self, max_idle: int, idle_seconds: float) -> None:
+    def __init__(
+        self,
+        max_idle: int,
+        idle_seconds: float,
+        timers: timer_service.Timers,
+    ) -> None:
+        self.timers = timers
         self.max_idle = max_idle
         self.idle_seconds = idle_seconds
         self.idle: collections.deque[Connection] = collections.deque()
 
-    async def send(self, request: Request) -> Response:
+    async def send(
+        self, request: Request, needs_new_connection: bool = False
+    ) -> Response:
         """Sends a request, and returns its response once the head is there.
 
+        :param needs_new_connection: whether it may not use an idle one.
         :raises httpcore.ConnectError: if there is no connection.
         :raises httpcore.ConnectTimeout: if there is none in time.
         :raises httpcore.NetworkError: if the connection is lost.
         :raises httpcore.ProtocolError: if the response is no valid HTTP.
         """
-        connection = self.take_idle()
+        connection = None
+        if not needs_new_connection:
+            connection = self.take_idle()
         if connection is None:
             connection = await connect(
                 request.host, request.port, request.connect_seconds
@@ -269,26 +278,36 @@
         except BaseException:
             connection.abort()
             raise
+        # Requests that need a new connection leave at most one idle one, as
+        # they would otherwise fill the pool.
+        connection.max_idle = 1 if needs_new_connection else self.max_idle
         return Response(self, connection, head)
 
     def take_idle(self) -> Connection | None:
         """Returns the connection used last; closes those idle for too long."""
+        self.close_expired()
         while self.idle:
             connection = self.idle.pop()
-            if connection.is_reusable(self.idle_seconds):
+            if connection.is_reusable():
                 return connection
             connection.abort()
         return None
 
     def release(self, connection: Connection) -> None:
         """Keeps a connection whose response is complete, or closes it."""
-        if self.max_idle and connection.start_next_cycle():
+        max_idle = min(self.max_idle, connection.max_idle)
+        if len(self.idle) < max_idle and connection.start_next_cycle():
+            connection.idle_since = self.timers.now()
             self.idle.append(connection)
-            if len(self.idle) > self.max_idle:
-                self.idle.popleft().abort()
         else:
             connection.abort()
 
+    def close_expired(self) -> None:
+        """Closes the connections that were idle for too long."""
+        oldest = self.timers.now() - self.idle_seconds
+        while self.idle and self.idle[0].idle_since < oldest:
+            self.idle.popleft().abort()
+
     def close(self) -> None:
         """Closes the idle connections."""
         self.max_idle = 0
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -56,6 +56,7 @@
     :ivar response_scope: cancelled to send the request to another server.
     :ivar timed_events: events after the first one that were read at once.
     :ivar timed_seconds: sum of the intervals before these.
+    :ivar is_rerouted: whether it was cancelled for that.
     """
 
     sent_at: float
@@ -67,6 +68,7 @@
     has_response: bool = False
     timed_events: int = 0
     timed_seconds: float = 0.0
+    is_rerouted: bool = False
 
 
 class Server:
@@ -275,6 +277,7 @@
                 and not one.has_response
                 and one.acquire_reroute(may_leave)
             ):
+                one.is_rerouted = True
                 scope.cancel()
 
     def record_first_byte(self, request: InFlightRequest, now: float) -> None:
