Divide an overloaded service among its organisations

An organisation that sends many times its load took the capacity in proportion to what it sends. Shares are max-min fair by predicted work and weighted by priority; an organisation beyond its share is admitted less far. Until VMs exchange their sums, each VM scales its own.

--- a/features/load_patterns.py
+++ b/features/load_patterns.py
@@ -86,6 +86,7 @@
     :ivar layout: engines and entry VMs by region.
     :ivar burst: multiple of the request rate, and the seconds from the start
         between which it applies.
+    :ivar key_shares: relative rates of the organisations.
     :ivar clients_give_up: whether clients do not return after a pause that
         exceeds a third of their time left, rather than after the third.
     """
@@ -100,6 +101,7 @@
     profiles: tuple[RequestProfile, ...] = PROFILES
     layout: tuple[tuple[str, tuple[int, int]], ...] = tuple(LAYOUT.items())
     burst: tuple[float, float, float] = (1.0, 0.0, 0.0)
+    key_shares: tuple[float, float, float] = (1.0, 1.0, 1.0)
     clients_give_up: bool = False
 
 
@@ -134,6 +136,9 @@
     'a lasting load of twice the capacity': LoadPattern(
         rate_factor=2.4, clients_give_up=True
     ),
+    'an organisation with twenty times its load': LoadPattern(
+        rate_factor=2.4, key_shares=(20.0, 1.0, 1.0), clients_give_up=True
+    ),
     'a load that fits': LoadPattern(rate_factor=0.5, clients_give_up=True),
 }
 
@@ -214,7 +219,7 @@
         timeout_seconds = profile.timeout_seconds * world.rng.uniform(
             0.85, 1.0
         )
-        key = world.rng.choice(KEYS)
+        key = world.rng.choices(KEYS, self.pattern.key_shares)[0]
         request = world.request(number, path, prompt, timeout_seconds, key)
         outcome = await world.send_request(
             vm, request, profile.latency_objective, profile.name
--- /dev/null
+++ b/features/serving/fair_shares.feature
@@ -0,0 +1,43 @@
+Feature: Organisations share the capacity of an overloaded service
+
+  Scenario: A large organisation does not keep small ones out
+    When an organisation with twenty times its load is replayed
+    Then each small organisation is served on time at least as often as the large one
+    And at most 5 percent of the returned clients are rejected again
+    And each class is served at least a quarter as often as all
+
+  Scenario Outline: Shares are weighted, and unused ones are lent
+    When a capacity of 10 is divided among <asked> with the weights <weights>
+    Then the shares are <shares>
+
+    Examples:
+      | asked    | weights | shares |
+      | 20 20    | 1 1     | 5 5    |
+      | 200 1 1  | 1 1 1   | 8 1 1  |
+      | 20 20    | 3 1     | 7.5 2.5 |
+      | 2 3      | 1 1     | 2 3    |
+
+  Scenario: Only an organisation beyond its share is admitted less far
+    Given organisations that ask for 20 and 1 server seconds, half of which are served
+    Then the factor of the first one is less than 1
+    And the factor of the second one is 1
+
+  Scenario: Shares do not apply while nothing is rejected
+    Given organisations that ask for 20 and 1 server seconds, all of which are served
+    Then the factor of the first one is 1
+
+  Scenario Outline: Reports of other VMs that are missing or incorrect
+    Given organisations that ask for 20 and 1 server seconds, half of which are served
+    When the other VMs report <report>
+    Then the factor of the second one is 1
+    And every factor is between 0.5 and 1
+
+    Examples:
+      | report         |
+      | nothing        |
+      | negative work  |
+      | unknown names  |
+
+  Scenario: The sums that VMs exchange are bounded
+    Given 100 organisations with different work
+    Then a VM reports the 32 with the most work
--- a/src/greengagegw/serving/competition.py
+++ b/src/greengagegw/serving/competition.py
@@ -4,9 +4,11 @@
 organisation have none, and their requests are admitted as without it.
 """
 
+import collections.abc
 import dataclasses
 
 from . import admission
+from . import fair_shares
 from . import retry_schedule
 from . import urgency
 
@@ -16,6 +18,7 @@
     """A request on which this VM has decided.
 
     :ivar route: its class.
+    :ivar organisation: empty if it has none.
     :ivar work: server seconds that it needs.
     :ivar capacity: server seconds a second that this VM may use, 0 if it has
         no server.
@@ -23,6 +26,7 @@
     """
 
     route: str
+    organisation: str
     admission_request: admission.AdmissionRequest
     is_client_retry: bool
     work: float
@@ -33,15 +37,29 @@
 
 
 class ServiceCompetition:
-    """The requests that compete for one service on one entry VM."""
+    """The requests that compete for one service on one entry VM.
 
-    def __init__(self, now: float) -> None:
+    :param count_vms: returns the number of usable entry VMs of the region.
+    """
+
+    def __init__(
+        self, now: float, count_vms: collections.abc.Callable[[], int]
+    ) -> None:
+        # Replaced when VMs exchange their sums; until then this VM's own
+        # sums stand for those of the others.
+        self.other_sums: collections.abc.Callable[[], fair_shares.Sums] = (
+            lambda: fair_shares.scale(
+                self.shares.local_sums(), max(0, count_vms() - 1)
+            )
+        )
+        self.shares = fair_shares.FairShares(now, lambda: self.other_sums())
         self.balance = urgency.UrgencyBalance(now)
         self.schedule = retry_schedule.RetrySchedule()
 
     def adjust(
         self,
         route: str,
+        organisation: str,
         request: admission.AdmissionRequest,
         objective: float,
         now: float,
@@ -59,13 +77,24 @@
             # Other returns have no precedence: they would displace requests
             # that are on time.
             is_client_retry=False,
-            limit_factor=self.balance.factor(rank),
+            limit_factor=self.balance.factor(rank)
+            * self.shares.factor(organisation),
             return_objective=objective if has_precedence else 0.0,
         )
 
+    def record(self, decided: Decided, is_served: bool, now: float) -> None:
+        request = decided.admission_request
+        self.balance.record(request.priority_rank, is_served, now)
+        self.shares.record(
+            decided.organisation,
+            request.organisation_priority_rank,
+            decided.work,
+            is_served,
+            now,
+        )
+
     def record_admission(self, decided: Decided, now: float) -> None:
-        rank = decided.admission_request.priority_rank
-        self.balance.record(rank, True, now)
+        self.record(decided, True, now)
         if decided.is_client_retry:
             self.schedule.record_return(decided.route, decided.work, now)
         else:
@@ -80,8 +109,7 @@
 
         :param jitter: random number from 0 to 1.
         """
-        rank = decided.admission_request.priority_rank
-        self.balance.record(rank, False, now)
+        self.record(decided, False, now)
         refusal = retry_schedule.refusal_seconds(decided.client_seconds_left)
         if decided.is_client_retry:
             return refusal
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -493,7 +493,11 @@
         if competition is None:
             return request
         return competition.adjust(
-            job.route.name, request, job.route.latency_objective, now
+            job.route.name,
+            job.organisation or '',
+            request,
+            job.route.latency_objective,
+            now,
         )
 
     def competition_of(
@@ -506,7 +510,9 @@
             return None
         competition = self.competitions.get(name)
         if competition is None:
-            competition = competition_module.ServiceCompetition(now)
+            competition = competition_module.ServiceCompetition(
+                now, lambda: len(self.view.usable_entry_vms(self.pool.region))
+            )
             self.competitions[name] = competition
         return competition
 
@@ -531,6 +537,7 @@
         client_timeout = job.request.client_timeout_seconds
         decided = competition_module.Decided(
             job.route.name,
+            job.organisation or '',
             request,
             job.is_client_retry,
             server_seconds,
@@ -548,6 +555,16 @@
         retry_after = competition.record_rejection(
             decided, self.rng.random(), now
         )
+        self.log(
+            'request:not_admitted',
+            job,
+            organisation=job.organisation,
+            is_return=job.is_client_retry,
+            precedes=request.return_objective > 0,
+            limit=round(admission.max_wait_seconds(request), 3),
+            factor=round(request.limit_factor, 3),
+            retry_after=round(retry_after, 3),
+        )
         return dataclasses.replace(decision, retry_after=retry_after)
 
     def record_remote_rejection(
