Direct clients to entry VMs in proportion to their capacity

Small entry VMs were overloaded while larger ones idled. Heartbeats carry the cores and the event loop lag of a VM beside its packed form, which earlier releases unpack from exactly five values.

--- a/src/greengagegw/fleet/agent.py
+++ b/src/greengagegw/fleet/agent.py
@@ -85,6 +85,7 @@
     :param describe: returns this VM and its region's loads by service.
     :param lease_seconds: how long keys may be accepted after the request of
         a poll whose reply was confirmed.
+    :ivar capacity: returns the size and overload of this VM.
     """
 
     def __init__(
@@ -118,6 +119,9 @@
             timers, self.request_grants, self.fair_rate
         )
         self.tasks: anyio.abc.TaskGroup | None = None
+        self.capacity: collections.abc.Callable[[], members.Capacity] = (
+            members.Capacity
+        )
 
     @property
     def has_lease(self) -> bool:
@@ -158,7 +162,10 @@
             return
         entry, by_service = self.describe()
         packed_loads = {name: one.pack() for name, one in by_service.items()}
-        message = [entry.pack(), packed_loads, self.held_versions()]
+        # The capacity is not a part of the packed VM, of which an earlier
+        # release expects exactly five values.
+        capacity = self.capacity().pack()
+        message = [entry.pack(), packed_loads, self.held_versions(), capacity]
         if self.preferred_control_vm is not None:
             now = self.timers.now()
             # Without a change, the other control VMs need a heartbeat only
@@ -170,7 +177,11 @@
             if is_due or entry != self.announced:
                 self.announced, self.heartbeat_sent_at = entry, now
                 for vm in known[1:]:
-                    self.tasks.start_soon(self.send_heartbeat, vm, message[:2])
+                    self.tasks.start_soon(
+                        self.send_heartbeat,
+                        vm,
+                        [*message[:2], None, capacity],
+                    )
             if await self.poll_control_vm(known[0], message):
                 return
         self.preferred_control_vm = None
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -336,7 +336,11 @@
 
     def record_heartbeat(self, message: list) -> members.EntryVm:
         entry = members.EntryVm.unpack(message[0])
-        if self.registry.record_heartbeat(entry, self.timers.now()):
+        # VMs of an earlier release send no capacity.
+        capacity = members.Capacity.unpack(
+            message[3] if len(message) > 3 else None
+        )
+        if self.registry.record_heartbeat(entry, self.timers.now(), capacity):
             eliot.log_message(
                 'roster:heard', vm=entry.vm, state=entry.state.value
             )
--- a/src/greengagegw/platform/operator_application.py
+++ b/src/greengagegw/platform/operator_application.py
@@ -112,6 +112,8 @@
             parameter('zone'),
             self.home_regions_of(parameter('name')),
             MAX_ADDRESSES,
+            self.control.registry.capacities,
+            now,
         )
         if not addresses:
             raise errors.UnavailableError('no entry VM is live')
--- a/src/greengagegw/platform/roles.py
+++ b/src/greengagegw/platform/roles.py
@@ -95,6 +95,7 @@
         settings.bounds.revoke_seconds - timing.LEASE_MARGIN_SECONDS,
         process.rng,
     )
+    agent.capacity = lambda: members.Capacity(settings.cores, process.loop_lag)
     dispatcher = dispatchers.Dispatcher(
         process.vm,
         timers,
--- a/src/greengagegw/platform/settings.py
+++ b/src/greengagegw/platform/settings.py
@@ -59,6 +59,7 @@
     :ivar seeds: hosts of control VMs.
     :ivar is_first_start: whether the deployment starts for the first time,
         with empty disks.
+    :ivar cores: processor cores that the process may use; 0 if unknown.
     :ivar max_lost_disks: how many disks may be lost at the same time.
     """
 
@@ -78,6 +79,7 @@
     instance_list_endpoint: Endpoint
     max_lost_disks: int
     bounds: Bounds
+    cores: float = 0.0
 
 
 def read(file: str | None = None) -> Settings:
@@ -179,6 +181,20 @@
     return tuple(parse_endpoint(one.strip()).host for one in value.split(','))
 
 
+def decode_cores(reader: SettingsReader) -> float:
+    """Returns the processor cores that the process may use, 0 if unknown.
+
+    A share up to 1 is a part of the cores; a larger one is a number of cores.
+    """
+    share, cores = (
+        reader.parse(name, parse_non_negative, 'a non-negative number', 0.0)
+        for name in ('limits.cpuShare', 'limits.cores')
+    )
+    if not share or not cores:
+        return share or cores
+    return share * cores if share <= 1 else min(share, cores)
+
+
 def decode(text: str) -> Settings:
     """Returns the settings in the text of a settings file.
 
@@ -249,6 +265,7 @@
             ),
             directory_ttl_seconds=reader.seconds('bounds.ttl_max_s', 2.0, 1.0),
         ),
+        cores=decode_cores(reader),
     )
     if reader.problems:
         raise errors.SettingsError(tuple(reader.problems))
