--- a/features/serving/region_relays.feature
+++ b/features/serving/region_relays.feature
@@ -65,3 +65,19 @@
   Scenario: A relay of an idle region sends few frames
     Given an idle region of 12 and one of 120 VMs
     Then the busiest VM of the larger one sends and receives at most twice as many frames
+
+  # Fails if VMs of two releases do not understand each other.
+  Scenario Outline: Messages of other releases
+    Given an entry VM in a region of <count>
+    When a VM of an earlier release reports
+    Then its backlog counts once, and it is sent the former message
+    When a VM of a later release reports further numbers
+    Then they are summed by name
+    And each message keeps its values on the wire
+    And a malformed message of each method is rejected
+    And it withdraws its reports when it leaves
+
+    Examples:
+      | count |
+      | 8     |
+      | 20    |
--- /dev/null
+++ b/features/steps/backlog_messages.py
@@ -0,0 +1,127 @@
+"""Steps for the messages of backlogs between releases."""
+
+import functools
+import types
+
+import behave
+
+from greengagegw import errors
+from greengagegw.fleet import members
+from greengagegw.serving import backlog_exchange
+from greengagegw.serving import region_relays
+from greengagegw.serving import region_reports
+from greengagegw import timers
+
+BACKLOG = {'s1': [100, 2]}
+
+
+def run(coroutine):
+    """Runs a handler, which never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration:
+        return
+    raise AssertionError('the handler waits')
+
+
+@behave.given('an entry VM in a region of {count:d}')
+def given_exchange(context, count):
+    entries = tuple(
+        members.EntryVm(
+            f'v{at}', f'v{at}:80', 'a', 'a-1', members.EntryState.SERVING
+        )
+        for at in range(count)
+    )
+    context.posted = []
+    mesh = types.SimpleNamespace(
+        post=lambda *message: context.posted.append(message)
+    )
+    context.exchange = backlog_exchange.BacklogExchange(
+        'v0',
+        'a',
+        timers.ManualTimers(),
+        mesh,
+        types.SimpleNamespace(entry_vms=entries),
+        lambda: BACKLOG,
+    )
+    context.receive = lambda method, message: run(
+        context.exchange.handlers()[method]('v1', message)
+    )
+
+
+@behave.when('a VM of an earlier release reports')
+def when_earlier(context):
+    context.receive('serving.backlog', ['v1', {'s1': [50, 1]}])
+    context.exchange.send_reports(context.exchange.timers.now())
+
+
+@behave.then('its backlog counts once, and it is sent the former message')
+def then_earlier(context):
+    assert context.exchange.peer_totals('s1') == [50.0, 1.0]
+    sent = [one for one in context.posted if one[1] == 'serving.backlog']
+    assert sent == [('v1', 'serving.backlog', ['v0', BACKLOG])], sent
+
+
+@behave.when('a VM of a later release reports further numbers')
+def when_later(context):
+    report = [
+        ['requests', 'tokens', 'work'],
+        {'s1': [1, 50, 2.5]},
+        {'share': 3},
+        'later',
+    ]
+    context.receive('serving.report', ['v1', -1, 0, report, 'later'])
+
+
+@behave.then('they are summed by name')
+def then_later(context):
+    exchange = context.exchange
+    assert exchange.peer_totals('s1') == [50.0, 1.0]
+    assert exchange.peer_server_sums('s1')['work'] == 2.5
+    assert exchange.peer_sums() == {'share': 3.0}
+
+
+@behave.then('each message keeps its values on the wire')
+def then_codec(context):
+    report = region_reports.Report(
+        {'s1': {'tokens': 5.0, 'requests': 1.0}}, {'share': 1.5}
+    )
+    relays = context.exchange.relays
+    for message, is_stored in (
+        (
+            region_relays.MemberReport('v1', 1, 7, report),
+            lambda: relays.relays[1].reports['v1'].message,
+        ),
+        (
+            region_relays.Sum('v1', 0, 0.01, 0.02, 0.03, 4, report),
+            lambda: relays.relays[0].sums['v1'].message,
+        ),
+    ):
+        context.receive(*backlog_exchange.encode(message))
+        stored = is_stored()
+        assert stored.report.pack() == report.pack()
+        assert type(stored) is type(message)
+        assert backlog_exchange.encode(stored) == backlog_exchange.encode(
+            message
+        )
+
+
+@behave.then('a malformed message of each method is rejected')
+def then_malformed(context):
+    for method in context.exchange.handlers():
+        for message in (None, [], ['v1', 9, 0, None], ['v1', 0, 0, 'x'], 7):
+            try:
+                functools.partial(context.receive, method, message)()
+            except errors.PeerProtocolError:
+                continue
+            raise AssertionError((method, message))
+
+
+@behave.then('it withdraws its reports when it leaves')
+def then_withdrawn(context):
+    exchange = context.exchange
+    exchange.send_reports(exchange.timers.now())
+    context.posted.clear()
+    exchange.leave()
+    assert context.posted
+    assert all(message[-1] is None for *_, message in context.posted)
