Close connections that are not needed

The dialling end closes a connection that had no frames but heartbeats for 10 s and on which no call or stream waits. The test of heartbeats on an idle connection now lasts 9 s instead of 20 s, since the connection is closed later; its bound for each heartbeat interval is the same.

--- a/features/peers/streams.feature
+++ b/features/peers/streams.feature
@@ -67,10 +67,18 @@
     Then the call fails as peer_timeout
 
   Scenario: The two ends of an idle connection do not both send heartbeats
-    When a connection is idle for 20 seconds
+    When a connection is idle for 9 seconds
     Then at most one ping and one pong were sent in each heartbeat interval
     And the connection is still in use
 
+  Scenario: A connection that is not needed is closed
+    When a connection is idle for 13 seconds
+    Then it is closed at both ends and the next call opens a new one
+
+  Scenario: A connection on which a call waits is kept
+    When a call waits for 15 seconds on an idle connection
+    Then its connection is not closed
+
   Scenario: A silent connection is closed and replaced
     Given a connection on which nothing arrives
     When a call is made and 10 seconds pass
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -252,6 +252,39 @@
     call(context, wait)
 
 
+@behave.when('a call waits for {seconds:d} seconds on an idle connection')
+def wait_on_idle(context, seconds):
+    pair = context.pair
+
+    async def wait():
+        await pair.call_echo()
+        (context.idle,) = pair.dialler.dialled.values()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(pair.dialler.call, 'listener', 'hang', None, 60.0)
+            for _ in range(seconds * 4):
+                await pair.timers.advance(0.25)
+                await anyio.sleep(0.01)
+            context.was_closed = context.idle.is_closed
+            tasks.cancel_scope.cancel()
+
+    call(context, wait)
+
+
+@behave.then('it is closed at both ends and the next call opens a new one')
+def check_closed_unused(context):
+    pair = context.pair
+    assert context.idle.is_closed
+    assert not pair.dialler.dialled and not pair.listener.accepted
+    assert call(context, pair.call_echo) == ['dialler', 'hello']
+    (connection,) = pair.dialler.dialled.values()
+    assert connection is not context.idle
+
+
+@behave.then('its connection is not closed')
+def check_not_closed(context):
+    assert not context.was_closed
+
+
 @behave.then(
     'at most one ping and one pong were sent in each heartbeat interval'
 )
--- a/src/greengagegw/adapters/peer_connection.py
+++ b/src/greengagegw/adapters/peer_connection.py
@@ -32,6 +32,10 @@
 # Heartbeat intervals without a frame of the peer after which a ping is sent.
 DIALLER_IDLE_INTERVALS = 1.0
 LISTENER_IDLE_INTERVALS = 2.5
+# Time without frames but heartbeats after which the dialling end closes a
+# connection that nothing waits for. Each connection costs heartbeats.
+IDLE_CLOSE_SECONDS = 10.0
+HEARTBEAT_KINDS = (frames.Kind.PING, frames.Kind.PONG)
 CONNECTION_LOST_ERRORS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -286,11 +290,26 @@
             if silence > self.silence_seconds:
                 scope.cancel()
                 return
+            if self.is_dialler and self.is_unused():
+                # Closed first, so that no call is made on it any more.
+                self.close()
+                scope.cancel()
+                return
             if silence < idle_intervals * self.heartbeat_seconds:
                 continue
             with contextlib.suppress(errors.PeerError):
                 self.send_nowait(frames.Kind.PING)
 
+    def is_unused(self) -> bool:
+        """Returns whether nothing has used the connection for a while."""
+        return (
+            not self.replies
+            and not self.opened_streams
+            and not self.accepted_streams
+            and not self.unsent
+            and self.timers.now() - self.last_used_at > IDLE_CLOSE_SECONDS
+        )
+
     async def read_frames(self, tasks: anyio.abc.TaskGroup) -> None:
         """Handles the frames of the peer until the connection ends."""
         frame_handlers = {
@@ -307,6 +326,8 @@
         while True:
             frame = await self.reader.receive()
             self.last_received_at = self.timers.now()
+            if frame.kind not in HEARTBEAT_KINDS:
+                self.last_used_at = self.last_received_at
             handle_frame = frame_handlers.get(frame.kind)
             if handle_frame is None:
                 raise errors.PeerProtocolError(
