--- a/features/serving/cost.feature
+++ b/features/serving/cost.feature
@@ -103,3 +103,62 @@
     Given responses of 2 events on path /a and of 20 to 200 events on path /b
     Then two new requests on path /b are more work than ten on path /a
     And a request on path /b that is almost done is less work than a new one
+
+  Scenario Outline: Servers of uneven speed do about the same share of work
+    Nine servers have the speeds 0.6, 1 and 1.4, and each slows down and
+    recovers 20 times a second. By predicted waits alone, the fast ones did
+    1.4 to 1.6 times the mean work.
+
+    When the load of uneven servers is replayed with <errors> predictions
+    Then the busiest server has at most 1.3 times the mean work
+
+    Examples:
+      | errors   |
+      | exact    |
+      | twice    |
+      | half     |
+      | random   |
+      | 1 s late |
+
+  Scenario Outline: Uneven servers reject few requests of a load that fits
+    Each VM sent requests to the server that had been idle by its last report.
+
+    When the load of uneven servers is replayed with <errors> predictions
+    Then no server rejects more than 1 in 100 arrivals
+
+    Examples:
+      | errors   |
+      | exact    |
+      | twice    |
+      | half     |
+      | random   |
+
+    @known_red
+    Examples:
+      | errors   |
+      | 1 s late |
+
+  @known_red
+  Scenario Outline: Evening out the work of servers delays no short requests
+    With least requests, one in eight was late at the slow servers.
+
+    When the load of uneven servers is replayed with <errors> predictions
+    Then short requests are on time at least as often as before
+
+    Examples:
+      | errors   |
+      | exact    |
+      | twice    |
+      | half     |
+      | random   |
+      | 1 s late |
+
+  Scenario: Placement by work is logged with its prediction and observation
+    Given 1 region with 2 engines and 1 entry VM
+    When one server after the other takes 4 times as long for 0.5 seconds and reports it, while 100 requests arrive
+    Then placements are logged with slowdown, speed and cost, and costs as metrics
+
+  Scenario: Placement is as before without reports or different speeds
+    Given 1 region with 2 engines and 1 entry VM
+    When 100 requests arrive at engines that report no slowdown
+    Then no placement is logged with a cost
--- a/features/steps/cost.py
+++ b/features/steps/cost.py
@@ -1,6 +1,7 @@
 """Steps for the cost of requests and the remaining work of servers."""
 
 import dataclasses
+import functools
 import math
 import random
 import types
@@ -9,8 +10,10 @@
 import eliot
 
 from features import fleet_world
+from features import placement_replay
 from features import serving_world
 from features.steps.fleet import in_fleet
+from greengagegw.fleet import metrics as fleet_metrics
 from greengagegw.platform import backend_client
 from greengagegw.serving import engine_model
 from greengagegw.serving import ports
@@ -320,3 +323,80 @@
     old = remaining_work.sum_up([running(context, '/b', 150)])
     assert old.events < new.events / 2, (new, old)
     assert old.prefill_tokens == 0.0
+
+
+@behave.when(
+    'the load of uneven servers is replayed with {errors} predictions'
+)
+def when_uneven(context, errors):
+    context.before = replay_uneven('before', errors)
+    context.replay = replay_uneven('now', errors)
+
+
+@functools.cache
+def replay_uneven(policy, errors):
+    return placement_replay.Replay(
+        policy,
+        placement_replay.ERRORS[errors],
+        load=placement_replay.FITTING_LOAD,
+    ).run()
+
+
+@behave.then('no server rejects more than 1 in 100 arrivals')
+def then_few_rejections(context):
+    share = context.replay.rejected_share()
+    assert share <= 0.01, share
+
+
+@behave.then('the busiest server has at most 1.3 times the mean work')
+def then_balanced(context):
+    share = context.replay.busiest_share()
+    assert share <= 1.3, share
+
+
+@behave.then('short requests are on time at least as often as before')
+def then_short_on_time(context):
+    shares = [
+        one.on_time_share('short') for one in (context.replay, context.before)
+    ]
+    assert shares[0] >= shares[1], shares
+
+
+@behave.then(
+    'placements are logged with slowdown, speed and cost, and costs as metrics'
+)
+def then_logged(context):
+    placed = [
+        one for one in context.logged
+        if one['message_type'] == 'request:placed' and one.get('cost')
+    ]  # fmt: skip
+    assert len(placed) >= 50, len(placed)
+    assert {one['slowdown'] > 1.5 for one in placed} == {True, False}
+    metrics = fleet_metrics.FleetMetrics()
+    for message in context.logged:
+        metrics(message)
+    assert b'greengagegw_cost_ratio_bucket' in metrics.render()
+
+
+@behave.when('100 requests arrive at engines that report no slowdown')
+@in_fleet
+async def when_no_reports(context):
+    world = context.serving
+    context.logged = []
+    eliot.add_destinations(context.logged.append)
+    context.add_cleanup(eliot.remove_destination, context.logged.append)
+    for number in range(100):
+        segment = prompts.Segment(f'own-{number}', TURN_TOKENS)
+        prompt = prompts.Prompt('m', TURN_TOKENS, 16, (segment,))
+        world.start_request('a0', world.request(number, prompt=prompt))
+        await world.timers.advance(0.05)
+
+
+@behave.then('no placement is logged with a cost')
+def then_not_logged(context):
+    placed = [
+        one
+        for one in context.logged
+        if one['message_type'] == 'request:placed'
+    ]
+    assert len(placed) == 100 and not any('cost' in one for one in placed)
