--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -16,6 +16,7 @@
 from . import admission
 from . import backlog_exchange as backlog_exchange_module
 from . import competition as competition_module
+from . import cost_distribution
 from ..fleet import agent as agents
 from ..fleet import instances
 from ..fleet import members
@@ -26,11 +27,13 @@
 from . import placement
 from . import ports
 from . import prefixes
+from . import request_cost
 from . import request_limits
 from . import retry_budget
 from . import send_pacing
 from . import servers as server_pool
 from . import stream_origins
+from . import work_estimates
 
 DEFAULT_CLIENT_TIMEOUT_SECONDS = 30.0
 # Part of the client timeout reserved for returning the response.
@@ -121,6 +124,7 @@
         self.client_retries = admission.ClientRetryDetector()
         self.prefill_times = admission.TypicalPrefillTime()
         self.response_lengths = generations.ResponseLengths()
+        self.costs = request_cost.RequestCosts()
         self.rejection_rates: dict[str, admission.RejectionRate] = {}
         self.urgent_rejection_rates: dict[str, admission.RejectionRate] = {}
         self.competitions: dict[
@@ -808,15 +812,51 @@
             ),
         )
 
-    def make_candidates(
+    def estimate_works(
         self, job: jobs.Job, forecast: LocalForecast, now: float
+    ) -> tuple[
+        cost_distribution.Distribution | None,
+        dict[str, placement.WorkEstimate],
+    ]:
+        """Returns the predicted cost of a request, and its work by server.
+
+        :returns: None and nothing if the servers are alike.
+        """
+        if not work_estimates.are_uneven(forecast.servers, now):
+            return None, {}
+        cost = self.costs.predict(job, now)
+        return cost, work_estimates.estimate(
+            {one.instance.name: one for one in forecast.servers},
+            None if job.generation_prompt is None else cost,
+            {
+                one.instance.name: float(tokens)
+                for one, tokens in zip(
+                    forecast.servers, forecast.uncached_tokens
+                )
+            },
+            now,
+        )
+
+    def make_candidates(
+        self,
+        job: jobs.Job,
+        forecast: LocalForecast,
+        cost: cost_distribution.Distribution | None,
+        works: dict[str, placement.WorkEstimate],
+        now: float,
     ) -> list[placement.Candidate]:
-        """Returns the servers that the request may be sent to now."""
+        """Returns the servers that the request may be sent to now.
+
+        :param cost: predicted distribution of the events; None if unknown.
+        :param works: what the request would add to the work of each server.
+        """
         prompt = job.generation_prompt
         own_tokens = 0
         if prompt is not None:
             own_tokens = prompt.tokens - prompt.shared_tokens
-        event_count = self.predict_events(job)
+        event_count = mean_events = self.predict_events(job)
+        if cost is not None and prompt is not None:
+            mean_events = cost.mean
         max_seconds = math.inf
         if event_count and not job.attempts.count:
             max_seconds = generations.max_seconds(job.deadline - now)
@@ -837,19 +877,19 @@
             prefill_rate = server.current_prefill_rate(now)
             prefill_seconds = uncached_tokens / prefill_rate
             excess = prefill_seconds - typical_seconds
-            generation_seconds = event_count * interval
             prefix_tokens = uncached_tokens - own_tokens
             failure_rate = server.failure_rate
             candidates.append(
                 placement.Candidate(
                     server.instance.name,
                     wait,
-                    generation_seconds,
+                    mean_events * interval,
                     (wait - excess if excess > 0 else wait) > max_wait,
                     failure_rate and server.current_failure_rate(now),
-                    wait + generation_seconds > max_seconds,
+                    wait + event_count * interval > max_seconds,
                     prefill_seconds,
                     prefix_tokens / prefill_rate if prefix_tokens > 0 else 0.0,
+                    works.get(server.instance.name),
                 )
             )
         return candidates
@@ -1015,7 +1055,8 @@
         forecast = self.take_forecast(job, excluded, now)
         prompt = job.request.prompt
         prefix = '' if prompt is None else prompt.shared_prefix
-        candidates = self.make_candidates(job, forecast, now)
+        cost, works = self.estimate_works(job, forecast, now)
+        candidates = self.make_candidates(job, forecast, cost, works, now)
         chosen = placement.choose_server(
             candidates, prefix, job.request.request_id
         )
@@ -1060,6 +1101,7 @@
             list_age=round(now - self.view.instance_list_read_at, 3),
             backlog_age=round(self.backlog_exchange.max_age_seconds(now), 3),
             taken=decision.is_admitted,
+            **work_estimates.log_fields(chosen.work, cost, server, now),
         )
         if self.unrecorded_versions(job, [server]):
             self.log(
@@ -1081,7 +1123,11 @@
                 ' the request deadline',
                 retry_after=self.rejected_retry_after(job),
             )
-        return jobs.ServerChoice(server, chosen.wait_seconds, uncached_tokens)
+        if chosen.work is not None:
+            server.recent_work.add(chosen.work.own_seconds, now)
+        return jobs.ServerChoice(
+            server, chosen.wait_seconds, uncached_tokens, cost
+        )
 
     def log(self, name: str, job: jobs.Job, **fields: typing.Any) -> None:
         logs.log_message(
