Apply an organisation's priority once while shares apply

Shares are weighted by priority, and the admission limit fell with it as well, so that a small organisation of lower priority was served less often than a large one beyond its share.

--- a/src/greengagegw/serving/competition.py
+++ b/src/greengagegw/serving/competition.py
@@ -19,6 +19,7 @@
 
     :ivar route: its class.
     :ivar organisation: empty if it has none.
+    :ivar organisation_rank: number of more urgent organisation priorities.
     :ivar work: server seconds that it needs.
     :ivar capacity: server seconds a second that this VM may use, 0 if it has
         no server.
@@ -27,6 +28,7 @@
 
     route: str
     organisation: str
+    organisation_rank: int
     admission_request: admission.AdmissionRequest
     is_client_retry: bool
     work: float
@@ -77,6 +79,12 @@
             # Other returns have no precedence: they would displace requests
             # that are on time.
             is_client_retry=False,
+            # While shares apply, they are weighted by this priority already.
+            organisation_priority_rank=(
+                0
+                if self.shares.factors
+                else request.organisation_priority_rank
+            ),
             limit_factor=self.balance.factor(rank)
             * self.shares.factor(organisation),
             return_objective=objective if has_precedence else 0.0,
@@ -87,7 +95,7 @@
         self.balance.record(request.priority_rank, is_served, now)
         self.shares.record(
             decided.organisation,
-            request.organisation_priority_rank,
+            decided.organisation_rank,
             decided.work,
             is_served,
             now,
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -538,6 +538,7 @@
         decided = competition_module.Decided(
             job.route.name,
             job.organisation or '',
+            job.organisation_priority_rank,
             request,
             job.is_client_retry,
             server_seconds,
