--- a/features/steps/entry_capacity.py
+++ b/features/steps/entry_capacity.py
@@ -7,6 +7,7 @@
 
 from features import fleet_world
 from greengagegw.fleet import control as controls
+from greengagegw.fleet import fleet_summary
 from greengagegw.fleet import members
 from greengagegw.platform import settings
 
@@ -142,6 +143,7 @@
         self.registry = registry
         self.timers = timers
         self.loads = {}
+        self.summary_cache = fleet_summary.SummaryCache(registry, dict)
 
 
 @behave.then('it knows the VM with {capacity}')
