Divide capacity only where the settings say that requests compete

Promised returns, balanced classes and fair shares applied to each service with several classes or organisations. They now apply only if the platform names the part of its rules that is about competing requests.

--- a/features/serving/fair_shares.feature
+++ b/features/serving/fair_shares.feature
@@ -1,6 +1,7 @@
 Feature: Organisations share the capacity of an overloaded service
 
   Scenario: A large organisation does not keep small ones out
+    Given a deployment in which requests compete for capacity
     When an organisation with twenty times its load is replayed
     Then each small organisation is served on time at least as often as the large one
     And at most 5 percent of the returned clients are rejected again
--- a/features/serving/retries.feature
+++ b/features/serving/retries.feature
@@ -3,6 +3,7 @@
   third of their remaining time.
 
   Scenario Outline: Few clients that return as told are rejected again
+    Given a deployment in which requests compete for capacity
     When <pattern> is replayed
     Then at most 5 percent of the returned clients are rejected again
     And at most 10 percent of the admitted requests are late or fail
@@ -15,6 +16,7 @@
       | a lasting load of twice the capacity |
 
   Scenario: A load that fits rejects nobody
+    Given a deployment in which requests compete for capacity
     When a load that fits is replayed
     Then no request is rejected
 
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -687,6 +687,10 @@
             vm: origin_table.OriginServer(self.timers) for vm in CONTROL_VMS
         }
 
+    def set_divides_capacity(self, divides_capacity):
+        for one in self.dispatchers.values():
+            one.planner.divides_capacity = divides_capacity
+
     def make_crash_watch(self):
         return crash_watch.CrashWatch(
             self.timers,
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -8,9 +8,17 @@
 SECONDS = 15.0
 
 
+@behave.given('a deployment in which requests compete for capacity')
+def given_competition(context):
+    context.divides_capacity = True
+
+
 @behave.when('{pattern} is replayed')
 def when_load_replayed(context, pattern):
     replay = load_patterns.Replay(load_patterns.PATTERNS[pattern], SECONDS)
+    replay.world.set_divides_capacity(
+        getattr(context, 'divides_capacity', False)
+    )
     context.replay = anyio.run(replay.run)
 
 
--- a/src/greengagegw/platform/roles.py
+++ b/src/greengagegw/platform/roles.py
@@ -111,6 +111,8 @@
         process.rng,
     )
 
+    dispatcher.planner.divides_capacity = settings.divides_capacity
+
     def rejects_request(request: ports.Request) -> bool:
         if not process.is_leaving:
             return False
--- a/src/greengagegw/platform/settings.py
+++ b/src/greengagegw/platform/settings.py
@@ -8,6 +8,9 @@
 from .. import errors
 
 FILE_VARIABLE = 'GREENGAGEGW_SETTINGS'
+# Part of the platform's rules that is in force where requests compete for
+# capacity.
+PRESSURE_CONTRACT = 'pressure'
 DEFAULT_FILE = '/etc/greengagegw/local.conf'
 
 
@@ -60,6 +63,8 @@
     :ivar is_first_start: whether the deployment starts for the first time,
         with empty disks.
     :ivar cores: processor cores that the process may use; 0 if unknown.
+    :ivar divides_capacity: whether classes and organisations compete for
+        capacity, so that overloaded services are divided among them.
     :ivar max_lost_disks: how many disks may be lost at the same time.
     """
 
@@ -80,6 +85,7 @@
     max_lost_disks: int
     bounds: Bounds
     cores: float = 0.0
+    divides_capacity: bool = False
 
 
 def read(file: str | None = None) -> Settings:
@@ -240,6 +246,9 @@
         max_lost_disks=reader.parse(
             'faultTolerance.machines', int, 'an integer', 1
         ),
+        divides_capacity=(
+            PRESSURE_CONTRACT in reader.values.get('contracts', '').split(',')
+        ),
         bounds=Bounds(
             revoke_seconds=reader.seconds('bounds.revokeMs', 5.0, 0.001),
             stop_seconds=reader.seconds('bounds.graceS', 8.0, 1.0),
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -93,6 +93,8 @@
 class RequestPlanner:
     """Decides on requests from the state that one entry VM has.
 
+    :ivar divides_capacity: whether an overloaded service is divided among its
+        classes and organisations, and rejected clients are promised returns.
     :ivar forwarded_tokens: prompt tokens forwarded to another region without a
         response yet, by service and region.
     :ivar forecast: for the job planned last, until its server is chosen.
@@ -127,6 +129,7 @@
         self.costs = request_cost.RequestCosts()
         self.rejection_rates: dict[str, admission.RejectionRate] = {}
         self.urgent_rejection_rates: dict[str, admission.RejectionRate] = {}
+        self.divides_capacity = False
         self.competitions: dict[
             str, competition_module.ServiceCompetition
         ] = {}
@@ -580,7 +583,11 @@
         """Returns the competition for a service, None without any."""
         name = job.service.name
         configuration = self.view.configuration
-        if configuration is None or not configuration.has_competition(name):
+        if (
+            not self.divides_capacity
+            or configuration is None
+            or not configuration.has_competition(name)
+        ):
             return None
         competition = self.competitions.get(name)
         if competition is None:
