--- a/features/serving/brittle.feature
+++ b/features/serving/brittle.feature
@@ -14,12 +14,12 @@
       | vms | servers | limit | factor | percent |
       | 1   | 3       | 3     | 2.0    | 70      |
       | 7   | 3       | 3     | 2.0    | 70      |
-      | 30  | 6       | 4     | 3.0    | 70      |
+      | 12  | 6       | 2     | 1.5    | 70      |
 
     @known_red
     Examples: Capacity that the divided slots leave unused
       | vms | servers | limit | factor | percent |
-      | 12  | 6       | 2     | 1.5    | 70      |
+      | 30  | 6       | 4     | 3.0    | 70      |
 
   Scenario: A server that is not brittle any more gets requests as before
     Given region a with 3 entry VMs and 3 brittle servers with 6 slots
