Write and handle frames of peer connections without tasks

Each peer connection had three tasks: one that read frames through anyio, which pauses and resumes the transport for each chunk, one that wrote them and was woken up for each, and one that woke up every heartbeat interval.

A PeerSocket is an asyncio protocol now: frames are written to the transport at once, and received ones are handled in its callback. The mesh checks all of its connections with one timer. A call waits for a future and a timer instead of an event and a cancel scope. The transport's write buffer has the former bound of 65,536 bytes: beyond it, posted frames are dropped and others wait.

The silence of a connection is checked once per heartbeat interval as before. With checks at multiples of 8 ms the interval is slightly longer than the configured one, so a pong after a ping no longer fell into it and every check sent a ping; an end that dialled now sends one after 1.5 intervals of silence.

The simulated network of the tests drops data in a subclass of PeerSocket.

--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -11,6 +11,7 @@
 from greengagegw.adapters import frames
 from greengagegw.adapters import handshake
 from greengagegw.adapters import peer_mesh
+from greengagegw.adapters import peer_socket
 from greengagegw.adapters import peer_stream
 from greengagegw import errors
 from greengagegw.ports import peers as peer_port
@@ -366,7 +367,7 @@
     pair.tasks.start_soon(fake.serve, serve)
 
     async def connect(host, _):
-        return await anyio.connect_tcp(f'127.{BLOCK}.1.3', port)
+        return await peer_socket.connect(f'127.{BLOCK}.1.3', port)
 
     pair.dialler.connect_socket = connect
     return await pair.call_error(seconds=10.0)
--- a/src/greengagegw/adapters/frames.py
+++ b/src/greengagegw/adapters/frames.py
@@ -1,12 +1,9 @@
 """Frames of a peer connection: a length, then a msgpack list."""
 
-import dataclasses
 import enum
 import struct
 import typing
 
-import anyio
-import anyio.abc
 import msgpack
 
 from .. import errors
@@ -51,8 +48,10 @@
 }
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Frame:
+KINDS = {int(kind): kind for kind in Kind}
+
+
+class Frame(typing.NamedTuple):
     """A frame.
 
     :ivar values: of the types that :data:`VALUE_TYPES` has for the kind.
@@ -76,8 +75,13 @@
     """
     try:
         kind, *values = msgpack.unpackb(body, raw=False, use_list=True)
-        kind = Kind(kind)
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        kind = KINDS[kind]
+    except (
+        ValueError,
+        TypeError,
+        KeyError,
+        msgpack.UnpackException,
+    ) as error:
         raise errors.PeerProtocolError(
             'a frame is not a msgpack list with a known kind'
         ) from error
@@ -96,16 +100,25 @@
     return Frame(kind, tuple(values))
 
 
+class ByteStream(typing.Protocol):
+    """The connection of a :class:`FrameReader`."""
+
+    async def receive(self, max_bytes: int) -> bytes:
+        """Returns received bytes, at least one.
+
+        :raises anyio.EndOfStream: if the stream ended.
+        """
+
+
 class FrameReader:
-    """Reads frames from a byte stream.
+    """Splits received bytes into frames.
 
+    :param stream: that :meth:`receive` reads.
     :param max_body_bytes: maximal size of a body, which is checked before
         any of the body is buffered.
     """
 
-    def __init__(
-        self, stream: anyio.abc.ByteStream, max_body_bytes: int
-    ) -> None:
+    def __init__(self, stream: ByteStream, max_body_bytes: int) -> None:
         self.stream = stream
         self.max_body_bytes = max_body_bytes
         self.buffer = bytearray()
@@ -118,22 +131,33 @@
         :raises FrameTooLargeError: if the length is over the limit.
         :raises PeerProtocolError: if the bytes are not a valid frame.
         """
-        await self.fill_buffer(LENGTH_PREFIX.size)
-        (length,) = LENGTH_PREFIX.unpack_from(self.buffer)
+        while (frame := self.next_frame()) is None:
+            self.append(await self.stream.receive(READ_BYTES))
+        return frame
+
+    def append(self, data: bytes) -> None:
+        """Adds received bytes."""
+        self.bytes_read += len(data)
+        self.buffer += data
+
+    def next_frame(self) -> Frame | None:
+        """Returns the next frame, or None if it has not arrived completely.
+
+        :raises FrameTooLargeError: if the length is over the limit.
+        :raises PeerProtocolError: if the bytes are not a valid frame.
+        """
+        buffer = self.buffer
+        if len(buffer) < LENGTH_PREFIX.size:
+            return None
+        (length,) = LENGTH_PREFIX.unpack_from(buffer)
         if length > self.max_body_bytes:
             raise errors.FrameTooLargeError(
                 f'a frame of {length} bytes is over the limit of '
                 f'{self.max_body_bytes} bytes'
             )
-        await self.fill_buffer(LENGTH_PREFIX.size + length)
-        body = bytes(
-            self.buffer[LENGTH_PREFIX.size : LENGTH_PREFIX.size + length]
-        )
-        del self.buffer[: LENGTH_PREFIX.size + length]
+        end = LENGTH_PREFIX.size + length
+        if len(buffer) < end:
+            return None
+        body = bytes(buffer[LENGTH_PREFIX.size : end])
+        del buffer[:end]
         return decode(body)
-
-    async def fill_buffer(self, size: int) -> None:
-        while len(self.buffer) < size:
-            chunk = await self.stream.receive(READ_BYTES)
-            self.bytes_read += len(chunk)
-            self.buffer += chunk
--- a/src/greengagegw/adapters/peer_connection.py
+++ b/src/greengagegw/adapters/peer_connection.py
@@ -18,6 +18,7 @@
 from .. import timers as timer_service
 from . import error_codec
 from . import frames
+from . import peer_socket
 from . import peer_stream
 from ..ports import peers
 
@@ -26,16 +27,18 @@
 NO_REPLY_ID = 0
 # Time limit for sending the RESET of a stream that its reader closes early.
 RESET_TIMEOUT_SECONDS = 0.2
-# Bytes that may wait to be written while the peer reads slowly. Up to here
-# frames are sent without waiting.
-MAX_UNSENT_BYTES = 65536
 # Heartbeat intervals without a frame of the peer after which a ping is sent.
-DIALLER_IDLE_INTERVALS = 1.0
+# The answer to a ping arrives just after a check, so that with 1.0 it would
+# depend on the round trip whether every check or every other one sends a ping.
+DIALLER_IDLE_INTERVALS = 1.5
 LISTENER_IDLE_INTERVALS = 2.5
 # Time without frames but heartbeats after which the dialling end closes a
 # connection that nothing waits for. Each connection costs heartbeats.
 IDLE_CLOSE_SECONDS = 10.0
 HEARTBEAT_KINDS = (frames.Kind.PING, frames.Kind.PONG)
+# Encoded once: most frames of an idle VM are heartbeats.
+PING_FRAME = frames.encode(frames.Kind.PING)
+PONG_FRAME = frames.encode(frames.Kind.PONG)
 CONNECTION_LOST_ERRORS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -71,7 +74,7 @@
 
     def __init__(
         self,
-        socket: anyio.abc.ByteStream,
+        socket: peer_socket.PeerSocket,
         reader: frames.FrameReader,
         peer: str,
         handlers: Handlers,
@@ -99,9 +102,8 @@
         self.last_used_at = timers.now()
         self.bytes_sent = 0
         self.is_closed = False
-        self.unsent = bytearray()
-        self.unsent_changed = anyio.Event()
-        self.unsent_written = anyio.Event()
+        self.tasks: anyio.abc.TaskGroup | None = None
+        self.ended = anyio.Event()
 
     async def send(self, kind: frames.Kind, *values: typing.Any) -> None:
         """Sends a frame, after waiting if the peer reads slowly.
@@ -110,8 +112,8 @@
         :raises PeerLostError: if the connection is closed or broken.
         """
         data = self.encode(kind, *values)
-        while len(self.unsent) >= MAX_UNSENT_BYTES and not self.is_closed:
-            await self.unsent_written.wait()
+        if not self.socket.is_writable:
+            await self.socket.wait_writable()
         self.append(data)
 
     def send_nowait(self, kind: frames.Kind, *values: typing.Any) -> bool:
@@ -122,7 +124,7 @@
         :raises PeerLostError: if the connection is closed or broken.
         """
         data = self.encode(kind, *values)
-        if len(self.unsent) >= MAX_UNSENT_BYTES and not self.is_closed:
+        if not self.socket.is_writable and not self.is_closed:
             return False
         self.append(data)
         return True
@@ -141,31 +143,8 @@
             raise errors.PeerLostError(
                 f'the connection to {self.peer} is closed'
             )
-        if not self.unsent:
-            self.unsent_changed.set()
-        self.unsent += data
-
-    async def write_until_lost(self, scope: anyio.CancelScope) -> None:
-        """Writes frames, and ends the connection if it is broken."""
-        with contextlib.suppress(*CONNECTION_LOST_ERRORS):
-            await self.write_unsent()
-        scope.cancel()
-
-    async def write_unsent(self) -> None:
-        """Writes the frames that are sent until the connection ends.
-
-        One task writes for all senders: frames that are sent together become
-        one write, and a sender needs no lock, which would cost it iterations
-        of the event loop.
-        """
-        while True:
-            await self.unsent_changed.wait()
-            self.unsent_changed = anyio.Event()
-            data, self.unsent = bytes(self.unsent), bytearray()
-            await self.socket.send(data)
-            self.bytes_sent += len(data)
-            self.unsent_written.set()
-            self.unsent_written = anyio.Event()
+        self.bytes_sent += len(data)
+        self.socket.write(data)
 
     async def call(
         self, method: str, message: typing.Any, timeout: float
@@ -179,15 +158,21 @@
         call_id = next(self.next_ids)
         reply = self.replies[call_id] = peer_stream.PendingReply()
         self.last_used_at = self.timers.now()
+        timer = self.timers.call_later(timeout, reply.expire)
         try:
-            with self.timers.move_on_after(timeout):
-                await self.send(frames.Kind.CALL, call_id, method, message)
-                await reply.arrived.wait()
+            if self.socket.is_writable:
+                data = self.encode(frames.Kind.CALL, call_id, method, message)
+                self.append(data)
+            else:
+                with self.timers.move_on_after(timeout):
+                    await self.send(frames.Kind.CALL, call_id, method, message)
+            await reply.arrived
         finally:
+            timer.cancel()
             del self.replies[call_id]
         if reply.error is not None:
             raise reply.error
-        if not reply.arrived.is_set():
+        if reply.is_expired:
             raise errors.PeerTimeoutError(
                 f'{self.peer} did not reply to {method} within {timeout:g} s'
             )
@@ -237,32 +222,30 @@
             await self.send(frames.Kind.RESET, stream_id, packed)
 
     async def run(self) -> None:
-        """Serves the connection until it ends."""
+        """Serves the connection until it ends.
+
+        Received frames are handled in the callback of the socket.
+        """
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.send_heartbeats, tasks.cancel_scope)
-                tasks.start_soon(self.write_until_lost, tasks.cancel_scope)
-                try:
-                    await self.read_frames(tasks)
-                except CONNECTION_LOST_ERRORS + (anyio.EndOfStream,):
-                    pass
-                except errors.PeerError as error:
-                    eliot.log_message(
-                        'peer:closed',
-                        peer=self.peer,
-                        code=error.code,
-                        reason=error.message,
-                    )
-                tasks.cancel_scope.cancel()
+            async with anyio.create_task_group() as self.tasks:
+                self.handle_frames()
+                self.socket.start(self.on_data, self.end)
+                await self.ended.wait()
+                self.tasks.cancel_scope.cancel()
         finally:
             self.close()
-            with anyio.CancelScope(shield=True):
-                await anyio.aclose_forcefully(self.socket)
+            self.socket.close()
+
+    def end(self) -> None:
+        """Ends :meth:`run`."""
+        self.close()
+        self.ended.set()
 
     def close(self) -> None:
-        """Fails all pending calls and open streams."""
+        """Fails all pending calls and open streams, if it is not closed."""
+        if self.is_closed:
+            return
         self.is_closed = True
-        self.unsent_written.set()
         error = errors.PeerLostError(f'lost the connection to {self.peer}')
         for reply in self.replies.values():
             reply.fail(error)
@@ -272,78 +255,86 @@
         ]:
             stream.fail(error)
 
-    async def send_heartbeats(self, scope: anyio.CancelScope) -> None:
-        """Sends heartbeats, and closes a connection without any frames.
+    def check(self, now: float) -> None:
+        """Sends a heartbeat if it is due, and ends a silent connection.
 
-        Any frame of the peer shows that it is alive, so an end sends a
-        heartbeat only if it has received nothing for a while, the listening
-        end after a longer one: the heartbeats of the dialling end are enough.
-        If frames are lost in one direction, the end that receives nothing
-        closes the connection, which ends it for the other one.
+        It is called in each heartbeat interval. Any frame of the peer shows
+        that it is alive, so an end sends a heartbeat only if it has received
+        nothing for a while, the listening end after a longer one: the
+        heartbeats of the dialling end are enough. If frames are lost in one
+        direction, the end that receives nothing closes the connection, which
+        ends it for the other one.
         """
-        idle_intervals = DIALLER_IDLE_INTERVALS
-        if not self.is_dialler:
-            idle_intervals = LISTENER_IDLE_INTERVALS
-        while True:
-            await self.timers.sleep(self.heartbeat_seconds)
-            silence = self.timers.now() - self.last_received_at
-            if silence > self.silence_seconds:
-                scope.cancel()
-                return
-            if self.is_dialler and self.is_unused():
-                # Closed first, so that no call is made on it any more.
-                self.close()
-                scope.cancel()
-                return
-            if silence < idle_intervals * self.heartbeat_seconds:
-                continue
-            with contextlib.suppress(errors.PeerError):
-                self.send_nowait(frames.Kind.PING)
-
-    def is_unused(self) -> bool:
+        if self.is_closed:
+            return
+        silence = now - self.last_received_at
+        idle_intervals = LISTENER_IDLE_INTERVALS
+        if self.is_dialler:
+            idle_intervals = DIALLER_IDLE_INTERVALS
+        if silence > self.silence_seconds or (
+            self.is_dialler and self.is_unused(now)
+        ):
+            self.end()
+        elif (
+            silence >= idle_intervals * self.heartbeat_seconds
+            and self.socket.is_writable
+        ):
+            self.append(PING_FRAME)
+
+    def is_unused(self, now: float) -> bool:
         """Returns whether nothing has used the connection for a while."""
         return (
-            not self.replies
+            now - self.last_used_at > IDLE_CLOSE_SECONDS
+            and not self.replies
             and not self.opened_streams
             and not self.accepted_streams
-            and not self.unsent
-            and self.timers.now() - self.last_used_at > IDLE_CLOSE_SECONDS
+            and not self.socket.has_unsent
         )
 
-    async def read_frames(self, tasks: anyio.abc.TaskGroup) -> None:
-        """Handles the frames of the peer until the connection ends."""
-        frame_handlers = {
-            frames.Kind.CALL: self.on_call,
-            frames.Kind.REPLY: self.on_reply,
-            frames.Kind.OPEN: self.on_open,
-            frames.Kind.DATA: self.on_data,
-            frames.Kind.END: self.on_end,
-            frames.Kind.RESET: self.on_reset,
-            frames.Kind.CREDIT: self.on_credit,
-            frames.Kind.PING: self.on_ping,
-            frames.Kind.PONG: self.on_pong,
-        }
-        while True:
-            frame = await self.reader.receive()
-            self.last_received_at = self.timers.now()
-            if frame.kind not in HEARTBEAT_KINDS:
-                self.last_used_at = self.last_received_at
-            handle_frame = frame_handlers.get(frame.kind)
-            if handle_frame is None:
-                raise errors.PeerProtocolError(
-                    f'{self.peer} sent {frame.kind.name} after the handshake'
-                )
-            try:
-                handle_frame(tasks, *frame.values)
-            except MALFORMED_VALUE_ERRORS as error:
-                raise errors.PeerProtocolError(
-                    f'{self.peer} sent a malformed {frame.kind.name} frame:'
-                    f' {error!r}'
-                ) from error
+    def on_data(self, data: bytes) -> None:
+        self.reader.append(data)
+        self.handle_frames()
+
+    def handle_frames(self) -> None:
+        """Handles the frames that have arrived completely."""
+        self.last_received_at = self.timers.now()
+        try:
+            while not self.is_closed:
+                frame = self.reader.next_frame()
+                if frame is None:
+                    return
+                self.handle_frame(frame)
+        except errors.PeerError as error:
+            eliot.log_message(
+                'peer:closed',
+                peer=self.peer,
+                code=error.code,
+                reason=error.message,
+            )
+            self.end()
+
+    def handle_frame(self, frame: frames.Frame) -> None:
+        """Handles a frame.
+
+        :raises PeerProtocolError: if it is malformed or unexpected.
+        """
+        kind, values = frame
+        if kind not in HEARTBEAT_KINDS:
+            self.last_used_at = self.last_received_at
+        handle = FRAME_HANDLERS.get(kind)
+        if handle is None:
+            raise errors.PeerProtocolError(
+                f'{self.peer} sent {kind.name} after the handshake'
+            )
+        try:
+            handle(self, *values)
+        except MALFORMED_VALUE_ERRORS as error:
+            raise errors.PeerProtocolError(
+                f'{self.peer} sent a malformed {kind.name} frame: {error!r}'
+            ) from error
 
     def on_call(
         self,
-        tasks: anyio.abc.TaskGroup,
         call_id: int,
         method: str,
         message: typing.Any,
@@ -360,7 +351,7 @@
         if is_notification and getattr(handler, 'never_waits', False):
             self.handle_at_once(method, handler(self.peer, message))
         else:
-            tasks.start_soon(self.serve_call, call_id, method, message)
+            self.tasks.start_soon(self.serve_call, call_id, method, message)
 
     def handle_at_once(
         self, method: str, coroutine: collections.abc.Coroutine
@@ -410,7 +401,6 @@
 
     def on_reply(
         self,
-        tasks: anyio.abc.TaskGroup,
         call_id: int,
         is_success: bool,
         value: typing.Any,
@@ -425,7 +415,6 @@
 
     def on_open(
         self,
-        tasks: anyio.abc.TaskGroup,
         stream_id: int,
         method: str,
         message: typing.Any,
@@ -433,7 +422,7 @@
         stream = self.accepted_streams[stream_id] = peer_stream.Stream(
             self, stream_id
         )
-        tasks.start_soon(self.serve_stream, stream, method, message)
+        self.tasks.start_soon(self.serve_stream, stream, method, message)
 
     async def serve_stream(
         self, stream: peer_stream.Stream, method: str, message: typing.Any
@@ -457,9 +446,7 @@
                 del self.handler_scopes[stream.stream_id]
                 del self.accepted_streams[stream.stream_id]
 
-    def on_data(
-        self, tasks: anyio.abc.TaskGroup, stream_id: int, body: bytes
-    ) -> None:
+    def on_data_frame(self, stream_id: int, body: bytes) -> None:
         stream = self.find_stream(stream_id)
         if stream is not None:
             stream.receive_data(body)
@@ -469,14 +456,13 @@
             stream_id
         )
 
-    def on_end(self, tasks: anyio.abc.TaskGroup, stream_id: int) -> None:
+    def on_end(self, stream_id: int) -> None:
         stream = self.find_stream(stream_id)
         if stream is not None:
             stream.end()
 
     def on_reset(
         self,
-        tasks: anyio.abc.TaskGroup,
         stream_id: int,
         packed: dict[str, typing.Any],
     ) -> None:
@@ -486,17 +472,28 @@
         if stream_id in self.handler_scopes:
             self.handler_scopes[stream_id].cancel()
 
-    def on_credit(
-        self, tasks: anyio.abc.TaskGroup, stream_id: int, size: int
-    ) -> None:
+    def on_credit(self, stream_id: int, size: int) -> None:
         stream = self.find_stream(stream_id)
         if stream is not None:
             stream.credit += size
             stream.credit_arrived.set()
 
-    def on_ping(self, tasks: anyio.abc.TaskGroup) -> None:
-        with contextlib.suppress(errors.PeerError):
-            self.send_nowait(frames.Kind.PONG)
+    def on_ping(self) -> None:
+        if self.socket.is_writable:
+            self.append(PONG_FRAME)
 
-    def on_pong(self, tasks: anyio.abc.TaskGroup) -> None:
+    def on_pong(self) -> None:
         """Does nothing, since any frame counts as a heartbeat."""
+
+
+FRAME_HANDLERS: dict[frames.Kind, collections.abc.Callable] = {
+    frames.Kind.CALL: Connection.on_call,
+    frames.Kind.REPLY: Connection.on_reply,
+    frames.Kind.OPEN: Connection.on_open,
+    frames.Kind.DATA: Connection.on_data_frame,
+    frames.Kind.END: Connection.on_end,
+    frames.Kind.RESET: Connection.on_reset,
+    frames.Kind.CREDIT: Connection.on_credit,
+    frames.Kind.PING: Connection.on_ping,
+    frames.Kind.PONG: Connection.on_pong,
+}
--- a/src/greengagegw/adapters/peer_mesh.py
+++ b/src/greengagegw/adapters/peer_mesh.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import functools
 import math
 import typing
 
@@ -15,6 +16,7 @@
 from . import frames
 from . import handshake
 from . import peer_connection
+from . import peer_socket
 from . import peer_stream
 
 if typing.TYPE_CHECKING:
@@ -103,16 +105,52 @@
         self.posting_to: set[str] = set()
         self.tasks: anyio.abc.TaskGroup | None = None
         self.bytes_sent = 0
-        self.connect_socket = anyio.connect_tcp
+        self.connect_socket = peer_socket.connect
+        self.check_timer: timer_service.Timer | None = None
 
-    async def run(self, listener: anyio.abc.SocketListener) -> None:
+    async def run(
+        self, listener: anyio.abc.Listener[anyio.abc.SocketStream]
+    ) -> None:
         """Accepts and serves connections until it is cancelled."""
-        async with listener, anyio.create_task_group() as tasks:
+        async with (
+            listener,
+            anyio.create_task_group() as tasks,
+            contextlib.AsyncExitStack() as stack,
+        ):
             self.tasks = tasks
-            await listener.serve(self.accept, tasks)
+            for one in getattr(listener, 'listeners', [listener]):
+                await stack.enter_async_context(
+                    peer_socket.accepting(
+                        one.extra(anyio.abc.SocketAttribute.raw_socket),
+                        functools.partial(tasks.start_soon, self.accept),
+                    )
+                )
+            self.schedule_check()
+            try:
+                await anyio.sleep_forever()
+            finally:
+                self.check_timer.cancel()
+
+    def schedule_check(self) -> None:
+        self.check_timer = self.timers.call_later(
+            self.settings.timeouts.heartbeat_seconds, self.check_connections
+        )
 
-    async def accept(self, socket: anyio.abc.SocketStream) -> None:
+    def check_connections(self) -> None:
+        """Sends the heartbeats that are due, and ends silent connections."""
+        self.schedule_check()
+        now = self.timers.now()
+        for one in [*self.dialled.values(), *self.accepted]:
+            one.check(now)
+
+    async def accept(self, socket: peer_socket.PeerSocket) -> None:
         """Serves one connection that a peer dialled."""
+        try:
+            await self.serve(socket)
+        finally:
+            socket.close()
+
+    async def serve(self, socket: peer_socket.PeerSocket) -> None:
         reader = frames.FrameReader(socket, self.settings.limits.frame_bytes)
         peer = None
         try:
@@ -134,7 +172,6 @@
         except peer_connection.CONNECTION_LOST_ERRORS + (anyio.EndOfStream,):
             peer = None
         if peer is None:
-            await anyio.aclose_forcefully(socket)
             return
         connection = self.make_connection(socket, reader, peer, False)
         self.accepted.add(connection)
@@ -146,7 +183,7 @@
 
     def make_connection(
         self,
-        socket: anyio.abc.ByteStream,
+        socket: peer_socket.PeerSocket,
         reader: frames.FrameReader,
         peer: str,
         is_dialler: bool,
@@ -235,8 +272,7 @@
                 self.settings.peer_secret,
             )
         except BaseException:
-            with anyio.CancelScope(shield=True):
-                await anyio.aclose_forcefully(socket)
+            socket.close()
             raise
         return self.make_connection(socket, reader, peer.vm, True)
 
--- a/src/greengagegw/adapters/peer_stream.py
+++ b/src/greengagegw/adapters/peer_stream.py
@@ -1,5 +1,6 @@
 """A stream of a peer connection, and a reply that is still awaited."""
 
+import asyncio
 import collections
 import typing
 
@@ -110,19 +111,30 @@
 
 
 class PendingReply:
-    """The reply to a call, once it has arrived."""
+    """The reply to a call, once it has arrived.
 
-    __slots__ = ('arrived', 'error', 'value')
+    :ivar arrived: done when there is a reply, an error or no time left.
+    """
+
+    __slots__ = ('arrived', 'error', 'is_expired', 'value')
 
     def __init__(self) -> None:
-        self.arrived = anyio.Event()
+        self.arrived = asyncio.get_running_loop().create_future()
+        self.is_expired = False
         self.value: typing.Any = None
         self.error: errors.GatewayError | None = None
 
     def succeed(self, value: typing.Any) -> None:
-        self.value = value
-        self.arrived.set()
+        if not self.arrived.done():
+            self.value = value
+            self.arrived.set_result(None)
 
     def fail(self, error: errors.GatewayError) -> None:
-        self.error = error
-        self.arrived.set()
+        if not self.arrived.done():
+            self.error = error
+            self.arrived.set_result(None)
+
+    def expire(self) -> None:
+        if not self.arrived.done():
+            self.is_expired = True
+            self.arrived.set_result(None)
--- a/standins/network.py
+++ b/standins/network.py
@@ -1,11 +1,12 @@
 """Simulates network partitions between VMs, in one or both directions."""
 
 import dataclasses
+import functools
 
 import anyio
-import anyio.abc
 
 from greengagegw.adapters import peer_mesh
+from greengagegw.adapters import peer_socket
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,21 +46,21 @@
             for peer in mesh.settings.peers
         }
 
-        async def connect(host: str, port: int) -> anyio.abc.ByteStream:
+        async def connect(host: str, port: int) -> peer_socket.PeerSocket:
             peer = vms_by_address[host, port]
             both = {Link(own_vm, peer), Link(peer, own_vm)}
             if both & self.cut_links:
                 await anyio.sleep(0.05)
                 raise OSError('simulated network partition')
-            socket = await anyio.connect_tcp(host, port)
-            return DroppingStream(
-                socket, self, Link(own_vm, peer), Link(peer, own_vm)
+            make_socket = functools.partial(
+                DroppingSocket, self, Link(own_vm, peer), Link(peer, own_vm)
             )
+            return await peer_socket.connect(host, port, make_socket)
 
         mesh.connect_socket = connect
 
 
-class DroppingStream(anyio.abc.ByteStream):
+class DroppingSocket(peer_socket.PeerSocket):
     """A connection that drops data once its link has been cut.
 
     Dropped bytes leave a gap in the stream, so the direction keeps dropping
@@ -67,33 +68,21 @@
     """
 
     def __init__(
-        self,
-        socket: anyio.abc.ByteStream,
-        network: Network,
-        outgoing: Link,
-        incoming: Link,
+        self, network: Network, outgoing: Link, incoming: Link
     ) -> None:
-        self.socket = socket
+        super().__init__()
         self.network = network
         self.outgoing = outgoing
         self.incoming = incoming
         self.drops_outgoing = False
         self.drops_incoming = False
 
-    async def send(self, item: bytes) -> None:
+    def write(self, data: bytes) -> None:
         self.drops_outgoing |= self.outgoing in self.network.cut_links
         if not self.drops_outgoing:
-            await self.socket.send(item)
+            super().write(data)
 
-    async def receive(self, max_bytes: int = 65536) -> bytes:
-        while True:
-            content = await self.socket.receive(max_bytes)
-            self.drops_incoming |= self.incoming in self.network.cut_links
-            if not self.drops_incoming:
-                return content
-
-    async def send_eof(self) -> None:
-        await self.socket.send_eof()
-
-    async def aclose(self) -> None:
-        await self.socket.aclose()
+    def data_received(self, data: bytes) -> None:
+        self.drops_incoming |= self.incoming in self.network.cut_links
+        if not self.drops_incoming:
+            super().data_received(data)
