Count promised returns by request, and forwarded ones once

Cause: promises and returns were compared by work. A promise of another region was counted with the mean work, so one long return used up many promises, for 30 s. A forwarded return was subtracted in both regions. A promise of another region was lost if this region rejected the request afterwards.

Change: the credit counts requests; promises that are due and the returns that used them decay alike. The VM that received a return compares it with the promises, and the VM that it is forwarded to admits it with precedence. The promise is recorded whenever the client gets it. Job has a field is_forwarded.

The test of expiring promises compares numbers of requests with the same bound, a tenth.

--- a/features/load_patterns.py
+++ b/features/load_patterns.py
@@ -89,6 +89,8 @@
     :ivar key_shares: relative rates of the organisations.
     :ivar clients_give_up: whether clients do not return after a pause that
         exceeds a third of their time left, rather than after the third.
+    :ivar moves_returns: whether clients choose another entry VM of their
+        region at random when they return.
     """
 
     rate_factor: float = 1.0
@@ -103,6 +105,7 @@
     burst: tuple[float, float, float] = (1.0, 0.0, 0.0)
     key_shares: tuple[float, float, float] = (1.0, 1.0, 1.0)
     clients_give_up: bool = False
+    moves_returns: bool = False
 
 
 PATTERNS = {
@@ -139,6 +142,17 @@
     'an organisation with twenty times its load': LoadPattern(
         rate_factor=2.4, key_shares=(20.0, 1.0, 1.0), clients_give_up=True
     ),
+    'an organisation with twenty times its load, returns to any VM': (
+        LoadPattern(
+            rate_factor=2.4,
+            key_shares=(20.0, 1.0, 1.0),
+            clients_give_up=True,
+            moves_returns=True,
+        )
+    ),
+    'a lasting load of twice the capacity, returns to any VM': LoadPattern(
+        rate_factor=2.4, clients_give_up=True, moves_returns=True
+    ),
     'a load that fits': LoadPattern(rate_factor=0.5, clients_give_up=True),
 }
 
@@ -188,9 +202,11 @@
             entries = [one for one in world.entries if one.region == region]
             vm = world.rng.choice(entries).vm
             self.number += 1
-            world.tasks.start_soon(self.send_one, profile, vm, self.number)
+            world.tasks.start_soon(
+                self.send_one, profile, region, vm, self.number
+            )
 
-    async def send_one(self, profile, vm, number):
+    async def send_one(self, profile, region, vm, number):
         world = self.world
         # Like real prompts, a few are much longer than the others.
         suffix_tokens = round(
@@ -240,6 +256,10 @@
                 return
             pause = left / 3
         await world.timers.sleep(pause)
+        if self.pattern.moves_returns:
+            vm = world.rng.choice(
+                [one.vm for one in world.entries if one.region == region]
+            )
         world.outcomes.remove(outcome)
         left = timeout_seconds - (world.timers.now() - began_at)
         request = world.request(f'{number}b', path, prompt, left, key)
--- a/features/serving/fair_shares.feature
+++ b/features/serving/fair_shares.feature
@@ -1,6 +1,5 @@
 Feature: Organisations share the capacity of an overloaded service
 
-  @known_red
   Scenario: A large organisation does not keep small ones out
     Given a deployment in which requests compete for capacity
     When an organisation with twenty times its load is replayed
--- a/features/serving/retries.feature
+++ b/features/serving/retries.feature
@@ -41,4 +41,14 @@
     Given a service with a spare capacity of 1 server second a second
     When 10 clients with requests of 0.05 server seconds are rejected at once
     And none of them returns for 10 seconds
-    Then less than a tenth of the promised work may still come
+    Then less than a tenth of the promised returns may still come
+
+  Scenario: A long request does not use the promises of others
+    Given a service that admits 2 requests a second of 0.1 server seconds each and rejects 20
+    When 50 clients with up to 10 times the usual work return to this VM as another region has promised
+    Then each of them comes before new requests
+
+  Scenario: A forwarded return uses no promise of the region that runs it
+    Given a service that admits 2 requests a second of 0.1 server seconds each and rejects 20
+    When 50 returns that other regions forward are admitted
+    Then a client that returns comes before new requests
--- a/src/greengagegw/serving/competition.py
+++ b/src/greengagegw/serving/competition.py
@@ -24,6 +24,7 @@
     :ivar capacity: server seconds a second that this VM may use, 0 if it has
         no server.
     :ivar client_seconds_left: until the client gives up.
+    :ivar is_forwarded: whether another VM received it from the client.
     """
 
     route: str
@@ -36,6 +37,7 @@
     drain_seconds: float
     detection_seconds: float
     client_seconds_left: float
+    is_forwarded: bool = False
 
 
 class ServiceCompetition:
@@ -65,14 +67,17 @@
         request: admission.AdmissionRequest,
         objective: float,
         now: float,
+        is_forwarded: bool = False,
     ) -> admission.AdmissionRequest:
         """Returns the input of the admission decision, with its limits.
 
         :param objective: latency objective of the class, in seconds.
+        :param is_forwarded: whether another VM received the request from the
+            client. That VM has compared it with the promises of its region.
         """
         rank = request.priority_rank
-        has_precedence = request.is_client_retry and self.schedule.may_precede(
-            route, now
+        has_precedence = request.is_client_retry and (
+            is_forwarded or self.schedule.may_precede(route, now)
         )
         return dataclasses.replace(
             request,
@@ -104,7 +109,9 @@
     def record_admission(self, decided: Decided, now: float) -> None:
         self.record(decided, True, now)
         if decided.is_client_retry:
-            self.schedule.record_return(decided.route, decided.work, now)
+            self.schedule.record_return(
+                decided.route, decided.work, now, decided.is_forwarded
+            )
         else:
             self.schedule.record_new_request(
                 decided.route, decided.work, True, now
@@ -132,6 +139,7 @@
                 decided.drain_seconds,
                 decided.detection_seconds,
                 decided.admission_request.time_left,
+                decided.is_forwarded,
             ),
             jitter,
             now,
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -285,6 +285,7 @@
         allowed = configurations.allowed_regions(job.route, organisation)
         regions = self.planner.plan_regions(job, allowed)
         failure: errors.GatewayError | None = None
+        failed_region = self.pool.region
         has_lost_servers = False
         async with contextlib.AsyncExitStack() as stack:
             response = None
@@ -294,6 +295,8 @@
                     response = await self.enter_region(stack, job, region)
                 except errors.GatewayError as error:
                     failure = self.preferred_failure(failure, error)
+                    if failure is error:
+                        failed_region = region
                     is_final = not job.has_attempts_left
                     # A retry was acquired when the server was given up.
                     is_rerouted = region == self.pool.region and isinstance(
@@ -316,7 +319,7 @@
             if (
                 response is None
                 and isinstance(failure, errors.OverloadedError)
-                and region != self.pool.region
+                and failed_region != self.pool.region
             ):
                 self.planner.record_remote_rejection(job, failure)
             if response is None:
@@ -577,6 +580,7 @@
             jobs.Attempts(attempts_left),
             software_version,
             jobs.digest_request(organisation, request),
+            is_forwarded=True,
         )
         self.planner.check_held(job)
         return job
--- a/src/greengagegw/serving/jobs.py
+++ b/src/greengagegw/serving/jobs.py
@@ -31,6 +31,8 @@
     :ivar attempts: counts the backend servers that the request was sent to.
     :ivar software_version: only servers of this version may get the request;
         None for all.
+    :ivar is_forwarded: whether another entry VM received the request from the
+        client.
     :ivar digest: identifies the repeats of the request, by its path, caller
         and body.
     """
@@ -48,6 +50,7 @@
     attempts: 'Attempts'
     software_version: str | None = None
     digest: str = ''
+    is_forwarded: bool = False
 
     def admission_request(
         self, urgent_rejection_rate: float, now: float
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -575,6 +575,7 @@
             request,
             job.route.latency_objective,
             now,
+            job.is_forwarded,
         )
 
     def competition_of(
@@ -630,6 +631,7 @@
                 job.route.name, client_timeout or 0.0
             ),
             max(job.deadline - now, client_timeout or 0.0),
+            job.is_forwarded,
         )
         if decision.is_admitted:
             competition.record_admission(decided, now)
--- a/src/greengagegw/serving/retry_schedule.py
+++ b/src/greengagegw/serving/retry_schedule.py
@@ -17,6 +17,7 @@
 
 import bisect
 import collections
+import collections.abc
 import dataclasses
 import math
 
@@ -41,8 +42,14 @@
 # its capacity and in requests, since their number varies by chance.
 MAX_ADVANCE_SECONDS = 0.5
 MAX_ADVANCE_REQUESTS = 2.0
-# An unused promise expires: its client went to another VM or gave up.
-PROMISE_EXPIRY_SECONDS = 2.5
+# An unused promise expires: its client gave up.
+PROMISE_EXPIRY_SECONDS = 4.0
+# A promise decays from the earliest time of the return on, which is up to
+# half a second and a round trip before the client returns.
+DUE_MARGIN = 1.1
+# Least number of promises left for a return to count as promised. Less than 1,
+# since promises decay until the client returns.
+MIN_BALANCE = 0.5
 # Returns in excess of the promises count longer, so that clients that return
 # although they were sent away displace few new requests.
 EXCESS_EXPIRY_SECONDS = 30.0
@@ -57,12 +64,15 @@
     :ivar detection_seconds: after which its return differs from a new
         request.
     :ivar time_left: seconds until the client's deadline.
+    :ivar is_forwarded: whether it returns to another VM, which received it
+        from the client and records the promise.
     """
 
     work: float
     drain_seconds: float
     detection_seconds: float
     time_left: float
+    is_forwarded: bool = False
 
 
 class WorkRate:
@@ -78,6 +88,8 @@
 
     def record(self, work: float, now: float) -> None:
         self.work = self.current_work(now) + work
+        if not self.mean:
+            self.mean = work
         self.mean += MEAN_SMOOTHING * (work - self.mean)
         self.updated_at = now
 
@@ -92,24 +104,52 @@
 class ReturnCredit:
     """Compares the returns that were admitted with those that were promised.
 
-    :ivar balance: promised work that has not returned, negative if more
-        returned than was promised; decays to 0.
+    Promises that are due and the returns that used them decay alike, so a
+    promise and its return cancel each other, also if the client returns to
+    another VM and the sums of both are added. Counts requests rather than
+    work: the work of a return is known only roughly when it is promised by
+    another region, and one long request would use the promises of many.
+
+    :ivar due: number of promises whose time has come.
+    :ivar used: number of returns that were promised.
+    :ivar excess: number of returns that were not.
     """
 
     def __init__(self, now: float) -> None:
-        self.balance = 0.0
+        self.due = 0.0
+        self.used = 0.0
+        self.excess = 0.0
         self.updated_at = now
 
-    def add(self, work: float, now: float) -> None:
-        self.balance = self.current_balance(now) + work
+    def decay(self, now: float) -> None:
+        elapsed = max(0.0, now - self.updated_at)
         self.updated_at = now
+        self.due *= math.exp(-elapsed / PROMISE_EXPIRY_SECONDS)
+        self.used *= math.exp(-elapsed / PROMISE_EXPIRY_SECONDS)
+        self.excess *= math.exp(-elapsed / EXCESS_EXPIRY_SECONDS)
+
+    def add_promise(self, now: float) -> None:
+        self.decay(now)
+        self.due += DUE_MARGIN
+
+    def add_return(self, peer_balance: float, now: float) -> None:
+        """Records that a return was admitted.
+
+        :param peer_balance: number of returns that the other VMs promised and
+            have not admitted; negative if they admitted more.
+        """
+        if self.has_promise(peer_balance, now):
+            self.used += 1.0
+        else:
+            self.excess += 1.0
+
+    def has_promise(self, peer_balance: float, now: float) -> bool:
+        return self.current_balance(now) + peer_balance > MIN_BALANCE
 
     def current_balance(self, now: float) -> float:
-        elapsed = max(0.0, now - self.updated_at)
-        expiry = PROMISE_EXPIRY_SECONDS
-        if self.balance < 0:
-            expiry = EXCESS_EXPIRY_SECONDS
-        return self.balance * math.exp(-elapsed / expiry)
+        """Returns the number of promised returns not admitted by this VM."""
+        self.decay(now)
+        return self.due - self.used
 
 
 class ClassReturns:
@@ -117,7 +157,7 @@
 
     :ivar demand: work of new requests.
     :ivar served: work of admitted requests.
-    :ivar promises: timer seconds and work of the promises to come, in order.
+    :ivar promises: timer seconds of the promises to come, in order.
     :ivar next_at: timer seconds from which on the next one can be promised.
     """
 
@@ -125,39 +165,47 @@
         self.demand = WorkRate(now)
         self.served = WorkRate(now)
         self.credit = ReturnCredit(now)
-        self.promises: collections.deque[tuple[float, float]] = (
-            collections.deque()
-        )
+        self.promises: collections.deque[float] = collections.deque()
         self.next_at = now
 
     def expire_promises(self, now: float) -> None:
         """Turns promises whose time has come into credit."""
-        while self.promises and self.promises[0][0] <= now:
-            self.credit.add(self.promises.popleft()[1], now)
+        while self.promises and self.promises[0] <= now:
+            self.promises.popleft()
+            self.credit.add_promise(now)
 
-    def may_precede(self, now: float) -> bool:
+    def may_precede(self, peer_balance: float, now: float) -> bool:
         """Returns whether a return is admitted before new requests."""
         self.expire_promises(now)
-        advance = max(
-            MAX_ADVANCE_SECONDS * RETURN_SHARE * self.served.per_second(now),
-            MAX_ADVANCE_REQUESTS * self.demand.mean,
-        )
-        return self.credit.current_balance(now) > -advance
+        if self.credit.has_promise(peer_balance, now):
+            return True
+        advance = MAX_ADVANCE_REQUESTS
+        if self.demand.mean:
+            served_count = self.served.per_second(now) / self.demand.mean
+            advance = max(
+                advance, MAX_ADVANCE_SECONDS * RETURN_SHARE * served_count
+            )
+        return self.credit.excess < advance
 
     def promise(
-        self, work: float, room: float, earliest: float, latest: float
+        self, request: ReturnRequest, room: float, now: float
     ) -> tuple[float, float] | None:
         """Promises a return if it can be served.
 
         :param room: server seconds a second for returns of the class.
-        :param earliest: timer seconds.
         :returns: the timer seconds from and until which it may return.
         """
-        begin = max(earliest, self.next_at)
+        # An earlier return would be taken for a new request and rejected.
+        earliest = max(request.drain_seconds, request.detection_seconds)
+        latest = now + HONOURED_SHARE * (
+            request.time_left - LATENCY_MARGIN_SECONDS
+        )
+        begin = max(now + earliest, self.next_at)
         if room <= 0 or begin > latest:
             return None
-        self.next_at = begin + work / room
-        self.promises.append((begin, work))
+        self.next_at = begin + request.work / room
+        if not request.is_forwarded:
+            bisect.insort(self.promises, begin)
         return begin, min(latest, begin + MAX_SPREAD_SECONDS, self.next_at)
 
 
@@ -166,11 +214,16 @@
 
     :ivar capacity: server seconds a second that this VM may use: its share
         of the servers of the region.
+    :ivar peer_balance: returns the number of returns to a route that the
+        other VMs of the region promised and have not admitted.
     :ivar classes: by name of the route.
     """
 
     def __init__(self) -> None:
         self.capacity = 0.0
+        self.peer_balance: collections.abc.Callable[[str], float] = (
+            lambda name: 0.0
+        )
         self.classes: dict[str, ClassReturns] = {}
 
     def class_of(self, name: str, now: float) -> ClassReturns:
@@ -187,15 +240,27 @@
         if is_admitted:
             known.served.record(work, now)
 
-    def record_return(self, name: str, work: float, now: float) -> None:
-        """Records that a return was admitted."""
+    def record_return(
+        self,
+        name: str,
+        work: float,
+        now: float,
+        is_forwarded: bool = False,
+    ) -> None:
+        """Records that a return was admitted.
+
+        :param is_forwarded: whether another VM has recorded it already.
+        """
         known = self.class_of(name, now)
         known.served.record(work, now)
-        known.credit.add(-work, now)
+        if not is_forwarded:
+            known.expire_promises(now)
+            known.credit.add_return(self.peer_balance(name), now)
 
     def may_precede(self, name: str, now: float) -> bool:
         """Returns whether a return is admitted before new requests."""
-        return self.class_of(name, now).may_precede(now)
+        known = self.class_of(name, now)
+        return known.may_precede(self.peer_balance(name), now)
 
     def record_promise(
         self, name: str, retry_after: float, time_left: float, now: float
@@ -206,9 +271,7 @@
         """
         if retry_after <= HONOURED_SHARE * time_left:
             known = self.class_of(name, now)
-            bisect.insort(
-                known.promises, (now + retry_after, known.demand.mean)
-            )
+            bisect.insort(known.promises, now + retry_after)
 
     def plan_return(
         self, name: str, request: ReturnRequest, jitter: float, now: float
@@ -226,12 +289,7 @@
             self.spare_rate(name, now),
             RETURN_SHARE * known.served.per_second(now),
         )
-        # An earlier return would be taken for a new request and rejected.
-        earliest = max(request.drain_seconds, request.detection_seconds)
-        latest = HONOURED_SHARE * (request.time_left - LATENCY_MARGIN_SECONDS)
-        promised = known.promise(
-            request.work, room, now + earliest, now + latest
-        )
+        promised = known.promise(request, room, now)
         if promised is None:
             return None
         begin, end = promised
