--- a/features/peers/streams.feature
+++ b/features/peers/streams.feature
@@ -71,6 +71,15 @@
     Then at most one ping and one pong were sent in each heartbeat interval
     And the connection is still in use
 
+  Scenario: A connection needs no timer and no task for frames of its own
+    When a connection is opened
+    Then it added no timer and one task at each end
+
+  Scenario: A peer that does not read makes a sender wait or drop frames
+    When a peer stops reading and messages of 32 KiB are posted to it
+    Then less than 100 KiB wait to be written and the rest is dropped
+    And a message that must not be dropped is sent once the peer reads again
+
   Scenario: A connection that is not needed is closed
     When a connection is idle for 13 seconds
     Then it is closed at both ends and the next call opens a new one
--- a/features/program/timers.feature
+++ b/features/program/timers.feature
@@ -19,3 +19,19 @@
     Given the timer service in the event loop of the program
     When a callback in 20 ms is scheduled after one in 60 ms
     Then the callbacks are called in the order of their due times
+
+  Scenario: Timers that are due at about the same time share a wake-up
+    Given the timer service in the event loop of the program
+    When 40 callbacks are scheduled 0.4 ms apart, each in 150 ms
+    Then the event loop was asked for at most 6 callbacks in total
+
+  Scenario Outline: A timer is neither early nor more than 10 ms late
+    Given the timer service in the event loop of the program
+    When timers of <milliseconds> ms are scheduled at 1000 times
+    Then each of them is due at most <late> ms late, and not early
+
+    Examples:
+      | milliseconds | late |
+      | 20           | 0    |
+      | 100          | 9    |
+      | 60000        | 9    |
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -1,5 +1,6 @@
 """Steps for the streams between VMs."""
 
+import asyncio
 import contextlib
 import struct
 
@@ -233,6 +234,91 @@
     context.stream = call(context, connect)
 
 
+@behave.when('a connection is opened')
+def open_connection(context):
+    pair = context.pair
+
+    def count():
+        live = [one for *_, one in pair.timers.pending if not one.cancelled]
+        return len(live), len(asyncio.all_tasks())
+
+    async def connect():
+        before = count()
+        await pair.call_echo()
+        return [
+            after - one for one, after in zip(before, count(), strict=True)
+        ]
+
+    context.added = call(context, connect)
+
+
+@behave.then('it added no timer and one task at each end')
+def check_added(context):
+    assert context.added == [0, 2], context.added
+
+
+@behave.when('a peer stops reading and messages of 32 KiB are posted to it')
+def stop_reading(context):
+    pair = context.pair
+    context.received = []
+
+    async def record(peer, message):
+        context.received.append(message)
+
+    async def post():
+        pair.listener.handlers.calls['record'] = record
+        await pair.call_echo()
+        (context.accepted,) = pair.listener.accepted
+        context.accepted.socket.transport.pause_reading()
+        (context.connection,) = pair.dialler.dialled.values()
+        # More than the buffers of the kernel at both ends.
+        for _ in range(1000):
+            pair.dialler.post('listener', 'record', CHUNK)
+            await anyio.lowlevel.checkpoint()
+
+    call(context, post)
+
+
+@behave.then('less than 100 KiB wait to be written and the rest is dropped')
+def check_unsent(context):
+    transport = context.connection.socket.transport
+    unsent = call(context, as_coroutine(transport.get_write_buffer_size))
+    assert 0 < unsent < 100 * 1024, unsent
+
+
+def as_coroutine(function):
+    async def run():
+        return function()
+
+    return run
+
+
+@behave.then(
+    'a message that must not be dropped is sent once the peer reads again'
+)
+def check_waits(context):
+    pair = context.pair
+
+    async def notify():
+        notified = anyio.Event()
+
+        async def send():
+            await pair.dialler.notify('listener', 'record', 'last')
+            notified.set()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send)
+            await anyio.sleep(0.05)
+            has_waited = not notified.is_set()
+            context.accepted.socket.transport.resume_reading()
+            await pair.call_echo()
+        return has_waited
+
+    assert call(context, notify)
+    assert context.received[-1] == 'last'
+    assert len(context.received) < 1000, len(context.received)
+
+
 @behave.when('a connection is idle for {seconds:d} seconds')
 def stay_idle(context, seconds):
     pair = context.pair
--- a/features/steps/timers.py
+++ b/features/steps/timers.py
@@ -90,3 +90,47 @@
 @behave.then('the callbacks are called in the order of their due times')
 def then_in_order(context):
     assert context.called == context.due, context.called
+
+
+@behave.when(
+    '{count:d} callbacks are scheduled {apart:g} ms apart, each in'
+    ' {milliseconds:d} ms'
+)
+def when_scheduled_apart(context, count, apart, milliseconds):
+    async def schedule(timers):
+        for _ in range(count):
+            time.sleep(apart / 1000)
+            timers.call_later(
+                milliseconds / 1000, lambda: context.called.append(0)
+            )
+        while len(context.called) < count:
+            await timers.sleep(milliseconds / 1000)
+
+    context.scheduled = run_with_timers(schedule)
+
+
+@behave.then(
+    'the event loop was asked for at most {limit:d} callbacks in total'
+)
+def then_shared(context, limit):
+    assert context.scheduled <= limit, context.scheduled
+
+
+@behave.when('timers of {milliseconds:d} ms are scheduled at {count:d} times')
+def when_scheduled_often(context, milliseconds, count):
+    timers = timer_service.Timers()
+    clock = iter(1000 + 0.00137 * one for one in range(count))
+    delay = milliseconds / 1000
+    context.late = []
+    for now in clock:
+        timers.now = lambda now=now: now
+        timer = timers.call_later(delay, lambda: None)
+        context.late.append(timer.due_at - (now + delay))
+
+
+@behave.then('each of them is due at most {late:d} ms late, and not early')
+def then_punctual(context, late):
+    # The event loop adds at most 1 ms.
+    rounding = 1e-9
+    assert min(context.late) >= -rounding, min(context.late)
+    assert max(context.late) <= late / 1000 + rounding, max(context.late)
