Import less at the start of a process of the platform

An entry VM imported the control group's modules and a control VM those for requests; hypercorn and httpcore imported HTTP/2 and WebSocket, and backend_transport imported httpx for the program's own interface. Garbage collection ran dozens of times over objects that stay.

The adapter for httpx is in adapters/backend_httpx.py. Garbage collection is paused during imports, and what they made is left out of later collections.

The settings file is read as before but decoded only if its text has changed. The delay of the event loop is measured from the time at which its timer is due, which is not the requested one any more.

--- a/src/greengagegw/adapters/backend_http.py
+++ b/src/greengagegw/adapters/backend_http.py
@@ -11,6 +11,7 @@
 from .. import errors
 from .. import settings as settings_module
 from .. import timers as timer_service
+from . import backend_httpx
 from . import backend_transport
 from ..ports import backends
 
@@ -77,8 +78,8 @@
 
     def make_transport(
         self, ssl_context: ssl.SSLContext, max_idle: int
-    ) -> backend_transport.Transport:
-        return backend_transport.Transport(
+    ) -> backend_httpx.Transport:
+        return backend_httpx.Transport(
             ssl_context, max_idle, KEEP_ALIVE_SECONDS
         )
 
@@ -157,7 +158,7 @@
             raise errors.BackendConnectError(
                 f'cannot connect to {self.name}', retry_after=1
             ) from error
-        except backend_transport.HTTP_ERRORS as error:
+        except backend_httpx.HTTP_ERRORS as error:
             raise errors.BackendError(
                 f'connection to {self.name} failed before its response'
             ) from error
@@ -227,7 +228,7 @@
                 idle_timeout.pause()
                 yield chunk
                 idle_timeout.resume()
-        except backend_transport.HTTP_ERRORS as error:
+        except backend_httpx.HTTP_ERRORS as error:
             if not idle_timeout.has_expired:
                 raise errors.BrokenStreamError(
                     f'connection to {self.name} failed during its response'
@@ -273,7 +274,7 @@
                 int(report['waiting']),
                 bool(report.get('leaving', False)),
             )
-        except backend_transport.HTTP_ERRORS + (
+        except backend_httpx.HTTP_ERRORS + (
             ValueError,
             KeyError,
             TypeError,
--- a/src/greengagegw/adapters/backend_transport.py
+++ b/src/greengagegw/adapters/backend_transport.py
@@ -17,7 +17,6 @@
 import anyio.streams.tls
 import eliot
 import httpcore
-import httpx
 
 from .. import timers as timer_service
 
@@ -34,7 +33,6 @@
     httpcore.PoolTimeout,
 )
 HTTP_ERRORS = (
-    httpx.HTTPError,
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
@@ -202,63 +200,18 @@
     return body
 
 
-class ResponseBody(httpx.AsyncByteStream):
-    """The body of a response from httpcore."""
-
-    def __init__(self, stream: typing.Any) -> None:
-        self.stream = stream
-
-    def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
-        return self.stream.__aiter__()
-
-    async def aclose(self) -> None:
-        await self.stream.aclose()
-
-
-class Transport(httpx.AsyncBaseTransport):
-    """A pool of connections to one backend server.
-
-    Its errors are those of httpcore, not of httpx.
+def make_pool(
+    ssl_context: ssl.SSLContext, max_idle: int, idle_seconds: float
+) -> httpcore.AsyncConnectionPool:
+    """Returns a pool of connections to one server.
 
     :param max_idle: maximal number of idle connections.
     :param idle_seconds: time after which an idle connection is closed.
     """
-
-    def __init__(
-        self, ssl_context: ssl.SSLContext, max_idle: int, idle_seconds: float
-    ) -> None:
-        self.pool = httpcore.AsyncConnectionPool(
-            ssl_context=ssl_context,
-            max_connections=None,
-            max_keepalive_connections=max_idle,
-            keepalive_expiry=idle_seconds,
-            network_backend=NetworkBackend(),
-        )
-
-    async def handle_async_request(
-        self, request: httpx.Request
-    ) -> httpx.Response:
-        url = request.url
-        response = await self.pool.handle_async_request(
-            httpcore.Request(
-                request.method,
-                httpcore.URL(
-                    scheme=url.raw_scheme,
-                    host=url.raw_host,
-                    port=url.port,
-                    target=url.raw_path,
-                ),
-                headers=request.headers.raw,
-                content=request.stream,
-                extensions=request.extensions,
-            )
-        )
-        return httpx.Response(
-            response.status,
-            headers=response.headers,
-            stream=ResponseBody(response.stream),
-            extensions=response.extensions,
-        )
-
-    async def aclose(self) -> None:
-        await self.pool.aclose()
+    return httpcore.AsyncConnectionPool(
+        ssl_context=ssl_context,
+        max_connections=None,
+        max_keepalive_connections=max_idle,
+        keepalive_expiry=idle_seconds,
+        network_backend=NetworkBackend(),
+    )
--- a/src/greengagegw/cli/main.py
+++ b/src/greengagegw/cli/main.py
@@ -8,6 +8,7 @@
 
 from .. import __version__
 from .. import errors
+from . import imports
 
 # Module of each command. Only the module of the command in use is imported,
 # to save memory on the VMs.
@@ -38,7 +39,8 @@
     ) -> click.Command | None:
         if name not in COMMANDS:
             return super().get_command(context, name)
-        module = importlib.import_module(f'.{COMMANDS[name]}', __package__)
+        with imports.collection_paused():
+            module = importlib.import_module(f'.{COMMANDS[name]}', __package__)
         return getattr(module, name)
 
     def invoke(self, context: click.Context) -> typing.Any:
--- a/src/greengagegw/platform/instance_list.py
+++ b/src/greengagegw/platform/instance_list.py
@@ -34,9 +34,7 @@
     ) -> None:
         self.endpoint = endpoint
         self.timers = timers
-        self.transport = backend_transport.Transport(
-            context, 1, KEEP_ALIVE_SECONDS
-        )
+        self.pool = backend_transport.make_pool(context, 1, KEEP_ALIVE_SECONDS)
 
     async def read(self) -> tuple[instances.Instance, ...]:
         """Returns the instances of all pages.
@@ -72,7 +70,7 @@
             headers=[(b'host', str(self.endpoint).encode())],
         )
         try:
-            response = await self.transport.pool.handle_async_request(request)
+            response = await self.pool.handle_async_request(request)
             try:
                 content = await backend_transport.read_limited(
                     response.stream, MAX_PAGE_BYTES
--- a/src/greengagegw/platform/process.py
+++ b/src/greengagegw/platform/process.py
@@ -111,7 +111,7 @@
         tasks.start_soon(self.timers.run)
         tasks.start_soon(self.mesh.run, listener)
         tasks.start_soon(self.watch_settings)
-        tasks.start_soon(self.measure_loop_lag)
+        self.measure_loop_lag()
         eliot.add_destinations(self.metrics)
         self.metrics.add_gauge(
             'greengagegw_loop_lag_seconds',
@@ -124,11 +124,14 @@
             lambda: self.mesh.total_bytes_sent,
         )
 
-    async def measure_loop_lag(self) -> None:
-        while True:
-            due_at = self.timers.now() + LOOP_LAG_INTERVAL_SECONDS
-            await self.timers.sleep(LOOP_LAG_INTERVAL_SECONDS)
-            self.loop_lag = max(0.0, self.timers.now() - due_at)
+    def measure_loop_lag(self) -> None:
+        """Measures how late the event loop calls a callback, regularly."""
+
+        def called() -> None:
+            self.loop_lag = max(0.0, self.timers.now() - timer.due_at)
+            self.measure_loop_lag()
+
+        timer = self.timers.call_later(LOOP_LAG_INTERVAL_SECONDS, called)
 
     async def serve_metrics(
         self, scope: dict, receive: asgi.Receive, send: asgi.Send
@@ -148,13 +151,13 @@
         A change of the seeds applies at once, other changes at a restart. An
         invalid file is logged and changes nothing.
         """
-        latest = self.settings
+        file = platform_settings.SettingsFile(self.settings_file)
         while True:
             with self.timers.move_on_after(SETTINGS_POLL_INTERVAL_SECONDS):
                 await self.reload_requested.wait()
                 self.reload_requested = anyio.Event()
             try:
-                latest = platform_settings.read(self.settings_file)
+                latest = file.read()
             except errors.SettingsError as error:
                 eliot.log_message('settings:refused', reason=error.message)
                 continue
--- a/src/greengagegw/platform/settings.py
+++ b/src/greengagegw/platform/settings.py
@@ -88,20 +88,45 @@
     divides_capacity: bool = False
 
 
+class SettingsFile:
+    """The settings file of this process.
+
+    :param file: its path; by default the one in the environment variable
+        GREENGAGEGW_SETTINGS, or DEFAULT_FILE.
+    """
+
+    def __init__(self, file: str | None = None) -> None:
+        self.file = file or os.environ.get(FILE_VARIABLE, DEFAULT_FILE)
+        self.text = ''
+        self.settings: Settings | None = None
+
+    def read(self) -> Settings:
+        """Returns the settings, which are decoded only if the text changed.
+
+        The file is read each time, since its size and time of modification
+        may be the same after a change.
+
+        :raises SettingsError: with all problems of the file.
+        """
+        try:
+            with open(self.file, encoding='utf-8') as opened:
+                text = opened.read()
+        except (OSError, UnicodeDecodeError) as error:
+            raise errors.SettingsError((f'{self.file}: {error}',)) from error
+        if self.settings is None or text != self.text:
+            self.settings = None
+            self.text = text
+            self.settings = decode(text)
+        return self.settings
+
+
 def read(file: str | None = None) -> Settings:
     """Returns the settings of this process.
 
-    :param file: path of the settings file; by default the one in the
-        environment variable GREENGAGEGW_SETTINGS, or DEFAULT_FILE.
+    :param file: as for :class:`SettingsFile`.
     :raises SettingsError: with all problems of the file.
     """
-    file = file or os.environ.get(FILE_VARIABLE, DEFAULT_FILE)
-    try:
-        with open(file, encoding='utf-8') as opened:
-            text = opened.read()
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.SettingsError((f'{file}: {error}',)) from error
-    return decode(text)
+    return SettingsFile(file).read()
 
 
 class SettingsReader:
