Send and schedule no reports in a region without a backlog

Observed: an idle entry VM ran the exchange of backlogs 20 times a second and sent 1.5 messages a second, which kept its connections to the relays open (2 heartbeat frames a second each). After its start it connected to all VMs of its region.

Cause: the exchange was a loop with a fixed interval, reports were also the signs of life of relays and members, and a VM that changed from direct reports to relays withdrew its report from all VMs, although it had sent none.

Change: RegionRelays returns when its next message is due, and the exchange has one timer for it. Without a backlog nothing is sent. Relays send totals also to the VMs that their list makes their members, so that VMs without a backlog still know the backlogs of others; the total says whether the relay knows the recipient's report. A report says how long it must not be counted, so a VM that did not report elsewhere counts at once. A VM that hears nothing for 0.2 s (was 0.3 s) counts as cut off, and a total of a relay that was left is used only if there is no other one. Direct reports are withdrawn only from VMs that got one.

Test: region_relays.feature 28 passed, dispatch.feature and features/fleet passed. "A relay of an idle region sends few frames" passes and is no longer known red.

--- a/features/region_world.py
+++ b/features/region_world.py
@@ -8,6 +8,7 @@
 import collections
 import heapq
 import itertools
+import math
 import random
 
 from greengagegw.serving import region_relays
@@ -19,6 +20,8 @@
 # A changed list reaches the VMs one by one, with their polls.
 POLL_SECONDS = 0.5
 START_SECONDS = 1000.0
+# A tick is late by up to this time, as in a process that is busy.
+TICK_JITTER_SECONDS = 0.005
 # A VM that has just started knows the others, and is known, after its first
 # poll, the first report and the handover of its relays.
 JOIN_SECONDS = 1.5
@@ -37,12 +40,14 @@
         self.rng = random.Random(seed)
         self.now = START_SECONDS
         self.is_busy = is_busy
+        self.busy_vms = set()
         self.order = itertools.count()
         self.events = []
         self.nodes = {}
         self.listed = []
         self.leaving = set()
         self.started_at = {}
+        self.ticks = {}
         self.frozen = {}
         self.lost_links = set()
         self.sent = collections.Counter()
@@ -63,8 +68,8 @@
         if vm not in self.listed:
             self.listed.append(vm)
         self.leaving.discard(vm)
-        self.at(self.now, self.poll, vm, node)
-        self.at(self.now + self.rng.random() / 20, self.tick, vm, node)
+        self.ticks.pop(vm, None)
+        self.at(self.now, self.poll, vm, node, None)
 
     def kill(self, vm):
         del self.nodes[vm]
@@ -102,36 +107,59 @@
         if vm not in self.listed:
             self.listed.append(vm)
 
-    def poll(self, vm, node):
+    def poll(self, vm, node, known):
         if self.nodes.get(vm) is not node:
             return
-        if vm not in self.frozen:
-            candidates = [
-                one for one in self.listed if one not in self.leaving
-            ]
-            node.update_vms(sorted(self.listed), candidates)
+        listed = (
+            sorted(self.listed),
+            [one for one in self.listed if one not in self.leaving],
+        )
+        if vm not in self.frozen and listed != known:
+            known = listed
+            node.update_vms(*listed)
+            self.schedule(vm, node, self.now + region_relays.MIN_TICK_SECONDS)
         self.at(
             self.now + POLL_SECONDS * (0.5 + self.rng.random() / 2),
             self.poll,
             vm,
             node,
+            known,
         )
 
+    def begin_requests(self, vms):
+        """Has VMs report work from now on."""
+        self.busy_vms.update(vms)
+        for vm in vms:
+            self.schedule(
+                vm, self.nodes[vm], self.now + region_relays.MIN_TICK_SECONDS
+            )
+
     def tick(self, vm, node):
         if self.nodes.get(vm) is not node:
             return
         if vm in self.frozen:
             self.at(self.frozen[vm], self.tick, vm, node)
             return
+        self.ticks.pop(vm, None)
         own = region_reports.Report()
-        if self.is_busy:
+        if self.is_busy or vm in self.busy_vms:
             own.servers[f's-{vm}'] = {'tokens': self.now, 'requests': 1.0}
         for recipient, message in node.tick(own, self.now):
             self.send(vm, recipient, message)
-        jitter = 1 + self.rng.random() / 10
-        self.at(
-            self.now + region_relays.SUM_SECONDS * jitter, self.tick, vm, node
-        )
+        self.schedule(vm, node, node.due_at)
+
+    def schedule(self, vm, node, due_at):
+        """Schedules the next tick of a VM, as its backlog exchange does."""
+        if due_at >= self.ticks.get(vm, math.inf):
+            return
+        self.ticks[vm] = due_at
+        # A process that is busy is late.
+        late = self.rng.random() * TICK_JITTER_SECONDS
+        self.at(due_at + late, self.tick_if_due, vm, node, due_at)
+
+    def tick_if_due(self, vm, node, due_at):
+        if self.ticks.get(vm) == due_at:
+            self.tick(vm, node)
 
     def send(self, sender, recipient, message):
         self.sent[sender] += 1
@@ -155,6 +183,12 @@
             node.on_total(message, self.now)
         else:
             node.on_sum(message, self.now)
+        due_at = min(one.due_at for one in (*node.relays, node))
+        self.schedule(
+            recipient,
+            node,
+            max(due_at, self.now + region_relays.MIN_TICK_SECONDS),
+        )
 
     def run(self, seconds):
         until = self.now + seconds
--- a/features/serving/region_relays.feature
+++ b/features/serving/region_relays.feature
@@ -61,11 +61,44 @@
     Given an idle region of 12 and one of 120 VMs
     Then the mean VM of the larger one sends and receives at most twice as many frames
 
-  @known_red
   Scenario: A relay of an idle region sends few frames
     Given an idle region of 12 and one of 120 VMs
     Then the busiest VM of the larger one sends and receives at most twice as many frames
 
+  # Fails if backlogs are not passed on by VMs that have none themselves.
+  Scenario Outline: The first backlog of an idle region
+    Given an idle region of <count> VMs
+    When one VM has requests
+    And 0.3 seconds pass in the region
+    Then all others know its backlog
+    When all VMs have requests
+    And 0.3 seconds pass in the region
+    Then all know the backlogs of the others, at most 0.3 seconds old, for 3 seconds
+    When no VM has requests
+    And 13 seconds pass in the region
+    Then no VM sends a message for 20 seconds
+
+    Examples:
+      | count |
+      | 12    |
+      | 67    |
+      | 120   |
+
+  # Fails if an idle VM runs the exchange, or opens connections to VMs of its
+  # region, at its start or later.
+  Scenario Outline: No exchange without a backlog
+    Given an entry VM in a region of 5 without requests
+    When its region grows to <count> VMs
+    And 10 seconds pass
+    Then it has sent nothing, and run the exchange at most 3 times
+    When a request begins
+    Then it reports its backlog within 0.05 seconds
+
+    Examples:
+      | count |
+      | 8     |
+      | 120   |
+
   # Fails if VMs of two releases do not understand each other.
   Scenario Outline: Messages of other releases
     Given an entry VM in a region of <count>
--- a/features/steps/backlog_messages.py
+++ b/features/steps/backlog_messages.py
@@ -24,14 +24,77 @@
     raise AssertionError('the handler waits')
 
 
-@behave.given('an entry VM in a region of {count:d}')
-def given_exchange(context, count):
-    entries = tuple(
+def make_entries(count):
+    return tuple(
         members.EntryVm(
             f'v{at}', f'v{at}:80', 'a', 'a-1', members.EntryState.SERVING
         )
         for at in range(count)
     )
+
+
+@behave.given('an entry VM in a region of {count:d} without requests')
+def given_idle_exchange(context, count):
+    given_exchange(context, count)
+    exchange = context.exchange
+    exchange.local_backlog = dict
+    context.steps = 0
+    send_reports = exchange.send_reports
+
+    def count_step(now):
+        context.steps += 1
+        send_reports(now)
+
+    exchange.send_reports = count_step
+    exchange.is_running = True
+    exchange.wake()
+
+
+@behave.when('its region grows to {count:d} VMs')
+def when_grown(context, count):
+    exchange = context.exchange
+    advance(context, 0.5)
+    exchange.view.entry_vms = make_entries(count)
+    for callback in exchange.view.update_callbacks:
+        callback()
+
+
+@behave.when('10 seconds pass')
+def when_idle(context):
+    advance(context, 10.0)
+
+
+def advance(context, seconds):
+    """Advances time and calls what is due, without an event loop."""
+    manual = context.exchange.timers
+    until = manual.time + seconds
+    while manual.next_due() <= until:
+        manual.time = max(manual.time, manual.next_due())
+        manual.run_due_callbacks()
+    manual.time = until
+
+
+@behave.then('it has sent nothing, and run the exchange at most 3 times')
+def then_idle(context):
+    assert not context.posted, context.posted
+    assert context.steps <= 3, context.steps
+
+
+@behave.when('a request begins')
+def when_begins(context):
+    context.exchange.local_backlog = lambda: BACKLOG
+    context.exchange.on_request_start()
+
+
+@behave.then('it reports its backlog within {seconds:g} seconds')
+def then_reported(context, seconds):
+    advance(context, seconds)
+    assert any(one[1] == 'serving.report' for one in context.posted)
+
+
+@behave.given('an entry VM in a region of {count:d}')
+def given_exchange(context, count):
+    entries = make_entries(count)
     context.posted = []
     mesh = types.SimpleNamespace(
         post=lambda *message: context.posted.append(message)
@@ -41,7 +104,7 @@
         'a',
         timers.ManualTimers(),
         mesh,
-        types.SimpleNamespace(entry_vms=entries),
+        types.SimpleNamespace(entry_vms=entries, update_callbacks=[]),
         lambda: BACKLOG,
     )
     context.receive = lambda method, message: run(
@@ -70,7 +133,7 @@
         {'share': 3},
         'later',
     ]
-    context.receive('serving.report', ['v1', -1, 0, report, 'later'])
+    context.receive('serving.report', ['v1', -1, 0, report, 0.0, 'later'])
 
 
 @behave.then('they are summed by name')
--- a/features/steps/region_relays.py
+++ b/features/steps/region_relays.py
@@ -110,6 +110,43 @@
         assert f's-{context.relay}' not in region.known_by(vm), vm
 
 
+@behave.given('an idle region of {count:d} VMs')
+def given_idle_region(context, count):
+    context.region = region_world.RegionWorld(count, is_busy=False)
+    context.region.run(SETTLE_SECONDS)
+    context.excluded = ()
+    assert not context.region.sent
+
+
+@behave.when('one VM has requests')
+def when_one_busy(context):
+    context.region.begin_requests(['v3'])
+
+
+@behave.when('all VMs have requests')
+def when_all_busy(context):
+    context.region.begin_requests(list(context.region.nodes))
+
+
+@behave.when('no VM has requests')
+def when_none_busy(context):
+    context.region.busy_vms.clear()
+
+
+@behave.then('all others know its backlog')
+def then_others_know(context):
+    region = context.region
+    for vm in region.nodes:
+        assert vm == 'v3' or 's-v3' in region.known_by(vm), vm
+
+
+@behave.then('no VM sends a message for {seconds:g} seconds')
+def then_quiet(context, seconds):
+    context.region.sent.clear()
+    context.region.run(seconds)
+    assert not context.region.sent, context.region.sent
+
+
 @behave.given('an idle region of {small:d} and one of {large:d} VMs')
 def given_idle(context, small, large):
     context.frames = []
--- a/src/greengagegw/serving/backlog_exchange.py
+++ b/src/greengagegw/serving/backlog_exchange.py
@@ -11,6 +11,8 @@
 import math
 import typing
 
+import anyio
+
 from .. import errors
 from .. import timers as timer_service
 from ..fleet import agent as agents
@@ -29,6 +31,13 @@
 MAX_MESSAGES_PER_SECOND = 40.0
 # An unchanged backlog is sent again, since a message may be lost.
 RESEND_SECONDS = 1.0
+# Time from the first request to the report, which then contains those that
+# begin just after it, as in a burst. The next report follows after 0.1 s.
+FIRST_REPORT_SECONDS = 0.025
+# Interval after a step that failed unexpectedly.
+RETRY_SECONDS = 0.5
+# A report that is to be removed has expired by then.
+MARGIN_SECONDS = 0.01
 STALE_SECONDS = region_relays.REPORT_EXPIRY_SECONDS
 
 
@@ -43,6 +52,14 @@
     report: region_reports.Report
 
 
+# When nothing was sent directly, to no VM.
+NOT_SENT: tuple[float, region_reports.Report | None, list[str]] = (
+    -math.inf,
+    None,
+    [],
+)
+
+
 class BacklogExchange:
     """Sums up the backlogs of the region's other entry VMs by server.
 
@@ -78,11 +95,13 @@
         self.direct_reports: dict[str, PeerReport] = {}
         self.direct_total = region_reports.Report()
         self.earlier_releases: dict[str, float] = {}
-        self.last_direct: tuple[float, region_reports.Report | None] = (
-            -math.inf,
-            None,
-        )
+        self.last_direct = NOT_SENT
         self.last_backlog: tuple[float, dict] = (-math.inf, {})
+        self.has_backlog = False
+        self.is_running = False
+        self.step_at = math.inf
+        self.step_timer: timer_service.Timer | None = None
+        view.update_callbacks.append(self.on_view_update)
 
     def handlers(self) -> dict[str, peers.Handler]:
         return {
@@ -134,37 +153,56 @@
         vm, by_server = decode_backlog(peer, message)
         self.earlier_releases[vm] = self.timers.now()
         self.store_direct(vm, make_report(by_server))
+        self.schedule_step(self.timers.now() + region_relays.REPORT_SECONDS)
 
     @peers.never_waits
     async def on_report(self, peer: str, message: list) -> None:
         """Stores a report for this VM alone, or as the sender's relay."""
-        vm, plane, sequence, report = decode(peer, message, REPORT_TYPES)
+        vm, plane, sequence, report, *rest = decode(
+            peer, message, REPORT_TYPES, REPORT_EXTENSIONS
+        )
         if plane == DIRECT:
             self.earlier_releases.pop(vm, None)
             self.store_direct(vm, report)
         else:
             self.relays.on_report(
-                region_relays.MemberReport(vm, plane, sequence, report),
+                region_relays.MemberReport(vm, plane, sequence, report, *rest),
                 self.timers.now(),
             )
+            self.schedule_relay(plane)
 
     @peers.never_waits
     async def on_sum(self, peer: str, message: list) -> None:
         received = region_relays.Sum(*decode(peer, message, SUM_TYPES))
         self.relays.on_sum(received, self.timers.now())
+        self.schedule_relay(received.plane)
 
     @peers.never_waits
     async def on_total(self, peer: str, message: list) -> None:
-        received = region_relays.Total(*decode(peer, message, SUM_TYPES))
+        received = region_relays.Total(
+            *decode(peer, message, SUM_TYPES, TOTAL_EXTENSIONS)
+        )
+        was_busy = self.relays.is_region_busy
         self.relays.on_total(received, self.timers.now())
+        if self.relays.is_region_busy and not was_busy:
+            self.wake()
+
+    def schedule_relay(self, plane: int) -> None:
+        """Schedules what is due after a message to this VM as a relay."""
+        due_at = self.relays.relays[plane].due_at
+        if self.uses_relays and due_at < self.step_at:
+            earliest = self.timers.now() + region_relays.MIN_TICK_SECONDS
+            self.schedule_step(max(due_at, earliest))
 
     def store_direct(
         self, vm: str, report: region_reports.Report | None
     ) -> None:
         self.remove_peer(vm)
         if report:
-            self.direct_reports[vm] = PeerReport(self.timers.now(), report)
+            now = self.timers.now()
+            self.direct_reports[vm] = PeerReport(now, report)
             self.direct_total.add(report)
+            self.schedule_step(now + STALE_SECONDS + MARGIN_SECONDS)
 
     def remove_peer(self, vm: str) -> None:
         """Subtracts the report of a VM from the total."""
@@ -186,13 +224,71 @@
 
     async def run(self) -> None:
         """Reports the backlog of this VM to the others until cancelled."""
-        while True:
-            pause = region_relays.REPORT_SECONDS
-            if self.uses_relays:
-                pause = region_relays.SUM_SECONDS
-            await self.timers.sleep(pause)
-            if not self.has_left:
-                self.send_reports(self.timers.now())
+        self.is_running = True
+        self.wake()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            self.is_running = False
+            self.cancel_step()
+
+    def wake(self) -> None:
+        """Has the next messages sent soon.
+
+        Called when a message arrives or the list of VMs changes, since
+        nothing is scheduled without a backlog.
+        """
+        self.schedule_step(self.timers.now() + region_relays.MIN_TICK_SECONDS)
+
+    def on_request_start(self) -> None:
+        """Reports a request that begins, unless a report is due anyway."""
+        if not self.has_backlog:
+            self.schedule_step(self.timers.now() + FIRST_REPORT_SECONDS)
+
+    def schedule_step(self, due_at: float) -> None:
+        if not self.is_running or self.has_left or due_at >= self.step_at:
+            return
+        self.cancel_step()
+        self.step_at = due_at
+        self.step_timer = self.timers.call_later(
+            due_at - self.timers.now(), self.step
+        )
+
+    def cancel_step(self) -> None:
+        self.step_at = math.inf
+        if self.step_timer is not None:
+            self.step_timer.cancel()
+
+    def step(self) -> None:
+        """Sends the messages that are due, and schedules the next ones."""
+        now = self.timers.now()
+        due_at = now + RETRY_SECONDS
+        self.step_at = math.inf
+        if self.has_left:
+            return
+        try:
+            self.send_reports(now)
+            due_at = self.next_due(now)
+        finally:
+            if due_at < math.inf:
+                self.schedule_step(due_at)
+
+    def next_due(self, now: float) -> float:
+        """Returns when the next message is due; infinity if none is."""
+        due = math.inf
+        if self.uses_relays:
+            due = self.relays.due_at
+        elif self.last_direct[1]:
+            due = now + region_relays.REPORT_SECONDS
+        if self.earlier_releases:
+            due = min(due, now + region_relays.REPORT_SECONDS)
+        for one in self.direct_reports.values():
+            due = min(due, one.received_at + STALE_SECONDS + MARGIN_SECONDS)
+        return due
+
+    def on_view_update(self) -> None:
+        if self.view.entry_vms is not self.view_entries:
+            self.wake()
 
     def send_reports(self, now: float) -> None:
         """Sends the messages that are due."""
@@ -203,6 +299,7 @@
         own = make_report(backlog)
         for extend in self.report_extensions:
             extend(own)
+        self.has_backlog = bool(own)
         self.update_region()
         if self.uses_relays:
             self.post_all(self.relays.tick(own, now))
@@ -218,7 +315,12 @@
             self.withdraw_directly()
 
     def withdraw_directly(self) -> None:
-        for vm in self.region_peers():
+        """Withdraws the reports that were sent to single VMs."""
+        _, report, recipients = self.last_direct
+        self.last_direct = NOT_SENT
+        if not report:
+            return
+        for vm in recipients:
             self.mesh.post(vm, REPORT_METHOD, [self.vm, DIRECT, 0, None])
 
     def update_region(self) -> None:
@@ -232,7 +334,6 @@
         vms = sorted({self.vm, *(one.vm for one in entries)})
         uses_relays = len(vms) > region_relays.MAX_DIRECT_VMS
         if uses_relays and not self.uses_relays:
-            self.last_direct = (-math.inf, None)
             self.withdraw_directly()
         if self.uses_relays and not uses_relays:
             self.post_all(self.relays.leave())
@@ -250,13 +351,16 @@
         """Reports to all VMs of a small region, unless there is no backlog."""
         if not own and not self.last_direct[1]:
             return
-        self.last_direct = (now, own)
+        recipients = self.region_peers()
+        self.last_direct = (now, own, recipients)
         message = [self.vm, DIRECT, 0, own.pack()]
-        for vm in self.region_peers():
+        for vm in recipients:
             self.mesh.post(vm, REPORT_METHOD, message)
 
     def send_to_earlier_releases(self, backlog: dict, now: float) -> None:
         """Sends the backlog to VMs that report in the former way."""
+        if not self.earlier_releases:
+            return
         for vm, received_at in list(self.earlier_releases.items()):
             if now - received_at > STALE_SECONDS:
                 del self.earlier_releases[vm]
@@ -276,6 +380,10 @@
 DIRECT = -1
 NO_REPORT = region_reports.Report()
 REPORT_TYPES = (str, int, int)
+# After the report: the time until it counts.
+REPORT_EXTENSIONS = (float,)
+# After the total: the sequence of the recipient's last report.
+TOTAL_EXTENSIONS = (int,)
 # Sender, plane, delay, age, oldest age and number of VMs.
 SUM_TYPES = (str, int, float, float, float, int)
 
@@ -298,9 +406,10 @@
     packed = None if message.report is None else message.report.pack()
     if isinstance(message, region_relays.MemberReport):
         content = [message.vm, message.plane, message.sequence, packed]
+        if packed is not None:
+            content.append(round(message.wait, 3))
         return REPORT_METHOD, content
-    is_total = isinstance(message, region_relays.Total)
-    return TOTAL_METHOD if is_total else SUM_METHOD, [
+    content = [
         message.vm,
         message.plane,
         round(message.delay, 3),
@@ -309,13 +418,22 @@
         message.vm_count,
         packed,
     ]
-
-
-def decode(peer: str, message: typing.Any, types: tuple[type, ...]) -> list:
-    """Returns the values of a message, the last of which is a report.
-
-    Values after the report are ignored.
-
+    if isinstance(message, region_relays.Total):
+        return TOTAL_METHOD, [*content, message.sequence]
+    return SUM_METHOD, content
+
+
+def decode(
+    peer: str,
+    message: typing.Any,
+    types: tuple[type, ...],
+    extensions: tuple[type, ...] = (),
+) -> list:
+    """Returns the values of a message, its report and what follows it.
+
+    :param types: of the values before the report.
+    :param extensions: types of the values after it, which the previous
+        release does not send. Further values are ignored.
     :raises PeerProtocolError: if the message is malformed.
     """
     try:
@@ -324,6 +442,12 @@
             for convert, value in zip(types, message, strict=False)
         ]
         packed = message[len(types)]
+        rest = [
+            convert(value)
+            for convert, value in zip(
+                extensions, message[len(types) + 1 :], strict=False
+            )
+        ]
         if values[1] not in (DIRECT, *region_relays.PLANES):
             raise ValueError(values[1])
         report = None
@@ -333,7 +457,7 @@
         raise errors.PeerProtocolError(
             f'{peer} sent a malformed report'
         ) from error
-    return [*values, report]
+    return [*values, report, *rest]
 
 
 def decode_backlog(
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -202,6 +202,7 @@
         if job.generation_prompt is not None:
             in_flight.cost = choice.cost
         server.record_start(in_flight)
+        self.planner.backlog_exchange.on_request_start()
         if job.generation_prompt is not None:
             server.prefix_cache.record_prompt(job.generation_prompt)
         backend_request = ports.BackendRequest(
--- a/src/greengagegw/serving/region_relays.py
+++ b/src/greengagegw/serving/region_relays.py
@@ -3,10 +3,13 @@
 Each VM reports to one relay in each of two planes. The relays of a plane
 exchange the sums of their members and send the total to them. A VM belongs to
 one plane as a relay, so that a VM that fails breaks only one of the planes,
-and every VM uses the better one of its two totals.
+and every VM uses the better one of its two totals. While no VM of the region
+has a backlog, nothing is sent.
 """
 
+import collections.abc
 import dataclasses
+import functools
 import math
 
 import xxhash
@@ -23,14 +26,17 @@
 TOTAL_SECONDS = 0.1
 # A total is not used beside another one if it is older: one missed total.
 MAX_DELAY_SECONDS = 0.25
-# Interval of messages without any backlog, which only show that a VM lives.
+# Interval of the reports of a VM without a backlog while others have one, and
+# of totals to VMs that report although there is no backlog, as those of the
+# previous release do.
 IDLE_SECONDS = 4.0
 # Time without a total after which a member reports to another relay.
 SILENCE_SECONDS = 0.3
-IDLE_SILENCE_SECONDS = 9.0
 # The same for a VM that receives nothing from any other: it is more likely cut
 # off itself, and by changing its relays it would be missing in both planes.
 CUT_OFF_SILENCE_SECONDS = 0.9
+# Time after which a VM that receives nothing counts as cut off: two totals.
+HEARD_SECONDS = 0.2
 # The sum of a silent relay is dropped before its members report to another
 # one, since they would be counted twice. Its last total may be TOTAL_SECONDS
 # older than its last sum.
@@ -49,6 +55,12 @@
 # A changed list of VMs reaches all of them within a poll of 0.5 s. The relays
 # of the second plane change after the moves that it causes in the first one.
 SECOND_PLANE_DELAY_SECONDS = 1.0
+# Messages that arrive one after the other share a tick.
+MIN_TICK_SECONDS = 0.005
+# A total for a VM whose report the relay does not have.
+NO_SEQUENCE = -1
+# Scores are kept, since each VM needs those of its region for each choice.
+MAX_KNOWN_SCORES = 16384
 # A silent relay is avoided for this time, and for longer if it stays silent.
 AVOID_SECONDS = 2.0
 MAX_AVOID_SECONDS = 32.0
@@ -59,12 +71,15 @@
     """The last report of a member.
 
     :ivar report: None if the VM now reports elsewhere.
+    :ivar wait: seconds until the report counts, since the VM may still be
+        counted by the relay to which it reported before.
     """
 
     vm: str
     plane: int
     sequence: int
     report: region_reports.Report | None
+    wait: float = HANDOVER_SECONDS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,7 +105,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Total(Sum):
-    """The sum of all reports of a region but the recipient's own."""
+    """The sum of all reports of a region but the recipient's own.
+
+    :ivar sequence: that of the recipient's last report to the relay, or
+        NO_SEQUENCE if there is none.
+    """
+
+    sequence: int = 0
 
 
 Message = MemberReport | Sum
@@ -100,12 +121,12 @@
 class Received:
     """A message and the timer seconds at which it was received.
 
-    :ivar first_received_at: the same of the first message of its VM.
+    :ivar counted_at: timer seconds from which on it counts.
     """
 
     message: Message
     received_at: float
-    first_received_at: float = -math.inf
+    counted_at: float = -math.inf
 
     def delay(self, now: float) -> float:
         """Returns the delay of a sum until now."""
@@ -128,29 +149,46 @@
 
     :ivar relay: VM to which this one reports, if any.
     :ivar wait_started_at: since when a total of the relay is awaited.
-    :ivar joined_at: when this VM first reported to the relay.
+    :ivar moved_at: when this VM withdrew its report from another relay.
+    :ivar sent_report: the last report to the relay; None if there is none.
     :ivar total: the last total of the relay.
     """
 
     def __init__(self) -> None:
         self.relay: str | None = None
         self.wait_started_at = 0.0
-        self.joined_at = -math.inf
+        self.moved_at = -math.inf
         self.sent_at = -math.inf
         self.sent_report: region_reports.Report | None = None
         self.total: Received | None = None
 
+    @property
+    def has_backlog(self) -> bool:
+        """Whether the region had a backlog according to the last total."""
+        return self.total is not None and bool(self.total.message.report)
+
 
 class PlaneRelay:
-    """What a VM knows in a plane as a relay of it."""
+    """What a VM knows in a plane as a relay of it.
+
+    :ivar withdrawn: VMs that have withdrawn their reports.
+    :ivar due_at: timer seconds at which the next sum or total is due.
+    """
 
     def __init__(self) -> None:
         self.reports: dict[str, Received] = {}
         self.sums: dict[str, Received] = {}
+        self.withdrawn: set[str] = set()
         self.sums_sent_at = -math.inf
         self.totals_sent_at = -math.inf
         self.was_sum_empty = True
         self.was_total_empty = True
+        self.due_at = math.inf
+
+    def wake(self, now: float) -> None:
+        """Has a sum and a total sent, unless they were sent just now."""
+        if self.due_at > now + TOTAL_SECONDS:
+            self.due_at = now
 
 
 class RegionRelays:
@@ -165,13 +203,15 @@
         self.sequence = first_sequence
         self.members = tuple(PlaneMember() for _ in PLANES)
         self.relays = tuple(PlaneRelay() for _ in PLANES)
+        self.vms: list[str] = []
         self.relay_names: list[tuple[str, ...]] = [(), ()]
+        self.expected: list[tuple[str, ...] | None] = [None, None]
         self.next_relay_names: list[tuple[str, ...]] = [(), ()]
         self.names_changed_at: float | None = None
         self.total: Received | None = None
         self.was_busy = False
         self.avoided: dict[str, tuple[float, float]] = {}
-        self.ticked_at = -math.inf
+        self.due_at = math.inf
         self.heard_at = -math.inf
 
     def update_vms(self, vms: list[str], relay_candidates: list[str]) -> None:
@@ -180,6 +220,8 @@
         :param vms: all VMs of the region that report here.
         :param relay_candidates: those that will remain for some seconds.
         """
+        self.vms = vms
+        self.expected = [None, None]
         count = math.isqrt(max(0, len(vms) - 1)) + 1
         self.next_relay_names = [
             tuple(
@@ -195,7 +237,7 @@
     def apply_relay_names(self, now: float) -> None:
         """Uses changed relays, those of the second plane after a delay."""
         first, second = PLANES
-        self.relay_names[first] = self.next_relay_names[first]
+        self.use_relay_names(first)
         if self.relay_names[second] == self.next_relay_names[second]:
             self.names_changed_at = None
             return
@@ -205,9 +247,33 @@
         if not self.relay_names[second] or (
             elapsed >= SECOND_PLANE_DELAY_SECONDS
         ):
-            self.relay_names[second] = self.next_relay_names[second]
+            self.use_relay_names(second)
             self.names_changed_at = None
 
+    def use_relay_names(self, plane: int) -> None:
+        if self.relay_names[plane] != self.next_relay_names[plane]:
+            self.relay_names[plane] = self.next_relay_names[plane]
+            self.expected[plane] = None
+
+    def expected_members(self, plane: int) -> tuple[str, ...]:
+        """Returns the VMs whose relay this VM should be.
+
+        They get totals without having reported, so that a VM without a
+        backlog knows those of the others and need not send anything.
+        """
+        expected = self.expected[plane]
+        if expected is None:
+            names = self.relay_names[plane]
+            expected = ()
+            if self.vm in names:
+                expected = tuple(
+                    vm
+                    for vm in self.vms
+                    if vm != self.vm and preferred(vm, names) == self.vm
+                )
+            self.expected[plane] = expected
+        return expected
+
     # Messages of other VMs.
 
     def on_report(self, message: MemberReport, now: float) -> None:
@@ -224,22 +290,35 @@
             return
         if message.report is None:
             relay.reports.pop(message.vm, None)
-        else:
-            first_at = now if known is None else known.first_received_at
-            relay.reports[message.vm] = Received(message, now, first_at)
+            relay.withdrawn.add(message.vm)
+            return
+        relay.withdrawn.discard(message.vm)
+        counted_at = now + message.wait
+        if known is not None:
+            counted_at = known.counted_at
+        relay.reports[message.vm] = Received(message, now, counted_at)
+        if message.report or known is None:
+            relay.wake(now)
 
     def on_sum(self, message: Sum, now: float) -> None:
         self.hear(message, now)
-        self.relays[message.plane].sums[message.vm] = Received(message, now)
+        relay = self.relays[message.plane]
+        relay.sums[message.vm] = Received(message, now)
+        if message.report:
+            relay.wake(now)
 
     def on_total(self, message: Total, now: float) -> None:
         self.hear(message, now)
         member = self.members[message.plane]
+        if member.sent_report and message.sequence == NO_SEQUENCE:
+            # The relay does not know this VM's report, which may be lost, or
+            # counted by the relay to which this VM reported before.
+            return
         self.avoided.pop(message.vm, None)
         if message.vm != member.relay:
             return
         member.wait_started_at = now
-        if now - member.joined_at >= HANDOVER_SECONDS:
+        if now - member.moved_at >= HANDOVER_SECONDS:
             member.total = Received(message, now)
             self.choose_total(now)
 
@@ -252,6 +331,13 @@
         candidates = [
             one.total for one in self.members if one.total is not None
         ]
+        # No further total follows from a relay that this VM has left.
+        current = [
+            one.total
+            for one in self.members
+            if one.total is not None and one.total.message.vm == one.relay
+        ]
+        candidates = current or candidates
         recent = [
             one for one in candidates if one.delay(now) <= MAX_DELAY_SECONDS
         ]
@@ -268,14 +354,14 @@
     ) -> list[tuple[str, Message]]:
         """Returns the messages that are due, with their recipients.
 
-        Called every SUM_SECONDS.
+        Called when the messages are due, when a message has arrived, and when
+        the backlog of this VM or the list of VMs has changed.
 
         :param own: the report of this VM.
         """
-        if now - self.ticked_at > SILENCE_SECONDS:
+        if now - self.due_at > SILENCE_SECONDS:
             # This process was suspended, and its members have left it.
             self.relays = tuple(PlaneRelay() for _ in PLANES)
-        self.ticked_at = now
         self.apply_relay_names(now)
         is_busy = bool(own)
         messages: list[tuple[str, Message]] = []
@@ -289,7 +375,35 @@
         for plane in PLANES:
             messages += self.relay_messages(plane, now)
         self.drop_old_total(now)
-        return self.deliver_own(messages, now)
+        others = self.deliver_own(messages, now)
+        self.due_at = self.next_due(now)
+        return others
+
+    def next_due(self, now: float) -> float:
+        """Returns when the next message is due; infinity if none is."""
+        due = math.inf
+        if self.names_changed_at is not None:
+            due = self.names_changed_at + SECOND_PLANE_DELAY_SECONDS
+        for plane in PLANES:
+            member = self.members[plane]
+            if member.relay is not None and self.is_region_busy:
+                due = min(
+                    due,
+                    member.sent_at + self.report_interval(member),
+                    member.wait_started_at + self.silence_limit(now),
+                )
+            due = min(due, self.relays[plane].due_at)
+        for until, _ in self.avoided.values():
+            if until > now and self.is_region_busy:
+                due = min(due, until)
+        return max(due, now + MIN_TICK_SECONDS)
+
+    @property
+    def is_region_busy(self) -> bool:
+        """Whether this VM or another one of the region has a backlog."""
+        return self.was_busy or any(
+            one.sent_report or one.has_backlog for one in self.members
+        )
 
     def drop_old_total(self, now: float) -> None:
         for member in self.members:
@@ -322,39 +436,56 @@
         """Returns the messages after which no relay counts this VM."""
         messages = []
         for plane, member in enumerate(self.members):
-            if member.relay is not None:
-                messages.append((member.relay, self.report(plane, None)))
+            if member.relay is not None and member.sent_report:
+                messages.append((member.relay, self.report(plane, None, 0.0)))
             member.relay = member.total = None
         self.total = None
         return [one for one in messages if one[0] != self.vm]
 
     def report(
-        self, plane: int, report: region_reports.Report | None
+        self, plane: int, report: region_reports.Report | None, now: float
     ) -> MemberReport:
         self.sequence += 1
-        return MemberReport(self.vm, plane, self.sequence, report)
+        wait = self.members[plane].moved_at + HANDOVER_SECONDS - now
+        return MemberReport(
+            self.vm, plane, self.sequence, report, max(0.0, wait)
+        )
+
+    def silence_limit(self, now: float) -> float:
+        """Returns the seconds without a total after which a VM moves."""
+        if now - self.heard_at > HEARD_SECONDS:
+            return CUT_OFF_SILENCE_SECONDS
+        return SILENCE_SECONDS
+
+    def report_interval(self, member: PlaneMember) -> float:
+        if self.was_busy or member.sent_report:
+            return REPORT_SECONDS
+        return IDLE_SECONDS
 
     def report_messages(
         self, plane: int, own: region_reports.Report, now: float
     ) -> list[tuple[str, Message]]:
         member = self.members[plane]
         messages: list[tuple[str, Message]] = []
-        is_busy = bool(own) or (
-            member.total is not None and bool(member.total.message.report)
-        )
-        limit = SILENCE_SECONDS if is_busy else IDLE_SILENCE_SECONDS
-        if is_busy and now - self.heard_at > SILENCE_SECONDS:
-            limit = CUT_OFF_SILENCE_SECONDS
-        if member.relay is not None and now - member.wait_started_at > limit:
+        is_busy = bool(own) or self.is_region_busy
+        if (
+            is_busy
+            and member.relay is not None
+            and now - member.wait_started_at >= self.silence_limit(now)
+        ):
             self.avoid(member.relay, now)
         relay = self.choose_relay(plane, now)
         if relay != member.relay:
-            if member.relay is not None:
-                messages.append((member.relay, self.report(plane, None)))
+            if member.relay is not None and member.sent_report is not None:
+                if member.sent_report:
+                    member.moved_at = now
+                messages.append((member.relay, self.report(plane, None, now)))
             member.relay = relay
-            member.wait_started_at = member.joined_at = now
+            self.choose_total(now)
+            member.wait_started_at = now
             member.sent_at = -math.inf
-        if relay is None:
+            member.sent_report = None
+        if relay is None or not is_busy:
             return messages
         interval = REPORT_SECONDS
         if not own and not member.sent_report:
@@ -362,7 +493,7 @@
         if is_due(now, member.sent_at, interval):
             member.sent_at = now
             member.sent_report = own
-            messages.append((relay, self.report(plane, own)))
+            messages.append((relay, self.report(plane, own, now)))
         return messages
 
     def avoid(self, relay: str, now: float) -> None:
@@ -375,31 +506,25 @@
         usable = [
             vm for vm in names if self.avoided.get(vm, (-math.inf,))[0] <= now
         ]
-        return max(
-            usable or names,
-            key=lambda vm: score(self.vm, vm),
-            default=None,
-        )
+        return preferred(self.vm, usable or names)
 
     def relay_messages(
         self, plane: int, now: float
     ) -> list[tuple[str, Message]]:
         relay = self.relays[plane]
+        if relay.due_at > now + SUM_SECONDS / 2:
+            return []
         drop_expired(relay.reports, now, expiry)
         drop_expired(relay.sums, now, sum_expiry)
-        if not relay.reports:
-            return []
         messages: list[tuple[str, Message]] = []
         counted = [
-            one
-            for one in relay.reports.values()
-            if now - one.first_received_at >= HANDOVER_SECONDS
+            one for one in relay.reports.values() if now >= one.counted_at
         ]
         group = sum_of(self.vm, plane, counted, now)
-        interval = SUM_SECONDS
-        if not group.report and relay.was_sum_empty:
-            interval = IDLE_SECONDS
-        if is_due(now, relay.sums_sent_at, interval):
+        # After the last backlog, one empty sum and one empty total are sent.
+        if (group.report or not relay.was_sum_empty) and is_due(
+            now, relay.sums_sent_at, SUM_SECONDS
+        ):
             relay.sums_sent_at = now
             relay.was_sum_empty = not group.report
             for vm in {*self.relay_names[plane], *relay.sums}:
@@ -408,14 +533,36 @@
         total = sum_of(
             self.vm, plane, [Received(group, now), *relay.sums.values()], now
         )
-        interval = TOTAL_SECONDS
-        if not total.report and relay.was_total_empty:
-            interval = IDLE_SECONDS
+        has_backlog = bool(total.report) or not relay.was_total_empty
+        interval = TOTAL_SECONDS if has_backlog else IDLE_SECONDS
         if is_due(now, relay.totals_sent_at, interval):
             relay.totals_sent_at = now
             relay.was_total_empty = not total.report
             for vm, received in relay.reports.items():
                 messages.append((vm, total_without(total, received, now)))
+            if has_backlog:
+                unknown = total_for_unknown(total)
+                for vm in self.expected_members(plane):
+                    if vm not in relay.reports and vm not in relay.withdrawn:
+                        messages.append((vm, unknown))
+        relay.due_at = min(
+            (
+                one.counted_at
+                for one in relay.reports.values()
+                if one.counted_at > now
+            ),
+            default=math.inf,
+        )
+        if group.report or not relay.was_sum_empty:
+            relay.due_at = min(relay.due_at, relay.sums_sent_at + SUM_SECONDS)
+        if total.report or not relay.was_total_empty:
+            relay.due_at = min(
+                relay.due_at, relay.totals_sent_at + TOTAL_SECONDS
+            )
+        elif relay.reports:
+            relay.due_at = min(
+                relay.due_at, relay.totals_sent_at + IDLE_SECONDS
+            )
         return messages
 
 
@@ -424,11 +571,17 @@
     return now - sent_at >= interval - SUM_SECONDS / 2
 
 
+def preferred(vm: str, relays: collections.abc.Sequence[str]) -> str | None:
+    """Returns the relay of a VM by rendezvous hashing; None without any."""
+    return max(relays, key=lambda relay: score(vm, relay), default=None)
+
+
 def plane_of(vm: str) -> int:
     """Returns the plane in which a VM may be a relay."""
     return score('plane', vm) % len(PLANES)
 
 
+@functools.lru_cache(maxsize=MAX_KNOWN_SCORES)
 def score(key: str, vm: str) -> int:
     """Returns the score of a VM for rendezvous hashing."""
     return xxhash.xxh3_64_intdigest(f'{key}/{vm}'.encode())
@@ -453,11 +606,11 @@
 
 
 def recent_vm_count(received: Received, now: float) -> int:
+    if not received.message.report:
+        return 0
     limit = FRESH_SECONDS
     if isinstance(received.message, Sum):
         limit = FRESH_SUM_SECONDS
-    if not received.message.report:
-        limit = IDLE_SILENCE_SECONDS
     if now - received.received_at > limit:
         return 0
     return getattr(received.message, 'vm_count', 1)
@@ -484,25 +637,33 @@
 def total_without(total: Sum, member: Received, now: float) -> Total:
     """Returns the total of a region without the part of a member."""
     report = total.report
-    if now - member.first_received_at < HANDOVER_SECONDS:
-        return Total(
-            total.vm,
-            total.plane,
-            total.delay,
-            total.age,
-            total.oldest_age,
-            total.vm_count,
-            report,
-        )
-    if member.message.report:
-        report = report.copy()
-        report.subtract(member.message.report)
+    vm_count = total.vm_count
+    if now >= member.counted_at:
+        vm_count -= recent_vm_count(member, now)
+        if member.message.report:
+            report = report.copy()
+            report.subtract(member.message.report)
     return Total(
         total.vm,
         total.plane,
         total.delay,
         total.age,
         total.oldest_age,
-        total.vm_count - recent_vm_count(member, now),
+        vm_count,
         report,
+        member.message.sequence,
+    )
+
+
+def total_for_unknown(total: Sum) -> Total:
+    """Returns the total of a region for a VM that has not reported."""
+    return Total(
+        total.vm,
+        total.plane,
+        total.delay,
+        total.age,
+        total.oldest_age,
+        total.vm_count,
+        total.report,
+        NO_SEQUENCE,
     )
