--- a/src/greengagegw/platform/control_role.py
+++ b/src/greengagegw/platform/control_role.py
@@ -10,6 +10,7 @@
 from ..adapters import servers
 from . import documents
 from ..fleet import control as controls
+from ..fleet import retry_records
 from ..fleet import store as stores
 from ..fleet import timing
 from . import instance_list
@@ -114,6 +115,9 @@
         settings.bounds.quota_slack * QUOTA_DEBT_RATIO,
     )
     process.mesh.handlers.calls.update(replica.handlers())
+    control.retry_records = retry_records.RetryRecords(
+        timers.now(), settings.bounds.retry_window
+    )
     process.mesh.handlers.calls.update(control.handlers())
     application = operator_application.OperatorApplication(timers, control)
     processes.log_start('control', process)
--- a/src/greengagegw/platform/roles.py
+++ b/src/greengagegw/platform/roles.py
@@ -14,8 +14,8 @@
 from ..fleet import timing
 from . import process as processes
 from ..serving import dispatcher as dispatchers
-from ..serving import planner
 from ..serving import ports
+from ..serving import retry_budget
 from ..serving import servers as server_pool
 from . import settings as platform_settings
 
@@ -87,7 +87,7 @@
         agent,
         pool,
         backend,
-        planner.RetrySettings(
+        retry_budget.RetrySettings(
             settings.bounds.retry_ratio,
             settings.bounds.retry_slack,
             settings.bounds.retry_window,
@@ -95,6 +95,8 @@
         process.rng,
     )
 
+    agent.report_retries = dispatcher.planner.retry_budgets.report
+    dispatcher.planner.retry_budgets.report_soon = agent.report_retries_soon
     dispatcher.planner.divides_capacity = settings.divides_capacity
 
     def rejects_request(request: ports.Request) -> bool:
