Exchange the sums of competing organisations, classes and returns

Cause: each VM compared returns with its own promises, and estimated the work that organisations asked of other VMs from what they asked of itself.

Change: VMs of a region report the work of at most 32 organisations, the requests of each class and the promised and admitted returns of each route with their backlogs (BacklogExchange.report_extensions). They are added up like those, and those of a lost VM expire within 2.5 s. VMs of the previous release report none; nothing is estimated in their place. A VM reports none 10 s after its last request, so idle VMs send nothing more.

--- a/features/serving/fair_shares.feature
+++ b/features/serving/fair_shares.feature
@@ -42,3 +42,30 @@
   Scenario: The sums that VMs exchange are bounded
     Given 100 organisations with different work
     Then a VM reports the 32 with the most work
+
+  Scenario: VMs of a region divide its capacity by the sums of all of them
+    A VM that gets no requests of the large organisation would otherwise not
+    know that a small one is within its share.
+    Given 3 VMs of a region that exchange their sums
+    When the first VM is asked for 20 server seconds by a large organisation and the others for 2 by a small one, half of which are served
+    Then on each VM the factor of the large organisation is less than 1
+    And on each VM the factor of the small organisation is 1
+    When the first VM is lost for 2.6 seconds
+    Then the other VMs no longer count its work
+
+  Scenario: Sums of other services and of later releases are ignored
+    When a VM receives sums of another service, of an unknown kind and without a name
+    Then it knows the sums of its own service only
+
+  Scenario: A client returns to another VM than the one that promised it
+    Given 3 VMs of a region that exchange their sums
+    When the first VM promises 50 returns and the clients return to the second one
+    Then each of them comes before new requests
+    And 10 returns to the third one do not all come before new requests
+
+  Scenario: Few clients that return to another VM are rejected again
+    Given a deployment in which requests compete for capacity
+    When an organisation with twenty times its load, returns to any VM is replayed
+    Then each small organisation is served on time at least as often as the large one
+    And at most 5 percent of the returned clients are rejected again
+    And each class is served at least a quarter as often as all
--- a/features/steps/fair_shares.py
+++ b/features/steps/fair_shares.py
@@ -1,8 +1,15 @@
 """Steps for the shares of organisations in an overloaded service."""
 
+import types
+
+import anyio
 import behave
 
 from features import load_patterns
+from greengagegw.fleet import agent as agents
+from greengagegw.fleet import members
+from greengagegw.serving import backlog_exchange
+from greengagegw.serving import competition
 from greengagegw.serving import fair_shares
 
 NAMES = ('first', 'second', 'third')
@@ -88,5 +95,170 @@
 
 @behave.then('a VM reports the {count:d} with the most work')
 def then_bounded_report(context, count):
-    reported = set(context.fair_shares.local_sums())
+    reported = set(context.fair_shares.local_sums(0.0))
     assert reported == {f'o-{at}' for at in range(100 - count, 100)}
+
+
+class ExchangingVms:
+    """The exchange and the competition of VMs of one region, in fake time."""
+
+    def __init__(self, count):
+        self.now = 0.0
+        self.timers = types.SimpleNamespace(
+            now=lambda: self.now, wall_time=lambda: self.now
+        )
+        self.names = [f'a{at}' for at in range(count)]
+        entries = [
+            members.EntryVm(
+                vm, f'{vm}:80', 'a', 'a-1', members.EntryState.SERVING
+            )
+            for vm in self.names
+        ]
+        self.exchanges = {}
+        self.competitions = {}
+        for vm in self.names:
+            view = agents.FleetView()
+            view.entry_vms = entries
+            exchange = backlog_exchange.BacklogExchange(
+                vm, 'a', self.timers, self, view, dict
+            )
+            competing = competition.ServiceCompetition(
+                'engine', 0.0, exchange.peer_sums
+            )
+            exchange.report_extensions.append(
+                lambda report, one=competing: report.sums.update(
+                    one.local_sums(self.now)
+                )
+            )
+            self.exchanges[vm] = exchange
+            self.competitions[vm] = competing
+
+    def post(self, vm, method, message):
+        if vm in self.exchanges:
+            handler = self.exchanges[vm].handlers()[method]
+            anyio.run(handler, 'peer', message)
+
+    def advance(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + 0.1)
+            for one in list(self.exchanges.values()):
+                one.send_reports(self.now)
+            for one in self.competitions.values():
+                one.refresh(self.now)
+
+    def record(self, vm, organisation, work):
+        competing = self.competitions[vm]
+        competing.recorded_at = self.now
+        for at in range(10):
+            competing.shares.record(
+                organisation, 0, work / 10, at % 2 == 0, self.now
+            )
+
+
+@behave.given('{count:d} VMs of a region that exchange their sums')
+def given_exchanging(context, count):
+    context.vms = ExchangingVms(count)
+
+
+@behave.when(
+    'the first VM is asked for {large:g} server seconds by a large'
+    ' organisation and the others for {small:g} by a small one, half of which'
+    ' are served'
+)
+def when_asked(context, large, small):
+    vms = context.vms
+    first, *others = vms.names
+    vms.record(first, 'large', large)
+    for vm in others:
+        vms.record(vm, 'small', small)
+    vms.advance(0.3)
+    for vm in others:
+        vms.record(vm, 'large', 0.0)
+    vms.record(first, 'small', 0.0)
+
+
+@behave.then('on each VM the factor of the {name} organisation {relation} 1')
+def then_factors(context, name, relation):
+    factors = {
+        vm: one.shares.factor(name)
+        for vm, one in context.vms.competitions.items()
+    }
+    assert all(
+        factor < 1 if relation == 'is less than' else factor == 1
+        for factor in factors.values()
+    ), factors
+
+
+@behave.when('the first VM is lost for {seconds:g} seconds')
+def when_lost(context, seconds):
+    vms = context.vms
+    del vms.exchanges[vms.names[0]]
+    vms.advance(seconds)
+
+
+@behave.then('the other VMs no longer count its work')
+def then_not_counted(context):
+    for vm in context.vms.exchanges:
+        pairs = context.vms.competitions[vm].peer_pairs
+        large = pairs[competition.ORGANISATION].get('large', (0.0, 0.0))
+        assert max(large) < 0.01, (vm, large)
+
+
+@behave.when(
+    'a VM receives sums of another service, of an unknown kind and without a'
+    ' name'
+)
+def when_other_sums(context):
+    pairs = {competition.ORGANISATION: {'one': (2.0, 1.0)}}
+    sums = {
+        **competition.pack_sums('engine', pairs),
+        **competition.pack_sums('engine\nof another', pairs),
+        **competition.pack_sums('desk', pairs),
+        **competition.pack_sums('engine', {'later': {'one': (3.0, 3.0)}}),
+        'share': 3.0,
+        'org\n5\nengine\none': 4.0,
+        competition.CLASS + '\n0\nengine\nurgent': 5.0,
+    }
+    context.competition = competition.ServiceCompetition(
+        'engine', 0.0, lambda: sums
+    )
+    context.competition.refresh(1.0)
+
+
+@behave.then('it knows the sums of its own service only')
+def then_own_service(context):
+    known = context.competition
+    assert known.shares.other_sums()['one'] == (2.0, 1.0)
+    assert 'desk' not in str(known.peer_pairs)
+    assert known.balance.peer_counts == {}
+
+
+@behave.when(
+    'the first VM promises {count:d} returns and the clients return to the'
+    ' second one'
+)
+def when_return_elsewhere(context, count):
+    vms = context.vms
+    first, second, _ = vms.competitions.values()
+    context.precedes = []
+    for _ in range(count):
+        first.recorded_at = second.recorded_at = vms.now
+        first.schedule.record_promise('r', 1.0, 12.0, vms.now)
+        vms.advance(1.3)
+        context.precedes.append(second.schedule.may_precede('r', vms.now))
+        second.schedule.record_return('r', 0.1, vms.now)
+
+
+@behave.then(
+    '{count:d} returns to the third one do not all come before new requests'
+)
+def then_third_limited(context, count):
+    *_, third = context.vms.competitions.values()
+    context.vms.advance(0.3)
+    precedes = []
+    for _ in range(count):
+        precedes.append(third.schedule.may_precede('r', context.vms.now))
+        if precedes[-1]:
+            third.schedule.record_return('r', 0.1, context.vms.now)
+    assert not all(precedes)
--- a/src/greengagegw/serving/competition.py
+++ b/src/greengagegw/serving/competition.py
@@ -4,6 +4,7 @@
 organisation have none, and their requests are admitted as without it.
 """
 
+import collections
 import collections.abc
 import dataclasses
 
@@ -40,25 +41,79 @@
     is_forwarded: bool = False
 
 
+# Kinds of the sums that VMs exchange: work asked for and served, by
+# organisation; requests asked for and admitted, by class; and promised and
+# admitted returns, by route.
+ORGANISATION = 'org'
+CLASS = 'class'
+RETURNS = 'returns'
+SEPARATOR = '\n'
+# The sums of the others are read again after this time, since VMs report that
+# often.
+REFRESH_SECONDS = 0.1
+# A VM without requests for this time reports no sums; they are small by then.
+MAX_IDLE_SECONDS = 10.0
+# Reports stay short if their numbers are rounded.
+DECIMALS = 3
+
+
 class ServiceCompetition:
     """The requests that compete for one service on one entry VM.
 
-    :param count_vms: returns the number of usable entry VMs of the region.
+    :param service: its name.
+    :param peer_sums: returns the sums that the other entry VMs of the region
+        reported. VMs of the previous release report none.
     """
 
     def __init__(
-        self, now: float, count_vms: collections.abc.Callable[[], int]
+        self,
+        service: str,
+        now: float,
+        peer_sums: collections.abc.Callable[[], dict[str, float]],
     ) -> None:
-        # Replaced when VMs exchange their sums; until then this VM's own
-        # sums stand for those of the others.
-        self.other_sums: collections.abc.Callable[[], fair_shares.Sums] = (
-            lambda: fair_shares.scale(
-                self.shares.local_sums(), max(0, count_vms() - 1)
-            )
+        self.service = service
+        self.peer_sums = peer_sums
+        self.peer_pairs: dict[str, dict[str, tuple[float, float]]] = {}
+        self.refreshed_at = now - REFRESH_SECONDS
+        self.recorded_at = now
+        self.shares = fair_shares.FairShares(
+            now, lambda: self.peer_pairs.get(ORGANISATION, {})
         )
-        self.shares = fair_shares.FairShares(now, lambda: self.other_sums())
         self.balance = urgency.UrgencyBalance(now)
         self.schedule = retry_schedule.RetrySchedule()
+        self.schedule.peer_balance = self.peer_return_balance
+
+    def peer_return_balance(self, route: str) -> float:
+        due, used = self.peer_pairs.get(RETURNS, {}).get(route, (0.0, 0.0))
+        return due - used
+
+    def refresh(self, now: float) -> None:
+        """Reads the sums of the other VMs."""
+        if now - self.refreshed_at < REFRESH_SECONDS:
+            return
+        self.refreshed_at = now
+        self.peer_pairs = unpack_sums(self.peer_sums(), self.service)
+        self.balance.peer_counts = {
+            int(rank): pair
+            for rank, pair in self.peer_pairs.get(CLASS, {}).items()
+            if rank.isdecimal()
+        }
+
+    def local_sums(self, now: float) -> dict[str, float]:
+        """Returns the sums of this VM for the other ones, by name."""
+        if now - self.recorded_at > MAX_IDLE_SECONDS:
+            return {}
+        return pack_sums(
+            self.service,
+            {
+                ORGANISATION: self.shares.local_sums(now),
+                CLASS: {
+                    str(rank): counts
+                    for rank, counts in self.balance.local_counts(now).items()
+                },
+                RETURNS: self.schedule.local_returns(now),
+            },
+        )
 
     def adjust(
         self,
@@ -75,6 +130,7 @@
         :param is_forwarded: whether another VM received the request from the
             client. That VM has compared it with the promises of its region.
         """
+        self.refresh(now)
         rank = request.priority_rank
         has_precedence = request.is_client_retry and (
             is_forwarded or self.schedule.may_precede(route, now)
@@ -96,6 +152,7 @@
         )
 
     def record(self, decided: Decided, is_served: bool, now: float) -> None:
+        self.recorded_at = now
         request = decided.admission_request
         self.balance.record(request.priority_rank, is_served, now)
         self.shares.record(
@@ -145,3 +202,33 @@
             now,
         )
         return refusal if pause is None else pause
+
+
+def pack_sums(
+    service: str, pairs: dict[str, dict[str, tuple[float, float]]]
+) -> dict[str, float]:
+    """Returns pairs of sums, by kind and name, as numbers by a single name."""
+    return {
+        SEPARATOR.join((kind, str(at), service, name)): round(value, DECIMALS)
+        for kind, by_name in pairs.items()
+        for name, pair in by_name.items()
+        for at, value in enumerate(pair)
+    }
+
+
+def unpack_sums(
+    sums: dict[str, float], service: str
+) -> dict[str, dict[str, tuple[float, float]]]:
+    """Returns the pairs of sums of a service; other numbers are ignored."""
+    pairs: dict[str, dict[str, tuple[float, float]]] = collections.defaultdict(
+        dict
+    )
+    for key, value in sums.items():
+        kind, _, rest = key.partition(SEPARATOR)
+        at, _, rest = rest.partition(SEPARATOR)
+        name = rest.removeprefix(service + SEPARATOR)
+        if at not in ('0', '1') or name == rest:
+            continue
+        first, second = pairs[kind].get(name, (0.0, 0.0))
+        pairs[kind][name] = (value, second) if at == '0' else (first, value)
+    return pairs
--- a/src/greengagegw/serving/fair_shares.py
+++ b/src/greengagegw/serving/fair_shares.py
@@ -65,11 +65,7 @@
 
         :param rank: number of more urgent priorities of organisations.
         """
-        decay = math.exp(-max(0.0, now - self.updated_at) / WINDOW_SECONDS)
-        self.updated_at = now
-        for one in self.organisations.values():
-            one.asked *= decay
-            one.served *= decay
+        self.decay(now)
         known = self.organisations.get(name)
         if known is None:
             known = self.organisations[name] = OrganisationWork(1.0)
@@ -79,6 +75,13 @@
         known.served += work * is_served
         self.factors = self.compute_factors()
 
+    def decay(self, now: float) -> None:
+        decay = math.exp(-max(0.0, now - self.updated_at) / WINDOW_SECONDS)
+        self.updated_at = now
+        for one in self.organisations.values():
+            one.asked *= decay
+            one.served *= decay
+
     def remove_idle(self) -> None:
         """Removes the organisations without recent work."""
         limit = 1e-6 * sum(one.asked for one in self.organisations.values())
@@ -93,8 +96,9 @@
         """Returns the factor on the longest wait of an organisation."""
         return self.factors.get(name, 1.0)
 
-    def local_sums(self) -> Sums:
+    def local_sums(self, now: float) -> Sums:
         """Returns the sums of this VM for the other ones."""
+        self.decay(now)
         largest = sorted(
             self.organisations.items(), key=lambda item: -item[1].asked
         )
@@ -146,11 +150,3 @@
         capacity -= shares[name]
         weight_left -= weight
     return shares
-
-
-def scale(sums: Sums, factor: float) -> Sums:
-    """Returns sums of this VM as an estimate of those of several others."""
-    return {
-        name: (asked * factor, served * factor)
-        for name, (asked, served) in sums.items()
-    }
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -27,6 +27,7 @@
 from . import placement
 from . import ports
 from . import prefixes
+from . import region_reports
 from . import request_cost
 from . import request_limits
 from . import retry_budget
@@ -141,6 +142,13 @@
         self.forecast: LocalForecast | None = None
         self.sharing_counts: dict[tuple[str, int], int] = {}
         self.sharing_vms: list[members.EntryVm] | None = None
+        backlog_exchange.report_extensions.append(self.add_competition_sums)
+
+    def add_competition_sums(self, report: region_reports.Report) -> None:
+        """Adds the sums of this VM to its report to the other entry VMs."""
+        now = self.timers.now()
+        for one in self.competitions.values():
+            report.sums.update(one.local_sums(now))
 
     def create_job(self, request: ports.Request, now: float) -> jobs.Job:
         """Returns a request with the route of the configuration in force.
@@ -593,7 +601,7 @@
         competition = self.competitions.get(name)
         if competition is None:
             competition = competition_module.ServiceCompetition(
-                now, lambda: len(self.view.usable_entry_vms(self.pool.region))
+                name, now, self.backlog_exchange.peer_sums
             )
             self.competitions[name] = competition
         return competition
--- a/src/greengagegw/serving/retry_schedule.py
+++ b/src/greengagegw/serving/retry_schedule.py
@@ -8,9 +8,9 @@
 longer than they wait.
 
 Clients choose an entry VM at random, so a return usually reaches another VM
-than the one that promised it. All VMs promise by the same rule, so each gets
-about as many returns as it has promised, and admits up to so many before new
-requests of their class.
+than the one that promised it. VMs exchange the numbers of returns that they
+have promised and admitted, and admit as many before new requests of their
+class as the region has promised.
 
 Work and capacity are in server seconds: a server does one in a second.
 """
@@ -257,6 +257,16 @@
             known.expire_promises(now)
             known.credit.add_return(self.peer_balance(name), now)
 
+    def local_returns(self, now: float) -> dict[str, tuple[float, float]]:
+        """Returns promised and admitted returns of this VM, by route."""
+        returns = {}
+        for name, known in self.classes.items():
+            known.expire_promises(now)
+            known.credit.decay(now)
+            if known.credit.due or known.credit.used:
+                returns[name] = (known.credit.due, known.credit.used)
+        return returns
+
     def may_precede(self, name: str, now: float) -> bool:
         """Returns whether a return is admitted before new requests."""
         known = self.class_of(name, now)
