Do not give up a server that is silent for about a second

A server that paused for one second was ejected after 0.75 s, and requests that it had not answered yet were run again on another server.

A server that is silent for 0.75 s now only gets no new requests while there are others, as before. It is ejected, and its requests without a response are sent elsewhere, after 1.2 s. The decision is made by the check every 0.1 s, so choosing servers for a request costs one more comparison. The bounds of the detection tests are unchanged: all requests served within 1.5 s and at most 15 requests to a server that has failed.

The silence is that of the server's process. If its machine does not accept connections for 0.4 s either, it is still ejected; nothing was sent in that case. The idle timeouts of `greengagegw serve` are 15 s and more.

--- a/features/serving/dispatch.feature
+++ b/features/serving/dispatch.feature
@@ -90,6 +90,22 @@
     Then all of them are served within 1.5 seconds
     And server i-a0 got at most 15 requests
 
+  Scenario Outline: A server that is silent for about a second is not given up
+    Given 1 region with <engines> engines and 2 entry VM
+    And a <kind> route with 4 attempts
+    When 20 requests a second come for 6 seconds and <who> after 2 is silent for <seconds> seconds
+    Then no server was ejected and nothing was run twice
+    And each response is complete
+
+    Examples:
+      | engines | kind      | who         | seconds |
+      | 3       | resumable | one server  | 1.0     |
+      | 3       | resumable | one server  | 1.1     |
+      | 3       | safe      | one server  | 1.0     |
+      | 3       | unsafe    | one server  | 1.0     |
+      | 3       | resumable | each server | 1.0     |
+      | 1       | resumable | each server | 1.1     |
+
   Scenario: A slow caller does not count against the server
     Given 1 region with 1 engines and 1 entry VM
     And a resumable route with 2 attempts
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -115,6 +115,8 @@
         self.reports_slowdown = False
         self.event_delay = 0.0
         self.is_leaving = False
+        # Until then, it sends nothing, but accepts requests.
+        self.silent_until = 0.0
         self.pause_seconds = 0.0
         # Requests a second that it names as its limit.
         self.request_limit = math.inf
@@ -171,6 +173,7 @@
         self.running += 1
         try:
             await self.prefill(backend_request)
+            await self.end_silence()
             status = 500 if fault in ERROR_FAULTS else self.status
             on_notice(
                 ports.ServerNotice(
@@ -206,8 +209,13 @@
         if recent > self.rejection_limit:
             self.crash()
 
+    async def end_silence(self):
+        timers = self.world.timers
+        await timers.sleep(self.silent_until - timers.now())
+
     async def prefill(self, backend_request):
         timers = self.world.timers
+        await self.end_silence()
         prompt = backend_request.request.prompt
         is_crashing = (
             backend_request.request.body in self.world.crashing_bodies
@@ -257,6 +265,7 @@
         count = max(1, prompt.max_output_tokens // EVENT_TOKENS)
         first = int(backend_request.resume_after or 0) + 1
         for number in range(first, count + 1):
+            await self.end_silence()
             if self.crashed_at is not None:
                 if self.closes_orderly:
                     return
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -465,6 +465,47 @@
     context.serving.engines[name].pending_faults = ['silent'] * 1000
 
 
+@behave.when(
+    '{rate:d} requests a second come for {seconds:d} seconds and {who} after'
+    ' {after:d} is silent for {silence:g} seconds'
+)
+@in_fleet
+async def when_briefly_silent(context, rate, seconds, who, after, silence):
+    world = context.serving
+    for number in range(rate * seconds):
+        if number == rate * after:
+            engines = list(world.engines.values())
+            for engine in engines[: 1 if who == 'one server' else None]:
+                engine.silent_until = world.timers.now() + silence
+        prompt = None if context.is_plain else PROMPT
+        request = world.request(number, prompt=prompt)
+        world.start_request(f'a{number % 2}', request)
+        await world.timers.advance(1 / rate)
+    await world.timers.advance(4.0)
+
+
+@behave.then('no server was ejected and nothing was run twice')
+def then_not_given_up(context):
+    world = context.serving
+    for vm, dispatcher in world.dispatchers.items():
+        for server in dispatcher.pool.servers.values():
+            assert server.ejected_until == 0.0, (vm, server.instance.name)
+    ids = [
+        one.request.request_id
+        for engine in world.engines.values()
+        for _, one in engine.arrivals
+    ]
+    assert len(ids) == len(set(ids)) == len(world.outcomes), len(ids)
+
+
+@behave.then('each response is complete')
+def then_each_complete(context):
+    complete = b'whole' if context.is_plain else EVENTS
+    for one in context.serving.outcomes:
+        assert one.error is None, one.error
+        assert (one.status, one.body) == (200, complete), one
+
+
 @behave.then('all of them are served within {seconds:g} seconds')
 @in_fleet
 async def then_served_soon(context, seconds):
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -31,8 +31,12 @@
 MAX_LIST_LAG_SECONDS = 2.5
 MAX_REPORT_AGE_SECONDS = 1.0
 # A server that sends nothing on any connection for this time beyond the
-# predicted wait is ejected. Longer than the 0.6 s pauses that count as late.
-SILENCE_TIMEOUT_SECONDS = 0.75
+# predicted wait gets no new requests while there are others. Longer than the
+# 0.6 s pauses that count as late.
+HESITATION_SECONDS = 0.75
+# After this time, it is ejected and what it has not begun is sent elsewhere.
+# Healthy servers may be silent for about one second.
+SILENCE_TIMEOUT_SECONDS = 1.2
 # Non-streaming calls vary in duration and send nothing until they respond.
 SILENCE_SERVICE_TIME_FACTOR = 4.0
 SILENCE_CHECK_SECONDS = 0.1
@@ -120,6 +124,7 @@
         self.ejected_until = 0.0
         self.ejections = 0
         self.needs_probe = False
+        self.is_hesitating = False
         self.cold_until = 0.0
         self.paused_until = 0.0
         self.pacer = send_pacing.SendPacer()
@@ -395,6 +400,8 @@
 
     :param region_by_domain: the region of each failure domain.
     :ivar servers: servers by name, including those lost from the list.
+    :ivar has_hesitating: whether any server has been silent for so long that
+        it gets no new requests while there are others.
     :ivar listed_at: timer seconds at which each server was last listed.
     :ivar usable_instances: those of ``filtered_list`` in this region, by
         service.
@@ -412,6 +419,7 @@
         self.region = region
         self.region_by_domain = region_by_domain
         self.servers: dict[str, Server] = {}
+        self.has_hesitating = False
         self.listed_at: dict[str, float] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.moved: set[str] = set()
@@ -476,8 +484,17 @@
     def eject_silent_servers(self, now: float) -> None:
         """Ejects the servers whose silence exceeds their timeout."""
         for server in self.servers.values():
-            if server.silent_seconds(now) > server.silence_timeout:
+            silent_seconds = server.silent_seconds(now)
+            timeout = server.silence_timeout
+            server.is_hesitating = (
+                silent_seconds
+                > timeout - SILENCE_TIMEOUT_SECONDS + HESITATION_SECONDS
+            )
+            if silent_seconds > timeout:
                 server.eject_silent(now)
+        self.has_hesitating = any(
+            one.is_hesitating for one in self.servers.values()
+        )
 
     def is_present(self, instance: instances.Instance) -> bool:
         """Returns whether a server is listed and is not known to leave."""
@@ -642,7 +659,7 @@
         :param excluded: names of servers to leave out.
         """
         servers = self.servers
-        return [
+        usable = [
             server
             for one in self.listed_instances(service)
             if (server := servers.get(one.name)) is not None
@@ -651,3 +668,6 @@
             and server.paused_until <= now
             and one.name not in excluded
         ]
+        if self.has_hesitating:
+            return [one for one in usable if not one.is_hesitating] or usable
+        return usable
