Check what TCP_USER_TIMEOUT and keep-alive do to connections

If TCP_USER_TIMEOUT is set, it decides when keep-alive probes give up, whatever their count, and some libraries set it.

Neither the project nor the libraries of its requirements set it: on asyncio and uvloop, the sockets of backend_connection, NetworkBackend, anyio, httpcore and hypercorn (dialled and accepted) have TCP_USER_TIMEOUT 0 and SO_KEEPALIVE off. Dead connections are found by heartbeats, silence and deadlines, in timers of the program. So the code stays as it is, and tests keep it so: one reads the options of all sockets of a process on uvloop, which fails if a library begins to set a shorter time than its probes take; one sets probes and a TCP_USER_TIMEOUT of 60 s on both ends of a connection on which nothing arrives, which is still closed within 4 s.

--- a/features/peers/streams.feature
+++ b/features/peers/streams.feature
@@ -85,6 +85,13 @@
     Then the call fails as peer_lost
     And the next call succeeds on a new connection
 
+  Scenario: A silent connection is closed whatever its TCP_USER_TIMEOUT is
+    Given a connection on which nothing arrives
+    And all sockets have keep-alive probes and a TCP_USER_TIMEOUT of 60 seconds
+    When a call is made and 4 seconds pass
+    Then the call fails as peer_lost
+    And the next call succeeds on a new connection
+
   Scenario: Closing a stream early stops its handler
     When a reader closes a stream early
     Then the handler is stopped
--- a/features/platform/connections.feature
+++ b/features/platform/connections.feature
@@ -69,3 +69,10 @@
       | head | the platform's client     | 2     |
       | body | the instance list         | 6     |
       | body | the poll of a load report | 2     |
+
+  Scenario: The kernel gives up no connection before its keep-alive probes do
+    If TCP_USER_TIMEOUT is set, it decides when a connection is given up, and
+    not the count of the probes. Libraries may set it.
+
+    When connections to servers, between VMs and from clients are open
+    Then their TCP_USER_TIMEOUT is at least the time that their probes take
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -13,7 +13,11 @@
 
 from features import fleet_world
 from features.steps.fleet import in_fleet
+from features import tcp_sockets
+from greengagegw.adapters import asgi
+from greengagegw.adapters import backend_connection
 from greengagegw.adapters import backend_http
+from greengagegw.adapters import backend_transport
 from greengagegw.adapters import servers
 from greengagegw import errors
 from greengagegw.platform import backend_client
@@ -503,3 +507,61 @@
     sent_bytes = context.server.sent_bytes
     # Bytes in the buffers of the kernel count as sent.
     assert sent_bytes <= limit * 1024 * 1024, sent_bytes
+
+
+@behave.when('connections to servers, between VMs and from clients are open')
+def when_connections_open(context):
+    async def serve_client(scope, receive, send):
+        if scope['type'] == 'lifespan':
+            await asgi.serve_lifespan(receive, send)
+
+    async def keep_open(stream):
+        await anyio.sleep_forever()
+
+    async def run():
+        limits = servers.ServerSettings(16384, 15.0, 0.1)
+        before = {one.getsockname() for one in tcp_sockets.open_sockets()}
+        listener = await anyio.create_tcp_listener(
+            local_host=HOST, local_port=PORT + 1
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                servers.serve,
+                serve_client,
+                (HOST, PORT + 2),
+                limits,
+                anyio.sleep_forever,
+            )
+            tasks.start_soon(listener.serve, keep_open)
+            # The connections of both clients of servers, and of the mesh.
+            kept = [
+                await backend_connection.connect(HOST, PORT + 1, 1.0),
+                await backend_transport.NetworkBackend().connect_tcp(
+                    HOST, PORT + 1
+                ),
+                await anyio.connect_tcp(HOST, PORT + 1),
+            ]
+            await anyio.sleep(0.5)
+            kept.append(await anyio.connect_tcp(HOST, PORT + 2))
+            await anyio.sleep(0.2)
+            context.checked = {}
+            for one in tcp_sockets.open_sockets():
+                with one:
+                    names = (one.getsockname(), one.getpeername())
+                    if names[0] not in before:
+                        context.checked[names] = tcp_sockets.gives_up_early(
+                            one
+                        )
+            tasks.cancel_scope.cancel()
+
+    # The program runs on this event loop, whose sockets it sets up itself.
+    anyio.run(run, backend_options={'use_uvloop': True})
+
+
+@behave.then(
+    'their TCP_USER_TIMEOUT is at least the time that their probes take'
+)
+def then_user_timeout(context):
+    # Both ends of four connections.
+    assert len(context.checked) >= 8, context.checked
+    assert not any(context.checked.values()), context.checked
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -1,6 +1,7 @@
 """Steps for the streams between VMs."""
 
 import contextlib
+import socket
 import struct
 
 import anyio
@@ -8,6 +9,7 @@
 import msgpack
 
 from features.steps.callers import call
+from features import tcp_sockets
 from greengagegw.adapters import frames
 from greengagegw.adapters import handshake
 from greengagegw.adapters import peer_mesh
@@ -473,6 +475,22 @@
     context.error = call(context, pair.call_error, 'echo', 'x', float(seconds))
 
 
+@behave.given(
+    'all sockets have keep-alive probes and a TCP_USER_TIMEOUT of {seconds:d}'
+    ' seconds'
+)
+def given_user_timeout(context, seconds):
+    found = 0
+    for one in tcp_sockets.open_sockets():
+        with one:
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            one.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, seconds * 1000
+            )
+            found += 1
+    assert found >= 2, found
+
+
 @behave.then('the next call succeeds on a new connection')
 def check_new_connection(context):
     context.pair.network.heal()
