Let requests wait briefly for capacity that is about to be free

Callers saw: while organisations compete, whoever arrives when a place is free gets it, also before more urgent requests that were rejected a moment earlier.

Cause: admission decides at once and remembers nobody.

Change: serving/wait_queue.py. A request that would be rejected waits on its entry VM if it is predicted to be admitted within an eighth of its objective, in order of promised returns, class, share, priority and arrival. At most 32 wait for a service on a VM. It is rejected at once if the prediction gets worse, and leaves the queue when its client disconnects. The dispatcher calls plan_when_free instead of plan_regions; without the contract pressure both are the same. Nothing is sent before the wait ends, so rejections are "not run".

--- a/src/greengagegw/serving/competition.py
+++ b/src/greengagegw/serving/competition.py
@@ -12,6 +12,7 @@
 from . import fair_shares
 from . import retry_schedule
 from . import urgency
+from . import wait_queue
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +83,7 @@
         self.balance = urgency.UrgencyBalance(now)
         self.schedule = retry_schedule.RetrySchedule()
         self.schedule.peer_balance = self.peer_return_balance
+        self.queue = wait_queue.WaitQueue()
 
     def peer_return_balance(self, route: str) -> float:
         due, used = self.peer_pairs.get(RETURNS, {}).get(route, (0.0, 0.0))
@@ -115,6 +117,29 @@
             },
         )
 
+    def make_waiting(
+        self,
+        route: str,
+        organisation: str,
+        request: admission.AdmissionRequest,
+        objective: float,
+        now: float,
+    ) -> wait_queue.Waiting:
+        """Returns a request that has arrived and may wait.
+
+        :param objective: latency objective of the class, in seconds.
+        """
+        is_promised = request.is_client_retry and self.schedule.may_precede(
+            route, now
+        )
+        return wait_queue.make_waiting(
+            wait_queue.PROMISED if is_promised else request.priority_rank,
+            self.shares.factor(organisation) < 1,
+            request.organisation_priority_rank,
+            objective,
+            now,
+        )
+
     def adjust(
         self,
         route: str,
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -283,7 +283,7 @@
                 job.organisation
             )
         allowed = configurations.allowed_regions(job.route, organisation)
-        regions = self.planner.plan_regions(job, allowed)
+        regions = await self.planner.plan_when_free(job, allowed)
         failure: errors.GatewayError | None = None
         failed_region = self.pool.region
         has_lost_servers = False
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -10,6 +10,8 @@
 import random
 import typing
 
+import anyio
+
 from .. import errors
 from .. import logs
 from .. import timers as timer_service
@@ -34,6 +36,7 @@
 from . import send_pacing
 from . import servers as server_pool
 from . import stream_origins
+from . import wait_queue
 from . import work_estimates
 
 DEFAULT_CLIENT_TIMEOUT_SECONDS = 30.0
@@ -372,12 +375,58 @@
         )
         return has_budget
 
-    def plan_regions(
+    async def plan_when_free(
         self, job: jobs.Job, allowed: frozenset[str] | None
     ) -> list[str]:
+        """Returns the regions to try, after a wait if the queue allows it.
+
+        :param allowed: regions that may run the request; None for all.
+        :raises OverloadedError: if no region would serve it in time.
+        """
+        now = self.timers.now()
+        competition = self.competition_of(job, now)
+        if competition is None:
+            return self.plan_regions(job, allowed)
+        waiting = competition.make_waiting(
+            job.route.name,
+            job.organisation or '',
+            job.admission_request(0.0, now),
+            job.route.latency_objective,
+            now,
+        )
+        queue = competition.queue
+        is_admitted = False
+        try:
+            while True:
+                regions = self.plan_regions(job, allowed, waiting)
+                if regions is not None:
+                    is_admitted = True
+                    return regions
+                waiting.turn = anyio.Event()
+                pause = queue.pause_seconds(waiting, self.timers.now())
+                with self.timers.move_on_after(pause):
+                    await waiting.turn.wait()
+        finally:
+            queue.remove(waiting, is_admitted, self.timers.now())
+            if waiting.began_at is not None:
+                self.log(
+                    'request:waited',
+                    job,
+                    seconds=round(self.timers.now() - waiting.began_at, 3),
+                    taken=is_admitted,
+                )
+
+    def plan_regions(
+        self,
+        job: jobs.Job,
+        allowed: frozenset[str] | None,
+        waiting: wait_queue.Waiting | None = None,
+    ) -> list[str] | None:
         """Returns the regions to try, best first.
 
         :param allowed: regions that may run the request; None for all.
+        :param waiting: None if the request may not wait.
+        :returns: None if it waits.
         :raises OverloadedError: if no region would serve it in time.
         """
         now = self.timers.now()
@@ -407,10 +456,17 @@
         if not regions:
             return []
         best = estimates[regions[0]]
+        turn = wait_queue.ADMIT
+        if waiting is not None:
+            turn = self.decide_turn(job, best, waiting, now)
+            if turn == wait_queue.WAIT:
+                return None
         self.prefill_times.update(job.route.name, best.prefill_seconds)
         decision = self.decide_admission(
             job, best.wait_seconds, best.prefill_seconds, now
         )
+        if turn == wait_queue.REJECT:
+            decision = dataclasses.replace(decision, is_admitted=False)
         if not decision.is_admitted or regions[0] != local_region:
             decision = self.apply_competition(
                 job,
@@ -457,6 +513,34 @@
             one for one in regions[:2] if one in (regions[0], local_region)
         ]
 
+    def decide_turn(
+        self,
+        job: jobs.Job,
+        best: placement.RegionEstimate,
+        waiting: wait_queue.Waiting,
+        now: float,
+    ) -> str:
+        """Returns whether a request waits, is admitted or is rejected."""
+        competition = self.competition_of(job, now)
+        servers = self.usable_servers(job, now)
+        if competition is None or not servers:
+            return wait_queue.ADMIT
+        excess_seconds = self.prefill_times.excess_seconds(
+            job.route.name, best.prefill_seconds
+        )
+        work = self.server_seconds(
+            job, best.uncached_seconds, best.generation_seconds, now
+        )
+        vm_count = len(self.view.usable_entry_vms(self.pool.region))
+        return competition.queue.decide(
+            waiting,
+            best.wait_seconds
+            - excess_seconds
+            - admission.max_wait_seconds(self.admission_request(job, now)),
+            work * max(1, vm_count) / len(servers),
+            now,
+        )
+
     def local_prompt_tokens(
         self, job: jobs.Job, home_region: str, forecast: LocalForecast
     ) -> prefixes.PromptTokens:
