Predict a request for all servers of a region in one loop

Observed: planning took a third of the CPU time of a plain request in a profile. bench/planning_cost.py failed, since BacklogExchange has no totals.

Cause: for each server and request, five methods with calls of their own computed the wait, the prefill rate, the event interval and the speed (two exponentials for a speed that is not used before eight samples), and a candidate was built for each server although one is chosen.

Change: predict_all computes all of it in one loop without calls for a server in its usual state; the servers of a service are looked up once for each instance list; candidates are built only for servers whose wait alone does not exceed the best cost; the work of plain calls, which is 0, is not computed. The competition is looked up before what only it needs. The bench sets the peers' reports again.

Why it works: the values and the order of the sums are the same, so the decisions are; a server that is skipped costs more than one that was found.

--- a/bench/planning_cost.py
+++ b/bench/planning_cost.py
@@ -29,6 +29,7 @@
 from greengagegw.serving import planner as planner_module
 from greengagegw.serving import ports
 from greengagegw.serving import prompts
+from greengagegw.serving import region_reports
 from greengagegw.serving import retry_budget
 from greengagegw.serving import servers as server_pool
 from greengagegw import timers as timer_service
@@ -127,7 +128,10 @@
     )
     if case == 'loaded':
         for name in pool.servers:
-            backlogs.totals[name] = [rng.random() * 2e4, rng.random() * 20]
+            backlogs.direct_total.servers[name] = {
+                region_reports.TOKENS: rng.random() * 2e4,
+                region_reports.REQUESTS: rng.random() * 20,
+            }
     return planner_module.RequestPlanner(
         vm,
         timers,
--- a/src/greengagegw/serving/backlog_exchange.py
+++ b/src/greengagegw/serving/backlog_exchange.py
@@ -115,7 +115,14 @@
 
     def peer_totals(self, server_name: str) -> list[float]:
         """Returns the peers' queued tokens and requests at a server."""
-        values = self.peer_server_sums(server_name)
+        total = self.relays.total
+        direct = self.direct_total.servers.get(server_name)
+        if total is None or not total.message.report.servers:
+            values = direct
+        else:
+            values = self.peer_server_sums(server_name)
+        if not values:
+            return [0.0, 0.0]
         return [
             values.get(region_reports.TOKENS, 0.0),
             values.get(region_reports.REQUESTS, 0.0),
--- a/src/greengagegw/serving/placement.py
+++ b/src/greengagegw/serving/placement.py
@@ -115,26 +115,49 @@
     servers = list(candidates)
     if not servers:
         return None
-    home = ''
-    if prefix:
-        home = known_home_name(prefix, tuple([one.name for one in servers]))
-    costs = []
-    for one in servers:
-        seconds = one.wait_seconds + GENERATION_WEIGHT * one.generation_seconds
-        seconds += FAILURE_PENALTY_SECONDS * one.failure_rate
-        seconds += PREFILL_WEIGHT * one.prefill_seconds
-        if one.name == home:
-            seconds -= (1 + PREFILL_WEIGHT) * one.prefix_seconds
-        if one.work is not None:
-            seconds += one.work.penalty_seconds
-        costs.append((one.is_too_slow, one.exceeds_wait_limit, seconds))
+    home = home_of(prefix, [one.name for one in servers])
+    return choose_candidate(servers, home, request_id)
+
+
+def choose_candidate(
+    candidates: list[Candidate], home: str, request_id: str
+) -> Candidate:
+    """Returns the best of some candidates.
+
+    :param home: name of the home server of the prompt's prefix.
+    """
+    costs = [cost_of(one, home) for one in candidates]
     lowest = min(costs)
-    best = [one for one, cost in zip(servers, costs) if cost == lowest]
+    best = [one for one, cost in zip(candidates, costs) if cost == lowest]
     if len(best) == 1:
         return best[0]
     return min(best, key=lambda one: rendezvous_score(request_id, one.name))
 
 
+def cost_of(candidate: Candidate, home: str) -> tuple[bool, bool, float]:
+    """Returns the cost by which candidates are compared."""
+    seconds = least_seconds(
+        candidate.wait_seconds, candidate.generation_seconds
+    )
+    seconds += FAILURE_PENALTY_SECONDS * candidate.failure_rate
+    seconds += PREFILL_WEIGHT * candidate.prefill_seconds
+    if candidate.name == home:
+        seconds -= (1 + PREFILL_WEIGHT) * candidate.prefix_seconds
+    if candidate.work is not None:
+        seconds += candidate.work.penalty_seconds
+    return candidate.is_too_slow, candidate.exceeds_wait_limit, seconds
+
+
+def least_seconds(wait_seconds: float, generation_seconds: float) -> float:
+    """Returns a lower limit of a cost, except that of the home server."""
+    return wait_seconds + GENERATION_WEIGHT * generation_seconds
+
+
+def home_of(prefix: str, names: collections.abc.Iterable[str]) -> str:
+    """Returns the name of the home server of a prefix, empty for none."""
+    return known_home_name(prefix, tuple(names)) if prefix else ''
+
+
 @functools.lru_cache(MAX_KNOWN_HOMES)
 def known_home_name(prefix: str, names: tuple[str, ...]) -> str:
     """Returns the name of the home server of a prefix (see home_name)."""
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -68,6 +68,7 @@
     :ivar may_send: whether the limits of each server allow a request now.
     :ivar waits: seconds until the response begins.
     :ivar uncached_tokens: prompt tokens that each server has not cached.
+    :ivar prefill_rates: prompt tokens a second.
     :ivar event_intervals: seconds between events.
     """
 
@@ -77,9 +78,30 @@
     may_send: list[bool]
     waits: list[float]
     uncached_tokens: list[int]
+    prefill_rates: list[float]
     event_intervals: list[float]
 
 
+class RequestTerms(typing.NamedTuple):
+    """What the comparison of servers depends on, besides the servers.
+
+    :ivar own_tokens: prompt tokens that no other request shares.
+    :ivar event_count: predicted number of events.
+    :ivar mean_events: mean of their predicted distribution, if it is known.
+    :ivar max_seconds: time by which the response has to be complete.
+    :ivar max_wait: admission limit of the wait.
+    :ivar typical_prefill_seconds: of the route; a longer prefill than this
+        does not count for the admission limit.
+    """
+
+    own_tokens: int
+    event_count: float
+    mean_events: float
+    max_seconds: float
+    max_wait: float
+    typical_prefill_seconds: float
+
+
 class RequestPlanner:
     """Decides on requests from the state that one entry VM has.
 
@@ -452,9 +474,8 @@
                 job,
                 decision,
                 best.wait_seconds,
-                self.server_seconds(
-                    job, best.uncached_seconds, best.generation_seconds, now
-                ),
+                best.uncached_seconds,
+                best.generation_seconds,
                 now,
             )
         self.log(
@@ -675,18 +696,26 @@
         job: jobs.Job,
         decision: admission.AdmissionDecision,
         wait_seconds: float,
-        server_seconds: float,
+        prefill_seconds: float,
+        generation_seconds: float,
         now: float,
     ) -> admission.AdmissionDecision:
         """Records a final decision, and plans the return after a rejection.
 
         :param wait_seconds: predicted seconds until the response begins.
-        :param server_seconds: work of the request.
+        :param prefill_seconds: part of that in which its own prompt is
+            prefilled.
+        :param generation_seconds: predicted seconds from then to its end.
         """
         competition = self.competition_of(job, now)
+        if competition is None:
+            return decision
         server_count = len(self.usable_servers(job, now))
-        if competition is None or not server_count:
+        if not server_count:
             return decision
+        server_seconds = self.server_seconds(
+            job, prefill_seconds, generation_seconds, now
+        )
         request = self.admission_request(job, now)
         client_timeout = job.request.client_timeout_seconds
         decided = competition_module.Decided(
@@ -817,29 +846,22 @@
         has_limits = bool(
             self.pool.limits.by_run or self.pool.rejection_limits.by_run
         )
-        if has_limits or job.service.cold_start_rate > 0:
+        is_limited = [
+            has_limits or one.instance.is_cold or now < one.cold_until
+            for one in servers
+        ]
+        may_send = [True] * len(servers)
+        if (has_limits or job.service.cold_start_rate > 0) and any(is_limited):
             may_send = [
-                not (has_limits or one.is_cold(now))
-                or self.may_send(job, one, now)
-                for one in servers
+                not limited or self.may_send(job, one, now)
+                for one, limited in zip(servers, is_limited)
             ]
-        else:
-            may_send = [True] * len(servers)
-        waits, uncached_tokens = [], []
-        for one in servers:
-            wait, tokens = one.predict_wait(
-                prompt, peer_totals(one.instance.name), now
-            )
-            waits.append(wait)
-            uncached_tokens.append(tokens)
         return LocalForecast(
             job.attempts,
             now,
             servers,
             may_send,
-            waits,
-            uncached_tokens,
-            [one.current_event_interval(now) for one in servers],
+            *server_pool.predict_all(servers, prompt, peer_totals, now),
         )
 
     def known_forecast(
@@ -884,15 +906,7 @@
     @staticmethod
     def local_speeds(forecast: LocalForecast) -> tuple[float, float]:
         """Returns the best event interval and prefill rate of this region."""
-        return (
-            min(forecast.event_intervals),
-            max(
-                [
-                    one.current_prefill_rate(forecast.made_at)
-                    for one in forecast.servers
-                ]
-            ),
-        )
+        return min(forecast.event_intervals), max(forecast.prefill_rates)
 
     def estimate_works(
         self, job: jobs.Job, forecast: LocalForecast, now: float
@@ -907,9 +921,15 @@
         if not work_estimates.are_uneven(forecast.servers, now):
             return None, {}
         cost = self.costs.predict(job, now)
+        if job.generation_prompt is None:
+            # The work of plain calls is not predicted.
+            return cost, dict.fromkeys(
+                [one.instance.name for one in forecast.servers],
+                work_estimates.NO_WORK,
+            )
         return cost, work_estimates.estimate(
             {one.instance.name: one for one in forecast.servers},
-            None if job.generation_prompt is None else cost,
+            cost,
             {
                 one.instance.name: float(tokens)
                 for one, tokens in zip(
@@ -919,18 +939,15 @@
             now,
         )
 
-    def make_candidates(
+    def make_terms(
         self,
         job: jobs.Job,
-        forecast: LocalForecast,
         cost: cost_distribution.Distribution | None,
-        works: dict[str, placement.WorkEstimate],
         now: float,
-    ) -> list[placement.Candidate]:
-        """Returns the servers that the request may be sent to now.
+    ) -> RequestTerms:
+        """Returns what the comparison of servers depends on.
 
         :param cost: predicted distribution of the events; None if unknown.
-        :param works: what the request would add to the work of each server.
         """
         prompt = job.generation_prompt
         own_tokens = 0
@@ -942,39 +959,99 @@
         max_seconds = math.inf
         if event_count and not job.attempts.count:
             max_seconds = generations.max_seconds(job.deadline - now)
-        max_wait = admission.max_wait_seconds(self.admission_request(job, now))
-        typical_seconds = self.prefill_times.seconds.get(
-            job.route.name, math.inf
+        return RequestTerms(
+            own_tokens,
+            event_count,
+            mean_events,
+            max_seconds,
+            admission.max_wait_seconds(self.admission_request(job, now)),
+            self.prefill_times.seconds.get(job.route.name, math.inf),
         )
-        candidates = []
-        for server, may_send, wait, uncached_tokens, interval in zip(
-            forecast.servers,
-            forecast.may_send,
-            forecast.waits,
-            forecast.uncached_tokens,
-            forecast.event_intervals,
-        ):
-            if not may_send:
-                continue
-            prefill_rate = server.current_prefill_rate(now)
-            prefill_seconds = uncached_tokens / prefill_rate
-            excess = prefill_seconds - typical_seconds
-            prefix_tokens = uncached_tokens - own_tokens
-            failure_rate = server.failure_rate
-            candidates.append(
-                placement.Candidate(
-                    server.instance.name,
-                    wait,
-                    mean_events * interval,
-                    (wait - excess if excess > 0 else wait) > max_wait,
-                    failure_rate and server.current_failure_rate(now),
-                    wait + event_count * interval > max_seconds,
-                    prefill_seconds,
-                    prefix_tokens / prefill_rate if prefix_tokens > 0 else 0.0,
-                    works.get(server.instance.name),
-                )
+
+    def choose_candidate(
+        self,
+        job: jobs.Job,
+        forecast: LocalForecast,
+        cost: cost_distribution.Distribution | None,
+        works: dict[str, placement.WorkEstimate],
+        now: float,
+    ) -> tuple[int, placement.Candidate] | None:
+        """Returns the best server of a forecast and its index.
+
+        :param cost: predicted distribution of the events; None if unknown.
+        :param works: what the request would add to the work of each server.
+        """
+        terms = self.make_terms(job, cost, now)
+        indices = [
+            index
+            for index, may_send in enumerate(forecast.may_send)
+            if may_send
+        ]
+        if not indices:
+            return None
+        prompt = job.request.prompt
+        names = [forecast.servers[index].instance.name for index in indices]
+        home = placement.home_of(
+            '' if prompt is None else prompt.shared_prefix, names
+        )
+        waits, intervals = forecast.waits, forecast.event_intervals
+        # These cost the least most often, and the prediction of a server that
+        # costs more by its wait alone is not needed.
+        first = [min(indices, key=waits.__getitem__)]
+        if home:
+            first.append(indices[names.index(home)])
+        found = {
+            index: self.make_candidate(terms, forecast, index, works, now)
+            for index in first
+        }
+        limit = min(placement.cost_of(one, home) for one in found.values())
+        for index in indices:
+            least = placement.least_seconds(
+                waits[index], terms.mean_events * intervals[index]
             )
-        return candidates
+            if (False, False, least) <= limit and index not in found:
+                found[index] = self.make_candidate(
+                    terms, forecast, index, works, now
+                )
+        chosen = placement.choose_candidate(
+            list(found.values()), home, job.request.request_id
+        )
+        return next(
+            (index, one) for index, one in found.items() if one is chosen
+        )
+
+    @staticmethod
+    def make_candidate(
+        terms: RequestTerms,
+        forecast: LocalForecast,
+        index: int,
+        works: dict[str, placement.WorkEstimate],
+        now: float,
+    ) -> placement.Candidate:
+        """Returns a server of a forecast as a candidate for a request.
+
+        :param works: what the request would add to the work of each server.
+        """
+        server = forecast.servers[index]
+        wait = forecast.waits[index]
+        prefill_rate = forecast.prefill_rates[index]
+        interval = forecast.event_intervals[index]
+        uncached_tokens = forecast.uncached_tokens[index]
+        prefill_seconds = uncached_tokens / prefill_rate
+        excess = prefill_seconds - terms.typical_prefill_seconds
+        prefix_tokens = uncached_tokens - terms.own_tokens
+        failure_rate = server.failure_rate
+        return placement.Candidate(
+            server.instance.name,
+            wait,
+            terms.mean_events * interval,
+            (wait - excess if excess > 0 else wait) > terms.max_wait,
+            failure_rate and server.current_failure_rate(now),
+            wait + terms.event_count * interval > terms.max_seconds,
+            prefill_seconds,
+            prefix_tokens / prefill_rate if prefix_tokens > 0 else 0.0,
+            works.get(server.instance.name),
+        )
 
     def usable_servers(
         self,
@@ -1054,7 +1131,7 @@
         crash if it has to reject requests: what the others run there is known
         a report later, in which all of them would fill the same free slot.
         """
-        if self.pool.is_brittle(server):
+        if self.pool.rejection_limits.by_run and self.pool.is_brittle(server):
             slots = max(1, server.instance.slots)
             sharing_count = self.count_sharing_vms(server, slots)
             share = slots // sharing_count if sharing_count else 0
@@ -1075,7 +1152,9 @@
         if cold_rate > 0 and server.is_cold(now):
             sharing_count = self.count_sharing_vms(server, int(cold_rate))
             rate = cold_rate / sharing_count if sharing_count else 0.0
-        limit = self.pool.limits.rate_of(server.instance)
+        limit = math.inf
+        if self.pool.limits.by_run:
+            limit = self.pool.limits.rate_of(server.instance)
         if limit < math.inf:
             sharing_count = self.count_sharing_vms(
                 server, request_limits.MAX_SHARING_VMS
@@ -1135,25 +1214,18 @@
         """
         now = self.timers.now()
         forecast = self.take_forecast(job, excluded, now)
-        prompt = job.request.prompt
-        prefix = '' if prompt is None else prompt.shared_prefix
         cost, works = self.estimate_works(job, forecast, now)
-        candidates = self.make_candidates(job, forecast, cost, works, now)
-        chosen = placement.choose_server(
-            candidates, prefix, job.request.request_id
-        )
-        if chosen is None:
+        best = self.choose_candidate(job, forecast, cost, works, now)
+        if best is None:
             raise errors.NoServerError(
                 f'no backend server of {job.service.name}'
                 f'{describe_version(job)} is usable in region'
                 f' {self.pool.region}',
                 retry_after=self.rejected_retry_after(job),
             )
-        server, uncached_tokens = next(
-            (one, float(tokens))
-            for one, tokens in zip(forecast.servers, forecast.uncached_tokens)
-            if one.instance.name == chosen.name
-        )
+        index, chosen = best
+        server = forecast.servers[index]
+        uncached_tokens = float(forecast.uncached_tokens[index])
         prefill_seconds = chosen.prefill_seconds
         self.prefill_times.update(job.route.name, prefill_seconds)
         decision = self.decide_admission(
@@ -1164,9 +1236,8 @@
                 job,
                 decision,
                 chosen.wait_seconds,
-                self.server_seconds(
-                    job, prefill_seconds, chosen.generation_seconds, now
-                ),
+                prefill_seconds,
+                chosen.generation_seconds,
                 now,
             )
         self.log(
@@ -1174,7 +1245,7 @@
             job,
             server=chosen.name,
             software=server.instance.software_version,
-            of=len(candidates),
+            of=forecast.may_send.count(True),
             predicted=round(chosen.wait_seconds, 3),
             unread=uncached_tokens,
             failures=round(chosen.failure_rate, 2),
--- a/src/greengagegw/serving/server_speed.py
+++ b/src/greengagegw/serving/server_speed.py
@@ -163,10 +163,11 @@
 
     def distinct_speed(self, now: float) -> float:
         """Returns the speed if it certainly differs from 1.0, else 1.0."""
+        if not self.has_known_speed():
+            return 1.0
         speed = self.speed(now)
         ratio = max(speed, 1 / speed)
-        is_distinct = self.has_known_speed() and ratio**2 >= MIN_SPEED_RATIO
-        return speed if is_distinct else 1.0
+        return speed if ratio**2 >= MIN_SPEED_RATIO else 1.0
 
     def has_known_speed(self) -> bool:
         return self.long_term.count >= MIN_SPEED_SAMPLES
@@ -194,7 +195,11 @@
 
 def speeds_differ(speeds: list[ServerSpeed], now: float) -> bool:
     """Returns whether the measured speeds of some servers differ."""
-    known = [one.long_term for one in speeds if one.has_known_speed()]
+    known = [
+        one.long_term
+        for one in speeds
+        if one.long_term.count >= MIN_SPEED_SAMPLES
+    ]
     if len(known) < 2:
         return False
     # Decay only brings averages closer to 0, and is slower to compute.
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import math
+import typing
 
 import anyio
 import eliot
@@ -156,7 +157,7 @@
     def predict_wait(
         self,
         prompt: prompts.Prompt | None,
-        peer_totals: list[float],
+        peer_totals: collections.abc.Sequence[float],
         now: float,
     ) -> tuple[float, int]:
         """Returns seconds until the response begins, and uncached tokens.
@@ -164,33 +165,8 @@
         :param prompt: None for a request that is no generation.
         :param peer_totals: queued tokens and requests of other entry VMs.
         """
-        peer_tokens, peer_requests = peer_totals
-        running = len(self.in_flight) + peer_requests
-        load = self.reported_load
-        if (
-            load is not None
-            and now - self.reported_at < MAX_REPORT_AGE_SECONDS
-        ):
-            running = max(running, float(load.running + load.waiting))
-        slots = self.instance.slots
-        service_seconds = self.service_seconds * self.speed.slowdown(
-            now, self.service_seconds
-        )
-        seconds = 0.0
-        if running >= slots:
-            seconds = engine_model.slot_wait_seconds(
-                running, slots, service_seconds
-            )
-        if prompt is None:
-            return seconds + service_seconds, 0
-        uncached_tokens = prompt.tokens
-        if self.prefix_cache.cached_segments:
-            uncached_tokens -= self.prefix_cache.cached_tokens(prompt)
-        queued_tokens = self.queued_tokens + peer_tokens
-        return seconds + engine_model.first_event_seconds(
-            queued_tokens + uncached_tokens,
-            self.current_prefill_rate(now, queued_tokens),
-        ), uncached_tokens
+        predictions = predict_all([self], prompt, lambda _: peer_totals, now)
+        return predictions.waits[0], predictions.uncached_tokens[0]
 
     def current_prefill_rate(
         self, now: float, queued_tokens: float = 0.0
@@ -204,11 +180,13 @@
 
     def current_event_interval(self, now: float) -> float:
         """Returns the predicted seconds between the events of a stream."""
-        interval = self.event_interval.current_seconds(
-            now,
-            generations.DEFAULT_EVENT_INTERVAL_SECONDS
-            / self.speed.distinct_speed(now),
-        )
+        interval = generations.DEFAULT_EVENT_INTERVAL_SECONDS
+        if self.event_interval.average != interval:
+            interval = self.event_interval.current_seconds(
+                now, interval / self.speed.distinct_speed(now)
+            )
+        if self.speed.reported is None:
+            return interval
         return interval * self.speed.slowdown(now, STREAM_SECONDS)
 
     def busy_share(self, now: float) -> float:
@@ -395,6 +373,94 @@
             self.cold_until = self.ejected_until + MAX_LIST_LAG_SECONDS
 
 
+class Predictions(typing.NamedTuple):
+    """What is predicted for a new request, in parallel lists by server.
+
+    :ivar waits: seconds until the response begins.
+    :ivar uncached_tokens: prompt tokens that the server has not cached.
+    :ivar prefill_rates: prompt tokens a second; no meaning without a prompt.
+    :ivar event_intervals: seconds between events; no meaning without one.
+    """
+
+    waits: list[float]
+    uncached_tokens: list[int]
+    prefill_rates: list[float]
+    event_intervals: list[float]
+
+
+def predict_all(
+    servers: collections.abc.Iterable[Server],
+    prompt: prompts.Prompt | None,
+    peer_totals_of: collections.abc.Callable[
+        [str], collections.abc.Sequence[float]
+    ],
+    now: float,
+) -> Predictions:
+    """Returns what is predicted for a new request at some servers.
+
+    One loop without calls for a server in its usual state, since it runs for
+    each server and request.
+
+    :param prompt: None for a request that is no generation.
+    :param peer_totals_of: returns queued tokens and requests of other entry
+        VMs at a server.
+    """
+    predictions = Predictions([], [], [], [])
+    add_wait, add_tokens, add_rate, add_interval = (
+        one.append for one in predictions
+    )
+    first_segment = None
+    if prompt is not None and prompt.segments:
+        first_segment = prompt.segments[0].name
+    oldest_report = now - MAX_REPORT_AGE_SECONDS
+    default_interval = generations.DEFAULT_EVENT_INTERVAL_SECONDS
+    for server in servers:
+        instance = server.instance
+        peer_tokens, peer_requests = peer_totals_of(instance.name)
+        running = len(server.in_flight) + peer_requests
+        if server.reported_at > oldest_report:
+            load = server.reported_load
+            running = max(running, float(load.running + load.waiting))
+        slots = instance.slots
+        is_steady = server.speed.reported is None
+        wait = 0.0
+        if prompt is None or running >= slots:
+            service_seconds = server.service_seconds
+            if not is_steady:
+                service_seconds *= server.speed.slowdown(now, service_seconds)
+            if running >= slots:
+                wait = engine_model.slot_wait_seconds(
+                    running, slots, service_seconds
+                )
+        rate = server.prefill_rate
+        interval = default_interval
+        uncached_tokens = 0
+        if prompt is None:
+            wait += service_seconds
+        else:
+            uncached_tokens = prompt.tokens
+            if first_segment in server.prefix_cache.cached_segments:
+                uncached_tokens -= server.prefix_cache.cached_tokens(prompt)
+            queued_tokens = server.queued_tokens + peer_tokens
+            present_rate = rate
+            if not is_steady:
+                rate = server.current_prefill_rate(now)
+                present_rate = server.current_prefill_rate(now, queued_tokens)
+            wait += engine_model.BASE_LATENCY_SECONDS + (
+                (queued_tokens + uncached_tokens) / present_rate
+            )
+            if (
+                not is_steady
+                or server.event_interval.average != default_interval
+            ):
+                interval = server.current_event_interval(now)
+        add_wait(wait)
+        add_tokens(uncached_tokens)
+        add_rate(rate)
+        add_interval(interval)
+    return predictions
+
+
 class ServerPool:
     """The servers of this region, updated from the fleet view.
 
@@ -407,6 +473,7 @@
         service.
     :ivar filtered_list: instance list and evacuated domains from which they
         were computed. Both are replaced as a whole when they change.
+    :ivar known_servers: the servers of ``usable_instances``, by service.
     """
 
     def __init__(
@@ -431,6 +498,7 @@
         self.software_versions = stream_origins.SoftwareVersions()
         self.usable_instances: dict[str, list[instances.Instance]] = {}
         self.filtered_list: tuple[dict, frozenset[str]] | None = None
+        self.known_servers: dict[str, list[Server]] = {}
         self.durations: dict[str, server_speed.ServiceDurations] = (
             collections.defaultdict(server_speed.ServiceDurations)
         )
@@ -440,6 +508,7 @@
 
         :param now: timer seconds.
         """
+        self.known_servers.clear()
         view = self.view
         configuration = view.configuration
         readmitted = self.evacuated - view.evacuated_domains
@@ -637,6 +706,7 @@
         ):
             self.filtered_list = source
             self.usable_instances.clear()
+            self.known_servers.clear()
         listed = self.usable_instances.get(service)
         if listed is None:
             listed = self.usable_instances[service] = instances.usable(
@@ -658,16 +728,36 @@
 
         :param excluded: names of servers to leave out.
         """
-        servers = self.servers
         usable = [
-            server
-            for one in self.listed_instances(service)
-            if (server := servers.get(one.name)) is not None
-            and server.ejected_until <= now
-            and not server.needs_probe
-            and server.paused_until <= now
-            and one.name not in excluded
+            one
+            for one in self.listed_servers(service)
+            if one.ejected_until <= now
+            and one.paused_until <= now
+            and not one.needs_probe
         ]
+        if excluded:
+            usable = [
+                one for one in usable if one.instance.name not in excluded
+            ]
         if self.has_hesitating:
             return [one for one in usable if not one.is_hesitating] or usable
         return usable
+
+    def listed_servers(self, service: configurations.Service) -> list[Server]:
+        """Returns the servers of the listed instances.
+
+        They are computed once for each instance list, unless a server is
+        known to be leaving or to have moved.
+        """
+        listed = self.listed_instances(service)
+        is_filtered = self.moved or self.leaving.expiry
+        known = None if is_filtered else self.known_servers.get(service.name)
+        if known is None:
+            known = [
+                self.servers[one.name]
+                for one in listed
+                if one.name in self.servers
+            ]
+            if not is_filtered:
+                self.known_servers[service.name] = known
+        return known
--- a/src/greengagegw/serving/work_estimates.py
+++ b/src/greengagegw/serving/work_estimates.py
@@ -15,6 +15,8 @@
 # Prompts and responses of unknown length may be among the few long ones.
 LONG_SECONDS = 0.1
 LONG_QUANTILE = 0.9
+# Of a request whose work is not predicted.
+NO_WORK = placement.WorkEstimate(0.0, False, 0.0)
 
 
 def are_uneven(
@@ -22,8 +24,9 @@
 ) -> bool:
     """Returns whether placement needs estimates of work."""
     speeds = [one.speed for one in servers]
+    reporting = [one for one in speeds if one.reported is not None]
     return any(
-        one.is_reporting(now) for one in speeds
+        one.is_reporting(now) for one in reporting
     ) or server_speed.speeds_differ(speeds, now)
 
 
