Read and forward the events of a stream in fewer steps

Observed: for each event, h11 parsed a chunk in two events with their checks of the connection's state, and the event passed through six generators and coroutines between the connection and the client.

Change: whole chunks between which h11 waits are taken from the received bytes at once; h11 parses whatever else there is (the head, parts of chunks, extensions, the end). The generators that only passed chunks on are gone: Body and BegunStream are iterators, and stream_events reads by itself. Events that arrive whole are not searched with two regular expressions.

Why it works: h11 stays in its state between two chunks; bytes that do not begin a whole chunk go to it. A new scenario reads bodies in pieces of every size, and fails if a chunk is lost, repeated or cut.

--- a/features/platform/connections.feature
+++ b/features/platform/connections.feature
@@ -76,3 +76,17 @@
 
     When connections to servers, between VMs and from clients are open
     Then their TCP_USER_TIMEOUT is at least the time that their probes take
+
+  Scenario Outline: A body in chunks is read however it arrives
+    A chunk that is lost, repeated or cut would break the client's stream.
+
+    Given a response with the chunks <chunks>
+    When its bytes arrive in pieces of every size
+    Then each time the body is whole and the connection may be reused
+
+    Examples:
+      | chunks                                |
+      | 5 hello, 6 world!                     |
+      | 2 \r\n, 4 \r\n\r\n, 1 a               |
+      | 0a;name=value 0123456789, 1A ABCDEFGHIJKLMNOPQRSTUVWXYZ |
+      | 11 1\r\nx\r\n0\r\n\r\nyzabcd, 3 end   |
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -9,6 +9,7 @@
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import behave
 
 from features import fleet_world
@@ -565,3 +566,67 @@
     # Both ends of four connections.
     assert len(context.checked) >= 8, context.checked
     assert not any(context.checked.values()), context.checked
+
+
+class StubTransport:
+    """The transport of a connection whose bytes a test passes on."""
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+    def write(self, data):
+        pass
+
+
+@behave.given('a response with the chunks {chunks}')
+def given_chunks(context, chunks):
+    context.body, context.response = (
+        b'',
+        (b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'),
+    )
+    for chunk in chunks.split(', '):
+        size, _, text = chunk.partition(' ')
+        content = text.encode().decode('unicode_escape').encode()
+        context.body += content
+        context.response += size.encode() + b'\r\n' + content + b'\r\n'
+    context.response += b'0\r\n\r\n'
+
+
+@behave.when('its bytes arrive in pieces of every size')
+@in_fleet
+async def when_pieces_arrive(context):
+    request = backend_connection.Request(
+        b'GET', HOST, PORT, b'/', [(b'host', b'h')], None, 1.0
+    )
+    context.results = []
+    for size in range(1, len(context.response) + 1):
+        connection = backend_connection.Connection()
+        connection.connection_made(StubTransport())
+        chunks = []
+
+        async def read(connection=connection, chunks=chunks):
+            await connection.send(request)
+            while (chunk := await connection.next_chunk()) is not None:
+                chunks.append(chunk)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(read)
+            for begin in range(0, len(context.response), size):
+                await anyio.lowlevel.checkpoint()
+                await anyio.lowlevel.checkpoint()
+                connection.data_received(
+                    context.response[begin : begin + size]
+                )
+        context.results.append(
+            (b''.join(chunks), connection.start_next_cycle())
+        )
+
+
+@behave.then('each time the body is whole and the connection may be reused')
+def then_bodies_whole(context):
+    assert context.results
+    for result in context.results:
+        assert result == (context.body, True), result
--- a/src/greengagegw/adapters/asgi.py
+++ b/src/greengagegw/adapters/asgi.py
@@ -169,9 +169,12 @@
 
 
 async def send_chunk(send: Send, chunk: bytes) -> None:
-    await send(
-        {'type': 'http.response.body', 'body': chunk, 'more_body': True}
-    )
+    await send(make_chunk(chunk))
+
+
+def make_chunk(chunk: bytes) -> dict:
+    """Returns the message of a part of a body, after which more follow."""
+    return {'type': 'http.response.body', 'body': chunk, 'more_body': True}
 
 
 async def serve_lifespan(receive: Receive, send: Send) -> None:
--- a/src/greengagegw/adapters/backend_connection.py
+++ b/src/greengagegw/adapters/backend_connection.py
@@ -9,6 +9,7 @@
 import collections
 import collections.abc
 import dataclasses
+import re
 import select
 import typing
 
@@ -21,6 +22,8 @@
 MAX_HEAD_BYTES = 100 * 1024
 # Reading pauses while this much of a response waits for a slow client.
 MAX_BUFFERED_BYTES = 64 * 1024
+CHUNK_HEAD = re.compile(rb'([0-9A-Fa-f]{1,8})\r\n')
+LINE_END = b'\r\n'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +47,10 @@
     :ivar idle_since: timer seconds at which the last response ended.
     :ivar max_idle: idle connections of its pool, including this one, up to
         which it is kept.
+    :ivar is_chunked: whether the body of the response comes in chunks.
+    :ivar ends_chunk: whether the parser has returned a chunk to its end.
+    :ivar ends_line: whether the last bytes for the parser ended a line.
+    :ivar is_between_chunks: whether the parser waits for a new chunk.
     """
 
     def __init__(self) -> None:
@@ -60,6 +67,10 @@
         self.can_write: asyncio.Future | None = None
         self.idle_since = 0.0
         self.max_idle = 0
+        self.is_chunked = False
+        self.ends_chunk = False
+        self.ends_line = False
+        self.is_between_chunks = False
 
     # Called by the event loop.
 
@@ -138,39 +149,101 @@
         if self.can_write is not None:
             await self.can_write
         while True:
-            event = await self.next_event()
-            if type(event) is h11.Response:
+            event = self.parse_event()
+            if event is h11.NEED_DATA:
+                await self.wait_received()
+                self.parse_received()
+            elif type(event) is h11.Response:
+                self.is_between_chunks = False
+                self.ends_chunk = True
+                self.is_chunked = any(
+                    name == b'transfer-encoding' for name, _ in event.headers
+                )
                 return event
 
-    async def next_event(self) -> typing.Any:
-        """Returns the next event of a response.
+    async def next_chunk(self) -> bytes | None:
+        """Returns the next part of the body, None after the last one.
 
         :raises httpcore.NetworkError: if the connection is lost.
         :raises httpcore.ProtocolError: if the response is no valid HTTP.
         """
         while True:
-            try:
-                event = self.http.next_event()
-            except h11.RemoteProtocolError as error:
-                raise httpcore.RemoteProtocolError(str(error)) from error
+            if self.is_between_chunks:
+                await self.wait_received()
+                data = self.take_chunks()
+                if data:
+                    return data
+                self.is_between_chunks = False
+                self.parse_received()
+            event = self.parse_event()
+            if type(event) is h11.Data:
+                self.ends_chunk = event.chunk_end
+                return bytes(event.data)
             if event is not h11.NEED_DATA:
-                return event
-            if not self.received and not self.has_ended:
-                self.waiter = self.loop.create_future()
-                try:
-                    await self.waiter
-                finally:
-                    self.waiter = None
-            self.parse_received()
+                return None
+            self.is_between_chunks = (
+                self.is_chunked
+                and self.ends_chunk
+                and self.ends_line
+                and not self.http.trailing_data[0]
+            )
+            if not self.is_between_chunks:
+                await self.wait_received()
+                self.parse_received()
+
+    async def wait_received(self) -> None:
+        """Waits for bytes, or for the end of the connection."""
+        if not self.received and not self.has_ended:
+            self.waiter = self.loop.create_future()
+            try:
+                await self.waiter
+            finally:
+                self.waiter = None
+
+    def parse_event(self) -> typing.Any:
+        """Returns the next event of h11.
+
+        :raises httpcore.ProtocolError: if the response is no valid HTTP.
+        """
+        try:
+            return self.http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise httpcore.RemoteProtocolError(str(error)) from error
+
+    def take_chunks(self) -> bytes:
+        """Returns the content of the whole chunks that have arrived.
+
+        The events of a stream are such chunks, and h11 takes many times as
+        long for one. It parses whatever else there is: parts of chunks,
+        extensions and the end of the body.
+        """
+        received = self.received
+        parts = []
+        position = 0
+        while head := CHUNK_HEAD.match(received, position):
+            begin = head.end()
+            end = begin + int(head[1], 16)
+            if end == begin or received[end : end + 2] != LINE_END:
+                break
+            parts.append(received[begin:end])
+            position = end + 2
+        if position:
+            del received[:position]
+            self.resume_reading()
+        return b''.join(parts)
+
+    def resume_reading(self) -> None:
+        if self.is_reading_paused:
+            self.is_reading_paused = False
+            self.transport.resume_reading()
 
     def parse_received(self) -> None:
         """Passes the received bytes, or the end, to the parser."""
         if self.received:
+            self.ends_line = self.received.endswith(LINE_END)
             self.http.receive_data(self.received)
             self.received = bytearray()
-            if self.is_reading_paused:
-                self.is_reading_paused = False
-                self.transport.resume_reading()
+            self.resume_reading()
         elif self.failure is not None:
             raise httpcore.ReadError(
                 f'connection lost while reading: {self.failure!r}'
@@ -209,22 +282,18 @@
         self.headers = head.headers.raw_items()
         self.is_closed = False
 
-    def __aiter__(self) -> 'Response':
-        return self
-
-    async def __anext__(self) -> bytes:
-        """Returns the next chunk of the body.
+    async def read(self) -> bytes | None:
+        """Returns the next part of the body, None after the last one.
 
         :raises httpcore.NetworkError: if the connection is lost.
         :raises httpcore.ProtocolError: if the body is no valid HTTP.
         """
-        if self.is_closed:
-            raise StopAsyncIteration
-        event = await self.connection.next_event()
-        if type(event) is h11.Data:
-            return bytes(event.data)
-        self.close()
-        raise StopAsyncIteration
+        chunk = None
+        if not self.is_closed:
+            chunk = await self.connection.next_chunk()
+            if chunk is None:
+                self.close()
+        return chunk
 
     def abort(self) -> None:
         """Closes the connection, so that a pending read fails."""
--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -106,7 +106,7 @@
             yield ports.Response(
                 response.status,
                 tuple(http_names.drop_hop_by_hop_headers(response.headers)),
-                iterate_body(instance, response),
+                Body(instance, response),
                 decode_load(
                     headers_by_name(response.headers).get(
                         http_names.INSTANCE_LOAD
@@ -266,20 +266,37 @@
     )
 
 
-async def iterate_body(
-    instance: instances.Instance, response: backend_connection.Response
-) -> collections.abc.AsyncIterator[bytes]:
-    """Yields the chunks of the body as they arrive.
+class Body:
+    """The chunks of a body as they arrive.
 
-    :raises BrokenStreamError: if the connection is lost before its end.
+    An iterator, since a generator takes longer for each chunk.
     """
-    try:
-        async for chunk in response:
-            yield chunk
-    except backend_transport.HTTP_ERRORS as error:
-        raise errors.BrokenStreamError(
-            f'the response of {instance.name} ended early'
-        ) from error
+
+    def __init__(
+        self,
+        instance: instances.Instance,
+        response: backend_connection.Response,
+    ) -> None:
+        self.instance = instance
+        self.response = response
+
+    def __aiter__(self) -> 'Body':
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Returns the next chunk.
+
+        :raises BrokenStreamError: if the connection is lost before the end.
+        """
+        try:
+            chunk = await self.response.read()
+        except backend_transport.HTTP_ERRORS as error:
+            raise errors.BrokenStreamError(
+                f'the response of {self.instance.name} ended early'
+            ) from error
+        if chunk is None:
+            raise StopAsyncIteration
+        return chunk
 
 
 def decode_load(value: bytes | None) -> ports.ReportedLoad | None:
--- a/src/greengagegw/platform/client_application.py
+++ b/src/greengagegw/platform/client_application.py
@@ -159,9 +159,10 @@
             self.status = response.status
             await asgi.send_response(self.send, self.status, headers, body)
             return
+        send = self.send
         first = await anext(response.chunks, b'')
         headers = [*response.headers, *self.connection_headers()]
-        await self.send(
+        await send(
             {
                 'type': 'http.response.start',
                 'status': response.status,
@@ -170,10 +171,10 @@
         )
         self.status = response.status
         if first:
-            await asgi.send_chunk(self.send, first)
+            await send(asgi.make_chunk(first))
         async for chunk in response.chunks:
-            await asgi.send_chunk(self.send, chunk)
-        await self.send({'type': 'http.response.body', 'body': b''})
+            await send(asgi.make_chunk(chunk))
+        await send({'type': 'http.response.body', 'body': b''})
 
     def connection_headers(self) -> list[tuple[bytes, bytes]]:
         return [(b'connection', b'close')] if self.is_leaving() else []
--- a/src/greengagegw/serving/events.py
+++ b/src/greengagegw/serving/events.py
@@ -6,6 +6,7 @@
 from .. import streams
 
 EVENT_END = re.compile(rb'\r?\n\r?\n')
+LINE_FEEDS = b'\n\n'
 # Bytes of an EVENT_END that may be at the end of the buffer.
 MAX_PARTIAL_END_BYTES = 3
 ID_FIELD = re.compile(rb'^id:[ ]?([^\r\n]*)', re.MULTILINE)
@@ -32,6 +33,14 @@
         :raises BrokenStreamError: if an event exceeds
             :data:`~greengagegw.streams.MAX_EVENT_BYTES`.
         """
+        if (
+            not self.buffer
+            and chunk.endswith(LINE_FEEDS)
+            and b'\r' not in chunk
+        ):
+            self.count += chunk.count(LINE_FEEDS)
+            self.record_last_id(chunk)
+            return chunk
         searched = max(0, len(self.buffer) - MAX_PARTIAL_END_BYTES)
         self.buffer += chunk
         end = 0
@@ -39,8 +48,9 @@
             end = match.end()
             self.count += 1
         complete, self.buffer = self.buffer[:end], self.buffer[end:]
-        for match in ID_FIELD.finditer(complete):
-            self.last_id = match.group(1).decode('latin-1')
+        if complete:
+            for match in ID_FIELD.finditer(complete):
+                self.last_id = match.group(1).decode('latin-1')
         if not complete and len(self.buffer) > streams.MAX_EVENT_BYTES:
             raise errors.BrokenStreamError(
                 f'an event of {len(self.buffer)} bytes or more exceeds the'
@@ -48,6 +58,12 @@
             )
         return complete
 
+    def record_last_id(self, content: bytes) -> None:
+        """Records the last ID of complete events."""
+        match = ID_FIELD.match(content, content.rfind(b'\nid:') + 1)
+        if match is not None:
+            self.last_id = match.group(1).decode('latin-1')
+
     def discard_partial_event(self) -> None:
         """Discards the buffered beginning of an interrupted event."""
         self.buffer = b''
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -129,16 +129,9 @@
         """
         stream = self.stream_events(response)
         first = await anext(stream, b'')
-
-        async def chunks() -> collections.abc.AsyncIterator[bytes]:
-            if first:
-                yield first
-            async for chunk in stream:
-                yield chunk
-
         return dataclasses.replace(
             response,
-            chunks=chunks(),
+            chunks=BegunStream(first, stream),
             software_version=self.job.software_version,
         )
 
@@ -321,11 +314,12 @@
     ) -> collections.abc.AsyncIterator[bytes]:
         """Yields the body of a response as it arrives."""
         stall_timer = StallTimer(self.timers, math.inf)
+        deadline = self.job.deadline
         try:
             while True:
-                self.record_chunk_wait()
+                self.record_chunk_wait(self.timers.now())
                 try:
-                    chunk = await stall_timer.read(response, self.job.deadline)
+                    chunk = await stall_timer.read(response, deadline)
                 except StopAsyncIteration:
                     break
                 except errors.BackendError as error:
@@ -337,7 +331,7 @@
                     )
                     self.record_stream_failure(error)
                     raise error
-                self.record_chunk(chunk)
+                self.record_chunk(chunk, stall_timer.ended_at)
                 yield chunk
         finally:
             stall_timer.cancel()
@@ -386,32 +380,37 @@
                 ' without a length'
             )
 
-    def record_chunk_wait(self) -> None:
+    def record_chunk_wait(self, now: float) -> None:
         if self.in_flight is not None:
-            self.in_flight.waiting_since = self.timers.now()
+            self.in_flight.waiting_since = now
 
-    def record_chunk(self, chunk: bytes) -> None:
+    def record_chunk(self, chunk: bytes, now: float) -> None:
         """Updates the server's event interval."""
-        if self.server is None:
+        server, in_flight = self.server, self.in_flight
+        if server is None:
             return
-        now = self.server.last_activity_at = self.timers.now()
-        waiting_since = self.in_flight.waiting_since
-        self.in_flight.waiting_since = None
+        server.last_activity_at = now
+        waiting_since = in_flight.waiting_since
+        in_flight.waiting_since = None
         count = chunk.count(EVENT_END) if self.job.route.is_stream else 0
         if not count:
             return
-        # A slow client delays the read, which does not measure the server.
-        is_reading = waiting_since - self.last_event_at <= SLOW_READ_SECONDS
-        if self.event_count and is_reading:
-            self.server.record_events(
-                self.in_flight, count, now - self.last_event_at, now
-            )
-        if not self.event_count:
+        if self.event_count:
+            # A slow client delays the read, which does not measure the
+            # server.
+            if waiting_since - self.last_event_at <= SLOW_READ_SECONDS:
+                server.record_events(
+                    in_flight, count, now - self.last_event_at, now
+                )
+        else:
             self.first_event_at = now
         self.event_count += count
-        self.in_flight.event_count += count
+        in_flight.event_count += count
         self.last_event_at = now
-        if now - self.first_event_at >= SOUND_AFTER_SECONDS:
+        if (
+            not self.is_sound
+            and now - self.first_event_at >= SOUND_AFTER_SECONDS
+        ):
             self.record_soundness(now)
 
     def record_soundness(self, at: float) -> None:
@@ -477,12 +476,21 @@
         """
         splitter = events.EventSplitter(self.job.request.resume_after)
         has_begun = self.job.request.resume_after is not None
+        deadline = self.job.deadline
         while True:
+            stall_timer = StallTimer(self.timers, self.stall_timeout)
             try:
-                stall_timer = StallTimer(self.timers, self.stall_timeout)
-                async for chunk in self.chunks_before_stall(
-                    response, stall_timer
-                ):
+                while True:
+                    self.record_chunk_wait(self.timers.now())
+                    try:
+                        chunk = await stall_timer.read(response, deadline)
+                    except StopAsyncIteration:
+                        break
+                    if chunk is None:
+                        raise errors.BackendTimeoutError(
+                            'the backend server stopped sending its stream'
+                        )
+                    self.record_chunk(chunk, stall_timer.ended_at)
                     complete_events = splitter.feed(chunk)
                     if complete_events:
                         stall_timer.waited_seconds = 0.0
@@ -494,12 +502,15 @@
                 self.check_stream_end(response, splitter)
                 break
             except errors.BackendError as error:
+                stall_timer.cancel()
                 self.record_stream_failure(error)
                 if not self.job.route.is_resumable or not has_begun:
                     raise
                 splitter.discard_partial_event()
                 await self.close()
                 response = await self.resume(splitter.last_id, error)
+            finally:
+                stall_timer.cancel()
         self.record_completion()
         self.record_sound_end(response)
         await self.close(is_complete=True)
@@ -534,31 +545,6 @@
             STALL_OBJECTIVE_FACTOR * self.job.route.event_gap_objective,
         )
 
-    async def chunks_before_stall(
-        self, response: ports.Response, stall_timer: 'StallTimer'
-    ) -> collections.abc.AsyncIterator[bytes]:
-        """Yields chunks of a response.
-
-        :raises BackendTimeoutError: if the stream has stalled or the client's
-            deadline has passed.
-        """
-        deadline = self.job.deadline
-        try:
-            while True:
-                self.record_chunk_wait()
-                try:
-                    chunk = await stall_timer.read(response, deadline)
-                except StopAsyncIteration:
-                    return
-                if chunk is None:
-                    raise errors.BackendTimeoutError(
-                        'the backend server stopped sending its stream'
-                    )
-                self.record_chunk(chunk)
-                yield chunk
-        finally:
-            stall_timer.cancel()
-
     async def resume(
         self, last_id: str | None, error: errors.GatewayError
     ) -> ports.Response:
@@ -592,6 +578,29 @@
         ) from error
 
 
+class BegunStream:
+    """A stream whose first events were read already.
+
+    Its further events take no step of this iterator's own.
+    """
+
+    def __init__(
+        self, first: bytes, stream: collections.abc.AsyncIterator[bytes]
+    ) -> None:
+        self.first = first
+        self.stream = stream
+
+    def __aiter__(self) -> 'BegunStream':
+        return self
+
+    def __anext__(self) -> collections.abc.Awaitable[bytes]:
+        return self.take_first() if self.first else self.stream.__anext__()
+
+    async def take_first(self) -> bytes:
+        first, self.first = self.first, b''
+        return first
+
+
 class StallTimer:
     """Measures how long a stream has been read without a complete event.
 
@@ -603,6 +612,7 @@
 
     :param timeout: seconds after which the stream has stalled.
     :ivar waited_seconds: since the last complete event.
+    :ivar ended_at: timer seconds at which the last read ended.
     :ivar due_at: timer seconds at which the read in progress is overdue;
         infinite if there is none.
     :ivar is_overdue: whether the read in progress was ended.
@@ -612,6 +622,7 @@
         self.timers = timers
         self.timeout = timeout
         self.waited_seconds = 0.0
+        self.ended_at = 0.0
         self.due_at = math.inf
         self.is_overdue = False
         self.timer: timer_service.Timer | None = None
@@ -626,24 +637,25 @@
         :returns: None if the stream has stalled or the deadline has passed.
         """
         began_at = self.timers.now()
-        seconds = min(self.timeout - self.waited_seconds, deadline - began_at)
-        self.due_at = began_at + max(0.0, seconds)
-        if self.timer is None or self.timer.due_at > self.due_at:
-            self.schedule(self.due_at)
+        due_at = min(began_at + self.timeout - self.waited_seconds, deadline)
+        self.due_at = due_at = max(began_at, due_at)
+        if self.timer is None or self.timer.due_at > due_at:
+            self.schedule(due_at)
         self.is_overdue = False
         try:
             if response.abort is not None:
                 self.end_read = response.abort
-                return await anext(response.chunks)
+                return await response.chunks.__anext__()
             with anyio.CancelScope() as scope:
                 self.end_read = scope.cancel
-                return await anext(response.chunks)
+                return await response.chunks.__anext__()
         except errors.BackendError:
             if not self.is_overdue:
                 raise
         finally:
             self.due_at = math.inf
-            self.waited_seconds += self.timers.now() - began_at
+            self.ended_at = self.timers.now()
+            self.waited_seconds += self.ended_at - began_at
         return None
 
     def schedule(self, due_at: float) -> None:
