--- a/features/serving/region_relays.feature
+++ b/features/serving/region_relays.feature
@@ -89,7 +89,7 @@
   Scenario Outline: No exchange without a backlog
     Given an entry VM in a region of 5 without requests
     When its region grows to <count> VMs
-    And 10 seconds pass
+    And 10 seconds pass without a request
     Then it has sent nothing, and run the exchange at most 3 times
     When a request begins
     Then it reports its backlog within 0.05 seconds
--- a/features/steps/backlog_messages.py
+++ b/features/steps/backlog_messages.py
@@ -59,7 +59,7 @@
         callback()
 
 
-@behave.when('10 seconds pass')
+@behave.when('10 seconds pass without a request')
 def when_idle(context):
     advance(context, 10.0)
 
