Take chunks from a response only where h11 has read nothing of them

Cause: if the received bytes ended with the head of a chunk, h11 had read it and nothing was left, which looked like the gap between two chunks.

Change: the gap is found right after a chunk, or the head of the response, was returned: only the line end of the chunk, or nothing, is left then.

--- a/src/greengagegw/adapters/backend_connection.py
+++ b/src/greengagegw/adapters/backend_connection.py
@@ -48,9 +48,10 @@
     :ivar max_idle: idle connections of its pool, including this one, up to
         which it is kept.
     :ivar is_chunked: whether the body of the response comes in chunks.
-    :ivar ends_chunk: whether the parser has returned a chunk to its end.
-    :ivar ends_line: whether the last bytes for the parser ended a line.
-    :ivar is_between_chunks: whether the parser waits for a new chunk.
+    :ivar ends_chunk: whether the parser has nothing left but the line end
+        after a chunk that it has returned.
+    :ivar is_between_chunks: whether the parser waits for a new chunk and has
+        read nothing of it.
     """
 
     def __init__(self) -> None:
@@ -69,7 +70,6 @@
         self.max_idle = 0
         self.is_chunked = False
         self.ends_chunk = False
-        self.ends_line = False
         self.is_between_chunks = False
 
     # Called by the event loop.
@@ -155,7 +155,7 @@
                 self.parse_received()
             elif type(event) is h11.Response:
                 self.is_between_chunks = False
-                self.ends_chunk = True
+                self.ends_chunk = not self.http.trailing_data[0]
                 self.is_chunked = any(
                     name == b'transfer-encoding' for name, _ in event.headers
                 )
@@ -177,16 +177,13 @@
                 self.parse_received()
             event = self.parse_event()
             if type(event) is h11.Data:
-                self.ends_chunk = event.chunk_end
+                self.ends_chunk = (
+                    event.chunk_end and self.http.trailing_data[0] == LINE_END
+                )
                 return bytes(event.data)
             if event is not h11.NEED_DATA:
                 return None
-            self.is_between_chunks = (
-                self.is_chunked
-                and self.ends_chunk
-                and self.ends_line
-                and not self.http.trailing_data[0]
-            )
+            self.is_between_chunks = self.is_chunked and self.ends_chunk
             if not self.is_between_chunks:
                 await self.wait_received()
                 self.parse_received()
@@ -240,7 +237,7 @@
     def parse_received(self) -> None:
         """Passes the received bytes, or the end, to the parser."""
         if self.received:
-            self.ends_line = self.received.endswith(LINE_END)
+            self.ends_chunk = False
             self.http.receive_data(self.received)
             self.received = bytearray()
             self.resume_reading()
