Keep two idle connections to a server for up to 15 s

Observed: connections idle for 3 s were closed. In a large deployment a VM sends to each server only every few seconds (90 VMs, 566 requests a second and 29 engines: about one in 3 s), so many requests need a new connection, which takes about a tenth of the CPU time of a plain call.

Change: a pool keeps at most two connections that are idle for longer than 3 s, for up to 15 s. If the server closes an idle one, the pool closes them after four fifths of that time from then on, but not before 3 s.

Why it works: idle connections serve requests that may be sent again; calls that may run only once still have a connection of their own. A connection that the server has closed is found before it is used. The time is not shorter than before with any server.

Measured: features/platform/connections.feature, "An idle connection is kept until shortly before its server closes it": requests 10 s apart need 1 new connection of 10 instead of 10.

--- a/features/platform/connections.feature
+++ b/features/platform/connections.feature
@@ -90,3 +90,20 @@
       | 2 \r\n, 4 \r\n\r\n, 1 a               |
       | 0a;name=value 0123456789, 1A ABCDEFGHIJKLMNOPQRSTUVWXYZ |
       | 11 1\r\nx\r\n0\r\n\r\nyzabcd, 3 end   |
+
+  Scenario Outline: An idle connection is kept until shortly before its server closes it
+    A VM of a large region sends to each server only every few seconds: most of
+    its requests would need a new connection.
+
+    Given connections to a server that closes idle ones after <closes> s
+    When requests are <pause> s apart
+    Then <new> of 10 requests have a new connection
+    And at most 2 connections are idle for more than 3 s
+
+    Examples:
+      | closes | pause | new |
+      | 60.0   | 2.0   | 1   |
+      | 60.0   | 10.0  | 1   |
+      | 60.0   | 16.0  | 10  |
+      | 5.0    | 4.5   | 9   |
+      | 8.0    | 6.0   | 1   |
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -630,3 +630,81 @@
     assert context.results
     for result in context.results:
         assert result == (context.body, True), result
+
+
+class IdleTransport(StubTransport):
+    """The transport of a connection to a server that closes idle ones."""
+
+    def __init__(self, connection, opened):
+        self.connection = connection
+        self.opened = opened
+
+    def abort(self):
+        self.opened.discard(self.connection)
+
+
+@behave.given(
+    'connections to a server that closes idle ones after {closes:g} s'
+)
+def given_idle_limit(context, closes):
+    context.idle_limit = closes
+    context.timers = timer_service.ManualTimers()
+    context.pool = backend_connection.ConnectionPool(
+        backend_client.MAX_IDLE_CONNECTIONS,
+        backend_client.KEEP_ALIVE_SECONDS,
+        backend_client.LONG_KEEP_ALIVE_SECONDS,
+        context.timers,
+    )
+
+
+@behave.when('requests are {pause:g} s apart')
+@in_fleet
+async def when_requests_apart(context, pause):
+    context.opened, context.most_idle = set(), 0
+    context.news = [await run_together(context, 5)]
+    for _ in range(9):
+        for _ in range(round(pause / 0.5)):
+            await context.timers.advance(0.5)
+            close_idle(context)
+        context.news.append(await run_together(context, 1))
+
+
+def close_idle(context):
+    """Closes what the server, and then the pool, would close."""
+    now = context.timers.now()
+    for one in list(context.pool.idle):
+        if now - one.idle_since >= context.idle_limit:
+            one.eof_received()
+    context.pool.close_expired()
+    idle = [one for one in context.pool.idle if now - one.idle_since > 3.0]
+    context.most_idle = max(context.most_idle, len(idle))
+
+
+async def run_together(context, count):
+    """Runs requests at once; returns whether a connection was opened."""
+    taken, is_new = [], False
+    for _ in range(count):
+        connection = context.pool.take_idle()
+        if connection is None:
+            is_new = True
+            connection = backend_connection.Connection()
+            connection.is_reusable = lambda one=connection: not one.has_ended
+            connection.start_next_cycle = lambda: True
+            connection.max_idle = backend_client.MAX_IDLE_CONNECTIONS
+            connection.connection_made(
+                IdleTransport(connection, context.opened)
+            )
+        taken.append(connection)
+    for one in taken:
+        context.pool.release(one)
+    return is_new
+
+
+@behave.then('{new:d} of 10 requests have a new connection')
+def then_new_connections(context, new):
+    assert sum(context.news) == new, context.news
+
+
+@behave.then('at most {limit:d} connections are idle for more than 3 s')
+def then_at_most_idle(context, limit):
+    assert context.most_idle <= limit, context.most_idle
--- a/src/greengagegw/adapters/backend_connection.py
+++ b/src/greengagegw/adapters/backend_connection.py
@@ -8,7 +8,9 @@
 import asyncio
 import collections
 import collections.abc
+import contextlib
 import dataclasses
+import functools
 import re
 import select
 import typing
@@ -22,6 +24,10 @@
 MAX_HEAD_BYTES = 100 * 1024
 # Reading pauses while this much of a response waits for a slow client.
 MAX_BUFFERED_BYTES = 64 * 1024
+# Idle connections that a pool keeps for longer than its shorter idle time.
+LONG_IDLE_CONNECTIONS = 2
+# Part of the time after which a server closes idle connections.
+SAFE_IDLE_SHARE = 0.8
 CHUNK_HEAD = re.compile(rb'([0-9A-Fa-f]{1,8})\r\n')
 LINE_END = b'\r\n'
 
@@ -47,6 +53,7 @@
     :ivar idle_since: timer seconds at which the last response ended.
     :ivar max_idle: idle connections of its pool, including this one, up to
         which it is kept.
+    :ivar on_idle_end: called if the server closes the idle connection.
     :ivar is_chunked: whether the body of the response comes in chunks.
     :ivar ends_chunk: whether the parser has nothing left but the line end
         after a chunk that it has returned.
@@ -68,6 +75,7 @@
         self.can_write: asyncio.Future | None = None
         self.idle_since = 0.0
         self.max_idle = 0
+        self.on_idle_end: collections.abc.Callable[[], None] | None = None
         self.is_chunked = False
         self.ends_chunk = False
         self.is_between_chunks = False
@@ -88,6 +96,8 @@
         """Keeps the connection open while a request is being sent on it."""
         self.has_ended = True
         self.wake()
+        if self.on_idle_end is not None:
+            self.on_idle_end()
         return self.http.our_state is not h11.IDLE
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -306,19 +316,26 @@
 class ConnectionPool:
     """The connections to one backend server.
 
+    A few idle connections are kept for long, since a VM sends to each server
+    of a large region only every few seconds. If the server closes one, they
+    are closed before it does from then on.
+
     :param max_idle: maximal number of idle connections.
-    :param idle_seconds: time after which an idle connection is not used.
+    :param idle_seconds: time for which any idle connection is kept.
+    :param long_idle_seconds: time for which a few are kept.
     """
 
     def __init__(
         self,
         max_idle: int,
         idle_seconds: float,
+        long_idle_seconds: float,
         timers: timer_service.Timers,
     ) -> None:
         self.timers = timers
         self.max_idle = max_idle
         self.idle_seconds = idle_seconds
+        self.long_idle_seconds = long_idle_seconds
         self.idle: collections.deque[Connection] = collections.deque()
 
     async def send(
@@ -354,6 +371,7 @@
         self.close_expired()
         while self.idle:
             connection = self.idle.pop()
+            connection.on_idle_end = None
             if connection.is_reusable():
                 return connection
             connection.abort()
@@ -364,21 +382,46 @@
         max_idle = min(self.max_idle, connection.max_idle)
         if len(self.idle) < max_idle and connection.start_next_cycle():
             connection.idle_since = self.timers.now()
+            connection.on_idle_end = functools.partial(
+                self.record_idle_end, connection
+            )
             self.idle.append(connection)
         else:
             connection.abort()
 
+    def record_idle_end(self, connection: Connection) -> None:
+        """Shortens the idle time after a server has closed a connection."""
+        connection.on_idle_end = None
+        with contextlib.suppress(ValueError):
+            self.idle.remove(connection)
+        seconds = self.timers.now() - connection.idle_since
+        self.long_idle_seconds = max(
+            self.idle_seconds,
+            min(self.long_idle_seconds, seconds * SAFE_IDLE_SHARE),
+        )
+
     def close_expired(self) -> None:
         """Closes the connections that were idle for too long."""
-        oldest = self.timers.now() - self.idle_seconds
-        while self.idle and self.idle[0].idle_since < oldest:
-            self.idle.popleft().abort()
+        now = self.timers.now()
+        while self.idle:
+            is_long_idle = len(self.idle) <= LONG_IDLE_CONNECTIONS
+            seconds = (
+                self.long_idle_seconds if is_long_idle else self.idle_seconds
+            )
+            if now - self.idle[0].idle_since <= seconds:
+                break
+            self.close_one(self.idle.popleft())
 
     def close(self) -> None:
         """Closes the idle connections."""
         self.max_idle = 0
         while self.idle:
-            self.idle.pop().abort()
+            self.close_one(self.idle.pop())
+
+    @staticmethod
+    def close_one(connection: Connection) -> None:
+        connection.on_idle_end = None
+        connection.abort()
 
 
 async def connect(host: str, port: int, seconds: float) -> Connection:
--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -19,6 +19,8 @@
 CONNECT_TIMEOUT_SECONDS = 0.4
 # Shorter than the servers' own keep-alive, so that the client closes first.
 KEEP_ALIVE_SECONDS = 3.0
+# Used while a server has not closed an idle connection before.
+LONG_KEEP_ALIVE_SECONDS = 15.0
 MAX_IDLE_CONNECTIONS = 32
 WRONG_INSTANCE_STATUS = 421
 OVERLOADED_STATUS = 503
@@ -64,7 +66,10 @@
         if pool is None:
             pool = self.pools[instance.name] = (
                 backend_connection.ConnectionPool(
-                    MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, self.timers
+                    MAX_IDLE_CONNECTIONS,
+                    KEEP_ALIVE_SECONDS,
+                    LONG_KEEP_ALIVE_SECONDS,
+                    self.timers,
                 )
             )
         return pool
