Admit a starved class before others, and up to a longer wait

Cause: the prefill of a long prompt counts as a wait, so while short urgent requests keep the queues full, none is within its limit. The factor on the limit was at most 1, and rose slowly.

Change: below 0.28 of the admitted fraction of all, measured over the region, a class waits in the queue like the most urgent one, and the factor rises by e in 1 s up to 1.6. The replays also check organisations and regions.

--- a/features/load_patterns.py
+++ b/features/load_patterns.py
@@ -139,6 +139,9 @@
     'a lasting load of twice the capacity': LoadPattern(
         rate_factor=2.4, clients_give_up=True
     ),
+    'a lasting load of four times the capacity': LoadPattern(
+        rate_factor=4.8, clients_give_up=True
+    ),
     'an organisation with twenty times its load': LoadPattern(
         rate_factor=2.4, key_shares=(20.0, 1.0, 1.0), clients_give_up=True
     ),
--- a/features/serving/retries.feature
+++ b/features/serving/retries.feature
@@ -9,11 +9,13 @@
     And at most 10 percent of the admitted requests are late or fail
     And short requests are served on time at most 5 percent less often than long ones
     And each class is served at least a quarter as often as all
+    And each organisation and region is served at least a quarter as often as all
 
     Examples:
-      | pattern                              |
-      | a burst of twice the capacity        |
-      | a lasting load of twice the capacity |
+      | pattern                                   |
+      | a burst of twice the capacity             |
+      | a lasting load of twice the capacity      |
+      | a lasting load of four times the capacity |
 
   Scenario: A load that fits rejects nobody
     Given a deployment in which requests compete for capacity
--- a/features/steps/retries.py
+++ b/features/steps/retries.py
@@ -4,6 +4,7 @@
 
 import behave
 
+from features import load_patterns
 from greengagegw.serving import retry_schedule
 
 ROUTE = 'r'
@@ -19,6 +20,20 @@
     assert share * 100 <= percent, share
 
 
+@behave.then(
+    'each organisation and region is served at least a quarter as often as all'
+)
+def then_none_starved(context):
+    share = context.replay.on_time_share
+    shares = [
+        share(lambda one, key=key: one.key == key)
+        for key in load_patterns.KEYS
+    ]
+    for name in load_patterns.LAYOUT:
+        shares.append(share(lambda one, region=name: one.region == region))
+    assert min(shares) >= share() / 4, shares
+
+
 @behave.then('no request is rejected')
 def then_none_rejected(context):
     rejected = [
--- a/src/greengagegw/serving/competition.py
+++ b/src/greengagegw/serving/competition.py
@@ -132,8 +132,13 @@
         is_promised = request.is_client_retry and self.schedule.may_precede(
             route, now
         )
+        class_rank = request.priority_rank
+        if is_promised:
+            class_rank = wait_queue.PROMISED
+        elif self.balance.is_starved(class_rank):
+            class_rank = 0
         return wait_queue.make_waiting(
-            wait_queue.PROMISED if is_promised else request.priority_rank,
+            class_rank,
             self.shares.factor(organisation) < 1,
             request.organisation_priority_rank,
             objective,
--- a/src/greengagegw/serving/urgency.py
+++ b/src/greengagegw/serving/urgency.py
@@ -16,12 +16,20 @@
 # A less urgent class is served at least a quarter as often as all requests.
 # The fractions are measured on one VM, and a third leaves room for the error.
 MIN_RELATIVE_FRACTION = 1 / 3
+# Below this one, which leaves less room, a class comes before others.
+STARVED_RELATIVE_FRACTION = 0.28
 # Period over which the fractions are averaged; and the time in which a limit
 # changes by the factor e. It is the longer one, as a faster adjustment
 # overshoots and oscillates.
 WINDOW_SECONDS = 2.0
 ADJUSTMENT_SECONDS = 3.0
+# The limit of a class that is served too rarely rises in a shorter time, since
+# it may have fallen far before the fraction shows it.
+RECOVERY_SECONDS = 1.0
 MIN_FACTOR = 0.05
+# With 1, long prompts of a less urgent class are never admitted while short
+# urgent ones keep the queue full, since their own prefill counts as a wait.
+MAX_FACTOR = 1.6
 # Fewer requests say little about a fraction.
 MIN_WEIGHT = 4.0
 # Longest step of an adjustment after a pause without requests.
@@ -49,9 +57,11 @@
     """Recent requests of a class on this VM.
 
     :ivar factor: on the longest wait up to which the class is admitted.
+    :ivar is_starved: whether it is served too rarely, relative to all.
     """
 
     factor: float = 1.0
+    is_starved: bool = False
 
 
 class UrgencyBalance:
@@ -113,15 +123,27 @@
         counts = self.region_counts()
         asked = sum(one.asked for one in counts.values())
         served = sum(one.served for one in counts.values())
+        step = math.exp(elapsed / ADJUSTMENT_SECONDS)
         for rank, state in self.classes.items():
-            step = elapsed / ADJUSTMENT_SECONDS
-            if is_urgent_overloaded(rank, counts) and (
-                counts[rank].fraction > MIN_RELATIVE_FRACTION * served / asked
-            ):
-                step = -step
-            state.factor = min(
-                1.0, max(MIN_FACTOR, state.factor * math.exp(step))
+            is_overloaded = is_urgent_overloaded(rank, counts)
+            relative = counts[rank].fraction * asked / max(served, 1e-9)
+            state.is_starved = (
+                is_overloaded and relative < STARVED_RELATIVE_FRACTION
             )
+            if state.is_starved:
+                recovery = math.exp(elapsed / RECOVERY_SECONDS)
+                state.factor = min(MAX_FACTOR, state.factor * recovery)
+            elif is_overloaded and relative > MIN_RELATIVE_FRACTION:
+                state.factor = max(MIN_FACTOR, state.factor / step)
+            elif state.factor > 1:
+                state.factor = max(1.0, state.factor / step)
+            else:
+                state.factor = min(1.0, state.factor * step)
+
+    def is_starved(self, rank: int) -> bool:
+        """Returns whether a class is served too rarely, relative to all."""
+        state = self.classes.get(rank)
+        return state is not None and state.is_starved
 
 
 def is_urgent_overloaded(rank: int, counts: dict[int, ClassCounts]) -> bool:
