Run calls of a VM without engines through other VMs of its region

With `greengagegw serve`, a call at a VM that reached none of its engines was run in another region or failed, although the other VMs of its region reached the engines: a call is only forwarded to other regions.

A call for which no server accepts a connection is now offered to the other VMs of the region, before other regions. For 5 s the VM then forwards the calls of this service at once, after which one call at a time finds out whether the servers are back. Only calls that certainly did not run are forwarded, and the VM that gets one runs or rejects it, as one of another region does.

Not covered: engines to which connections hang count as lost only after the connect timeout of each attempt.

--- a/features/backends/failures.feature
+++ b/features/backends/failures.feature
@@ -20,6 +20,12 @@
       | silent    |
       | no_report |
 
+  Scenario: Calls of a VM that has lost its engines run through other VMs of its region
+    Given piedmont-2 reaches no engine
+    When a caller sends 6 chat requests
+    Then all are answered with 200
+    And engines of piedmont alone have run them, each once
+
   Scenario Outline: When every engine fails, the error says what is known of the run
     Given every engine fails with <fault>
     When a caller sends a chat request
--- a/features/steps/crashes.py
+++ b/features/steps/crashes.py
@@ -1,5 +1,6 @@
 """Steps for prompts under which engines end."""
 
+import contextlib
 import functools
 import random
 
@@ -235,6 +236,30 @@
     return {name: one for name, one in found.items() if 'piedmont' in name}
 
 
+@behave.given('{vm} reaches no engine')
+def given_lost_engines(context, vm):
+    @contextlib.asynccontextmanager
+    async def fail(call):
+        raise errors.BackendConnectError('no connection')
+        yield
+
+    for server in all_vms(context)[vm].backend_pool.by_name.values():
+        port = server.port
+        context.add_cleanup(setattr, port, 'send', port.send)
+        port.send = fail
+
+
+@behave.then('engines of piedmont alone have run them, each once')
+def then_run_in_piedmont(context):
+    started = [
+        (name, one)
+        for name, engine in context.world.deployment.engines.items()
+        for one in engine.started_request_ids
+    ]
+    assert len(started) == len(context.world.responses), started
+    assert all('piedmont' in name for name, _ in started), started
+
+
 @behave.given('no VM has seen the end of an engine')
 def given_no_ends(context):
     for vm in all_vms(context).values():
--- a/src/greengagegw/forwarding.py
+++ b/src/greengagegw/forwarding.py
@@ -65,10 +65,18 @@
     def stream_handlers(self) -> dict[str, peers.StreamHandler]:
         return {METHOD: self.on_forward}
 
+    def other_vms(self, region: str) -> list[str]:
+        """Returns the VMs of a region without this one."""
+        return [
+            one
+            for one in self.settings.vms_by_region.get(region, ())
+            if one != self.settings.vm
+        ]
+
     def choose_vms(self, region: str) -> list[str]:
         """Returns the VMs of a region to try, responsive ones first."""
         now = self.timers.now()
-        vms = list(self.settings.vms_by_region.get(region, ()))
+        vms = self.other_vms(region)
         self.rng.shuffle(vms)
         vms.sort(
             key=lambda vm: (
--- a/src/greengagegw/region_routing.py
+++ b/src/greengagegw/region_routing.py
@@ -5,6 +5,8 @@
 import dataclasses
 import math
 
+import eliot
+
 from . import backend_pool
 from . import errors
 from . import fair_queue
@@ -18,10 +20,16 @@
 from .ports import backends
 
 DEFAULT_ROUND_TRIP_SECONDS = 0.11
+# A call to a server that does not respond takes several connect timeouts.
+LOST_SERVERS_SECONDS = 5.0
 
 
 class RegionRouter:
-    """Runs calls in the local or another region, by expected wait."""
+    """Runs calls in the local or another region, by expected wait.
+
+    :ivar lost_until: services of which this VM reached no server, and the
+        timer seconds until which other VMs of the region run their calls.
+    """
 
     def __init__(
         self,
@@ -41,6 +49,7 @@
         self.membership = membership
         self.metrics = metrics
         self.region = settings.region
+        self.lost_until: dict[str, float] = {}
 
     @contextlib.asynccontextmanager
     async def route(
@@ -121,9 +130,57 @@
         self, spec: local_execution.CallSpec, region: str
     ) -> contextlib.AbstractAsyncContextManager[local_execution.ActiveCall]:
         if region == self.region:
-            return self.executor.run(spec)
+            return self.run_near(spec)
         return self.forwarder.run(spec, region)
 
+    @contextlib.asynccontextmanager
+    async def run_near(
+        self, spec: local_execution.CallSpec
+    ) -> collections.abc.AsyncIterator[local_execution.ActiveCall]:
+        """Runs a call in this region.
+
+        Another VM of the region runs it if this one reaches no server.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            service = spec.call.service
+            if not self.forwarder.other_vms(self.region):
+                yield await stack.enter_async_context(self.executor.run(spec))
+                return
+            now = self.executor.timers.now()
+            if now >= self.lost_until.get(service, -math.inf):
+                if service in self.lost_until:
+                    # One call at a time finds out whether they are back.
+                    self.lost_until[service] = now + LOST_SERVERS_SECONDS
+                active_call = await self.enter_locally(stack, spec)
+                if active_call is not None:
+                    yield active_call
+                    return
+            yield await stack.enter_async_context(
+                self.forwarder.run(spec, self.region)
+            )
+
+    async def enter_locally(
+        self, stack: contextlib.AsyncExitStack, spec: local_execution.CallSpec
+    ) -> local_execution.ActiveCall | None:
+        """Returns the call, or None if no server was reached."""
+        service = spec.call.service
+        try:
+            active_call = await stack.enter_async_context(
+                self.executor.run(spec)
+            )
+        except errors.BackendConnectError as error:
+            if error.run != errors.NOT_RUN:
+                raise
+            if service not in self.lost_until:
+                eliot.log_message('servers:lost', service=service)
+            self.lost_until[service] = (
+                self.executor.timers.now() + LOST_SERVERS_SECONDS
+            )
+            return None
+        if self.lost_until.pop(service, None) is not None:
+            eliot.log_message('servers:regained', service=service)
+        return active_call
+
     def plan_regions(
         self, spec: local_execution.CallSpec, row: tables.Row
     ) -> list[str]:
