Resume streams of a VM that loses its servers through another VM

If all connections of an entry VM to its servers hung, were reset, or were refused when its streams broke off, these streams ended unfinished: they were resumed only on servers that the same VM reaches.

If neither the server of such a stream nor three others accept a connection (0.4 s), the rest is now requested from another VM of the region, and then of other permitted regions, with the ID of the last event and the software version that began the stream. If a server is reached, the stream ends as before, since it may itself have ended its server. A stream that hangs is interrupted as soon as its server is found to be silent (1.2 s) and to accept no connection; the timer of a stalled stream does not run if no other server of the version is known. A resumption counts as an attempt and a retry, as on a server. The admission of the stream is not decided again. The VM that gets the request needs no change.

Not covered: a stream that was forwarded from the start ends if the VM that runs it loses its servers, and its client resumes it.

--- a/features/serving/versions.feature
+++ b/features/serving/versions.feature
@@ -261,3 +261,25 @@
       | list  | [[["o", "r"], ["engine", null]]] |
       | query | null                             |
       | query | ["o", 1]                         |
+
+  Scenario Outline: Streams go on when the VM at which they began loses its servers
+    Clients abandon a stream after a pause of 8 times its objective, 4.8 seconds.
+
+    Given region a with <vms> entry VMs and engines of <versions>
+    And region b with 2 entry VMs and engines of <versions>
+    And a route with 2 attempts
+    When 8 streams begin at VM a0, whose connections to servers <fault> for 5 seconds
+    Then all of them are complete 4.8 seconds later, without a new request
+    And each stream was written by one version
+
+    Examples:
+      | vms | versions | fault       |
+      | 3   | one, two | hang        |
+      | 3   | one, two | are reset   |
+      | 3   | one, two | are refused |
+      | 3   | one, one | hang        |
+      | 3   | one, one | are reset   |
+      | 3   | one      | hang        |
+      | 1   | one, two | hang        |
+      | 1   | one, two | are reset   |
+      | 1   | one, two | are refused |
--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -551,3 +551,50 @@
 def then_protocol_error(context):
     assert isinstance(context.error, errors.PeerProtocolError), context.error
     assert 'a1' in context.error.message
+
+
+@behave.when(
+    '{count:d} streams begin at VM {vm}, whose connections to servers {fault}'
+    ' for {seconds:g} seconds'
+)
+@in_fleet
+async def when_vm_loses_servers(context, count, vm, fault, seconds):
+    world = context.serving
+    # Other regions are used once they have reported their load.
+    await world.timers.advance(3.0)
+    for engine in world.engines.values():
+        # A stream takes about a second.
+        engine.slowdown = 8.0
+        if fault == 'are refused':
+            # Connections in use go on, so the streams break off by themselves.
+            engine.pending_faults = ['disconnects after 2 events'] * count
+    for number in range(count):
+        request = world.request(number, prompt=PROMPT)
+        world.start_request(vm, request)
+    begun = 0
+    while begun < count:
+        await world.timers.advance(0.02)
+        begun = sum(bool(one.body) for one in world.outcomes)
+    for engine in world.engines.values():
+        engine.pending_faults = []
+    world.partition([vm], fault)
+    context.cut_at = world.timers.now()
+    await world.timers.advance(seconds)
+    world.partition([], '')
+    await world.timers.advance(15.0)
+    context.streams = [Stream(vm, one) for one in world.outcomes]
+
+
+@behave.then(
+    'all of them are complete {seconds:g} seconds later, without a new request'
+)
+def then_complete_at_once(context, seconds):
+    for one in context.streams:
+        assert one.outcome.ended_at <= context.cut_at + seconds, one.outcome
+        assert one.outcome.error is None, one.outcome.error
+        assert one.is_complete, one.outcome.body
+
+
+@behave.then('each stream was written by one version')
+def then_one_writer(context):
+    assert all(len(one.writers) == 1 for one in context.streams)
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -168,6 +168,7 @@
         server.record_probe(accepts, self.timers.now())
         if not accepts:
             server.reroute_waiting(may_leave=True)
+            server.interrupt_streams()
 
     def handlers(self) -> dict[str, peers.Handler]:
         exchanged = {
@@ -278,12 +279,7 @@
         self.planner.retry_budgets.find(job.service.name).record_request(
             self.timers.now()
         )
-        organisation = None
-        if job.organisation is not None:
-            organisation = self.view.configuration.organisations.get(
-                job.organisation
-            )
-        allowed = configurations.allowed_regions(job.route, organisation)
+        allowed = self.allowed_regions(job)
         regions = self.planner.plan_regions(job, allowed)
         failure: errors.GatewayError | None = None
         has_lost_servers = False
@@ -358,6 +354,15 @@
             return await stack.enter_async_context(
                 self.run_locally(job, may_leave=True)
             )
+        return await self.forward_to_region(stack, job, region)
+
+    async def forward_to_region(
+        self, stack: contextlib.AsyncExitStack, job: jobs.Job, region: str
+    ) -> ports.Response:
+        """Enters the response of another VM in a region.
+
+        :raises GatewayError: if there is none.
+        """
         service = job.service.name
         tried: set[str] = set()
         while True:
@@ -384,6 +389,38 @@
                     'request:not_taken', job, vm=entry_vm.vm, code=error.code
                 )
 
+    async def resume_elsewhere(
+        self, stack: contextlib.AsyncExitStack, job: jobs.Job
+    ) -> ports.Response:
+        """Enters the rest of a stream from a VM that reaches its servers.
+
+        :param job: the stream after the events that the client has.
+        :raises GatewayError: if no VM can resume it.
+        """
+        # The admission of the stream was decided when it began.
+        regions = [
+            self.pool.region,
+            *self.planner.rank_other_regions(job, self.allowed_regions(job)),
+        ]
+        failure: errors.GatewayError | None = None
+        for region in regions:
+            try:
+                return await self.forward_to_region(stack, job, region)
+            except errors.GatewayError as error:
+                failure = self.preferred_failure(failure, error)
+                if error.run != errors.NOT_RUN:
+                    break
+        raise failure
+
+    def allowed_regions(self, job: jobs.Job) -> frozenset[str] | None:
+        """Returns the regions that may run a request; None for all."""
+        organisation = None
+        if job.organisation is not None:
+            organisation = self.view.configuration.organisations.get(
+                job.organisation
+            )
+        return configurations.allowed_regions(job.route, organisation)
+
     @staticmethod
     def preferred_failure(
         known: errors.GatewayError | None, new: errors.GatewayError
@@ -598,7 +635,7 @@
             self.end_detector,
             self.end_reporter,
             job,
-            may_leave,
+            self.resume_elsewhere if may_leave else None,
         )
         try:
             response = await execution.first_response()
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -34,10 +34,18 @@
 MIN_FAILURE_WAIT_SECONDS = 1.0
 
 
+ResumeElsewhere = collections.abc.Callable[
+    [contextlib.AsyncExitStack, jobs.Job],
+    collections.abc.Awaitable[ports.Response],
+]
+
+
 class RequestExecution:
     """Executes one request on the servers of this region, with retries.
 
-    :param may_leave: whether other VMs may run the request.
+    :param resume_elsewhere: enters the rest of a stream from another VM; None
+        if other VMs may not run the request.
+    :ivar is_elsewhere: whether another VM runs the rest of the stream.
     :ivar excluded: names of the servers that were tried already.
     :ivar server: the server that runs the request now, if any.
     :ivar choice: the last choice of a server.
@@ -51,10 +59,11 @@
         end_detector: server_ends.EndDetector,
         end_reporter: end_reports.EndReporter,
         job: jobs.Job,
-        may_leave: bool,
+        resume_elsewhere: ResumeElsewhere | None,
     ) -> None:
         self.planner = planner
-        self.may_leave = may_leave
+        self.resume_elsewhere = resume_elsewhere
+        self.is_elsewhere = False
         self.backend = backend
         self.end_detector = end_detector
         self.end_reporter = end_reporter
@@ -165,7 +174,9 @@
         :param may_leave: whether it may be one that only other VMs reach.
         """
         has_alternative = self.has_alternative() or (
-            may_leave and self.may_leave and self.job.route.is_retryable
+            may_leave
+            and self.resume_elsewhere is not None
+            and self.job.route.is_retryable
         )
         return has_alternative and self.planner.acquire_retry(self.job, None)
 
@@ -492,14 +503,18 @@
                         yield complete_events
                 self.check_stream_end(response, splitter)
                 break
-            except errors.BackendError as error:
-                self.record_stream_failure(error)
+            except (errors.BackendError, errors.PeerError) as error:
+                instance = None
+                if self.server is not None:
+                    instance = self.server.instance
+                    self.record_stream_failure(error)
                 if not self.job.route.is_resumable or not has_begun:
                     raise
                 splitter.discard_partial_event()
                 await self.close()
-                response = await self.resume(splitter.last_id, error)
-        self.record_completion()
+                response = await self.resume(splitter.last_id, error, instance)
+        if not self.is_elsewhere:
+            self.record_completion()
         self.record_sound_end(response)
         await self.close(is_complete=True)
 
@@ -542,6 +557,8 @@
             deadline has passed.
         """
         deadline = self.job.deadline
+        if self.in_flight is not None and self.job.route.is_resumable:
+            self.in_flight.interrupt = stall_timer.interrupt
         try:
             while True:
                 self.record_chunk_wait()
@@ -559,18 +576,37 @@
             stall_timer.cancel()
 
     async def resume(
-        self, last_id: str | None, error: errors.GatewayError
+        self,
+        last_id: str | None,
+        error: errors.GatewayError,
+        instance: instances.Instance | None,
     ) -> ports.Response:
         """Returns the rest of a stream from another server.
 
         :param error: the failure that interrupted the stream.
+        :param instance: that sent the stream; None if another VM did.
         :raises BackendError: if no server can resume it.
         """
+        # A server that takes a request and then hangs would use up the last
+        # attempt.
+        is_lost = isinstance(
+            error, errors.BackendTimeoutError
+        ) and await self.has_lost_servers(instance)
         while self.planner.acquire_retry(self.job, error):
-            try:
-                choice = self.planner.choose_server(self.job, self.excluded)
-            except errors.NotRunError:
-                break
+            choice = None
+            if not is_lost:
+                with contextlib.suppress(errors.NotRunError):
+                    choice = self.planner.choose_server(
+                        self.job, self.excluded
+                    )
+            if choice is None:
+                if not is_lost and not await self.has_lost_servers(instance):
+                    break
+                try:
+                    return await self.enter_elsewhere(last_id)
+                except errors.GatewayError as failure:
+                    error = failure
+                    break
             try:
                 response = await self.send(choice, last_id)
             except errors.GatewayError as failure:
@@ -590,6 +626,42 @@
             'the stream was interrupted and could not be resumed'
         ) from error
 
+    async def has_lost_servers(
+        self, instance: instances.Instance | None
+    ) -> bool:
+        """Returns whether other VMs may reach servers that this one does not.
+
+        A stream whose server has ended for all VMs is not sent elsewhere, as
+        it may have been the cause.
+
+        :param instance: that sent the stream; None if another VM did.
+        """
+        return (
+            self.resume_elsewhere is not None
+            and instance is not None
+            and not await self.end_detector.reaches_any(instance)
+        )
+
+    async def enter_elsewhere(self, last_id: str | None) -> ports.Response:
+        """Returns the rest of a stream from another VM.
+
+        :raises GatewayError: if no VM can resume it.
+        """
+        self.is_elsewhere = True
+        request = dataclasses.replace(self.job.request, resume_after=last_id)
+        response = await self.resume_elsewhere(
+            self.stack, dataclasses.replace(self.job, request=request)
+        )
+        if response.status != 200:
+            raise errors.BackendStatusError(
+                f'another VM returned status {response.status}',
+                response.status,
+            )
+        self.planner.log(
+            'request:resumed', self.job, server='', last_id=last_id
+        )
+        return response
+
 
 class StallTimer:
     """Measures how long a stream has been read without a complete event.
@@ -662,6 +734,12 @@
         self.is_overdue = True
         self.end_read()
 
+    def interrupt(self) -> None:
+        """Ends the read in progress, if there is one, as overdue."""
+        if self.due_at != math.inf:
+            self.is_overdue = True
+            self.end_read()
+
     def cancel(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -429,6 +429,18 @@
             one for one in regions[:2] if one in (regions[0], local_region)
         ]
 
+    def rank_other_regions(
+        self, job: jobs.Job, allowed: frozenset[str] | None
+    ) -> list[str]:
+        """Returns the regions beside this one that may run a request."""
+        estimates = self.estimate_remote_regions(
+            job,
+            self.region_prefixes.find_home(job, allowed),
+            True,
+            self.timers.now(),
+        )
+        return placement.rank_regions(self.pool.region, estimates, allowed)
+
     def local_prompt_tokens(
         self, job: jobs.Job, home_region: str, forecast: LocalForecast
     ) -> prefixes.PromptTokens:
--- a/src/greengagegw/serving/server_ends.py
+++ b/src/greengagegw/serving/server_ends.py
@@ -239,22 +239,40 @@
         A VM that lost its servers would take all of them for ended. True if
         the region has no other server.
         """
+        others = self.other_instances(instance)
+        return not others or await self.is_any_accepting(others)
+
+    async def reaches_any(self, instance: instances.Instance) -> bool:
+        """Returns whether a server or some of those beside it are reached."""
+        return await self.is_any_accepting(
+            [instance, *self.other_instances(instance)]
+        )
+
+    def other_instances(
+        self, instance: instances.Instance
+    ) -> list[instances.Instance]:
+        """Returns the servers to ask beside one.
+
+        Those that answered last are the most likely to be there.
+        """
         others = [
             server.instance
             for name, server in self.pool.servers.items()
             if name != instance.name and self.pool.is_present(server.instance)
         ]
-        # Those that answered last are the most likely to be there.
         others.sort(
             key=lambda one: self.pool.servers[one.name].last_activity_at,
             reverse=True,
         )
+        return others[:MAX_SERVERS_TO_ASK]
+
+    async def is_any_accepting(self, asked: list[instances.Instance]) -> bool:
         accepted: list[bool] = []
 
         async def ask(other: instances.Instance) -> None:
             accepted.append(await self.backend.is_accepting_connections(other))
 
         async with anyio.create_task_group() as tasks:
-            for other in others[:MAX_SERVERS_TO_ASK]:
-                tasks.start_soon(ask, other)
-        return any(accepted) or not others
+            for one in asked:
+                tasks.start_soon(ask, one)
+        return any(accepted)
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -62,6 +62,7 @@
         whether there was one; called with whether it may be a server that
         only other VMs reach.
     :ivar response_scope: cancelled to send the request to another server.
+    :ivar interrupt: ends the read of a stream that is to be resumed elsewhere.
     :ivar timed_events: events after the first one that were read at once.
     :ivar timed_seconds: sum of the intervals before these.
     :ivar is_rerouted: whether it was cancelled for that.
@@ -75,6 +76,7 @@
     waiting_since: float | None
     acquire_reroute: collections.abc.Callable[[bool], bool]
     response_scope: anyio.CancelScope | None = None
+    interrupt: collections.abc.Callable[[], None] | None = None
     has_response: bool = False
     timed_events: int = 0
     timed_seconds: float = 0.0
@@ -295,6 +297,12 @@
                 one.is_rerouted = True
                 scope.cancel()
 
+    def interrupt_streams(self) -> None:
+        """Has the streams that wait for a lost server resumed elsewhere."""
+        for one in list(self.in_flight):
+            if one.interrupt is not None and one.waiting_since is not None:
+                one.interrupt()
+
     def record_first_byte(self, request: InFlightRequest, now: float) -> None:
         """Records that the response to a request has begun."""
         if request.has_response:
