--- a/features/serving/region_relays.feature
+++ b/features/serving/region_relays.feature
@@ -107,6 +107,7 @@
     When a VM of a later release reports further numbers
     Then they are summed by name
     And each message keeps its values on the wire
+    And a VM of the previous release gets totals without its own part
     And a malformed message of each method is rejected
     And it withdraws its reports when it leaves
 
--- a/features/steps/backlog_messages.py
+++ b/features/steps/backlog_messages.py
@@ -12,6 +12,7 @@
 from greengagegw.serving import region_reports
 from greengagegw import timers
 
+NO_REPORT = region_reports.Report()
 BACKLOG = {'s1': [100, 2]}
 
 
@@ -168,15 +169,36 @@
             lambda: relays.relays[0].sums['v1'].message,
         ),
     ):
-        context.receive(*backlog_exchange.encode(message))
+        context.receive(*backlog_exchange.encode(message, {}))
         stored = is_stored()
         assert stored.report.pack() == report.pack()
         assert type(stored) is type(message)
-        assert backlog_exchange.encode(stored) == backlog_exchange.encode(
-            message
+        assert backlog_exchange.encode(stored, {}) == backlog_exchange.encode(
+            message, {}
         )
 
 
+@behave.then('a VM of the previous release gets totals without its own part')
+def then_previous_total(context):
+    given_exchange(context, 20)
+    exchange = context.exchange
+    previous, current = (
+        [vm, 0, 1, [['requests', 'tokens'], {'s1': [2, 50]}, {}], *rest]
+        for vm, rest in (('v1', ()), ('v2', (0.0,)))
+    )
+    for seconds in (0.0, 0.2, 0.2):
+        advance(context, seconds)
+        context.receive('serving.report', previous)
+        context.receive('serving.report', current)
+        messages = dict(exchange.relays.tick(NO_REPORT, exchange.timers.now()))
+    requests = {
+        vm: messages[vm].report.servers['s1']['requests']
+        for vm in ('v1', 'v2')
+    }
+    assert requests == {'v1': 2, 'v2': 4}, requests
+    assert messages['v2'].has_own and not messages['v1'].has_own
+
+
 @behave.then('a malformed message of each method is rejected')
 def then_malformed(context):
     for method in context.exchange.handlers():
--- a/src/greengagegw/serving/backlog_exchange.py
+++ b/src/greengagegw/serving/backlog_exchange.py
@@ -162,8 +162,9 @@
         vm, plane, sequence, report, *wait = decode(
             peer, message, REPORT_TYPES, REPORT_EXTENSIONS
         )
-        if report is None and not wait:
-            wait = [0.0]
+        if not wait:
+            # Of the previous release.
+            wait = [region_relays.HANDOVER_SECONDS if report else 0.0, False]
         if plane == DIRECT:
             self.earlier_releases.pop(vm, None)
             self.store_direct(vm, report)
@@ -359,8 +360,9 @@
     def post_all(
         self, messages: list[tuple[str, region_relays.Message]]
     ) -> None:
+        packed: dict[int, list] = {}
         for vm, message in messages:
-            self.mesh.post(vm, *encode(message))
+            self.mesh.post(vm, *encode(message, packed))
 
     def send_directly(self, own: region_reports.Report, now: float) -> None:
         """Reports to all VMs of a small region, unless there is no backlog."""
@@ -398,9 +400,9 @@
 # After the report: the time until it counts.
 REPORT_EXTENSIONS = (float,)
 # After a sum: the number of missing VMs; after a total also the sequence of
-# the recipient's last report.
+# the recipient's last report, and whether that is a part of the total.
 SUM_EXTENSIONS = (int,)
-TOTAL_EXTENSIONS = (int, int)
+TOTAL_EXTENSIONS = (int, int, bool)
 # Sender, plane, delay, age, oldest age and number of VMs.
 SUM_TYPES = (str, int, float, float, float, int)
 
@@ -418,9 +420,19 @@
     )
 
 
-def encode(message: region_relays.Message) -> tuple[str, list]:
-    """Returns the method and the content for a message."""
-    packed = None if message.report is None else message.report.pack()
+def encode(
+    message: region_relays.Message, packed_reports: dict[int, list]
+) -> tuple[str, list]:
+    """Returns the method and the content for a message.
+
+    :param packed_reports: packed reports by object, which messages share.
+    """
+    packed = None
+    if message.report is not None:
+        packed = packed_reports.get(id(message.report))
+        if packed is None:
+            packed = message.report.pack()
+            packed_reports[id(message.report)] = packed
     if isinstance(message, region_relays.MemberReport):
         content = [message.vm, message.plane, message.sequence, packed]
         if packed is not None or message.wait:
@@ -437,7 +449,8 @@
         message.missing,
     ]
     if isinstance(message, region_relays.Total):
-        return TOTAL_METHOD, [*content, message.sequence]
+        content += [message.sequence, message.has_own]
+        return TOTAL_METHOD, content
     return SUM_METHOD, content
 
 
--- a/src/greengagegw/serving/region_relays.py
+++ b/src/greengagegw/serving/region_relays.py
@@ -7,6 +7,7 @@
 has a backlog, nothing is sent.
 """
 
+import collections
 import collections.abc
 import dataclasses
 import functools
@@ -63,6 +64,13 @@
 # A changed list of VMs reaches all of them within a poll of 0.5 s. The relays
 # of the second plane change after the moves that it causes in the first one.
 SECOND_PLANE_DELAY_SECONDS = 1.0
+# Each plane has the square root of half the number of VMs as relays, which
+# minimises the messages of a relay: it sends 10 totals a second to each of its
+# members, and 20 sums a second to each other relay.
+MIN_RELAYS = 2
+# Reports of the last 1.6 s. A relay drops them after 2.5 s, but a total of one
+# that has received no report for 1.6 s is of no use.
+MAX_KEPT_REPORTS = 16
 # Messages that arrive one after the other share a tick.
 MIN_TICK_SECONDS = 0.005
 # A total for a VM whose report the relay does not have.
@@ -82,6 +90,8 @@
     :ivar wait: seconds until the report counts, since the VM may still be
         counted by the relay to which it reported before. Without a report,
         seconds until it counts elsewhere; 0 if the VM leaves.
+    :ivar can_subtract: whether the VM removes its own part from totals, which
+        those of the previous release do not.
     """
 
     vm: str
@@ -89,6 +99,7 @@
     sequence: int
     report: region_reports.Report | None
     wait: float = HANDOVER_SECONDS
+    can_subtract: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,13 +128,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Total(Sum):
-    """The sum of all reports of a region but the recipient's own.
+    """The sum of all reports of a region.
 
     :ivar sequence: that of the recipient's last report to the relay, or
         NO_SEQUENCE if there is none.
+    :ivar has_own: whether the recipient's report of that sequence is a part
+        of the sum.
     """
 
     sequence: int = 0
+    has_own: bool = False
 
 
 Message = MemberReport | Sum
@@ -133,7 +147,8 @@
 class Received:
     """A message and the timer seconds at which it was received.
 
-    :ivar counted_at: timer seconds from which on it counts.
+    :ivar counted_at: timer seconds from which on it counts, here or, if it is
+        withdrawn, elsewhere.
     """
 
     message: Message
@@ -163,7 +178,9 @@
     :ivar wait_started_at: since when a total of the relay is awaited.
     :ivar moved_at: when this VM withdrew its report from another relay.
     :ivar sent_report: the last report to the relay; None if there is none.
-    :ivar total: the last total of the relay.
+    :ivar sent_reports: the last reports with their sequences, of which one is
+        a part of the next total.
+    :ivar total: the last total of the relay, without the part of this VM.
     """
 
     def __init__(self) -> None:
@@ -172,6 +189,9 @@
         self.moved_at = -math.inf
         self.sent_at = -math.inf
         self.sent_report: region_reports.Report | None = None
+        self.sent_reports: collections.deque[
+            tuple[int, region_reports.Report]
+        ] = collections.deque(maxlen=MAX_KEPT_REPORTS)
         self.total: Received | None = None
 
     @property
@@ -183,8 +203,8 @@
 class PlaneRelay:
     """What a VM knows in a plane as a relay of it.
 
-    :ivar withdrawn: VMs that have withdrawn their reports or fell silent,
-        and until when they may be missing at the relays of the plane.
+    :ivar withdrawn: the last messages of VMs that have withdrawn their reports
+        or fell silent.
     :ivar lost: relays that fell silent, with the number of VMs in their last
         sums, and until when these may be missing.
     :ivar due_at: timer seconds at which the next sum or total is due.
@@ -193,7 +213,7 @@
     def __init__(self) -> None:
         self.reports: dict[str, Received] = {}
         self.sums: dict[str, Received] = {}
-        self.withdrawn: dict[str, float] = {}
+        self.withdrawn: dict[str, Received] = {}
         self.lost: dict[str, tuple[int, float]] = {}
         self.sums_sent_at = -math.inf
         self.totals_sent_at = -math.inf
@@ -241,7 +261,7 @@
         """
         self.vms = vms
         self.expected = [None, None]
-        count = math.isqrt(max(0, len(vms) - 1)) + 1
+        count = max(MIN_RELAYS, math.ceil(math.sqrt(len(vms) / 2)))
         self.next_relay_names = [
             tuple(
                 sorted(
@@ -274,7 +294,7 @@
             self.relay_names[plane] = self.next_relay_names[plane]
             self.expected[plane] = None
 
-    def expected_members(self, plane: int) -> tuple[str, ...]:
+    def expected_members(self, plane: int, now: float) -> tuple[str, ...]:
         """Returns the VMs whose relay this VM should be.
 
         They get totals without having reported, so that a VM without a
@@ -282,6 +302,10 @@
         """
         expected = self.expected[plane]
         if expected is None:
+            withdrawn = self.relays[plane].withdrawn
+            for vm, one in list(withdrawn.items()):
+                if one.counted_at <= now:
+                    del withdrawn[vm]
             names = self.relay_names[plane]
             expected = ()
             if self.vm in names:
@@ -299,18 +323,19 @@
         self.hear(message, now)
         relay = self.relays[message.plane]
         known = relay.reports.get(message.vm)
+        last = known or relay.withdrawn.get(message.vm)
         # An old message on another connection arrives soon after a newer one.
         # A sequence that starts again later is that of a new process.
         if (
-            known is not None
-            and message.sequence < known.message.sequence
-            and now - known.received_at < FRESH_SECONDS
+            last is not None
+            and message.sequence < last.message.sequence
+            and now - last.received_at < FRESH_SECONDS
         ):
             return
         if message.report is None:
             relay.reports.pop(message.vm, None)
             until = now + message.wait + MOVED_SECONDS if message.wait else now
-            relay.withdrawn[message.vm] = until
+            relay.withdrawn[message.vm] = Received(message, now, until)
             return
         relay.withdrawn.pop(message.vm, None)
         counted_at = now + message.wait
@@ -335,6 +360,11 @@
             # The relay does not know this VM's report, which may be lost, or
             # counted by the relay to which this VM reported before.
             return
+        if message.has_own:
+            own = dict(member.sent_reports).get(message.sequence)
+            if own is None:
+                return
+            message = without_own(message, own)
         self.avoided.pop(message.vm, None)
         if message.vm != member.relay:
             return
@@ -529,7 +559,9 @@
             member.sent_at = now
             member.sent_report = own
             wait = member.moved_at + HANDOVER_SECONDS - now
-            messages.append((relay, self.report(plane, own, wait)))
+            report = self.report(plane, own, wait)
+            member.sent_reports.append((report.sequence, own))
+            messages.append((relay, report))
         return messages
 
     def avoid(self, relay: str, now: float) -> None:
@@ -552,7 +584,8 @@
             return []
         for vm, one in drop_expired(relay.reports, now, expiry).items():
             if one.message.report:
-                relay.withdrawn[vm] = now + LOST_SECONDS
+                one.counted_at = now + LOST_SECONDS
+                relay.withdrawn[vm] = one
         for vm, one in drop_expired(relay.sums, now, sum_expiry).items():
             missing = one.message.vm_count + one.message.missing
             relay.lost[vm] = (missing, now + LOST_SECONDS)
@@ -560,7 +593,7 @@
         counted = [
             one for one in relay.reports.values() if now >= one.counted_at
         ]
-        missing = sum(until > now for until in relay.withdrawn.values())
+        missing = sum(one.counted_at > now for one in relay.withdrawn.values())
         missing += sum(
             one.counted_at > now and bool(one.message.report)
             for one in relay.reports.values()
@@ -576,28 +609,10 @@
             for vm in {*self.relay_names[plane], *relay.sums}:
                 if vm != self.vm:
                     messages.append((vm, group))
-        lost = sum(
-            count for count, until in relay.lost.values() if until > now
-        )
-        total = sum_of(
-            self.vm,
-            plane,
-            [Received(group, now), *relay.sums.values()],
-            now,
-            lost,
-        )
-        has_backlog = bool(total.report) or not relay.was_total_empty
-        interval = TOTAL_SECONDS if has_backlog else IDLE_SECONDS
+        has_total = has_sum or not relay.was_total_empty or bool(relay.sums)
+        interval = TOTAL_SECONDS if has_total else IDLE_SECONDS
         if is_due(now, relay.totals_sent_at, interval):
-            relay.totals_sent_at = now
-            relay.was_total_empty = not total.report
-            for vm, received in relay.reports.items():
-                messages.append((vm, total_without(total, received, now)))
-            if has_backlog:
-                unknown = total_for_unknown(total)
-                for vm in self.expected_members(plane):
-                    if vm not in relay.reports and vm not in relay.withdrawn:
-                        messages.append((vm, unknown))
+            messages += self.total_messages(plane, group, now)
         relay.due_at = min(
             (
                 one.counted_at
@@ -608,7 +623,7 @@
         )
         if has_sum or not relay.was_sum_empty:
             relay.due_at = min(relay.due_at, relay.sums_sent_at + SUM_SECONDS)
-        if total.report or not relay.was_total_empty:
+        if has_sum or not relay.was_total_empty:
             relay.due_at = min(
                 relay.due_at, relay.totals_sent_at + TOTAL_SECONDS
             )
@@ -618,6 +633,37 @@
             )
         return messages
 
+    def total_messages(
+        self, plane: int, group: Sum, now: float
+    ) -> list[tuple[str, Message]]:
+        """Returns the total of the region for each member."""
+        relay = self.relays[plane]
+        lost = sum(
+            count for count, until in relay.lost.values() if until > now
+        )
+        total = sum_of(
+            self.vm,
+            plane,
+            [Received(group, now), *relay.sums.values()],
+            now,
+            lost,
+        )
+        has_backlog = bool(total.report) or not relay.was_total_empty
+        relay.totals_sent_at = now
+        relay.was_total_empty = not total.report
+        messages: list[tuple[str, Message]] = [
+            (vm, total_for(total, received, now))
+            for vm, received in relay.reports.items()
+        ]
+        if has_backlog:
+            unknown = make_total(total, NO_SEQUENCE, False)
+            messages += [
+                (vm, unknown)
+                for vm in self.expected_members(plane, now)
+                if vm not in relay.reports and vm not in relay.withdrawn
+            ]
+        return messages
+
 
 def is_due(now: float, sent_at: float, interval: float) -> bool:
     # Half of a tick covers its jitter.
@@ -682,57 +728,55 @@
 
     :param missing: VMs that are missing besides those that fell silent.
     """
-    report = region_reports.Report()
+    reports = []
     delay = age = oldest_age = 0.0
     vm_count = 0
     for part in parts:
         recent_count = recent_vm_count(part, now)
         vm_count += recent_count
         missing += getattr(part.message, 'missing', 0)
-        if not recent_count and part.message.report:
-            missing += getattr(part.message, 'vm_count', 1)
         if part.message.report:
-            report.add(part.message.report)
+            reports.append(part.message.report)
             oldest_age = max(oldest_age, part.oldest_age(now))
             if recent_count:
                 age = max(age, part.age(now))
+            else:
+                missing += getattr(part.message, 'vm_count', 1)
         if recent_count and isinstance(part.message, Sum):
             delay = max(delay, part.delay(now))
+    report = region_reports.Report.sum(reports)
     return Sum(vm, plane, delay, age, oldest_age, vm_count, report, missing)
 
 
-def total_without(total: Sum, member: Received, now: float) -> Total:
-    """Returns the total of a region without the part of a member."""
-    report = total.report
-    vm_count = total.vm_count
-    if now >= member.counted_at:
-        vm_count -= recent_vm_count(member, now)
-        if member.message.report:
-            report = report.copy()
-            report.subtract(member.message.report)
+def make_total(total: Sum, sequence: int, has_own: bool) -> Total:
     return Total(
         total.vm,
         total.plane,
         total.delay,
         total.age,
         total.oldest_age,
-        vm_count,
-        report,
+        total.vm_count,
+        total.report,
         total.missing,
-        member.message.sequence,
+        sequence,
+        has_own,
     )
 
 
-def total_for_unknown(total: Sum) -> Total:
-    """Returns the total of a region for a VM that has not reported."""
-    return Total(
-        total.vm,
-        total.plane,
-        total.delay,
-        total.age,
-        total.oldest_age,
-        total.vm_count,
-        total.report,
-        total.missing,
-        NO_SEQUENCE,
+def total_for(total: Sum, member: Received, now: float) -> Total:
+    """Returns the total of a region for a member, which shares its report."""
+    report = member.message.report
+    has_own = bool(report) and now >= member.counted_at
+    result = make_total(total, member.message.sequence, has_own)
+    if has_own and not member.message.can_subtract:
+        return without_own(result, report)
+    return result
+
+
+def without_own(total: Total, own: region_reports.Report) -> Total:
+    """Returns a total without the part of its recipient."""
+    report = total.report.copy()
+    report.subtract(own)
+    return dataclasses.replace(
+        total, vm_count=total.vm_count - 1, report=report, has_own=False
     )
--- a/src/greengagegw/serving/region_reports.py
+++ b/src/greengagegw/serving/region_reports.py
@@ -5,6 +5,10 @@
 can add some.
 """
 
+import collections.abc
+import contextlib
+import math
+import operator
 import typing
 
 TOKENS = 'tokens'
@@ -44,6 +48,20 @@
             )
         self.sums = add_values(self.sums, other.sums, 1)
 
+    @classmethod
+    def sum(cls, reports: collections.abc.Iterable['Report']) -> 'Report':
+        """Returns the sum of reports, which are not changed."""
+        result = cls()
+        for one in reports:
+            for server, values in one.servers.items():
+                known = result.servers.get(server)
+                if known is None:
+                    result.servers[server] = values.copy()
+                else:
+                    add_in_place(known, values)
+            add_in_place(result.sums, one.sums)
+        return result
+
     def subtract(self, other: 'Report') -> None:
         """Subtracts a report that was added."""
         for server, values in other.servers.items():
@@ -61,14 +79,19 @@
         The names of the numbers are sent once and not for each server.
         """
         names = sorted({name for one in self.servers.values() for name in one})
-        return [
-            names,
-            {
-                server: [shorten(values.get(name, 0)) for name in names]
-                for server, values in self.servers.items()
-            },
-            {name: shorten(value) for name, value in self.sums.items()},
-        ]
+        if len(names) > 1:
+            get_all = operator.itemgetter(*names)
+            with contextlib.suppress(KeyError):
+                servers = {
+                    server: get_all(values)
+                    for server, values in self.servers.items()
+                }
+                return [names, servers, self.sums]
+        servers = {
+            server: [values.get(name, 0) for name in names]
+            for server, values in self.servers.items()
+        }
+        return [names, servers, self.sums]
 
     @classmethod
     def unpack(cls, packed: typing.Any) -> 'Report':
@@ -77,27 +100,29 @@
         :raises ValueError: or TypeError if the message is malformed.
         """
         names, servers, sums, *_ = packed
+        names = [str(name) for name in names]
+        unpacked = {}
+        for server, values in servers.items():
+            # Raises TypeError for a value that is not a number.
+            math.fsum(values)
+            unpacked[str(server)] = dict(zip(names, values, strict=True))
         return cls(
-            {
-                str(server): dict(
-                    zip(map(str, names), map(float, values), strict=True)
-                )
-                for server, values in dict(servers).items()
-            },
-            {str(name): float(value) for name, value in dict(sums).items()},
+            unpacked,
+            {str(name): float(value) for name, value in sums.items()},
         )
 
 
+def add_in_place(values: dict[str, float], others: dict[str, float]) -> None:
+    for name, value in others.items():
+        values[name] = values.get(name, 0) + value
+
+
 def add_values(
     values: dict[str, float], others: dict[str, float], factor: int
 ) -> dict[str, float]:
     """Returns the sum, or with factor -1 the difference, but at least 0."""
     result = dict(values)
     for name, value in others.items():
-        result[name] = max(0.0, result.get(name, 0.0) + factor * value)
+        changed = result.get(name, 0) + factor * value
+        result[name] = changed if changed > 0 else 0
     return result
-
-
-def shorten(value: float) -> float:
-    """Returns an integer, which takes less bytes, instead of a whole float."""
-    return int(value) if value == int(value) else value
