--- a/bench/fleet_cost.py
+++ b/bench/fleet_cost.py
@@ -94,13 +94,17 @@
 
 
 class Counter:
-    """Counts frames, bytes and tasks by component while it is active."""
+    """Counts frames, bytes and tasks by component while it is active.
+
+    A reply counts for the component of the latest call with its ID, whichever
+    connection that was on.
+    """
 
     def __init__(self) -> None:
         self.counts: collections.Counter = collections.Counter()
-        self.components: dict[tuple, str] = {}
+        self.components: dict[tuple[str, int], str] = {}
 
-    def note(self, connection: typing.Any, way: str, body: bytes) -> None:
+    def count_frame(self, way: str, body: bytes) -> None:
         import msgpack
 
         from greengagegw.adapters import frames
@@ -113,11 +117,10 @@
         elif kind is frames.Kind.CALL:
             component = METHODS.get(values[1], 'requests')
             if values[0]:
-                self.components[connection, way, values[0]] = component
+                self.components[way, values[0]] = component
         elif kind is frames.Kind.REPLY:
-            asked = {'sent': 'received', 'received': 'sent'}[way]
-            key = connection, asked, values[0]
-            component = self.components.pop(key, 'other')
+            opposite = {'sent': 'received', 'received': 'sent'}[way]
+            component = self.components.pop((opposite, values[0]), 'other')
         self.counts[f'{way} {component}'] += 1
         self.counts[f'{way} bytes'] += len(body) + 4
 
@@ -133,11 +136,11 @@
         loop = asyncio.get_running_loop()
 
         def count_sent(connection, data):
-            self.note(None, 'sent', data[4:])
+            self.count_frame('sent', data[4:])
             append(connection, data)
 
         def count_received(body):
-            self.note(None, 'received', body)
+            self.count_frame('received', body)
             return decode(body)
 
         def count_wake(service):
@@ -409,16 +412,10 @@
             )
             for at in range(self.vms)
         ]
-        for number, ones in enumerate(
-            itertools.batched(files, PEERS_PER_PROCESS)
-            if hasattr(itertools, 'batched')
-            else [
-                files[at : at + PEERS_PER_PROCESS]
-                for at in range(0, self.vms, PEERS_PER_PROCESS)
-            ]
-        ):
+        for at in range(0, self.vms, PEERS_PER_PROCESS):
+            ones = files[at : at + PEERS_PER_PROCESS]
             self.start_process(
-                f'peers-{number}',
+                f'peers-{at}',
                 ['-m', 'bench.fleet_cost', '--peers', *ones],
                 platform_path.ROOT,
             )
