Log shortages of capacity, and count shares, waits and returns

Callers and operators saw: nothing in the log or the metrics says when a service is short of capacity, who gets it, and whether promised returns are kept.

Change: the lines service:short and service:sufficient when a shortage begins and ends, and service:shares with the work admitted by organisation (32 by name, the others together), the factors of those beyond their shares, waiting requests and promised, kept and broken returns. Metrics of the entry VMs are derived from these lines and from request:waited.

Why it works: counts are taken as differences since the last line, which is written from the exchange of reports, so an idle service writes none.

--- a/features/serving/fair_shares.feature
+++ b/features/serving/fair_shares.feature
@@ -110,3 +110,14 @@
     Given 3 VMs of a region that exchange their sums
     When the first VM promises 20 returns and is lost
     Then at most 2 of 20 returns come before new requests
+
+  Scenario: The log and the metrics show a shortage and how it is divided
+    Given a deployment in which requests compete for capacity
+    And its log lines
+    When a burst of twice the capacity is replayed
+    Then each shortage that is logged begins during the burst and ends after it
+    And the metrics show waits, kept returns and the work of each organisation
+
+  Scenario: The number of organisations in the metrics is bounded
+    Given 100 organisations with different work
+    Then the 32 with the most work are counted by name, and the others together
--- a/features/steps/fair_shares.py
+++ b/features/steps/fair_shares.py
@@ -5,10 +5,12 @@
 
 import anyio
 import behave
+import eliot
 
 from features import load_patterns
 from greengagegw.fleet import agent as agents
 from greengagegw.fleet import members
+from greengagegw.fleet import metrics as fleet_metrics
 from greengagegw.serving import backlog_exchange
 from greengagegw.serving import competition
 from greengagegw.serving import fair_shares
@@ -342,3 +344,60 @@
             admitted += 1
             second.record_return('r', 0.1, context.vms.now)
     assert admitted <= count, admitted
+
+
+@behave.given('its log lines')
+def given_log(context):
+    context.logged = []
+    eliot.add_destinations(context.logged.append)
+    # The first destination gets what was logged before.
+    context.logged.clear()
+    context.add_cleanup(eliot.remove_destination, context.logged.append)
+
+
+@behave.then(
+    'each shortage that is logged begins during the burst and ends after it'
+)
+def then_shortage_logged(context):
+    names = [
+        one['message_type']
+        for one in context.logged
+        if one['message_type'] in ('service:short', 'service:sufficient')
+    ]
+    begun = names.count('service:short')
+    assert begun == names.count('service:sufficient') > 0, names
+    # One or two shortages on each of the seven VMs.
+    assert begun <= 14, begun
+
+
+@behave.then(
+    'the metrics show waits, kept returns and the work of each organisation'
+)
+def then_metrics(context):
+    metrics = fleet_metrics.FleetMetrics()
+    for message in context.logged:
+        metrics(message)
+    value = metrics.registry.get_sample_value
+    service = {'service': 'engine'}
+    assert value('greengagegw_waited_seconds_count', service) > 0
+    outcomes = context.replay.world.outcomes
+    returned = sum(one.request_id.endswith('b') for one in outcomes)
+    kept = value('greengagegw_returns_total', {**service, 'state': 'kept'})
+    promised = value(
+        'greengagegw_returns_total', {**service, 'state': 'promised'}
+    )
+    assert 0.9 * returned <= kept <= promised * 1.1, (kept, promised, returned)
+    for tenant in load_patterns.TENANTS:
+        labels = {**service, 'organisation': tenant['name']}
+        assert value('greengagegw_organisation_work_seconds_total', labels)
+
+
+@behave.then(
+    'the {count:d} with the most work are counted by name, and the others'
+    ' together'
+)
+def then_bounded_metrics(context, count):
+    work = context.fair_shares.take_work()
+    others = work.pop(fair_shares.OTHERS)
+    assert set(work) == {f'o-{at}' for at in range(100 - count, 100)}
+    assert others == sum(range(1, 100 - count + 1))
--- a/src/greengagegw/fleet/metrics.py
+++ b/src/greengagegw/fleet/metrics.py
@@ -17,6 +17,8 @@
 ERROR_BUCKETS_SECONDS = (
     -1, -0.5, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.5, 1, 2,
 )  # fmt: skip
+# The longest wait is an eighth of the latency objective.
+WAIT_BUCKETS_SECONDS = (0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.15, 0.3, 0.6)
 
 COST_BUCKETS = (
     0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000,
@@ -89,6 +91,37 @@
             buckets=COST_RATIO_BUCKETS,
             registry=self.registry,
         )
+        self.waited_seconds = prometheus_client.Histogram(
+            'greengagegw_waited_seconds',
+            'Seconds for which requests waited for capacity',
+            ('service',),
+            buckets=WAIT_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.waiting = prometheus_client.Gauge(
+            'greengagegw_waiting',
+            'Requests that wait for capacity',
+            ('service',),
+            registry=self.registry,
+        )
+        self.returns = prometheus_client.Counter(
+            'greengagegw_returns',
+            'Returns of rejected clients: promised, kept or broken',
+            ('service', 'state'),
+            registry=self.registry,
+        )
+        self.organisation_work = prometheus_client.Counter(
+            'greengagegw_organisation_work_seconds',
+            'Server seconds of admitted requests',
+            ('service', 'organisation'),
+            registry=self.registry,
+        )
+        self.share_factor = prometheus_client.Gauge(
+            'greengagegw_share_factor',
+            'Factor on the limit of an organisation beyond its share',
+            ('service', 'organisation'),
+            registry=self.registry,
+        )
 
         # Finding a time series by its labels takes longer than updating it.
         self.find_series = functools.cache(
@@ -122,6 +155,26 @@
                     observed / message['predicted']
                 )
 
+        elif name == 'request:waited':
+            find_series(self.waited_seconds, message['service']).observe(
+                message['seconds']
+            )
+        elif name == 'service:shares':
+            self.record_shares(message)
+
+    def record_shares(self, message: dict[str, typing.Any]) -> None:
+        service = message['service']
+        self.waiting.labels(service).set(message['waiting'])
+        for state in ('promised', 'kept', 'broken'):
+            self.returns.labels(service, state).inc(message[state])
+        # At most 32 organisations at a time, and those of the configuration
+        # over all.
+        for organisation, work in message['work'].items():
+            self.organisation_work.labels(service, organisation).inc(work)
+            self.share_factor.labels(service, organisation).set(
+                message['factors'].get(organisation, 1.0)
+            )
+
     def add_gauge(
         self,
         name: str,
--- a/src/greengagegw/serving/competition.py
+++ b/src/greengagegw/serving/competition.py
@@ -7,6 +7,8 @@
 import collections
 import collections.abc
 import dataclasses
+import math
+import typing
 
 from . import admission
 from . import fair_shares
@@ -58,12 +60,22 @@
 DECIMALS = 3
 
 
+# Times between two summaries of a service in the log.
+SUMMARY_SECONDS = 10.0
+SHORTAGE_SUMMARY_SECONDS = 1.0
+# A shortage has ended when this VM has rejected nothing for this time. The
+# sums of work show it several times as late.
+SHORTAGE_END_SECONDS = 3.0
+
+
 class ServiceCompetition:
     """The requests that compete for one service on one entry VM.
 
     :param service: its name.
     :param peer_sums: returns the sums that the other entry VMs of the region
         reported. VMs of the previous release report none.
+    :ivar broken_count: returns that were rejected again.
+    :ivar is_short: whether the service is short of capacity, for the log.
     """
 
     def __init__(
@@ -84,6 +96,11 @@
         self.schedule = retry_schedule.RetrySchedule()
         self.schedule.peer_balance = self.peer_return_balance
         self.queue = wait_queue.WaitQueue()
+        self.broken_count = 0
+        self.is_short = False
+        self.rejected_at = -math.inf
+        self.summary_at = now
+        self.summarized_counts = dict.fromkeys(self.counts(), 0)
 
     def peer_return_balance(self, route: str) -> float:
         due, used = self.peer_pairs.get(RETURNS, {}).get(route, (0.0, 0.0))
@@ -117,6 +134,52 @@
             },
         )
 
+    def counts(self) -> dict[str, int]:
+        """Returns the numbers of returns since the start."""
+        return {
+            'promised': self.schedule.promised_count,
+            'kept': self.schedule.kept_count,
+            'broken': self.broken_count,
+        }
+
+    def update_shortage(self, now: float) -> bool | None:
+        """Returns whether a shortage has begun or ended, None if neither."""
+        is_short = (
+            self.shares.is_short
+            and now - self.rejected_at < SHORTAGE_END_SECONDS
+        )
+        if is_short == self.is_short:
+            return None
+        self.is_short = is_short
+        return is_short
+
+    def summarize(self, now: float) -> dict[str, typing.Any] | None:
+        """Returns the content of a log line, None if it is not due.
+
+        It contains what changed since the last one. One is due more often
+        during a shortage, and none without requests.
+        """
+        pause = SUMMARY_SECONDS
+        if self.is_short:
+            pause = SHORTAGE_SUMMARY_SECONDS
+        if now - self.summary_at < pause or self.summary_at > self.recorded_at:
+            return None
+        self.summary_at = now
+        counts = self.counts()
+        last, self.summarized_counts = self.summarized_counts, counts
+        return {
+            'work': {
+                name: round(work, DECIMALS)
+                for name, work in self.shares.take_work().items()
+            },
+            'factors': {
+                name: round(factor, DECIMALS)
+                for name, factor in self.shares.factors.items()
+            },
+            'waiting': len(self.queue.entries),
+            **{name: counts[name] - last[name] for name in counts},
+        }
+
     def make_waiting(
         self,
         route: str,
@@ -212,8 +275,10 @@
         :param jitter: random number from 0 to 1.
         """
         self.record(decided, False, now)
+        self.rejected_at = now
         refusal = retry_schedule.refusal_seconds(decided.client_seconds_left)
         if decided.is_client_retry:
+            self.broken_count += not decided.is_forwarded
             return refusal
         self.schedule.capacity = decided.capacity
         self.schedule.record_new_request(
--- a/src/greengagegw/serving/fair_shares.py
+++ b/src/greengagegw/serving/fair_shares.py
@@ -25,6 +25,8 @@
 MIN_FACTOR = 0.5
 # Sums that VMs exchange are bounded to the organisations with the most work.
 MAX_REPORTED = 32
+# Stands for the other organisations in metrics.
+OTHERS = ''
 
 # Asked and served server seconds by organisation.
 Sums = dict[str, tuple[float, float]]
@@ -46,6 +48,9 @@
     """The work that organisations ask of one service.
 
     :param other_sums: returns the sums of the other entry VMs of the region.
+    :ivar is_short: whether the service is short of capacity.
+    :ivar unreported_work: work served by organisation since it was last taken
+        for the metrics.
     """
 
     def __init__(
@@ -57,6 +62,8 @@
         self.organisations: dict[str, OrganisationWork] = {}
         self.updated_at = now
         self.factors: dict[str, float] = {}
+        self.is_short = False
+        self.unreported_work: dict[str, float] = {}
 
     def record(
         self, name: str, rank: int, work: float, is_served: bool, now: float
@@ -73,6 +80,10 @@
         known.weight = PRIORITY_WEIGHT ** min(rank, MAX_PRIORITY_RANK)
         known.asked += work
         known.served += work * is_served
+        if is_served:
+            self.unreported_work[name] = (
+                self.unreported_work.get(name, 0.0) + work
+            )
         self.factors = self.compute_factors()
 
     def decay(self, now: float) -> None:
@@ -92,6 +103,17 @@
         ]:
             del self.organisations[name]
 
+    def take_work(self) -> dict[str, float]:
+        """Returns the work served since the last call, by organisation.
+
+        All but the organisations with the most work are summed up.
+        """
+        work, self.unreported_work = self.unreported_work, {}
+        largest = sorted(work, key=lambda name: -work[name])
+        taken = {name: work[name] for name in largest[:MAX_REPORTED]}
+        rest = sum(work[name] for name in largest[MAX_REPORTED:])
+        return {**taken, OTHERS: rest} if rest else taken
+
     def factor(self, name: str) -> float:
         """Returns the factor on the longest wait of an organisation."""
         return self.factors.get(name, 1.0)
@@ -118,7 +140,8 @@
             asked.setdefault(name, max(0.0, other_asked))
             served.setdefault(name, max(0.0, other_served))
         capacity = sum(served.values())
-        if capacity >= (1 - REJECTED_PART) * sum(asked.values()):
+        self.is_short = capacity < (1 - REJECTED_PART) * sum(asked.values())
+        if not self.is_short:
             return {}
         weights = {
             name: one.weight for name, one in self.organisations.items()
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -152,6 +152,24 @@
         now = self.timers.now()
         for one in self.competitions.values():
             report.sums.update(one.local_sums(now))
+            self.log_competition(one, now)
+
+    @staticmethod
+    def log_competition(
+        competition: competition_module.ServiceCompetition, now: float
+    ) -> None:
+        """Logs the begin and end of a shortage, and how it is divided."""
+        changed = competition.update_shortage(now)
+        if changed is not None:
+            logs.log_message(
+                'service:short' if changed else 'service:sufficient',
+                service=competition.service,
+            )
+        summary = competition.summarize(now)
+        if summary is not None:
+            logs.log_message(
+                'service:shares', service=competition.service, **summary
+            )
 
     def create_job(self, request: ports.Request, now: float) -> jobs.Job:
         """Returns a request with the route of the configuration in force.
--- a/src/greengagegw/serving/retry_schedule.py
+++ b/src/greengagegw/serving/retry_schedule.py
@@ -218,10 +218,14 @@
     :ivar peer_balance: returns the number of returns to a route that the
         other VMs of the region promised and have not admitted.
     :ivar classes: by name of the route.
+    :ivar promised_count: returns to VMs of this region that were promised.
+    :ivar kept_count: returns that were admitted by this VM or through it.
     """
 
     def __init__(self) -> None:
         self.capacity = 0.0
+        self.promised_count = 0
+        self.kept_count = 0
         self.peer_balance: collections.abc.Callable[[str], float] = (
             lambda name: 0.0
         )
@@ -255,6 +259,7 @@
         known = self.class_of(name, now)
         known.served.record(work, now)
         if not is_forwarded:
+            self.kept_count += 1
             known.expire_promises(now)
             known.credit.add_return(self.peer_balance(name), now)
 
@@ -282,6 +287,7 @@
         """
         if retry_after <= HONOURED_SHARE * time_left:
             known = self.class_of(name, now)
+            self.promised_count += 1
             bisect.insort(known.promises, now + retry_after)
 
     def plan_return(
@@ -303,6 +309,7 @@
         promised = known.promise(request, room, now)
         if promised is None:
             return None
+        self.promised_count += not request.is_forwarded
         begin, end = promised
         return begin + jitter * (end - begin) - now
 
