--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -106,18 +106,15 @@
                 f'{instance.name} disconnected before it responded'
             ) from error
         try:
-            on_notice(decode_notice(backend_request, response))
-            check_response(instance, backend_request, response)
+            headers = headers_by_name(response.headers)
+            on_notice(decode_notice(backend_request, response, headers))
+            check_response(instance, backend_request, response, headers)
             yield ports.Response(
                 response.status,
                 tuple(http_names.drop_hop_by_hop_headers(response.headers)),
                 Body(instance, response),
-                decode_load(
-                    headers_by_name(response.headers).get(
-                        http_names.INSTANCE_LOAD
-                    )
-                ),
-                ends_by_close(request.method, response),
+                decode_load(headers.get(http_names.INSTANCE_LOAD)),
+                ends_by_close(request.method, response, headers),
                 abort=response.abort,
             )
         finally:
@@ -191,12 +188,16 @@
 def decode_notice(
     backend_request: ports.BackendRequest,
     response: backend_connection.Response,
+    headers: dict[bytes, bytes] | None = None,
 ) -> ports.ServerNotice:
     """Returns what the backend server says of itself in a response.
 
     A response of another instance or to another request says nothing of it.
+
+    :param headers: of the response, by name; None if they are to be read.
     """
-    headers = headers_by_name(response.headers)
+    if headers is None:
+        headers = headers_by_name(response.headers)
     request_id = backend_request.request.request_id.encode('latin-1')
     is_own = headers.get(http_names.REQUEST_ID, request_id) == request_id
     if response.status == WRONG_INSTANCE_STATUS or not is_own:
@@ -216,14 +217,17 @@
     instance: instances.Instance,
     backend_request: ports.BackendRequest,
     response: backend_connection.Response,
+    headers: dict[bytes, bytes] | None = None,
 ) -> None:
     """Checks that a response is the backend server's own and to this request.
 
+    :param headers: of the response, by name; None if they are to be read.
     :raises WrongInstanceError: if another instance has the address now.
     :raises BackendRefusedError: if the server did not run the request.
     :raises BackendError: if the response cannot be passed on.
     """
-    headers = headers_by_name(response.headers)
+    if headers is None:
+        headers = headers_by_name(response.headers)
     status = response.status
     request_id = backend_request.request.request_id
     echoed = headers.get(http_names.REQUEST_ID, b'').decode('latin-1')
@@ -256,7 +260,9 @@
 
 
 def ends_by_close(
-    method: bytes, response: backend_connection.Response
+    method: bytes,
+    response: backend_connection.Response,
+    headers: dict[bytes, bytes],
 ) -> bool:
     """Returns whether the body of a response ends with its connection.
 
@@ -264,7 +270,6 @@
     """
     if method == b'HEAD' or response.status in BODILESS_STATUSES:
         return False
-    headers = headers_by_name(response.headers)
     return (
         b'transfer-encoding' not in headers
         and b'content-length' not in headers
--- a/src/greengagegw/platform/client_application.py
+++ b/src/greengagegw/platform/client_application.py
@@ -233,6 +233,7 @@
 
     :raises BadRequestError: if the deadline or the token counts are invalid.
     """
+    find = header_finder(scope)
     target = scope['raw_path']
     if scope['query_string'] and b'?' not in target:
         target += b'?' + scope['query_string']
@@ -242,29 +243,32 @@
         for name, value in http_names.drop_hop_by_hop_headers(scope['headers'])
     ]
     headers = tuple(
-        (name, value)
-        for name, value in pairs
-        if name not in http_names.GATEWAY_HEADERS and name != b'content-length'
+        [one for one in pairs if one[0] not in http_names.DROPPED_HEADERS]
     )
-    host = find_header(scope, b'host').lower().partition(':')[0]
     return ports.Request(
-        request_id=find_header(scope, http_names.REQUEST_ID),
+        request_id=find(http_names.REQUEST_ID),
         method=scope['method'],
         target=target,
-        host=host,
+        host=find(b'host').lower().partition(':')[0],
         path=path,
         headers=headers,
         body=body,
-        key=find_header(scope, http_names.API_KEY),
-        client_timeout_seconds=decode_timeout(
-            find_header(scope, http_names.DEADLINE_MS)
-        ),
+        key=find(http_names.API_KEY),
+        client_timeout_seconds=decode_timeout(find(http_names.DEADLINE_MS)),
         prompt=decode_prompt(scope),
-        resume_after=find_header(scope, http_names.RESUME_AFTER) or None,
-        resumed_request=find_header(scope, http_names.RESUMED_REQUEST) or None,
+        resume_after=find(http_names.RESUME_AFTER) or None,
+        resumed_request=find(http_names.RESUMED_REQUEST) or None,
     )
 
 
+def header_finder(
+    scope: dict,
+) -> collections.abc.Callable[[bytes], str]:
+    """Returns what returns the first value of a header, empty for none."""
+    values = dict(reversed(scope['headers']))
+    return lambda name: values.get(name, b'').decode('latin-1')
+
+
 def decode_timeout(value: str) -> float | None:
     """Returns a client timeout in seconds, None if the header is missing.
 
@@ -285,24 +289,23 @@
 
     :raises BadRequestError: if the token counts or segments are invalid.
     """
-    value = find_header(scope, http_names.TOKEN_COUNTS)
+    find = header_finder(scope)
+    value = find(http_names.TOKEN_COUNTS)
     if not value:
         return None
     try:
         tokens, max_output_tokens = (int(one) for one in value.split(','))
         segments = tuple(
             decode_segment(one)
-            for one in find_header(scope, http_names.PROMPT_SEGMENTS).split(
-                ','
-            )
+            for one in find(http_names.PROMPT_SEGMENTS).split(',')
             if one
         )
     except ValueError as error:
         raise errors.BadRequestError(
             'the token counts or prompt segments are invalid'
         ) from error
-    model = find_header(scope, http_names.MODEL)
-    hint = find_header(scope, http_names.OUTPUT_LENGTH_HINT)
+    model = find(http_names.MODEL)
+    hint = find(http_names.OUTPUT_LENGTH_HINT)
     # An invalid hint is ignored, since the request is valid without it.
     is_number = hint.isascii() and hint.isdigit()
     expected_output_tokens = (
--- a/src/greengagegw/platform/http_names.py
+++ b/src/greengagegw/platform/http_names.py
@@ -47,6 +47,8 @@
         b'kv-fetch',
     }
 )
+# Headers of a client's request that no backend server gets unchanged.
+DROPPED_HEADERS = GATEWAY_HEADERS | {b'content-length'}
 # Headers that apply to one connection only (RFC 9110, section 7.6.1).
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -79,10 +81,17 @@
 
     Headers that a Connection header names are hop-by-hop as well.
     """
-    dropped = set(HOP_BY_HOP_HEADERS)
-    for name, value in headers:
-        if name.lower() == b'connection':
-            dropped |= {one.strip().lower() for one in value.split(b',')}
-    return [
-        (name, value) for name, value in headers if name.lower() not in dropped
-    ]
+    dropped = HOP_BY_HOP_HEADERS
+    kept = []
+    for one in headers:
+        name = one[0].lower()
+        if name == b'connection':
+            dropped = dropped.union(
+                part.strip().lower() for part in one[1].split(b',')
+            )
+        if name not in dropped:
+            kept.append(one)
+    if dropped is HOP_BY_HOP_HEADERS:
+        return kept
+    # A Connection header may name one that came before it.
+    return [one for one in kept if one[0].lower() not in dropped]
