Validate a configuration of the platform before it is sent

Operators learned of a route that never matches, or of limits that contradict each other, from callers, since such a configuration is valid and takes effect on all VMs within seconds.

--- a/src/greengagegw/cli/main.py
+++ b/src/greengagegw/cli/main.py
@@ -14,6 +14,7 @@
 # to save memory on the VMs.
 COMMANDS = {
     'check': 'serve',
+    'check-configuration': 'check_configuration',
     'explain': 'explain',
     'holds': 'holds',
     'keys': 'keys',
@@ -41,7 +42,7 @@
             return super().get_command(context, name)
         with imports.collection_paused():
             module = importlib.import_module(f'.{COMMANDS[name]}', __package__)
-        return getattr(module, name)
+        return getattr(module, name.replace('-', '_'))
 
     def invoke(self, context: click.Context) -> typing.Any:
         try:
