--- a/src/greengagegw/fleet/loads.py
+++ b/src/greengagegw/fleet/loads.py
@@ -37,14 +37,19 @@
     Each VM learns of the other VMs' requests with some delay, so the highest
     value that any of them reports is the best estimate.
     """
-    highest: dict[str, RegionLoad] = {}
+    highest: dict[str, list[float]] = {}
     for loads in reports:
         for service, load in loads.items():
-            known = highest.get(service, load)
-            highest[service] = RegionLoad(
-                max(known.wait, load.wait),
-                max(known.pace, load.pace),
-                max(known.speed, load.speed),
-                max(known.total_speed, load.total_speed),
-            )
-    return highest
+            known = highest.get(service)
+            if known is None:
+                highest[service] = load.pack()
+                continue
+            if load.wait > known[0]:
+                known[0] = load.wait
+            if load.pace > known[1]:
+                known[1] = load.pace
+            if load.speed > known[2]:
+                known[2] = load.speed
+            if load.total_speed > known[3]:
+                known[3] = load.total_speed
+    return unpack(highest)
