--- a/src/greengagegw/serving/competition.py
+++ b/src/greengagegw/serving/competition.py
@@ -58,8 +58,6 @@
 MAX_IDLE_SECONDS = 10.0
 # Reports stay short if their numbers are rounded.
 DECIMALS = 3
-
-
 # Times between two summaries of a service in the log.
 SUMMARY_SECONDS = 10.0
 SHORTAGE_SUMMARY_SECONDS = 1.0
--- a/src/greengagegw/serving/servers.py
+++ b/src/greengagegw/serving/servers.py
@@ -35,7 +35,7 @@
 # A server that sends nothing on any connection for this time beyond the
 # predicted wait gets no new requests while there are others. Longer than the
 # 0.6 s pauses that count as late.
-HESITATION_SECONDS = 0.75
+SUSPECT_SECONDS = 0.75
 # After this time, it is ejected and what it has not begun is sent elsewhere.
 # Healthy servers may be silent for about one second.
 SILENCE_TIMEOUT_SECONDS = 1.2
@@ -128,7 +128,7 @@
         self.ejected_until = 0.0
         self.ejections = 0
         self.needs_probe = False
-        self.is_hesitating = False
+        self.is_suspect = False
         self.cold_until = 0.0
         self.paused_until = 0.0
         self.pacer = send_pacing.SendPacer()
@@ -475,7 +475,7 @@
 
     :param region_by_domain: the region of each failure domain.
     :ivar servers: servers by name, including those lost from the list.
-    :ivar has_hesitating: whether any server has been silent for so long that
+    :ivar has_suspects: whether any server has been silent for so long that
         it gets no new requests while there are others.
     :ivar listed_at: timer seconds at which each server was last listed.
     :ivar usable_instances: those of ``filtered_list`` in this region, by
@@ -495,7 +495,7 @@
         self.region = region
         self.region_by_domain = region_by_domain
         self.servers: dict[str, Server] = {}
-        self.has_hesitating = False
+        self.has_suspects = False
         self.listed_at: dict[str, float] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.moved: set[str] = set()
@@ -591,14 +591,14 @@
         for server in self.servers.values():
             silent_seconds = server.silent_seconds(now)
             timeout = server.silence_timeout
-            server.is_hesitating = (
+            server.is_suspect = (
                 silent_seconds
-                > timeout - SILENCE_TIMEOUT_SECONDS + HESITATION_SECONDS
+                > timeout - SILENCE_TIMEOUT_SECONDS + SUSPECT_SECONDS
             )
             if silent_seconds > timeout:
                 server.eject_silent(now)
-        self.has_hesitating = any(
-            one.is_hesitating for one in self.servers.values()
+        self.has_suspects = any(
+            one.is_suspect for one in self.servers.values()
         )
 
     def is_present(self, instance: instances.Instance) -> bool:
@@ -785,8 +785,8 @@
             usable = [
                 one for one in usable if one.instance.name not in excluded
             ]
-        if self.has_hesitating:
-            return [one for one in usable if not one.is_hesitating] or usable
+        if self.has_suspects:
+            return [one for one in usable if not one.is_suspect] or usable
         return usable
 
     def listed_servers(self, service: configurations.Service) -> list[Server]:
