Do not report a request as not run that an earlier server may have run

Callers saw: 503 with the promise that the request has not run, for idempotent calls and streams that a server had run whose response was lost.

Cause: a retry that a second server, or another region, rejected replaced the first failure, whatever was known of that one. The dispatcher preferred the failure with a Retry-After, which only a rejection has.

Change: once a failure says that the request may have run, it stays the one that is reported, within a region and between regions. A failure for silence is reported as a timeout then, since the retry that was acquired for it is used up.

Why it works: what the client gets is 'not run' only if each server and VM that got the request said so. Non-idempotent calls were not affected, as they are not sent again after such a failure.

features/serving/dispatch.feature, new outline of six cases: five failed before, all pass. dispatch, lost_servers, retries, brittle: 122 passed.

--- a/features/serving/dispatch.feature
+++ b/features/serving/dispatch.feature
@@ -34,6 +34,24 @@
       | stream    | 2            | disconnects after 2 events    | a truncated response  | 1        |
       | stream    | 2            | disconnects before responding | an unknown outcome    | 1        |
 
+  Scenario Outline: A request that may have run is not reported as not run
+    The rejection by the last server used to hide that an earlier one had got
+    the request and may have run it.
+
+    Given <regions>
+    And a <kind> route with <max_attempts> attempts
+    When a request is sent to a server that <fault>
+    Then the caller gets an unknown outcome
+
+    Examples:
+      | regions                                          | kind      | max_attempts | fault |
+      | 1 region with 2 engines and 1 entry VM           | safe      | 2 | disconnects before responding, then to one that is full |
+      | 1 region with 2 engines and 1 entry VM           | safe      | 3 | disconnects before responding, then to one that is unreachable |
+      | 1 region with 2 engines and 1 entry VM           | resumable | 2 | disconnects before the first event, then to one that is full |
+      | 1 region with 2 engines and 1 entry VM           | safe      | 2 | is silent, then to one that is full |
+      | region a with 1 engine and region b with 1 engine | safe      | 2 | disconnects before responding, then to one that is full |
+      | region a without engines and region b with 2 engines | safe   | 3 | disconnects before responding, then to one that is full |
+
   Scenario Outline: A stream cut off by an orderly close does not look complete
     Given <regions>
     And a <kind> route with <max_attempts> attempts
--- a/features/steps/serving.py
+++ b/features/steps/serving.py
@@ -53,6 +53,11 @@
     enter(context, {'a': (0, 1), 'b': (1, 1)})
 
 
+@behave.given('region a with 1 engine and region b with 1 engine')
+def given_equal_regions(context):
+    enter(context, {'a': (1, 1), 'b': (1, 1)})
+
+
 @behave.given('region a without engines and region b with {engines:d} engines')
 def given_larger_region(context, engines):
     enter(context, {'a': (0, 1), 'b': (engines, 1)})
@@ -85,10 +90,11 @@
 @in_fleet
 async def when_request(context, fault):
     world = context.serving
-    fault = FAULTS.get(fault, fault)
-    if fault is not None:
-        # The server that is chosen first has the fault.
-        faults = [fault]
+    faults = [
+        FAULTS.get(one, one) for one in fault.split(', then to one that ')
+    ]
+    if faults != [None]:
+        # The servers have the faults in the order in which they are chosen.
         for engine in world.engines.values():
             engine.pending_faults = faults
     prompt = None if context.is_plain else PROMPT
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -429,10 +429,13 @@
     def preferred_failure(
         known: errors.GatewayError | None, new: errors.GatewayError
     ) -> errors.GatewayError:
-        """Returns the one of two failures to report to the client."""
+        """Returns the one of two failures to report to the client.
+
+        A request that may have run is not reported as not run.
+        """
         if known is None or new.run != errors.NOT_RUN:
             return new
-        if new.retry_after is None:
+        if known.run != errors.NOT_RUN or new.retry_after is None:
             return known
         if known.retry_after is None or new.retry_after < known.retry_after:
             return new
--- a/src/greengagegw/serving/execution.py
+++ b/src/greengagegw/serving/execution.py
@@ -105,7 +105,10 @@
                 if response.status == 200 and self.job.route.is_stream:
                     return await self.await_first_event(response)
             except errors.GatewayError as error:
-                failure = error
+                # Once the request may have run, it is not reported as not
+                # run, whatever later servers say.
+                if failure is None or failure.run == errors.NOT_RUN:
+                    failure = error
                 await self.close()
                 # A retry was acquired when the silent server was ejected.
                 is_rerouted = isinstance(
@@ -113,7 +116,12 @@
                 )
                 if is_rerouted or self.planner.acquire_retry(self.job, error):
                     continue
-                raise
+                if isinstance(failure, errors.BackendUnresponsiveError):
+                    # The retry that was acquired for it is used up.
+                    failure = errors.BackendTimeoutError(failure.message)
+                if failure is error:
+                    raise
+                raise failure from error
             if response.status in RETRY_STATUSES and self.has_alternative():
                 if self.planner.acquire_retry(self.job, None):
                     await self.close()
