Exchange the sums of competing organisations only during a shortage

Cause: the sums were in each report, for each organisation, class and route of each service, with names of some 20 bytes and numbers of 9.

Change: VMs report sums only while one of them rejects requests or has promised returns, which its own sums or those of the others show. Names are short, numbers are integers, and those of 0 are left out.

Why it works: nobody divides the capacity while nothing is rejected.

--- a/features/serving/fair_shares.feature
+++ b/features/serving/fair_shares.feature
@@ -53,6 +53,15 @@
     When the first VM is lost for 2.6 seconds
     Then the other VMs no longer count its work
 
+  Scenario: VMs exchange sums only during a shortage, and few bytes
+    Sums in each report took most of the bandwidth of the relays, so that
+    requests of clients were late there.
+
+    When 16 organisations send requests to 2 services of 3 VMs
+    Then the VMs exchange no sums
+    When one request in ten is rejected
+    Then 60 messages a second with the sums of 2 services take less than a fifth of a link of 5 Mbit/s
+
   Scenario: Sums of other services and of later releases are ignored
     When a VM receives sums of another service, of an unknown kind and without a name
     Then it knows the sums of its own service only
--- a/features/steps/fair_shares.py
+++ b/features/steps/fair_shares.py
@@ -6,6 +6,7 @@
 import anyio
 import behave
 import eliot
+import msgpack
 
 from features import load_patterns
 from greengagegw.fleet import agent as agents
@@ -242,8 +243,9 @@
         **competition.pack_sums('desk', pairs),
         **competition.pack_sums('engine', {'later': {'one': (3.0, 3.0)}}),
         'share': 3.0,
-        'org\n5\nengine\none': 4.0,
-        competition.CLASS + '\n0\nengine\nurgent': 5.0,
+        competition.sum_name(competition.ORGANISATION, 5, 'engine', 'one'): 4,
+        competition.sum_name(competition.ORGANISATION, 0, 'engine', ''): 4,
+        competition.sum_name(competition.CLASS, 0, 'engine', 'urgent'): 5,
     }
     context.competition = competition.ServiceCompetition(
         'engine', 0.0, lambda: sums
@@ -289,6 +291,50 @@
     assert not all(precedes)
 
 
+@behave.when('16 organisations send requests to 2 services of {count:d} VMs')
+def when_many_organisations(context, count):
+    context.vms = ExchangingVms(count)
+    context.vms.sizes = []
+    record_many(context, is_served=True)
+
+
+@behave.when('one request in ten is rejected')
+def when_some_rejected(context):
+    record_many(context, is_served=False)
+
+
+def record_many(context, is_served):
+    vms = context.vms
+    for one in vms.competitions.values():
+        one.recorded_at = vms.now
+        for at in range(16):
+            for rank in range(4):
+                one.balance.record(rank, True, vms.now)
+            one.shares.record(f'organisation-{at}', 0, 0.5, True, vms.now)
+            one.shares.record(
+                f'organisation-{at}', 0, 0.05, is_served, vms.now
+            )
+            if not is_served:
+                one.schedule.record_promise(f'r-{at % 4}', 0.1, 9.0, vms.now)
+    vms.advance(0.3)
+    context.sums = next(iter(vms.competitions.values())).local_sums(vms.now)
+
+
+@behave.then('the VMs exchange no sums')
+def then_no_sums(context):
+    assert not context.sums, context.sums
+
+
+@behave.then(
+    '60 messages a second with the sums of 2 services take less than a fifth'
+    ' of a link of {megabits:d} Mbit/s'
+)
+def then_short(context, megabits):
+    size = len(msgpack.packb(context.sums))
+    assert context.sums
+    assert 60 * 2 * 8 * size < megabits * 1e6 / 5, size
+
+
 FAILURES = {
     'reports that are 1 s late': {'delay': 1.0},
     'reports that are ten times too high': {'factor': 10.0},
--- a/src/greengagegw/serving/competition.py
+++ b/src/greengagegw/serving/competition.py
@@ -7,9 +7,12 @@
 import collections
 import collections.abc
 import dataclasses
+import functools
 import math
 import typing
 
+import xxhash
+
 from . import admission
 from . import fair_shares
 from . import retry_schedule
@@ -46,17 +49,22 @@
 
 # Kinds of the sums that VMs exchange: work asked for and served, by
 # organisation; requests asked for and admitted, by class; and promised and
-# admitted returns, by route.
-ORGANISATION = 'org'
-CLASS = 'class'
-RETURNS = 'returns'
-SEPARATOR = '\n'
+# admitted returns, by route. The names of the sums are short, since relays
+# send them to many VMs, on links of 5 Mbit/s for example.
+ORGANISATION = 'o'
+CLASS = 'c'
+RETURNS = 'r'
+SERVICE_DIGEST_CHARACTERS = 4
+MAX_KNOWN_SERVICES = 256
+SUMS_PER_UNIT = 1000
+# Rejected work, in decaying server seconds, above which VMs exchange sums.
+MIN_REJECTED_WORK = 0.02
 # The sums of the others are read again after this time, since VMs report that
 # often.
 REFRESH_SECONDS = 0.1
 # A VM without requests for this time reports no sums; they are small by then.
 MAX_IDLE_SECONDS = 10.0
-# Reports stay short if their numbers are rounded.
+# Decimals of the numbers in the log.
 DECIMALS = 3
 # Times between two summaries of a service in the log.
 SUMMARY_SECONDS = 10.0
@@ -117,18 +125,31 @@
         }
 
     def local_sums(self, now: float) -> dict[str, float]:
-        """Returns the sums of this VM for the other ones, by name."""
+        """Returns the sums of this VM for the other ones, by name.
+
+        There are none unless this VM or another one rejects requests, or has
+        promised returns: otherwise nobody divides the capacity.
+        """
         if now - self.recorded_at > MAX_IDLE_SECONDS:
             return {}
+        self.refresh(now)
+        organisations = self.shares.local_sums(now)
+        returns = self.schedule.local_returns(now)
+        if not (
+            returns
+            or has_rejections(organisations)
+            or has_rejections(self.peer_pairs.get(ORGANISATION, {}))
+        ):
+            return {}
         return pack_sums(
             self.service,
             {
-                ORGANISATION: self.shares.local_sums(now),
+                ORGANISATION: organisations,
                 CLASS: {
                     str(rank): counts
                     for rank, counts in self.balance.local_counts(now).items()
                 },
-                RETURNS: self.schedule.local_returns(now),
+                RETURNS: returns,
             },
         )
 
@@ -297,15 +318,39 @@
         return refusal if pause is None else pause
 
 
+def has_rejections(organisations: fair_shares.Sums) -> bool:
+    """Returns whether organisations asked for more work than was served."""
+    return any(
+        asked - served > MIN_REJECTED_WORK
+        for asked, served in organisations.values()
+    )
+
+
+@functools.lru_cache(MAX_KNOWN_SERVICES)
+def service_digest(service: str) -> str:
+    """Returns a short name of a service, the same on all VMs."""
+    digest = xxhash.xxh32_hexdigest(service.encode())
+    return digest[:SERVICE_DIGEST_CHARACTERS]
+
+
+def sum_name(kind: str, at: int, service: str, name: str) -> str:
+    """Returns the name of one number of a pair in a report."""
+    return f'{kind}{at}{service_digest(service)}{name}'
+
+
 def pack_sums(
     service: str, pairs: dict[str, dict[str, tuple[float, float]]]
 ) -> dict[str, float]:
-    """Returns pairs of sums, by kind and name, as numbers by a single name."""
+    """Returns pairs of sums, by kind and name, as numbers by a single name.
+
+    Numbers are integers, which take less bytes, and those of 0 are left out.
+    """
     return {
-        SEPARATOR.join((kind, str(at), service, name)): round(value, DECIMALS)
+        sum_name(kind, at, service, name): number
         for kind, by_name in pairs.items()
         for name, pair in by_name.items()
         for at, value in enumerate(pair)
+        if (number := round(value * SUMS_PER_UNIT))
     }
 
 
@@ -316,12 +361,13 @@
     pairs: dict[str, dict[str, tuple[float, float]]] = collections.defaultdict(
         dict
     )
-    for key, value in sums.items():
-        kind, _, rest = key.partition(SEPARATOR)
-        at, _, rest = rest.partition(SEPARATOR)
-        name = rest.removeprefix(service + SEPARATOR)
-        if at not in ('0', '1') or name == rest:
+    digest = service_digest(service)
+    begin = 2 + SERVICE_DIGEST_CHARACTERS
+    for key, number in sums.items():
+        kind, at, name = key[:1], key[1:2], key[begin:]
+        if at not in ('0', '1') or key[2:begin] != digest or not name:
             continue
+        value = number / SUMS_PER_UNIT
         first, second = pairs[kind].get(name, (0.0, 0.0))
         pairs[kind][name] = (value, second) if at == '0' else (first, value)
     return pairs
--- a/src/greengagegw/serving/retry_schedule.py
+++ b/src/greengagegw/serving/retry_schedule.py
@@ -51,6 +51,8 @@
 # Least number of promises left for a return to count as promised. Less than 1,
 # since promises decay until the client returns.
 MIN_BALANCE = 0.5
+# Promises and returns that have decayed to less are not reported.
+MIN_REPORTED = 0.01
 # Returns in excess of the promises count longer, so that clients that return
 # although they were sent away displace few new requests.
 EXCESS_EXPIRY_SECONDS = 30.0
@@ -269,7 +271,7 @@
         for name, known in self.classes.items():
             known.expire_promises(now)
             known.credit.decay(now)
-            if known.credit.due or known.credit.used:
+            if max(known.credit.due, known.credit.used) > MIN_REPORTED:
                 returns[name] = (known.credit.due, known.credit.used)
         return returns
 
