--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,6 @@
-"""An entry of another writer hides all changes of the list of runners."""
+"""An order that its operator gave up is carried out after later orders."""
 
 import asyncio
-import os
 import pathlib
 import sys
 import time
@@ -10,40 +9,51 @@
 
 import standins
 
-ZONE = 'piedmont-a'
-# Entries of another writer. The first one is of a service that isn't named
-# and has a slots field that is no integer; the second one's name is no text.
-ENTRIES = {
-    'number': b'{"service":"of-another-writer","address":"127.0.0.1:9",'
-    b'"zone":"elsewhere","slots":1e30,"state":"ready","id":"x-1"}',
-    'bytes': b'{"id":"\xff\xfe\x80","service":7}',
-}
-ENTRY = ENTRIES[os.environ.get('ENTRY', 'number')]
+ZONE = 'coastal-a'
+PATH = f'/-/evacuations/{ZONE}'
+# The site's own days freeze one core machine for 4.0 to 7.8 s.
+FREEZE_SECONDS = 7.8
+# From the first sending of an order to that of the opposite one: longer than
+# ackTimeoutMs, after which the first one is no longer sent.
+ORDER_PAUSE_SECONDS = 6.3
 
 
 async def run(deployment: standins.Deployment, has_trouble: bool) -> bool:
-    old = next(one for one in deployment.runners if one.zone == ZONE)
+    runner = next(one for one in deployment.runners if one.zone == ZONE)
+    leader = await deployment.find_leader()
+    frozen, *others = [one for one in deployment.controls if one is not leader]
+    others.append(leader)
     traffic = asyncio.create_task(deployment.send_steadily(30))
     await asyncio.sleep(1)
+    await deployment.order('POST', PATH, machines=others)
+    await asyncio.sleep(standins.EVACUATE_SECONDS + 1)
     if has_trouble:
-        deployment.platform.extra.append(ENTRY)
-        deployment.record.write(f'the list has another entry: {ENTRY!r}', True)
-    await asyncio.sleep(2)
-    # A release: the new runner starts first, then the old one drains.
-    new = deployment.add_runner(ZONE)
-    await new.start()
-    deployment.record.write(f'{new.name} is listed as ready', True)
-    await asyncio.sleep(3)
-    old.state = 'draining'
-    drained_at = time.monotonic()
-    deployment.record.write(f'{old.name} is listed as draining', True)
-    await asyncio.sleep(standins.DRAIN_SECONDS + 10)
+        frozen.stop()
+    frozen_at = time.monotonic()
+    await asyncio.sleep(0.2)
+    # The operator's first choice, which is silent for a second if frozen.
+    await deployment.order('DELETE', PATH, machines=[frozen, *others])
+    taken_back = 'taken back; the opposite order follows after 6.3 s in all'
+    deployment.record.write(f'{ZONE} is {taken_back}', True)
+    pause = frozen_at + 0.2 + ORDER_PAUSE_SECONDS - time.monotonic()
+    await asyncio.sleep(pause)
+    await deployment.order('POST', PATH, machines=others)
+    evacuated_at = time.monotonic()
+    deployment.record.write(f'{ZONE} is evacuated again', True)
+    await asyncio.sleep(max(0.0, frozen_at + FREEZE_SECONDS - evacuated_at))
+    if has_trouble:
+        frozen.go_on()
+    # The bound with its longest stretch, and until all are in touch again.
+    bound = max(
+        evacuated_at + standins.EVACUATE_SECONDS + standins.STRETCH_SECONDS,
+        frozen_at + FREEZE_SECONDS + standins.CONTACT_SECONDS,
+    )
+    await asyncio.sleep(bound + 12 - time.monotonic())
     traffic.cancel()
-    bound = drained_at + standins.DRAIN_SECONDS
-    late = [at for at, _ in old.runs if at > bound]
+    late = [at for at, _ in runner.runs if at > bound]
     deployment.record.write(
-        f'{len(late)} requests reached {old.name} later than 5 s after the'
-        f' list showed it as draining, {len(new.runs)} reached {new.name}',
+        f'{len(late)} requests reached the evacuated zone later than'
+        f' {bound - evacuated_at:.1f} s after the acknowledgement',
         True,
     )
     return not late
--- a/review/standins.py
+++ b/review/standins.py
@@ -583,10 +583,14 @@
     for _ in range(50):
         block = f'127.{random.randint(10, 250)}'
         try:
-            for last in (35, 14):
-                for port in (CONTROL_PORT, FRONT_PORT, INTERNAL_PORTS[0]):
-                    with socket.socket() as one:
-                        one.bind((f'{block}.1.{last}', port))
+            for last, port in (
+                ('1.35', CONTROL_PORT),
+                ('1.35', INTERNAL_PORTS[0]),
+                ('1.14', FRONT_PORT),
+                ('200.1', CLOUD_PORT),
+            ):
+                with socket.socket() as one:
+                    one.bind((f'{block}.{last}', port))
         except OSError:
             continue
         return block
