--- a/review/4/case.py
+++ b/review/4/case.py
@@ -50,6 +50,7 @@
     )
     await asyncio.sleep(bound + 12 - time.monotonic())
     traffic.cancel()
+    deployment.check_served(bound)
     late = [at for at, _ in runner.runs if at > bound]
     deployment.record.write(
         f'{len(late)} requests reached the evacuated zone later than'
--- a/review/standins.py
+++ b/review/standins.py
@@ -562,6 +562,15 @@
                     tasks.create_task(self.request(machine, 'GET'))
                     await asyncio.sleep(1 / per_second)
 
+    def check_served(self, since: float) -> None:
+        """Checks that the clients were served at all.
+
+        :raises CaseError: if they were not, so that nothing was tested.
+        """
+        served = sum(at > since for one in self.runners for at, _ in one.runs)
+        if served < 50:
+            raise CaseError(f'only {served} requests were run')
+
     def close(self) -> None:
         for machine in [*self.controls, *self.entries]:
             machine.kill()
@@ -618,8 +627,9 @@
     try:
         deployment = Deployment(data, record)
         has_held = asyncio.run(run())
-    except (CaseError, OSError) as error:
-        record.write(f'the case could not run: {error}', True)
+    except Exception as error:
+        # Any other exit code would be taken for a result.
+        record.write(f'the case could not run: {error!r}', True)
         return 2
     finally:
         if deployment is not None:
