Log who leads, who votes and why nobody leads

Responses that belong to another request are logged with server and reason. Nothing on the wire changes.

--- a/src/greengagegw/fleet/agent.py
+++ b/src/greengagegw/fleet/agent.py
@@ -332,6 +332,9 @@
                 eliot.log_message(
                     'evacuation:in_force',
                     domains=sorted(reply.evacuated_domains),
+                    before=sorted(view.evacuated_domains),
+                    changes=reply.changes,
+                    confirmed=reply.is_confirmed,
                 )
             view.evacuated_domains = reply.evacuated_domains
         self.apply_holds(reply)
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -29,6 +29,7 @@
 from . import quota_allocator
 from ..replication import client as replication_client
 from ..replication import replica as replicas
+from ..replication import status
 from . import retry_records
 from . import server_notices
 from . import store as stores
@@ -38,6 +39,7 @@
     [], collections.abc.Awaitable[tuple[instance_list.Instance, ...]]
 ]
 Decode = collections.abc.Callable[[bytes], configurations.Configuration]
+VERSIONS_INTERVAL_SECONDS = 30.0
 
 
 class InstanceListCache:
@@ -99,6 +101,7 @@
         self.summary_cache = fleet_summary.SummaryCache(
             self.registry, self.region_loads
         )
+        self.polled_versions: dict[str, int] = {}
         self.instance_cache = InstanceListCache()
         self.quota_allocator = quota_allocator.QuotaAllocator(
             timers, quota_debt
@@ -349,9 +352,23 @@
 
     # Entry VMs.
 
+    def log_versions(self) -> None:
+        """Logs what this VM and the entry VMs that poll it hold."""
+        eliot.log_message(
+            'roster:versions',
+            version=self.store.version,
+            evacuated=sorted(self.store.evacuated),
+            changes=self.store.changes,
+            entry_vms=self.polled_versions,
+        )
+
     async def maintain_registry(self) -> None:
+        logged_at = self.timers.now()
         while True:
             await self.timers.sleep(timing.POLL_INTERVAL_SECONDS)
+            if self.timers.now() - logged_at >= VERSIONS_INTERVAL_SECONDS:
+                logged_at = self.timers.now()
+                self.log_versions()
             configuration = self.configuration
             if self.replica.is_leader and configuration is not None:
                 self.quota_allocator.update_buckets(
@@ -360,6 +377,7 @@
             self.retry_records.remove_expired(self.timers.now())
             for entry in self.registry.remove_expired(self.timers.now()):
                 self.loads.pop(entry.vm, None)
+                self.polled_versions.pop(entry.vm, None)
                 self.summary_cache.invalidate()
                 eliot.log_message('roster:silent', vm=entry.vm)
 
@@ -411,6 +429,7 @@
         """Returns the state of the deployment, without what the VM has."""
         entry = self.record_heartbeat(message)
         held_versions = message[2]
+        self.polled_versions[entry.vm] = held_versions['version']
         is_confirmed = False
         code = 'not_in_time'
         try:
@@ -423,7 +442,13 @@
         except errors.GatewayError as error:
             code = error.code
         if not is_confirmed:
-            eliot.log_message('poll:not_confirmed', vm=entry.vm, code=code)
+            eliot.log_message(
+                'poll:not_confirmed',
+                vm=entry.vm,
+                code=code,
+                leader=self.replica.leader,
+                leaderless=round(status.leaderless_seconds(self.replica), 3),
+            )
         now = self.timers.now()
         summary = self.summary_cache.get(now)
         reply = {
--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -233,6 +233,7 @@
     echoed = headers.get(http_names.REQUEST_ID, b'').decode('latin-1')
     # A second copy of a rejection says nothing of this request.
     if echoed and echoed != request_id:
+        log_foreign_response(instance, request_id, response, 'another ID')
         raise errors.BackendError(
             f'{instance.name} responded with another request ID'
         )
@@ -248,6 +249,7 @@
             ),
         )
     if not echoed:
+        log_foreign_response(instance, request_id, response, 'no ID')
         raise errors.BackendError(
             f'{instance.name} responded without the request ID'
         )
@@ -259,6 +261,21 @@
         )
 
 
+def log_foreign_response(
+    instance: instances.Instance,
+    request_id: str,
+    response: backend_connection.Response,
+    reason: str,
+) -> None:
+    eliot.log_message(
+        'backend:foreign_response',
+        request=request_id,
+        server=instance.name,
+        status=response.status,
+        reason=reason,
+    )
+
+
 def ends_by_close(
     method: bytes,
     response: backend_connection.Response,
--- a/src/greengagegw/platform/control_role.py
+++ b/src/greengagegw/platform/control_role.py
@@ -17,6 +17,8 @@
 from . import operator_application
 from . import process as processes
 from ..replication import replica as replicas
+from ..replication import roles as replica_roles
+from ..replication import status
 from ..replication import storage as log_storage
 from . import settings as platform_settings
 
@@ -53,6 +55,36 @@
         'Entries of the log that a majority holds',
         lambda: replica.commit_index,
     )
+    add_gauge(
+        'greengagegw_replica_leaderless_seconds',
+        'Seconds since a leader of the control group was heard, 0 if one is',
+        lambda: status.leaderless_seconds(replica),
+    )
+    add_gauge(
+        'greengagegw_replica_voters',
+        'Voters of the control group',
+        lambda: len(replica.members.voters),
+    )
+    add_gauge(
+        'greengagegw_replica_learners',
+        'Members of the control group that do not vote',
+        lambda: len(replica.members.members) - len(replica.members.voters),
+    )
+    add_gauge(
+        'greengagegw_replica_silent_voters',
+        'Voters that do not reply to this VM, if it leads',
+        lambda: len(status.silent_voters(replica)),
+    )
+    add_gauge(
+        'greengagegw_replica_failed',
+        'Whether the disk of this replica has failed',
+        lambda: replica.role is replica_roles.Role.FAILED,
+    )
+    add_gauge(
+        'greengagegw_evacuated_domains',
+        'Failure domains that are evacuated',
+        lambda: len(control.store.evacuated),
+    )
     add_gauge(
         'greengagegw_instance_list_age_seconds',
         'Age of the list of backend servers',
--- a/src/greengagegw/platform/roles.py
+++ b/src/greengagegw/platform/roles.py
@@ -194,6 +194,11 @@
         'Version of the configuration in force',
         lambda: view.version,
     )
+    add_gauge(
+        'greengagegw_evacuated_domains',
+        'Failure domains that are evacuated',
+        lambda: len(view.evacuated_domains),
+    )
     add_gauge(
         'greengagegw_lease_seconds_left',
         'Seconds for which keys are accepted without another answer',
--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -59,6 +59,7 @@
         term=replica.term + 1,
         silence=round(replica.timers.now() - replica.last_contact_at, 3),
         supported=won_pre_vote,
+        **replica.last_votes,
     )
     # During the pre-vote, it may have voted for another candidate or
     # received a message of a leader.
@@ -96,6 +97,7 @@
     votes = {replica.vm}
     others = set(replica.members.voters) - votes
     pending = set(others)
+    refused: set[str] = set()
     finished = anyio.Event()
 
     async def request_vote(vm: str) -> None:
@@ -105,9 +107,11 @@
             )
             if granted and replica.is_current_member(vm, incarnation):
                 votes.add(vm)
-            elif peer_term > replica.term:
-                async with replica.lock_storage():
-                    await replica.adopt_term(peer_term)
+            else:
+                refused.add(vm)
+                if peer_term > replica.term:
+                    async with replica.lock_storage():
+                        await replica.adopt_term(peer_term)
         pending.discard(vm)
         if not pending or replica.members.is_majority(votes):
             finished.set()
@@ -115,9 +119,13 @@
     async with anyio.create_task_group() as tasks:
         for vm in sorted(others):
             tasks.start_soon(request_vote, vm)
-        if replica.members.is_majority(votes):
-            return True
-        with replica.timers.move_on_after(VOTE_TIMEOUT_SECONDS):
-            await finished.wait()
-        tasks.cancel_scope.cancel()
+        if not replica.members.is_majority(votes):
+            with replica.timers.move_on_after(VOTE_TIMEOUT_SECONDS):
+                await finished.wait()
+            tasks.cancel_scope.cancel()
+    replica.last_votes = {
+        'granted': sorted(votes),
+        'refused': sorted(refused),
+        'silent': sorted(others - votes - refused),
+    }
     return replica.members.is_majority(votes)
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -29,6 +29,7 @@
 from ..ports import peers
 from . import roles
 from . import startup
+from . import status
 from . import storage as log_storage
 from . import timing
 
@@ -122,6 +123,8 @@
         self.applied_index = 0
         self.last_contact_at = timers.now()
         self.last_campaign_at = timers.now()
+        self.leader_heard_at = timers.now()
+        self.last_votes: dict[str, list[str]] = {}
         self.contact_times: dict[str, float] = {}
         self.match_index: dict[str, int] = {}
         self.sent_commit_index: dict[str, int] = {}
@@ -212,6 +215,7 @@
             self.is_loaded = True
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
+            tasks.start_soon(status.log_status, self)
             await startup.start_up(self)
             tasks.start_soon(self.run_election_timer)
             tasks.start_soon(self.write_proposals)
@@ -343,6 +347,7 @@
             self.leader_scope = None
         if self.role is roles.Role.LEADER:
             self.leader = None
+            self.leader_heard_at = self.timers.now()
             eliot.log_message('replica:step_down', group=self.group)
         if self.failure is None:
             self.role = roles.Role.FOLLOWER
@@ -434,32 +439,50 @@
             message
         )
         if self.role in (roles.Role.STARTING, roles.Role.FAILED):
+            self.log_refused_vote(candidate, term, self.role.value)
             return [self.term, False, '']
         async with self.lock_storage():
             if not self.is_current_member(candidate, incarnation):
+                self.log_refused_vote(candidate, term, 'not a member')
                 return [self.term, False, self.incarnation]
             silence = self.timers.now() - self.last_contact_at
             has_leader = self.leader is not None and (
                 self.is_leader or silence < self.timeouts.election_seconds
             )
             if has_leader or term < self.term:
+                reason = 'has a leader' if has_leader else 'old term'
+                self.log_refused_vote(candidate, term, reason)
                 return [self.term, False, self.incarnation]
             own_last_index = self.storage.last_index
             is_log_current = (last_term, last_index) >= (
                 self.storage.term_at(own_last_index),
                 own_last_index,
             )
+            if not is_log_current:
+                self.log_refused_vote(candidate, term, 'shorter log')
             if is_pre_vote:
                 return [self.term, is_log_current, self.incarnation]
             await self.adopt_term(term)
             if not is_log_current:
                 return [self.term, False, self.incarnation]
             if self.storage.meta.voted_for not in ('', candidate):
+                self.log_refused_vote(candidate, term, 'has voted')
                 return [self.term, False, self.incarnation]
             await self.storage.save_meta(voted_for=candidate)
             self.last_contact_at = self.timers.now()
             return [self.term, True, self.incarnation]
 
+    def log_refused_vote(self, candidate: str, term: int, reason: str) -> None:
+        eliot.log_message(
+            'replica:vote_refused',
+            group=self.group,
+            candidate=candidate,
+            term=term,
+            own_term=self.term,
+            leader=self.leader,
+            reason=reason,
+        )
+
     async def become_leader(self) -> None:
         """Becomes the leader and starts replicating to the members."""
         self.role = roles.Role.LEADER
@@ -719,7 +742,7 @@
         if self.role is not roles.Role.FOLLOWER:
             self.become_follower()
         self.leader = leader
-        self.last_contact_at = self.timers.now()
+        self.last_contact_at = self.leader_heard_at = self.timers.now()
 
     async def append_entries(self, added: list[log_entries.Entry]) -> None:
         """Appends new entries after truncating conflicting ones."""
