--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,11 @@
 BIN = $(VENV)/bin
 # Commit that `make bench` compares the working tree with.
 BASE ?= 7249eb6
+# First seed and number of seeds of `make soak`.
+SEED ?= 1
+SEEDS ?= 1
 
-.PHONY: demo test lint format binary bench capacity experiment clean
+.PHONY: demo test soak lint format binary bench capacity experiment clean
 
 $(VENV)/installed: requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -18,9 +21,13 @@
 test: $(VENV)/installed lint binary
 	$(BIN)/python -m features.run
 
+# Options are in `python -m soak --help`.
+soak: $(VENV)/installed
+	$(BIN)/python -m soak --seed $(SEED) --seeds $(SEEDS) --keep soak-failures
+
 lint: $(VENV)/installed
 	$(BIN)/ruff format --check --quiet .
-	$(BIN)/flake8 src standins demo features $(wildcard bench)
+	$(BIN)/flake8 src standins demo features soak $(wildcard bench)
 
 format: $(VENV)/installed
 	$(BIN)/ruff format --quiet .
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,181 @@
+"""Command line of the soak."""
+
+import json
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+import anyio
+import click
+
+from . import checks
+from . import deployment as deployments
+from . import faults as fault_schedules
+from . import record as records
+from . import traffic
+
+CALM_SECONDS = 14.0
+READY_SECONDS = 40.0
+SCENARIOS = ('mixed', 'replacements')
+
+
+class SoakError(Exception):
+    """The soak could not run."""
+
+
+async def wait_ready(clients, operator, deployment, record) -> None:
+    """Waits until a first configuration is stored and served.
+
+    :raises SoakError: if it is not within READY_SECONDS.
+    """
+    with anyio.move_on_after(READY_SECONDS):
+        await operator.put()
+        for machine in deployment.entries:
+            while await clients.send(machine, 'safe') != 200:
+                await anyio.sleep(0.3)
+        return
+    raise SoakError('the deployment did not start')
+
+
+async def stay_calm(operator, deployment, clients, record) -> None:
+    """Lets the deployment settle, and reads everything back."""
+    may_order = operator.may_order
+    await anyio.sleep(CALM_SECONDS - checks.CONFIG_APPLY_SECONDS)
+    operator.may_order = False
+    await anyio.sleep(checks.CONFIG_APPLY_SECONDS)
+    for machine in list(deployment.controls):
+        await operator.read(machine)
+    # An order that is not acknowledged may be in force or not.
+    if not operator.is_ordering:
+        path = f'/v/{operator.version}/one'
+        for machine in deployment.entries:
+            status = await clients.send(machine, 'safe', path)
+            if status in (401, 403, 404):
+                record.wrong_routes.append(
+                    f'{machine.name} answered {status} to the route added by'
+                    f' version {operator.version} at {record.now():.2f}'
+                )
+    operator.may_order = may_order
+
+
+async def run_seed(seed: int, options: dict, folder: pathlib.Path) -> list:
+    """Runs one seed and returns the violations."""
+    rng = random.Random(seed)
+    record = records.Record()
+    notes = open(folder / 'notes.txt', 'w', encoding='utf-8')
+
+    def log(text: str) -> None:
+        notes.write(f'{record.now():9.3f} {time.time():.3f} {text}\n')
+        notes.flush()
+
+    async with anyio.create_task_group() as tasks:
+        deployment = deployments.Deployment(
+            folder,
+            pathlib.Path(options['root']).resolve(),
+            record,
+            random.Random(seed + 1),
+            tasks,
+            options['controls'],
+            options['entries'],
+        )
+        clients = traffic.Clients(
+            deployment,
+            record,
+            random.Random(seed + 2),
+            tasks,
+            options['per_second'],
+        )
+        operator = traffic.Operator(deployment, record, random.Random(seed))
+        injector = fault_schedules.Injector(deployment, record, rng, log)
+        try:
+            await deployment.start(2)
+            tasks.start_soon(deployment.watch_processes)
+            await wait_ready(clients, operator, deployment, record)
+            record.disturbances.append(
+                records.Disturbance('start', 0.0, record.now())
+            )
+            for task in (
+                clients.run,
+                operator.follow_list,
+                operator.run,
+                operator.read_at_random,
+            ):
+                tasks.start_soon(task)
+            for _ in range(options['rounds']):
+                if options['scenario'] == 'replacements':
+                    await injector.replace_repeatedly(rng.randint(1, 3))
+                else:
+                    schedule = fault_schedules.draw_round(rng)
+                    await injector.run_round(schedule)
+                await stay_calm(operator, deployment, clients, record)
+            if options['scenario'] == 'replacements':
+                await injector.replace_repeatedly(rng.randint(1, 3))
+            await injector.final_fault(rng.choice([1, 2, 2]))
+            operator.may_order = False
+            await stay_calm(operator, deployment, clients, record)
+            await anyio.sleep(checks.CONTACT_SECONDS)
+        finally:
+            deployment.stop()
+            tasks.cancel_scope.cancel()
+    notes.close()
+    found = checks.check(record)
+    served = sum(200 <= one.status < 300 for one in record.requests)
+    summary = {
+        'seed': seed,
+        'requests': len(record.requests),
+        'served': served,
+        'runs': len(record.runs),
+        'orders': len(record.orders),
+        'reads': len(record.reads),
+        'disturbances': len(record.disturbances),
+        'seconds': round(record.now(), 1),
+        'violations': found,
+    }
+    (folder / 'summary.json').write_text(json.dumps(summary, indent=1))
+    return found
+
+
+@click.command()
+@click.option('--seed', default=1, help='First seed.')
+@click.option('--seeds', default=1, help='Number of seeds.')
+@click.option('--rounds', default=2, help='Rounds of faults in each run.')
+@click.option('--controls', default=5, help='Number of control VMs.')
+@click.option('--entries', default=4, help='Number of entry VMs.')
+@click.option('--per-second', default=25.0, help='Requests per second.')
+@click.option('--scenario', type=click.Choice(SCENARIOS), default='mixed')
+@click.option(
+    '--root',
+    default=str(deployments.ROOT),
+    help='Checkout whose program is run.',
+)
+@click.option('--keep', help='Folder for the logs of failed runs.')
+def main(seed: int, seeds: int, keep: str | None, **options) -> None:
+    """Runs the platform's programs under faults and checks the promises."""
+    # The processes have to end with this one.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    failed = 0
+    for one in range(seed, seed + seeds):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
+        try:
+            found = anyio.run(run_seed, one, options, folder)
+        except* SoakError as group:
+            found = [f'FAULT: {error}' for error in group.exceptions]
+        click.echo(f'seed {one}: {"failed" if found else "passed"}')
+        for line in found:
+            click.echo(f'  {line}')
+        failed += bool(found)
+        if found and keep:
+            target = pathlib.Path(keep) / f'{options["scenario"]}-{one}'
+            shutil.rmtree(target, ignore_errors=True)
+            shutil.copytree(folder, target)
+        shutil.rmtree(folder, ignore_errors=True)
+    click.echo(f'{seeds - failed} passed, {failed} failed')
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,208 @@
+"""The promises of the platform's rules, checked on a record.
+
+Each check returns a line for each violation. The bounds are those of the
+deployment's settings.
+"""
+
+import collections
+
+from . import record as records
+
+CONTACT_SECONDS = 5.0
+ACK_SECONDS = 6.0
+CONFIG_APPLY_SECONDS = 3.0
+EVACUATE_SECONDS = 5.0
+RECOVERY_SECONDS = 12.0
+MIN_SERVED_SHARE = 0.25
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+MAX_LINES = 5
+
+
+def check(record: records.Record) -> list[str]:
+    """Returns the violations of all promises."""
+    found = []
+    for one in CHECKS:
+        lines = one(record)
+        found += lines[:MAX_LINES]
+        if len(lines) > MAX_LINES:
+            found.append(f'({len(lines) - MAX_LINES} more of the last kind)')
+    return found
+
+
+def is_calm(record: records.Record, begin: float, end: float) -> bool:
+    """Returns whether nothing was disturbed in a span of time."""
+    return all(
+        one.ended_at < begin or one.began_at > end
+        for one in record.disturbances
+    )
+
+
+def check_responses(record: records.Record) -> list[str]:
+    return [
+        f'MIXED: {one.attempt} got the response to another request, or a part'
+        f' of one, from {one.entry_vm} at {one.sent_at:.2f}'
+        for one in record.requests
+        if 200 <= one.status < 300 and not one.is_own
+    ]
+
+
+def check_runs(record: records.Record) -> list[str]:
+    runs = collections.Counter(one.attempt for one in record.runs)
+    found = []
+    for one in record.requests:
+        if one.kind != 'unsafe':
+            continue
+        count = runs[one.attempt]
+        if count > 1:
+            found.append(f'TWICE: {one.attempt} ran {count} times')
+        if count and one.status in NOT_RUN_STATUSES:
+            found.append(
+                f'REFUSED: {one.attempt} ran and was answered {one.status} by'
+                f' {one.entry_vm} at {one.ended_at:.2f}'
+            )
+    return found
+
+
+def acknowledged_version(record: records.Record, before: float) -> int:
+    """Returns the newest version acknowledged before a time."""
+    return max(
+        (
+            int(one.subject)
+            for one in record.orders
+            if one.name == 'put'
+            and one.acknowledged_at is not None
+            and one.acknowledged_at < before
+        ),
+        default=0,
+    )
+
+
+def check_reads(record: records.Record) -> list[str]:
+    found = []
+    for one in record.reads:
+        if one.version is None:
+            continue
+        bound = one.sent_at - CONFIG_APPLY_SECONDS
+        newest = acknowledged_version(record, bound)
+        if one.version < newest:
+            found.append(
+                f'CONFIG: {one.control_vm} answered version {one.version} at'
+                f' {one.sent_at:.2f}, after {newest} was acknowledged'
+            )
+        if not one.has_sent_content:
+            found.append(
+                f'CONFIG: {one.control_vm} answered other content for version'
+                f' {one.version}'
+            )
+    return found
+
+
+def check_answers(record: records.Record) -> list[str]:
+    """Checks that some control VM answers reads in calm times."""
+    found = []
+    silent_since = None
+    for one in sorted(record.reads, key=lambda read: read.sent_at):
+        begin = one.sent_at - CONTACT_SECONDS
+        if one.version is not None or not is_calm(record, begin, one.sent_at):
+            silent_since = None
+            continue
+        if silent_since is None:
+            silent_since = one.sent_at
+        if one.sent_at - silent_since >= CONTACT_SECONDS:
+            found.append(
+                f'CONFIG: the configuration did not come from any control VM'
+                f' between {silent_since:.2f} and {one.sent_at:.2f}, in calm'
+                ' times'
+            )
+            silent_since = None
+    return found
+
+
+def check_acknowledgements(record: records.Record) -> list[str]:
+    found = []
+    for one in record.orders:
+        end = one.acknowledged_at or one.gave_up_at or record.now()
+        begin = one.sent_at - CONTACT_SECONDS
+        if end - one.sent_at > ACK_SECONDS and is_calm(record, begin, end):
+            found.append(
+                f'ACKS: {one.name} {one.subject}, sent at {one.sent_at:.2f} in'
+                f' calm times, had no acknowledgement for'
+                f' {end - one.sent_at:.2f} s'
+            )
+    return found
+
+
+def evacuated_spans(
+    record: records.Record,
+) -> list[tuple[str, float, float]]:
+    """Returns failure domain, acknowledgement and withdrawal."""
+    spans = []
+    begun: dict[str, float] = {}
+    for one in sorted(record.orders, key=lambda order: order.sent_at):
+        if one.name == 'evacuate' and one.acknowledged_at is not None:
+            begun.setdefault(one.subject, one.acknowledged_at)
+        if one.name == 'readmit' and one.subject in begun:
+            spans.append((one.subject, begun.pop(one.subject), one.sent_at))
+    end = record.now()
+    return spans + [(domain, at, end) for domain, at in begun.items()]
+
+
+def check_evacuations(record: records.Record) -> list[str]:
+    found = []
+    for domain, since, until in evacuated_spans(record):
+        for run in record.runs:
+            if run.domain != domain:
+                continue
+            begin = run.at - CONTACT_SECONDS
+            is_late = since + EVACUATE_SECONDS < run.at < until
+            if is_late and is_calm(record, begin, run.at):
+                found.append(
+                    f'EVAC: {run.attempt} reached {run.server} in {domain} at'
+                    f' {run.at:.2f}, evacuated since {since:.2f}'
+                )
+    return found
+
+
+def check_recovery(record: records.Record) -> list[str]:
+    """Checks the requests sent long after the last disturbance."""
+    begins = [one.ended_at for one in record.disturbances]
+    found = []
+    for begin in begins:
+        since = begin + RECOVERY_SECONDS
+        until = min(
+            (
+                one.began_at
+                for one in record.disturbances
+                if one.began_at > begin
+            ),
+            default=record.now(),
+        )
+        sent = [one for one in record.requests if since < one.sent_at < until]
+        served = [one for one in sent if 200 <= one.status < 300]
+        if len(sent) >= 20 and len(served) < MIN_SERVED_SHARE * len(sent):
+            found.append(
+                f'RECOVER: {len(served)} of {len(sent)} requests served from'
+                f' {since:.2f} to {until:.2f}'
+            )
+    return found
+
+
+def check_routes(record: records.Record) -> list[str]:
+    return [f'CONFIG: {one}' for one in record.wrong_routes]
+
+
+def check_processes(record: records.Record) -> list[str]:
+    return [f'FAULT: {one}' for one in record.own_ends]
+
+
+CHECKS = (
+    check_responses,
+    check_runs,
+    check_reads,
+    check_answers,
+    check_acknowledgements,
+    check_evacuations,
+    check_recovery,
+    check_routes,
+    check_processes,
+)
--- /dev/null
+++ b/soak/process.py
@@ -0,0 +1,142 @@
+"""Starts the program with faults injected at its disk and peer ports.
+
+The faults are read from a JSON file, which the soak replaces while the
+program runs:
+
+- ``silent_to`` and ``silent_from``: hosts to and from which bytes of peers
+  are lost;
+- ``link_seconds``: one-way delay of the links to hosts of other regions;
+- ``sync_seconds``: how much longer a sync takes;
+- ``is_disk_full``: whether writes fail.
+"""
+
+import asyncio
+import errno
+import json
+import os
+import pathlib
+import sys
+import time
+
+ROOT = pathlib.Path(os.environ['SOAK_ROOT'])
+FAULTS = pathlib.Path(os.environ['SOAK_FAULTS'])
+HOST = os.environ['SOAK_HOST']
+READ_INTERVAL_SECONDS = 0.02
+# A connection through a partition does not fail before its caller gives up.
+PARTITION_SECONDS = 30.0
+
+sys.path.insert(0, str(ROOT / 'src'))
+
+from greengagegw.adapters import files  # noqa: E402
+from greengagegw.cli import main  # noqa: E402
+
+try:
+    from greengagegw.adapters import peer_socket
+except ImportError:
+    # Releases before 5e9ad3b have no such port, so that links cannot fail.
+    peer_socket = None
+
+
+class Faults:
+    """The faults in force, read again when the file changes."""
+
+    def __init__(self) -> None:
+        self.values: dict = {}
+        self.read_at = 0.0
+        self.changed_at = 0
+
+    def get(self, name: str, default):
+        now = time.monotonic()
+        if now - self.read_at >= READ_INTERVAL_SECONDS:
+            self.read_at = now
+            changed_at = FAULTS.stat().st_mtime_ns
+            if changed_at != self.changed_at:
+                self.changed_at = changed_at
+                self.values = json.loads(FAULTS.read_text())
+        return self.values.get(name, default)
+
+
+faults = Faults()
+
+
+def region_of(host: str) -> str:
+    """Returns the part of an address that names its failure domain."""
+    return host.rsplit('.', 1)[0]
+
+
+class FaultySocket(peer_socket.PeerSocket if peer_socket else object):
+    """A dialled connection with delays, and without what a fault drops.
+
+    Dropped bytes leave a gap in the stream, so the direction stays silent
+    after the fault has ended.
+    """
+
+    def __init__(self, host: str) -> None:
+        super().__init__()
+        self.host = host
+        self.is_silent = [False, False]
+        self.is_remote = region_of(host) != region_of(HOST)
+
+    def is_dropped(self, direction: int) -> bool:
+        name = ('silent_to', 'silent_from')[direction]
+        self.is_silent[direction] |= self.host in faults.get(name, ())
+        return self.is_silent[direction]
+
+    def delayed(self, function, data: bytes) -> None:
+        seconds = faults.get('link_seconds', 0.0)
+        if self.is_remote and seconds:
+            loop = asyncio.get_running_loop()
+            loop.call_later(seconds, function, data)
+        else:
+            function(data)
+
+    def write(self, data: bytes) -> None:
+        if not self.is_dropped(0):
+            self.delayed(self.write_late, bytes(data))
+
+    def write_late(self, data: bytes) -> None:
+        if not self.is_lost:
+            super().write(data)
+
+    def data_received(self, data: bytes) -> None:
+        if not self.is_dropped(1):
+            self.delayed(super().data_received, bytes(data))
+
+
+connect_socket = getattr(peer_socket, 'connect', None)
+
+
+async def connect(host: str, port: int, *_: object):
+    if host in faults.get('silent_to', ()):
+        await asyncio.sleep(PARTITION_SECONDS)
+        raise OSError(errno.ETIMEDOUT, 'simulated partition')
+    return await connect_socket(host, port, lambda: FaultySocket(host))
+
+
+def with_delay(sync):
+    def delayed_sync(descriptor: int) -> None:
+        time.sleep(faults.get('sync_seconds', 0.0))
+        if faults.get('is_disk_full', False):
+            raise OSError(errno.ENOSPC, 'simulated full disk')
+        sync(descriptor)
+
+    return delayed_sync
+
+
+def with_limit(write):
+    def limited_write(descriptor: int, content: bytes) -> None:
+        if faults.get('is_disk_full', False):
+            write(descriptor, content[: len(content) // 2])
+            raise OSError(errno.ENOSPC, 'simulated full disk')
+        write(descriptor, content)
+
+    return limited_write
+
+
+if __name__ == '__main__':
+    if peer_socket is not None:
+        peer_socket.connect = connect
+    files.os.fsync = with_delay(os.fsync)
+    files.os.fdatasync = with_delay(os.fdatasync)
+    files._write_all = with_limit(files._write_all)
+    main.main()
--- /dev/null
+++ b/soak/record.py
@@ -0,0 +1,87 @@
+"""What clients, backend servers and the operator saw during a soak."""
+
+import dataclasses
+import time
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A client's request and its outcome.
+
+    :ivar status: 0 if the connection ended or was silent until the timeout.
+    :ivar is_own: whether a success carried the response to this request.
+    """
+
+    attempt: str
+    entry_vm: str
+    kind: str
+    sent_at: float
+    ended_at: float
+    status: int
+    is_own: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """A request that a backend server ran."""
+
+    attempt: str
+    server: str
+    domain: str
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """An operator's order.
+
+    :ivar name: ``put``, ``evacuate`` or ``readmit``.
+    :ivar subject: the version, or the failure domain.
+    :ivar acknowledged_at: None if the operator gave up.
+    """
+
+    name: str
+    subject: str
+    sent_at: float
+    acknowledged_at: float | None
+    gave_up_at: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Read:
+    """A read of the configuration at one control VM.
+
+    :ivar version: None if the VM did not answer with one.
+    :ivar has_sent_content: whether the content is what was sent.
+    """
+
+    control_vm: str
+    sent_at: float
+    version: int | None
+    has_sent_content: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Disturbance:
+    """A fault, from its beginning until everything runs again."""
+
+    name: str
+    began_at: float
+    ended_at: float
+
+
+class Record:
+    """All that was seen, in monotonic seconds since the start."""
+
+    def __init__(self) -> None:
+        self.began_at = time.monotonic()
+        self.requests: list[Request] = []
+        self.runs: list[Run] = []
+        self.orders: list[Order] = []
+        self.reads: list[Read] = []
+        self.disturbances: list[Disturbance] = []
+        self.own_ends: list[str] = []
+        self.wrong_routes: list[str] = []
+
+    def now(self) -> float:
+        return time.monotonic() - self.began_at
