Decode each entry of the instance list alone and check its ranges

Callers saw: with one entry of another writer in the list, no VM followed the list any more.

Cause: the types of an entry were checked, not the ranges. A number beyond 64 bits raised OverflowError in members.digest, NaN and infinities raised in int(), and repr() of an entry nested 1,000 levels deep raised RecursionError in the log line; none of them is a GatewayError, so the task was restarted for ever. A page was decoded as a whole, so bytes that are not UTF-8, a depth over 1,024 or a number out of range in one entry lost the page. A port of +80, 8_0 or in other digits passed and raised where it was used.

Change: a page that orjson rejects is split into the bytes of its entries by a scanner without recursion, and each entry is decoded alone. If an entry without end hides where the others begin, the objects are recovered one by one. fleet/instances.check has the ranges and is also applied to what another VM sends, where one invalid instance no longer fails the list. The first of several entries with one ID counts. A list over 12,000 entries, which would not fit into a frame between VMs, keeps those of named services first. At most 20 dropped entries a minute are logged, each with its reason. Splitting runs in a thread and ends after 500,000 tokens; long lists are decoded 1,000 entries at a time, so that a control VM goes on to send its heartbeats. The age of a list of another VM has to be finite and not negative, since a list "from the future" blocked later ones.

Why it works: whatever an entry contains, it is dropped by one declared error before it gets to msgpack, a socket or a header.

The step of documents.feature follows the changed signature and also checks the number of dropped entries.

--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -108,7 +108,8 @@
         'state': 'ready',
         'coldLeftMs': 0,
     }
-    context.instances = instance_list.decode_entries(
+    listed = {}
+    dropped = instance_list.decode_entries(
         [
             valid,
             valid | {'id': 'i-2', 'state': 'draining', 'version': 'v1.1'},
@@ -123,8 +124,11 @@
             {'id': 'i-5'},
             'text',
             None,
-        ]
+        ],
+        listed,
     )
+    assert len(dropped) == 9, dropped
+    context.instances = list(listed.values())
 
 
 @behave.then(
--- a/src/greengagegw/errors.py
+++ b/src/greengagegw/errors.py
@@ -274,6 +274,13 @@
     code = 'backend_timeout'
 
 
+class InvalidInstanceError(GatewayError):
+    """An entry of the list of backend servers names no usable server."""
+
+    status = 502
+    code = 'invalid_instance'
+
+
 class BackendUnresponsiveError(BackendError):
     """A backend server sent nothing; the request is retried elsewhere."""
 
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -177,8 +177,7 @@
     def listed_instances(self) -> list[instance_list.Instance]:
         """The backend servers of the newest instance list."""
         return [
-            instance_list.Instance.unpack(one)
-            for one in self.instance_cache.packed
+            instance_list.Instance(*one) for one in self.instance_cache.packed
         ]
 
     # Operations for operators.
@@ -319,8 +318,12 @@
         if replica.is_leader or age > timing.INSTANCE_LIST_MAX_AGE_SECONDS:
             read_at = self.timers.now()
             instances = await self.read_instances()
-            packed = [one.pack() for one in sorted_instances(instances)]
-            self.instance_cache.update(packed, read_at)
+            configuration = self.configuration
+            kept = limit_instances(
+                sorted_instances(instances),
+                configuration.services if configuration is not None else (),
+            )
+            self.instance_cache.update([one.pack() for one in kept], read_at)
 
     async def request_list(self, leader: str) -> None:
         requested_at = self.timers.now()
@@ -332,15 +335,16 @@
         )
         try:
             digest, age, packed = reply
-            requested_at -= age
-            for one in packed or ():
-                instance_list.Instance.unpack(one)
+            requested_at -= members.check_seconds(age)
         except (TypeError, ValueError) as error:
             raise errors.PeerProtocolError(
                 f'{leader} sent a malformed instance list'
             ) from error
         if packed is None and digest == self.instance_cache.digest:
             packed = self.instance_cache.packed
+        elif packed is not None:
+            valid = instance_list.unpack_valid(packed)
+            packed = [one.pack() for one in valid]
         if packed is not None:
             self.instance_cache.update(packed, requested_at)
 
@@ -572,6 +576,22 @@
 
 
 def sorted_instances(
-    instances: tuple[instance_list.Instance, ...],
+    instances: collections.abc.Iterable[instance_list.Instance],
 ) -> list[instance_list.Instance]:
     return sorted(instances, key=lambda one: one.name)
+
+
+def limit_instances(
+    listed: list[instance_list.Instance],
+    named_services: collections.abc.Container[str],
+) -> list[instance_list.Instance]:
+    """Returns no more instances than fit into a frame between VMs.
+
+    Those of named services are kept first.
+    """
+    excess = len(listed) - instance_list.MAX_INSTANCES
+    if excess <= 0:
+        return listed
+    eliot.log_message('instances:too_many', count=len(listed), dropped=excess)
+    kept = sorted(listed, key=lambda one: one.service not in named_services)
+    return sorted_instances(kept[: instance_list.MAX_INSTANCES])
--- a/src/greengagegw/fleet/members.py
+++ b/src/greengagegw/fleet/members.py
@@ -91,6 +91,18 @@
     return 0.0
 
 
+def check_seconds(value: typing.Any) -> float:
+    """Returns a duration that another VM has sent.
+
+    :raises ValueError: or ``TypeError``, if it is not a finite number that is
+        not negative.
+    """
+    seconds = float(value)
+    if not 0 <= seconds < math.inf:
+        raise ValueError(f'{seconds} seconds')
+    return seconds
+
+
 UNKNOWN_CAPACITY = Capacity()
 
 
--- a/src/greengagegw/fleet/poll_reply.py
+++ b/src/greengagegw/fleet/poll_reply.py
@@ -95,9 +95,7 @@
     if document is not None and version > held_version:
         configuration = decode_document(zlib.decompress(document))
     if 'instances' in reply:
-        unpacked = [
-            instance_list.Instance.unpack(one) for one in reply['instances']
-        ]
+        unpacked = instance_list.unpack_valid(reply['instances'])
         instances = {one.name: one for one in unpacked}
     if 'entries' in reply:
         entry_vms = tuple(
--- a/src/greengagegw/platform/instance_list.py
+++ b/src/greengagegw/platform/instance_list.py
@@ -1,9 +1,17 @@
 """HTTP client for the platform's list of backend servers."""
 
+import dataclasses
+import math
+import re
+import reprlib
 import ssl
 import typing
 import urllib.parse
 
+import anyio
+import anyio.lowlevel
+import anyio.to_thread
+from boltons import iterutils
 import eliot
 import httpcore
 import orjson
@@ -11,6 +19,7 @@
 from .. import errors
 from .. import timers as timer_service
 from ..adapters import backend_transport
+from ..adapters import json_splitting
 from ..fleet import instances
 from . import http_names
 from . import settings as platform_settings
@@ -21,6 +30,18 @@
 MAX_PAGE_BYTES = 4 * 1024 * 1024
 READY_STATE = 'ready'
 DRAINING_STATE = 'draining'
+INSTANCES_BEGIN = re.compile(rb'"instances"\s*:\s*\[')
+NEXT_TOKEN = re.compile(rb'"nextToken"\s*:\s*(null|"(?:[^"\\]++|\\.)*+")')
+# A list that stays odd must not fill the log.
+LOG_INTERVAL_SECONDS = 60.0
+MAX_LOGGED_ENTRIES = 20
+# Entries that are decoded before other tasks get their turn.
+ENTRIES_AT_ONCE = 1000
+MAX_DESCRIBED_CHARACTERS = 200
+# Describes nested and long values by their beginning, without recursion
+# beyond a few levels.
+ENTRY_REPR = reprlib.Repr()
+ENTRY_REPR.maxdict = 12
 
 
 class InstanceListClient:
@@ -34,6 +55,7 @@
     ) -> None:
         self.endpoint = endpoint
         self.timers = timers
+        self.dropped_entries = DroppedEntries(timers)
         self.pool = backend_transport.make_pool(context, 1, KEEP_ALIVE_SECONDS)
 
     async def read(self) -> tuple[instances.Instance, ...]:
@@ -43,14 +65,16 @@
         :raises BackendTimeoutError: if the list is not complete within
             READ_TIMEOUT_SECONDS or MAX_PAGES.
         """
-        listed: list[instances.Instance] = []
+        listed: dict[str, instances.Instance] = {}
         with self.timers.move_on_after(READ_TIMEOUT_SECONDS):
             page = ''
             for _ in range(MAX_PAGES):
                 entries, page = await self.read_page(page)
-                listed.extend(decode_entries(entries))
+                for chunk in iterutils.chunked_iter(entries, ENTRIES_AT_ONCE):
+                    self.dropped_entries.log(decode_entries(chunk, listed))
+                    await anyio.lowlevel.checkpoint()
                 if not page:
-                    return tuple(listed)
+                    return tuple(listed.values())
         raise errors.BackendTimeoutError(
             'the instance list exceeded its time limit or page limit'
         )
@@ -87,70 +111,240 @@
                 response.status,
             )
         try:
-            values = orjson.loads(content)
-            entries = values['instances']
-            next_token = values.get('nextToken')
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            raise errors.BackendError(
-                'the instance list is not JSON or has no instances field'
-            ) from error
-        if not isinstance(entries, list):
+            return decode_page(content)
+        except ValueError as error:
+            # A page with very many tokens takes long, in which the other
+            # tasks of a control VM go on.
+            return await anyio.to_thread.run_sync(
+                decode_broken_page, content, error
+            )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Undecodable:
+    """An entry, or the part of a page with entries, that is not JSON."""
+
+    raw: bytes
+    reason: str
+
+
+def decode_page(content: bytes) -> tuple[list, str]:
+    """Returns the entries of a page, and the token of the next page.
+
+    :returns: the decoded entries; the token is empty on the last page.
+    :raises ValueError: if it cannot be decoded as a whole.
+    :raises BackendError: if it is not a page of the list.
+    """
+    values = orjson.loads(content)
+    if not isinstance(values, dict):
+        raise errors.BackendError('the instance list is not an object')
+    entries = values.get('instances')
+    if not isinstance(entries, list):
+        raise errors.BackendError(
+            'the instances in the instance list are not a list'
+        )
+    return entries, check_token(values.get('nextToken'))
+
+
+def check_token(token: typing.Any) -> str:
+    if token is None:
+        return ''
+    if not isinstance(token, str):
+        raise errors.BackendError(
+            'the token of the next page of the instance list is not a string'
+        )
+    return token
+
+
+def decode_broken_page(
+    content: bytes, page_error: ValueError
+) -> tuple[list, str]:
+    """Decodes each entry alone of a page that cannot be decoded as a whole.
+
+    If an entry without end hides where the others begin, every object that is
+    an entry is taken.
+
+    :param page_error: why the page could not be decoded.
+    :returns: as for :func:`decode_page`, with an :class:`Undecodable` for what
+        cannot be decoded.
+    :raises BackendError: if it is not a page of the list.
+    """
+    try:
+        members = json_splitting.split_object(content)
+        listed = members[b'"instances"']
+        if not listed.startswith(b'['):
             raise errors.BackendError(
                 'the instances in the instance list are not a list'
             )
-        return entries, next_token or ''
+        raw_entries, _ = json_splitting.split_members(listed, 0)
+        token = orjson.loads(members.get(b'"nextToken"', b'null'))
+    except (ValueError, KeyError):
+        return recover_page(content, page_error)
+    entries = []
+    for raw in raw_entries:
+        try:
+            entries.append(orjson.loads(raw))
+        except ValueError as error:
+            entries.append(Undecodable(raw, str(error)))
+            if not json_splitting.has_sound_tokens(raw):
+                entries += recover_entries(raw)
+    return entries, check_token(token)
+
+
+def recover_page(content: bytes, page_error: ValueError) -> tuple[list, str]:
+    """Returns the entries that can be found in a page without structure.
+
+    :param page_error: why the page could not be decoded.
+    :raises BackendError: if it is not known whether another page follows.
+    """
+    begin = INSTANCES_BEGIN.search(content)
+    tokens = NEXT_TOKEN.findall(content)
+    if begin is None or not tokens:
+        raise errors.BackendError(
+            f'the instance list is not JSON: {page_error}'
+        ) from page_error
+    listed = content[begin.end() - 1 :]
+    entries = [Undecodable(listed, str(page_error)), *recover_entries(listed)]
+    try:
+        token = orjson.loads(tokens[-1])
+    except ValueError as error:
+        raise errors.BackendError(
+            'the token of the next page of the instance list is not JSON'
+        ) from error
+    return entries, check_token(token)
+
+
+def recover_entries(text: bytes) -> list:
+    entries = []
+    for raw in json_splitting.recover_objects(text):
+        try:
+            entries.append(orjson.loads(raw))
+        except ValueError as error:
+            entries.append(Undecodable(raw, str(error)))
+    return entries
+
+
+class DroppedEntries:
+    """Logs the entries of the list that are dropped, and limits the log.
+
+    An entry that stays in the list is logged once in an interval.
+
+    :ivar logged: identities of the entries that were logged in the interval.
+    """
+
+    def __init__(self, timers: timer_service.Timers) -> None:
+        self.timers = timers
+        self.logged: set[str] = set()
+        self.interval_began_at = -math.inf
+
+    def log(self, dropped: list[tuple[typing.Any, str]]) -> None:
+        """Logs entries, each with the reason for which it was dropped."""
+        now = self.timers.now()
+        if now - self.interval_began_at >= LOG_INTERVAL_SECONDS:
+            self.interval_began_at = now
+            self.logged.clear()
+        for entry, reason in dropped:
+            if len(self.logged) >= MAX_LOGGED_ENTRIES:
+                return
+            identity = f'{reason} {identify(entry)}'
+            if identity not in self.logged:
+                self.logged.add(identity)
+                eliot.log_message(
+                    'instances:unreadable',
+                    reason=reason,
+                    entry=describe(entry),
+                    dropped=len(dropped),
+                )
+
+
+def identify(entry: typing.Any) -> str:
+    """Returns what is likely to stay the same in an entry."""
+    if isinstance(entry, dict):
+        return ENTRY_REPR.repr(entry.get('id'))
+    return describe(entry)
+
+
+def describe(entry: typing.Any) -> str:
+    """Returns the beginning of an entry, however deep or long it is."""
+    if isinstance(entry, Undecodable):
+        return repr(entry.raw[:MAX_DESCRIBED_CHARACTERS])
+    return ENTRY_REPR.repr(entry)[:MAX_DESCRIBED_CHARACTERS]
 
 
-def decode_entries(entries: list) -> list[instances.Instance]:
-    """Returns the valid instances, and logs the invalid entries."""
-    listed = []
+def decode_entries(
+    entries: list, listed: dict[str, instances.Instance]
+) -> list[tuple[typing.Any, str]]:
+    """Adds the valid instances of a page to those of the pages before it.
+
+    Of several entries with one ID, the first one that is valid counts.
+
+    :param listed: instances by name.
+    :returns: the other entries, each with the reason for which it is dropped.
+    """
+    dropped = []
     for entry in entries:
-        instance = decode_entry(entry)
-        if instance is None:
-            eliot.log_message('instances:unreadable', entry=repr(entry)[:200])
-        else:
-            listed.append(instance)
-    return listed
+        try:
+            instance = decode_entry(entry)
+        except errors.InvalidInstanceError as error:
+            dropped.append((entry, error.message))
+            continue
+        known = listed.setdefault(instance.name, instance)
+        if known != instance:
+            dropped.append((entry, 'another entry has its ID'))
+    return dropped
 
 
-def decode_entry(entry: typing.Any) -> instances.Instance | None:
-    """Returns an instance, None if the entry is invalid."""
+def decode_entry(entry: typing.Any) -> instances.Instance:
+    """Returns the instance of an entry.
+
+    :raises InvalidInstanceError: if the entry is invalid.
+    """
+    if isinstance(entry, Undecodable):
+        raise errors.InvalidInstanceError(entry.reason)
     if not isinstance(entry, dict):
-        return None
-    strings = [
-        entry.get(name)
-        for name in ('id', 'service', 'address', 'zone', 'state')
-    ]
-    if not all(isinstance(one, str) and one for one in strings):
-        return None
-    name, service, address, domain, state = strings
-    slots = entry.get('slots')
+        raise errors.InvalidInstanceError('it is not an object')
+    state = entry.get('state')
+    if state not in (READY_STATE, DRAINING_STATE):
+        raise errors.InvalidInstanceError('its state is unknown')
+    remaining_ms = entry.get('remainingMs')
+    if remaining_ms is not None:
+        check_number('remainingMs', remaining_ms)
     cold_left_ms = entry.get('coldLeftMs', 0)
-    born = entry.get('born', 0)
+    check_number('coldLeftMs', cold_left_ms)
     software_version = entry.get('version')
     if not isinstance(software_version, str):
         software_version = ''
-    for number in (slots, cold_left_ms, born):
-        if isinstance(number, bool) or not isinstance(number, int | float):
-            return None
-    if state not in (READY_STATE, DRAINING_STATE) or slots < 1:
-        return None
-    try:
-        platform_settings.parse_endpoint(address)
-    except ValueError:
-        return None
-    # An instance with a removal notice is draining, whatever its state.
-    is_leaving = (
-        state == DRAINING_STATE or entry.get('remainingMs') is not None
-    )
-    return instances.Instance(
-        name,
-        service,
-        address,
-        domain,
-        int(slots),
-        is_leaving,
+    instance = instances.Instance(
+        entry.get('id'),
+        entry.get('service'),
+        entry.get('address'),
+        entry.get('zone'),
+        decode_count('slots', entry.get('slots')),
+        # An instance with a removal notice is draining, whatever its state.
+        state == DRAINING_STATE or remaining_ms is not None,
         cold_left_ms > 0,
-        int(born),
+        decode_count('born', entry.get('born', 0)),
         software_version,
     )
+    instances.check(instance)
+    return instance
+
+
+def check_number(field: str, value: typing.Any) -> None:
+    """Checks that a value is a number; the decoder accepts finite ones only.
+
+    :raises InvalidInstanceError: if it is not.
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise errors.InvalidInstanceError(f'{field} is not a number')
+
+
+def decode_count(field: str, value: typing.Any) -> int:
+    """Returns a number without its fraction.
+
+    :raises InvalidInstanceError: if it is not a finite number.
+    """
+    check_number(field, value)
+    if not math.isfinite(value):
+        raise errors.InvalidInstanceError(f'{field} is not finite')
+    return int(value)
