Let a replica whose disk has failed return when the disk is sound

A full disk while metadata was saved ended the process.

Cause: after one failed write a replica had the role FAILED until a restart, but its election timer went on and made it a candidate again, whose entries could not be written. save_meta raised out of the timer and out of the start.

Change: lock_storage is the one place at which a failed write is found; it makes the role FAILED and ends no task. A FAILED replica neither stands nor votes, and rejects proposals as a VM that does not lead, so that clients ask the next one. disk_recovery tries the disk again after 0.1 s to 1 s: it truncates the log to what was synced, reads all files, compares them with the state in memory, writes the metadata and a probe, and takes part again as a follower, or goes on with its start.

The state in memory never runs ahead of the disk: additions follow the sync, removals precede the first step on the disk. So recovery completes an unfinished removal, and bytes of a failed sync, which may only be in the page cache, are never used. A wipe stores the new incarnation first: what is left after a failure is not taken for the log of a voter. A vote and its term are stored in one write; a failed one leaves the term and vote of the last successful one. File errors of open, read and list are DiskFailedErrors now, and open syncs the folder of an existing file as well.

Tests: features/replication/failing_disks.feature with disks that are full, slow, hang, fail at one step, or keep bytes of a failed sync only readable; the random schedules have such disks too, and check that no vote is given twice in a term and that no process ends.

--- a/features/fakes.py
+++ b/features/fakes.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import math
 import random
 
 import anyio
@@ -169,18 +170,55 @@
     :ivar steps_left: write steps until the power is cut, or None.
     :ivar failing_step: the step that raises an error, such as ``append``
         or ``sync``; empty if none does.
+    :ivar full_until: time until which every step that needs space fails.
+    :ivar hangs_until: time until which writes and syncs wait.
+    :ivar sync_seconds: duration of each write step.
+    :ivar dropped: by file, the offset after which bytes can be read but are
+        not on the disk, since a sync of them has failed. As with the page
+        cache of a kernel, a later sync reports a success.
     """
 
-    def __init__(self, rng):
+    def __init__(self, rng, timers=None):
         self.rng = rng
+        self.timers = timers
         self.files = {}
         self.synced = {}
+        self.dropped = {}
         self.steps_left = None
         self.failing_step = ''
+        self.full_until = self.hangs_until = -math.inf
+        self.sync_seconds = 0.0
         self.steps = 0
 
+    def fill(self, seconds):
+        """Has the disk take no bytes for a time."""
+        self.full_until = self.timers.now() + seconds
+
+    def hang(self, seconds):
+        """Has writes and syncs wait for a time."""
+        self.hangs_until = self.timers.now() + seconds
+
+    def end_faults(self):
+        self.steps_left = None
+        self.failing_step = ''
+        self.full_until = self.hangs_until = -math.inf
+        self.sync_seconds = 0.0
+
+    async def wait(self):
+        """Waits as long as a sync takes."""
+        if self.timers is None:
+            return
+        delay = max(self.sync_seconds, self.hangs_until - self.timers.now())
+        if delay > 0:
+            await self.timers.sleep(delay)
+
     def step(self, name):
         self.steps += 1
+        is_full = name in ('open', 'append', 'sync', 'replace') and (
+            self.timers is not None and self.timers.now() < self.full_until
+        )
+        if is_full:
+            raise errors.DiskFailedError(f'{name}: no space left')
         if self.steps_left is not None:
             self.steps_left -= 1
             if self.steps_left < 0:
@@ -199,10 +237,13 @@
             torn_size = (
                 self.rng.randrange(len(unsynced) + 1) if unsynced else 0
             )
-            if not self.files[name].startswith(synced):
+            if not self.files[name].startswith(synced) or (
+                name in self.dropped
+            ):
                 torn_size = 0
             self.files[name] = synced + bytes(unsynced[:torn_size])
         self.synced = {k: bytes(v) for k, v in self.files.items()}
+        self.dropped = {}
         self.steps_left = None
         self.failing_step = ''
 
@@ -220,6 +261,7 @@
         return FakeFile(self, name)
 
     async def replace(self, name, content):
+        await self.wait()
         self.step('replace')
         # As in files.Folder: the content is synced before the rename, and
         # the folder after it.
@@ -230,6 +272,7 @@
         self.step('remove')
         self.files.pop(name, None)
         self.synced.pop(name, None)
+        self.dropped.pop(name, None)
 
 
 class FakeFile:
@@ -254,13 +297,27 @@
         self.disk.files[self.name] += content[half:]
 
     async def sync(self):
-        self.run_step('sync')
-        self.disk.synced[self.name] = self.disk.files[self.name]
+        await self.disk.wait()
+        content = self.disk.files[self.name]
+        try:
+            self.run_step('sync')
+        except errors.DiskFailedError:
+            end = len(self.disk.synced[self.name])
+            self.disk.dropped.setdefault(self.name, end)
+            raise
+        kept = self.disk.dropped.get(self.name, len(content))
+        lost = bytes(len(content) - kept)
+        self.disk.synced[self.name] = content[:kept] + lost
 
     async def truncate(self, size):
         self.run_step('truncate')
-        self.disk.files[self.name] = self.disk.files[self.name][:size]
-        self.disk.synced[self.name] = self.disk.files[self.name]
+        if size <= self.disk.dropped.get(self.name, size):
+            self.disk.dropped.pop(self.name, None)
+        content = self.disk.files[self.name][:size]
+        self.disk.files[self.name] = content
+        kept = self.disk.dropped.get(self.name, len(content))
+        lost = bytes(len(content) - kept)
+        self.disk.synced[self.name] = content[:kept] + lost
 
     async def close(self):
         pass
@@ -313,7 +370,7 @@
         self.rng = random.Random(seed)
         self.timers = timer_service.ManualTimers()
         self.network = FakeNetwork(self.timers, self.rng)
-        self.disks = {vm: FakeDisk(self.rng) for vm in self.vms}
+        self.disks = {vm: FakeDisk(self.rng, self.timers) for vm in self.vms}
         self.replicas = {}
         self.machines = {}
         self.scopes = {}
@@ -321,6 +378,7 @@
         self.leaders = collections.defaultdict(set)
         self.histories = []
         self.failures = {}
+        self.votes = collections.defaultdict(set)
         self.proposed = 0
         self.tasks = None
 
@@ -339,23 +397,33 @@
         )
         self.replicas[vm] = replica
         self.network.handlers[vm] = {
-            name: self.crash_on_power_cut(vm, handler)
+            name: self.crash_on_power_cut(vm, name, handler)
             for name, handler in replica.handlers().items()
         }
         self.tasks.start_soon(self.run, vm, replica)
 
-    def crash_on_power_cut(self, vm, handler):
+    def crash_on_power_cut(self, vm, name, handler):
         """Returns a handler whose power cut crashes the whole replica."""
 
         async def handle(peer, message):
             try:
-                return await handler(peer, message)
+                reply = await handler(peer, message)
+                if name.endswith('.vote'):
+                    self.record_vote(vm, message, reply)
+                return reply
             except PowerCutError:
                 self.crash(vm)
                 raise errors.PeerLostError('power cut') from None
 
         return handle
 
+    def record_vote(self, vm, message, reply):
+        """Records who got the vote of a replica in a term."""
+        term, candidate, *_, is_pre_vote = message
+        _, is_granted, incarnation = reply
+        if is_granted and not is_pre_vote:
+            self.votes[vm, incarnation, term].add(candidate)
+
     async def run(self, vm, replica):
         with anyio.CancelScope() as scope:
             self.scopes[vm] = scope
@@ -378,7 +446,7 @@
             self.lose_disk(vm)
 
     def lose_disk(self, vm):
-        self.disks[vm] = FakeDisk(self.rng)
+        self.disks[vm] = FakeDisk(self.rng, self.timers)
 
     def leader(self):
         """Returns the leader of the highest term, or None."""
@@ -411,6 +479,8 @@
             if replica.is_leader:
                 self.leaders[replica.term].add(replica.vm)
                 assert len(self.leaders[replica.term]) == 1, self.leaders
+        for vote, candidates in self.votes.items():
+            assert len(candidates) == 1, f'{vote} voted for {candidates}'
         logs = sorted(
             (self.machines[vm].applied for vm in self.replicas), key=len
         )
@@ -455,7 +525,7 @@
         self.network.heal()
         self.network.faults = NetworkFaults()
         for vm in self.vms:
-            self.disks[vm].steps_left = None
+            self.disks[vm].end_faults()
             if vm not in self.replicas:
                 self.start(vm)
         for _ in range(240):
--- /dev/null
+++ b/features/replication/failing_disks.feature
@@ -0,0 +1,152 @@
+Feature: A replica whose disk fails returns when the disk is sound
+  Disks fail for a time as DEPLOY.md says: they are slow, hang, or refuse
+  writes.
+
+  Scenario Outline: A disk takes no bytes, and its replica is lost or wins elections that it cannot use
+    Given a group of 5 replicas with 5 acknowledged commands
+    When the disks of <which> take no bytes for <seconds> s
+    Then no outage is longer than 5 s
+    And the term has increased by at most 2
+    And no process has ended
+    And every replica votes and has all acknowledged commands
+
+    Examples:
+      | which                     | seconds |
+      | the leader                | 0.2     |
+      | the leader                | 0.7     |
+      | the leader                | 2       |
+      | the leader                | 5       |
+      | the leader                | 20      |
+      | a follower                | 0.2     |
+      | a follower                | 0.7     |
+      | a follower                | 2       |
+      | a follower                | 5       |
+      | a follower                | 20      |
+      | the leader and a follower | 2       |
+      | the leader and a follower | 20      |
+      | two followers             | 5       |
+
+  Scenario Outline: The disks of a majority take no bytes, and the group does not return with them
+    Given a group of 5 replicas with 5 acknowledged commands
+    When the disks of <which> take no bytes for <seconds> s
+    Then no outage is longer than 5 s
+    And no process has ended
+    And every replica votes and has all acknowledged commands
+
+    Examples:
+      | which                        | seconds |
+      | the leader and two followers | 0.7     |
+      | the leader and two followers | 5       |
+      | the leader and two followers | 20      |
+      | all replicas                 | 0.7     |
+      | all replicas                 | 5       |
+
+  Scenario Outline: Disks take no bytes in turn, and each failure costs a voter for good
+    Given a group of 5 replicas with 5 acknowledged commands
+    When each disk takes no bytes for <seconds> s, one after the other
+    Then no outage is longer than 5 s
+    And no process has ended
+    And every replica votes and has all acknowledged commands
+
+    Examples:
+      | seconds |
+      | 0.7     |
+      | 4.5     |
+
+  Scenario Outline: A slow disk stops the group or keeps it electing
+    Given a group of 5 replicas with 5 acknowledged commands
+    When each write of the disks of <which> takes <duration> s for 30 s
+    Then no outage is longer than 5 s
+    And the term has increased by at most 2
+    And no process has ended
+    And every replica votes and has all acknowledged commands
+
+    Examples:
+      | which                     | duration |
+      | the leader                | 0.05     |
+      | the leader                | 0.3      |
+      | the leader                | 0.7      |
+      | the leader                | 1.2      |
+      | the leader                | 2        |
+      | a follower                | 0.3      |
+      | a follower                | 1.2      |
+      | a follower                | 2        |
+      | the leader and a follower | 1.2      |
+      | the leader and a follower | 2        |
+
+  Scenario Outline: Slow disks of all replicas stop the group
+    Given a group of 5 replicas with 5 acknowledged commands
+    When each write of the disks of all replicas takes <duration> s for 30 s
+    Then no outage is longer than 5 s
+    And every replica votes and has all acknowledged commands
+
+    Examples:
+      | duration |
+      | 0.05     |
+      | 0.3      |
+      | 2        |
+
+  Scenario Outline: A hanging disk stops the group
+    Given a group of 5 replicas with 5 acknowledged commands
+    When the disks of <which> hang for <seconds> s
+    Then no outage is longer than 5 s
+    And the term has increased by at most 2
+    And no process has ended
+    And every replica votes and has all acknowledged commands
+
+    Examples:
+      | which                     | seconds |
+      | the leader                | 0.7     |
+      | the leader                | 3       |
+      | the leader                | 20      |
+      | a follower                | 20      |
+      | the leader and a follower | 20      |
+
+  Scenario Outline: A write step fails, and its replica does not return
+    Given a group of 5 replicas that takes a snapshot every 5 entries
+    When the step <step> of the disks of <which> fails for 3 s
+    Then no outage is longer than 5 s
+    And no process has ended
+    And every replica votes and has all acknowledged commands
+
+    Examples:
+      | step     | which      |
+      | append   | the leader |
+      | sync     | the leader |
+      | replace  | the leader |
+      | replaced | the leader |
+      | remove   | the leader |
+      | truncate | the leader |
+      | open     | the leader |
+      | append   | a follower |
+      | sync     | a follower |
+      | replace  | a follower |
+      | replaced | a follower |
+      | remove   | a follower |
+      | open     | a follower |
+
+  Scenario: A candidate cannot save its vote, and its process ends
+    Given a group of 5 replicas with 5 acknowledged commands
+    When the leader crashes while the disk of the next candidate takes no bytes
+    Then no outage is longer than 5 s
+    And the term has increased by at most 2
+    And no process has ended
+    And every replica votes and has all acknowledged commands
+
+  Scenario: A replica starts on a full disk, and its process ends
+    Given a group of 5 replicas with 5 acknowledged commands
+    When a follower starts while its disk takes no bytes for 4 s
+    Then no outage is longer than 5 s
+    And no process has ended
+    And every replica votes and has all acknowledged commands
+
+  Scenario: After a failed sync, bytes can be read that are not on the disk
+    Given a group of 5 replicas with 5 acknowledged commands
+    When a sync of a follower fails, and later its power and that of the others
+    Then no process has ended
+    And every replica votes and has all acknowledged commands
+
+  Scenario: A replica whose disk has failed disturbs elections
+    Given a group of 5 replicas with 5 acknowledged commands
+    When the disk of the leader fails
+    Then it does not stand, and refuses its vote to the others
--- a/features/steps/replication.py
+++ b/features/steps/replication.py
@@ -670,7 +670,8 @@
     hypothesis.strategies.tuples(
         hypothesis.strategies.sampled_from(
             ['propose', 'propose', 'crash', 'start', 'cut', 'one way']
-            + ['heal', 'power', 'lossy', 'lose disk']
+            + ['heal', 'power', 'lossy', 'lose disk', 'full', 'hang']
+            + ['slow']
         ),
         hypothesis.strategies.integers(0, 4),
         hypothesis.strategies.integers(0, 6),
@@ -688,6 +689,7 @@
             await group.advance(0.25 * (amount + 1))
         await group.converge()
         group.check_acknowledged()
+        assert not group.failures, group.failures
 
 
 async def apply_action(group, action, vm, amount):
@@ -713,6 +715,12 @@
         )
     elif action == 'lose disk':
         await lose_disk_when_safe(group, vm)
+    elif action == 'full':
+        group.disks[vm].fill(amount * 0.5)
+    elif action == 'hang':
+        group.disks[vm].hang(amount * 0.5)
+    elif action == 'slow':
+        group.disks[vm].sync_seconds = amount * 0.2
 
 
 async def lose_disk_when_safe(group, vm):
@@ -917,3 +925,234 @@
         assert await folder.read('two') == b'new'
 
     run(use)
+
+
+# Failing disks.
+
+# Bound of the task: the longest time without an acknowledged command while a
+# majority of the disks is sound.
+MAX_OUTAGE_SECONDS = 5.0
+PROPOSAL_INTERVAL_SECONDS = 0.25
+
+
+async def propose_regularly(group, seconds):
+    """Proposes a command at the leader at each interval.
+
+    :returns: the longest time without an acknowledgement.
+    """
+    longest, acknowledged_at = 0.0, group.timers.now()
+    until = acknowledged_at + seconds
+    while group.timers.now() < until:
+        count = len(group.acknowledged)
+        leader = group.leader()
+        if leader is not None:
+            group.propose(leader.vm)
+        await group.advance(PROPOSAL_INTERVAL_SECONDS)
+        longest = max(longest, group.timers.now() - acknowledged_at)
+        if len(group.acknowledged) > count:
+            acknowledged_at = group.timers.now()
+    return longest
+
+
+def select(group, which):
+    """Returns the VMs that a step names."""
+    return {
+        'the leader': lambda: [group.leader().vm],
+        'a follower': lambda: followers(group)[:1],
+        'the leader and a follower': lambda: (
+            [group.leader().vm, followers(group)[0]]
+        ),
+        'two followers': lambda: followers(group)[:2],
+        'the leader and two followers': lambda: (
+            [group.leader().vm, *followers(group)[:2]]
+        ),
+        'all replicas': lambda: list(group.vms),
+    }[which]()
+
+
+def plan_outage(context, which, seconds, start_fault):
+    """Plans a fault of some disks for a time.
+
+    For a fault of a minority it notes the longest outage since the start of
+    the fault, else the longest one since its end.
+    """
+
+    async def cause(group):
+        vms = select(group, which)
+        context.first_term = group.leader().term
+        for vm in vms:
+            start_fault(group.disks[vm])
+        outage = await propose_regularly(group, seconds)
+        for vm in vms:
+            group.disks[vm].end_faults()
+        later = await propose_regularly(group, 2 * MAX_OUTAGE_SECONDS)
+        is_minority = 2 * len(vms) < len(group.vms)
+        context.outage = max(outage, later) if is_minority else later
+
+    context.outage = None
+    context.plan.append(cause)
+
+
+@behave.when('the disks of {which} take no bytes for {seconds:g} s')
+def plan_full_disks(context, which, seconds):
+    plan_outage(context, which, seconds, lambda disk: disk.fill(seconds))
+
+
+@behave.when('the disks of {which} hang for {seconds:g} s')
+def plan_hanging_disks(context, which, seconds):
+    plan_outage(context, which, seconds, lambda disk: disk.hang(seconds))
+
+
+@behave.when(
+    'each write of the disks of {which} takes {duration:g} s for {seconds:g} s'
+)
+def plan_slow_disks(context, which, duration, seconds):
+    def slow_down(disk):
+        disk.sync_seconds = duration
+
+    plan_outage(context, which, seconds, slow_down)
+
+
+@behave.when('the step {step} of the disks of {which} fails for {seconds:g} s')
+def plan_failing_step(context, step, which, seconds):
+    def fail(disk):
+        disk.failing_step = step
+
+    plan_outage(context, which, seconds, fail)
+
+
+@behave.when('each disk takes no bytes for {seconds:g} s, one after the other')
+def plan_full_disks_in_turn(context, seconds):
+    async def fill_in_turn(group):
+        context.outage = 0.0
+        for vm in group.vms:
+            group.disks[vm].fill(seconds)
+            outage = await propose_regularly(
+                group, seconds + MAX_OUTAGE_SECONDS
+            )
+            context.outage = max(context.outage, outage)
+
+    context.plan.append(fill_in_turn)
+
+
+@behave.when(
+    'the leader crashes while the disk of the next candidate takes no bytes'
+)
+def plan_full_candidate(context):
+    async def crash(group):
+        leader = group.leader().vm
+        candidate = min(followers(group))
+        context.first_term = group.leader().term
+        group.disks[candidate].fill(20.0)
+        group.crash(leader)
+        context.outage = await propose_regularly(group, 20.0)
+        group.start(leader)
+        await group.advance(MAX_OUTAGE_SECONDS)
+
+    context.plan.append(crash)
+
+
+@behave.when(
+    'a follower starts while its disk takes no bytes for {seconds:g} s'
+)
+def plan_start_on_full_disk(context, seconds):
+    async def start(group):
+        vm = followers(group)[0]
+        group.crash(vm)
+        group.disks[vm].fill(seconds)
+        group.start(vm)
+        context.outage = await propose_regularly(
+            group, seconds + MAX_OUTAGE_SECONDS
+        )
+
+    context.plan.append(start)
+
+
+@behave.when(
+    'a sync of a follower fails, and later its power and that of the others'
+)
+def plan_dropped_pages(context):
+    async def fail(group):
+        vm = followers(group)[0]
+        group.disks[vm].failing_step = 'sync'
+        await group.propose_and_wait()
+        group.disks[vm].failing_step = ''
+        context.outage = await propose_regularly(group, MAX_OUTAGE_SECONDS)
+        assert group.replicas[vm].role is roles.Role.FOLLOWER
+        await crash_all(group)
+
+    context.plan.append(fail)
+
+
+@behave.then('no outage is longer than {seconds:g} s')
+def plan_outage_check(context, seconds):
+    async def check(group):
+        assert context.outage <= seconds, context.outage
+
+    context.plan.append(check)
+
+
+@behave.then('the term has increased by at most {count:d}')
+def plan_term_check(context, count):
+    async def check(group):
+        increase = group.leader().term - context.first_term
+        assert increase <= count, increase
+
+    context.plan.append(check)
+
+
+@behave.then('no process has ended')
+def plan_process_check(context):
+    async def check(group):
+        assert not group.failures, group.failures
+
+    context.plan.append(check)
+
+
+@behave.then('every replica votes and has all acknowledged commands')
+def check_all_take_part(context):
+    async def check(group):
+        await group.advance(MAX_OUTAGE_SECONDS)
+        found = {vm: one.role.value for vm, one in group.replicas.items()}
+        assert sorted(found.values()) == [
+            *['follower'] * (len(group.vms) - 1),
+            'leader',
+        ], found
+        assert group.leader().members.voters == sorted(group.vms)
+        group.check_acknowledged()
+
+    run(run_plan, context, check)
+
+
+@behave.when('the disk of the leader fails')
+def plan_leader_failure(context):
+    async def fail(group):
+        context.vm = group.leader().vm
+        group.disks[context.vm].fill(20.0)
+        group.propose(context.vm)
+        await group.advance(PROPOSAL_INTERVAL_SECONDS)
+
+    context.plan.append(fail)
+
+
+@behave.then('no replica takes it for the leader')
+def check_forgotten(context):
+    async def check(group):
+        leaders = {vm: one.leader for vm, one in group.replicas.items()}
+        assert context.vm not in leaders.values(), leaders
+
+    run(run_plan, context, check)
+
+
+@behave.then('it does not stand, and refuses its vote to the others')
+def check_failed_vote(context):
+    async def check(group):
+        replica = group.replicas[context.vm]
+        stood_at = replica.last_campaign_at
+        other = next(vm for vm in group.vms if vm != context.vm)
+        await group.advance(3 * MAX_OUTAGE_SECONDS)
+        assert replica.last_campaign_at == stood_at
+        assert replica.role is roles.Role.FAILED, replica.role
+        assert not await request_vote(group, context.vm, other)
+
+    run(run_plan, context, check)
--- a/src/greengagegw/adapters/files.py
+++ b/src/greengagegw/adapters/files.py
@@ -4,8 +4,10 @@
 import fcntl
 import os
 import pathlib
+import typing
 
 import anyio.to_thread
+import eliot
 
 from .. import errors
 
@@ -17,7 +19,8 @@
     """A file open for appending.
 
     After a failed write or sync every further operation fails, since the
-    kernel may have dropped the pages that it could not write.
+    kernel may have dropped the pages that it could not write. The file can be
+    opened again; bytes after the last successful sync must then be truncated.
     """
 
     def __init__(self, path: pathlib.Path, descriptor: int) -> None:
@@ -36,9 +39,17 @@
         await self.run_in_thread(os.fsync, self.descriptor)
 
     async def close(self) -> None:
-        if self.descriptor >= 0:
-            os.close(self.descriptor)
-            self.descriptor = -1
+        if self.descriptor < 0:
+            return
+        descriptor, self.descriptor = self.descriptor, -1
+        try:
+            os.close(descriptor)
+        except OSError as error:
+            # The descriptor is closed nevertheless. What was synced stays, and
+            # nothing else is relied on.
+            eliot.log_message(
+                'disk:close_failed', path=str(self.path), reason=str(error)
+            )
 
     async def run_in_thread(
         self, action: collections.abc.Callable, *arguments: object
@@ -79,26 +90,19 @@
         os.close(self.lock_descriptor)
 
     async def names(self) -> list[str]:
+        found = await self.run_in_thread(os.listdir, self.path)
         return sorted(
             name
-            for name in os.listdir(self.path)
+            for name in found
             if name != LOCK_NAME and not name.endswith(TEMPORARY_SUFFIX)
         )
 
     async def read(self, name: str) -> bytes:
-        return await anyio.to_thread.run_sync((self.path / name).read_bytes)
+        return await self.run_in_thread((self.path / name).read_bytes)
 
     async def open(self, name: str) -> File:
-        path = self.path / name
-        is_new = not path.exists()
-        descriptor = os.open(
-            path,
-            os.O_CREAT | os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC,
-            0o600,
-        )
-        if is_new:
-            await self.run_in_thread(_sync_folder, self.path)
-        return File(path, descriptor)
+        descriptor = await self.run_in_thread(_open, self.path, name)
+        return File(self.path / name, descriptor)
 
     async def replace(self, name: str, content: bytes) -> None:
         await self.run_in_thread(_replace, self.path, name, content)
@@ -108,9 +112,9 @@
 
     async def run_in_thread(
         self, action: collections.abc.Callable, *arguments: object
-    ) -> None:
+    ) -> typing.Any:
         try:
-            await anyio.to_thread.run_sync(action, *arguments)
+            return await anyio.to_thread.run_sync(action, *arguments)
         except OSError as error:
             raise errors.DiskFailedError(f'{self.path}: {error}') from error
 
@@ -121,6 +125,25 @@
         remaining = remaining[os.write(descriptor, remaining) :]
 
 
+def _open(folder: pathlib.Path, name: str) -> int:
+    """Opens a file for appending and makes its folder entry durable.
+
+    The folder is synced for an existing file as well, since the sync may have
+    failed when the file was created.
+    """
+    descriptor = os.open(
+        folder / name,
+        os.O_CREAT | os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC,
+        0o600,
+    )
+    try:
+        _sync_folder(folder)
+    except OSError:
+        os.close(descriptor)
+        raise
+    return descriptor
+
+
 def _sync_folder(path: pathlib.Path) -> None:
     descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
     try:
--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -70,11 +70,11 @@
     if not won_pre_vote or is_superseded:
         return
     async with replica.lock_storage():
-        await replica.storage.save_meta(
-            term=replica.term + 1, voted_for=replica.vm
-        )
-    replica.role = roles.Role.CANDIDATE
-    replica.leader = None
+        if replica.term != term:
+            return
+        await replica.storage.save_meta(term=term + 1, voted_for=replica.vm)
+        replica.role = roles.Role.CANDIDATE
+        replica.leader = None
     term = replica.term
     won = await collect_votes(replica, term, is_pre_vote=False)
     if won and replica.term == term and replica.role is roles.Role.CANDIDATE:
@@ -101,6 +101,8 @@
     finished = anyio.Event()
 
     async def request_vote(vm: str) -> None:
+        # The reason of a refusal is logged by the voter, and a failure of the
+        # own disk where it is found.
         with contextlib.suppress(errors.GatewayError):
             peer_term, granted, incarnation = await replica.call_peer(
                 vm, 'vote', message
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -23,6 +23,7 @@
 
 from .. import errors
 from .. import timers as timer_service
+from . import disk_recovery
 from . import election
 from . import entries as log_entries
 from . import log_replication
@@ -139,7 +140,9 @@
         self.storage_lock = anyio.Lock()
         self.incoming_snapshot: bytearray | None = None
         self.failure: errors.StorageError | None = None
+        self.disk_failed = anyio.Event()
         self.is_loaded = False
+        self.has_started = False
         self.membership_checked_at = timers.now()
         self.is_caught_up = False
         self.tasks: anyio.abc.TaskGroup | None = None
@@ -180,10 +183,26 @@
 
     @contextlib.asynccontextmanager
     async def lock_storage(self) -> collections.abc.AsyncIterator[None]:
-        """Holds the storage lock and shields the body from cancellation."""
+        """Holds the storage lock and shields the body from cancellation.
+
+        Every access to the disk is made under this lock, so that this is the
+        one place at which a failure of the disk is found.
+
+        :raises DiskFailedError: if the disk fails in the body, or has failed
+            and has not recovered; the replica does not take part then.
+        """
         async with self.storage_lock:
+            self.require_sound_disk()
             with anyio.CancelScope(shield=True):
-                yield
+                try:
+                    yield
+                except errors.DiskFailedError as error:
+                    self.stop_participating(error)
+                    raise
+
+    def require_sound_disk(self) -> None:
+        if self.failure is not None:
+            raise errors.DiskFailedError(self.failure.message)
 
     def handlers(self) -> dict[str, peers.Handler]:
         """Returns the handlers of this replica by peer method."""
@@ -207,15 +226,16 @@
     async def run(self) -> None:
         """Runs the replica until it is cancelled.
 
-        :raises StorageError: if the files are damaged or cannot be read or
-            written.
+        :raises CorruptFileError: if the files are damaged when it starts.
         """
-        async with self.lock_storage():
-            await self.load()
-            self.is_loaded = True
+        # If the disk fails, the recovery loads the files later.
+        with contextlib.suppress(errors.DiskFailedError):
+            async with self.lock_storage():
+                await self.load()
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
             tasks.start_soon(status.log_status, self)
+            tasks.start_soon(disk_recovery.run_disk_recovery, self)
             await startup.start_up(self)
             tasks.start_soon(self.run_election_timer)
             tasks.start_soon(self.write_proposals)
@@ -230,8 +250,9 @@
             await self.storage.save_meta(
                 incarnation=secrets.token_hex(8), boots=1
             )
-            return
-        await self.storage.save_meta(boots=self.storage.meta.boots + 1)
+        else:
+            await self.storage.save_meta(boots=self.storage.meta.boots + 1)
+        self.is_loaded = True
 
     def restore(self, snapshot: log_entries.Snapshot) -> None:
         self.machine.restore(snapshot.state)
@@ -244,6 +265,19 @@
         self.is_caught_up = False
         self.refresh_members()
 
+    def align_applied_state(self) -> None:
+        """Aligns the applied state with the storage after a failed write.
+
+        A snapshot may have been stored and the step after it have failed, or
+        the storage may have been wiped.
+        """
+        if self.storage.base_index > self.applied_index:
+            self.restore(self.storage.snapshot)
+        elif self.applied_index > self.storage.last_index:
+            self.reset_applied_state()
+        self.incoming_snapshot = None
+        self.refresh_members()
+
     def refresh_members(self) -> None:
         """Sets the members from the newest membership entry.
 
@@ -351,15 +385,21 @@
             eliot.log_message('replica:step_down', group=self.group)
         if self.failure is None:
             self.role = roles.Role.FOLLOWER
+            self.has_started = True
         self.last_contact_at = self.last_campaign_at = self.timers.now()
         self.fail_pending_proposals()
         self.notify_index_readers()
 
-    def stop_participating(self, error: errors.GatewayError) -> None:
-        """Stops taking part until a restart, since the disk has failed."""
+    def stop_participating(self, error: errors.StorageError) -> None:
+        """Stops taking part until the disk takes bytes again."""
         self.failure = error
         self.become_follower()
         self.role = roles.Role.FAILED
+        self.is_caught_up = False
+        eliot.log_message(
+            'replica:disk_failed', group=self.group, reason=error.message
+        )
+        self.disk_failed.set()
 
     def fail_pending_proposals(self) -> None:
         """Fails the proposals that this replica can no longer complete."""
@@ -377,10 +417,16 @@
             proposal.done.set()
         self.proposal_queue.clear()
 
-    async def adopt_term(self, term: int) -> None:
-        """Adopts a higher term of a peer and becomes a follower."""
-        if term > self.term:
-            await self.storage.save_meta(term=term, voted_for='')
+    async def adopt_term(self, term: int, voted_for: str = '') -> None:
+        """Adopts a higher term of a peer and becomes a follower.
+
+        :param voted_for: the candidate that gets the vote of this replica, if
+            any. It is stored along with the term, in one write.
+        """
+        is_higher = term > self.term
+        if is_higher or voted_for:
+            await self.storage.save_meta(term=term, voted_for=voted_for)
+        if is_higher:
             self.leader = None
             self.become_follower()
 
@@ -388,7 +434,8 @@
         """Runs the periodic checks of each role.
 
         A follower campaigns after its election timeout, a leader checks its
-        quorum, and a replica that is not a member tries to join again.
+        quorum, and a replica that is not a member tries to join again. A
+        replica whose disk has failed does nothing.
         """
         jitter = self.rng.random()
         while True:
@@ -400,18 +447,31 @@
             if self.role is roles.Role.LEADER:
                 self.check_quorum()
                 continue
-            is_member = self.is_current_member(self.vm, self.incarnation)
-            if self.vm in self.memory_replicas or not is_member:
-                await startup.rejoin_if_not_member(self)
-                continue
-            own_member = self.members.get(self.vm)
-            if own_member is None or not own_member.is_voter:
+            if self.failure is not None:
                 continue
-            quiet_since = max(self.last_contact_at, self.last_campaign_at)
-            timeout = election.election_timeout_seconds(self, jitter)
-            if self.timers.now() - quiet_since >= timeout:
-                jitter = self.rng.random()
-                await election.campaign(self)
+            # A failure of the disk is logged where it is found.
+            with contextlib.suppress(errors.DiskFailedError):
+                if await self.follow_or_campaign(jitter):
+                    jitter = self.rng.random()
+
+    async def follow_or_campaign(self, jitter: float) -> bool:
+        """Joins again or campaigns if it is time to.
+
+        :returns: whether it has campaigned.
+        """
+        is_member = self.is_current_member(self.vm, self.incarnation)
+        if self.vm in self.memory_replicas or not is_member:
+            await startup.rejoin_if_not_member(self)
+            return False
+        own_member = self.members.get(self.vm)
+        if own_member is None or not own_member.is_voter:
+            return False
+        quiet_since = max(self.last_contact_at, self.last_campaign_at)
+        timeout = election.election_timeout_seconds(self, jitter)
+        if self.timers.now() - quiet_since < timeout:
+            return False
+        await election.campaign(self)
+        return True
 
     def check_quorum(self) -> None:
         """Steps down if no majority replies or the disk stalls.
@@ -462,13 +522,16 @@
                 self.log_refused_vote(candidate, term, 'shorter log')
             if is_pre_vote:
                 return [self.term, is_log_current, self.incarnation]
-            await self.adopt_term(term)
             if not is_log_current:
+                await self.adopt_term(term)
                 return [self.term, False, self.incarnation]
-            if self.storage.meta.voted_for not in ('', candidate):
+            if term == self.term and self.storage.meta.voted_for not in (
+                '',
+                candidate,
+            ):
                 self.log_refused_vote(candidate, term, 'has voted')
                 return [self.term, False, self.incarnation]
-            await self.storage.save_meta(voted_for=candidate)
+            await self.adopt_term(term, voted_for=candidate)
             self.last_contact_at = self.timers.now()
             return [self.term, True, self.incarnation]
 
@@ -584,14 +647,11 @@
     # Replication on the leader.
 
     def require_started(self) -> None:
-        if self.failure is not None:
-            raise self.failure
+        self.require_sound_disk()
         if self.role is roles.Role.STARTING:
             raise errors.ReplicationError('the replica is still starting')
 
     def require_leader(self) -> None:
-        if self.failure is not None:
-            raise self.failure
         if not self.is_leader:
             raise errors.NotLeaderError(
                 'this replica is not the leader', self.leader
@@ -626,18 +686,26 @@
             while not self.proposal_queue:
                 self.proposal_queued = anyio.Event()
                 await self.proposal_queued.wait()
-            async with self.lock_storage():
-                if not self.is_leader:
-                    self.fail_pending_proposals()
-                    continue
-                batch, self.proposal_queue = self.proposal_queue, []
-                self.writing_since = self.timers.now()
-                with contextlib.suppress(errors.StorageError):
-                    await self.write_batch(batch)
-                self.writing_since = None
+            # A failure of the disk is logged where it is found, and fails the
+            # proposals.
+            with contextlib.suppress(errors.DiskFailedError):
+                async with self.lock_storage():
+                    if self.is_leader:
+                        await self.write_queue()
+            if not self.is_leader:
+                self.fail_pending_proposals()
+                continue
             self.request_replication()
             self.advance_commit_index()
 
+    async def write_queue(self) -> None:
+        batch, self.proposal_queue = self.proposal_queue, []
+        self.writing_since = self.timers.now()
+        try:
+            await self.write_batch(batch)
+        finally:
+            self.writing_since = None
+
     async def write_batch(self, batch: list) -> None:
         added = []
         index = self.storage.last_index
@@ -645,21 +713,10 @@
             index += 1
             added.append(log_entries.Entry(index, self.term, kind, content))
             self.pending_proposals[index] = proposal
-        await self.append_durably(added)
+        await self.storage.append(added)
         if any(one.kind is log_entries.EntryKind.MEMBERSHIP for one in added):
             self.refresh_members()
 
-    async def append_durably(self, added: list[log_entries.Entry]) -> None:
-        try:
-            await self.storage.append(added)
-        except errors.StorageError as error:
-            # The content of the file is unknown after a failed write, so
-            # this replica stops participating. A restart reads what became
-            # durable.
-            self.stop_participating(error)
-            eliot.log_message('replica:disk_failed', group=self.group)
-            raise
-
     def request_replication(self) -> None:
         self.replication_wanted.set()
         self.replication_wanted = anyio.Event()
@@ -714,6 +771,10 @@
             packed_entries,
             leader_commit_index,
         ) = message
+        if self.failure is not None and term >= self.term:
+            # Requests are still sent to the leader, though the entries cannot
+            # be stored.
+            self.leader, self.leader_heard_at = leader, self.timers.now()
         self.require_started()
         async with self.lock_storage():
             rejection = [self.term, False, 0, self.incarnation]
@@ -757,7 +818,7 @@
                 await self.storage.truncate_from(entry.index)
             new.append(entry)
         if new:
-            await self.append_durably(new)
+            await self.storage.append(new)
             self.refresh_members()
 
     async def on_snapshot(self, peer: str, message: list) -> list:
@@ -817,17 +878,22 @@
 
     async def take_snapshot(self) -> None:
         """Compacts the applied entries into a snapshot."""
-        async with self.lock_storage():
-            index = self.applied_index
-            if index - self.storage.base_index < SNAPSHOT_AFTER_ENTRIES:
-                return
-            snapshot = log_entries.Snapshot(
-                index,
-                self.storage.term_at(index),
-                self.members_at(index),
-                self.machine.save(),
-            )
-            await self.storage.install_snapshot(snapshot)
+        # A failure of the disk is logged where it is found.
+        with contextlib.suppress(errors.DiskFailedError):
+            async with self.lock_storage():
+                await self.compact()
+
+    async def compact(self) -> None:
+        index = self.applied_index
+        if index - self.storage.base_index < SNAPSHOT_AFTER_ENTRIES:
+            return
+        snapshot = log_entries.Snapshot(
+            index,
+            self.storage.term_at(index),
+            self.members_at(index),
+            self.machine.save(),
+        )
+        await self.storage.install_snapshot(snapshot)
 
     def members_at(self, index: int) -> log_entries.Members:
         """Returns the members as of an index at or after the snapshot."""
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -27,15 +27,19 @@
 async def start_up(replica: 'replicas.Replica') -> None:
     """Returns when the replica may take part in the group."""
     started_at = replica.timers.now()
-    while replica.is_starting:
-        replies = await identify_to_all(replica)
-        async with replica.lock_storage():
-            group_replies = await resolve_start(replica, replies)
-        await request_admission(replica, group_replies)
-        waited = replica.timers.now() - started_at
-        if replica.is_starting and waited >= RECOVERY_DELAY_SECONDS:
-            await recover_from_memory_replica(replica, replies)
-        if replica.is_starting:
+    while not replica.has_started:
+        # A failure of the disk is logged where it is found. The start goes on
+        # when the disk has recovered.
+        with contextlib.suppress(errors.DiskFailedError):
+            replica.require_sound_disk()
+            replies = await identify_to_all(replica)
+            async with replica.lock_storage():
+                group_replies = await resolve_start(replica, replies)
+            await request_admission(replica, group_replies)
+            waited = replica.timers.now() - started_at
+            if replica.is_starting and waited >= RECOVERY_DELAY_SECONDS:
+                await recover_from_memory_replica(replica, replies)
+        if not replica.has_started:
             await replica.timers.sleep(RETRY_DELAY_SECONDS)
 
 
@@ -149,8 +153,7 @@
 async def discard_state(replica: 'replicas.Replica') -> None:
     """Wipes a stale state and gives the replica a new incarnation."""
     eliot.log_message('replica:old_disk', group=replica.group, vm=replica.vm)
-    await replica.storage.wipe()
-    await replica.storage.save_meta(incarnation=secrets.token_hex(8), boots=1)
+    await replica.storage.wipe(secrets.token_hex(8))
     replica.members = log_entries.Members(())
 
 
--- a/src/greengagegw/replication/storage.py
+++ b/src/greengagegw/replication/storage.py
@@ -26,6 +26,8 @@
 META_NAME = 'meta'
 SNAPSHOT_NAME = 'snapshot'
 LOG_PREFIX = 'log-'
+# The probe of a disk that has failed; more than a block of usual file systems.
+PROBE_BYTES = 8192
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,7 +73,12 @@
 class Storage:
     """Durable storage of one replica in a folder of its own.
 
-    The entries after the snapshot are also held in memory.
+    The entries after the snapshot are also held in memory. The state in memory
+    never runs ahead of the disk: additions are made after the sync that makes
+    them durable, and removals before the first step on the disk. So after a
+    failed write, :meth:`recover` can bring the disk to the state in memory.
+
+    :ivar file_size: bytes of the newest log file that are known to be synced.
     """
 
     def __init__(self, folder: disk.FolderPort) -> None:
@@ -121,8 +128,14 @@
     async def load(self) -> None:
         """Loads the files and truncates a torn write at the end of the log.
 
+        It can be repeated after a failure.
+
         :raises CorruptFileError: if content that was synced is damaged.
         """
+        await self.close()
+        self.meta, self.snapshot = Meta(), None
+        self.entries, self.locations = [], []
+        self.file_name, self.file_size = '', 0
         names = await self.folder.names()
         if META_NAME in names:
             values = _decode_file(META_NAME, await self.folder.read(META_NAME))
@@ -166,6 +179,85 @@
             if size < len(content):
                 await self.file.truncate(size)
 
+    async def recover(self) -> None:
+        """Brings the disk to the state in memory after a failed write.
+
+        What was written after the last successful sync is removed first: after
+        a failed sync, it may be readable from the page cache without being on
+        the disk. The probe shows that the log takes bytes again.
+
+        :raises DiskFailedError: if the disk still fails.
+        :raises CorruptFileError: if synced content is missing or damaged.
+        """
+        await self.close()
+        await self.remove_unsynced()
+        stored = Storage(self.folder)
+        try:
+            await stored.load()
+            self.require_same_log(stored)
+            await self.save_meta()
+            await stored.probe()
+        except errors.StorageError:
+            await stored.close()
+            raise
+        self.file = stored.file
+        self.file_name, self.file_size = stored.file_name, stored.file_size
+
+    async def remove_unsynced(self) -> None:
+        """Removes log files and bytes that are not part of the log."""
+        for name in reversed(await self.folder.names()):
+            if not name.startswith(LOG_PREFIX) or name < self.file_name:
+                continue
+            if name > self.file_name:
+                await self.folder.remove(name)
+                continue
+            size = len(await self.folder.read(name))
+            if size < self.file_size:
+                raise errors.CorruptFileError(
+                    f'{name} has {size} bytes, but {self.file_size} were'
+                    ' synced'
+                )
+            file = await self.folder.open(name)
+            try:
+                await file.truncate(self.file_size)
+            finally:
+                await file.close()
+
+    def require_same_log(self, stored: 'Storage') -> None:
+        """Checks that files hold the entries and the snapshot in memory.
+
+        Their snapshot may be newer, if its write failed after the rename.
+
+        :raises CorruptFileError: if an entry or the snapshot is missing.
+        """
+        if stored.base_index < self.base_index:
+            raise errors.CorruptFileError(
+                f'the stored snapshot ends at entry {stored.base_index},'
+                f' but one up to {self.base_index} was synced'
+            )
+        expected = [
+            one for one in self.entries if one.index > stored.base_index
+        ]
+        if stored.entries != expected:
+            raise errors.CorruptFileError(
+                f'the log ends at entry {stored.last_index}, but entries up'
+                f' to {self.last_index} were synced'
+            )
+
+    async def probe(self) -> None:
+        """Checks that the newest log file takes bytes and syncs them.
+
+        The bytes are removed again. If the process ends before that, they are
+        taken for a torn write.
+
+        :raises DiskFailedError: if the disk fails.
+        """
+        if self.file is None:
+            return
+        await self.file.append(bytes(PROBE_BYTES))
+        await self.file.sync()
+        await self.file.truncate(self.file_size)
+
     async def save_meta(self, **changes: typing.Any) -> None:
         """Changes fields of the metadata durably."""
         meta = dataclasses.replace(self.meta, **changes)
@@ -196,8 +288,8 @@
 
     async def start_file(self, first_index: int) -> None:
         self.file_name = f'{LOG_PREFIX}{first_index:016d}'
-        self.file = await self.folder.open(self.file_name)
         self.file_size = 0
+        self.file = await self.folder.open(self.file_name)
 
     async def truncate_from(self, start_index: int) -> None:
         """Durably removes the entries from an index on."""
@@ -206,19 +298,17 @@
         affected_files = sorted(
             {one.file for one in self.locations[kept_count:]}
         )
+        if self.file_name != location.file:
+            await self.close()
+        del self.entries[kept_count:]
+        del self.locations[kept_count:]
+        self.file_name, self.file_size = location.file, location.offset
         for name in reversed(affected_files):
             if name != location.file:
                 await self.folder.remove(name)
-        if self.file is not None and self.file_name != location.file:
-            await self.file.close()
-            self.file = None
         if self.file is None:
             self.file = await self.folder.open(location.file)
-            self.file_name = location.file
         await self.file.truncate(location.offset)
-        self.file_size = location.offset
-        del self.entries[kept_count:]
-        del self.locations[kept_count:]
 
     async def install_snapshot(self, snapshot: log_entries.Snapshot) -> None:
         """Stores a snapshot and drops the entries that it covers.
@@ -266,27 +356,34 @@
             self.file = None
 
     async def remove_logs(self) -> None:
-        if self.file is not None:
-            await self.file.close()
-            self.file = None
+        await self.close()
+        self.entries = []
+        self.locations = []
+        self.file_name, self.file_size = '', 0
         for name in reversed(await self.folder.names()):
             if name.startswith(LOG_PREFIX):
                 await self.folder.remove(name)
-        self.entries = []
-        self.locations = []
 
-    async def wipe(self) -> None:
-        """Removes all files and resets the state in memory."""
+    async def wipe(self, incarnation: str) -> None:
+        """Removes all content and starts a new incarnation.
+
+        The new incarnation is stored first. If a later step fails, what is
+        left of the log is not taken for that of the old incarnation, which
+        may count as a voter.
+        """
+        meta = Meta(incarnation=incarnation, boots=1)
+        await self.folder.replace(
+            META_NAME, _encode_file(dataclasses.asdict(meta))
+        )
+        self.meta = meta
         await self.remove_logs()
-        await self.folder.remove(SNAPSHOT_NAME)
-        await self.folder.remove(META_NAME)
         self.snapshot = None
-        self.meta = Meta()
+        await self.folder.remove(SNAPSHOT_NAME)
 
     async def close(self) -> None:
         if self.file is not None:
-            await self.file.close()
-            self.file = None
+            file, self.file = self.file, None
+            await file.close()
 
 
 def _encode_file(values: dict) -> bytes:
