Send no entries with a gap if the log is compacted during a transfer

After the transfer, the next entry to send lay at or below the new base, and storage.entries_from took a negative slice.

A follower rejects entries that do not follow the previous index, or whose previous entry it does not hold, which also covers leaders of an earlier release. No message changes.

Before: both new scenarios of members.feature failed ("the applied logs diverge"; entries with a gap were accepted). Now features/replication: 69 scenarios passed.

--- a/features/fakes.py
+++ b/features/fakes.py
@@ -306,7 +306,16 @@
     It records the commands that were acknowledged to a client.
     """
 
-    def __init__(self, vms=('a', 'b', 'c'), seed=1, memory_replicas=()):
+    def __init__(
+        self,
+        vms=('a', 'b', 'c'),
+        seed=1,
+        memory_replicas=(),
+        min_voters=replicas.MAX_MEMBERS,
+        timeouts=replicas.DEFAULT_TIMEOUTS,
+    ):
+        self.min_voters = min_voters
+        self.timeouts = timeouts
         self.vms = (*vms, *memory_replicas)
         self.founders = tuple(vms)
         self.memory_replicas = tuple(memory_replicas)
@@ -336,6 +345,8 @@
             self.timers,
             self.rng,
             self.memory_replicas,
+            min_voters=self.min_voters,
+            timeouts=self.timeouts,
         )
         self.replicas[vm] = replica
         self.network.handlers[vm] = {
@@ -380,6 +391,17 @@
     def lose_disk(self, vm):
         self.disks[vm] = FakeDisk(self.rng)
 
+    def add(self, vm):
+        """Starts a VM with an empty disk at a new address."""
+        self.vms = (*self.vms, vm)
+        self.lose_disk(vm)
+        self.start(vm)
+
+    def retire(self, vm):
+        """Stops a VM that never returns."""
+        self.crash(vm)
+        self.vms = tuple(one for one in self.vms if one != vm)
+
     def leader(self):
         """Returns the leader of the highest term, or None."""
         leaders = [
--- /dev/null
+++ b/features/replication/members.feature
@@ -0,0 +1,12 @@
+Feature: A control group keeps its fault tolerance while its members change
+  Replicas run in simulated time, with a simulated network and disks.
+
+  Scenario: The leader compacts its log again while it sends a snapshot
+    Given a control group of 5 replicas
+    When the leader compacts its log again while a follower gets a snapshot
+    Then the log of that follower has no gap
+
+  Scenario: A leader of an earlier release sends entries with a gap
+    Given a control group of 5 replicas
+    When a follower gets entries that do not follow its own
+    Then it rejects them and its log has no gap
--- a/src/greengagegw/replication/log_replication.py
+++ b/src/greengagegw/replication/log_replication.py
@@ -20,7 +20,8 @@
     next_index = replica.storage.last_index + 1
     while replica.is_leader and replica.members.get(vm) is not None:
         try:
-            if next_index <= replica.storage.base_index:
+            # The log may be compacted again while a snapshot is sent.
+            while next_index <= replica.storage.base_index:
                 next_index = await send_snapshot(replica, vm)
             next_index = await send_entries(replica, vm, next_index)
             await promote_when_caught_up(replica, vm)
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -720,14 +720,19 @@
             if term < self.term:
                 return rejection
             await self.accept_leader(term, leader)
+            added = [log_entries.Entry.unpack(one) for one in packed_entries]
             own_term = self.storage.term_at(previous_index)
-            if (
-                own_term != previous_term
-                and previous_index > self.storage.base_index
-            ):
+            is_consistent = previous_index <= self.storage.base_index or (
+                own_term is not None and own_term == previous_term
+            )
+            # A leader of an earlier release may send entries with a gap if
+            # it compacts its log while it sends a snapshot.
+            indexes = [entry.index for entry in added]
+            first = previous_index + 1
+            has_gap = indexes != list(range(first, first + len(added)))
+            if not is_consistent or has_gap:
                 hint = min(previous_index - 1, self.storage.last_index)
                 return [self.term, False, hint, self.incarnation]
-            added = [log_entries.Entry.unpack(one) for one in packed_entries]
             await self.append_entries(added)
             last_appended = previous_index + len(added)
             if min(leader_commit_index, last_appended) > self.commit_index:
