Change members one at a time, and only after an entry of the own term

Two members that joined, or a voter that was removed while another was promoted, could change the members twice at once, and a new leader could change them before it had committed anything. Either may give two majorities without a common voter, so an acknowledged command can be lost.

change_members checked only that the last written change was committed. A change that was queued but not yet written was not seen, and a change of an earlier leader that the new one does not hold neither (Ongaro, 2015).

A change now needs a committed entry of the leader's term and no other change that is queued, being written or uncommitted. The caller gets the same error as before and tries again.

--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -6,6 +6,7 @@
 import behave
 
 from features import fakes
+from greengagegw import errors
 from greengagegw.fleet import timing
 from greengagegw.replication import entries
 from greengagegw.replication import replica as replicas
@@ -168,3 +169,72 @@
 @behave.then('it rejects them and its log has no gap')
 def check_rejected(context):
     play(context, context.play)
+
+
+# The rules of single-server changes.
+
+
+@behave.when(
+    'a VM joins at a new leader that has committed nothing of its term'
+)
+def plan_early_change(context):
+    async def join_early(group):
+        old = group.leader()
+        new = group.replicas[followers(group)[0]]
+        group.network.cut([old.vm], [vm for vm in group.vms if vm != old.vm])
+        await new.storage_lock.acquire()
+        await new.storage.save_meta(term=old.term + 1, voted_for=new.vm)
+        await new.become_leader()
+        outcomes = []
+
+        async def join():
+            try:
+                await new.on_join('z', ['z', 'incarnation of z'])
+                outcomes.append('joined')
+            except errors.ReplicationError as error:
+                outcomes.append(error.code)
+
+        group.tasks.start_soon(join)
+        await group.advance(0.1)
+        assert outcomes == ['replication'], outcomes
+        assert not new.proposal_queue[1:], 'the change is queued'
+        new.storage_lock.release()
+        await group.advance(1)
+        group.tasks.start_soon(join)
+        await group.advance(1)
+        assert outcomes[1:] == ['joined'], outcomes
+
+    context.play = join_early
+
+
+@behave.then('the change is rejected until an entry of its term is committed')
+def check_early_change(context):
+    play(context, context.play)
+
+
+@behave.when('the leader is to remove two voters at the same time')
+def plan_two_changes(context):
+    async def remove_two(group):
+        leader = group.leader()
+        first, second = followers(group)[:2]
+        rejected = []
+
+        async def remove(vm):
+            try:
+                await leader.change_members(leader.members.without(vm))
+            except errors.ReplicationError:
+                rejected.append(vm)
+
+        group.tasks.start_soon(remove, first)
+        group.tasks.start_soon(remove, second)
+        await group.advance(2)
+        assert rejected == [second], rejected
+        assert second in leader.members.voters, leader.members
+        assert first not in leader.members.voters, leader.members
+
+    context.play = remove_two
+
+
+@behave.then('only one of the two changes is made')
+def check_two_changes(context):
+    play(context, context.play)
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -129,6 +129,7 @@
         self.match_index: dict[str, int] = {}
         self.sent_commit_index: dict[str, int] = {}
         self.pending_proposals: dict[int, PendingProposal] = {}
+        self.member_change: PendingProposal | None = None
         self.proposal_queue: list[
             tuple[log_entries.EntryKind, bytes, PendingProposal]
         ] = []
@@ -310,11 +311,8 @@
     async def on_join(self, peer: str, message: list) -> None:
         vm, incarnation = message
         self.require_leader()
+        self.require_settled_members()
         if self.is_current_member(vm, incarnation):
-            if self.members_index > self.commit_index:
-                raise errors.ReplicationError(
-                    'a membership change is not yet committed'
-                )
             return
         known = self.members.get(vm)
         if known is None and len(self.members.members) >= MAX_MEMBERS:
@@ -326,18 +324,46 @@
         self.contact_times.pop(vm, None)
         await self.change_members(self.members.with_member(member))
 
+    @property
+    def is_membership_settled(self) -> bool:
+        """Whether this leader may propose a change of the members.
+
+        The last change must be committed, and an entry of this leader's term
+        as well: otherwise a change of an earlier leader that this one does
+        not know may still be committed, by a majority that has no voter in
+        common with the majority of the new change (Ongaro, "bug in
+        single-server membership changes", raft-dev, 2015).
+        """
+        is_pending = (
+            self.member_change is not None
+            and not self.member_change.done.is_set()
+        )
+        return (
+            self.is_leader
+            and self.is_caught_up
+            and not is_pending
+            and self.members_index <= self.commit_index
+        )
+
+    def require_settled_members(self) -> None:
+        if not self.is_membership_settled:
+            raise errors.ReplicationError(
+                'the last membership change, or an entry of the term of this'
+                ' leader, is not yet committed'
+            )
+
     async def change_members(self, members: log_entries.Members) -> None:
         """Commits a change of one member.
 
-        :raises ReplicationError: if the last change is not committed yet.
+        :raises ReplicationError: if the last change or an entry of the own
+            term is not committed yet.
         """
         self.require_leader()
-        if self.members_index > self.commit_index:
-            raise errors.ReplicationError(
-                'a membership change is not yet committed'
-            )
-        content = _pack_members(members)
-        await self.propose(content, log_entries.EntryKind.MEMBERSHIP)
+        self.require_settled_members()
+        self.member_change = self.queue_proposal(
+            _pack_members(members), log_entries.EntryKind.MEMBERSHIP
+        )
+        await _outcome(self.member_change)
 
     # Roles.
 
@@ -524,7 +550,7 @@
         voters = self.members.voters
         if len(voters) <= self.min_voters:
             return
-        if self.members_index > self.commit_index:
+        if not self.is_membership_settled:
             return
         now = self.timers.now()
         unreachable = [
@@ -608,14 +634,20 @@
         :raises LostLeadershipError: if it is unknown whether the command
             will be committed.
         """
+        return await _outcome(self.queue_proposal(content, kind))
+
+    def queue_proposal(
+        self, content: bytes, kind: log_entries.EntryKind
+    ) -> PendingProposal:
+        """Queues an entry to be written with the next batch.
+
+        :raises NotLeaderError: if this replica is not the leader.
+        """
         self.require_leader()
         proposal = PendingProposal(self.term)
         self.proposal_queue.append((kind, content, proposal))
         self.proposal_queued.set()
-        await proposal.done.wait()
-        if proposal.error is not None:
-            raise proposal.error
-        return proposal.outcome
+        return proposal
 
     async def on_propose(self, peer: str, content: bytes) -> typing.Any:
         return await self.propose(content)
@@ -847,6 +879,13 @@
         return log_entries.Members.unpack(self.storage.meta.founders)
 
 
+async def _outcome(proposal: PendingProposal) -> typing.Any:
+    await proposal.done.wait()
+    if proposal.error is not None:
+        raise proposal.error
+    return proposal.outcome
+
+
 def _pack_members(members: log_entries.Members) -> bytes:
     return msgpack.packb(members.pack())
 
