Count a rejection without an ID on a new connection only

Clients were told "not run" for requests that had run, or these ran twice, after a server had written an earlier rejection once more on a kept connection: 421 and Greengagegw-Not-Executed were evaluated before the ID was required, and what such a response said of the server (pause, limits) was believed as well.

A response without an ID is now a rejection only if its connection had no earlier request, whose late response it could be. Otherwise the outcome is unknown (502), and requests that may run only once are not repeated. A 421 without Greengagegw-Not-Executed states nothing of the outcome either.

Tests: features/platform/late_responses.feature.

--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -247,6 +247,7 @@
         types.SimpleNamespace(
             status=status,
             headers=[(one.encode(), two.encode()) for one, two in pairs],
+            is_first=True,
         ),
     )
 
@@ -288,7 +289,11 @@
         make_scope([(b'greengagegw-attempt-id', b'r-1')]), b''
     )
     backend_request = ports.BackendRequest(request, None, 3.0, 1, None, True)
-    response = types.SimpleNamespace(status=status, headers=response_headers)
+    response = types.SimpleNamespace(
+        status=status,
+        headers=response_headers,
+        is_first=True,
+    )
     context.result = 'passed on'
     try:
         backend_client.check_response(
--- a/src/greengagegw/adapters/backend_connection.py
+++ b/src/greengagegw/adapters/backend_connection.py
@@ -54,6 +54,7 @@
     :ivar max_idle: idle connections of its pool, including this one, up to
         which it is kept.
     :ivar on_idle_end: called if the server closes the idle connection.
+    :ivar sent_count: requests that were sent on it.
     :ivar is_chunked: whether the body of the response comes in chunks.
     :ivar ends_chunk: whether the parser has nothing left but the line end
         after a chunk that it has returned.
@@ -76,6 +77,7 @@
         self.idle_since = 0.0
         self.max_idle = 0
         self.on_idle_end: collections.abc.Callable[[], None] | None = None
+        self.sent_count = 0
         self.is_chunked = False
         self.ends_chunk = False
         self.is_between_chunks = False
@@ -154,6 +156,7 @@
             content += self.http.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             raise httpcore.LocalProtocolError(str(error)) from error
+        self.sent_count += 1
         if not self.has_ended:
             self.transport.write(content)
         if self.can_write is not None:
@@ -275,7 +278,11 @@
 
 
 class Response:
-    """A response whose body is still being received."""
+    """A response whose body is still being received.
+
+    :ivar is_first: whether its connection had no earlier request, so that it
+        cannot be a late response to one.
+    """
 
     def __init__(
         self,
@@ -287,6 +294,7 @@
         self.connection = connection
         self.status = head.status_code
         self.headers = head.headers.raw_items()
+        self.is_first = connection.sent_count == 1
         self.is_closed = False
 
     async def read(self) -> bytes | None:
--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -199,7 +199,8 @@
     if headers is None:
         headers = headers_by_name(response.headers)
     request_id = backend_request.request.request_id.encode('latin-1')
-    is_own = headers.get(http_names.REQUEST_ID, request_id) == request_id
+    echoed = headers.get(http_names.REQUEST_ID)
+    is_own = echoed == request_id or (not echoed and response.is_first)
     if response.status == WRONG_INSTANCE_STATUS or not is_own:
         return ports.ServerNotice()
     pause_seconds = None
@@ -229,30 +230,27 @@
     if headers is None:
         headers = headers_by_name(response.headers)
     status = response.status
-    request_id = backend_request.request.request_id
-    echoed = headers.get(http_names.REQUEST_ID, b'').decode('latin-1')
-    # A second copy of a rejection says nothing of this request.
-    if echoed and echoed != request_id:
-        log_foreign_response(instance, request_id, response, 'another ID')
+    reason = find_foreign_reason(backend_request, response, headers)
+    if reason is not None:
+        log_foreign_response(
+            instance, backend_request.request.request_id, response, reason
+        )
         raise errors.BackendError(
-            f'{instance.name} responded with another request ID'
+            f'{instance.name} sent a response to another request: {reason}'
         )
+    is_marked = http_names.NOT_EXECUTED in headers
     if status == WRONG_INSTANCE_STATUS:
         raise errors.WrongInstanceError(
-            f'another instance has the address of {instance.name}'
+            f'another instance has the address of {instance.name}',
+            run=errors.NOT_RUN if is_marked else errors.UNKNOWN,
         )
-    if http_names.NOT_EXECUTED in headers:
+    if is_marked:
         raise errors.BackendRefusedError(
             f'{instance.name} rejected the request with status {status}',
             retry_after=decode_retry_after(
                 headers.get(http_names.RETRY_AFTER)
             ),
         )
-    if not echoed:
-        log_foreign_response(instance, request_id, response, 'no ID')
-        raise errors.BackendError(
-            f'{instance.name} responded without the request ID'
-        )
     if http_names.SERVER_STAMP not in headers or status in NOT_RUN_STATUSES:
         raise errors.BackendStatusError(
             f'{instance.name} responded with status {status}, without a server'
@@ -261,6 +259,28 @@
         )
 
 
+def find_foreign_reason(
+    backend_request: ports.BackendRequest,
+    response: backend_connection.Response,
+    headers: dict[bytes, bytes],
+) -> str | None:
+    """Returns why a response may be to another request, None if it is not.
+
+    A server may reject a request before it has read its ID. On a connection
+    that had earlier requests, a rejection without an ID may be a late second
+    copy of the response to one of these.
+    """
+    request_id = backend_request.request.request_id.encode('latin-1')
+    echoed = headers.get(http_names.REQUEST_ID)
+    if echoed:
+        return None if echoed == request_id else 'another ID'
+    is_rejection = (
+        http_names.NOT_EXECUTED in headers
+        or response.status == WRONG_INSTANCE_STATUS
+    )
+    return None if is_rejection and response.is_first else 'no ID'
+
+
 def log_foreign_response(
     instance: instances.Instance,
     request_id: str,
