Use no connection again on which foreign bytes have arrived

Clients got errors for, and with copies of the same ID the content of, responses to earlier requests. Bytes that came in the same packet behind a complete response stayed in h11's buffer, which is_reusable did not look at, so the next request on the connection read them first. Two requests with the same ID on one connection could not be told apart.

The pool now closes a connection with bytes behind a response, on an idle connection, before the first request, or with no valid response; logs and counts each as backend:foreign_response; and keeps no connection to that server for 60 s. A connection remembers the IDs sent on it (at most 200 requests) and gets none of them twice. Discarding a foreign response and reading on was weighed in docs/design/data-path.md: its framing depends on a request that is not known.

--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -293,6 +293,7 @@
         status=status,
         headers=response_headers,
         is_first=True,
+        drop_as_foreign=lambda: None,
     )
     context.result = 'passed on'
     try:
--- a/src/greengagegw/adapters/backend_connection.py
+++ b/src/greengagegw/adapters/backend_connection.py
@@ -11,11 +11,15 @@
 import contextlib
 import dataclasses
 import functools
+import math
+import os
 import re
 import select
+import socket as sockets
 import typing
 
 import anyio
+import eliot
 import h11
 import httpcore
 
@@ -28,13 +32,21 @@
 LONG_IDLE_CONNECTIONS = 2
 # Part of the time after which a server closes idle connections.
 SAFE_IDLE_SHARE = 0.8
+# A server that has sent a response twice gets each request on a connection of
+# its own for this long, so that a copy meets no later request.
+SINGLE_USE_SECONDS = 60.0
+# Bounds the request IDs that a connection remembers, to about 20 KB.
+MAX_REQUESTS_PER_CONNECTION = 200
 CHUNK_HEAD = re.compile(rb'([0-9A-Fa-f]{1,8})\r\n')
 LINE_END = b'\r\n'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """A request with its complete body."""
+    """A request with its complete body.
+
+    :ivar request_id: which its response echoes; empty for none.
+    """
 
     method: bytes
     host: str
@@ -43,6 +55,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes | None
     connect_seconds: float
+    request_id: bytes = b''
 
 
 class Connection(asyncio.Protocol):
@@ -54,7 +67,9 @@
     :ivar max_idle: idle connections of its pool, including this one, up to
         which it is kept.
     :ivar on_idle_end: called if the server closes the idle connection.
-    :ivar sent_count: requests that were sent on it.
+    :ivar on_idle_bytes: called if the server sends on the idle connection.
+    :ivar request_ids: of the requests that were sent on it.
+    :ivar is_first: whether no request was sent on it before the last one.
     :ivar is_chunked: whether the body of the response comes in chunks.
     :ivar ends_chunk: whether the parser has nothing left but the line end
         after a chunk that it has returned.
@@ -77,7 +92,9 @@
         self.idle_since = 0.0
         self.max_idle = 0
         self.on_idle_end: collections.abc.Callable[[], None] | None = None
-        self.sent_count = 0
+        self.on_idle_bytes: collections.abc.Callable[[], None] | None = None
+        self.request_ids: set[bytes] = set()
+        self.is_first = True
         self.is_chunked = False
         self.ends_chunk = False
         self.is_between_chunks = False
@@ -89,6 +106,9 @@
 
     def data_received(self, data: bytes) -> None:
         self.received += data
+        if self.on_idle_bytes is not None:
+            self.on_idle_bytes()
+            return
         if len(self.received) > MAX_BUFFERED_BYTES:
             self.is_reading_paused = True
             self.transport.pause_reading()
@@ -138,6 +158,24 @@
         poll.register(self.transport.get_extra_info('socket'), select.POLLIN)
         return not poll.poll(0)
 
+    def has_foreign_bytes(self) -> bool:
+        """Returns whether bytes have arrived that belong to no request.
+
+        Call it before a request, or after a complete response. The parser may
+        hold bytes that came in the same packet as the response.
+        """
+        return bool(self.received or self.http.trailing_data[0])
+
+    def has_unread_bytes(self) -> bool:
+        """Returns whether the socket has bytes that were not received."""
+        descriptor = self.transport.get_extra_info('socket').fileno()
+        # The event loop's own socket object does not allow a read.
+        with contextlib.suppress(OSError):
+            with sockets.socket(fileno=os.dup(descriptor)) as copy:
+                flags = sockets.MSG_PEEK | sockets.MSG_DONTWAIT
+                return bool(copy.recv(1, flags))
+        return False
+
     async def send(self, request: Request) -> h11.Response:
         """Sends a request and returns the head of its response.
 
@@ -156,7 +194,8 @@
             content += self.http.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             raise httpcore.LocalProtocolError(str(error)) from error
-        self.sent_count += 1
+        self.is_first = not self.request_ids
+        self.request_ids.add(request.request_id)
         if not self.has_ended:
             self.transport.write(content)
         if self.can_write is not None:
@@ -294,7 +333,7 @@
         self.connection = connection
         self.status = head.status_code
         self.headers = head.headers.raw_items()
-        self.is_first = connection.sent_count == 1
+        self.is_first = connection.is_first
         self.is_closed = False
 
     async def read(self) -> bytes | None:
@@ -314,6 +353,12 @@
         """Closes the connection, so that a pending read fails."""
         self.connection.abort()
 
+    def drop_as_foreign(self) -> None:
+        """Closes the connection, as the response is to another request."""
+        self.is_closed = True
+        self.connection.abort()
+        self.pool.suspend_reuse()
+
     def close(self) -> None:
         """Returns the connection to its pool, or closes it."""
         if not self.is_closed:
@@ -328,9 +373,15 @@
     of a large region only every few seconds. If the server closes one, they
     are closed before it does from then on.
 
+    A connection on which bytes have arrived that belong to no request is not
+    used again. A second request with the same ID uses another connection, as
+    the ID would not tell a late response to the first from its own.
+
     :param max_idle: maximal number of idle connections.
     :param idle_seconds: time for which any idle connection is kept.
     :param long_idle_seconds: time for which a few are kept.
+    :param server: name of the server, for log lines.
+    :ivar single_use_until: timer seconds until which no connection is kept.
     """
 
     def __init__(
@@ -339,8 +390,11 @@
         idle_seconds: float,
         long_idle_seconds: float,
         timers: timer_service.Timers,
+        server: str = '',
     ) -> None:
         self.timers = timers
+        self.server = server
+        self.single_use_until = -math.inf
         self.max_idle = max_idle
         self.idle_seconds = idle_seconds
         self.long_idle_seconds = long_idle_seconds
@@ -359,13 +413,24 @@
         """
         connection = None
         if not needs_new_connection:
-            connection = self.take_idle()
+            connection = self.take_idle(request.request_id)
         if connection is None:
             connection = await connect(
                 request.host, request.port, request.connect_seconds
             )
+            if connection.has_foreign_bytes():
+                self.drop(connection, 'bytes before the first request')
+                raise httpcore.ConnectError(
+                    f'{request.host}:{request.port}: the server sent bytes'
+                    ' before the request'
+                )
         try:
             head = await connection.send(request)
+        except httpcore.RemoteProtocolError:
+            if not connection.has_ended:
+                self.drop(connection, 'no valid response')
+            connection.abort()
+            raise
         except BaseException:
             connection.abort()
             raise
@@ -374,32 +439,76 @@
         connection.max_idle = 1 if needs_new_connection else self.max_idle
         return Response(self, connection, head)
 
-    def take_idle(self) -> Connection | None:
-        """Returns the connection used last; closes those idle for too long."""
+    def take_idle(self, request_id: bytes = b'') -> Connection | None:
+        """Returns the connection used last; closes those idle for too long.
+
+        :param request_id: one on which a request with this ID was sent is
+            left in the pool.
+        """
         self.close_expired()
-        while self.idle:
+        skipped = []
+        found = None
+        while self.idle and found is None:
             connection = self.idle.pop()
-            connection.on_idle_end = None
+            if request_id and request_id in connection.request_ids:
+                skipped.append(connection)
+                continue
+            connection.on_idle_end = connection.on_idle_bytes = None
             if connection.is_reusable():
-                return connection
-            connection.abort()
-        return None
+                found = connection
+            elif not connection.has_ended and connection.has_unread_bytes():
+                self.drop(connection, 'bytes on an idle connection')
+            else:
+                connection.abort()
+        self.idle.extend(reversed(skipped))
+        return found
 
     def release(self, connection: Connection) -> None:
         """Keeps a connection whose response is complete, or closes it."""
+        if (
+            connection.http.their_state is h11.DONE
+            and connection.has_foreign_bytes()
+        ):
+            self.drop(connection, 'bytes behind a response')
+            return
         max_idle = min(self.max_idle, connection.max_idle)
-        if len(self.idle) < max_idle and connection.start_next_cycle():
+        if (
+            len(self.idle) < max_idle
+            and len(connection.request_ids) < MAX_REQUESTS_PER_CONNECTION
+            and self.timers.now() >= self.single_use_until
+            and connection.start_next_cycle()
+        ):
             connection.idle_since = self.timers.now()
             connection.on_idle_end = functools.partial(
                 self.record_idle_end, connection
             )
+            connection.on_idle_bytes = functools.partial(
+                self.drop, connection, 'bytes on an idle connection'
+            )
             self.idle.append(connection)
         else:
             connection.abort()
 
+    def drop(self, connection: Connection, reason: str) -> None:
+        """Closes a connection on which foreign bytes have arrived."""
+        connection.on_idle_end = connection.on_idle_bytes = None
+        with contextlib.suppress(ValueError):
+            self.idle.remove(connection)
+        connection.abort()
+        eliot.log_message(
+            'backend:foreign_response', server=self.server, reason=reason
+        )
+        self.suspend_reuse()
+
+    def suspend_reuse(self) -> None:
+        """Keeps no connections for a while, and closes the idle ones."""
+        self.single_use_until = self.timers.now() + SINGLE_USE_SECONDS
+        while self.idle:
+            self.close_one(self.idle.pop())
+
     def record_idle_end(self, connection: Connection) -> None:
         """Shortens the idle time after a server has closed a connection."""
-        connection.on_idle_end = None
+        connection.on_idle_end = connection.on_idle_bytes = None
         with contextlib.suppress(ValueError):
             self.idle.remove(connection)
         seconds = self.timers.now() - connection.idle_since
@@ -428,7 +537,7 @@
 
     @staticmethod
     def close_one(connection: Connection) -> None:
-        connection.on_idle_end = None
+        connection.on_idle_end = connection.on_idle_bytes = None
         connection.abort()
 
 
--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -70,6 +70,7 @@
                     KEEP_ALIVE_SECONDS,
                     LONG_KEEP_ALIVE_SECONDS,
                     self.timers,
+                    instance.name,
                 )
             )
         return pool
@@ -178,6 +179,7 @@
         headers,
         request.body if has_body else None,
         CONNECT_TIMEOUT_SECONDS,
+        request.request_id.encode('latin-1'),
     )
 
 
@@ -235,6 +237,7 @@
         log_foreign_response(
             instance, backend_request.request.request_id, response, reason
         )
+        response.drop_as_foreign()
         raise errors.BackendError(
             f'{instance.name} sent a response to another request: {reason}'
         )
