--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -164,6 +164,8 @@
             found = anyio.run(run_seed, one, options, folder)
         except* SoakError as group:
             found = [f'FAULT: {error}' for error in group.exceptions]
+        finally:
+            deployments.kill_started_processes()
         click.echo(f'seed {one}: {"failed" if found else "passed"}')
         for line in found:
             click.echo(f'  {line}')
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -56,6 +56,10 @@
 """
 
 
+# All processes of this run, which have to end with it however it ends.
+started_processes: list[subprocess.Popen] = []
+
+
 class Machine:
     """A process of one role, with its settings and faults."""
 
@@ -171,6 +175,7 @@
                 stdout=log,
                 stderr=log,
             )
+        started_processes.append(self.process)
 
     def send(self, number: signal.Signals) -> None:
         if self.is_running:
@@ -285,6 +290,14 @@
             one.kill()
 
 
+def kill_started_processes() -> None:
+    for one in started_processes:
+        if one.poll() is None:
+            one.kill()
+            one.wait()
+    started_processes.clear()
+
+
 def configuration(version: int) -> dict:
     """Returns the desired state of a version.
 
