Tell the followers at once that their leader has stepped down

Reads and polls failed at once with not_leader, and proposals went to a VM that could not take them, until a follower campaigned or heard from a new leader.

Cause: a follower kept the name of its leader after that had stepped down, because its disk had failed or it had lost its majority, and waited for its election timeout, though an answer had told it that the VM did not lead.

Change: a leader that steps down posts step_down with its term and name to the members. This is a new message; an earlier build drops it as an unknown method without a reply. A follower of that leader and of no higher term forgets it, and its election timeout starts from the heartbeat interval.

--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -61,6 +61,12 @@
     When control VM d of the fleet has just restarted
     Then control VM d of the fleet reads version 5
 
+  Scenario: A read is rejected at once by a VM that does not lead any more
+    Given a fleet of 5 control VMs and 1 entry VMs
+    And the fleet holds version 5
+    When control VM d of the fleet takes a follower for the leader
+    Then control VM d of the fleet reads version 5
+
   Scenario Outline: A revoked key is rejected within its bound
     Given a fleet of 5 control VMs and 2 entry VMs
     And the fleet holds version 5
--- a/features/replication/failing_disks.feature
+++ b/features/replication/failing_disks.feature
@@ -146,6 +146,21 @@
     Then no process has ended
     And every replica votes and has all acknowledged commands
 
+  Scenario: Followers keep believing in a leader whose disk has failed
+    Given a group of 5 replicas with 5 acknowledged commands
+    When the disk of the leader fails
+    Then no replica takes it for the leader
+
+  Scenario: Followers keep believing in a leader that has lost its majority
+    Given a group of 5 replicas with 5 acknowledged commands
+    When the leader loses its majority and steps down
+    Then no replica that it reaches takes it for the leader
+
+  Scenario: A late message of a leader's end displaces its successor
+    Given a group of 5 replicas with 5 acknowledged commands
+    When the leader crashes, and its end is told after the next election
+    Then the followers still know the new leader
+
   Scenario: A replica whose disk has failed disturbs elections
     Given a group of 5 replicas with 5 acknowledged commands
     When the disk of the leader fails
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -285,6 +285,18 @@
     await fleet.timers.advance(0.05)
 
 
+@behave.when('control VM {vm} of the fleet takes a follower for the leader')
+@in_fleet
+async def when_leader_is_stale(context, vm):
+    fleet = context.fleet
+    follower = next(
+        one
+        for one in fleet.control_vms
+        if one != vm and not fleet.replicas[one].is_leader
+    )
+    fleet.replicas[vm].leader = follower
+
+
 @behave.then('control VM {vm} of the fleet reads version {version:d}')
 @in_fleet
 async def then_reads(context, vm, version):
--- a/features/steps/replication.py
+++ b/features/steps/replication.py
@@ -1135,6 +1135,54 @@
     context.plan.append(fail)
 
 
+@behave.when('the leader loses its majority and steps down')
+def plan_lost_majority(context):
+    async def cut(group):
+        leader = group.leader()
+        context.vm = leader.vm
+        reachable, *others = followers(group)
+        group.network.cut([leader.vm], others)
+        while leader.is_leader:
+            await group.timers.advance(0.05)
+        # Shorter than the first election timeout after the leader's end.
+        await group.timers.advance(0.05)
+        context.found = group.replicas[reachable].leader
+
+    context.plan.append(cut)
+
+
+@behave.then('no replica that it reaches takes it for the leader')
+def check_forgotten_by_reachable(context):
+    async def check(group):
+        assert context.found is None, context.found
+
+    run(run_plan, context, check)
+
+
+@behave.when('the leader crashes, and its end is told after the next election')
+def plan_late_step_down(context):
+    async def crash(group):
+        old = group.leader()
+        group.crash(old.vm)
+        new = await group.elect()
+        await group.advance(1)
+        for vm in followers(group):
+            await group.replicas[vm].on_step_down(old.vm, [old.term, old.vm])
+            await group.replicas[vm].on_step_down(old.vm, [new.term, old.vm])
+        context.vm = new.vm
+
+    context.plan.append(crash)
+
+
+@behave.then('the followers still know the new leader')
+def check_leader_known(context):
+    async def check(group):
+        found = {vm: group.replicas[vm].leader for vm in followers(group)}
+        assert set(found.values()) == {context.vm}, found
+
+    run(run_plan, context, check)
+
+
 @behave.then('no replica takes it for the leader')
 def check_forgotten(context):
     async def check(group):
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -40,6 +40,8 @@
 ]
 Decode = collections.abc.Callable[[bytes], configurations.Configuration]
 VERSIONS_INTERVAL_SECONDS = 30.0
+# The time that a read has, so that it can go on with the next leader.
+READ_ROUND_SECONDS = 2 * timing.CONTROL_CALL_TIMEOUT_SECONDS
 
 
 class InstanceListCache:
@@ -256,25 +258,50 @@
             await self.timers.sleep(replicas.STATE_POLL_SECONDS)
 
     async def run_read_index(self) -> None:
-        """Gets the commit index from the leader, and waits until applied."""
+        """Gets the commit index from the leader, and waits until applied.
+
+        A VM that does not lead any more is not asked again; the round goes on
+        with the next leader.
+        """
+        replica = self.replica
+        deadline = self.timers.now() + READ_ROUND_SECONDS
+        while True:
+            leader, asked_at = replica.leader, self.timers.now()
+            try:
+                index = await self.request_index()
+                break
+            except errors.NotLeaderError:
+                if leader is None or asked_at >= deadline:
+                    raise
+                replica.forget_rejecting_leader(leader, asked_at)
+                await self.timers.sleep(replicas.STATE_POLL_SECONDS)
+                with self.timers.move_on_after(deadline - self.timers.now()):
+                    await self.wait_for_leader()
+        while replica.applied_index < index:
+            await self.timers.sleep(replicas.STATE_POLL_SECONDS)
+
+    async def request_index(self) -> int:
+        """Returns the commit index, as the leader confirms it.
+
+        :raises NotLeaderError: if no leader is known, or it does not lead.
+        """
         replica = self.replica
         if replica.is_leader:
-            index = await replica.read_index()
-        elif replica.leader is None or replica.is_starting:
+            return await replica.read_index()
+        if replica.leader is None or replica.is_starting:
             raise errors.NotLeaderError('no leader of the control group', None)
-        else:
-            index = await self.mesh.call(
-                replica.leader,
-                'fleet.confirm',
-                None,
-                timing.CONTROL_CALL_TIMEOUT_SECONDS,
+        leader = replica.leader
+        index = await self.mesh.call(
+            leader,
+            'fleet.confirm',
+            None,
+            timing.CONTROL_CALL_TIMEOUT_SECONDS,
+        )
+        if not isinstance(index, int):
+            raise errors.PeerProtocolError(
+                f'{leader} sent a commit index of {index!r}'
             )
-            if not isinstance(index, int):
-                raise errors.PeerProtocolError(
-                    f'{replica.leader} sent a commit index of {index!r}'
-                )
-        while replica.applied_index < index:
-            await self.timers.sleep(replicas.STATE_POLL_SECONDS)
+        return index
 
     async def on_read_index(self, peer: str, message: typing.Any) -> int:
         index = None
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -215,6 +215,7 @@
             f'{prefix}.join': self.on_join,
             f'{prefix}.propose': self.on_propose,
             f'{prefix}.export': self.on_export,
+            f'{prefix}.step_down': self.on_step_down,
         }
 
     async def call_peer(
@@ -383,6 +384,7 @@
             self.leader = None
             self.leader_heard_at = self.timers.now()
             eliot.log_message('replica:step_down', group=self.group)
+            self.announce_step_down()
         if self.failure is None:
             self.role = roles.Role.FOLLOWER
             self.has_started = True
@@ -390,6 +392,41 @@
         self.fail_pending_proposals()
         self.notify_index_readers()
 
+    def announce_step_down(self) -> None:
+        """Tells the members that they have no leader.
+
+        Else they would wait for their election timeout and send requests to
+        this replica until then. A build without this method ignores it.
+        """
+        method = f'replica.{self.group}.step_down'
+        for member in self.members.members:
+            if member.vm != self.vm:
+                self.mesh.post(member.vm, method, [self.term, self.vm])
+
+    async def on_step_down(self, peer: str, message: list) -> None:
+        term, vm = message
+        if term >= self.term:
+            self.forget_leader(vm)
+
+    def forget_leader(self, vm: str) -> None:
+        """Notes that a VM does not lead any more, if it was the leader.
+
+        The election timeout starts again, without the time for which a leader
+        may be silent.
+        """
+        if self.leader == vm and not self.is_leader:
+            self.leader = None
+            self.last_contact_at = self.timers.now()
+
+    def forget_rejecting_leader(self, vm: str, asked_at: float) -> None:
+        """Notes that a VM has answered that it does not lead.
+
+        :param asked_at: time at which it was asked. An answer to an earlier
+            question than its last message as the leader proves nothing.
+        """
+        if self.leader_heard_at <= asked_at:
+            self.forget_leader(vm)
+
     def stop_participating(self, error: errors.StorageError) -> None:
         """Stops taking part until the disk takes bytes again."""
         self.failure = error
