Exchange a silent voter for its successor, not add the successor to it

After a machine was replaced, the loss of two disks left the control group without a leader for good: every request with a key got 503, and no acknowledged configuration could be read.

The successor was promoted to a sixth voter while its predecessor, though dead, still was one for 15 s: four of six had to agree, and three were left.

The leader now decides by a pure function (replication/membership.py). A learner is promoted if all voters reply, or if that raises no majority. A voter that is silent for 2.5 s is exchanged if a learner is ready: it is removed, then the learner is promoted. A silent voter of an even number above min_voters is removed after 2.5 s as well, since the others then need the same votes of their own whether it returns or not; of an odd number after 15 s, as before. A new leader counts the silence of its predecessor from its last message. A learner counts as ready if it holds what was committed when it was last sent to, since under load it never holds what is committed now. No message changes.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -20,3 +20,45 @@
     Given a control group of 5 replicas
     When the leader is to remove two voters at the same time
     Then only one of the two changes is made
+
+  Scenario Outline: Two disks are lost after <count> machines in a row were replaced
+    Given a control group of <size> replicas
+    When <count> machines in a row are gone, each with a successor after 1 s, beginning with <first>
+    And 5 s after the last one was gone, <lost> lose their disks
+    Then a command is acknowledged within 12 s, and none is lost
+
+    Examples:
+      | size | count | first      | lost                     |
+      | 5    | 1     | a follower | two followers            |
+      | 5    | 1     | a follower | the leader and the newest |
+      | 5    | 1     | the leader | two followers            |
+      | 5    | 1     | the leader | the leader and the newest |
+      | 5    | 2     | a follower | the leader and the newest |
+      | 5    | 2     | the leader | two followers            |
+      | 5    | 3     | a follower | the two newest           |
+      | 5    | 3     | the leader | the leader and the newest |
+      | 6    | 1     | a follower | two followers            |
+      | 7    | 1     | the leader | the leader and the newest |
+
+  Scenario Outline: A whole domain is lost after a machine was replaced
+    Given a control group of <size> replicas
+    When 1 machines in a row are gone, each with a successor after 1 s, beginning with a follower
+    And 5 s after the last one was gone, a domain of <domain> is gone
+    Then a command is acknowledged within 12 s, and none is lost
+
+    Examples:
+      | size | domain |
+      | 6    | 2      |
+      | 7    | 3      |
+      | 9    | 3      |
+
+  Scenario Outline: A sixth voter dies without a successor, then two disks are lost
+    Given a control group of 5 replicas
+    When a VM is added, and 4 s later <which> is gone
+    And 5 s after the last one was gone, two followers lose their disks
+    Then a command is acknowledged within 12 s, and none is lost
+
+    Examples:
+      | which      |
+      | a follower |
+      | the leader |
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -238,3 +238,157 @@
 @behave.then('only one of the two changes is made')
 def check_two_changes(context):
     play(context, context.play)
+
+
+# Replacements.
+
+# From the loss of a machine to the start of its successor, and until the
+# machine must not count any more.
+SUCCESSOR_SECONDS = 1.0
+CATCH_UP_SECONDS = 5.0
+RESTART_SECONDS = 1.0
+RECOVERY_SECONDS = 12.0
+
+
+def propose_everywhere(group):
+    """Proposes a command at each VM that takes itself for the leader."""
+    for vm, replica in group.replicas.items():
+        if replica.is_leader:
+            group.propose(vm)
+
+
+async def advance_with_load(group, seconds):
+    """Advances time while clients propose four commands a second."""
+    for _ in range(round(seconds / 0.25)):
+        propose_everywhere(group)
+        await group.advance(0.25)
+
+
+def choose(group, which):
+    """Returns VMs by a description; the newest VM was added last."""
+    leader = group.leader()
+    names = [vm for vm in group.vms if vm in group.replicas]
+    others = [vm for vm in names if leader is None or vm != leader.vm]
+    newest = others[-1]
+    if leader is None or leader.vm == names[-1]:
+        leader_vm = others[0]
+    else:
+        leader_vm = leader.vm
+    return {
+        'a follower': others[:1],
+        'the leader': [leader_vm],
+        'two followers': others[:2],
+        'the leader and the newest': [leader_vm, newest],
+        'the two newest': names[-2:],
+    }[which]
+
+
+def replace_seeds(group):
+    """Gives all VMs the addresses of those that exist, as operators do."""
+    group.founders = group.vms
+    for replica in group.replicas.values():
+        replica.founders = group.vms
+
+
+async def replace_machine(group, vm):
+    group.retire(vm)
+    await advance_with_load(group, SUCCESSOR_SECONDS)
+    successor = f'{vm[0]}{len(vm)}{group.proposed}'
+    group.founders = (*group.vms, successor)
+    group.add(successor)
+    replace_seeds(group)
+    await advance_with_load(group, CATCH_UP_SECONDS - SUCCESSOR_SECONDS)
+
+
+async def lose_disks(group, vms):
+    for vm in vms:
+        group.crash(vm)
+        group.lose_disk(vm)
+    await advance_with_load(group, RESTART_SECONDS)
+    for vm in vms:
+        group.start(vm)
+
+
+def add_part(context, part):
+    if not hasattr(context, 'parts'):
+        context.parts = []
+    context.parts.append(part)
+
+
+@behave.when(
+    '{count:d} machines in a row are gone, each with a successor after 1 s,'
+    ' beginning with {which}'
+)
+def plan_replacements(context, count, which):
+    async def replace(group):
+        for number in range(count):
+            chosen = which if number == 0 else 'a follower'
+            await replace_machine(group, choose(group, chosen)[0])
+
+    add_part(context, replace)
+
+
+@behave.when('5 s after the last one was gone, {which} lose their disks')
+def plan_lost_disks(context, which):
+    add_part(context, lambda group: lose_disks(group, choose(group, which)))
+
+
+@behave.when('5 s after the last one was gone, a domain of {count:d} is gone')
+def plan_lost_domain(context, count):
+    async def lose_domain(group):
+        for vm in choose(group, 'the leader and the newest')[:count]:
+            group.retire(vm)
+        while len(group.vms) > context.count - count:
+            group.retire(followers_or_all(group)[0])
+
+    add_part(context, lose_domain)
+
+
+def followers_or_all(group):
+    leader = group.leader()
+    return [vm for vm in group.vms if leader is None or vm != leader.vm]
+
+
+@behave.when('a VM is added, and 4 s later {which} is gone')
+def plan_sixth_voter(context, which):
+    async def add(group):
+        group.add('z')
+        await advance_with_load(group, 4)
+        group.retire(choose(group, which)[0])
+        await advance_with_load(group, CATCH_UP_SECONDS)
+
+    add_part(context, add)
+
+
+async def check_recovery(group):
+    """Checks that commands are acknowledged in time, and that none is lost."""
+    before = len(group.acknowledged)
+    waited = 0.0
+    while len(group.acknowledged) == before:
+        assert waited < RECOVERY_SECONDS, describe(group)
+        propose_everywhere(group)
+        await group.advance(0.25)
+        waited += 0.25
+    await group.converge()
+    group.check_acknowledged()
+
+
+def describe(group):
+    return {
+        vm: (
+            replica.role.value,
+            replica.members.voters,
+            len(replica.members.members),
+        )
+        for vm, replica in group.replicas.items()
+    }
+
+
+@behave.then('a command is acknowledged within 12 s, and none is lost')
+def check_acknowledged(context):
+    async def check(group):
+        for part in context.parts:
+            await part(group)
+        await check_recovery(group)
+
+    play(context, check)
--- a/src/greengagegw/replication/log_replication.py
+++ b/src/greengagegw/replication/log_replication.py
@@ -1,6 +1,5 @@
 """The leader's side of log replication: entries, snapshots, promotion."""
 
-import dataclasses
 import typing
 
 from .. import errors
@@ -8,6 +7,9 @@
 if typing.TYPE_CHECKING:
     from . import replica as replicas
 
+# A VM and its incarnation.
+MemberId = tuple[str, str]
+
 MAX_BATCH_BYTES = 256 * 1024
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
 # With this many voters, a group survives the loss of one disk without memory
@@ -15,16 +17,27 @@
 MIN_VOTERS_WITHOUT_MEMORY_REPLICAS = 3
 
 
-async def replicate(replica: 'replicas.Replica', vm: str) -> None:
+def other_members(replica: 'replicas.Replica') -> set[MemberId]:
+    return {
+        (member.vm, member.incarnation)
+        for member in replica.members.members
+        if member.vm != replica.vm
+    }
+
+
+async def replicate(
+    replica: 'replicas.Replica', vm: str, incarnation: str
+) -> None:
     """Replicates the log to one member while this replica leads."""
     next_index = replica.storage.last_index + 1
-    while replica.is_leader and replica.members.get(vm) is not None:
+    while replica.is_leader and replica.is_current_member(vm, incarnation):
         try:
             # The log may be compacted again while a snapshot is sent.
             while next_index <= replica.storage.base_index:
                 next_index = await send_snapshot(replica, vm)
             next_index = await send_entries(replica, vm, next_index)
-            await promote_when_caught_up(replica, vm)
+            if vm in ready_learners(replica):
+                replica.members_check_wanted.set()
         except errors.GatewayError:
             await replica.timers.sleep(replica.timeouts.heartbeat_seconds)
             continue
@@ -109,19 +122,35 @@
     return snapshot.index + 1
 
 
-async def promote_when_caught_up(replica: 'replicas.Replica', vm: str) -> None:
-    """Makes a learner a voter once it holds all committed entries.
+def ready_learners(replica: 'replicas.Replica') -> frozenset[str]:
+    """Returns the learners that reply and may become voters.
 
+    Such a learner holds what was committed when the last message to it was
+    sent, the entry that made it a member, and an entry of this leader's term.
     Memory replicas are never promoted.
     """
-    member = replica.members.get(vm)
-    if member is None or member.is_voter or not replica.is_leader:
-        return
-    if vm in replica.memory_replicas:
-        return
-    if replica.match_index.get(vm, 0) >= replica.commit_index > 0:
-        voter = dataclasses.replace(member, is_voter=True)
-        await replica.change_members(replica.members.with_member(voter))
+    now = replica.timers.now()
+    return frozenset(
+        member.vm
+        for member in replica.members.members
+        if not member.is_voter
+        and member.vm not in replica.memory_replicas
+        and _is_ready(replica, member.vm, now)
+    )
+
+
+def _is_ready(replica: 'replicas.Replica', vm: str, now: float) -> bool:
+    contact_at = replica.contact_times.get(vm)
+    match_index = replica.match_index.get(vm, 0)
+    known_index = max(
+        replica.members_index, replica.sent_commit_index.get(vm, 0)
+    )
+    return (
+        contact_at is not None
+        and now - contact_at < replica.timeouts.election_seconds
+        and match_index >= known_index > 0
+        and replica.storage.term_at(match_index) == replica.term
+    )
 
 
 def memory_replicated_index(replica: 'replicas.Replica') -> int:
--- /dev/null
+++ b/src/greengagegw/replication/membership.py
@@ -0,0 +1,156 @@
+"""Decisions about the members of a group, as pure functions.
+
+A group changes one member at a time (Ongaro's dissertation, 2014, section
+4.1). docs/design/replication.md weighs the rules.
+"""
+
+import collections.abc
+import dataclasses
+
+from . import entries as log_entries
+
+# A voter that is silent for this long is exchanged for a learner. The limit
+# is above the 2 s that the restart of a process takes, and leaves 2.5 s of
+# the 5 s from the loss of a machine until its successor must count.
+SILENT_VOTER_SECONDS = 2.5
+# Well above the time that the restart of a machine takes.
+REMOVE_VOTER_AFTER_SECONDS = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupView:
+    """What a leader knows of the members of its group.
+
+    :ivar leader: VM of the leader.
+    :ivar silences: seconds since the last reply of each voter, 0 for the
+        leader.
+    :ivar ready: learners that reply, hold the log and may be promoted.
+    :ivar leaving: voters that are about to stop.
+    :ivar min_voters: number of voters below which the group does not shrink,
+        except while a voter is exchanged.
+    :ivar reply_seconds: silence up to which a voter counts as reachable.
+    """
+
+    members: log_entries.Members
+    leader: str
+    silences: collections.abc.Mapping[str, float]
+    ready: frozenset[str]
+    leaving: frozenset[str]
+    min_voters: int
+    reply_seconds: float
+
+
+def votes_needed(voter_count: int) -> int:
+    return voter_count // 2 + 1
+
+
+def is_settled(
+    has_committed_own_term: bool,
+    is_change_pending: bool,
+    members_index: int,
+    commit_index: int,
+) -> bool:
+    """Returns whether a leader may propose a change of the members.
+
+    An entry of the leader's term must be committed. Otherwise a change of an
+    earlier leader that this one does not know may still be committed, by a
+    majority without a voter in common with that of the new change (Ongaro,
+    "bug in single-server membership changes", raft-dev, 2015).
+
+    :param is_change_pending: whether a change was proposed whose outcome is
+        not known.
+    """
+    return (
+        has_committed_own_term
+        and not is_change_pending
+        and members_index <= commit_index
+    )
+
+
+def next_members(view: GroupView) -> log_entries.Members | None:
+    """Returns the members after the next change, None for no change.
+
+    The votes that a majority needs never rise while a voter is silent. An
+    exchange first removes the silent voter and then promotes the learner.
+    """
+    voters = view.members.voters
+    is_even = len(voters) % 2 == 0
+    is_any_unheard = any(
+        view.silences.get(vm, 0.0) >= view.reply_seconds for vm in voters
+    )
+    if view.ready and (
+        # One more voter leaves the votes needed as they are.
+        is_even or not is_any_unheard or len(voters) < view.min_voters
+    ):
+        return _with_voter(view.members, min(view.ready))
+    # Without a voter of an even number, one vote less is needed: whether the
+    # voter is gone or returns, the others need the same votes of their own.
+    # Of an odd number, the voter would be missed if it returned.
+    if is_even and len(voters) > view.min_voters:
+        removable = _removable(view, SILENT_VOTER_SECONDS) or _leaving(view)
+    elif view.ready and len(voters) >= view.min_voters:
+        removable = _removable(view, SILENT_VOTER_SECONDS)
+    elif len(voters) > view.min_voters:
+        removable = _removable(view, REMOVE_VOTER_AFTER_SECONDS)
+    else:
+        removable = None
+    return None if removable is None else view.members.without(removable)
+
+
+def _with_voter(members: log_entries.Members, vm: str) -> log_entries.Members:
+    learner = members.get(vm)
+    return members.with_member(dataclasses.replace(learner, is_voter=True))
+
+
+def _removable(view: GroupView, silence_seconds: float) -> str | None:
+    """Returns the voter that is silent for longest, if it may be removed."""
+    silent = [
+        vm
+        for vm in view.members.voters
+        if vm != view.leader
+        and view.silences.get(vm, 0.0) >= silence_seconds
+        and _can_commit_without(view, vm)
+    ]
+    return max(silent, key=lambda vm: (view.silences[vm], vm), default=None)
+
+
+def _leaving(view: GroupView) -> str | None:
+    leaving = [
+        vm
+        for vm in sorted(view.leaving & set(view.members.voters))
+        if vm != view.leader and _can_commit_without(view, vm)
+    ]
+    return leaving[0] if leaving else None
+
+
+def _can_commit_without(view: GroupView, removed: str) -> bool:
+    """Returns whether the voters that remain can commit the change."""
+    reachable = {
+        vm
+        for vm in view.members.voters
+        if view.silences.get(vm, 0.0) < view.reply_seconds
+    }
+    return view.members.without(removed).is_majority(reachable)
+
+
+def is_removed(
+    members: log_entries.Members,
+    is_committed: bool,
+    leader_term: int,
+    vm: str,
+    incarnation: str,
+    last_log_term: int,
+) -> bool:
+    """Returns whether a leader's members show that a replica was removed.
+
+    A replica that joined again later holds an entry of the term of the
+    leader that promoted it. So the members of an earlier leader, which does
+    not know yet that it was replaced, prove nothing.
+
+    :param is_committed: whether the leader knows these members, and an entry
+        of its term, to be committed.
+    :param last_log_term: term of the last entry that the replica holds.
+    """
+    member = members.get(vm)
+    is_member = member is not None and member.incarnation == incarnation
+    return is_committed and not is_member and leader_term >= last_log_term
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -26,6 +26,7 @@
 from . import election
 from . import entries as log_entries
 from . import log_replication
+from . import membership
 from ..ports import peers
 from . import roles
 from . import startup
@@ -37,8 +38,8 @@
 SNAPSHOT_AFTER_ENTRIES = 2000
 MAX_MEMBERS = 64
 DEFAULT_TIMEOUTS = timing.Timeouts()
-# Well above the time that the restart of a machine takes.
-REMOVE_VOTER_AFTER_SECONDS = 15.0
+# A new leader gives the voters this many heartbeats to reply.
+FIRST_REPLY_HEARTBEATS = 2
 STATE_POLL_SECONDS = 0.02
 
 
@@ -84,7 +85,7 @@
         false if the deployment has run before, since an empty disk then
         replaces a lost one.
     :param min_voters: number of voters at or below which unreachable voters
-        are not removed.
+        are only exchanged for learners, not removed.
     """
 
     def __init__(
@@ -124,6 +125,8 @@
         self.last_contact_at = timers.now()
         self.last_campaign_at = timers.now()
         self.leader_heard_at = timers.now()
+        self.last_leader: str | None = None
+        self.led_since = timers.now()
         self.last_votes: dict[str, list[str]] = {}
         self.contact_times: dict[str, float] = {}
         self.match_index: dict[str, int] = {}
@@ -136,6 +139,7 @@
         self.proposal_queued = anyio.Event()
         self.replication_wanted = anyio.Event()
         self.contacted = anyio.Event()
+        self.members_check_wanted = anyio.Event()
         self.writing_since: float | None = None
         self.storage_lock = anyio.Lock()
         self.incoming_snapshot: bytearray | None = None
@@ -326,23 +330,16 @@
 
     @property
     def is_membership_settled(self) -> bool:
-        """Whether this leader may propose a change of the members.
-
-        The last change must be committed, and an entry of this leader's term
-        as well: otherwise a change of an earlier leader that this one does
-        not know may still be committed, by a majority that has no voter in
-        common with the majority of the new change (Ongaro, "bug in
-        single-server membership changes", raft-dev, 2015).
-        """
+        """Whether this leader may propose a change of the members."""
         is_pending = (
             self.member_change is not None
             and not self.member_change.done.is_set()
         )
-        return (
-            self.is_leader
-            and self.is_caught_up
-            and not is_pending
-            and self.members_index <= self.commit_index
+        return self.is_leader and membership.is_settled(
+            self.is_caught_up,
+            is_pending,
+            self.members_index,
+            self.commit_index,
         )
 
     def require_settled_members(self) -> None:
@@ -514,7 +511,13 @@
         self.role = roles.Role.LEADER
         self.leader = self.vm
         now = self.timers.now()
+        self.led_since = now
         self.contact_times = {vm: now for vm in self.members.voters}
+        if self.last_leader in self.contact_times:
+            # It may be lost, which must not be noticed later than the loss of
+            # a follower is.
+            self.contact_times[self.last_leader] = self.leader_heard_at
+        self.contact_times[self.vm] = now
         self.match_index = {}
         self.sent_commit_index = {}
         self.is_caught_up = False
@@ -529,42 +532,70 @@
         """Runs one replication task for each other member."""
         with scope:
             async with anyio.create_task_group() as tasks:
-                running: set[str] = set()
+                running: set[log_replication.MemberId] = set()
                 while True:
-                    for member in self.members.members:
-                        if member.vm not in running | {self.vm}:
-                            running.add(member.vm)
-                            tasks.start_soon(
-                                log_replication.replicate, self, member.vm
-                            )
-                    running &= {one.vm for one in self.members.members}
-                    await self.timers.sleep(self.timeouts.heartbeat_seconds)
-                    await self.remove_unreachable_voter()
-
-    async def remove_unreachable_voter(self) -> None:
-        """Removes an unreachable voter if enough others remain.
-
-        Otherwise machines that were replaced for good would count in
-        majorities for ever.
-        """
-        voters = self.members.voters
-        if len(voters) <= self.min_voters:
-            return
+                    members = log_replication.other_members(self)
+                    for member in sorted(members - running):
+                        tasks.start_soon(
+                            log_replication.replicate, self, *member
+                        )
+                    running = members
+                    with self.timers.move_on_after(
+                        self.timeouts.heartbeat_seconds
+                    ):
+                        await self.members_check_wanted.wait()
+                    self.members_check_wanted = anyio.Event()
+                    await self.update_members()
+
+    async def update_members(self) -> None:
+        """Makes the next change of the members, if one is due."""
         if not self.is_membership_settled:
             return
+        members = membership.next_members(self.describe_group())
+        if members is None:
+            return
+        eliot.log_message(
+            'replica:change_members',
+            group=self.group,
+            voters=members.voters,
+            previous=self.members.voters,
+        )
+        try:
+            await self.change_members(members)
+        except errors.GatewayError as error:
+            eliot.log_message(
+                'replica:members_not_changed',
+                group=self.group,
+                voters=members.voters,
+                reason=error.message,
+            )
+
+    def describe_group(self) -> membership.GroupView:
+        """Returns what this leader knows of the members of the group."""
         now = self.timers.now()
-        unreachable = [
-            vm
-            for vm in voters
-            if vm != self.vm
-            and now - self.contact_times.get(vm, now)
-            > REMOVE_VOTER_AFTER_SECONDS
-        ]
-        if unreachable:
-            vm = min(unreachable, key=lambda one: self.contact_times[one])
-            eliot.log_message('replica:remove', group=self.group, vm=vm)
-            with contextlib.suppress(errors.ReplicationError):
-                await self.change_members(self.members.without(vm))
+        reply_seconds = self.timeouts.election_seconds
+        first_reply_seconds = (
+            FIRST_REPLY_HEARTBEATS * self.timeouts.heartbeat_seconds
+        )
+        silences = {
+            vm: now - self.contact_times.get(vm, self.led_since)
+            for vm in self.members.voters
+        }
+        silences[self.vm] = 0.0
+        if now - self.led_since < first_reply_seconds:
+            silences = {
+                vm: min(seconds, reply_seconds)
+                for vm, seconds in silences.items()
+            }
+        return membership.GroupView(
+            self.members,
+            self.vm,
+            silences,
+            log_replication.ready_learners(self),
+            frozenset(),
+            self.min_voters,
+            reply_seconds,
+        )
 
     async def read_index(self) -> int:
         """Returns an index that covers all entries committed before the call.
@@ -680,6 +711,7 @@
         await self.append_durably(added)
         if any(one.kind is log_entries.EntryKind.MEMBERSHIP for one in added):
             self.refresh_members()
+            self.members_check_wanted.set()
 
     async def append_durably(self, added: list[log_entries.Entry]) -> None:
         try:
@@ -778,7 +810,7 @@
         await self.adopt_term(term)
         if self.role is not roles.Role.FOLLOWER:
             self.become_follower()
-        self.leader = leader
+        self.leader = self.last_leader = leader
         self.last_contact_at = self.leader_heard_at = self.timers.now()
 
     async def append_entries(self, added: list[log_entries.Entry]) -> None:
