Ignore an operator's order that is older than one already applied

A control VM that had been suspended read an old withdrawal whose operator had gone, and proposed it; commands took effect in the order in which they reached the log.

An order on an evacuation now names the index of the log that its control VM read, linearizably, after the order arrived. The state machine ignores it if another order on that failure domain was applied after that index. A copy of a command that took effect is acknowledged again, and an order that was ignored is made again from a new read while its caller waits. Before each attempt, the control VM reads the caller's connection, and drops the order if that was closed; after a suspension, seen in the boot or the steady clock, it first waits 0.3 s for the end of the connection. A lift names the time of the hold that it means, and the command of a hold that was lifted or replaced is not applied again.

--- a/features/fleet_world.py
+++ b/features/fleet_world.py
@@ -138,6 +138,7 @@
         self.list_reads = 0
         self.boot_offset = 0.0
         self.quota_debt = 0.0
+        self.make_store = lambda vm: stores.Store()
 
     def start(self, vm):
         if vm in self.entry_vms:
@@ -147,7 +148,7 @@
 
     def start_control(self, vm):
         disk = self.disks.setdefault(vm, fakes.FakeDisk(self.rng))
-        store = stores.Store()
+        store = self.make_store(vm)
         replica = replicas.Replica(
             'control',
             vm,
@@ -170,6 +171,7 @@
             self.read_list,
             documents.decode,
             self.quota_debt,
+            lambda: self.timers.now() + self.boot_offset,
         )
         self.replicas[vm] = replica
         self.controls[vm] = control
--- a/src/greengagegw/adapters/asgi.py
+++ b/src/greengagegw/adapters/asgi.py
@@ -5,6 +5,7 @@
 import contextlib
 
 import anyio
+import anyio.lowlevel
 
 from .. import errors
 from .. import timers as timer_service
@@ -13,6 +14,9 @@
 Send = collections.abc.Callable[[dict], collections.abc.Awaitable[None]]
 DRAIN_BYTES = 16 * 1024 * 1024
 DRAIN_SECONDS = 1.0
+# The end of a connection passes through some six callbacks of the event loop,
+# the stream reader and the HTTP server before ``receive`` returns it.
+READ_ROUNDS = 20
 
 
 class ClientDisconnected(Exception):  # noqa: N818
@@ -144,6 +148,44 @@
         raise ClientDisconnected
 
 
+class CallerWatch:
+    """Watches whether the caller of a request waits for the response.
+
+    To be used once the body of the request was read, or if it is not needed.
+
+    :ivar has_gone: whether the caller is known to have closed the connection.
+    """
+
+    def __init__(self, receive: Receive) -> None:
+        self.receive = receive
+        self.has_gone = False
+        self.watcher: asyncio.Task | None = None
+
+    async def watch(self) -> None:
+        while not self.has_gone:
+            message = await self.receive()
+            self.has_gone = message['type'] == 'http.disconnect'
+
+    def __enter__(self) -> 'CallerWatch':
+        loop = asyncio.get_running_loop()
+        self.watcher = loop.create_task(self.watch())
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        if self.watcher is not None:
+            self.watcher.cancel()
+
+    async def is_waiting(self) -> bool:
+        """Returns whether the caller waits, after reading its connection.
+
+        A process that was suspended may read a request before the end of its
+        connection, though both have arrived.
+        """
+        for _ in range(READ_ROUNDS):
+            await anyio.lowlevel.checkpoint()
+        return not self.has_gone
+
+
 def ends_by_close(
     scope: dict, headers: collections.abc.Iterable[tuple[bytes, bytes]]
 ) -> bool:
--- a/src/greengagegw/errors.py
+++ b/src/greengagegw/errors.py
@@ -105,6 +105,16 @@
     run = UNKNOWN
 
 
+class OrderAbandonedError(GatewayError):
+    """The caller of an order closed its connection before it was carried out.
+
+    ``run`` is :data:`NOT_RUN` if no replica can have accepted the order.
+    """
+
+    status = 503
+    code = 'order_abandoned'
+
+
 class ConflictError(NotRunError):
     status = 412
     code = 'revision_conflict'
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -8,6 +8,7 @@
 import collections.abc
 import math
 import typing
+import uuid
 
 import anyio
 import eliot
@@ -16,6 +17,7 @@
 from .. import held_requests
 from .. import supervision
 from .. import timers as timer_service
+from . import agent as agents
 from . import configuration as configurations
 from . import crash_watch
 from . import fleet_summary
@@ -33,6 +35,7 @@
 from . import retry_records
 from . import server_notices
 from . import store as stores
+from . import suspension as suspensions
 from . import timing
 
 ReadInstances = collections.abc.Callable[
@@ -40,6 +43,9 @@
 ]
 Decode = collections.abc.Callable[[bytes], configurations.Configuration]
 VERSIONS_INTERVAL_SECONDS = 30.0
+# A retransmitted request and the end of its connection are about a round trip
+# between regions of 0.11 s apart. Operators wait a second for a response.
+WAKE_SETTLE_SECONDS = 0.3
 
 
 class InstanceListCache:
@@ -86,6 +92,7 @@
         read_instances: ReadInstances,
         decode: Decode,
         quota_debt: float = 0.0,
+        boot_clock: collections.abc.Callable[[], float] = agents.boot_seconds,
     ) -> None:
         self.vm = vm
         self.timers = timers
@@ -112,6 +119,9 @@
         self.decoded_configuration: configurations.Configuration | None = None
         self.read_index_round: ReadIndexRound | None = None
         self.started_at = timers.now()
+        # The state machine is called before the index is updated.
+        store.entry_index = lambda: replica.applied_index + 1
+        self.suspension = suspensions.SuspensionDetector(timers, boot_clock)
         self.crash_watch = crash_watch.CrashWatch(
             timers,
             self.ask_sound_traits,
@@ -156,6 +166,7 @@
                 ('hold expiry', self.hold_expiry.run),
                 ('origin history', self.history_keeper.run),
                 ('first start', self.detect_first_start),
+                ('suspensions', self.suspension.run),
             ):
                 tasks.start_soon(
                     supervision.run_supervised, self.timers, name, function
@@ -183,9 +194,16 @@
 
     # Operations for operators.
 
-    async def submit(self, command: bytes) -> list:
+    async def submit(
+        self,
+        command: bytes,
+        is_wanted: replication_client.IsWanted = (
+            replication_client.always_wanted
+        ),
+    ) -> list:
         """Returns the outcome of a command once it is committed.
 
+        :raises OrderAbandonedError: if it is no longer wanted.
         :raises ReplicationError: if no leader can be reached in time.
         """
         voters = self.replica.members.voters or [self.vm]
@@ -193,7 +211,127 @@
         if self.replica.leader is not None:
             self.group_client.leader = self.replica.leader
         return await self.group_client.submit(
-            command, timing.SUBMIT_TIMEOUT_SECONDS
+            command, timing.SUBMIT_TIMEOUT_SECONDS, is_wanted
+        )
+
+    async def order_evacuation(
+        self,
+        domain: str,
+        is_evacuated: bool,
+        is_wanted: replication_client.IsWanted,
+    ) -> bool:
+        """Evacuates or readmits a failure domain.
+
+        The order is based on a read that began after it arrived, and is
+        ignored if another order on the domain is applied in between. It is
+        then made again, based on a new read, while its caller waits.
+
+        :returns: whether the state changed.
+        :raises OrderAbandonedError: if the caller has gone before the order
+            was carried out.
+        :raises ReplicationError: if it could not be committed in time.
+        """
+        order_id = uuid.uuid4().hex
+        deadline = self.timers.now() + timing.SUBMIT_TIMEOUT_SECONDS
+        run = errors.NOT_RUN
+
+        while True:
+            try:
+                based_on = await self.read_index_for_order(deadline, is_wanted)
+                command = stores.evacuate_command(
+                    domain, is_evacuated, based_on, order_id
+                )
+                has_changed, _, *verdict = await self.submit(
+                    command, self.wanted_after_wake(is_wanted)
+                )
+            except errors.GatewayError as error:
+                if run != errors.NOT_RUN:
+                    error.run = run
+                raise
+            run = errors.UNKNOWN
+            if (
+                verdict[0]
+                if verdict
+                else await self.has_taken_effect(domain, order_id)
+            ):
+                return has_changed
+            eliot.log_message(
+                'order:made_again',
+                domain=domain,
+                evacuated=is_evacuated,
+                reason='another order was applied since it was read',
+            )
+            if not await is_wanted():
+                await self.confirm_evacuation(domain)
+                raise errors.OrderAbandonedError(
+                    f'the caller of an order on {domain} has gone, and a newer'
+                    ' order was applied'
+                )
+            if self.timers.now() >= deadline:
+                raise errors.ReplicationError(
+                    f'other orders on {domain} were applied meanwhile',
+                    retry_after=1,
+                )
+
+    async def order_lift(
+        self, hold_id: str, is_wanted: replication_client.IsWanted
+    ) -> bool:
+        """Lifts the hold that is in force when the order arrives.
+
+        :returns: whether the state changed.
+        :raises OrderAbandonedError: if the caller has gone before the order
+            was carried out.
+        :raises ReplicationError: if it could not be committed in time.
+        """
+        store = await self.read()
+        hold = store.holds.get(hold_id)
+        if hold is None:
+            return False
+        has_changed, _ = await self.submit(
+            stores.lift_command(hold_id, hold.since),
+            self.wanted_after_wake(is_wanted),
+        )
+        return has_changed
+
+    def wanted_after_wake(
+        self, is_wanted: replication_client.IsWanted
+    ) -> replication_client.IsWanted:
+        """Returns ``is_wanted``, delayed shortly after a suspension.
+
+        The end of a connection may arrive shortly after the request if both
+        are sent again to a VM that was suspended.
+        """
+
+        async def is_wanted_after_wake() -> bool:
+            awake = self.suspension.seconds_awake()
+            await self.timers.sleep(WAKE_SETTLE_SECONDS - awake)
+            return await is_wanted()
+
+        return is_wanted_after_wake
+
+    async def has_taken_effect(self, domain: str, order_id: str) -> bool:
+        """Returns whether the last order on a domain is a certain one.
+
+        A leader of the last release does not tell it.
+        """
+        store = await self.read()
+        order = store.orders.last.get(domain)
+        return order is not None and order.order_id == order_id
+
+    async def confirm_evacuation(self, domain: str) -> None:
+        """Orders what holds for a domain already.
+
+        Replicas of the last release have applied the order that this one has
+        ignored.
+        """
+        store = await self.read()
+        await self.submit(
+            stores.evacuate_command(
+                domain,
+                domain in store.evacuated,
+                self.replica.applied_index,
+                uuid.uuid4().hex,
+            )
         )
 
     async def read(self) -> stores.Store:
@@ -257,23 +395,62 @@
 
     async def run_read_index(self) -> None:
         """Gets the commit index from the leader, and waits until applied."""
+        index = await self.request_read_index()
+        while self.replica.applied_index < index:
+            await self.timers.sleep(replicas.STATE_POLL_SECONDS)
+
+    async def request_read_index(self) -> int:
+        """Returns an index that covers all commands committed before the call.
+
+        :raises GatewayError: if no leader confirms it.
+        """
         replica = self.replica
         if replica.is_leader:
-            index = await replica.read_index()
-        elif replica.leader is None or replica.is_starting:
+            return await replica.read_index()
+        if replica.leader is None or replica.is_starting:
             raise errors.NotLeaderError('no leader of the control group', None)
-        else:
-            index = await self.mesh.call(
-                replica.leader,
-                'fleet.confirm',
-                None,
-                timing.CONTROL_CALL_TIMEOUT_SECONDS,
+        index = await self.mesh.call(
+            replica.leader,
+            'fleet.confirm',
+            None,
+            timing.CONTROL_CALL_TIMEOUT_SECONDS,
+        )
+        if not isinstance(index, int):
+            raise errors.PeerProtocolError(
+                f'{replica.leader} sent a commit index of {index!r}'
             )
-            if not isinstance(index, int):
-                raise errors.PeerProtocolError(
-                    f'{replica.leader} sent a commit index of {index!r}'
+        return index
+
+    async def read_index_for_order(
+        self, deadline: float, is_wanted: replication_client.IsWanted
+    ) -> int:
+        """Returns the index that an order is based on.
+
+        :param deadline: timer seconds after which no attempt is made.
+        :raises OrderAbandonedError: if the order is no longer wanted.
+        :raises ReplicationError: if no leader confirms it in time.
+        """
+        reason = 'no majority confirmed it in time'
+        while True:
+            with self.timers.move_on_after(
+                timing.CONTROL_CALL_TIMEOUT_SECONDS
+            ):
+                try:
+                    return await self.request_read_index()
+                except errors.GatewayError as error:
+                    reason = f'{error.code}: {error.message}'
+            if not await is_wanted():
+                raise errors.OrderAbandonedError(
+                    'the caller of an order has gone before the order was'
+                    f' based on a read: {reason}',
+                    run=errors.NOT_RUN,
+                )
+            if self.timers.now() >= deadline:
+                raise errors.ReplicationError(
+                    f'the read that an order is based on failed: {reason}',
+                    run=errors.NOT_RUN,
+                    retry_after=1,
                 )
-        while replica.applied_index < index:
             await self.timers.sleep(replicas.STATE_POLL_SECONDS)
 
     async def on_read_index(self, peer: str, message: typing.Any) -> int:
@@ -506,7 +683,9 @@
         self.hold_expiry.record_asked(peer, message)
 
     async def submit_lift(self, hold_id: str) -> None:
-        await self.submit(stores.lift_command(hold_id))
+        hold = self.store.holds.get(hold_id)
+        if hold is not None:
+            await self.submit(stores.lift_command(hold_id, hold.since))
 
     async def submit_hold(self, hold: held_requests.Hold) -> None:
         await self.submit(stores.hold_command(hold))
--- a/src/greengagegw/platform/operator_application.py
+++ b/src/greengagegw/platform/operator_application.py
@@ -13,6 +13,7 @@
 from ..fleet import members
 from ..fleet import store as stores
 from . import http_names
+from ..replication import client as replication_client
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 BODY_TIMEOUT_SECONDS = 10.0
@@ -48,7 +49,14 @@
         headers = [JSON_TYPE]
         try:
             status, body = await self.handle_request(scope, receive)
-        except asgi.ClientDisconnected:
+        except (asgi.ClientDisconnected, errors.OrderAbandonedError) as error:
+            eliot.log_message(
+                'order:abandoned',
+                method=scope['method'],
+                path=scope['path'],
+                run=getattr(error, 'run', errors.NOT_RUN),
+                reason=str(error) or 'the caller has gone',
+            )
             return
         except errors.GatewayError as error:
             # A status below 500 ends an operator's retries, so only rejected
@@ -84,13 +92,17 @@
         if path.startswith(http_names.EVACUATION_PATH):
             domain = path.removeprefix(http_names.EVACUATION_PATH)
             if domain and method in ('POST', 'DELETE'):
-                return await self.evacuate(domain, method == 'POST')
+                with asgi.CallerWatch(receive) as caller:
+                    return await self.evacuate(
+                        domain, method == 'POST', caller.is_waiting
+                    )
         if path == http_names.HOLDS_PATH and method == 'GET':
             return await self.list_holds()
         if path.startswith(f'{http_names.HOLDS_PATH}/'):
             hold_id = path.removeprefix(f'{http_names.HOLDS_PATH}/')
             if method == 'DELETE':
-                return await self.lift_hold(hold_id)
+                with asgi.CallerWatch(receive) as caller:
+                    return await self.lift_hold(hold_id, caller.is_waiting)
         raise errors.NotFoundError(f'{method} {path}')
 
     def resolve(self, scope: dict) -> tuple[int, bytes]:
@@ -158,10 +170,13 @@
         return 200, orjson.dumps({'version': version})
 
     async def evacuate(
-        self, domain: str, is_evacuated: bool
+        self,
+        domain: str,
+        is_evacuated: bool,
+        is_wanted: replication_client.IsWanted,
     ) -> tuple[int, bytes]:
-        has_changed, _ = await self.control.submit(
-            stores.evacuate_command(domain, is_evacuated)
+        has_changed = await self.control.order_evacuation(
+            domain, is_evacuated, is_wanted
         )
         eliot.log_message(
             'operator:evacuation',
@@ -178,14 +193,14 @@
             {'held': [one.describe() for one in store.holds.values()]}
         )
 
-    async def lift_hold(self, hold_id: str) -> tuple[int, bytes]:
+    async def lift_hold(
+        self, hold_id: str, is_wanted: replication_client.IsWanted
+    ) -> tuple[int, bytes]:
         """Lifts a hold, which may be made again after further ends.
 
         Lifting a hold that does not exist, or no longer, changes nothing.
         """
-        has_changed, _ = await self.control.submit(
-            stores.lift_command(hold_id)
-        )
+        has_changed = await self.control.order_lift(hold_id, is_wanted)
         eliot.log_message(
             'operator:hold_lifted', id=hold_id, changed=has_changed
         )
--- a/src/greengagegw/replication/client.py
+++ b/src/greengagegw/replication/client.py
@@ -1,5 +1,6 @@
 """Client that sends commands to the leader of a replicated group."""
 
+import collections.abc
 import typing
 
 from .. import errors
@@ -9,6 +10,12 @@
 RETRY_DELAY_SECONDS = 0.2
 CALL_TIMEOUT_SECONDS = 4.0
 
+IsWanted = collections.abc.Callable[[], collections.abc.Awaitable[bool]]
+
+
+async def always_wanted() -> bool:
+    return True
+
 
 class GroupClient:
     """Submits commands to a replicated group from any VM.
@@ -29,12 +36,20 @@
         self.timers = timers
         self.leader = voters[0]
 
-    async def submit(self, command: bytes, timeout: float) -> typing.Any:
+    async def submit(
+        self,
+        command: bytes,
+        timeout: float,
+        is_wanted: IsWanted = always_wanted,
+    ) -> typing.Any:
         """Returns the outcome of a command.
 
         The command may be sent more than once, so it must be idempotent.
 
         :param timeout: seconds after which no further attempt is made.
+        :param is_wanted: asked right before each attempt.
+        :raises OrderAbandonedError: if the command is no longer wanted, with
+            ``run`` as for ReplicationError.
         :raises ReplicationError: with ``run`` set to ``not_run`` if no
             replica can have accepted the command, else ``unknown``.
         """
@@ -42,6 +57,12 @@
         run = errors.NOT_RUN
         attempts = 0
         while True:
+            if not await is_wanted():
+                raise errors.OrderAbandonedError(
+                    f'the caller of a command for the group {self.group} has'
+                    f' gone after {attempts} attempts',
+                    run=run,
+                )
             try:
                 return await self.propose_to_leader(command)
             except errors.NotLeaderError as error:
