Keep evacuations on entry VMs that get older or unconfirmed replies

An entry VM took the evacuations of any reply with at least as many changes as it knew.

State of a control VM that has not caught up with its group since its start is now used only if it is confirmed. An unconfirmed reply needs more changes than the view reflects. A confirmed reply to a poll that was sent after the last one was applied is in force in any case, since its state is at least as new; if it has fewer changes, the evacuations known are kept until the next order on their failure domains, whose log index control VMs now send.

Replies of the last release have neither the index nor the mark of a control VM that has just started. Entry VMs of that release ignore both.

--- a/src/greengagegw/fleet/agent.py
+++ b/src/greengagegw/fleet/agent.py
@@ -39,6 +39,12 @@
 
     :ivar changes: number of effective commands in the control group's state
         that the view reflects.
+    :ivar evacuations_applied_at: timer seconds when the last reply whose
+        evacuations are in force arrived.
+    :ivar orders: index of the last order, by failure domain.
+    :ivar newest_order: the highest of them.
+    :ivar retained_domains: failure domains whose evacuation the control group
+        has lost, with the index of their last order at that time.
     :ivar hold_changes: number of commands that ``holds`` reflects.
     :ivar holds: requests that are held back.
     :ivar asked_holds: IDs of the holds that have rejected requests since the
@@ -61,6 +67,10 @@
         self.configuration: configurations.Configuration | None = None
         self.changes = -1
         self.evacuated_domains: frozenset[str] = frozenset()
+        self.evacuations_applied_at = -1e9
+        self.orders: dict[str, int] = {}
+        self.newest_order = -1
+        self.retained_domains: dict[str, int] = {}
         self.hold_changes = -1
         self.holds = held_requests.HoldIndex()
         self.asked_holds: set[str] = set()
@@ -279,6 +289,7 @@
             'list_digest': self.view.instance_list_digest,
             'entries_digest': self.view.entry_vms_digest,
             'hold_changes': self.view.hold_changes,
+            'newest_order': self.view.newest_order,
             'history': (
                 -1 if self.view.history is None else self.view.history.number
             ),
@@ -317,31 +328,18 @@
     ) -> None:
         """Updates the view from a reply, without yielding to other tasks."""
         view = self.view
-        configuration = reply.configuration
-        if configuration is not None and configuration.version > view.version:
-            view.configuration = configuration
-            self.quota_client.register(
-                one.name
-                for one in configuration.organisations.values()
-                if one.is_limited
+        if reply.is_confirmed or reply.is_caught_up:
+            self.apply_state(reply, requested_at)
+        else:
+            eliot.log_message(
+                'poll:state_not_used',
+                version=reply.version,
+                changes=reply.changes,
+                reason=(
+                    'the control VM has just started and lacks what its group'
+                    ' has committed since its last snapshot'
+                ),
             )
-            eliot.log_message('configuration:in_force', version=view.version)
-        if reply.changes >= view.changes:
-            view.changes = reply.changes
-            if reply.evacuated_domains != view.evacuated_domains:
-                eliot.log_message(
-                    'evacuation:in_force',
-                    domains=sorted(reply.evacuated_domains),
-                    before=sorted(view.evacuated_domains),
-                    changes=reply.changes,
-                    confirmed=reply.is_confirmed,
-                )
-            view.evacuated_domains = reply.evacuated_domains
-        self.apply_holds(reply)
-        if reply.history is not None and (
-            view.history is None or reply.history.number > view.history.number
-        ):
-            view.history = reply.history
         if view.past_retries is None:
             if reply.past_retries is not None:
                 view.past_retries = dataclasses.replace(
@@ -360,6 +358,79 @@
         for callback in view.update_callbacks:
             callback()
 
+    def apply_state(
+        self, reply: poll_reply.PollReply, requested_at: float
+    ) -> None:
+        """Updates what the control group replicates."""
+        view = self.view
+        configuration = reply.configuration
+        if configuration is not None and configuration.version > view.version:
+            view.configuration = configuration
+            self.quota_client.register(
+                one.name
+                for one in configuration.organisations.values()
+                if one.is_limited
+            )
+            eliot.log_message('configuration:in_force', version=view.version)
+        self.apply_evacuations(reply, requested_at)
+        self.apply_holds(reply)
+        if reply.history is not None and (
+            view.history is None or reply.history.number > view.history.number
+        ):
+            view.history = reply.history
+
+    def apply_evacuations(
+        self, reply: poll_reply.PollReply, requested_at: float
+    ) -> None:
+        """Updates the evacuations from a reply that is not older.
+
+        The state of a confirmed reply is at least as new as that of any reply
+        which arrived before it was requested. If it reflects fewer changes
+        nevertheless, the group has lost some. The evacuations in force are
+        kept then until the operator's next order on their failure domains.
+        """
+        view = self.view
+        is_later = (
+            reply.is_confirmed and requested_at >= view.evacuations_applied_at
+        )
+        is_newer = (
+            reply.changes >= view.changes
+            if reply.is_confirmed
+            else reply.changes > view.changes
+        )
+        if not is_later and not is_newer:
+            return
+        orders = view.orders if reply.orders is None else reply.orders
+        for domain, index in list(view.retained_domains.items()):
+            if orders.get(domain, 0) != index:
+                del view.retained_domains[domain]
+        if reply.changes < view.changes:
+            lost = view.evacuated_domains - reply.evacuated_domains
+            view.retained_domains |= {
+                domain: orders.get(domain, 0) for domain in lost
+            }
+            eliot.log_message(
+                'evacuation:group_went_back',
+                changes=reply.changes,
+                before=view.changes,
+                retained=sorted(lost),
+            )
+        view.evacuations_applied_at = self.timers.now()
+        view.changes = reply.changes
+        view.orders = orders
+        view.newest_order = reply.newest_order
+        domains = reply.evacuated_domains | view.retained_domains.keys()
+        if domains != view.evacuated_domains:
+            eliot.log_message(
+                'evacuation:in_force',
+                domains=sorted(domains),
+                before=sorted(view.evacuated_domains),
+                retained=sorted(view.retained_domains),
+                changes=reply.changes,
+                confirmed=reply.is_confirmed,
+            )
+        view.evacuated_domains = domains
+
     def apply_holds(self, reply: poll_reply.PollReply) -> None:
         view = self.view
         if reply.holds is None or reply.hold_changes < view.hold_changes:
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -633,6 +633,7 @@
             'version': self.store.version,
             'changes': self.store.changes,
             'evacuated': sorted(self.store.evacuated),
+            'is_caught_up': self.replica.is_caught_up,
             'list_digest': self.instance_cache.digest,
             'list_age': now - self.instance_cache.read_at,
             'entries_digest': summary.entries_digest,
@@ -644,6 +645,13 @@
         reply['hold_changes'] = self.store.hold_changes
         if held_changes != self.store.hold_changes:
             reply['holds'] = [one.pack() for one in self.store.holds.values()]
+        newest_order = self.store.orders.newest_index
+        reply['newest_order'] = newest_order
+        if held_versions.get('newest_order') != newest_order:
+            reply['orders'] = {
+                domain: one.index
+                for domain, one in self.store.orders.last.items()
+            }
         # A replica whose state may be out of date does not send its history.
         history = self.history_keeper.current_history if is_confirmed else None
         if history and held_versions.get('history') != history.number:
--- a/src/greengagegw/fleet/poll_reply.py
+++ b/src/greengagegw/fleet/poll_reply.py
@@ -46,6 +46,12 @@
     :ivar notices: what servers asked for before the entry VM started.
     :ivar past_retries: retries before the entry VM started; None if it has
         them or the control VM does not know them.
+    :ivar is_caught_up: whether the control VM has applied what its leader had
+        committed when it was in touch with it; those of an earlier release do
+        not tell.
+    :ivar newest_order: index of the last order on an evacuation.
+    :ivar orders: index of the last order, by failure domain; None if the entry
+        VM has them.
     """
 
     is_confirmed: bool
@@ -66,6 +72,9 @@
     history: origin_history.OriginHistory | None = None
     past_retries: retry_records.PastRetries | None = None
     notices: server_notices.ServerNotices | None = None
+    is_caught_up: bool = True
+    newest_order: int = 0
+    orders: dict[str, int] | None = None
 
 
 def decode(
@@ -103,6 +112,12 @@
         entry_vms = tuple(
             members.EntryVm.unpack(one) for one in reply['entries']
         )
+    orders = None
+    if 'orders' in reply:
+        orders = {
+            str(domain): int(index)
+            for domain, index in reply['orders'].items()
+        }
     if 'holds' in reply:
         holds = tuple(held_requests.Hold.unpack(one) for one in reply['holds'])
     return PollReply(
@@ -124,4 +139,7 @@
         origin_history.unpack_if_present(reply.get('history')),
         retry_records.unpack_if_present(reply.get('retries')),
         server_notices.unpack_if_present(reply.get('notices')),
+        bool(reply.get('is_caught_up', True)),
+        int(reply.get('newest_order', 0)),
+        orders,
     )
