End one connection, not the mesh, on odd bytes of a peer

Callers saw: nothing yet; shown by tests. One first frame from anyone who can reach the port between VMs ended the mesh with all its connections, and with it the process.

Cause: the refusal of a protocol version or deployment of another type has its repr() in its message, and a msgpack value nested 1,000 levels deep has none: RecursionError left the task of the connection and so the task group of the mesh. Two streams with one ID raised KeyError there when they ended. A peer named with a superscript digit as port passed isdigit() and raised in int(). A reported error with a status, retry time or message of another type raised where it was sent on to a client.

Change: messages describe such values by their type. A connection that fails unexpectedly ends alone, with a traceback and peer:connection_failed in the log; peer:refused names its reason. A second stream with the ID of an open one is a protocol error. Ports have one to five ASCII digits. A malformed error becomes a PeerProtocolError that names the field.

Why it works: no value of a frame is formatted as a whole, and the task group of the mesh gets no exception of a connection.

--- a/src/greengagegw/adapters/error_codec.py
+++ b/src/greengagegw/adapters/error_codec.py
@@ -3,10 +3,15 @@
 They are sent in peer streams and HTTP bodies and kept in stored outcomes.
 """
 
+import types
 import typing
 
 from .. import errors
 
+RUNS = (errors.NOT_RUN, errors.UNKNOWN, errors.RAN)
+# Longer than any time that a VM or a server asks for.
+MAX_RETRY_AFTER_SECONDS = 1e6
+
 
 def pack(error: BaseException) -> dict[str, typing.Any]:
     """Returns an error as a dictionary for :func:`unpack`.
@@ -38,8 +43,14 @@
     """Returns the error that :func:`pack` converted.
 
     An error with an unknown code, or with further arguments, becomes a
-    RemoteError with the same code, status and run.
+    RemoteError with the same code, status and run. One that is malformed
+    becomes a PeerProtocolError.
     """
+    fault = find_fault(packed)
+    if fault is not None:
+        return errors.PeerProtocolError(
+            f'another VM reported an error whose {fault} is invalid'
+        )
     code = packed.get('code')
     if code == errors.ConflictError.code:
         return errors.ConflictError(packed['message'], packed['current'])
@@ -59,6 +70,40 @@
         )
     return error_class(
         packed['message'],
-        run=packed['run'],
-        retry_after=packed['retry_after'],
+        run=packed.get('run'),
+        retry_after=packed.get('retry_after'),
     )
+
+
+def find_fault(packed: dict[str, typing.Any]) -> str | None:
+    """Returns the name of a field that :func:`pack` would not have written.
+
+    Fields may be missing, as in the errors of other releases.
+    """
+    code = packed.get('code')
+    if not isinstance(code, str | None):
+        return 'code'
+    needed: dict[str, type | types.UnionType] = {}
+    if code == errors.ConflictError.code:
+        needed = {'message': str, 'current': int}
+    elif code == errors.NotLeaderError.code:
+        needed = {'message': str, 'leader': str | None}
+    elif code in errors.errors_by_code():
+        needed = {'message': str}
+    for name, kind in needed.items():
+        if not isinstance(packed.get(name), kind):
+            return name
+    if not isinstance(packed.get('message', ''), str):
+        return 'message'
+    status = packed.get('status', 500)
+    if type(status) is not int or not 400 <= status <= 599:
+        return 'status'
+    if packed.get('run', errors.UNKNOWN) not in RUNS:
+        return 'run'
+    retry_after = packed.get('retry_after')
+    if retry_after is not None and not (
+        type(retry_after) in (int, float)
+        and 0 <= retry_after <= MAX_RETRY_AFTER_SECONDS
+    ):
+        return 'retry_after'
+    return None
--- a/src/greengagegw/adapters/handshake.py
+++ b/src/greengagegw/adapters/handshake.py
@@ -16,6 +16,7 @@
 from . import frames
 
 HANDSHAKE_TIMEOUT_SECONDS = 5.0
+MAX_DESCRIBED_CHARACTERS = 100
 
 
 def compute_proof(secret: str, role: str, *parts: typing.Any) -> bytes:
@@ -43,6 +44,16 @@
         )
 
 
+def describe(value: typing.Any) -> str:
+    """Returns a number or a text, and of any other value its type.
+
+    The text of a deeply nested value cannot be computed.
+    """
+    if isinstance(value, int | str):
+        return repr(value)[:MAX_DESCRIBED_CHARACTERS]
+    return f'a {type(value).__name__}'
+
+
 def check_version(version: typing.Any) -> None:
     """Checks the protocol version of the other side.
 
@@ -50,7 +61,7 @@
     """
     if version != frames.PROTOCOL_VERSION:
         raise errors.PeerVersionError(
-            f'the peer has protocol version {version!r} '
+            f'the peer has protocol version {describe(version)} '
             f'instead of {frames.PROTOCOL_VERSION}'
         )
 
@@ -86,7 +97,7 @@
     check_proof(peer_proof, compute_proof(secret, 'listener', *parts), peer)
     if name != peer:
         raise errors.PeerAuthenticationError(
-            f'the VM at the address of {peer} is {name!r}'
+            f'the VM at the address of {peer} is {describe(name)}'
         )
     own_proof = compute_proof(secret, 'dialler', *parts)
     await socket.send(frames.encode(frames.Kind.PROOF, own_proof))
@@ -122,7 +133,7 @@
     check_version(peer_version)
     if peer_deployment != deployment:
         raise errors.PeerAuthenticationError(
-            f'{peer!r} belongs to the deployment {peer_deployment!r}'
+            f'{peer!r} belongs to the deployment {describe(peer_deployment)}'
         )
     frame = await reader.receive()
     if frame.kind is not frames.Kind.PROOF:
--- a/src/greengagegw/adapters/peer_connection.py
+++ b/src/greengagegw/adapters/peer_connection.py
@@ -334,7 +334,8 @@
             handle(self, *values)
         except MALFORMED_VALUE_ERRORS as error:
             raise errors.PeerProtocolError(
-                f'{self.peer} sent a malformed {kind.name} frame: {error!r}'
+                f'{self.peer} sent a malformed {kind.name} frame:'
+                f' {type(error).__name__}'
             ) from error
 
     def on_call(self, call_id: int, method: str, message: typing.Any) -> None:
@@ -418,6 +419,10 @@
         method: str,
         message: typing.Any,
     ) -> None:
+        if stream_id in self.accepted_streams:
+            raise errors.PeerProtocolError(
+                f'{self.peer} opened the stream {stream_id} twice'
+            )
         stream = self.accepted_streams[stream_id] = peer_stream.Stream(
             self, stream_id
         )
--- a/src/greengagegw/adapters/peer_mesh.py
+++ b/src/greengagegw/adapters/peer_mesh.py
@@ -5,6 +5,7 @@
 import dataclasses
 import functools
 import math
+import re
 import typing
 
 import anyio
@@ -24,6 +25,7 @@
 
 # Time after a failed dial during which further calls fail immediately.
 REDIAL_DELAY_SECONDS = 0.25
+PORT = re.compile('[0-9]{1,5}', re.ASCII)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,7 +69,7 @@
     :returns: None if the name has another form.
     """
     host, _, port = vm.rpartition(':')
-    if not host or not port.isdigit():
+    if not host or PORT.fullmatch(port) is None:
         return None
     return Address(vm, host, int(port))
 
@@ -147,6 +149,10 @@
         """Serves one connection that a peer dialled."""
         try:
             await self.serve(socket)
+        except Exception:
+            # An unexpected error ends no more than this connection.
+            eliot.write_traceback()
+            eliot.log_message('peer:connection_failed')
         finally:
             socket.close()
 
@@ -167,7 +173,9 @@
             if peer is not None and self.find_peer(peer) is None:
                 raise errors.PeerAuthenticationError(f'{peer!r} is not a peer')
         except errors.PeerError as error:
-            eliot.log_message('peer:refused', code=error.code)
+            eliot.log_message(
+                'peer:refused', code=error.code, reason=error.message
+            )
             peer = None
         except peer_connection.CONNECTION_LOST_ERRORS + (anyio.EndOfStream,):
             peer = None
@@ -282,6 +290,10 @@
         """Serves a dialled connection until it ends."""
         try:
             await connection.run()
+        except Exception:
+            # An unexpected error ends no more than this connection.
+            eliot.write_traceback()
+            eliot.log_message('peer:connection_failed', peer=vm)
         finally:
             self.bytes_sent += connection.bytes_sent
             if self.dialled.get(vm) is connection:
