Check the messages of fleet VMs before they are kept

Callers saw: nothing yet; shown by tests. A heartbeat with a name that is no string made the directory of entry VMs raise on each lookup, and a poll reply with a leader, control VM, hold or load of another type made the polls or the plans of requests raise again and again: the supervised task restarts, but never gets past the value.

Cause: members, loads, notices, retries, holds and histories took values as they came, or by int() and float(), which accept NaN, infinities, booleans and numbers that msgpack cannot send again. An OverflowError was not among the errors that the decoder of poll replies expects.

Change: ports/peers has checks for texts, counts and durations, which raise TypeError or ValueError; the message then ends its call, and nothing of it is kept. A heartbeat is decoded as a whole before it is recorded. A region that reports no prefill rate is left out, since predictions divide by it. Loads may still be infinite. Compressed documents are limited in size. What the replicated state reads is unchanged, since all replicas have to read the same.

Measured: "the reply to a poll", "a heartbeat", "a report of retries" and "the notices of servers" in features/platform/foreign_bytes.feature, 300 changed messages each. Before, the first fails with an applied name that is no string and the second with TypeError in the directory; the other two passed before, too. Now all pass.

--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -270,7 +270,7 @@
             )
             if not isinstance(index, int):
                 raise errors.PeerProtocolError(
-                    f'{replica.leader} sent a commit index of {index!r}'
+                    f'{replica.leader} sent a commit index that is no number'
                 )
         while replica.applied_index < index:
             await self.timers.sleep(replicas.STATE_POLL_SECONDS)
@@ -335,7 +335,7 @@
         )
         try:
             digest, age, packed = reply
-            requested_at -= members.check_seconds(age)
+            requested_at -= peers.check_seconds(age)
         except (TypeError, ValueError) as error:
             raise errors.PeerProtocolError(
                 f'{leader} sent a malformed instance list'
@@ -387,6 +387,7 @@
 
     def record_heartbeat(self, message: list) -> members.EntryVm:
         entry = members.EntryVm.unpack(message[0])
+        by_service = loads.unpack(message[1])
         # VMs of an earlier release send no capacity.
         capacity = members.Capacity.unpack(
             message[3] if len(message) > 3 else None
@@ -396,7 +397,7 @@
             eliot.log_message(
                 'roster:heard', vm=entry.vm, state=entry.state.value
             )
-        self.loads[entry.vm] = loads.unpack(message[1])
+        self.loads[entry.vm] = by_service
         # VMs of an earlier release report no retries.
         if len(message) > 4 and message[4] is not None:
             self.retry_records.record(entry.vm, message[4], self.timers.now())
@@ -433,7 +434,7 @@
         """Returns the state of the deployment, without what the VM has."""
         entry = self.record_heartbeat(message)
         held_versions = message[2]
-        self.polled_versions[entry.vm] = held_versions['version']
+        self.polled_versions[entry.vm] = int(held_versions['version'])
         is_confirmed = False
         code = 'not_in_time'
         try:
--- a/src/greengagegw/fleet/loads.py
+++ b/src/greengagegw/fleet/loads.py
@@ -2,8 +2,11 @@
 
 import collections.abc
 import dataclasses
+import math
 import typing
 
+from ..ports import peers
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RegionLoad:
@@ -25,8 +28,29 @@
 
 
 def unpack(packed: dict[str, typing.Any]) -> dict[str, RegionLoad]:
-    """Returns the loads by name, each unpacked from its ``pack`` form."""
-    return {name: RegionLoad(*one) for name, one in packed.items()}
+    """Returns the loads by name, each unpacked from its ``pack`` form.
+
+    A region without speed is left out, since nothing can be predicted of it.
+
+    :raises ValueError: or ``TypeError``, if a load is malformed.
+    """
+    unpacked = {
+        peers.check_text(name): RegionLoad(*(check_number(one) for one in row))
+        for name, row in packed.items()
+    }
+    return {name: one for name, one in unpacked.items() if one.total_speed > 0}
+
+
+def check_number(value: typing.Any) -> float:
+    """Returns a part of a load, which may be infinite.
+
+    :raises ValueError: or ``TypeError``, if it is no number.
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f'a {type(value).__name__} instead of a number')
+    if math.isnan(value):
+        raise ValueError('a load that is no number')
+    return value
 
 
 def combine(
@@ -52,4 +76,4 @@
                 known[2] = load.speed
             if load.total_speed > known[3]:
                 known[3] = load.total_speed
-    return unpack(highest)
+    return {name: RegionLoad(*one) for name, one in highest.items()}
--- a/src/greengagegw/fleet/members.py
+++ b/src/greengagegw/fleet/members.py
@@ -9,6 +9,7 @@
 import msgpack
 import xxhash
 
+from ..ports import peers
 
 # Event loop lag from which on a VM is overloaded. Below it, lag is noise.
 OVERLOAD_LAG_SECONDS = 0.05
@@ -56,8 +57,18 @@
 
     @classmethod
     def unpack(cls, values: list) -> 'EntryVm':
-        *names, state = values
-        return cls(*names, EntryState(state))
+        """Returns a VM from its ``pack`` form.
+
+        :raises ValueError: or ``TypeError``, if it is malformed.
+        """
+        vm, public_address, region, domain, state = values
+        return cls(
+            peers.check_text(vm),
+            peers.check_text(public_address),
+            peers.check_text(region),
+            peers.check_text(domain),
+            EntryState(state),
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,18 +102,6 @@
     return 0.0
 
 
-def check_seconds(value: typing.Any) -> float:
-    """Returns a duration that another VM has sent.
-
-    :raises ValueError: or ``TypeError``, if it is not a finite number that is
-        not negative.
-    """
-    seconds = float(value)
-    if not 0 <= seconds < math.inf:
-        raise ValueError(f'{seconds} seconds')
-    return seconds
-
-
 UNKNOWN_CAPACITY = Capacity()
 
 
--- a/src/greengagegw/fleet/origin_history.py
+++ b/src/greengagegw/fleet/origin_history.py
@@ -11,6 +11,7 @@
 
 from . import configuration as configurations
 from . import instances
+from ..ports import peers
 
 # Longer than any stream plus its resumption; entry VMs keep origins for 120 s.
 RETENTION_SECONDS = 180.0
@@ -215,4 +216,16 @@
 
 
 def unpack_if_present(values: typing.Any) -> OriginHistory | None:
-    return None if values is None else OriginHistory.unpack(values)
+    """Returns a history that another VM has sent.
+
+    :raises ValueError: or ``TypeError``, if it is malformed.
+    """
+    if values is None:
+        return None
+    number, _, versions, routes = values[:4]
+    if type(number) is not int:
+        raise TypeError('the number of a history is not whole')
+    for texts in (*versions, *routes):
+        for one in texts:
+            peers.check_text(one)
+    return OriginHistory.unpack(values)
--- a/src/greengagegw/fleet/origin_table.py
+++ b/src/greengagegw/fleet/origin_table.py
@@ -1,6 +1,7 @@
 """The origins of streams: which service and software version began each."""
 
 import dataclasses
+import reprlib
 import typing
 
 from .. import errors
@@ -131,6 +132,6 @@
         or not all(isinstance(one, str) for one in packed)
     ):
         raise errors.PeerProtocolError(
-            f'{peer} sent {repr(packed)[:100]} instead of a pair of names'
+            f'{peer} sent {reprlib.repr(packed)} instead of a pair of names'
         )
     return packed[0], packed[1]
--- a/src/greengagegw/fleet/poll_reply.py
+++ b/src/greengagegw/fleet/poll_reply.py
@@ -11,6 +11,7 @@
 from . import loads
 from . import members
 from . import origin_history
+from ..ports import peers
 from . import retry_records
 from . import server_notices
 
@@ -22,9 +23,13 @@
     TypeError,
     ValueError,
     AttributeError,
+    OverflowError,
     zlib.error,
     errors.ConfigurationError,
 )
+# Far above the size of a document that control VMs accept.
+MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
+MAX_REASON_CHARACTERS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,20 +85,44 @@
         return _decode(reply, held_version, decode_document)
     except DECODE_ERRORS as error:
         raise errors.PeerProtocolError(
-            f'a reply to a poll is malformed: {type(error).__name__} {error}'
+            f'a reply to a poll is malformed: {type(error).__name__}'
+            f' {str(error)[:MAX_REASON_CHARACTERS]}'
         ) from error
 
 
+def check_integer(value: typing.Any) -> int:
+    """Returns a number that fits into a message, as it came in one.
+
+    :raises TypeError: if it is not whole.
+    """
+    if type(value) is not int:
+        raise TypeError(f'a {type(value).__name__} instead of a number')
+    return value
+
+
+def decompress(document: bytes) -> bytes:
+    """Returns a document that control VMs store in compressed form.
+
+    :raises ValueError: if it is too large.
+    """
+    decompressor = zlib.decompressobj()
+    content = decompressor.decompress(document, MAX_DOCUMENT_BYTES)
+    if not decompressor.eof:
+        raise ValueError('the document is cut short or too large')
+    return content
+
+
 def _decode(
     reply: dict[str, typing.Any],
     held_version: int,
     decode_document: 'agents.Decode',
 ) -> PollReply:
     configuration = instances = entry_vms = holds = None
-    version = int(reply['version'])
+    version = check_integer(reply['version'])
+    leader = reply['leader']
     document = reply.get('document')
     if document is not None and version > held_version:
-        configuration = decode_document(zlib.decompress(document))
+        configuration = decode_document(decompress(document))
     if 'instances' in reply:
         unpacked = instance_list.unpack_valid(reply['instances'])
         instances = {one.name: one for one in unpacked}
@@ -102,22 +131,27 @@
             members.EntryVm.unpack(one) for one in reply['entries']
         )
     if 'holds' in reply:
-        holds = tuple(held_requests.Hold.unpack(one) for one in reply['holds'])
+        holds = tuple(
+            held_requests.unpack_checked(one) for one in reply['holds']
+        )
     return PollReply(
         bool(reply['is_confirmed']),
         version,
         configuration,
-        int(reply['changes']),
-        frozenset(reply['evacuated']),
-        int(reply['list_digest']),
-        float(reply['list_age']),
+        check_integer(reply['changes']),
+        frozenset(peers.check_text(one) for one in reply['evacuated']),
+        check_integer(reply['list_digest']),
+        peers.check_seconds(reply['list_age']),
         instances,
-        int(reply['entries_digest']),
+        check_integer(reply['entries_digest']),
         entry_vms,
-        tuple(reply['controls']),
-        reply['leader'],
-        {region: loads.unpack(one) for region, one in reply['loads'].items()},
-        int(reply.get('hold_changes', -1)),
+        tuple(peers.check_text(one) for one in reply['controls']),
+        None if leader is None else peers.check_text(leader),
+        {
+            peers.check_text(region): loads.unpack(one)
+            for region, one in reply['loads'].items()
+        },
+        check_integer(reply.get('hold_changes', -1)),
         holds,
         origin_history.unpack_if_present(reply.get('history')),
         retry_records.unpack_if_present(reply.get('retries')),
--- a/src/greengagegw/fleet/retry_records.py
+++ b/src/greengagegw/fleet/retry_records.py
@@ -8,6 +8,8 @@
 import math
 import typing
 
+from ..ports import peers
+
 # Time resolution of a record. Retries are kept up to this much too long, and
 # requests this much too short, so that a record never allows too much.
 BUCKET_SECONDS = 0.5
@@ -101,8 +103,14 @@
         :raises ValueError: or ``TypeError``, if it is malformed.
         """
         run_id, packed = report
+        peers.check_text(run_id)
+        if not isinstance(packed, dict):
+            raise TypeError('the totals are not a map')
         totals = {
-            str(service): (int(requests), int(retries))
+            peers.check_text(service): (
+                peers.check_count(requests),
+                peers.check_count(retries),
+            )
             for service, (requests, retries) in packed.items()
         }
         known = self.vms.get(vm)
@@ -179,8 +187,12 @@
 
 def unpack_counts(packed: dict) -> dict[str, tuple[Bucket, ...]]:
     return {
-        str(service): tuple(
-            (float(age), int(requests), int(retries))
+        peers.check_text(service): tuple(
+            (
+                peers.check_seconds(age),
+                peers.check_count(requests),
+                peers.check_count(retries),
+            )
             for age, requests, retries in buckets
         )
         for service, buckets in packed.items()
--- a/src/greengagegw/fleet/server_notices.py
+++ b/src/greengagegw/fleet/server_notices.py
@@ -7,8 +7,12 @@
 import dataclasses
 import typing
 
+from ..ports import peers
+
 # Longer than any drain bound; entry VMs keep announcements for as long.
 DEPARTURE_SECONDS = 60.0
+# A longer pause of a server ends with the record of it.
+MAX_PAUSE_SECONDS = 600.0
 
 # A server and the start time of its run.
 Run = tuple[str, int]
@@ -33,12 +37,20 @@
 
     @classmethod
     def unpack(cls, values: list) -> 'ServerNotices':
-        """Returns notices; fields of later releases are ignored."""
+        """Returns notices; fields of later releases are ignored.
+
+        :raises ValueError: or ``TypeError``, if they are malformed.
+        """
         leaving, pauses = values[:2]
         return cls(
-            tuple((str(name), int(born)) for name, born in leaving),
+            tuple(
+                (peers.check_text(name), peers.check_count(born))
+                for name, born in leaving
+            ),
             {
-                (str(name), int(born)): float(seconds)
+                (peers.check_text(name), peers.check_count(born)): min(
+                    peers.check_seconds(seconds), MAX_PAUSE_SECONDS
+                )
                 for name, born, seconds in pauses
             },
         )
--- a/src/greengagegw/held_requests.py
+++ b/src/greengagegw/held_requests.py
@@ -10,9 +10,12 @@
 
 from . import errors
 from .policy import crash_attribution
+from .ports import peers
 
 # Requests that are named in a hold.
 MAX_REQUESTS = 5
+# Later times cannot be written as a date.
+MAX_UNIX_SECONDS = 2.5e11
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,6 +118,22 @@
         )
 
 
+def unpack_checked(values: list) -> Hold:
+    """Returns a hold that another VM has sent.
+
+    :raises ValueError: or ``TypeError``, if it is malformed.
+    """
+    service, traits, since, ended_servers, requests = values
+    if not traits:
+        raise ValueError('a hold has no traits')
+    if peers.check_seconds(since) > MAX_UNIX_SECONDS:
+        raise ValueError('a hold has a time beyond the calendar')
+    for texts in ([service], traits, ended_servers, requests):
+        for one in texts:
+            peers.check_text(one)
+    return Hold.unpack(values)
+
+
 class HoldIndex:
     """Finds the hold of a request.
 
--- a/src/greengagegw/ports/peers.py
+++ b/src/greengagegw/ports/peers.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import math
 import typing
 
 from .. import errors
@@ -77,3 +78,42 @@
     """
     handler.never_waits = True
     return handler
+
+
+# Largest number that all formats and floats have exactly.
+MAX_COUNT = 2**53
+
+
+def check_seconds(value: typing.Any) -> float:
+    """Returns a duration that another VM has sent.
+
+    :raises ValueError: or ``TypeError``, if it is not a finite number that is
+        not negative.
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f'a {type(value).__name__} instead of seconds')
+    if not 0 <= value < math.inf:
+        raise ValueError(f'{value} seconds')
+    return float(value)
+
+
+def check_count(value: typing.Any) -> int:
+    """Returns a whole number that another VM has sent.
+
+    :raises ValueError: or ``TypeError``, if it is none, negative or too large.
+    """
+    if type(value) is not int:
+        raise TypeError(f'a {type(value).__name__} instead of a number')
+    if not 0 <= value <= MAX_COUNT:
+        raise ValueError(f'a count of {value}')
+    return value
+
+
+def check_text(value: typing.Any) -> str:
+    """Returns a text that another VM has sent.
+
+    :raises TypeError: if it is none.
+    """
+    if not isinstance(value, str):
+        raise TypeError(f'a {type(value).__name__} instead of a text')
+    return value
--- a/src/greengagegw/serving/departures.py
+++ b/src/greengagegw/serving/departures.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import reprlib
 import typing
 
 import anyio
@@ -114,6 +115,7 @@
     for name, born in runs:
         if not isinstance(name, str) or not isinstance(born, int):
             raise errors.PeerProtocolError(
-                f'{peer} sent a leaving server {name!r} started at {born!r}'
+                f'{peer} sent a leaving server {reprlib.repr(name)} started at'
+                f' {reprlib.repr(born)}'
             )
     return runs
