Reject every desired state that cannot be kept or used

Callers saw: nothing yet; shown by tests. A kind that is a list, or a service nested 900 levels deep, ended in a status of 500. A version beyond 64 bits was acknowledged as far as the decoder goes and raised when it was packed. Times and weights of 1e308 were stored and overflowed in timers and sums.

Cause: a dictionary lookup with an unhashable value, str() of a nested value, and no limits of numbers. A document whose compressed form is larger than a message between VMs could be taken into the log but never be replicated.

Change: the kind has to be a string, a wrong service is not formatted, the version has at most 63 bits, and a document of over 8 MiB in compressed form is rejected with 400. Other numbers are valid however large they are, so they are cut off at 1e10 and, above 0, at 1e-6, instead of being rejected.

Measured: "the desired state" (300 changed documents, each accepted one is packed, stored and decoded again) and "A desired state that cannot be kept is rejected" in features/platform/foreign_bytes.feature. Before, the first fails at a time beyond the range of a timer and three of nine rows of the second fail. Now all pass.

--- a/src/greengagegw/platform/documents.py
+++ b/src/greengagegw/platform/documents.py
@@ -1,6 +1,7 @@
 """Decodes the configuration that operators send."""
 
 import typing
+import zlib
 
 import orjson
 
@@ -12,10 +13,19 @@
     'unsafe': configuration.CallKind.UNSAFE,
     'streaming': configuration.CallKind.STREAM,
 }
+DEFAULT_HEALTH_PATH = '/healthz'
 TOKEN_UNIT = 'token_stream'
 LOWEST_PRIORITY = 9
 DEFAULT_TIMEOUT_SECONDS = 30.0
 DEFAULT_EVENT_GAP_SECONDS = 2.0
+# As seconds, some hundred years, the most that a timer takes.
+MAX_NUMBER = 1e10
+MIN_NUMBER = 1e-6
+# The limit of the formats in which a version is stored and sent.
+MAX_VERSION = 2**63 - 1
+# A compressed document has to fit into a message between VMs together with
+# the other parts of the message.
+MAX_PACKED_BYTES = 8 * 1024 * 1024
 
 
 class FieldReader:
@@ -35,13 +45,19 @@
     def number(
         self, holder: dict, name: str, path: str, default: float
     ) -> float:
-        """Returns a non-negative number."""
+        """Returns a non-negative number, within limits that differ little.
+
+        A number beyond them is valid, but would overflow in timers and in
+        messages between VMs.
+        """
         value = holder.get(name, default)
         is_number = isinstance(value, int | float)
         if isinstance(value, bool) or not is_number or value < 0:
             self.add_problem(f'{path}.{name}', 'a number, 0 or more')
             return default
-        return value
+        if value == 0:
+            return value
+        return min(max(value, MIN_NUMBER), MAX_NUMBER)
 
     def string(self, holder: dict, name: str, path: str) -> str:
         value = holder.get(name)
@@ -88,11 +104,21 @@
         raise errors.ConfigurationError((f'not JSON: {error}',)) from error
     if not isinstance(values, dict):
         raise errors.ConfigurationError(('not an object',))
+    if (
+        len(document) > MAX_PACKED_BYTES
+        and len(zlib.compress(document)) > MAX_PACKED_BYTES
+    ):
+        raise errors.ConfigurationError(
+            (f'over {MAX_PACKED_BYTES} bytes in compressed form',)
+        )
     reader = FieldReader()
     version = values.get('version')
     if isinstance(version, bool) or not isinstance(version, int):
         reader.add_problem('version', 'an integer')
         version = 0
+    elif abs(version) > MAX_VERSION:
+        reader.add_problem('version', f'at most {MAX_VERSION}')
+        version = 0
     for name in ('routes', 'services'):
         if name not in values:
             reader.add_problem(name, 'present')
@@ -122,7 +148,7 @@
             reader.add_problem(f'{path}.name', 'unique')
         services[name] = configuration.Service(
             name=name,
-            health_path=one.get('healthPath') or '/healthz',
+            health_path=decode_health_path(one),
             max_connections=int(reader.number(one, 'maxConns', path, 0)),
             cold_start_seconds=reader.number(one, 'coldStartS', path, 0),
             cold_start_rate=reader.number(one, 'coldPerS', path, 0),
@@ -131,6 +157,12 @@
     return services
 
 
+def decode_health_path(service: dict) -> str:
+    """Returns a path, the default one in place of an unreadable one."""
+    path = service.get('healthPath')
+    return path if isinstance(path, str) and path else DEFAULT_HEALTH_PATH
+
+
 def decode_routes(
     values: dict,
     services: dict[str, configuration.Service],
@@ -152,7 +184,10 @@
                 path, 'the only route with its host and pathPrefix'
             )
         host_prefixes.add((host, prefix))
-        kind = CALL_KINDS.get(one.get('kind'))
+        kind_name = one.get('kind')
+        kind = None
+        if isinstance(kind_name, str):
+            kind = CALL_KINDS.get(kind_name)
         if kind is None:
             reader.add_problem(f'{path}.kind', ' or '.join(CALL_KINDS))
             kind = configuration.CallKind.UNSAFE
@@ -206,8 +241,9 @@
         name = one.get('service')
         if not isinstance(name, str) or name not in services:
             reader.add_problem(f'{path}.service', 'the name of a service')
+            name = ''
         weight = reader.number(one, 'weight', path, 0)
-        shares.append(configuration.TrafficShare(str(name), weight))
+        shares.append(configuration.TrafficShare(name, weight))
     if sum(one.weight for one in shares) <= 0:
         reader.add_problem(
             f'{path}.trafficSplit', 'weights with a sum greater than 0'
