Reject odd numbers and depths of clients with 400

Callers saw: 500 for a body nested 255 to 1,024 levels deep and for a content length that is no number. Negative token counts, or counts beyond 64 bits, were accepted.

Cause: orjson decodes 1,024 levels but encodes only 254, and its error is a TypeError. int() of a header accepts signs, underscores and any size: a negative segment made the model of a server's cache grow without limit, and a count beyond 64 bits cannot be forwarded. An infinite deadline was accepted.

Change: a body that cannot be encoded again, token counts of other than one to nine digits, deadlines that are not finite and content lengths that are not digits are bad requests. Deadlines are cut off at 1e9 s.

--- a/src/greengagegw/adapters/asgi.py
+++ b/src/greengagegw/adapters/asgi.py
@@ -13,6 +13,8 @@
 Send = collections.abc.Callable[[dict], collections.abc.Awaitable[None]]
 DRAIN_BYTES = 16 * 1024 * 1024
 DRAIN_SECONDS = 1.0
+# A longer content length is over every limit.
+MAX_LENGTH_DIGITS = 15
 
 
 class ClientDisconnected(Exception):  # noqa: N818
@@ -101,10 +103,15 @@
 def check_content_length(scope: dict, max_bytes: int) -> None:
     """Checks the declared length of a request's body.
 
+    :raises BadRequestError: if it is not a number.
     :raises BodyTooLargeError: if it is over ``max_bytes``.
     """
     for name, value in scope['headers']:
-        if name == b'content-length' and int(value) > max_bytes:
+        if name != b'content-length':
+            continue
+        if not value.isdigit():
+            raise errors.BadRequestError('the content length is not a number')
+        if len(value) > MAX_LENGTH_DIGITS or int(value) > max_bytes:
             raise errors.BodyTooLargeError(
                 f'the body is larger than {max_bytes} bytes'
             )
--- a/src/greengagegw/platform/client_application.py
+++ b/src/greengagegw/platform/client_application.py
@@ -1,6 +1,8 @@
 """ASGI application for clients of the platform."""
 
 import collections.abc
+import math
+import re
 import typing
 
 import eliot
@@ -18,8 +20,11 @@
 from ..serving import prompts
 
 BODY_TIMEOUT_SECONDS = 10.0
-# A longer number cannot be a token count.
-MAX_HINT_DIGITS = 9
+# A longer number cannot be a token count, and would overflow in the model of
+# the caches and in messages to other VMs.
+COUNT = re.compile('[0-9]{1,9}', re.ASCII)
+# A timer of the event loop takes at most some hundred years.
+MAX_TIMEOUT_SECONDS = 1e9
 
 
 class ClientApplication:
@@ -272,16 +277,19 @@
 def decode_timeout(value: str) -> float | None:
     """Returns a client timeout in seconds, None if the header is missing.
 
-    :raises BadRequestError: if the value is not a number.
+    :raises BadRequestError: if the value is not a finite number.
     """
     if not value:
         return None
     try:
-        return max(0.0, float(value) / 1000)
-    except ValueError as error:
+        milliseconds = float(value)
+    except ValueError:
+        milliseconds = math.nan
+    if not math.isfinite(milliseconds):
         raise errors.BadRequestError(
             'the deadline is not a number of milliseconds'
-        ) from error
+        )
+    return min(max(0.0, milliseconds / 1000), MAX_TIMEOUT_SECONDS)
 
 
 def decode_prompt(scope: dict) -> prompts.Prompt | None:
@@ -294,7 +302,9 @@
     if not value:
         return None
     try:
-        tokens, max_output_tokens = (int(one) for one in value.split(','))
+        tokens, max_output_tokens = (
+            decode_count(one) for one in value.split(',')
+        )
         segments = tuple(
             decode_segment(one)
             for one in find(http_names.PROMPT_SEGMENTS).split(',')
@@ -307,10 +317,7 @@
     model = find(http_names.MODEL)
     hint = find(http_names.OUTPUT_LENGTH_HINT)
     # An invalid hint is ignored, since the request is valid without it.
-    is_number = hint.isascii() and hint.isdigit()
-    expected_output_tokens = (
-        int(hint) if is_number and len(hint) <= MAX_HINT_DIGITS else 0
-    )
+    expected_output_tokens = int(hint) if COUNT.fullmatch(hint) else 0
     return prompts.Prompt(
         model, tokens, max_output_tokens, segments, expected_output_tokens
     )
@@ -318,7 +325,17 @@
 
 def decode_segment(value: str) -> prompts.Segment:
     name, _, tokens = value.strip().partition(':')
-    return prompts.Segment(name, int(tokens))
+    return prompts.Segment(name, decode_count(tokens))
+
+
+def decode_count(value: str) -> int:
+    """Returns a number of tokens.
+
+    :raises ValueError: if it is no whole number of at most nine digits.
+    """
+    if COUNT.fullmatch(value.strip()) is None:
+        raise ValueError(value[:20])
+    return int(value)
 
 
 def make_readiness_application(
--- a/src/greengagegw/request_parsing.py
+++ b/src/greengagegw/request_parsing.py
@@ -103,7 +103,7 @@
     :raises KeyInRequestError: if the body contains the key, also escaped.
     """
     content = _read_object(request.body)
-    if request.key in orjson.dumps(content).decode():
+    if request.key in _encode(content).decode():
         raise errors.KeyInRequestError(
             'the JSON body of the request contains the API key'
         )
@@ -117,14 +117,14 @@
     choices = _read_count(content, 'n', 1, 128)
     max_tokens = _read_max_tokens(content, limits)
     adds_usage = stream and _add_usage(content)
-    serialized = orjson.dumps(prompt)
+    serialized = _encode(prompt)
     messages = len(prompt) if isinstance(prompt, list) else 1
     tokens = (
         len(serialized) + TOKENS_PER_MESSAGE * messages + choices * max_tokens
     )
     return ModelRequest(
         model,
-        orjson.dumps(content),
+        _encode(content),
         stream,
         tokens,
         adds_usage,
@@ -142,9 +142,7 @@
     if len(parts) > MAX_SEGMENTS:
         half = MAX_SEGMENTS // 2
         parts = [*parts[:half], *parts[-half:]]
-    return tuple(
-        xxhash.xxh64_hexdigest(orjson.dumps(one)) for one in parts if one
-    )
+    return tuple(xxhash.xxh64_hexdigest(_encode(one)) for one in parts if one)
 
 
 def read_segments(path: str, body: bytes) -> tuple[str, ...]:
@@ -167,6 +165,20 @@
     return content
 
 
+def _encode(value: typing.Any) -> bytes:
+    """Returns a part of a body as JSON.
+
+    :raises BadRequestError: if it is nested deeper than the encoder can go,
+        which is less deep than the decoder can.
+    """
+    try:
+        return orjson.dumps(value)
+    except orjson.JSONEncodeError as error:
+        raise errors.BadRequestError(
+            'the body is nested too deeply'
+        ) from error
+
+
 def _read_prompt(path: str, content: dict) -> typing.Any:
     if path == MODEL_PATHS[0]:
         messages = content.get('messages')
