Limit the numbers that backend servers and load reports contain

Callers saw: nothing yet; shown by tests. A load report with 1e308 running requests raised OverflowError in the task that sends the reports of a region to the other VMs. One malformed row of such a message hid the rows after it, and a text in it was kept as the load of a server. A Retry-After of 1e308 took a server out of use for good, and one of a superscript digit raised.

Cause: int() and float() without a range; isdigit() is true for digits that float() rejects.

Change: counts of requests are whole numbers up to 1,000,000. Rows of another VM's reports are checked one by one; a malformed one is logged as load:bad_report. Retry times and limits of servers are cut off at 1e6, and below 1e-6 they are 0; the time that work takes has to be from 0.1 to 1e6 percent of the normal one.

Measured: "the headers of a backend server", "the load report of a backend server" and "the load reports of another VM" in features/platform/foreign_bytes.feature. Before, all three fail; now they pass.

--- a/src/greengagegw/adapters/backend_http.py
+++ b/src/greengagegw/adapters/backend_http.py
@@ -20,6 +20,9 @@
 KEEP_ALIVE_SECONDS = 3.0
 LOAD_PATH = '/load'
 MAX_LOAD_REPORT_BYTES = 64 * 1024
+# Limits of a retry time; more digits need not be read.
+MAX_SECONDS = 1e6
+MAX_SECONDS_DIGITS = 7
 RESUME_HEADER = 'x-resume-offset'
 RUN_HEADER = 'x-run'
 SOFTWARE_VERSION_HEADER = 'x-software-version'
@@ -270,8 +273,8 @@
                 await response.aclose()
             return backends.LoadReport(
                 self.timers.now(),
-                int(report['running']),
-                int(report['waiting']),
+                backends.check_count(int(report['running'])),
+                backends.check_count(int(report['waiting'])),
                 bool(report.get('leaving', False)),
             )
         except backend_httpx.HTTP_ERRORS + (
@@ -279,6 +282,7 @@
             KeyError,
             TypeError,
             AttributeError,
+            OverflowError,
         ) as error:
             raise errors.BackendError(
                 f'no valid load report from {self.name}: {error!r}'
@@ -350,4 +354,8 @@
 
 
 def _parse_seconds(value: str | None) -> float | None:
-    return float(value) if value and value.isdigit() else None
+    """Returns seconds, None for a date or an invalid value."""
+    # Digits of other scripts are digits to Python, too.
+    if not value or not (value.isascii() and value.isdigit()):
+        return None
+    return min(float(value[:MAX_SECONDS_DIGITS]), MAX_SECONDS)
--- a/src/greengagegw/load_polling.py
+++ b/src/greengagegw/load_polling.py
@@ -10,6 +10,7 @@
 import contextlib
 
 import anyio
+import eliot
 import xxhash
 
 from . import backend_pool
@@ -166,17 +167,41 @@
         with contextlib.suppress(errors.GatewayError):
             await self.mesh.notify(vm, METHOD, rows)
 
+    def unpack_report(
+        self, row: list, now: float
+    ) -> tuple[str | None, backends.LoadReport]:
+        """Returns the name of a server, None if it is unknown, and its report.
+
+        :raises ValueError: or ``TypeError``, if the row is malformed.
+        """
+        hashed_name, running, waiting, is_leaving, age_ms = row
+        age = peers.check_seconds(age_ms) / 1000
+        report = backends.LoadReport(
+            now - age,
+            backends.check_count(running),
+            backends.check_count(waiting),
+            bool(is_leaving),
+        )
+        return self.name_by_digest.get(hashed_name), report
+
     @peers.never_waits
     async def on_reports(self, peer: str, message: list) -> None:
         """Stores the reports of another VM that are newer than those here."""
+        if not isinstance(message, list):
+            raise errors.PeerProtocolError(
+                f'{peer} sent load reports that are not a list'
+            )
         now = self.timers.now()
-        for hashed_name, running, waiting, leaving, age_ms in message:
-            name = self.name_by_digest.get(hashed_name)
+        for row in message:
+            try:
+                name, report = self.unpack_report(row, now)
+            except (TypeError, ValueError, OverflowError) as error:
+                eliot.log_message(
+                    'load:bad_report', peer=peer, reason=str(error)[:200]
+                )
+                continue
             if name is None:
                 continue
-            report = backends.LoadReport(
-                now - age_ms / 1000, running, waiting, leaving
-            )
             known = self.pool.by_name[name].report
             if known is None or report.received_at > known.received_at:
                 self.store_report(name, report)
--- a/src/greengagegw/platform/backend_client.py
+++ b/src/greengagegw/platform/backend_client.py
@@ -31,6 +31,11 @@
 # Far above the slots of any server; a larger number is an error of the server
 # and would overflow in the predictions.
 MAX_REPORTED_COUNT = 1_000_000
+MIN_SLOWDOWN_PERCENT = 0.1
+MAX_SLOWDOWN_PERCENT = 1e6
+# Limits of seconds and of requests a second.
+MAX_NUMBER = 1e6
+MIN_NUMBER = 1e-6
 # Engines schedule by priorities from 0 to 9; a request without one has 5.
 RESUMPTION_PRIORITY = b'4'
 DEFAULT_PRIORITY = b'5'
@@ -343,7 +348,9 @@
         return None
     counts = (running, waiting, slots)
     has_valid_counts = 0 <= min(counts) and max(counts) <= MAX_REPORTED_COUNT
-    if not has_valid_counts or any(not 0 < one < math.inf for one in percents):
+    if not has_valid_counts or not all(
+        MIN_SLOWDOWN_PERCENT <= one <= MAX_SLOWDOWN_PERCENT for one in percents
+    ):
         log_bad_load(value)
         return None
     slowdown = percents[0] / 100 if percents else None
@@ -382,9 +389,15 @@
 
 
 def decode_number(value: bytes) -> float | None:
-    """Returns a finite number that is not negative, None for any other."""
+    """Returns a finite number that is not negative, None for any other.
+
+    Numbers beyond what any server means are cut off, since their sums and
+    reciprocals would overflow.
+    """
     try:
         number = float(value)
     except ValueError:
         return None
-    return number if math.isfinite(number) and number >= 0 else None
+    if not math.isfinite(number) or number < 0:
+        return None
+    return min(number, MAX_NUMBER) if number >= MIN_NUMBER else 0.0
--- a/src/greengagegw/ports/backends.py
+++ b/src/greengagegw/ports/backends.py
@@ -5,6 +5,9 @@
 import dataclasses
 import typing
 
+# Far above what any server can hold.
+MAX_REPORTED_REQUESTS = 1_000_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
@@ -64,6 +67,19 @@
     leaving: bool = False
 
 
+def check_count(value: typing.Any) -> int:
+    """Returns a reported number of requests.
+
+    :raises ValueError: or ``TypeError``, if it is not a whole number in the
+        range of what a server can hold.
+    """
+    if type(value) is not int:
+        raise TypeError(f'a {type(value).__name__} instead of a number')
+    if not 0 <= value <= MAX_REPORTED_REQUESTS:
+        raise ValueError('a number of requests is out of range')
+    return value
+
+
 class BackendPort(typing.Protocol):
     """A backend server."""
 
