Report each fault of a settings file as a SettingsError

Callers saw: a traceback for settings in YAML with a date that does not exist or with very deep nesting. A port of +80 or 8_0 was accepted.

Cause: PyYAML raises ValueError for values that Python rejects, and its parser is recursive. int() accepts signs, spaces and underscores.

Change: both errors are problems of the file, and ports have one to five ASCII digits. Long or nested values are shown by their beginning.

--- a/src/greengagegw/platform/settings.py
+++ b/src/greengagegw/platform/settings.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import os
+import re
 import typing
 
 from .. import errors
@@ -11,6 +12,8 @@
 # Part of the platform's rules that is in force where requests compete for
 # capacity.
 PRESSURE_CONTRACT = 'pressure'
+PORT = re.compile(r'[0-9]{1,5}', re.ASCII)
+MAX_PORT = 65535
 DEFAULT_FILE = '/etc/greengagegw/local.conf'
 
 
@@ -194,16 +197,23 @@
     return value == 'true'
 
 
+def parse_port(value: str) -> int:
+    """Returns a port; ``int`` also accepts signs, spaces and underscores."""
+    if PORT.fullmatch(value) is None or not 0 < int(value) <= MAX_PORT:
+        raise ValueError(value)
+    return int(value)
+
+
 def parse_endpoint(value: str) -> Endpoint:
     host, _, port = value.rpartition(':')
-    if not host or not 0 < int(port) < 65536:
+    if not host or not host.isprintable():
         raise ValueError(value)
-    return Endpoint(host, int(port))
+    return Endpoint(host, parse_port(port))
 
 
 def parse_port_range(value: str) -> tuple[int, int]:
-    first, last = (int(one) for one in value.split(','))
-    if not 0 < first < last < 65536:
+    first, last = (parse_port(one.strip()) for one in value.split(','))
+    if not first < last:
         raise ValueError(value)
     return first, last
 
--- a/src/greengagegw/settings.py
+++ b/src/greengagegw/settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 import functools
 import pathlib
+import reprlib
 import typing
 
 import pydantic
@@ -239,14 +240,20 @@
     """
     try:
         content = yaml.safe_load(text)
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        # Dates that do not exist and long numbers are values that Python
+        # rejects; the parser is recursive.
         message = ' '.join(str(error).split())
         raise errors.SettingsError(
             (Problem(file, '', '', f'is not valid YAML: {message}'),)
         ) from error
     if not isinstance(content, dict):
         raise errors.SettingsError(
-            (Problem(file, '', repr(content)[:80], 'must be a mapping'),)
+            (
+                Problem(
+                    file, '', reprlib.repr(content)[:80], 'must be a mapping'
+                ),
+            )
         )
     return check(content, file)
 
@@ -284,7 +291,7 @@
                 for line in message.split('\n')
             ]
             continue
-        value = repr(detail['input'])[:80]
+        value = reprlib.repr(detail['input'])[:80]
         if path.endswith('peer_secret'):
             value = ''
         invalid_values.append(Problem(file, path, value, detail['msg']))
