Confirm the history before a stream of unknown origin goes on

During a release, streams that began on servers of a new version through one entry VM were resumed at another one that was out of step, and went on at the old version: the client's stream was mixed.

The VM did not find the origin (cut off from its holders, or these had restarted), did not ask the control VMs, since its own list and history named only one version, and took this one for the only possible origin. Its clock, its lease and its last poll do not tell it that they are old.

An origin that is not found elsewhere is now always asked of the control VMs. If they have none, the VM asks for the current history, which only a leader gives that has recorded its own list in its term and that a majority has confirmed after the question. A version is recorded before streams begin at it, so this history names it. Without a confirmed history the stream is rejected as not run (503, to be started anew).

Tests: features/serving/versions.feature, 18 new scenarios: cut off from the VM at which the stream began, from the control VMs, from all, suspended and woken before its view is updated, with and without Resumes.

--- a/features/fleet/origins.feature
+++ b/features/fleet/origins.feature
@@ -64,6 +64,33 @@
     And the fleet holds version 5
     Then in 5 seconds no entry VM of the fleet has a history
 
+  Scenario: Only the leader tells the current history
+    An entry VM that is out of step continues a stream of unknown origin only
+    if this history names a single origin.
+
+    Given a fleet of 5 control VMs and 3 entry VMs
+    And the fleet holds version 5
+    When the fleet's servers change from v1 to v2
+    Then only the leader of the fleet tells the current history, of v1, v2
+
+  Scenario: A leader that is cut off tells no current history
+    Given a fleet of 5 control VMs and 3 entry VMs
+    And the fleet holds version 5
+    When the fleet's servers change from v1 to v2
+    And the leader of the fleet is cut off from the other control VMs
+    Then within 20 seconds only a new leader tells the current history, and the old one tells none
+
+  Scenario: A new leader tells no current history before it has recorded its own
+    Versions may have served streams while nobody led.
+
+    Given a fleet of 3 control VMs and 2 entry VMs
+    And the fleet holds version 5
+    When the fleet's servers change from v1 to v2
+    And the leader of the fleet fails, and the next one records nothing
+    Then no control VM of the fleet tells the current history
+    When the new leader of the fleet records versions
+    Then only the leader of the fleet tells the current history, of v1, v2
+
   Scenario Outline: The services of a route are recorded by host and path prefix
     Given a history of routes <before>
     When they are replaced by routes <after>
--- a/features/serving/versions.feature
+++ b/features/serving/versions.feature
@@ -231,6 +231,58 @@
     And their clients resume them at another VM
     Then 20 of them are complete, and none has events of two versions
 
+  Scenario Outline: A VM that is out of step does not mix versions
+    Its instance list and history name only the old version. It may lack the
+    origins of streams that have begun meanwhile.
+
+    Given region a with <vms> entry VMs and engines of v1, v1
+    And a route with 1 attempt and home regions a
+    When entry VM a1 falls behind, <state>
+    And engines of v2 join and those of v1 leave
+    And 6 streams of v2 break off after 2 events at VM a0
+    And then <event>
+    And their clients resume them at <vm>
+    Then none has events of two versions, and the incomplete ones are rejected as not run
+    And 6 of them are rejected as not run
+    And their clients are told to start the requests anew, or later
+
+    Examples: The VM at which they began is reached, or not
+      | vms | state                                  | event                     | vm                          |
+      | 2   | cut off from VM a0                     | nothing happens          | another VM                  |
+      | 3   | cut off from VM a0                     | nothing happens          | another VM                  |
+      | 2   | cut off from VM a0                     | nothing happens          | another VM, without Resumes |
+      | 2   | cut off from the control VMs           | nothing happens          | another VM                  |
+      | 2   | cut off from the control VMs           | nothing happens          | another VM, without Resumes |
+      | 2   | cut off from the control VMs           | a0 restarts            | another VM                  |
+      | 3   | cut off from the control VMs           | a0 restarts            | another VM                  |
+      | 2   | cut off from all VMs                   | nothing happens          | another VM                  |
+      | 3   | cut off from all VMs                   | nothing happens          | another VM                  |
+      | 3   | cut off from all VMs                   | time passes           | another VM, without Resumes |
+
+    Examples: It was suspended, and is reached again before its view is updated
+      | vms | state     | event                              | vm                          |
+      | 2   | suspended | a1 wakes                        | another VM                  |
+      | 2   | suspended | a1 wakes                        | another VM, without Resumes |
+      | 2   | suspended | a0 restarts, and a1 wakes     | another VM                  |
+      | 2   | suspended | all but a1 restart, and a1 wakes | another VM             |
+      | 3   | suspended | all but a1 restart, and a1 wakes | another VM             |
+
+  Scenario Outline: A VM that is out of step resumes streams where that is safe
+    Given region a with 3 entry VMs and engines of v1, v1
+    And a route with 1 attempt and home regions a
+    When 6 streams break off after 2 events
+    And entry VM a1 falls behind, <state>
+    And then <event>
+    And their clients resume them at entry VM a1
+    Then none has events of two versions, and the incomplete ones are rejected as not run
+    And <rejected> of them are rejected as not run
+
+    Examples:
+      | state                        | event                                   | rejected |
+      | cut off from the control VMs | nothing happens                        | 0        |
+      | suspended                    | all but a1 restart, and a1 wakes | 0        |
+      | cut off from VM a0           | nothing happens                        | 0        |
+
   Scenario Outline: A malformed message about origins is reported as such
     Given region a with 3 entry VMs and engines of v1, v1, v2, v2
     And a route with 1 attempt and home regions a
--- a/features/serving_world.py
+++ b/features/serving_world.py
@@ -349,13 +349,16 @@
             return INTRA_REGION_SECONDS
         return INTER_REGION_SECONDS
 
-    async def connect(self, vm):
-        if vm in self.world.unreachable_vms:
+    def check_reachable(self, vm):
+        is_cut = frozenset((self.vm, vm)) in self.world.cut_pairs
+        if is_cut or vm in self.world.unreachable_vms:
             raise errors.PeerUnreachableError(f'{vm} is unreachable')
 
+    async def connect(self, vm):
+        self.check_reachable(vm)
+
     async def notify(self, vm, method, message):
-        if vm in self.world.unreachable_vms:
-            raise errors.PeerUnreachableError(f'{vm} is unreachable')
+        self.check_reachable(vm)
         await self.world.timers.sleep(INTRA_REGION_SECONDS)
         if vm in CONTROL_VMS:
             self.world.origin_messages[self.vm, vm] += 1
@@ -373,9 +376,10 @@
 
     async def call(self, vm, method, message, timeout_seconds):
         if vm in CONTROL_VMS:
-            if vm in self.world.unreachable_vms:
-                raise errors.PeerUnreachableError(f'{vm} is unreachable')
+            self.check_reachable(vm)
             await self.world.timers.sleep(2 * INTER_REGION_SECONDS)
+            if method == origin_history.CURRENT_METHOD:
+                return self.world.current_history(vm)
             handler = self.world.origin_servers[vm].handlers()[method]
             return await handler('peer', copy.deepcopy(message))
         if vm.startswith(CONTROL_VM):
@@ -383,8 +387,7 @@
             return self.world.crash_watch.record(
                 'peer', copy.deepcopy(message)
             )
-        if vm in self.world.unreachable_vms:
-            raise errors.PeerUnreachableError(f'{vm} is unreachable')
+        self.check_reachable(vm)
         await self.world.timers.sleep(2 * INTRA_REGION_SECONDS)
         handler = self.world.dispatchers[vm].handlers()[method]
         return copy.deepcopy(await handler('peer', copy.deepcopy(message)))
@@ -392,8 +395,7 @@
     @contextlib.asynccontextmanager
     async def open(self, vm, method, message):
         world = self.world
-        if vm in world.unreachable_vms:
-            raise errors.PeerUnreachableError(f'{vm} is unreachable')
+        self.check_reachable(vm)
         world.forwarded[vm] += 1
         there, here = [
             anyio.create_memory_object_stream(100) for _ in range(2)
@@ -575,6 +577,10 @@
         self.entries = []
         self.forwarded = collections.Counter()
         self.unreachable_vms = set()
+        # Pairs of VMs whose messages to each other are lost.
+        self.cut_pairs = set()
+        # VMs that keep an old view of the deployment.
+        self.out_of_step = set()
         # Faults of connections to servers, by VM.
         self.partitioned_vms = {}
         self.partitioned = anyio.Event()
@@ -709,6 +715,17 @@
             vm: origin_table.OriginServer(self.timers) for vm in CONTROL_VMS
         }
 
+    def current_history(self, vm):
+        """Returns what a control VM replies that is asked for the history.
+
+        Only the leader knows that its history is current.
+        """
+        is_leader = self.has_leader and vm == CONTROL_VMS[-1]
+        history = self.store.history
+        if not is_leader or not self.has_origin_history or history is None:
+            return None
+        return history.pack()
+
     def set_divides_capacity(self, divides_capacity):
         for one in self.dispatchers.values():
             one.planner.divides_capacity = divides_capacity
@@ -829,6 +846,8 @@
             for region in self.regions.values()
         }
         for entry in self.entries:
+            if entry.vm in self.out_of_step:
+                continue
             view = self.agents[entry.vm].view
             view.configuration = self.configuration
             view.entry_vms = tuple(
--- a/features/steps/origins.py
+++ b/features/steps/origins.py
@@ -9,6 +9,7 @@
 
 from features import fleet_world
 from features.steps.fleet import in_fleet
+from greengagegw import errors
 from greengagegw.fleet import origin_history
 from greengagegw.fleet import store as stores
 from greengagegw import held_requests
@@ -201,6 +202,84 @@
     fleet.start(vm)
 
 
+async def ask_current(fleet, vm):
+    """Returns the current history that a control VM tells, None for none."""
+    keeper = fleet.controls[vm].history_keeper
+    reply = await fleet.wait_for(
+        lambda: keeper.on_current_history('e1', None), 5.0
+    )
+    if reply is None or isinstance(reply, errors.GatewayError):
+        return None
+    return origin_history.OriginHistory.unpack(reply)
+
+
+async def ask_all_current(fleet):
+    replies = {vm: await ask_current(fleet, vm) for vm in fleet.controls}
+    return {vm: one for vm, one in replies.items() if one is not None}
+
+
+@behave.then(
+    'only the leader of the fleet tells the current history, of {versions}'
+)
+@in_fleet
+async def then_leader_tells(context, versions):
+    fleet = context.fleet
+    told = await ask_all_current(fleet)
+    assert set(told) == {fleet.leader().vm}, told
+    found = {name for _, name in told[fleet.leader().vm].version_entries}
+    assert found - {''} == set(versions.split(', ')), told
+
+
+@behave.when('the leader of the fleet is cut off from the other control VMs')
+@in_fleet
+async def when_leader_cut_off(context):
+    fleet = context.fleet
+    context.old_leader = fleet.leader().vm
+    others = set(fleet.control_vms) - {context.old_leader}
+    fleet.network.cut([context.old_leader], others)
+
+
+@behave.then(
+    'within {seconds:g} seconds only a new leader tells the current history,'
+    ' and the old one tells none'
+)
+@in_fleet
+async def then_new_leader_tells(context, seconds):
+    fleet = context.fleet
+    told = {}
+    ends_at = fleet.timers.now() + seconds
+    while not told and fleet.timers.now() < ends_at:
+        told = await ask_all_current(fleet)
+        assert context.old_leader not in told, told
+        await fleet.timers.advance(0.1)
+    assert len(told) == 1, told
+
+
+@behave.when('the leader of the fleet fails, and the next one records nothing')
+@in_fleet
+async def when_next_records_nothing(context):
+    fleet = context.fleet
+    fleet.crash(fleet.leader().vm)
+    for control in fleet.controls.values():
+        control.history_keeper.lead = idle
+    await fleet.timers.advance(10.0)
+    assert fleet.leader() is not None
+
+
+@behave.then('no control VM of the fleet tells the current history')
+@in_fleet
+async def then_none_tells(context):
+    assert not await ask_all_current(context.fleet)
+
+
+@behave.when('the new leader of the fleet records versions')
+@in_fleet
+async def when_records_again(context):
+    for control in context.fleet.controls.values():
+        del control.history_keeper.lead
+    await context.fleet.timers.advance(1.0)
+
+
 @behave.when('all control VMs restart with snapshots of an earlier release')
 @in_fleet
 async def when_all_restart_earlier(context):
--- a/features/steps/versions.py
+++ b/features/steps/versions.py
@@ -314,10 +314,10 @@
         context.error = error
 
 
-async def send_streams(context, count, fault):
+async def send_streams(context, count, fault, vms=None):
     """Sends streams of which each has the fault at its first engine."""
     world = context.serving
-    vms = [one.vm for one in world.entries if one.region == 'a']
+    vms = vms or [one.vm for one in world.entries if one.region == 'a']
     # Until the loads of the other regions are known.
     await world.timers.advance(1.0)
     begun = len(context.streams)
@@ -440,6 +440,81 @@
     world.refresh()
 
 
+@behave.when('entry VM {vm} falls behind, cut off from {others}')
+@in_fleet
+async def when_out_of_step(context, vm, others):
+    cut_off(context.serving, vm, others)
+
+
+@behave.when('entry VM {vm} falls behind, suspended')
+@in_fleet
+async def when_suspended(context, vm):
+    cut_off(context.serving, vm, 'all VMs')
+
+
+def cut_off(world, vm, others):
+    """Cuts links of a VM, which keeps its view of the deployment."""
+    entries = {one.vm for one in world.entries} - {vm}
+    found = {
+        'the control VMs': set(serving_world.CONTROL_VMS),
+        'all VMs': entries | set(serving_world.CONTROL_VMS),
+    }.get(others, {others.removeprefix('VM ')})
+    world.cut_pairs |= {frozenset((vm, one)) for one in found}
+    world.out_of_step.add(vm)
+
+
+@behave.when('engines of {new} join and those of {old} leave')
+@in_fleet
+async def when_release(context, new, old):
+    world = context.serving
+    # Views are updated before the engines change.
+    await world.timers.advance(1.0)
+    for engine in list(world.engines.values()):
+        instance = engine.instance
+        if instance.software_version == old:
+            name = f'{instance.name}0'
+            world.add_engine(name, instance.domain, instance.service)
+            world.set_version(name, new)
+            engine.instance = dataclasses.replace(instance, is_leaving=True)
+    await world.timers.advance(2.0)
+
+
+@behave.when(
+    '{count:d} streams of {version} break off after 2 events at VM {vm}'
+)
+@in_fleet
+async def when_break_off_at(context, count, version, vm):
+    world = context.serving
+    await send_streams(context, count, 'disconnects after 2 events', [vm])
+    writers = set().union(*(one.writers for one in context.streams))
+    assert writers == {version.encode()}, writers
+    assert world.out_of_step
+
+
+@behave.when('then {event}')
+@in_fleet
+async def when_then(context, event):
+    world = context.serving
+    vms = {one.vm for one in world.entries}
+    if event.startswith('a0 restarts'):
+        await restart(world, {'a0'})
+    elif event.startswith('all but a1 restart'):
+        await restart(world, vms - {'a1'})
+    if event.endswith('a1 wakes'):
+        # Its view is still that from before.
+        world.cut_pairs.clear()
+    seconds = {'nothing happens': 0.2, 'time passes': 10.0}.get(event, 0.0)
+    await world.timers.advance(seconds)
+
+
+@behave.then('their clients are told to start the requests anew, or later')
+def then_told(context):
+    for stream in context.streams:
+        error = stream.resumed.error
+        assert error.code in ('unavailable', 'no_server'), error.code
+        assert 'started anew' in error.message or error.retry_after, error
+
+
 @behave.when('their clients resume them at {place}')
 @in_fleet
 async def when_resume(context, place):
@@ -461,6 +536,8 @@
     region = stream.vm[0]
     if place == 'the same VM':
         return stream.vm
+    if place.startswith('entry VM '):
+        return place.removeprefix('entry VM ')
     if place == 'a VM of another region':
         return next(one.vm for one in world.entries if one.region != region)
     vms = [one.vm for one in world.entries if one.region == region]
--- a/src/greengagegw/fleet/history_keeper.py
+++ b/src/greengagegw/fleet/history_keeper.py
@@ -52,6 +52,8 @@
     """Writes the history on the leader, and compares it on the others.
 
     :ivar led_term: term in which this VM has asked the others as the leader.
+    :ivar recorded_term: term in which this VM has written, as the leader,
+        what its instance list and configuration show.
     :ivar is_compared: whether the history is known to be that of the group.
     :ivar must_rewrite: whether another control VM lacks the history.
     """
@@ -73,13 +75,17 @@
         self.control = control
         self.recorder = origin_history.HistoryRecorder()
         self.led_term: int | None = None
+        self.recorded_term: int | None = None
         self.is_compared = False
         self.must_rewrite = False
         self.newest_number = -1
         self.compare_at = 0.0
 
     def handlers(self) -> dict[str, peers.Handler]:
-        return {HISTORY_METHOD: self.on_history}
+        return {
+            HISTORY_METHOD: self.on_history,
+            origin_history.CURRENT_METHOD: self.on_current_history,
+        }
 
     @property
     def current_history(self) -> origin_history.OriginHistory | None:
@@ -106,6 +112,28 @@
             self.must_rewrite = True
         return history.pack()
 
+    async def on_current_history(
+        self, peer: str, message: typing.Any
+    ) -> list | None:
+        """Returns the history of the group, None if this VM does not lead.
+
+        It has all that was committed before the call. Other VMs, and a new
+        leader that has recorded nothing yet, may not know versions that
+        served streams while nobody led.
+
+        :raises ReplicationError: if no majority confirms it.
+        """
+        term = self.replica.term
+        if not self.replica.is_leader:
+            return None
+        await self.control.wait_until_current()
+        history = self.store.history
+        is_current = (
+            self.replica.is_leader
+            and self.replica.term == term == self.recorded_term
+        )
+        return history.pack() if is_current and history is not None else None
+
     async def run(self) -> None:
         """Runs until cancelled."""
         while True:
@@ -132,7 +160,7 @@
                 await self.lead()
             return
         self.recorder.reset()
-        self.led_term = None
+        self.led_term = self.recorded_term = None
         now = self.timers.now()
         if not self.is_compared and now >= self.compare_at:
             self.compare_at = now + COMPARISON_INTERVAL_SECONDS
@@ -174,6 +202,8 @@
                 versions=sorted(history.version_entries),
             )
         self.is_compared = True
+        if self.replica.is_leader and self.replica.term == self.led_term:
+            self.recorded_term = self.led_term
 
     async def ask_others(self) -> origin_history.OriginHistory | None:
         """Returns the newest history of the other control VMs."""
--- a/src/greengagegw/fleet/origin_history.py
+++ b/src/greengagegw/fleet/origin_history.py
@@ -12,6 +12,8 @@
 from . import configuration as configurations
 from . import instances
 
+# Asks the leading control VM for the history, confirmed by a majority.
+CURRENT_METHOD = 'fleet.current_history'
 # Longer than any stream plus its resumption; entry VMs keep origins for 120 s.
 RETENTION_SECONDS = 180.0
 
--- a/src/greengagegw/serving/control_origins.py
+++ b/src/greengagegw/serving/control_origins.py
@@ -2,18 +2,23 @@
 
 While a route has one possible origin, a restart of all entry VMs costs no
 stream, and nothing is sent. While it has several, such as during a release,
-each entry VM sends the origins of its streams to two control VMs, and a VM
-that finds no origin elsewhere asks all control VMs.
+each entry VM sends the origins of its streams to two control VMs.
+
+A VM that finds no origin elsewhere asks all control VMs. It then asks for the
+history as well: its own may be out of date, so that the only version that it
+knows is not the only one.
 """
 
-import collections.abc
 import functools
 
 import anyio
+import eliot
 
+from .. import errors
 from .. import timers as timer_service
 from ..fleet import agent as agents
 from ..fleet import configuration as configurations
+from ..fleet import origin_history
 from ..fleet import origin_table
 from ..fleet import timing
 from . import placement
@@ -151,15 +156,13 @@
         )[:HOLDERS_PER_VM]
 
     def questions(
-        self, key: origin_table.StreamKey, route: configurations.Route
-    ) -> list[
-        collections.abc.Callable[
-            [], collections.abc.Awaitable[origin_table.StreamOrigin | None]
-        ]
-    ]:
-        """Returns the queries to control VMs, none if they would not help."""
-        if not self.is_ambiguous(route):
-            return []
+        self, key: origin_table.StreamKey
+    ) -> list[stream_origins.Question]:
+        """Returns the queries to control VMs.
+
+        Whether a route has several possible origins may be known to others,
+        and not to this VM.
+        """
         return [
             functools.partial(
                 stream_origins.ask,
@@ -171,3 +174,35 @@
             )
             for vm in self.view.control_vms
         ]
+
+    async def fetch_history(self) -> origin_history.OriginHistory | None:
+        """Returns the current history of the control group.
+
+        It has all that was committed before the call.
+
+        :returns: None if no control VM confirms one in time.
+        """
+        return await stream_origins.ask_first(
+            [
+                functools.partial(self.ask_for_history, vm)
+                for vm in self.view.control_vms
+            ]
+        )
+
+    async def ask_for_history(
+        self, vm: str
+    ) -> origin_history.OriginHistory | None:
+        try:
+            reply = await self.mesh.call(
+                vm,
+                origin_history.CURRENT_METHOD,
+                None,
+                FIND_TIMEOUT_SECONDS,
+            )
+            return origin_history.unpack_if_present(reply)
+        except errors.GatewayError as error:
+            code = error.code
+        except (TypeError, ValueError):
+            code = errors.PeerProtocolError.code
+        eliot.log_message('origin_history:not_confirmed', vm=vm, code=code)
+        return None
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -223,7 +223,7 @@
         if job.request.resumed_request is not None:
             key = stream_key(job, job.request.resumed_request)
             origin = await self.origin_exchange.find(
-                key, self.control_origins.questions(key, job.route)
+                key, self.control_origins.questions(key)
             )
         self.planner.log(
             'request:resumes',
@@ -231,7 +231,11 @@
             resumes=job.request.resumed_request,
             origin=None if origin is None else origin.pack(),
         )
-        return self.planner.restrict_to_origin(job, origin)
+        history = None
+        if origin is None:
+            # This VM's own history may be out of date, and it cannot know.
+            history = await self.control_origins.fetch_history()
+        return self.planner.restrict_to_origin(job, origin, history)
 
     def record_origin(self, job: jobs.Job, response: ports.Response) -> None:
         """Records what begins a stream, before the client gets any of it."""
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -23,6 +23,7 @@
 from ..fleet import agent as agents
 from ..fleet import instances
 from ..fleet import members
+from ..fleet import origin_history
 from ..fleet import origin_table
 from . import generations
 from . import jobs
@@ -260,16 +261,21 @@
         )
 
     def restrict_to_origin(
-        self, job: jobs.Job, origin: origin_table.StreamOrigin | None
+        self,
+        job: jobs.Job,
+        origin: origin_table.StreamOrigin | None,
+        history: origin_history.OriginHistory | None,
     ) -> jobs.Job:
         """Returns a job that resumes a stream where it began.
 
         :param origin: what began the stream; None if no VM knows it.
+        :param history: that the control group has confirmed since the request
+            arrived; None if it has not.
         :raises UnavailableError: if the stream cannot be resumed.
         """
         request = job.request
         if origin is None:
-            origin = self.find_only_origin(job)
+            origin = self.find_only_origin(job, history)
         configuration = self.view.configuration
         service = configuration.services.get(origin.service)
         if service is None or not job.route.serves(origin.service):
@@ -287,15 +293,20 @@
             software_version=origin.software_version,
         )
 
-    def find_only_origin(self, job: jobs.Job) -> origin_table.StreamOrigin:
+    def find_only_origin(
+        self, job: jobs.Job, history: origin_history.OriginHistory | None
+    ) -> origin_table.StreamOrigin:
         """Returns the only possible origin of a stream.
 
+        :param history: that was confirmed since the request arrived; None if
+            there is none.
         :raises UnavailableError: if there is none, or more than one.
         """
         possible: list[origin_table.StreamOrigin] = []
-        history = self.view.history
         if history is None:
             unknown = 'no history'
+            if self.view.history is not None:
+                unknown = 'unconfirmed history'
         elif not history.is_complete:
             unknown = 'incomplete history'
         else:
--- a/src/greengagegw/serving/stream_origins.py
+++ b/src/greengagegw/serving/stream_origins.py
@@ -35,6 +35,7 @@
 # Allows for a round trip between regions beyond the one within the region.
 OTHER_REGION_TIMEOUT_SECONDS = 0.4
 
+Reply = typing.TypeVar('Reply')
 Question = collections.abc.Callable[
     [], collections.abc.Awaitable[origin_table.StreamOrigin | None]
 ]
@@ -259,17 +260,23 @@
 
 
 async def ask_first(
-    questions: list[Question],
-) -> origin_table.StreamOrigin | None:
-    """Returns the first origin in the replies, None if there is none."""
-    found: origin_table.StreamOrigin | None = None
+    questions: collections.abc.Sequence[
+        collections.abc.Callable[[], collections.abc.Awaitable[Reply | None]]
+    ],
+) -> Reply | None:
+    """Returns the first reply that is not None, None if there is none."""
+    found: Reply | None = None
     async with anyio.create_task_group() as tasks:
 
-        async def ask_one(question: Question) -> None:
+        async def ask_one(
+            question: collections.abc.Callable[
+                [], collections.abc.Awaitable[Reply | None]
+            ],
+        ) -> None:
             nonlocal found
-            origin = await question()
-            if origin is not None:
-                found = origin
+            reply = await question()
+            if reply is not None:
+                found = reply
                 tasks.cancel_scope.cancel()
 
         for question in questions:
