--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -145,6 +145,9 @@
         temporary.rename(file)
 
     def start(self, is_first_start: bool = False) -> None:
+        """Starts the process, unless an overlapping fault has done so."""
+        if self.is_running:
+            return
         folder = self.deployment.folder
         file = folder / f'{self.name}.conf'
         file.write_text(self.settings(is_first_start))
