Have a leader with a slow or hanging disk hand over, and not win again at once

A leader whose disk hung for 1.7 s every 4 s stepped down and won the next election each time: 7 terms in 30 s. A leader whose writes took 0.7 or 1.2 s kept the lead, and each command waited for its disk.

Cause: campaigns are ordered by name only, so that a leader with the lowest name stands first after it has stepped down. Only a write longer than the election timeout made it step down.

Change: a replica whose disk hung, was slow or failed stands after all others for 20 s. A leader hands over after three writes of 0.5 s or longer, if a majority of the voters stores entries, with the round trip, in less than half of the time; among equally slow disks nobody hands over. A candidate whose metadata takes 0.5 s or longer to write gives up, once per penalty, so that a group in which all disks are slow still elects.

--- a/features/fakes.py
+++ b/features/fakes.py
@@ -363,7 +363,14 @@
     It records the commands that were acknowledged to a client.
     """
 
-    def __init__(self, vms=('a', 'b', 'c'), seed=1, memory_replicas=()):
+    def __init__(
+        self,
+        vms=('a', 'b', 'c'),
+        seed=1,
+        memory_replicas=(),
+        timeouts=replicas.DEFAULT_TIMEOUTS,
+    ):
+        self.timeouts = timeouts
         self.vms = (*vms, *memory_replicas)
         self.founders = tuple(vms)
         self.memory_replicas = tuple(memory_replicas)
@@ -394,6 +401,7 @@
             self.timers,
             self.rng,
             self.memory_replicas,
+            timeouts=self.timeouts,
         )
         self.replicas[vm] = replica
         self.network.handlers[vm] = {
--- a/features/replication/failing_disks.feature
+++ b/features/replication/failing_disks.feature
@@ -161,7 +161,89 @@
     When the leader crashes, and its end is told after the next election
     Then the followers still know the new leader
 
+  Scenario: A replica whose disk fails again and again wins each election
+    Given a group of 5 replicas with 5 acknowledged commands
+    When for 30 s the disk of the leader takes no bytes for 0.2 s every 1.5 s
+    Then no outage is longer than 5 s
+    And the term has increased by at most 2
+    And every replica votes and has all acknowledged commands
+
+  Scenario: A leader whose disk hangs again and again wins each election
+    Given a group of 5 replicas with 5 acknowledged commands
+    When for 30 s the disk of the leader hangs for 1.7 s every 4 s
+    Then no outage is longer than 5 s
+    And the term has increased by at most 2
+    And every replica votes and has all acknowledged commands
+
+  Scenario Outline: A leader with a slow disk keeps the group slow
+    Given a group of 5 replicas with 5 acknowledged commands
+    When each write of the disks of the leader takes <duration> s for 30 s
+    Then another replica led before the end, and no outage is longer than 5 s
+    And the term has increased by at most 2
+    And every replica votes and has all acknowledged commands
+
+    Examples:
+      | duration |
+      | 0.7      |
+      | 1.2      |
+      | 2        |
+
+  Scenario Outline: Equally slow disks make the replicas lead in turn
+    Given a group of 5 replicas with 5 acknowledged commands
+    When each write of the disks of all replicas takes <duration> s for 30 s
+    Then no outage is longer than 5 s
+    And the term has increased by at most 2
+    And every replica votes and has all acknowledged commands
+
+    Examples:
+      | duration |
+      | 0.3      |
+      | 0.7      |
+
+  Scenario: A candidate whose disk is slow is elected
+    Given a group of 5 replicas with 5 acknowledged commands
+    When the leader crashes while each write of the next candidate takes 0.7 s
+    Then the candidate with the slow disk was not elected
+    And no outage is longer than 5 s
+    And every replica votes and has all acknowledged commands
+
+  Scenario Outline: A faulty disk of a control VM leaves the group without a leader
+    Given a control group of 5 replicas in several regions with 5 acknowledged commands
+    When <fault>
+    Then no outage is longer than 5 s
+    And no process has ended
+    And every replica votes and has all acknowledged commands
+
+    Examples:
+      | fault                                                                     |
+      | the disks of the leader take no bytes for 0.7 s                           |
+      | the disks of the leader take no bytes for 20 s                            |
+      | the disks of the leader and a follower take no bytes for 5 s              |
+      | the disks of the leader and two followers take no bytes for 5 s           |
+      | the disks of all replicas take no bytes for 5 s                           |
+      | each disk takes no bytes for 4.5 s, one after the other                   |
+      | the disks of the leader and a follower hang for 20 s                      |
+      | each write of the disks of the leader takes 0.7 s for 30 s                |
+      | each write of the disks of the leader and a follower takes 1.2 s for 30 s |
+      | each write of the disks of the leader and a follower takes 2 s for 30 s   |
+      | for 30 s the disk of the leader takes no bytes for 0.2 s every 1.5 s      |
+      | for 30 s the disk of the leader hangs for 1.7 s every 4 s                 |
+      | the leader crashes while the disk of the next candidate takes no bytes    |
+
   Scenario: A replica whose disk has failed disturbs elections
     Given a group of 5 replicas with 5 acknowledged commands
     When the disk of the leader fails
     Then it does not stand, and refuses its vote to the others
+
+  Scenario Outline: A file stays unusable after its folder was full
+    Given a data folder in use
+    When a log in it is written, and <step> fails once
+    Then the log recovers with what was synced and takes entries again
+
+    Examples:
+      | step             |
+      | an append        |
+      | a sync           |
+      | a truncation     |
+      | an opening       |
+      | a replacement    |
--- a/features/steps/replication.py
+++ b/features/steps/replication.py
@@ -1,6 +1,8 @@
 """Steps for the replicated log and its files."""
 
+import errno
 import functools
+import os
 import pathlib
 import random
 import tempfile
@@ -13,12 +15,15 @@
 from features import schedules
 from greengagegw.adapters import files
 from greengagegw import errors
+from greengagegw.fleet import timing as fleet_timing
 from greengagegw.replication import entries
 from greengagegw.replication import replica as replicas
 from greengagegw.replication import roles
 from greengagegw.replication import storage as log_storage
 
 VMS = ('a', 'b', 'c', 'd', 'e')
+# Half a round trip between regions.
+REGION_DELAY_SECONDS = 0.055
 
 
 def run(function, *arguments):
@@ -236,6 +241,18 @@
     context.count = count
     context.memory_replica_count = 0
     context.snapshot_after = replicas.SNAPSHOT_AFTER_ENTRIES
+    context.timeouts = replicas.DEFAULT_TIMEOUTS
+    context.delay_seconds = fakes.DELAY_SECONDS
+
+
+@behave.given(
+    'a control group of {count:d} replicas in several regions with 5'
+    ' acknowledged commands'
+)
+def plan_control_group(context, count):
+    plan_group(context, count)
+    context.timeouts = fleet_timing.CONTROL_TIMEOUTS
+    context.delay_seconds = REGION_DELAY_SECONDS
 
 
 @behave.given(
@@ -302,8 +319,11 @@
 async def run_plan(context, last):
     memory_replicas = ('x', 'y')[: context.memory_replica_count]
     group = fakes.ReplicaGroup(
-        VMS[: context.count], memory_replicas=memory_replicas
+        VMS[: context.count],
+        memory_replicas=memory_replicas,
+        timeouts=context.timeouts,
     )
+    group.network.delay_seconds = context.delay_seconds
     kept = replicas.SNAPSHOT_AFTER_ENTRIES
     replicas.SNAPSHOT_AFTER_ENTRIES = context.snapshot_after
     try:
@@ -983,6 +1003,8 @@
         for vm in vms:
             start_fault(group.disks[vm])
         outage = await propose_regularly(group, seconds)
+        leader = group.leader()
+        context.vms, context.leader_at_end = vms, leader and leader.vm
         for vm in vms:
             group.disks[vm].end_faults()
         later = await propose_regularly(group, 2 * MAX_OUTAGE_SECONDS)
@@ -1021,6 +1043,84 @@
     plan_outage(context, which, seconds, fail)
 
 
+def plan_repeated_fault(context, total, interval, start_fault):
+    """Plans a short fault of the leader's disk that comes regularly."""
+
+    async def repeat(group):
+        vm = group.leader().vm
+        context.first_term = group.leader().term
+        context.outage = 0.0
+        for _ in range(int(total / interval)):
+            start_fault(group.disks[vm])
+            outage = await propose_regularly(group, interval)
+            context.outage = max(context.outage, outage)
+        context.outage = max(
+            context.outage,
+            await propose_regularly(group, MAX_OUTAGE_SECONDS),
+        )
+
+    context.plan.append(repeat)
+
+
+@behave.when(
+    'for {total:g} s the disk of the leader takes no bytes for {seconds:g} s'
+    ' every {interval:g} s'
+)
+def plan_repeatedly_full(context, total, seconds, interval):
+    plan_repeated_fault(
+        context, total, interval, lambda disk: disk.fill(seconds)
+    )
+
+
+@behave.when(
+    'for {total:g} s the disk of the leader hangs for {seconds:g} s every'
+    ' {interval:g} s'
+)
+def plan_repeatedly_hanging(context, total, seconds, interval):
+    plan_repeated_fault(
+        context, total, interval, lambda disk: disk.hang(seconds)
+    )
+
+
+@behave.then(
+    'another replica led before the end, and no outage is longer than'
+    ' {seconds:g} s'
+)
+def plan_handover_check(context, seconds):
+    async def check(group):
+        assert context.leader_at_end not in (None, context.vms[0])
+        assert context.outage <= seconds, context.outage
+
+    context.plan.append(check)
+
+
+@behave.when(
+    'the leader crashes while each write of the next candidate takes'
+    ' {duration:g} s'
+)
+def plan_slow_candidate(context, duration):
+    async def crash(group):
+        leader = group.leader().vm
+        context.vm = min(followers(group))
+        group.disks[context.vm].sync_seconds = duration
+        group.crash(leader)
+        context.outage = await propose_regularly(group, 20.0)
+        context.leaders = set().union(*group.leaders.values())
+        group.disks[context.vm].end_faults()
+        group.start(leader)
+        await group.advance(MAX_OUTAGE_SECONDS)
+
+    context.plan.append(crash)
+
+
+@behave.then('the candidate with the slow disk was not elected')
+def plan_slow_candidate_check(context):
+    async def check(group):
+        assert context.vm not in context.leaders, context.leaders
+
+    context.plan.append(check)
+
+
 @behave.when('each disk takes no bytes for {seconds:g} s, one after the other')
 def plan_full_disks_in_turn(context, seconds):
     async def fill_in_turn(group):
@@ -1204,3 +1304,71 @@
         assert not await request_vote(group, context.vm, other)
 
     run(run_plan, context, check)
+
+
+FAILING_CALLS = {
+    'an append': 'write',
+    'a sync': 'fdatasync',
+    'a truncation': 'ftruncate',
+    'an opening': 'open',
+    'a replacement': 'rename',
+}
+
+
+@behave.when('a log in it is written, and {step} fails once')
+def fail_log(context, step):
+    name = FAILING_CALLS[step]
+
+    async def use_storage():
+        storage = context.storage = log_storage.Storage(context.folder)
+        await storage.load()
+        await storage.save_meta(incarnation='x', boots=1, term=1)
+        for index in range(1, 5):
+            await storage.append([make_entry(index)])
+        if step == 'an opening':
+            # The next entry starts a new file.
+            await storage.close()
+
+        def fail(*arguments, **options):
+            if name == 'write':
+                kept(arguments[0], bytes(arguments[1])[:7])
+            raise OSError(errno.ENOSPC, 'injected')
+
+        kept = getattr(os, name)
+        setattr(os, name, fail)
+        try:
+            if step == 'a truncation':
+                await storage.truncate_from(3)
+            elif step == 'a replacement':
+                await storage.save_meta(term=2, voted_for='y')
+            else:
+                await storage.append([make_entry(5)])
+        except errors.DiskFailedError:
+            return
+        finally:
+            setattr(os, name, kept)
+        raise AssertionError('the failed step raised no DiskFailedError')
+
+    context.count = 2 if step == 'a truncation' else 4
+    run(use_storage)
+
+
+@behave.then('the log recovers with what was synced and takes entries again')
+def check_log_recovery(context):
+    async def use_storage():
+        storage = context.storage
+        await storage.recover()
+        assert storage.last_index == context.count, storage.last_index
+        await storage.append([make_entry(context.count + 1)])
+        await storage.save_meta(boots=2)
+        await storage.close()
+        loaded = log_storage.Storage(context.folder)
+        await loaded.load()
+        assert loaded.entries == [
+            make_entry(index) for index in range(1, context.count + 2)
+        ]
+        assert loaded.meta == storage.meta
+        assert (loaded.meta.term, loaded.meta.voted_for) == (1, '')
+        await loaded.close()
+
+    run(use_storage)
--- a/src/greengagegw/replication/disk_recovery.py
+++ b/src/greengagegw/replication/disk_recovery.py
@@ -50,7 +50,7 @@
                         reason=reason,
                     )
                 replica.failure = error
-        sound_since = replica.timers.now()
+        sound_since = replica.disk_fault_at = replica.timers.now()
         eliot.log_message(
             'replica:disk_recovered',
             group=replica.group,
--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -16,6 +16,16 @@
 # Caps the stagger in large groups; voters past this rank share one timeout,
 # and only the jitter separates them.
 MAX_STAGGERED_RANK = 5
+# A replica whose disk was slow, hung or failed within this time campaigns
+# after all others. A leader that steps down because of its disk would else
+# often win the next election, and step down again.
+DISK_PENALTY_SECONDS = 20.0
+# Well above the sync of a sound disk. A leader that needs longer hands over if
+# others are faster, and a candidate that needs longer gives up once.
+SLOW_WRITE_SECONDS = 0.5
+SLOW_WRITES_BEFORE_HANDOVER = 3
+# The disks of others are faster if they need less than this part of the time.
+FASTER_RATIO = 0.5
 
 
 def election_timeout_seconds(
@@ -37,9 +47,33 @@
         seconds = timeouts.heartbeat_seconds
     voters = sorted(replica.members.voters)
     rank = voters.index(replica.vm) if replica.vm in voters else 0
-    return seconds + timeouts.stagger_seconds * (
-        min(rank, MAX_STAGGERED_RANK) + jitter / 2
-    )
+    rank = min(rank, MAX_STAGGERED_RANK)
+    if has_disk_penalty(replica):
+        rank += MAX_STAGGERED_RANK + 1
+    return seconds + timeouts.stagger_seconds * (rank + jitter / 2)
+
+
+def has_disk_penalty(replica: 'replicas.Replica') -> bool:
+    """Returns whether the disk had a fault within the penalty."""
+    return replica.timers.now() - replica.disk_fault_at < DISK_PENALTY_SECONDS
+
+
+def is_slowest_writer(replica: 'replicas.Replica') -> bool:
+    """Returns whether a leader should hand over, as its disk is slow.
+
+    That is so if several writes in a row were slow and a majority of the
+    voters stores entries faster, with the round trip to them. If all disks
+    are slow, a handover would gain nothing.
+    """
+    if replica.slow_write_count < SLOW_WRITES_BEFORE_HANDOVER:
+        return False
+    limit = replica.last_write_seconds * FASTER_RATIO
+    faster = {
+        vm
+        for vm, seconds in replica.append_seconds.items()
+        if vm != replica.vm and seconds < limit
+    }
+    return replica.members.is_majority(faster)
 
 
 async def campaign(replica: 'replicas.Replica') -> None:
@@ -72,7 +106,20 @@
     async with replica.lock_storage():
         if replica.term != term:
             return
+        had_penalty = has_disk_penalty(replica)
+        started_at = replica.timers.now()
         await replica.storage.save_meta(term=term + 1, voted_for=replica.vm)
+        seconds = replica.timers.now() - started_at
+        if seconds >= SLOW_WRITE_SECONDS:
+            replica.disk_fault_at = replica.timers.now()
+            if not had_penalty:
+                eliot.log_message(
+                    'replica:disk_slow',
+                    group=replica.group,
+                    seconds=round(seconds, 3),
+                    consequence='gives up its campaign',
+                )
+                return
         replica.role = roles.Role.CANDIDATE
         replica.leader = None
     term = replica.term
--- a/src/greengagegw/replication/log_replication.py
+++ b/src/greengagegw/replication/log_replication.py
@@ -56,6 +56,9 @@
         replica.commit_index,
     ]
     sent_at = replica.timers.now()
+    if batch:
+        # Set again by the reply; a late one must not leave an old time.
+        replica.append_seconds.pop(vm, None)
     term, accepted, peer_index_hint, incarnation = await replica.call_peer(
         vm, 'append', message
     )
@@ -72,6 +75,8 @@
         # must not count towards a majority.
         replica.match_index[vm] = 0
         return max(1, min(next_index - 1, peer_index_hint + 1))
+    if batch:
+        replica.append_seconds[vm] = replica.timers.now() - sent_at
     replica.match_index[vm] = previous_index + len(batch)
     replica.advance_commit_index()
     return replica.match_index[vm] + 1
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -12,6 +12,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import math
 import random
 import secrets
 import typing
@@ -137,6 +138,10 @@
         self.replication_wanted = anyio.Event()
         self.contacted = anyio.Event()
         self.writing_since: float | None = None
+        self.disk_fault_at = -math.inf
+        self.last_write_seconds = 0.0
+        self.slow_write_count = 0
+        self.append_seconds: dict[str, float] = {}
         self.storage_lock = anyio.Lock()
         self.incoming_snapshot: bytearray | None = None
         self.failure: errors.StorageError | None = None
@@ -430,6 +435,7 @@
     def stop_participating(self, error: errors.StorageError) -> None:
         """Stops taking part until the disk takes bytes again."""
         self.failure = error
+        self.disk_fault_at = self.timers.now()
         self.become_follower()
         self.role = roles.Role.FAILED
         self.is_caught_up = False
@@ -511,7 +517,7 @@
         return True
 
     def check_quorum(self) -> None:
-        """Steps down if no majority replies or the disk stalls.
+        """Steps down if no majority replies, or the disk stalls or is slow.
 
         A leader whose disk stalls commits nothing, while another could.
         """
@@ -521,6 +527,17 @@
             and now - self.writing_since >= self.timeouts.election_seconds
         ):
             eliot.log_message('replica:disk_hangs', group=self.group)
+            self.disk_fault_at = now
+            self.become_follower()
+            return
+        if election.is_slowest_writer(self):
+            eliot.log_message(
+                'replica:disk_slow',
+                group=self.group,
+                seconds=round(self.last_write_seconds, 3),
+                consequence='hands over',
+            )
+            self.disk_fault_at = now
             self.become_follower()
             return
         reachable = {
@@ -591,6 +608,8 @@
         self.contact_times = {vm: now for vm in self.members.voters}
         self.match_index = {}
         self.sent_commit_index = {}
+        self.append_seconds = {}
+        self.slow_write_count = 0
         self.is_caught_up = False
         eliot.log_message('replica:lead', group=self.group, term=self.term)
         self.leader_scope = anyio.CancelScope()
@@ -741,7 +760,10 @@
         try:
             await self.write_batch(batch)
         finally:
+            self.last_write_seconds = self.timers.now() - self.writing_since
             self.writing_since = None
+        is_slow = self.last_write_seconds >= election.SLOW_WRITE_SECONDS
+        self.slow_write_count = self.slow_write_count + 1 if is_slow else 0
 
     async def write_batch(self, batch: list) -> None:
         added = []
