Put evacuations in force from replies with another malformed part

An entry VM that could not decode one part of a reply, such as a document or an instance list of another release, ignored the whole reply. All control VMs send the same state, so no evacuation came into force on it for as long as that lasted, while it served requests with the configuration it had.

The evacuations of such a reply are now decoded and applied alone, unless the VM has no configuration and so serves nothing. The reply still counts as failed, and renews no lease.

--- a/features/fleet/evacuations.feature
+++ b/features/fleet/evacuations.feature
@@ -36,3 +36,19 @@
     When snapshots are taken, then failure domain a-1 is evacuated
     And all VMs restart, and control VMs b and c are gone
     Then in the next 5 seconds no entry VM serves without the evacuation
+
+  Scenario Outline: A malformed part of replies does not keep an evacuation out
+    Given a fleet of 3 control VMs and 2 entry VMs
+    And the fleet holds version 4
+    When the replies to polls of the fleet have <part> that is malformed
+    And failure domain a-1 of the fleet is evacuated meanwhile
+    Then within 5 seconds all entry VMs of the fleet have it evacuated
+
+    Examples:
+      | part      |
+      | document  |
+      | instances |
+      | entries   |
+      | holds     |
+      | loads     |
+      | history   |
--- a/features/steps/evacuations.py
+++ b/features/steps/evacuations.py
@@ -115,3 +115,36 @@
                 view.configuration is None
                 or orders.DOMAIN in view.evacuated_domains
             )
+
+
+@behave.when('the replies to polls of the fleet have {part} that is malformed')
+@in_fleet
+async def when_malformed(context, part):
+    fleet = context.fleet
+    for vm in fleet.controls:
+        handlers = fleet.network.handlers[vm]
+        handlers['fleet.poll'] = spoil(handlers['fleet.poll'], part)
+
+
+def spoil(poll, part):
+    async def spoiled(peer, message):
+        return {**await poll(peer, message), 'version': 9, part: [['x']]}
+
+    return spoiled
+
+
+@behave.when('failure domain a-1 of the fleet is evacuated meanwhile')
+@in_fleet
+async def when_evacuated(context):
+    fleet = context.fleet
+    await orders.order(fleet, orders.other_vms(fleet)[0], 'POST')
+
+
+@behave.then(
+    'within {seconds:d} seconds all entry VMs of the fleet have it evacuated'
+)
+@in_fleet
+async def then_evacuated_within(context, seconds):
+    await context.fleet.timers.advance(seconds)
+    for agent in context.fleet.agents.values():
+        assert agent.view.evacuated_domains == {orders.DOMAIN}
--- a/src/greengagegw/fleet/agent.py
+++ b/src/greengagegw/fleet/agent.py
@@ -313,6 +313,7 @@
             eliot.log_message(
                 'poll:bad_reply', vm=vm, code=error.code, reason=error.message
             )
+            self.apply_evacuations_alone(vm, reply, requested_at)
             return False
         self.apply_reply(decoded, requested_at)
         is_current = self.view.version >= decoded.version
@@ -323,6 +324,31 @@
             )
         return decoded.is_confirmed
 
+    def apply_evacuations_alone(
+        self, vm: str, reply: typing.Any, requested_at: float
+    ) -> None:
+        """Applies the evacuations of a reply that is malformed otherwise.
+
+        What another VM or a newer document has put into each reply must not
+        keep evacuations out.
+        """
+        try:
+            decoded = poll_reply.decode_evacuations(reply)
+        except errors.GatewayError as error:
+            eliot.log_message(
+                'poll:bad_evacuations',
+                vm=vm,
+                code=error.code,
+                reason=error.message,
+            )
+            return
+        # A VM without a configuration serves nothing.
+        is_usable = decoded.is_confirmed or decoded.is_caught_up
+        if self.view.configuration is not None and is_usable:
+            self.apply_evacuations(decoded, requested_at)
+            for callback in self.view.update_callbacks:
+                callback()
+
     def apply_reply(
         self, reply: poll_reply.PollReply, requested_at: float
     ) -> None:
@@ -419,7 +445,7 @@
         view.changes = reply.changes
         view.orders = orders
         view.newest_order = reply.newest_order
-        domains = reply.evacuated_domains | view.retained_domains.keys()
+        domains = reply.evacuated_domains.union(view.retained_domains)
         if domains != view.evacuated_domains:
             eliot.log_message(
                 'evacuation:in_force',
--- a/src/greengagegw/fleet/poll_reply.py
+++ b/src/greengagegw/fleet/poll_reply.py
@@ -25,6 +25,25 @@
     zlib.error,
     errors.ConfigurationError,
 )
+EVACUATION_VALUES = frozenset(
+    {
+        'is_confirmed',
+        'is_caught_up',
+        'changes',
+        'evacuated',
+        'newest_order',
+        'orders',
+    }
+)
+EMPTY_REPLY = {
+    'version': 0,
+    'list_digest': 0,
+    'list_age': 0.0,
+    'entries_digest': 0,
+    'controls': (),
+    'leader': None,
+    'loads': {},
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,15 +112,39 @@
         ) from error
 
 
+def decode_evacuations(reply: typing.Any) -> PollReply:
+    """Returns the evacuations of a reply of which another part is malformed.
+
+    :returns: a reply whose other values are those of a VM without state.
+    :raises PeerProtocolError: if the evacuations are malformed, too.
+    """
+    try:
+        evacuations = {
+            name: value
+            for name, value in reply.items()
+            if name in EVACUATION_VALUES
+        }
+        return _decode(EMPTY_REPLY | evacuations, 0, None)
+    except DECODE_ERRORS as error:
+        raise errors.PeerProtocolError(
+            'the evacuations of a reply to a poll are malformed:'
+            f' {type(error).__name__} {error}'
+        ) from error
+
+
 def _decode(
     reply: dict[str, typing.Any],
     held_version: int,
-    decode_document: 'agents.Decode',
+    decode_document: 'agents.Decode | None',
 ) -> PollReply:
     configuration = instances = entry_vms = holds = None
     version = int(reply['version'])
     document = reply.get('document')
-    if document is not None and version > held_version:
+    if (
+        document is not None
+        and version > held_version
+        and decode_document is not None
+    ):
         configuration = decode_document(zlib.decompress(document))
     if 'instances' in reply:
         unpacked = [
