Do not carry out edits of the operators' API whose caller has gone

A VM that was suspended read edits which their operators had given up. A late lift undid a hold that was made since, and a late key was issued to nobody. Table edits are based on a revision and could not undo a later one.

After reading an edit, the application now reads the connection on, and drops the edit if that was closed. Withdrawals of keys are still carried out, since nothing undoes one, and it is better late than never.

--- a/src/greengagegw/adapters/operator_http.py
+++ b/src/greengagegw/adapters/operator_http.py
@@ -104,9 +104,12 @@
         body = await read_body(receive)
         match = KEY_PATH_PATTERN.match(path)
         if match and method == 'DELETE':
+            # Nothing undoes a withdrawal, so that it may come late.
             return make_json_response(
                 await self.operations.withdraw_key(match[1])
             )
+        if method != 'GET':
+            await require_waiting_caller(receive, f'{method} {path}')
         hold_match = HOLD_PATH_PATTERN.match(path)
         if hold_match and method == 'DELETE':
             return self.lift_hold(hold_match[1])
@@ -210,6 +213,24 @@
         )
 
 
+async def require_waiting_caller(receive: asgi.Receive, name: str) -> None:
+    """Checks that the operator waits, after the body was read.
+
+    A VM that was suspended may read an edit that was given up long ago.
+
+    :raises OrderAbandonedError: if the operator has closed the connection.
+    """
+    with asgi.CallerWatch(receive) as caller:
+        if await caller.is_waiting():
+            return
+    eliot.log_message(
+        'order:abandoned', order=name, reason='the caller has gone'
+    )
+    raise errors.OrderAbandonedError(
+        f'the caller of {name} has gone', run=errors.NOT_RUN
+    )
+
+
 async def read_body(receive: asgi.Receive) -> bytes:
     chunks = []
     size = 0
