Test the detection of suspensions and commands that nobody waits for

The end-to-end scenarios would pass without either: the state machine ignores what gets through. Now a wrong clock, or a proposal that is made again for a caller who has gone, fails a test of its own.

--- a/features/fleet/orders.feature
+++ b/features/fleet/orders.feature
@@ -100,3 +100,25 @@
       | 8       | 0.05  |
       | 8       | 0.2   |
       | 1       | 0.2   |
+
+  Scenario Outline: A suspension is noticed in either clock
+    When the steady clock of a VM goes on by <steady> and its boot clock by <boot> seconds
+    Then it has been awake for <awake> seconds
+
+    Examples:
+      | steady | boot | awake |
+      | 0.25   | 0.25 | inf   |
+      | 0.6    | 0.6  | inf   |
+      | 8      | 8    | 0     |
+      | 0      | 8    | 0     |
+
+  Scenario Outline: A command is not proposed again for a caller who has gone
+    When a caller has gone after <attempts> attempts that end since <failure>
+    Then <attempts> attempts are made, and the outcome is <run>
+
+    Examples:
+      | attempts | failure                   | run     |
+      | 0        | no leader responds        | not_run |
+      | 1        | the response is lost      | unknown |
+      | 2        | the response is lost      | unknown |
+      | 2        | the VM leads no longer    | not_run |
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -15,10 +15,13 @@
 from greengagegw.fleet import orders
 from greengagegw.fleet import origin_history
 from greengagegw.fleet import store as stores
+from greengagegw.fleet import suspension
 from greengagegw import held_requests
 from greengagegw.platform import http_names
 from greengagegw.platform import operator_application
+from greengagegw.replication import client as replication_client
 from greengagegw.replication import replica as replicas
+from greengagegw import timers as timer_service
 
 DOMAIN = 'a-1'
 PATH = f'/-/evacuations/{DOMAIN}'
@@ -677,3 +680,71 @@
 async def when_end_is_read(context, seconds):
     await context.fleet.timers.advance(seconds)
     context.call.gone.set()
+
+
+@behave.when(
+    'the steady clock of a VM goes on by {steady:g} and its boot clock by'
+    ' {boot:g} seconds'
+)
+def when_clocks_go_on(context, steady, boot):
+    timers = timer_service.ManualTimers()
+    boot_clock = [500.0]
+    context.detector = suspension.SuspensionDetector(
+        timers, lambda: boot_clock[0]
+    )
+    # Its timer is not called meanwhile.
+    timers.time += steady
+    boot_clock[0] += boot
+
+
+@behave.then('it has been awake for {seconds:g} seconds')
+def then_awake(context, seconds):
+    found = context.detector.seconds_awake()
+    assert found == seconds, found
+
+
+FAILURES = {
+    'no leader responds': errors.PeerUnreachableError('down'),
+    'the response is lost': errors.PeerTimeoutError('lost'),
+    'the VM leads no longer': errors.NotLeaderError('not the leader', None),
+}
+
+
+class FailingMesh:
+    """Fails each call.
+
+    :ivar calls: how many calls were made.
+    """
+
+    def __init__(self, failure):
+        self.failure = failure
+        self.calls = 0
+
+    async def call(self, vm, method, message, timeout=None):
+        self.calls += 1
+        raise self.failure
+
+
+@behave.when(
+    'a caller has gone after {attempts:d} attempts that end since {failure}'
+)
+@in_fleet
+async def when_caller_goes(context, attempts, failure):
+    context.mesh = mesh = FailingMesh(FAILURES[failure])
+
+    async def is_wanted():
+        return mesh.calls < attempts
+
+    group = replication_client.GroupClient(
+        'control', ('a', 'b', 'c'), mesh, timer_service.ManualTimers()
+    )
+    try:
+        await group.submit(b'', 4.0, is_wanted)
+    except errors.OrderAbandonedError as error:
+        context.error = error
+
+
+@behave.then('{attempts:d} attempts are made, and the outcome is {run}')
+def then_attempts(context, attempts, run):
+    assert context.mesh.calls == attempts, context.mesh.calls
+    assert context.error.run == run, context.error.run
