--- a/src/greengagegw/fleet/poll_reply.py
+++ b/src/greengagegw/fleet/poll_reply.py
@@ -30,6 +30,25 @@
 # Far above the size of a document that control VMs accept.
 MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
 MAX_REASON_CHARACTERS = 500
+EVACUATION_VALUES = frozenset(
+    {
+        'is_confirmed',
+        'is_caught_up',
+        'changes',
+        'evacuated',
+        'newest_order',
+        'orders',
+    }
+)
+EMPTY_REPLY = {
+    'version': 0,
+    'list_digest': 0,
+    'list_age': 0.0,
+    'entries_digest': 0,
+    'controls': (),
+    'leader': None,
+    'loads': {},
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,16 +140,40 @@
     return content
 
 
+def decode_evacuations(reply: typing.Any) -> PollReply:
+    """Returns the evacuations of a reply of which another part is malformed.
+
+    :returns: a reply whose other values are those of a VM without state.
+    :raises PeerProtocolError: if the evacuations are malformed, too.
+    """
+    try:
+        evacuations = {
+            name: value
+            for name, value in reply.items()
+            if name in EVACUATION_VALUES
+        }
+        return _decode(EMPTY_REPLY | evacuations, 0, None)
+    except DECODE_ERRORS as error:
+        raise errors.PeerProtocolError(
+            'the evacuations of a reply to a poll are malformed:'
+            f' {type(error).__name__} {str(error)[:MAX_REASON_CHARACTERS]}'
+        ) from error
+
+
 def _decode(
     reply: dict[str, typing.Any],
     held_version: int,
-    decode_document: 'agents.Decode',
+    decode_document: 'agents.Decode | None',
 ) -> PollReply:
     configuration = instances = entry_vms = holds = None
     version = check_integer(reply['version'])
     leader = reply['leader']
     document = reply.get('document')
-    if document is not None and version > held_version:
+    if (
+        document is not None
+        and version > held_version
+        and decode_document is not None
+    ):
         configuration = decode_document(decompress(document))
     if 'instances' in reply:
         unpacked = instance_list.unpack_valid(reply['instances'])
@@ -142,7 +185,7 @@
     orders = None
     if 'orders' in reply:
         orders = {
-            str(domain): int(index)
+            peers.check_text(domain): check_integer(index)
             for domain, index in reply['orders'].items()
         }
     if 'holds' in reply:
@@ -172,6 +215,6 @@
         retry_records.unpack_if_present(reply.get('retries')),
         server_notices.unpack_if_present(reply.get('notices')),
         bool(reply.get('is_caught_up', True)),
-        int(reply.get('newest_order', 0)),
+        check_integer(reply.get('newest_order', 0)),
         orders,
     )
