--- a/src/greengagegw/adapters/error_codec.py
+++ b/src/greengagegw/adapters/error_codec.py
@@ -3,6 +3,7 @@
 They are sent in peer streams and HTTP bodies and kept in stored outcomes.
 """
 
+import math
 import types
 import typing
 
@@ -43,12 +44,13 @@
     """Returns the error that :func:`pack` converted.
 
     An error with an unknown code, or with further arguments, becomes a
-    RemoteError with the same code, status and run. One that is malformed
-    becomes a PeerProtocolError.
+    RemoteError with the same code, status and run.
+
+    :raises PeerProtocolError: if it is malformed.
     """
     fault = find_fault(packed)
     if fault is not None:
-        return errors.PeerProtocolError(
+        raise errors.PeerProtocolError(
             f'another VM reported an error whose {fault} is invalid'
         )
     code = packed.get('code')
@@ -66,15 +68,22 @@
             status=packed.get('status', 500),
             code=code or 'internal_error',
             run=packed.get('run', errors.UNKNOWN),
-            retry_after=packed.get('retry_after'),
+            retry_after=limit_seconds(packed.get('retry_after')),
         )
     return error_class(
         packed['message'],
         run=packed.get('run'),
-        retry_after=packed.get('retry_after'),
+        retry_after=limit_seconds(packed.get('retry_after')),
     )
 
 
+def limit_seconds(seconds: float | None) -> float | None:
+    """Returns a retry time that can be written into a header."""
+    if seconds is None or math.isnan(seconds):
+        return None
+    return min(max(0.0, seconds), MAX_RETRY_AFTER_SECONDS)
+
+
 def find_fault(packed: dict[str, typing.Any]) -> str | None:
     """Returns the name of a field that :func:`pack` would not have written.
 
@@ -101,9 +110,6 @@
     if packed.get('run', errors.UNKNOWN) not in RUNS:
         return 'run'
     retry_after = packed.get('retry_after')
-    if retry_after is not None and not (
-        type(retry_after) in (int, float)
-        and 0 <= retry_after <= MAX_RETRY_AFTER_SECONDS
-    ):
+    if retry_after is not None and type(retry_after) not in (int, float):
         return 'retry_after'
     return None
