Check grants, reports of ends and backlogs of other VMs

Callers saw: nothing yet; shown by tests. A request for grants with NaN stayed in the bucket of the organisation, so that no later comparison with it was true; NaN in a report of backlogs stayed in the sums of the region; a sum over 1e308 raised OverflowError outside of the errors of the decoder.

Cause: float() accepts NaN, and a report was checked by adding it up.

Change: these messages use the checks of ports/peers, and raise PeerProtocolError.

--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -550,7 +550,7 @@
     # Quota grants.
 
     async def on_grant_request(self, peer: str, message: list) -> list:
-        wanted, returned = message
+        wanted, returned = decode_grant_request(peer, message)
         self.replica.require_leader()
         if not self.replica.is_caught_up:
             raise errors.NotLeaderError(
@@ -566,6 +566,40 @@
         return [self.quota_allocator.epoch, granted]
 
 
+def decode_grant_request(
+    peer: str, message: typing.Any
+) -> tuple[dict[str, list], list[list]]:
+    """Returns the wanted tokens and the usage reports of an entry VM.
+
+    :raises PeerProtocolError: if any part is malformed; a value that is no
+        number would stay in the bucket of the organisation.
+    """
+    try:
+        wanted, returned = message
+        return (
+            {
+                peers.check_text(name): [
+                    peers.check_number(one) for one in (min_tokens, max_tokens)
+                ]
+                for name, (min_tokens, max_tokens) in wanted.items()
+            },
+            [
+                [
+                    peers.check_text(name),
+                    peers.check_count(epoch),
+                    peers.check_count(grant_id),
+                    peers.check_seconds(max(0.0, peers.check_number(spent))),
+                    bool(has_ended),
+                ]
+                for name, epoch, grant_id, spent, has_ended in returned
+            ],
+        )
+    except (TypeError, ValueError, AttributeError) as error:
+        raise errors.PeerProtocolError(
+            f'{peer} sent a malformed request for grants'
+        ) from error
+
+
 class ReadIndexRound:
     """A read index request that several callers share."""
 
--- a/src/greengagegw/fleet/crash_watch.py
+++ b/src/greengagegw/fleet/crash_watch.py
@@ -18,6 +18,7 @@
 from .. import held_requests
 from .. import timers as timer_service
 from ..policy import crash_attribution
+from ..ports import peers
 
 REPORT_METHOD = 'fleet.server_end'
 # The name is that of earlier releases, which know no other traits.
@@ -255,16 +256,20 @@
         service, name, born, requests = message
         interruptions = [
             crash_attribution.make_interruption(
-                str(request_id),
-                (str(one) for one in traits),
-                now - float(sent_age),
-                now - float(interrupted_age),
+                peers.check_text(request_id),
+                (peers.check_text(one) for one in traits),
+                now - peers.check_number(sent_age),
+                now - peers.check_number(interrupted_age),
             )
             for request_id, traits, sent_age, interrupted_age in requests
         ]
         if not interruptions:
             raise ValueError('no request')
-        return str(service), (str(name), int(born)), interruptions
+        return (
+            peers.check_text(service),
+            (peers.check_text(name), peers.check_count(born)),
+            interruptions,
+        )
     except (TypeError, ValueError) as error:
         raise errors.PeerProtocolError(
             f'{peer} sent a malformed report of the end of a server: {error}'
--- a/src/greengagegw/fleet/loads.py
+++ b/src/greengagegw/fleet/loads.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import dataclasses
-import math
 import typing
 
 from ..ports import peers
@@ -35,24 +34,14 @@
     :raises ValueError: or ``TypeError``, if a load is malformed.
     """
     unpacked = {
-        peers.check_text(name): RegionLoad(*(check_number(one) for one in row))
+        peers.check_text(name): RegionLoad(
+            *(peers.check_number(one) for one in row)
+        )
         for name, row in packed.items()
     }
     return {name: one for name, one in unpacked.items() if one.total_speed > 0}
 
 
-def check_number(value: typing.Any) -> float:
-    """Returns a part of a load, which may be infinite.
-
-    :raises ValueError: or ``TypeError``, if it is no number.
-    """
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f'a {type(value).__name__} instead of a number')
-    if math.isnan(value):
-        raise ValueError('a load that is no number')
-    return value
-
-
 def combine(
     reports: collections.abc.Iterable[dict[str, RegionLoad]],
 ) -> dict[str, RegionLoad]:
--- a/src/greengagegw/fleet/quota.py
+++ b/src/greengagegw/fleet/quota.py
@@ -11,6 +11,7 @@
 from .. import errors
 from .. import timers as timer_service
 from ..allowance import token_pool
+from ..ports import peers
 from . import timing
 
 # Retry-After of a rejection when the state of the bucket is unknown.
@@ -397,8 +398,11 @@
     """
     try:
         epoch, granted = reply
-        return epoch, {
-            name: (grant_id, float(tokens))
+        return peers.check_count(epoch), {
+            peers.check_text(name): (
+                peers.check_count(grant_id),
+                peers.check_seconds(tokens),
+            )
             for name, (grant_id, tokens) in granted.items()
         }
     except (TypeError, ValueError, AttributeError) as error:
--- a/src/greengagegw/ports/peers.py
+++ b/src/greengagegw/ports/peers.py
@@ -97,6 +97,18 @@
     return float(value)
 
 
+def check_number(value: typing.Any) -> float:
+    """Returns a number that another VM has sent, which may be infinite.
+
+    :raises ValueError: or ``TypeError``, if it is none.
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f'a {type(value).__name__} instead of a number')
+    if math.isnan(value):
+        raise ValueError('a value that is no number')
+    return value
+
+
 def check_count(value: typing.Any) -> int:
     """Returns a whole number that another VM has sent.
 
--- a/src/greengagegw/serving/backlog_exchange.py
+++ b/src/greengagegw/serving/backlog_exchange.py
@@ -546,7 +546,10 @@
     try:
         vm, by_server = message
         return str(vm), {
-            str(server): [float(tokens), float(requests)]
+            str(server): [
+                float(peers.check_number(tokens)),
+                float(peers.check_number(requests)),
+            ]
             for server, (tokens, requests) in by_server.items()
         }
     except (TypeError, ValueError, AttributeError) as error:
--- a/src/greengagegw/serving/region_reports.py
+++ b/src/greengagegw/serving/region_reports.py
@@ -11,6 +11,8 @@
 import operator
 import typing
 
+from ..ports import peers
+
 TOKENS = 'tokens'
 REQUESTS = 'requests'
 
@@ -107,12 +109,17 @@
         names = [str(name) for name in names]
         unpacked = {}
         for server, values in servers.items():
-            # Raises TypeError for a value that is not a number.
-            math.fsum(values)
+            # Raises TypeError for a value that is not a number. One that is
+            # not a number in the sense of IEEE 754 would stay in all sums.
+            if math.isnan(sum(values)):
+                raise ValueError('a report with a value that is no number')
             unpacked[str(server)] = dict(zip(names, values, strict=True))
         return cls(
             unpacked,
-            {str(name): float(value) for name, value in sums.items()},
+            {
+                str(name): float(peers.check_number(value))
+                for name, value in sums.items()
+            },
         )
 
 
