--- a/features/platform/foreign_bytes.feature
+++ b/features/platform/foreign_bytes.feature
@@ -27,6 +27,10 @@
       | a heartbeat                               |
       | a report of retries                       |
       | the notices of servers                    |
+      | a request for grants of tokens            |
+      | grants of tokens                          |
+      | a report of the end of a server           |
+      | a report of backlogs                      |
 
   Scenario Outline: A connection with odd bytes ends alone
     Given two connected VMs
--- a/features/steps/foreign_bytes.py
+++ b/features/steps/foreign_bytes.py
@@ -27,9 +27,12 @@
 from greengagegw import errors
 from greengagegw.fleet import agent as agents
 from greengagegw.fleet import control as controls
+from greengagegw.fleet import crash_watch
 from greengagegw.fleet import loads
 from greengagegw.fleet import members
 from greengagegw.fleet import poll_reply
+from greengagegw.fleet import quota
+from greengagegw.fleet import quota_allocator
 from greengagegw.fleet import retry_records
 from greengagegw.fleet import server_notices
 from greengagegw.fleet import store as stores
@@ -43,6 +46,7 @@
 from greengagegw.platform import settings as platform_settings
 from greengagegw.ports import clients
 from greengagegw import request_parsing
+from greengagegw.serving import region_reports
 from greengagegw import settings
 from greengagegw import table
 from greengagegw import timers as timer_service
@@ -445,7 +449,10 @@
 def check_error(packed):
     if not isinstance(packed, dict):
         return
-    error = error_codec.unpack(packed)
+    try:
+        error = error_codec.unpack(packed)
+    except errors.PeerProtocolError:
+        return
     assert isinstance(error, errors.GatewayError)
     sent = []
 
@@ -595,6 +602,77 @@
     assert not records.paused_until
 
 
+GRANT_REQUEST = [{'org': [1.0, 20.0]}, [['org', 1, 1, 5.0, False]]]
+
+
+def check_grant_request(message):
+    configuration = documents.decode(
+        orjson.dumps(
+            fleet_world.document(
+                tenants=[fleet_world.tenant(ratePerS=10, burst=100)]
+            )
+        )
+    )
+    allocator = quota_allocator.QuotaAllocator(timer_service.Timers(), 0.0)
+    fleet = controls.ControlServer.__new__(controls.ControlServer)
+    fleet.replica = types.SimpleNamespace(
+        require_leader=lambda: None, is_caught_up=True, term=1
+    )
+    fleet.quota_allocator = allocator
+    fleet.store = types.SimpleNamespace(packed=b'x', version=1)
+    fleet.decoded_configuration = configuration
+    with contextlib.suppress(errors.PeerProtocolError):
+        msgpack.packb(run_now(fleet.on_grant_request('vm', message)))
+    run_now(fleet.on_grant_request('vm', GRANT_REQUEST))
+    for one in allocator.buckets.values():
+        assert is_usable_number(one.available), one.available
+
+
+def check_grants(reply):
+    try:
+        epoch, granted = quota.decode_grants(reply)
+    except errors.PeerProtocolError:
+        return
+    client = quota.QuotaClient(timer_service.Timers(), None, lambda name: 1.0)
+    client.add_grants(epoch, granted, client.timers.now())
+    for name in granted:
+        held = client.find_quota(name).pool.available(client.timers.now())
+        assert is_usable_number(held, 1e309), held
+    returned = [
+        client.report_usage(name, client.find_quota(name).pool, 1e9)
+        for name in granted
+    ]
+    msgpack.packb(returned)
+
+
+def check_end_report(message):
+    try:
+        service, run, interruptions = crash_watch.decode_report(
+            'vm', message, 50.0
+        )
+    except errors.PeerProtocolError:
+        return
+    msgpack.packb([service, run])
+    for one in interruptions:
+        assert all(isinstance(trait, str) for trait in one.traits)
+
+
+BACKLOG = [['requests', 'tokens'], {'i-1': [1, 20.5]}, {'limit': 2.0}]
+
+
+def check_backlogs(packed):
+    try:
+        report = region_reports.Report.unpack(packed)
+    except (TypeError, ValueError, AttributeError):
+        # The errors that the decoder of the message expects.
+        return
+    total = region_reports.Report.sum([report, report])
+    total.subtract(report)
+    for values in (*total.servers.values(), total.sums):
+        assert not any(math.isnan(one) for one in values.values())
+    msgpack.packb(total.pack())
+
+
 def changed_pairs():
     return odd_values.strategies.tuples(
         odd_values.changed(HEADERS), odd_values.changed_text(TARGET)
@@ -729,6 +807,21 @@
     ),
     'a report of retries': (odd_values.changed(RETRIES), check_retries),
     'the notices of servers': (odd_values.changed(NOTICES), check_notices),
+    'a request for grants of tokens': (
+        odd_values.changed(GRANT_REQUEST),
+        check_grant_request,
+    ),
+    'grants of tokens': (
+        odd_values.changed([5, {'org': [1, 20.0]}]),
+        check_grants,
+    ),
+    'a report of the end of a server': (
+        odd_values.changed(
+            ['engine', 'i-1', 5, [['r-1', ['s1', 's2'], 1.5, 0.5]]]
+        ),
+        check_end_report,
+    ),
+    'a report of backlogs': (odd_values.changed(BACKLOG), check_backlogs),
 }
 
 
