--- a/features/platform/foreign_bytes.feature
+++ b/features/platform/foreign_bytes.feature
@@ -76,3 +76,27 @@
       | kind      | a list                    |
       | service   | nested 900 levels deep    |
       | size      | too large for a message   |
+
+  Scenario Outline: A request with an odd head ends alone
+    Given a server for clients
+    When a client sends a request with <head>
+    Then the next request is served
+
+    Examples:
+      | head                                  |
+      | bytes that are not ASCII in its path  |
+      | escapes that are not UTF-8            |
+      | a broken address as its target        |
+      | a content length of letters           |
+      | a negative content length             |
+      | a content length of 5,000 digits      |
+      | two content lengths                   |
+      | an unknown transfer encoding          |
+      | a chunk of a size without limit       |
+      | bytes that are not UTF-8 in a header  |
+      | a null byte in a header               |
+      | settings of HTTP/2 that are no base64 |
+      | a key of a web socket that is no text |
+      | frames of HTTP/2 without sense        |
+      | no method                             |
+      | a record of TLS                       |
--- a/features/steps/foreign_bytes.py
+++ b/features/steps/foreign_bytes.py
@@ -24,6 +24,7 @@
 from greengagegw.adapters import handshake
 from greengagegw.adapters import peer_connection
 from greengagegw.adapters import peer_mesh
+from greengagegw.adapters import servers
 from greengagegw import errors
 from greengagegw.fleet import agent as agents
 from greengagegw.fleet import control as controls
@@ -46,10 +47,12 @@
 from greengagegw.platform import settings as platform_settings
 from greengagegw.ports import clients
 from greengagegw import request_parsing
+from greengagegw.serving import ports
 from greengagegw.serving import region_reports
 from greengagegw import settings
 from greengagegw import table
 from greengagegw import timers as timer_service
+from standins import loopback_blocks
 
 # An event loop takes times of at most some hundred years.
 MAX_SECONDS = 1e10
@@ -976,3 +979,121 @@
     assert context.error is not None
     assert 400 <= context.error.status < 500
     assert len(context.error.message) < 5000
+
+
+# Heads of clients.
+
+CLIENT_ADDRESS = (f'127.{loopback_blocks.reserve_block()}.1.1', 8080)
+GET = b'GET /chat/ HTTP/1.1\r\nHost: h.example\r\n'
+POST = b'POST /chat/ HTTP/1.1\r\nHost: h.example\r\n'
+ODD_HEADS = {
+    'bytes that are not ASCII in its path': GET.replace(b'chat', b'\xff\xfe'),
+    'escapes that are not UTF-8': GET.replace(b'chat', b'%ff%00%zz?%%%'),
+    'a broken address as its target': GET.replace(b'/chat/', b'http://[::/'),
+    'a content length of letters': POST + b'Content-Length: abc\r\n',
+    'a negative content length': POST + b'Content-Length: -5\r\n',
+    'a content length of 5,000 digits': (
+        POST + b'Content-Length: ' + b'9' * 5000 + b'\r\n'
+    ),
+    'two content lengths': (
+        POST + b'Content-Length: 5\r\nContent-Length: 6\r\n'
+    ),
+    'an unknown transfer encoding': POST + b'Transfer-Encoding: gzip\r\n',
+    'a chunk of a size without limit': (
+        POST + b'Transfer-Encoding: chunked\r\n\r\n' + b'f' * 30 + b'\r\nx'
+    ),
+    'bytes that are not UTF-8 in a header': GET + b'X-A: \xff\xfe\x80\r\n',
+    'a null byte in a header': GET + b'X-A: a\x00b\r\n',
+    'settings of HTTP/2 that are no base64': (
+        GET + b'Upgrade: h2c\r\nConnection: Upgrade, HTTP2-Settings\r\n'
+        b'HTTP2-Settings: !!!!\r\n'
+    ),
+    'a key of a web socket that is no text': (
+        GET + b'Upgrade: websocket\r\nConnection: Upgrade\r\n'
+        b'Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: \xff\r\n'
+    ),
+    'frames of HTTP/2 without sense': (
+        b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n'
+        b'\x00\x00\x00\x04\x00\x00\x00\x00\x00'
+        b'\x00\x00\x05\x01\x05\x00\x00\x00\x01\xff\xff\xff\xff\xff'
+    ),
+    'no method': bytes(range(256)) * 20,
+    'a record of TLS': b'\x16\x03\x01\x02\x00\x01' + b'\x00' * 200,
+}
+# The server answers within milliseconds, or waits for more bytes.
+ODD_REPLY_SECONDS = 0.5
+
+
+class Answering:
+    """Answers each request of a client."""
+
+    view = types.SimpleNamespace(configuration=None)
+
+    @contextlib.asynccontextmanager
+    async def handle(self, request):
+        async def send_chunks():
+            yield b'served'
+
+        yield ports.Response(200, (), send_chunks(), None, False)
+
+
+@contextlib.asynccontextmanager
+async def serving_clients():
+    application = client_application.ClientApplication(
+        timer_service.Timers(), Answering(), lambda: False, lambda one: False
+    )
+    stopped = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            servers.serve,
+            application,
+            CLIENT_ADDRESS,
+            servers.ServerSettings(16384, 5.0, 1.0),
+            stopped.wait,
+        )
+        yield
+        stopped.set()
+
+
+async def exchange(request, seconds):
+    """Returns what is received until the time or the connection ends."""
+    received = b''
+    with anyio.move_on_after(seconds):
+        async with await anyio.connect_tcp(*CLIENT_ADDRESS) as stream:
+            with contextlib.suppress(
+                anyio.EndOfStream, anyio.BrokenResourceError
+            ):
+                await stream.send(request)
+                while b'served' not in received:
+                    received += await stream.receive()
+    return received
+
+
+async def wait_until_served():
+    with anyio.fail_after(peer_steps.TIMEOUT_SECONDS):
+        while True:
+            with contextlib.suppress(OSError):
+                if b'served' in await exchange(GET + b'\r\n', 5.0):
+                    return
+            await anyio.sleep(0.02)
+
+
+@behave.given('a server for clients')
+def given_server(context):
+    manager = context.portal.wrap_async_context_manager(serving_clients())
+    manager.__enter__()
+    context.add_cleanup(lambda: manager.__exit__(None, None, None))
+    context.portal.call(wait_until_served)
+
+
+@behave.when('a client sends a request with {name}')
+def when_odd_head(context, name):
+    context.portal.call(exchange, ODD_HEADS[name] + b'\r\n', ODD_REPLY_SECONDS)
+
+
+@behave.then('the next request is served')
+def then_next_served(context):
+    reply = context.portal.call(
+        exchange, GET + b'\r\n', peer_steps.TIMEOUT_SECONDS
+    )
+    assert b'served' in reply, reply
