Tell late responses of our own interface's servers from own ones

A call got the body of, or was reported as not run by, a late response without a request ID on a kept connection; a second call with the same ID got the response to the first. httpcore keeps bytes behind a response in its parser, and a response without an ID was taken for the own one.

Connections are now kept only to servers that return the request ID. A response without one counts only as the first on its connection, a call whose ID was sent before gets a connection of its own, and after a dropped response, which is logged and counted, all calls do for 60 s. So whatever arrives on a kept connection is told apart by its ID.

The stand-in engine returns the ID in its injected 429, 500 and 503 as well: without it, features/backends/failures 'When every engine fails', 429, was reported as unknown on a kept connection, which is right for an engine without IDs. The expectations of that test are unchanged, and the new tests have rejections without an ID.

Tests: features/backends/late_responses.feature.

--- a/features/steps/late_responses.py
+++ b/features/steps/late_responses.py
@@ -142,7 +142,7 @@
             parts.append(await stream.receive())
             size += len(parts[-1])
         body = b''.join(parts)
-        name = REQUEST_ID.search(head.lower())[1]
+        name = self.find_id(head)
         self.ran.append(name.decode())
         self.ports.append(stream.extra(anyio.abc.SocketAttribute.remote_port))
         response = self.respond(head, name, body[:length])
@@ -157,6 +157,9 @@
             await stream.send(connection.copy)
         return body[length:]
 
+    def find_id(self, head):
+        return REQUEST_ID.search(head.lower())[1]
+
     def respond(self, head, name, body):
         if b'streaming' in head:
             chunks = b''.join(
--- a/src/greengagegw/adapters/backend_http.py
+++ b/src/greengagegw/adapters/backend_http.py
@@ -1,10 +1,13 @@
 """Implements the backend port over HTTP."""
 
+import collections
 import collections.abc
 import contextlib
+import math
 import ssl
 import typing
 
+import eliot
 import httpx
 import orjson
 
@@ -18,6 +21,11 @@
 # Shorter than the usual keep-alive timeout of backend servers, so that no
 # request is written to a connection that the server is just closing.
 KEEP_ALIVE_SECONDS = 3.0
+# A server that has sent a response twice gets each call on a connection of its
+# own for this long, so that a copy meets no later call.
+SINGLE_USE_SECONDS = 60.0
+# Recent calls whose IDs are remembered, about 2 MB for each server.
+MAX_RECENT_CALLS = 10_000
 LOAD_PATH = '/load'
 MAX_LOAD_REPORT_BYTES = 64 * 1024
 RESUME_HEADER = 'x-resume-offset'
@@ -42,7 +50,15 @@
     """A backend server with a small connection pool of its own.
 
     Each call that may not be retried gets a new connection, since the server
-    may have just closed a pooled one.
+    may have just closed a pooled one. So does each call whose response could
+    not be told from a late response to an earlier call: a call with the ID of
+    an earlier one, and all calls while the server returns no IDs.
+
+    :ivar returns_ids: whether the last response had a request ID.
+    :ivar single_use_until: timer seconds until which no pooled connection is
+        used.
+    :ivar recent_ids: request IDs of recent calls, the oldest first.
+    :ivar on_foreign_response: called for each dropped response.
     """
 
     def __init__(
@@ -64,6 +80,14 @@
         # Load polls need no client features, so they use a transport.
         self.load_transport = self.make_transport(ssl_context, 1)
         self.load_request = httpx.Request('GET', self.url + LOAD_PATH)
+        self.returns_ids = False
+        self.single_use_until = -math.inf
+        self.recent_ids: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self.on_foreign_response: collections.abc.Callable[[], None] = (
+            ignore_foreign_response
+        )
 
     def make_client(
         self, ssl_context: ssl.SSLContext, max_idle: int
@@ -101,11 +125,7 @@
             server should skip, to resume a broken stream.
         :raises BackendError: if there is no response to pass on.
         """
-        client = (
-            self.pooled_client if call.repeatable else self.single_use_client
-        )
-        if offset is not None:
-            client = self.single_use_client
+        client = self.choose_client(call, offset)
         request = client.build_request(
             call.method,
             self.url + call.path,
@@ -127,6 +147,24 @@
         finally:
             await response.aclose()
 
+    def choose_client(
+        self, call: backends.Call, offset: int | None
+    ) -> httpx.AsyncClient:
+        """Returns the client of a call, and remembers its request ID."""
+        is_repeated = call.request_id in self.recent_ids
+        self.recent_ids[call.request_id] = None
+        if len(self.recent_ids) > MAX_RECENT_CALLS:
+            self.recent_ids.popitem(last=False)
+        if (
+            call.repeatable
+            and offset is None
+            and not is_repeated
+            and self.returns_ids
+            and self.timers.now() >= self.single_use_until
+        ):
+            return self.pooled_client
+        return self.single_use_client
+
     def make_headers(
         self, call: backends.Call, offset: int | None
     ) -> list[tuple[str, str]]:
@@ -173,13 +211,36 @@
     ) -> None:
         """Checks that the response belongs to this request.
 
-        :raises BackendError: if it has the ID of another request.
+        A response without an ID may be to an earlier call, if its connection
+        had one.
+
+        :raises BackendError: if it may belong to another request.
         """
         response_id = response.headers.get('x-request-id')
-        if response_id is not None and response_id != call.request_id:
-            raise errors.BackendError(
-                f'{self.name} responded with the ID of another request'
-            )
+        stream = response.extensions['network_stream']
+        connection = stream.get_extra_info('connection')
+        is_first = connection.response_count == 0
+        connection.response_count += 1
+        if response_id == call.request_id:
+            self.returns_ids = True
+            return
+        if response_id is None:
+            self.returns_ids = False
+            if is_first:
+                return
+        reason = 'no ID' if response_id is None else 'another ID'
+        eliot.log_message(
+            'backend:foreign_response',
+            request=call.request_id,
+            server=self.name,
+            status=response.status_code,
+            reason=reason,
+        )
+        self.on_foreign_response()
+        self.single_use_until = self.timers.now() + SINGLE_USE_SECONDS
+        raise errors.BackendError(
+            f'{self.name} sent a response to another request: {reason}'
+        )
 
     async def check_rejection(
         self, call: backends.Call, response: httpx.Response
@@ -333,6 +394,10 @@
         self.timer.cancel()
 
 
+def ignore_foreign_response() -> None:
+    """Counts nothing; the response is logged in any case."""
+
+
 def make_ssl_context() -> ssl.SSLContext:
     """Returns the TLS context for all backend connections."""
     return httpx.create_ssl_context(trust_env=False)
--- a/src/greengagegw/adapters/backend_transport.py
+++ b/src/greengagegw/adapters/backend_transport.py
@@ -40,10 +40,14 @@
 
 
 class NetworkStream(httpcore.AsyncNetworkStream):
-    """A connection over TCP or TLS."""
+    """A connection over TCP or TLS.
+
+    :ivar response_count: responses that were received, as its user counts.
+    """
 
     def __init__(self, stream: anyio.abc.ByteStream) -> None:
         self.stream = stream
+        self.response_count = 0
         self.socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         self.poll = select.poll()
         self.poll.register(self.socket, select.POLLIN)
@@ -103,6 +107,8 @@
             return self.socket.fileno() < 0 or bool(self.poll.poll(0))
         if info == 'break':
             return self.abort
+        if info == 'connection':
+            return self
         return None
 
     def abort(self) -> None:
--- a/src/greengagegw/metrics.py
+++ b/src/greengagegw/metrics.py
@@ -58,6 +58,11 @@
             'Retries before the first byte',
             ('service',),
         )
+        self.foreign_responses = counter(
+            'greengagegw_foreign_responses',
+            'Responses to other requests that were dropped',
+            ('backend_server',),
+        )
         self.resumes = counter(
             'greengagegw_resumes', 'Streams resumed at an offset', ('service',)
         )
--- a/src/greengagegw/vm.py
+++ b/src/greengagegw/vm.py
@@ -111,6 +111,9 @@
                 self.settings.deployment,
                 context,
             )
+            backend.on_foreign_response = (
+                self.metrics.foreign_responses.labels(server.name).inc
+            )
             self.backends.append(backend)
             return backend
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -110,7 +110,7 @@
             return
         self.received_requests.append(request)
         fault = self.next_fault()
-        if await self.inject_early_fault(fault, writer):
+        if await self.inject_early_fault(request, fault, writer):
             return
         self.waiting_count += 1
         try:
@@ -146,7 +146,10 @@
         await writer.send_response(200, orjson.dumps(report))
 
     async def inject_early_fault(
-        self, fault: str, writer: http_server.ResponseWriter
+        self,
+        request: http_server.Request,
+        fault: str,
+        writer: http_server.ResponseWriter,
     ) -> bool:
         """Injects a fault that occurs before a valid response begins.
 
@@ -154,6 +157,8 @@
         """
         if fault in ('429', '500', '503'):
             headers = (('retry-after', '1'),) if fault != '500' else ()
+            request_id = request.headers.get('x-request-id', '')
+            headers += (('x-request-id', request_id),)
             await writer.send_response(int(fault), b'{"error":{}}', headers)
         elif fault == 'reset':
             await writer.abort()
