Tell late load reports from own ones

A server that sent its load report twice delayed the load by a poll from then on: each poll read the copy of the report before, as load reports had no ID and shared one connection.

A poll now sends an X-Request-Id. A server without IDs gets a connection for each poll. The stand-ins return the ID.

--- a/features/backends/late_responses.feature
+++ b/features/backends/late_responses.feature
@@ -38,6 +38,34 @@
       | the earlier response | 2     |
       | no IDs               | 6     |
 
+  Scenario Outline: A late load report counts for no other poll
+    Otherwise each report would be that of the poll before.
+
+    Given an engine that writes <copy>, <moment>
+    When its load is polled 6 times
+    Then each poll gets its own report, or fails
+    And at most 1 poll fails
+
+    Examples:
+      | copy                 | moment                       |
+      | the earlier response | behind a complete response   |
+      | the earlier response | while the connection is idle |
+      | the earlier response | before the next response     |
+      | no IDs               | never                        |
+      | reports without IDs  | behind a complete response   |
+      | reports without IDs  | before the next response     |
+
+  Scenario Outline: Polls use one connection if the server returns their IDs
+    Given an engine that writes <copy>, never
+    When its load is polled 6 times
+    Then each poll gets its own report, or fails
+    And the engine accepted <count> connections
+
+    Examples:
+      | copy                 | count |
+      | the earlier response | 1     |
+      | no IDs               | 6     |
+
   Scenario: The rejection of a call on a new connection needs no ID
     Given an engine that rejects all calls without an ID
     When 3 calls that may not be repeated follow one another there
--- a/features/steps/late_calls.py
+++ b/features/steps/late_calls.py
@@ -1,6 +1,7 @@
 """Steps for late responses of backend servers of our own interface."""
 
 import collections
+import contextlib
 import dataclasses
 import re
 import ssl
@@ -8,6 +9,7 @@
 import anyio
 import behave
 import eliot
+import orjson
 
 from features.steps.fleet import in_fleet
 from features.steps import late_responses
@@ -44,6 +46,7 @@
         200, b'', b'late'
     ),
     'no IDs': lambda response: b'',
+    'reports without IDs': lambda response: response,
 }
 
 
@@ -55,14 +58,21 @@
         self.copy = copy
         self.make_copy = lambda name, response: COPIES[copy](response)
         self.rejects_all = False
+        self.poll_count = 0
 
     def find_id(self, head):
-        return REQUEST_ID.search(head.lower())[1]
+        found = REQUEST_ID.search(head.lower())
+        return found[1] if found else b''
 
     def respond(self, head, name, body):
         if self.rejects_all:
             return make_response(429, b'', b'')
-        returned = b'' if self.copy == 'no IDs' else name
+        is_silent = self.copy in ('no IDs', 'reports without IDs')
+        returned = b'' if is_silent else name
+        if head.startswith(b'GET /load'):
+            self.poll_count += 1
+            report = {'running': self.poll_count, 'waiting': 0}
+            return make_response(200, returned, orjson.dumps(report))
         return make_response(200, returned, name + b'-' + body)
 
 
@@ -104,8 +114,9 @@
     )
 
 
-async def run_calls(context, calls):
-    """Sends calls one after another to the engine of the scenario."""
+@contextlib.asynccontextmanager
+async def connected_backend(context):
+    """Enters the client of the engine of the scenario."""
     timers = timer_service.Timers()
     server = settings_module.BackendServer(
         name='i-1', service='s', region='a', url=f'http://{HOST}:{PORT}'
@@ -130,15 +141,21 @@
         )
         backend.on_foreign_response = lambda: context.foreign.update(['i-1'])
         try:
-            for call in calls:
-                context.sent.append(await send(backend, call))
-                await anyio.sleep(late_responses.LATE_SECONDS)
+            yield backend
         finally:
             eliot.remove_destination(context.logged.append)
             await backend.close()
             tasks.cancel_scope.cancel()
 
 
+async def run_calls(context, calls):
+    """Sends calls one after another."""
+    async with connected_backend(context) as backend:
+        for call in calls:
+            context.sent.append(await send(backend, call))
+            await anyio.sleep(late_responses.LATE_SECONDS)
+
+
 async def send(backend, call):
     expected = call.request_id.encode() + b'-' + call.body
     try:
@@ -234,3 +251,33 @@
 def then_not_run(context):
     assert len(failed(context)) == len(context.sent)
     assert {one.received.run for one in context.sent} == {errors.NOT_RUN}
+
+
+@behave.when('its load is polled {count:d} times')
+@in_fleet
+async def when_polled(context, count):
+    context.polls = []
+    async with connected_backend(context) as backend:
+        for _ in range(count):
+            before = context.engine.poll_count
+            try:
+                with anyio.fail_after(late_responses.REQUEST_TIMEOUT_SECONDS):
+                    report = await backend.fetch_load()
+                received = report.running
+            except errors.BackendError as error:
+                received = error
+            context.polls.append((before + 1, received))
+            await anyio.sleep(late_responses.LATE_SECONDS)
+
+
+@behave.then('each poll gets its own report, or fails')
+def then_own_reports(context):
+    for expected, received in context.polls:
+        if not isinstance(received, errors.GatewayError):
+            assert received == expected, context.polls
+
+
+@behave.then('at most {count:d} poll fails')
+def then_polls_fail(context, count):
+    failures = [one for one in context.polls if one[0] != one[1]]
+    assert len(failures) <= count, context.polls
--- a/src/greengagegw/adapters/backend_http.py
+++ b/src/greengagegw/adapters/backend_http.py
@@ -30,6 +30,7 @@
 MAX_LOAD_REPORT_BYTES = 64 * 1024
 RESUME_HEADER = 'x-resume-offset'
 RUN_HEADER = 'x-run'
+REQUEST_ID_HEADER = 'x-request-id'
 SOFTWARE_VERSION_HEADER = 'x-software-version'
 MODEL_REJECTION_STATUSES = (429, 503)
 RESPONSE_HEADERS = frozenset(
@@ -79,7 +80,7 @@
         self.single_use_client = self.make_client(ssl_context, 0)
         # Load polls need no client features, so they use a transport.
         self.load_transport = self.make_transport(ssl_context, 1)
-        self.load_request = httpx.Request('GET', self.url + LOAD_PATH)
+        self.poll_count = 0
         self.returns_ids = False
         self.single_use_until = -math.inf
         self.recent_ids: collections.OrderedDict[str, None] = (
@@ -171,7 +172,7 @@
         headers = [
             *call.headers,
             ('accept-encoding', 'identity'),
-            ('x-request-id', call.request_id),
+            (REQUEST_ID_HEADER, call.request_id),
             ('x-organisation', call.organisation),
             ('via', self.via),
         ]
@@ -211,27 +212,30 @@
     ) -> None:
         """Checks that the response belongs to this request.
 
-        A response without an ID may be to an earlier call, if its connection
-        had one.
+        :raises BackendError: if it may belong to another request.
+        """
+        self.returns_ids = self.has_own_id(call.request_id, response)
+
+    def has_own_id(self, request_id: str, response: httpx.Response) -> bool:
+        """Returns whether a response has the ID of its request.
+
+        A response without an ID may be to an earlier request, if its
+        connection had one.
 
         :raises BackendError: if it may belong to another request.
         """
-        response_id = response.headers.get('x-request-id')
-        stream = response.extensions['network_stream']
-        connection = stream.get_extra_info('connection')
+        response_id = response.headers.get(REQUEST_ID_HEADER)
+        connection = find_connection(response)
         is_first = connection.response_count == 0
         connection.response_count += 1
-        if response_id == call.request_id:
-            self.returns_ids = True
-            return
-        if response_id is None:
-            self.returns_ids = False
-            if is_first:
-                return
+        if response_id == request_id:
+            return True
+        if response_id is None and is_first:
+            return False
         reason = 'no ID' if response_id is None else 'another ID'
         eliot.log_message(
             'backend:foreign_response',
-            request=call.request_id,
+            request=request_id,
             server=self.name,
             status=response.status_code,
             reason=reason,
@@ -317,16 +321,25 @@
 
         :raises BackendError: if there is no valid report.
         """
+        self.poll_count += 1
+        request_id = f'load-{self.poll_count}'
+        request = httpx.Request(
+            'GET',
+            self.url + LOAD_PATH,
+            headers={REQUEST_ID_HEADER: request_id},
+        )
         try:
-            response = await self.load_transport.handle_async_request(
-                self.load_request
-            )
+            response = await self.load_transport.handle_async_request(request)
             try:
+                has_own_id = self.has_own_id(request_id, response)
                 report = orjson.loads(
                     await backend_transport.read_limited(
                         response.aiter_raw(), MAX_LOAD_REPORT_BYTES
                     )
                 )
+                if not has_own_id or self.timers.now() < self.single_use_until:
+                    # The next report could not be told from a copy of this.
+                    find_connection(response).abort()
             finally:
                 await response.aclose()
             return backends.LoadReport(
@@ -394,6 +407,12 @@
         self.timer.cancel()
 
 
+def find_connection(
+    response: httpx.Response,
+) -> backend_transport.NetworkStream:
+    return response.extensions['network_stream'].get_extra_info('connection')
+
+
 def ignore_foreign_response() -> None:
     """Counts nothing; the response is logged in any case."""
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -106,7 +106,7 @@
         writer: http_server.ResponseWriter,
     ) -> None:
         if request.path == '/load':
-            await self.send_load_report(writer)
+            await self.send_load_report(request, writer)
             return
         self.received_requests.append(request)
         fault = self.next_fault()
@@ -128,7 +128,9 @@
             self.slot_semaphore.release()
 
     async def send_load_report(
-        self, writer: http_server.ResponseWriter
+        self,
+        request: http_server.Request,
+        writer: http_server.ResponseWriter,
     ) -> None:
         if self.fault == 'no_report':
             await writer.send_response(500, b'{}')
@@ -143,7 +145,9 @@
             'waiting': waiting,
             'leaving': self.is_leaving,
         }
-        await writer.send_response(200, orjson.dumps(report))
+        request_id = request.headers.get('x-request-id', '')
+        headers = (('x-request-id', request_id),)
+        await writer.send_response(200, orjson.dumps(report), headers)
 
     async def inject_early_fault(
         self,
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -47,7 +47,9 @@
                 'waiting': 0,
                 'leaving': self.is_leaving,
             }
-            await writer.send_response(200, orjson.dumps(report))
+            request_id = request.headers.get('x-request-id', '')
+            headers = (('x-request-id', request_id),)
+            await writer.send_response(200, orjson.dumps(report), headers)
             return
         self.received_requests.append(request)
         if await self.inject_early_fault(writer):
