--- a/src/greengagegw/adapters/backend_http.py
+++ b/src/greengagegw/adapters/backend_http.py
@@ -1,10 +1,13 @@
 """Implements the backend port over HTTP."""
 
+import collections
 import collections.abc
 import contextlib
+import math
 import ssl
 import typing
 
+import eliot
 import httpx
 import orjson
 
@@ -18,6 +21,11 @@
 # Shorter than the usual keep-alive timeout of backend servers, so that no
 # request is written to a connection that the server is just closing.
 KEEP_ALIVE_SECONDS = 3.0
+# A server that has sent a response twice gets each call on a connection of its
+# own for this long, so that a copy meets no later call.
+SINGLE_USE_SECONDS = 60.0
+# Recent calls whose IDs are remembered, about 2 MB for each server.
+MAX_RECENT_CALLS = 10_000
 LOAD_PATH = '/load'
 MAX_LOAD_REPORT_BYTES = 64 * 1024
 # Limits of a retry time; more digits need not be read.
@@ -25,6 +33,7 @@
 MAX_SECONDS_DIGITS = 7
 RESUME_HEADER = 'x-resume-offset'
 RUN_HEADER = 'x-run'
+REQUEST_ID_HEADER = 'x-request-id'
 SOFTWARE_VERSION_HEADER = 'x-software-version'
 MODEL_REJECTION_STATUSES = (429, 503)
 RESPONSE_HEADERS = frozenset(
@@ -45,7 +54,15 @@
     """A backend server with a small connection pool of its own.
 
     Each call that may not be retried gets a new connection, since the server
-    may have just closed a pooled one.
+    may have just closed a pooled one. So does each call whose response could
+    not be told from a late response to an earlier call: a call with the ID of
+    an earlier one, and all calls while the server returns no IDs.
+
+    :ivar returns_ids: whether the last response had a request ID.
+    :ivar single_use_until: timer seconds until which no pooled connection is
+        used.
+    :ivar recent_ids: request IDs of recent calls, the oldest first.
+    :ivar on_foreign_response: called for each dropped response.
     """
 
     def __init__(
@@ -66,7 +83,15 @@
         self.single_use_client = self.make_client(ssl_context, 0)
         # Load polls need no client features, so they use a transport.
         self.load_transport = self.make_transport(ssl_context, 1)
-        self.load_request = httpx.Request('GET', self.url + LOAD_PATH)
+        self.poll_count = 0
+        self.returns_ids = False
+        self.single_use_until = -math.inf
+        self.recent_ids: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self.on_foreign_response: collections.abc.Callable[[], None] = (
+            ignore_foreign_response
+        )
 
     def make_client(
         self, ssl_context: ssl.SSLContext, max_idle: int
@@ -104,11 +129,7 @@
             server should skip, to resume a broken stream.
         :raises BackendError: if there is no response to pass on.
         """
-        client = (
-            self.pooled_client if call.repeatable else self.single_use_client
-        )
-        if offset is not None:
-            client = self.single_use_client
+        client = self.choose_client(call, offset)
         request = client.build_request(
             call.method,
             self.url + call.path,
@@ -130,13 +151,31 @@
         finally:
             await response.aclose()
 
+    def choose_client(
+        self, call: backends.Call, offset: int | None
+    ) -> httpx.AsyncClient:
+        """Returns the client of a call, and remembers its request ID."""
+        is_repeated = call.request_id in self.recent_ids
+        self.recent_ids[call.request_id] = None
+        if len(self.recent_ids) > MAX_RECENT_CALLS:
+            self.recent_ids.popitem(last=False)
+        if (
+            call.repeatable
+            and offset is None
+            and not is_repeated
+            and self.returns_ids
+            and self.timers.now() >= self.single_use_until
+        ):
+            return self.pooled_client
+        return self.single_use_client
+
     def make_headers(
         self, call: backends.Call, offset: int | None
     ) -> list[tuple[str, str]]:
         headers = [
             *call.headers,
             ('accept-encoding', 'identity'),
-            ('x-request-id', call.request_id),
+            (REQUEST_ID_HEADER, call.request_id),
             ('x-organisation', call.organisation),
             ('via', self.via),
         ]
@@ -176,13 +215,39 @@
     ) -> None:
         """Checks that the response belongs to this request.
 
-        :raises BackendError: if it has the ID of another request.
+        :raises BackendError: if it may belong to another request.
         """
-        response_id = response.headers.get('x-request-id')
-        if response_id is not None and response_id != call.request_id:
-            raise errors.BackendError(
-                f'{self.name} responded with the ID of another request'
-            )
+        self.returns_ids = self.has_own_id(call.request_id, response)
+
+    def has_own_id(self, request_id: str, response: httpx.Response) -> bool:
+        """Returns whether a response has the ID of its request.
+
+        A response without an ID may be to an earlier request, if its
+        connection had one.
+
+        :raises BackendError: if it may belong to another request.
+        """
+        response_id = response.headers.get(REQUEST_ID_HEADER)
+        connection = find_connection(response)
+        is_first = connection.response_count == 0
+        connection.response_count += 1
+        if response_id == request_id:
+            return True
+        if response_id is None and is_first:
+            return False
+        reason = 'no ID' if response_id is None else 'another ID'
+        eliot.log_message(
+            'backend:foreign_response',
+            request=request_id,
+            server=self.name,
+            status=response.status_code,
+            reason=reason,
+        )
+        self.on_foreign_response()
+        self.single_use_until = self.timers.now() + SINGLE_USE_SECONDS
+        raise errors.BackendError(
+            f'{self.name} sent a response to another request: {reason}'
+        )
 
     async def check_rejection(
         self, call: backends.Call, response: httpx.Response
@@ -259,16 +324,25 @@
 
         :raises BackendError: if there is no valid report.
         """
+        self.poll_count += 1
+        request_id = f'load-{self.poll_count}'
+        request = httpx.Request(
+            'GET',
+            self.url + LOAD_PATH,
+            headers={REQUEST_ID_HEADER: request_id},
+        )
         try:
-            response = await self.load_transport.handle_async_request(
-                self.load_request
-            )
+            response = await self.load_transport.handle_async_request(request)
             try:
+                has_own_id = self.has_own_id(request_id, response)
                 report = orjson.loads(
                     await backend_transport.read_limited(
                         response.aiter_raw(), MAX_LOAD_REPORT_BYTES
                     )
                 )
+                if not has_own_id or self.timers.now() < self.single_use_until:
+                    # The next report could not be told from a copy of this.
+                    find_connection(response).abort()
             finally:
                 await response.aclose()
             return backends.LoadReport(
@@ -337,6 +411,16 @@
         self.timer.cancel()
 
 
+def find_connection(
+    response: httpx.Response,
+) -> backend_transport.NetworkStream:
+    return response.extensions['network_stream'].get_extra_info('connection')
+
+
+def ignore_foreign_response() -> None:
+    """Counts nothing; the response is logged in any case."""
+
+
 def make_ssl_context() -> ssl.SSLContext:
     """Returns the TLS context for all backend connections."""
     return httpx.create_ssl_context(trust_env=False)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -106,11 +106,11 @@
         writer: http_server.ResponseWriter,
     ) -> None:
         if request.path == '/load':
-            await self.send_load_report(writer)
+            await self.send_load_report(request, writer)
             return
         self.received_requests.append(request)
         fault = self.next_fault()
-        if await self.inject_early_fault(fault, writer):
+        if await self.inject_early_fault(request, fault, writer):
             return
         self.waiting_count += 1
         try:
@@ -128,7 +128,9 @@
             self.slot_semaphore.release()
 
     async def send_load_report(
-        self, writer: http_server.ResponseWriter
+        self,
+        request: http_server.Request,
+        writer: http_server.ResponseWriter,
     ) -> None:
         if self.fault == 'no_report':
             await writer.send_response(500, b'{}')
@@ -143,10 +145,15 @@
             'waiting': waiting,
             'leaving': self.is_leaving,
         }
-        await writer.send_response(200, orjson.dumps(report))
+        request_id = request.headers.get('x-request-id', '')
+        headers = (('x-request-id', request_id),)
+        await writer.send_response(200, orjson.dumps(report), headers)
 
     async def inject_early_fault(
-        self, fault: str, writer: http_server.ResponseWriter
+        self,
+        request: http_server.Request,
+        fault: str,
+        writer: http_server.ResponseWriter,
     ) -> bool:
         """Injects a fault that occurs before a valid response begins.
 
@@ -154,6 +161,8 @@
         """
         if fault in ('429', '500', '503'):
             headers = (('retry-after', '1'),) if fault != '500' else ()
+            request_id = request.headers.get('x-request-id', '')
+            headers += (('x-request-id', request_id),)
             await writer.send_response(int(fault), b'{"error":{}}', headers)
         elif fault == 'reset':
             await writer.abort()
