--- a/features/replication/failing_disks.feature
+++ b/features/replication/failing_disks.feature
@@ -156,6 +156,11 @@
     When the leader loses its majority and steps down
     Then no replica that it reaches takes it for the leader
 
+  Scenario: Survivors without a majority keep believing in a crashed leader
+    Given a group of 5 replicas with 5 acknowledged commands
+    When the leader and two followers crash and 4 s pass
+    Then no replica takes it for the leader
+
   Scenario: A late message of a leader's end displaces its successor
     Given a group of 5 replicas with 5 acknowledged commands
     When the leader crashes, and its end is told after the next election
--- a/features/steps/replication.py
+++ b/features/steps/replication.py
@@ -1251,6 +1251,17 @@
     context.plan.append(cut)
 
 
+@behave.when('the leader and two followers crash and {seconds:g} s pass')
+def plan_majority_crash(context, seconds):
+    async def crash(group):
+        context.vm = group.leader().vm
+        for vm in (*followers(group)[:2], context.vm):
+            group.crash(vm)
+        await group.advance(seconds)
+
+    context.plan.append(crash)
+
+
 @behave.then('no replica that it reaches takes it for the leader')
 def check_forgotten_by_reachable(context):
     async def check(group):
--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -83,6 +83,8 @@
     does not disturb a working leader.
     """
     replica.last_campaign_at = replica.timers.now()
+    # The leader has been silent for too long; requests wait for the next one.
+    replica.leader = None
     term = replica.term
     won_pre_vote = await collect_votes(
         replica, replica.term + 1, is_pre_vote=True
