Let a removed voter join again, once its removal is known to be committed

A machine that was cut off or off while its successor took its place never took part again: it kept its own list of members, asked in vain for votes, or waited at its start for a majority of machines that no longer exist. A replica that discarded its state applied the log again on top of the old state.

A leader sends nothing to a replica that it removed, and only a replica that was no member by its own list asked whether it is one.

A voter that hears no leader, or starts, now asks the others. It discards its state and joins as a learner only if the leader itself replies that its members do not contain it, that they and an entry of its term are committed, and its term is not below that of the last entry held here: a replica that was admitted again holds an entry of the leader that promoted it. The same holds for replicas that are no members by their own list; until now they discarded their state on an uncommitted removal too. The state machine is reset before the first entry is applied again. The reply to identify has two new keys; without them, from a leader of an earlier release, a state is kept.

--- a/features/fakes.py
+++ b/features/fakes.py
@@ -398,9 +398,10 @@
         self.start(vm)
 
     def retire(self, vm):
-        """Stops a VM that never returns."""
+        """Stops a VM for good and returns its disk."""
         self.crash(vm)
         self.vms = tuple(one for one in self.vms if one != vm)
+        return self.disks[vm]
 
     def leader(self):
         """Returns the leader of the highest term, or None."""
--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -62,3 +62,73 @@
       | which      |
       | a follower |
       | the leader |
+
+  Scenario Outline: All machines lose power after <count> replacements, two with their disks
+    Given a control group of 5 replicas
+    When <count> machines in a row are gone, each with a successor after 1 s, beginning with <first>
+    And all machines lose power, and <lost> their disks too
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
+    Examples:
+      | count | first      | lost                      |
+      | 0     | a follower | two followers             |
+      | 1     | a follower | the leader and the newest |
+      | 1     | the leader | two followers             |
+      | 2     | a follower | the two newest            |
+      | 2     | the leader | the leader and the newest |
+      | 3     | a follower | two followers             |
+      | 3     | the leader | the two newest            |
+
+  Scenario Outline: A machine returns with its old disk after <count> replacements
+    Given a control group of 5 replicas
+    When <count> machines in a row are gone, each with a successor after 1 s, beginning with <first>
+    And the machine that was gone first returns with its old disk
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
+    Examples:
+      | count | first      |
+      | 1     | a follower |
+      | 1     | the leader |
+      | 2     | a follower |
+      | 3     | the leader |
+      | 5     | a follower |
+
+  Scenario Outline: A voter that was removed while it was cut off votes again
+    Given a control group of 5 replicas
+    When <which> is cut off until a successor has taken its place
+    And the links are back
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
+    Examples:
+      | which      |
+      | a follower |
+      | the leader |
+
+  Scenario: All machines lose power while a replaced machine returns
+    Given a control group of 5 replicas
+    When 2 machines in a row are gone, each with a successor after 1 s, beginning with the leader
+    And the machine that was gone first returns with its old disk
+    And all machines lose power, and two followers their disks too
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
+  Scenario: A voter keeps its state if its removal is not committed
+    Given a control group of 5 replicas
+    When a leader that reaches only one voter proposes to remove it
+    Then that voter keeps its state and stays a voter
+
+  Scenario Outline: A machine returns with an old disk that has a snapshot
+    Given a control group of 5 replicas that takes a snapshot every <entries> entries
+    When 1 machines in a row are gone, each with a successor after 1 s, beginning with a follower
+    And the machine that was gone first returns with its old disk
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
+    Examples:
+      | entries |
+      | 2       |
+      | 5       |
+      | 20      |
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -10,6 +10,7 @@
 from greengagegw.fleet import timing
 from greengagegw.replication import entries
 from greengagegw.replication import replica as replicas
+from greengagegw.replication import startup
 
 VMS = ('a', 'b', 'c', 'd', 'e')
 MIN_VOTERS = 5
@@ -25,6 +26,7 @@
         timeouts=timing.CONTROL_TIMEOUTS,
     )
     group.network.delay_seconds = DELAY_SECONDS
+    group.old_disks = []
     async with group.running():
         await group.elect()
         for _ in range(3):
@@ -34,9 +36,14 @@
 
 def play(context, function):
     """Runs a function of a group on an event loop of its own."""
-    anyio.run(
-        functools.partial(run_group, context.count, context.seed, function)
-    )
+    kept = replicas.SNAPSHOT_AFTER_ENTRIES
+    replicas.SNAPSHOT_AFTER_ENTRIES = context.snapshot_after
+    try:
+        anyio.run(
+            functools.partial(run_group, context.count, context.seed, function)
+        )
+    finally:
+        replicas.SNAPSHOT_AFTER_ENTRIES = kept
 
 
 def followers(group):
@@ -48,6 +55,16 @@
 def set_count(context, count):
     context.count = count
     context.seed = 1
+    context.snapshot_after = replicas.SNAPSHOT_AFTER_ENTRIES
+
+
+@behave.given(
+    'a control group of {count:d} replicas that takes a snapshot every'
+    ' {every:d} entries'
+)
+def set_count_and_snapshots(context, count, every):
+    set_count(context, count)
+    context.snapshot_after = every
 
 
 async def wait_for(group, condition, seconds):
@@ -71,6 +88,7 @@
 )
 def plan_compaction(context):
     async def compact_while_sending(group):
+        replicas.SNAPSHOT_AFTER_ENTRIES = 1
         vm = followers(group)[0]
         group.crash(vm)
         await group.propose_and_wait()
@@ -108,15 +126,7 @@
         applied = {vm: group.machines[vm].applied for vm in group.replicas}
         assert applied[vm] == applied[leader.vm]
 
-    async def play_with_snapshots(group):
-        kept = replicas.SNAPSHOT_AFTER_ENTRIES
-        replicas.SNAPSHOT_AFTER_ENTRIES = 1
-        try:
-            await compact_while_sending(group)
-        finally:
-            replicas.SNAPSHOT_AFTER_ENTRIES = kept
-
-    context.play = play_with_snapshots
+    context.play = compact_while_sending
 
 
 @behave.then('the log of that follower has no gap')
@@ -291,7 +301,7 @@
 
 
 async def replace_machine(group, vm):
-    group.retire(vm)
+    group.old_disks.append((vm, group.retire(vm)))
     await advance_with_load(group, SUCCESSOR_SECONDS)
     successor = f'{vm[0]}{len(vm)}{group.proposed}'
     group.founders = (*group.vms, successor)
@@ -391,4 +401,108 @@
             await part(group)
         await check_recovery(group)
 
+    context.play = check
+    play(context, check)
+
+
+@behave.then('all machines vote again')
+def check_votes(context):
+    async def check(group):
+        await context.play(group)
+        await wait_for(
+            group,
+            lambda: set(group.leader().members.voters) == set(group.vms),
+            RECOVERY_SECONDS,
+        )
+
     play(context, check)
+
+
+@behave.when('all machines lose power, and {which} their disks too')
+def plan_power_loss(context, which):
+    async def lose_power(group):
+        empty = choose(group, which)
+        for vm in group.vms:
+            group.crash(vm)
+        for vm in empty:
+            group.lose_disk(vm)
+        await group.advance(RESTART_SECONDS)
+        for vm in group.vms:
+            group.start(vm)
+
+    add_part(context, lose_power)
+
+
+@behave.when('the machine that was gone first returns with its old disk')
+def plan_return(context):
+    async def return_machine(group):
+        vm, disk = group.old_disks[0]
+        group.vms = (*group.vms, vm)
+        group.disks[vm] = disk
+        group.start(vm)
+        await advance_with_load(group, RECOVERY_SECONDS)
+
+    add_part(context, return_machine)
+
+
+@behave.when('{which} is cut off until a successor has taken its place')
+def plan_cut_off(context, which):
+    async def cut_off(group):
+        vm = choose(group, which)[0]
+        group.network.cut([vm], [one for one in group.vms if one != vm])
+        await advance_with_load(group, SUCCESSOR_SECONDS)
+        group.network.cut([vm], ['z'])
+        group.add('z')
+        await advance_with_load(group, CATCH_UP_SECONDS)
+        others = {*group.vms} - {vm}
+        assert set(group.leader().members.voters) == others
+
+    add_part(context, cut_off)
+
+
+@behave.when('the links are back')
+def plan_heal(context):
+    async def heal(group):
+        group.network.heal()
+
+    add_part(context, heal)
+
+
+@behave.when('a leader that reaches only one voter proposes to remove it')
+def plan_uncommitted_removal(context):
+    async def remove(group):
+        leader = group.leader()
+        vm, *others = followers(group)
+        voter = group.replicas[vm]
+        incarnation = voter.incarnation
+        group.network.cut([leader.vm, vm], others)
+        group.tasks.start_soon(propose_removal, leader, vm)
+        await group.advance(0.25)
+        assert leader.is_leader
+        assert leader.members.get(vm) is None
+        voter.membership_checked_at = -1000.0
+        group.tasks.start_soon(startup.rejoin_if_not_member, voter)
+        await group.advance(0.5)
+        assert voter.incarnation == incarnation
+        assert voter.storage.last_index > 0
+        # The others elect a leader that does not know of the removal.
+        await advance_with_load(group, 5)
+        group.network.heal()
+        await check_recovery(group)
+        assert group.replicas[vm].incarnation == incarnation
+        assert vm in group.leader().members.voters
+
+    context.play = remove
+
+
+async def propose_removal(leader, vm):
+    try:
+        await leader.change_members(leader.members.without(vm))
+    except errors.ReplicationError:
+        return
+    raise AssertionError('the removal was committed')
+
+
+@behave.then('that voter keeps its state and stays a voter')
+def check_kept(context):
+    play(context, context.play)
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -119,6 +119,9 @@
         self.leader: str | None = None
         self.members = log_entries.Members(())
         self.members_index = 0
+        self.former_voters: tuple[str, ...] = ()
+        self.initial_state = b''
+        self.is_machine_outdated = False
         self.session = secrets.token_hex(8)
         self.commit_index = 0
         self.applied_index = 0
@@ -224,10 +227,12 @@
             await startup.start_up(self)
             tasks.start_soon(self.run_election_timer)
             tasks.start_soon(self.write_proposals)
+            tasks.start_soon(startup.watch_removal, self)
 
     async def load(self) -> None:
         """Loads the stored state and increments the count of starts."""
         await self.storage.load()
+        self.initial_state = self.machine.save()
         if self.storage.snapshot is not None:
             self.restore(self.storage.snapshot)
         self.refresh_members()
@@ -240,12 +245,18 @@
 
     def restore(self, snapshot: log_entries.Snapshot) -> None:
         self.machine.restore(snapshot.state)
+        self.is_machine_outdated = False
         self.applied_index = snapshot.index
         self.commit_index = max(self.commit_index, snapshot.index)
 
     def reset_applied_state(self) -> None:
-        """Resets the applied state after the storage was wiped."""
+        """Resets the applied state after the storage was wiped.
+
+        The state machine keeps its state until the first entry is applied
+        again or a snapshot is restored, so that it can be read meanwhile.
+        """
         self.applied_index = self.commit_index = 0
+        self.is_machine_outdated = True
         self.is_caught_up = False
         self.refresh_members()
 
@@ -291,6 +302,9 @@
             'members_index': self.members_index,
             'leader': self.leader,
             'is_stale': is_stale,
+            # Peers of an earlier release neither send nor read these.
+            'term': self.term,
+            'are_members_committed': self.is_membership_settled,
         }
 
     def find_seen_boot(
@@ -868,6 +882,9 @@
             index = self.applied_index + 1
             entry = self.storage.entries[index - self.storage.base_index - 1]
             outcome = None
+            if self.is_machine_outdated:
+                self.machine.restore(self.initial_state)
+                self.is_machine_outdated = False
             if entry.kind is log_entries.EntryKind.COMMAND:
                 outcome = self.machine.apply(entry.content)
             self.applied_index = index
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -13,6 +13,8 @@
 
 from .. import errors
 from . import entries as log_entries
+from . import membership
+from . import roles
 
 if typing.TYPE_CHECKING:
     from . import replica as replicas
@@ -22,6 +24,8 @@
 # get this long to reply, so that the most recent one can be used.
 RECOVERY_DELAY_SECONDS = 3.0
 MEMBERSHIP_CHECK_SECONDS = 4.0
+# A voter that hears no leader checks this often whether it was removed.
+REMOVAL_CHECK_SECONDS = 1.0
 
 
 async def start_up(replica: 'replicas.Replica') -> None:
@@ -61,6 +65,7 @@
     others = {
         *replica.founders,
         *replica.members.voters,
+        *replica.former_voters,
         *replica.memory_replicas,
     }
     async with anyio.create_task_group() as tasks:
@@ -77,8 +82,10 @@
     :returns: the replies of members of a group that this replica must join.
     """
     if any(
-        reply['is_stale'] or is_replaced(replica, reply)
-        for reply in replies.values()
+        reply['is_stale']
+        or is_replaced(replica, reply)
+        or is_removed(replica, vm, reply)
+        for vm, reply in replies.items()
     ):
         await discard_state(replica)
         return []
@@ -137,6 +144,31 @@
     )
 
 
+def is_removed(replica: 'replicas.Replica', vm: str, reply: dict) -> bool:
+    """Returns whether a peer is the leader and has removed this replica.
+
+    Leaders of an earlier release do not tell whether their members are
+    committed, so their replies never show it.
+    """
+    if not has_state(replica) or reply['leader'] != vm:
+        return False
+    last_index = replica.storage.last_index
+    return membership.is_removed(
+        log_entries.Members.unpack(reply['members']),
+        reply.get('are_members_committed', False),
+        reply.get('term', 0),
+        replica.vm,
+        replica.incarnation,
+        replica.storage.term_at(last_index),
+    )
+
+
+def has_state(replica: 'replicas.Replica') -> bool:
+    return replica.storage.last_index > 0 or bool(
+        replica.storage.meta.founders
+    )
+
+
 async def bootstrap(
     replica: 'replicas.Replica', founders: log_entries.Members
 ) -> None:
@@ -149,24 +181,38 @@
 async def discard_state(replica: 'replicas.Replica') -> None:
     """Wipes a stale state and gives the replica a new incarnation."""
     eliot.log_message('replica:old_disk', group=replica.group, vm=replica.vm)
+    # The voters that it knew, since the founders may have been replaced.
+    replica.former_voters = tuple(replica.members.voters)
     await replica.storage.wipe()
     await replica.storage.save_meta(incarnation=secrets.token_hex(8), boots=1)
-    replica.members = log_entries.Members(())
+    replica.reset_applied_state()
 
 
 async def request_admission(
     replica: 'replicas.Replica', group_replies: list[dict]
-) -> None:
-    """Asks the leader to admit this replica as a learner."""
+) -> bool:
+    """Asks the leader to admit this replica as a learner.
+
+    :returns: whether it did.
+    """
     leaders = {one['leader'] for one in group_replies if one['leader']}
     for leader in sorted(leaders):
         if leader == replica.vm:
             continue
-        with contextlib.suppress(errors.GatewayError):
-            message = [replica.vm, replica.incarnation]
+        message = [replica.vm, replica.incarnation]
+        try:
             await replica.call_peer(leader, 'join', message)
-            replica.become_follower()
-            return
+        except errors.GatewayError as error:
+            eliot.log_message(
+                'replica:not_admitted',
+                group=replica.group,
+                leader=leader,
+                reason=error.message,
+            )
+            continue
+        replica.become_follower()
+        return True
+    return False
 
 
 async def recover_from_memory_replica(
@@ -208,30 +254,59 @@
     )
 
 
+async def watch_removal(replica: 'replicas.Replica') -> None:
+    """Joins again if this replica was removed without having learned of it.
+
+    A leader sends nothing to a replica that it removed, so the removed one
+    keeps its own list of members and campaigns in vain.
+    """
+    while True:
+        await replica.timers.sleep(REMOVAL_CHECK_SECONDS)
+        silence = replica.timers.now() - replica.leader_heard_at
+        if (
+            replica.role in (roles.Role.FOLLOWER, roles.Role.CANDIDATE)
+            and replica.is_current_member(replica.vm, replica.incarnation)
+            and silence >= 2 * replica.timeouts.election_seconds
+        ):
+            await rejoin_if_not_member(replica)
+
+
 async def rejoin_if_not_member(replica: 'replicas.Replica') -> None:
     """Joins again if this replica is not a member of the leader's group.
 
-    That happens when the entry that admitted it was lost with its leader,
-    and to a memory replica whose group was recovered. If no leader replies,
-    the replica keeps its state, since the group may have to be recovered
-    from it.
+    That happens when the entry that admitted it was lost with its leader, to
+    a memory replica whose group was recovered, and to a voter that was
+    removed while it was silent. Unless a leader replies that its members,
+    which are committed, do not contain this replica, it keeps its state,
+    since the group may need it or have to be recovered from it.
     """
-    waited = replica.timers.now() - replica.membership_checked_at
-    if waited < MEMBERSHIP_CHECK_SECONDS:
+    asked_at = replica.timers.now()
+    if asked_at - replica.membership_checked_at < MEMBERSHIP_CHECK_SECONDS:
         return
-    replica.membership_checked_at = replica.timers.now()
+    replica.membership_checked_at = asked_at
     replies = await identify_to_all(replica)
-    leader_replies = [
-        reply
-        for vm, reply in replies.items()
-        if reply['leader'] == vm and reply['members']
-    ]
-    for reply in leader_replies:
-        members = log_entries.Members.unpack(reply['members'])
-        own_member = members.get(replica.vm)
-        if own_member is None or own_member.incarnation != replica.incarnation:
-            async with replica.lock_storage():
+    for vm, reply in replies.items():
+        if reply['leader'] != vm or not reply['members']:
+            continue
+        async with replica.lock_storage():
+            if has_state(replica):
+                is_heard = replica.leader_heard_at >= asked_at
+                is_member = replica.is_current_member(
+                    replica.vm, replica.incarnation
+                )
+                # A leader that counts this replica as a member may have
+                # admitted it after the reply.
+                if (is_heard and is_member) or not is_removed(
+                    replica, vm, reply
+                ):
+                    continue
                 await discard_state(replica)
-                replica.reset_applied_state()
-            await request_admission(replica, [reply])
-            return
+                replica.become_follower()
+        if not await request_admission(replica, [reply]):
+            # Tries again with the next check of the election timer.
+            replica.membership_checked_at = (
+                replica.timers.now()
+                - MEMBERSHIP_CHECK_SECONDS
+                + RETRY_DELAY_SECONDS
+            )
+        return
