Keep a sound entry whose ID an earlier entry of the list has

Callers saw: nothing yet. An entry of another writer with the ID of one of our servers hid that server if it came first in the list.

Cause: the decoder kept the first of several entries with one ID, and does not know which services there are.

Change: the decoder returns all valid entries, and the control VM selects: the entry of a service that the configuration names, then the newest run, then the first. Repeated names are logged as instances:repeated, once a minute.

Measured: "An entry with the ID of a sound one does not hide it" in features/platform/foreign_entries.feature, three rows, which replace the row of the same ID that stood there (that row allowed one order only).

--- a/features/platform/foreign_entries.feature
+++ b/features/platform/foreign_entries.feature
@@ -56,7 +56,17 @@
       | that is a number out of range     |
       | that is a string with brackets    |
       | that copies a sound one within it |
-      | with the id of a sound one        |
+
+  Scenario Outline: An entry with the ID of a sound one does not hide it
+    Given an instance list with an entry of the ID of a sound one that <difference>
+    When a control VM reads and stores it
+    Then it stores the two sound entries
+
+    Examples:
+      | difference                       |
+      | follows it                       |
+      | precedes it with another service |
+      | precedes it with an earlier start |
 
   Scenario Outline: A page that says nothing keeps the last list
     Given an instance list whose page is <page>
--- a/features/steps/foreign_bytes.py
+++ b/features/steps/foreign_bytes.py
@@ -94,16 +94,17 @@
             return
     dropped = instance_list.decode_entries(entries, listed)
     instance_list.DroppedEntries(timer_service.Timers()).log(dropped)
-    packed = [one.pack() for one in listed.values()]
+    kept, _ = controls.select_instances(listed, {'engine'})
+    packed = [one.pack() for one in kept]
     cache = controls.InstanceListCache()
     cache.update(packed, 0.0)
-    for one in listed.values():
+    for one in kept:
         host, _, port = one.address.rpartition(':')
         assert host
         assert 0 < int(port) < 65536
     # Raw fragments with brackets or quotes of their own can change where the
     # entries end, but what is whole is found.
-    assert {'i-1', 'i-2'} <= set(listed), page
+    assert {'i-1', 'i-2'} <= {one.name for one in kept}, page
 
 
 def check_desired_state(raw):
--- a/features/steps/foreign_entries.py
+++ b/features/steps/foreign_entries.py
@@ -99,7 +99,6 @@
     'that copies a sound one within it': (
         b'{"id":"\xff","copy":[%s],"other":%s}' % (RAW, RAW)
     ),
-    'with the id of a sound one': orjson.dumps(FOREIGN | {'id': 'i-1'}),
     **{
         f'with {field} of {name}': with_field(field, raw)
         for field in ('slots', 'born', 'coldLeftMs', 'remainingMs')
@@ -179,6 +178,23 @@
     context.page = make_page([first, ENTRIES[entry], second])
 
 
+@behave.given(
+    'an instance list with an entry of the ID of a sound one that {difference}'
+)
+def given_repeated(context, difference):
+    first, second = (orjson.dumps(one) for one in SOUND)
+    repeated = FOREIGN | {'id': 'i-1'}
+    if difference == 'follows it':
+        context.page = make_page([first, orjson.dumps(repeated), second])
+        return
+    if difference == 'precedes it with another service':
+        repeated['service'] = 'elsewhere'
+    elif difference == 'precedes it with an earlier start':
+        first = orjson.dumps(SOUND[0] | {'born': 2000})
+        repeated['born'] = 1000
+    context.page = make_page([orjson.dumps(repeated), first, second])
+
+
 @behave.given('an instance list whose page is {page}')
 def given_page(context, page):
     context.page = PAGES[page]
@@ -229,7 +245,8 @@
 def store_listed(listed):
     """Stores a list as a control VM does after it has read it."""
     cache = control.InstanceListCache()
-    cache.update([one.pack() for one in control.sorted_instances(listed)], 0.0)
+    kept, _ = control.select_instances(listed, {'engine'})
+    cache.update([one.pack() for one in kept], 0.0)
     return cache.packed
 
 
@@ -275,8 +292,7 @@
 )
 def then_list_fits(context):
     assert context.error is None, context.error
-    listed = control.sorted_instances(context.listed)
-    kept = control.limit_instances(listed, {'engine'})
+    kept, _ = control.select_instances(context.listed, {'engine'})
     names = {one.name for one in kept}
     assert {'i-1', 'i-2'} <= names
     assert len(kept) == instances.MAX_INSTANCES
@@ -298,7 +314,7 @@
 def given_list_of_peer(context):
     listed = {}
     instance_list.decode_entries(SOUND, listed)
-    first, second = (one.pack() for one in listed.values())
+    first, second = (one.pack() for one in listed)
     odd = ['x-1', 's', '10.9.9.9:99999', 'z', 2**60, 'yes', 1.5, -1, None]
     context.packed_list = [first, odd, [], 'text', None, {}, 7, second]
 
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -128,7 +128,7 @@
         listed,
     )
     assert len(dropped) == 9, dropped
-    context.instances = list(listed.values())
+    context.instances = list(listed)
 
 
 @behave.then(
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -40,6 +40,9 @@
 ]
 Decode = collections.abc.Callable[[bytes], configurations.Configuration]
 VERSIONS_INTERVAL_SECONDS = 30.0
+# A list that names servers twice for long must not fill the log.
+REPEATED_LOG_SECONDS = 60.0
+MAX_LOGGED_NAMES = 10
 
 
 class InstanceListCache:
@@ -103,6 +106,7 @@
         )
         self.polled_versions: dict[str, int] = {}
         self.instance_cache = InstanceListCache()
+        self.repeated_logged_at = -math.inf
         self.quota_allocator = quota_allocator.QuotaAllocator(
             timers, quota_debt
         )
@@ -319,12 +323,25 @@
             read_at = self.timers.now()
             instances = await self.read_instances()
             configuration = self.configuration
-            kept = limit_instances(
-                sorted_instances(instances),
+            kept, repeated = select_instances(
+                instances,
                 configuration.services if configuration is not None else (),
             )
+            self.log_repeated(repeated)
             self.instance_cache.update([one.pack() for one in kept], read_at)
 
+    def log_repeated(self, names: list[str]) -> None:
+        """Logs names that several entries of the list have, once a minute."""
+        now = self.timers.now()
+        if not names or now < self.repeated_logged_at + REPEATED_LOG_SECONDS:
+            return
+        self.repeated_logged_at = now
+        eliot.log_message(
+            'instances:repeated',
+            names=names[:MAX_LOGGED_NAMES],
+            count=len(names),
+        )
+
     async def request_list(self, leader: str) -> None:
         requested_at = self.timers.now()
         reply = await self.mesh.call(
@@ -616,17 +633,34 @@
     return sorted(instances, key=lambda one: one.name)
 
 
-def limit_instances(
-    listed: list[instance_list.Instance],
+def select_instances(
+    listed: collections.abc.Iterable[instance_list.Instance],
     named_services: collections.abc.Container[str],
-) -> list[instance_list.Instance]:
-    """Returns no more instances than fit into a frame between VMs.
+) -> tuple[list[instance_list.Instance], list[str]]:
+    """Returns one instance for each name, sorted, and the names of several.
 
-    Those of named services are kept first.
+    Of several with one name, that of a named service is kept, then the newest
+    run, then the first one. No more are kept than fit into a frame between
+    VMs, those of named services first.
     """
-    excess = len(listed) - instance_list.MAX_INSTANCES
-    if excess <= 0:
-        return listed
-    eliot.log_message('instances:too_many', count=len(listed), dropped=excess)
-    kept = sorted(listed, key=lambda one: one.service not in named_services)
-    return sorted_instances(kept[: instance_list.MAX_INSTANCES])
+
+    def rank(one: instance_list.Instance) -> tuple[bool, int]:
+        return one.service in named_services, one.born
+
+    by_name: dict[str, instance_list.Instance] = {}
+    repeated = []
+    for one in listed:
+        known = by_name.setdefault(one.name, one)
+        if known is not one:
+            repeated.append(one.name)
+            if rank(one) > rank(known):
+                by_name[one.name] = one
+    kept = list(by_name.values())
+    excess = len(kept) - instance_list.MAX_INSTANCES
+    if excess > 0:
+        eliot.log_message(
+            'instances:too_many', count=len(kept), dropped=excess
+        )
+        kept.sort(key=lambda one: one.service not in named_services)
+        del kept[instance_list.MAX_INSTANCES :]
+    return sorted_instances(kept), repeated
--- a/src/greengagegw/platform/instance_list.py
+++ b/src/greengagegw/platform/instance_list.py
@@ -65,7 +65,7 @@
         :raises BackendTimeoutError: if the list is not complete within
             READ_TIMEOUT_SECONDS or MAX_PAGES.
         """
-        listed: dict[str, instances.Instance] = {}
+        listed: dict[instances.Instance, None] = {}
         with self.timers.move_on_after(READ_TIMEOUT_SECONDS):
             page = ''
             for _ in range(MAX_PAGES):
@@ -74,7 +74,7 @@
                     self.dropped_entries.log(decode_entries(chunk, listed))
                     await anyio.lowlevel.checkpoint()
                 if not page:
-                    return tuple(listed.values())
+                    return tuple(listed)
         raise errors.BackendTimeoutError(
             'the instance list exceeded its time limit or page limit'
         )
@@ -272,25 +272,20 @@
 
 
 def decode_entries(
-    entries: list, listed: dict[str, instances.Instance]
+    entries: list, listed: dict[instances.Instance, None]
 ) -> list[tuple[typing.Any, str]]:
     """Adds the valid instances of a page to those of the pages before it.
 
-    Of several entries with one ID, the first one that is valid counts.
-
-    :param listed: instances by name.
+    :param listed: the instances in their order, each of them once; several
+        may have the same name.
     :returns: the other entries, each with the reason for which it is dropped.
     """
     dropped = []
     for entry in entries:
         try:
-            instance = decode_entry(entry)
+            listed[decode_entry(entry)] = None
         except errors.InvalidInstanceError as error:
             dropped.append((entry, error.message))
-            continue
-        known = listed.setdefault(instance.name, instance)
-        if known != instance:
-            dropped.append((entry, 'another entry has its ID'))
     return dropped
 
 
