Check forwarded requests and the usage that engines report

Callers saw: nothing yet; shown by tests. A usage of up to 2**64 tokens was charged to the organisation, which then got nothing for a long time.

Cause: the values of a forwarded prompt were taken as they came, and the total of the usage had no upper limit.

Change: a malformed forwarded request is rejected as a PeerProtocolError that has not run. A total beyond 1e9 tokens counts as missing and is logged as backend:bad_usage.

Measured: "a forwarded request" and "the usage of an engine" in features/platform/foreign_bytes.feature; before, both fail, now they pass.

--- a/features/platform/foreign_bytes.feature
+++ b/features/platform/foreign_bytes.feature
@@ -31,6 +31,8 @@
       | grants of tokens                          |
       | a report of the end of a server           |
       | a report of backlogs                      |
+      | a forwarded request                       |
+      | the usage of an engine                    |
 
   Scenario Outline: A connection with odd bytes ends alone
     Given two connected VMs
--- a/features/steps/foreign_bytes.py
+++ b/features/steps/foreign_bytes.py
@@ -48,8 +48,10 @@
 from greengagegw.ports import clients
 from greengagegw import request_parsing
 from greengagegw.serving import ports
+from greengagegw.serving import prompts
 from greengagegw.serving import region_reports
 from greengagegw import settings
+from greengagegw import streams
 from greengagegw import table
 from greengagegw import timers as timer_service
 from standins import loopback_blocks
@@ -677,6 +679,44 @@
     msgpack.packb(total.pack())
 
 
+FORWARDED = [
+    'r-1',
+    'POST',
+    b'/chat/x',
+    'h.example',
+    '/chat/x',
+    [[b'a', b'b']],
+    b'{}',
+    5.0,
+    ['m', 100, 20, [['s1', 50], ['s2', 50]], 30],
+    None,
+]
+
+
+def check_forwarded(values):
+    try:
+        request = ports.Request.unpack(values)
+    except errors.PeerProtocolError as error:
+        assert error.run == errors.NOT_RUN
+        return
+    prompt = request.prompt
+    if prompt is None:
+        return
+    cache = prompts.PrefixCacheModel(400)
+    cache.record_prompt(prompt)
+    cache.cached_tokens(prompt)
+    assert 0 <= cache.tokens <= 400, cache.tokens
+    assert 0 <= prompt.total_tokens < 2**60
+
+
+def check_usage(raw):
+    try:
+        tokens = streams.read_body_usage(raw)
+    except errors.BrokenStreamError:
+        return
+    assert tokens is None or 0 <= tokens <= 10**9, tokens
+
+
 def changed_pairs():
     return odd_values.strategies.tuples(
         odd_values.changed(HEADERS), odd_values.changed_text(TARGET)
@@ -825,6 +865,14 @@
         ),
         check_end_report,
     ),
+    'a forwarded request': (odd_values.changed(FORWARDED), check_forwarded),
+    'the usage of an engine': (
+        odd_values.changed_json({'usage': {'total_tokens': 30}})
+        | odd_values.strategies.sampled_from(odd_values.NUMBERS).map(
+            lambda number: orjson.dumps({'usage': {'total_tokens': number}})
+        ),
+        check_usage,
+    ),
     'a report of backlogs': (odd_values.changed(BACKLOG), check_backlogs),
 }
 
--- a/src/greengagegw/serving/ports.py
+++ b/src/greengagegw/serving/ports.py
@@ -5,7 +5,9 @@
 import dataclasses
 import typing
 
+from .. import errors
 from ..fleet import instances
+from ..ports import peers
 from . import prompts
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
@@ -65,18 +67,47 @@
 
     @classmethod
     def unpack(cls, values: list) -> 'Request':
-        *first, headers, body, client_timeout, prompt, resume_after = values
-        if prompt is not None:
-            *sizes, segments, expected = prompt
-            prompt = prompts.Prompt(
-                *sizes,
-                tuple(prompts.Segment(*one) for one in segments),
-                expected,
+        """Returns a request that another VM has forwarded.
+
+        :raises PeerProtocolError: if it is malformed; a count that is odd
+            would stay in the models of the servers.
+        """
+        try:
+            *first, headers, body, client_timeout, prompt, resume_after = (
+                values
             )
-        pairs = tuple((name, value) for name, value in headers)
-        return cls(
-            *first, pairs, body, '', client_timeout, prompt, resume_after
-        )
+            pairs = tuple((name, value) for name, value in headers)
+            return cls(
+                *first,
+                pairs,
+                body,
+                '',
+                client_timeout,
+                None if prompt is None else unpack_prompt(prompt),
+                resume_after,
+            )
+        except (TypeError, ValueError) as error:
+            raise errors.PeerProtocolError(
+                'a forwarded request is malformed', run=errors.NOT_RUN
+            ) from error
+
+
+def unpack_prompt(values: list) -> prompts.Prompt:
+    """Returns a prompt that another VM has forwarded.
+
+    :raises ValueError: or ``TypeError``, if it is malformed.
+    """
+    model, tokens, max_output_tokens, segments, expected = values
+    return prompts.Prompt(
+        peers.check_text(model),
+        peers.check_count(tokens),
+        peers.check_count(max_output_tokens),
+        tuple(
+            prompts.Segment(peers.check_text(name), peers.check_count(size))
+            for name, size in segments
+        ),
+        peers.check_count(expected),
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/greengagegw/streams.py
+++ b/src/greengagegw/streams.py
@@ -1,7 +1,9 @@
 """Reads responses, and the token usage of engines while they are forwarded."""
 
 import collections.abc
+import reprlib
 
+import eliot
 import orjson
 
 from . import errors
@@ -10,6 +12,8 @@
 EVENT_SEPARATOR = b'\n\n'
 USAGE_FIELD = b'"usage"'
 NULL_USAGE_FIELDS = (b'"usage":null', b'"usage": null')
+# Far above the length of any context.
+MAX_TOKENS = 1_000_000_000
 MAX_EVENT_BYTES = 1024 * 1024
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 
@@ -99,10 +103,19 @@
 
 
 def read_usage(content: dict) -> int | None:
-    """Returns the total tokens that a response reports, or None."""
+    """Returns the total tokens that a response reports, or None.
+
+    A number out of range, which would be charged to the organisation, counts
+    as missing.
+    """
     usage = content.get('usage')
     total = usage.get('total_tokens') if isinstance(usage, dict) else None
-    return total if isinstance(total, int) and total >= 0 else None
+    if total is None:
+        return None
+    if type(total) is not int or not 0 <= total <= MAX_TOKENS:
+        eliot.log_message('backend:bad_usage', value=reprlib.repr(total))
+        return None
+    return total
 
 
 def read_body_usage(body: bytes) -> int | None:
