End simulated writes with their process

The random schedules of 5 replicas did not end in one run: a write that is shielded from cancellation waited for a simulated disk, and time did not advance any more. After a simulated crash, such a write could also change the disk of the next process.

Change: a power cut ends the writes that wait, and a group cuts the power of its disks when it ends. A power cut of an earlier process does not crash its successor.

--- a/features/fakes.py
+++ b/features/fakes.py
@@ -188,6 +188,7 @@
         self.failing_step = ''
         self.full_until = self.hangs_until = -math.inf
         self.sync_seconds = 0.0
+        self.power_cut = anyio.Event()
         self.steps = 0
 
     def fill(self, seconds):
@@ -205,12 +206,21 @@
         self.sync_seconds = 0.0
 
     async def wait(self):
-        """Waits as long as a sync takes."""
+        """Waits as long as a sync takes, or until the power is cut.
+
+        Writes are shielded from cancellation, so that one that still waited
+        would end after its process.
+        """
         if self.timers is None:
             return
         delay = max(self.sync_seconds, self.hangs_until - self.timers.now())
-        if delay > 0:
-            await self.timers.sleep(delay)
+        if delay <= 0:
+            return
+        power_cut = self.power_cut
+        with self.timers.move_on_after(delay):
+            await power_cut.wait()
+        if power_cut.is_set():
+            raise PowerCutError
 
     def step(self, name):
         self.steps += 1
@@ -228,6 +238,8 @@
 
     def cut_power(self):
         """Drops unsynced content except for a torn prefix of random size."""
+        self.power_cut.set()
+        self.power_cut = anyio.Event()
         for name in list(self.files):
             if name not in self.synced:
                 del self.files[name]
@@ -369,8 +381,10 @@
         seed=1,
         memory_replicas=(),
         timeouts=replicas.DEFAULT_TIMEOUTS,
+        min_voters=replicas.MAX_MEMBERS,
     ):
         self.timeouts = timeouts
+        self.min_voters = min_voters
         self.vms = (*vms, *memory_replicas)
         self.founders = tuple(vms)
         self.memory_replicas = tuple(memory_replicas)
@@ -389,6 +403,14 @@
         self.proposed = 0
         self.tasks = None
 
+    @contextlib.asynccontextmanager
+    async def running(self):
+        """Starts every replica; on exit, ends writes and cancels them all."""
+        async with super().running():
+            yield self
+            for disk in self.disks.values():
+                disk.cut_power()
+
     def start(self, vm):
         self.machines[vm] = RecordingMachine()
         replica = replicas.Replica(
@@ -401,26 +423,28 @@
             self.timers,
             self.rng,
             self.memory_replicas,
+            min_voters=self.min_voters,
             timeouts=self.timeouts,
         )
         self.replicas[vm] = replica
         self.network.handlers[vm] = {
-            name: self.crash_on_power_cut(vm, name, handler)
+            name: self.crash_on_power_cut(replica, name, handler)
             for name, handler in replica.handlers().items()
         }
         self.tasks.start_soon(self.run, vm, replica)
 
-    def crash_on_power_cut(self, vm, name, handler):
+    def crash_on_power_cut(self, replica, name, handler):
         """Returns a handler whose power cut crashes the whole replica."""
 
         async def handle(peer, message):
             try:
                 reply = await handler(peer, message)
                 if name.endswith('.vote'):
-                    self.record_vote(vm, message, reply)
+                    self.record_vote(replica.vm, message, reply)
                 return reply
             except PowerCutError:
-                self.crash(vm)
+                if self.replicas.get(replica.vm) is replica:
+                    self.crash(replica.vm)
                 raise errors.PeerLostError('power cut') from None
 
         return handle
