Have a voter join again that was removed while its disk failed

In a group that may shrink, a replica whose disk took no bytes for 25 s was removed after 15 s and never returned, though its disk was sound again; the same was so after 25 s of a hanging disk or of a cut connection.

Cause: without the entry that removed it, the replica takes itself for a voter. It campaigns for ever, the others refuse as it is no member, and only a replica that knows that it is no member asks to join.

If a leader names newer members without it, it asks that leader to admit it, with its incarnation, log and vote, of which it has lost nothing. The leader admits only after the removal is committed, so that a removal that is never committed changes nothing. The messages are the existing ones.

--- a/features/replication/failing_disks.feature
+++ b/features/replication/failing_disks.feature
@@ -235,6 +235,19 @@
       | for 30 s the disk of the leader hangs for 1.7 s every 4 s                 |
       | the leader crashes while the disk of the next candidate takes no bytes    |
 
+  Scenario Outline: A replica is removed while it cannot store entries, and does not join again
+    Given a group of 5 replicas that may shrink to 3, with 5 acknowledged commands
+    When <fault>
+    Then no outage is longer than 5 s
+    And every replica votes and has all acknowledged commands
+
+    Examples:
+      | fault                                        |
+      | the disks of a follower take no bytes for 25 s |
+      | the disks of the leader take no bytes for 25 s |
+      | the disks of a follower hang for 25 s        |
+      | a follower is cut off for 25 s               |
+
   Scenario: A replica whose disk has failed disturbs elections
     Given a group of 5 replicas with 5 acknowledged commands
     When the disk of the leader fails
--- a/features/steps/replication.py
+++ b/features/steps/replication.py
@@ -243,6 +243,16 @@
     context.snapshot_after = replicas.SNAPSHOT_AFTER_ENTRIES
     context.timeouts = replicas.DEFAULT_TIMEOUTS
     context.delay_seconds = fakes.DELAY_SECONDS
+    context.min_voters = replicas.MAX_MEMBERS
+
+
+@behave.given(
+    'a group of {count:d} replicas that may shrink to {least:d}, with 5'
+    ' acknowledged commands'
+)
+def plan_shrinking_group(context, count, least):
+    plan_group(context, count)
+    context.min_voters = least
 
 
 @behave.given(
@@ -322,6 +332,7 @@
         VMS[: context.count],
         memory_replicas=memory_replicas,
         timeouts=context.timeouts,
+        min_voters=context.min_voters,
     )
     group.network.delay_seconds = context.delay_seconds
     kept = replicas.SNAPSHOT_AFTER_ENTRIES
@@ -1184,6 +1195,19 @@
     context.plan.append(fail)
 
 
+@behave.when('a follower is cut off for {seconds:g} s')
+def plan_cut_off_follower(context, seconds):
+    async def cut(group):
+        vm = followers(group)[0]
+        group.network.cut([vm], [one for one in group.vms if one != vm])
+        context.outage = await propose_regularly(group, seconds)
+        group.network.heal()
+        outage = await propose_regularly(group, 2 * MAX_OUTAGE_SECONDS)
+        context.outage = max(context.outage, outage)
+
+    context.plan.append(cut)
+
+
 @behave.then('no outage is longer than {seconds:g} s')
 def plan_outage_check(context, seconds):
     async def check(group):
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -514,6 +514,10 @@
         if self.timers.now() - quiet_since < timeout:
             return False
         await election.campaign(self)
+        if self.leader is None:
+            # In the background, since peers that do not reply must not delay
+            # the next campaign.
+            self.tasks.start_soon(startup.rejoin_if_removed, self)
         return True
 
     def check_quorum(self) -> None:
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -238,3 +238,32 @@
                 replica.reset_applied_state()
             await request_admission(replica, [reply])
             return
+
+
+async def rejoin_if_removed(replica: 'replicas.Replica') -> None:
+    """Joins again if the group has removed this voter meanwhile.
+
+    Without the entry that removed it, the replica takes itself for a voter,
+    and the others refuse its campaigns. It keeps its incarnation, log and
+    vote, since it has lost nothing. The leader admits it only after the
+    removal is committed.
+    """
+    now = replica.timers.now()
+    if now - replica.membership_checked_at < MEMBERSHIP_CHECK_SECONDS:
+        return
+    replica.membership_checked_at = now
+    replies = await identify_to_all(replica)
+    if replica.leader is not None:
+        return
+    for vm, reply in replies.items():
+        if reply['leader'] != vm or not reply['members']:
+            continue
+        if reply['members_index'] <= replica.members_index:
+            continue
+        members = log_entries.Members.unpack(reply['members'])
+        if members.get(replica.vm) is None:
+            eliot.log_message(
+                'replica:removed', group=replica.group, leader=vm
+            )
+            await request_admission(replica, [reply])
+            return
