Hand over and stop counting as a voter on a planned stop

A control VM that was stopped after its successor had started still counted as a sixth voter, so the loss of two disks at that moment left no leader for good. A stopped leader was missed for an election timeout.

On SIGTERM, a leader now steps down, tells the voters and has the one with the longest log campaign at once. A voter asks the leader to be removed: that happens if the voters are even and above min_voters, after a ready learner was promoted if there is one. The process waits for at most 2 s, and not at all if the leader has nothing to exchange. The new methods `leave` and `released` are unknown to peers of an earlier release: the stop then goes on without them.

Of an odd number above min_voters, a voter is not removed: seven with one gone need as many votes of the others as six do, and if all VMs are stopped at once, removals down to min_voters may leave most voters in one failure domain.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -132,3 +132,36 @@
       | 2       |
       | 5       |
       | 20      |
+
+  Scenario Outline: Two disks are lost at the moment in which a stopped VM ends
+    Given a control group of <size> replicas
+    When <count> VMs in a row are stopped 4 s after the start of a successor, beginning with <first>
+    And at once, <lost> lose their disks
+    Then a command is acknowledged within 12 s, and none is lost
+
+    Examples:
+      | size | count | first      | lost                      |
+      | 5    | 1     | a follower | two followers             |
+      | 5    | 1     | the leader | the leader and the newest |
+      | 5    | 2     | the leader | two followers             |
+      | 5    | 3     | a follower | the two newest            |
+      | 6    | 1     | the leader | two followers             |
+      | 7    | 2     | a follower | the leader and the newest |
+
+  Scenario Outline: A VM is stopped that has no successor
+    Given a control group of <size> replicas
+    When <which> is stopped without a successor
+    Then <voters> VMs vote, and a command is acknowledged within 1.5 s of the stop
+
+    Examples:
+      | size | which      | voters |
+      | 5    | a follower | 5      |
+      | 5    | the leader | 5      |
+      | 6    | a follower | 5      |
+      | 6    | the leader | 5      |
+      | 7    | the leader | 7      |
+
+  Scenario: A VM is stopped while the leader runs an earlier release
+    Given a control group of 5 replicas
+    When a follower is stopped that the leader does not understand
+    Then the stop ends within 2.5 s
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -8,6 +8,7 @@
 from features import fakes
 from greengagegw import errors
 from greengagegw.fleet import timing
+from greengagegw.replication import departure
 from greengagegw.replication import entries
 from greengagegw.replication import replica as replicas
 from greengagegw.replication import startup
@@ -506,3 +507,100 @@
 @behave.then('that voter keeps its state and stays a voter')
 def check_kept(context):
     play(context, context.play)
+
+
+# Planned stops.
+
+LEAVE_SECONDS = 2.0
+
+
+async def stop_vm(group, vm):
+    """Stops a VM as on SIGTERM, and returns how long that took."""
+    done = anyio.Event()
+    started_at = group.timers.now()
+
+    async def leave():
+        await departure.leave(group.replicas[vm], LEAVE_SECONDS)
+        done.set()
+
+    group.tasks.start_soon(leave)
+    await wait_for(group, done.is_set, LEAVE_SECONDS + 0.5)
+    return group.timers.now() - started_at
+
+
+@behave.when(
+    '{count:d} VMs in a row are stopped 4 s after the start of a successor,'
+    ' beginning with {which}'
+)
+def plan_stops(context, count, which):
+    async def stop(group):
+        for number in range(count):
+            chosen = which if number == 0 else 'a follower'
+            vm = choose(group, chosen)[0]
+            successor = f'{vm[0]}{len(vm)}{group.proposed}'
+            group.add(successor)
+            replace_seeds(group)
+            await advance_with_load(group, CATCH_UP_SECONDS - 1)
+            await stop_vm(group, vm)
+            group.retire(vm)
+            replace_seeds(group)
+
+    add_part(context, stop)
+
+
+@behave.when('at once, {which} lose their disks')
+def plan_disks_lost_at_once(context, which):
+    add_part(context, lambda group: lose_disks(group, choose(group, which)))
+
+
+@behave.when('{which} is stopped without a successor')
+def plan_stop(context, which):
+    async def stop(group):
+        vm = choose(group, which)[0]
+        before = len(group.acknowledged)
+        context.stop_seconds = await stop_vm(group, vm)
+        group.retire(vm)
+        context.seconds = context.stop_seconds + await wait_for_command(
+            group, before
+        )
+
+    context.parts = [stop]
+
+
+async def wait_for_command(group, before):
+    waited = 0.0
+    while len(group.acknowledged) == before:
+        assert waited < RECOVERY_SECONDS, describe(group)
+        propose_everywhere(group)
+        await group.advance(0.05)
+        waited += 0.05
+    return waited
+
+
+@behave.then(
+    '{count:d} VMs vote, and a command is acknowledged within {seconds:g} s of'
+    ' the stop'
+)
+def check_stop(context, count, seconds):
+    async def check(group):
+        await context.parts[0](group)
+        voters = group.leader().members.voters
+        assert len(voters) == count, voters
+        assert context.seconds <= seconds, context.seconds
+
+    play(context, check)
+
+
+@behave.when('a follower is stopped that the leader does not understand')
+def plan_stop_with_old_leader(context):
+    async def stop(group):
+        del group.network.handlers[group.leader().vm]['replica.g.leave']
+        context.stop_seconds = await stop_vm(group, followers(group)[0])
+
+    context.play = stop
+
+
+@behave.then('the stop ends within {seconds:g} s')
+def check_stop_seconds(context, seconds):
+    play(context, context.play)
+    assert context.stop_seconds <= seconds, context.stop_seconds
--- a/src/greengagegw/platform/control_role.py
+++ b/src/greengagegw/platform/control_role.py
@@ -16,6 +16,7 @@
 from . import instance_list
 from . import operator_application
 from . import process as processes
+from ..replication import departure
 from ..replication import replica as replicas
 from ..replication import roles as replica_roles
 from ..replication import status
@@ -29,6 +30,9 @@
 # a change of leader.
 QUOTA_DEBT_RATIO = 0.4
 CONTROL_STOP_DELAY_SECONDS = 0.5
+# Covers a hand-over, an election and two changes of the members, each of some
+# round trips of 0.11 s.
+LEAVE_TIMEOUT_SECONDS = 2.0
 
 
 def add_control_gauges(
@@ -156,7 +160,16 @@
     async with anyio.create_task_group() as tasks:
 
         async def stop() -> None:
-            await timers.sleep(CONTROL_STOP_DELAY_SECONDS)
+            available = (
+                settings.bounds.stop_seconds - processes.EXIT_RESERVE_SECONDS
+            )
+            async with anyio.create_task_group() as stopping:
+                stopping.start_soon(
+                    departure.leave,
+                    replica,
+                    min(LEAVE_TIMEOUT_SECONDS, available),
+                )
+                await timers.sleep(CONTROL_STOP_DELAY_SECONDS)
             eliot.log_message('process:stopped')
             process.stopped.set()
 
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -12,6 +12,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import functools
 import random
 import secrets
 import typing
@@ -23,6 +24,7 @@
 
 from .. import errors
 from .. import timers as timer_service
+from . import departure
 from . import election
 from . import entries as log_entries
 from . import log_replication
@@ -130,6 +132,8 @@
         self.leader_heard_at = timers.now()
         self.last_leader: str | None = None
         self.led_since = timers.now()
+        self.is_leaving = False
+        self.leaving: dict[str, float] = {}
         self.last_votes: dict[str, list[str]] = {}
         self.contact_times: dict[str, float] = {}
         self.match_index: dict[str, int] = {}
@@ -204,6 +208,11 @@
             f'{prefix}.join': self.on_join,
             f'{prefix}.propose': self.on_propose,
             f'{prefix}.export': self.on_export,
+            # Peers of an earlier release do not know the following.
+            f'{prefix}.leave': functools.partial(departure.on_leave, self),
+            f'{prefix}.released': functools.partial(
+                departure.on_released, self
+            ),
         }
 
     async def call_peer(
@@ -526,6 +535,7 @@
         self.leader = self.vm
         now = self.timers.now()
         self.led_since = now
+        self.leaving = {}
         self.contact_times = {vm: now for vm in self.members.voters}
         if self.last_leader in self.contact_times:
             # It may be lost, which must not be noticed later than the loss of
@@ -606,7 +616,7 @@
             self.vm,
             silences,
             log_replication.ready_learners(self),
-            frozenset(),
+            departure.leaving_voters(self),
             self.min_voters,
             reply_seconds,
         )
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -281,6 +281,8 @@
     since the group may need it or have to be recovered from it.
     """
     asked_at = replica.timers.now()
+    if replica.is_leaving:
+        return
     if asked_at - replica.membership_checked_at < MEMBERSHIP_CHECK_SECONDS:
         return
     replica.membership_checked_at = asked_at
