Search a model of member changes for broken rules

The scenarios of member changes play single schedules. Two small models now cover all of them within bounds: the decision of a leader for all members up to 9 voters and 3 learners, and all orders of elections, replication, changes and wiped logs on four or five replicas, with any subset reachable at each step.

They find seven planted mistakes: a promotion while a dead voter counts, removal from any number or never, a change before an entry of the own term is committed, two changes at once, and a state discarded on an uncommitted removal or on the word of an earlier leader.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -165,3 +165,34 @@
     Given a control group of 5 replicas
     When a follower is stopped that the leader does not understand
     Then the stop ends within 2.5 s
+
+  Scenario: The decision of a leader satisfies the rules for all members
+    Then each change of up to 9 voters and 3 learners satisfies the rules
+
+  Scenario Outline: A mistake in the decision of a leader is found
+    Then the check of all members finds this mistake: <mistake>
+
+    Examples:
+      | mistake                                         |
+      | a learner is promoted while a dead voter counts |
+      | a silent voter is removed from any number       |
+      | a silent voter is never removed                 |
+
+  Scenario Outline: No schedule of elections and changes loses a commit
+    Then all schedules of <kind> satisfy the rules
+
+    Examples:
+      | kind               |
+      | removals           |
+      | replicas that join |
+      | changes of five    |
+
+  Scenario Outline: A mistake in the rules of changes is found
+    Then a schedule of <kind> is found for this mistake: <mistake>
+
+    Examples:
+      | kind               | mistake                                                    |
+      | removals           | a change before an entry of the own term is committed      |
+      | changes of five    | two changes at once                                        |
+      | replicas that join | a state is discarded on an uncommitted removal             |
+      | replicas that join | a state is discarded on the word of an earlier leader      |
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -6,10 +6,12 @@
 import behave
 
 from features import fakes
+from features import membership_model
 from greengagegw import errors
 from greengagegw.fleet import timing
 from greengagegw.replication import departure
 from greengagegw.replication import entries
+from greengagegw.replication import membership
 from greengagegw.replication import replica as replicas
 from greengagegw.replication import startup
 
@@ -604,3 +606,125 @@
 def check_stop_seconds(context, seconds):
     play(context, context.play)
     assert context.stop_seconds <= seconds, context.stop_seconds
+
+
+# Models that are searched exhaustively.
+
+
+def promote_always(view):
+    if view.ready:
+        voter = entries.Member(min(view.ready), 'i', True)
+        return view.members.with_member(voter)
+    return membership.next_members(view)
+
+
+def remove_always(view):
+    silent = [
+        vm
+        for vm, seconds in view.silences.items()
+        if seconds >= membership.SILENT_VOTER_SECONDS
+        and vm in view.members.voters
+    ]
+    if silent:
+        return view.members.without(min(silent))
+    return membership.next_members(view)
+
+
+def remove_never(view):
+    members = membership.next_members(view)
+    if members and len(members.voters) < len(view.members.voters):
+        return None
+    return members
+
+
+WRONG_DECISIONS = {
+    'a learner is promoted while a dead voter counts': promote_always,
+    'a silent voter is removed from any number': remove_always,
+    'a silent voter is never removed': remove_never,
+}
+
+
+def settled_without_own_term(own_term, is_pending, members_index, committed):
+    return membership.is_settled(True, is_pending, members_index, committed)
+
+
+def settled_while_pending(own_term, is_pending, members_index, committed):
+    return own_term
+
+
+def removed_if_uncommitted(members, is_committed, *others):
+    return membership.is_removed(members, True, *others)
+
+
+def removed_by_any_leader(members, is_committed, leader_term, *others):
+    last_term = others[-1]
+    return membership.is_removed(members, is_committed, last_term, *others)
+
+
+WRONG_RULES = {
+    'a change before an entry of the own term is committed': (
+        membership_model.Rules(is_settled=settled_without_own_term)
+    ),
+    'two changes at once': (
+        membership_model.Rules(is_settled=settled_while_pending)
+    ),
+    'a state is discarded on an uncommitted removal': (
+        membership_model.Rules(is_removed=removed_if_uncommitted)
+    ),
+    'a state is discarded on the word of an earlier leader': (
+        membership_model.Rules(is_removed=removed_by_any_leader)
+    ),
+}
+# The smallest searches that find the mistakes.
+SEARCHES = {
+    'removals': {},
+    'replicas that join': {
+        'max_term': 2,
+        'are_voters_added': True,
+        'are_logs_wiped': True,
+    },
+    'changes of five': {
+        'voter_count': 5,
+        'max_term': 1,
+        'are_voters_added': True,
+    },
+}
+
+
+@behave.then(
+    'each change of up to {voters:d} voters and {learners:d} learners'
+    ' satisfies the rules'
+)
+def check_decisions(context, voters, learners):
+    count = membership_model.check_decisions(
+        membership.next_members, voters, learners
+    )
+    assert count > 1000, count
+
+
+@behave.then('the check of all members finds this mistake: {mistake}')
+def check_wrong_decision(context, mistake):
+    try:
+        membership_model.check_decisions(WRONG_DECISIONS[mistake])
+    except membership_model.ViolationError:
+        return
+    raise AssertionError('the mistake was not found')
+
+
+@behave.then('all schedules of {kind} satisfy the rules')
+def check_schedules(context, kind):
+    count = membership_model.search_schedules(
+        membership_model.Rules(), **SEARCHES[kind]
+    )
+    assert count > 100, count
+
+
+@behave.then('a schedule of {kind} is found for this mistake: {mistake}')
+def check_wrong_rules(context, kind, mistake):
+    try:
+        membership_model.search_schedules(
+            WRONG_RULES[mistake], **SEARCHES[kind]
+        )
+    except membership_model.ViolationError:
+        return
+    raise AssertionError('the mistake was not found')
