Tell the current history only with a list that the leader has read

A stream of unknown origin could go on at another version shortly after a change of leader, or before the leader had recorded a version: an unrecorded version serves streams while no recorded one is usable, and the new leader's cached list may be older than it.

The leader now tells the history only after it has read the instance list in its term and recorded it, and first records a newer list that it has read since. Both ways of recording share a lock.

Tests: features/fleet/origins.feature, 2 new scenarios, which both failed before: a new leader that cannot read the list told a history without v3, and a leader told one without a version in its list.

--- a/features/fleet/origins.feature
+++ b/features/fleet/origins.feature
@@ -91,6 +91,26 @@
     When the new leader of the fleet records versions
     Then only the leader of the fleet tells the current history, of v1, v2
 
+  Scenario: A new leader tells no current history before it has read the list
+    Its list may be older than a version that served streams meanwhile.
+
+    Given a fleet of 3 control VMs and 2 entry VMs
+    And the fleet holds version 5
+    When the fleet's servers change from v1 to v2
+    And the leader of the fleet fails, and the next one cannot read the list
+    Then no control VM of the fleet tells the current history
+    When the list of the fleet is readable again
+    Then only the leader of the fleet tells the current history, of v1, v2, v3
+
+  Scenario: The current history has all that the leader's list shows
+    A version may serve streams before it is recorded.
+
+    Given a fleet of 3 control VMs and 2 entry VMs
+    And the fleet holds version 5
+    When the fleet's servers change from v1 to v2
+    And a version v3 is listed that the leader of the fleet has not recorded
+    Then only the leader of the fleet tells the current history, of v1, v2, v3
+
   Scenario Outline: The services of a route are recorded by host and path prefix
     Given a history of routes <before>
     When they are replaced by routes <after>
--- a/features/fleet_world.py
+++ b/features/fleet_world.py
@@ -136,6 +136,7 @@
         self.scopes = {}
         self.instance_list = [instance()]
         self.list_reads = 0
+        self.is_list_readable = True
         self.boot_offset = 0.0
         self.quota_debt = 0.0
 
@@ -178,6 +179,8 @@
 
     async def read_list(self):
         self.list_reads += 1
+        if not self.is_list_readable:
+            raise errors.BackendError('the instance list is not readable')
         return tuple(self.instance_list)
 
     def start_entry(self, vm):
--- a/features/steps/origins.py
+++ b/features/steps/origins.py
@@ -266,6 +266,41 @@
     assert fleet.leader() is not None
 
 
+@behave.when(
+    'the leader of the fleet fails, and the next one cannot read the list'
+)
+@in_fleet
+async def when_next_cannot_read(context):
+    fleet = context.fleet
+    list_version(fleet, 'v3')
+    fleet.is_list_readable = False
+    fleet.crash(fleet.leader().vm)
+    await fleet.timers.advance(10.0)
+    assert fleet.leader() is not None
+
+
+@behave.when('the list of the fleet is readable again')
+@in_fleet
+async def when_readable(context):
+    context.fleet.is_list_readable = True
+    await context.fleet.timers.advance(2.0)
+
+
+@behave.when(
+    'a version {version} is listed that the leader of the fleet has not'
+    ' recorded'
+)
+@in_fleet
+async def when_not_recorded(context, version):
+    fleet = context.fleet
+    for control in fleet.controls.values():
+        control.history_keeper.update = idle
+    list_version(fleet, version)
+    await fleet.timers.advance(2.0)
+    store = fleet.controls[fleet.leader().vm].store
+    assert ('engine', version) not in store.history.version_entries
+
+
 @behave.then('no control VM of the fleet tells the current history')
 @in_fleet
 async def then_none_tells(context):
--- a/src/greengagegw/fleet/control.py
+++ b/src/greengagegw/fleet/control.py
@@ -181,6 +181,11 @@
             for one in self.instance_cache.packed
         ]
 
+    @property
+    def list_read_at(self) -> float:
+        """Timer seconds at which the newest instance list was requested."""
+        return self.instance_cache.read_at
+
     # Operations for operators.
 
     async def submit(self, command: bytes) -> list:
--- a/src/greengagegw/fleet/history_keeper.py
+++ b/src/greengagegw/fleet/history_keeper.py
@@ -41,6 +41,10 @@
     def listed_instances(self) -> list[instance_list.Instance]:
         """The backend servers of the newest instance list."""
 
+    @property
+    def list_read_at(self) -> float:
+        """Timer seconds at which the newest instance list was requested."""
+
     async def submit(self, command: bytes) -> list:
         """Returns the outcome of a command once it is committed."""
 
@@ -52,6 +56,8 @@
     """Writes the history on the leader, and compares it on the others.
 
     :ivar led_term: term in which this VM has asked the others as the leader.
+    :ivar led_since: timer seconds at which it began to write in that term.
+    :ivar recorded_list_at: timer seconds of the last list that it recorded.
     :ivar recorded_term: term in which this VM has written, as the leader,
         what its instance list and configuration show.
     :ivar is_compared: whether the history is known to be that of the group.
@@ -75,7 +81,10 @@
         self.control = control
         self.recorder = origin_history.HistoryRecorder()
         self.led_term: int | None = None
+        self.led_since = 0.0
+        self.recorded_list_at: float | None = None
         self.recorded_term: int | None = None
+        self.lead_lock = anyio.Lock()
         self.is_compared = False
         self.must_rewrite = False
         self.newest_number = -1
@@ -117,9 +126,10 @@
     ) -> list | None:
         """Returns the history of the group, None if this VM does not lead.
 
-        It has all that was committed before the call. Other VMs, and a new
-        leader that has recorded nothing yet, may not know versions that
-        served streams while nobody led.
+        It has all that was committed before the call, and all that the list
+        of this VM shows, since a version may serve streams shortly before it
+        is recorded. Other VMs, and a new leader that has not read the list
+        yet, may not know versions that served streams while nobody led.
 
         :raises ReplicationError: if no majority confirms it.
         """
@@ -127,6 +137,12 @@
         if not self.replica.is_leader:
             return None
         await self.control.wait_until_current()
+        if (
+            self.replica.is_leader
+            and self.replica.is_caught_up
+            and self.control.list_read_at != self.recorded_list_at
+        ):
+            await self.lead()
         history = self.store.history
         is_current = (
             self.replica.is_leader
@@ -167,6 +183,16 @@
             await self.compare()
 
     async def lead(self) -> None:
+        """Writes what has changed, as the leader.
+
+        :raises GatewayError: if it could not be written.
+        """
+        async with self.lead_lock:
+            await self.record_changes()
+
+    async def record_changes(self) -> None:
+        if not self.replica.is_leader:
+            return
         recorded = self.store.history
         if self.led_term != self.replica.term:
             term = self.replica.term
@@ -180,9 +206,11 @@
                 return
             self.recorder.reset()
             self.led_term = term
+            self.led_since = self.timers.now()
         # Each history takes an entry of the log, so its number is at most the
         # index of that entry, and that of a later leader is greater.
         number = self.replica.applied_index + 1
+        list_read_at = self.control.list_read_at
         history = self.recorder.update(
             recorded,
             self.control.listed_instances,
@@ -202,7 +230,11 @@
                 versions=sorted(history.version_entries),
             )
         self.is_compared = True
-        if self.replica.is_leader and self.replica.term == self.led_term:
+        is_leading = (
+            self.replica.is_leader and self.replica.term == self.led_term
+        )
+        self.recorded_list_at = list_read_at
+        if is_leading and list_read_at >= self.led_since:
             self.recorded_term = self.led_term
 
     async def ask_others(self) -> origin_history.OriginHistory | None:
