Vote for a candidate that a newer log has admitted, and catch up in a term only

A voter that missed the entry which admitted a successor refused it as 'not a member'. If the successor alone held the newest entry, three of five voters with sound disks never elected a leader: it got no vote from the one that lagged, and the others could not win against its log. A voter now judges an unknown candidate by its log alone if that is newer than its own, since only a newer log can have admitted it. An equal or older one is refused as before.

A follower now counts as caught up only once it has applied an entry of the leader's term.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -196,3 +196,13 @@
       | changes of five    | two changes at once                                        |
       | replicas that join | a state is discarded on an uncommitted removal             |
       | replicas that join | a state is discarded on the word of an earlier leader      |
+
+  Scenario: A voter that lags refuses a candidate that was admitted meanwhile
+    Given a control group of 5 replicas
+    When the only VM with the newest entry is unknown to a voter that lags
+    Then a leader is elected and no acknowledged command is lost
+
+  Scenario: A replica counts as caught up with its snapshot after a restart of all
+    Given a control group of 5 replicas
+    When all replicas start again with a snapshot that lacks commands
+    Then none that lacks a command counts as caught up
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -728,3 +728,85 @@
     except membership_model.ViolationError:
         return
     raise AssertionError('the mistake was not found')
+
+
+# Voters that lag.
+
+
+@behave.when(
+    'the only VM with the newest entry is unknown to a voter that lags'
+)
+def plan_unknown_candidate(context):
+    async def lose_two_disks(group):
+        first = group.leader().vm
+        second, third, lagging, replaced = followers(group)
+        group.retire(replaced)
+        await group.advance(2)
+        group.network.cut([lagging], [first, second, third, 'x'])
+        group.founders = (*group.vms, 'x')
+        group.add('x')
+
+        def is_exchanged():
+            voters = group.leader().members.voters
+            return 'x' in voters and replaced not in voters
+
+        await wait_for(group, is_exchanged, 4)
+        await group.advance(0.3)
+        group.network.cut([third], [first, second, 'x'])
+        await group.propose_and_wait()
+        for vm in (first, second):
+            group.crash(vm)
+            group.lose_disk(vm)
+        group.network.heal()
+        await group.advance(2)
+        for vm in (first, second):
+            group.start(vm)
+        await wait_for(group, lambda: group.leader() is not None, 12)
+        await group.propose_and_wait()
+        await group.advance(5)
+        for vm, machine in group.machines.items():
+            if vm in group.replicas:
+                lost = set(group.acknowledged) - set(machine.applied)
+                assert not lost, (vm, lost)
+
+    context.play = lose_two_disks
+
+
+@behave.then('a leader is elected and no acknowledged command is lost')
+def check_elected(context):
+    play(context, context.play)
+
+
+@behave.when('all replicas start again with a snapshot that lacks commands')
+def plan_old_snapshots(context):
+    async def restart_all(group):
+        for _ in range(30):
+            await group.propose_and_wait()
+        for vm in list(group.replicas):
+            group.crash(vm)
+        await group.advance(1)
+        for vm in group.vms:
+            group.start(vm)
+        for _ in range(800):
+            await group.timers.advance(0.01)
+            for vm, replica in group.replicas.items():
+                missing = set(group.acknowledged) - set(
+                    group.machines[vm].applied
+                )
+                assert not (replica.is_caught_up and missing), vm
+        assert all(one.is_caught_up for one in group.replicas.values())
+
+    async def restart_with_snapshots(group):
+        kept = replicas.SNAPSHOT_AFTER_ENTRIES
+        replicas.SNAPSHOT_AFTER_ENTRIES = 20
+        try:
+            await restart_all(group)
+        finally:
+            replicas.SNAPSHOT_AFTER_ENTRIES = kept
+
+    context.play = restart_with_snapshots
+
+
+@behave.then('none that lacks a command counts as caught up')
+def check_caught_up(context):
+    play(context, context.play)
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -602,7 +602,14 @@
             self.log_refused_vote(candidate, term, self.role.value)
             return [self.term, False, '']
         async with self.lock_storage():
-            if not self.is_current_member(candidate, incarnation):
+            own_last_index = self.storage.last_index
+            own_last = (self.storage.term_at(own_last_index), own_last_index)
+            # A newer log may have admitted a candidate that is unknown here
+            # (Ongaro's dissertation, 2014, section 4.1).
+            if (
+                not self.is_current_member(candidate, incarnation)
+                and (last_term, last_index) <= own_last
+            ):
                 self.log_refused_vote(candidate, term, 'not a member')
                 return [self.term, False, self.incarnation]
             silence = self.timers.now() - self.last_contact_at
@@ -613,11 +620,7 @@
                 reason = 'has a leader' if has_leader else 'old term'
                 self.log_refused_vote(candidate, term, reason)
                 return [self.term, False, self.incarnation]
-            own_last_index = self.storage.last_index
-            is_log_current = (last_term, last_index) >= (
-                self.storage.term_at(own_last_index),
-                own_last_index,
-            )
+            is_log_current = (last_term, last_index) >= own_last
             if not is_log_current:
                 self.log_refused_vote(candidate, term, 'shorter log')
             if is_pre_vote:
@@ -946,7 +949,12 @@
             if min(leader_commit_index, last_appended) > self.commit_index:
                 self.commit_index = min(leader_commit_index, last_appended)
                 self.apply_committed()
-            if self.applied_index >= leader_commit_index:
+            # A leader may not know what is committed until it has committed an
+            # entry of its term.
+            if (
+                self.applied_index >= leader_commit_index
+                and self.storage.term_at(self.applied_index) == self.term
+            ):
                 self.is_caught_up = True
             return [self.term, True, last_appended, self.incarnation]
 
