Keep a disk while the admission of an empty one is not committed

A machine that was started once with an empty data folder and then again with its own wiped that one, though the group might never commit the admission of the empty one: the machine then counted as a voter without what it had acknowledged.

is_replaced trusted the newest list of members of any peer. Only replies of an earlier release, which do not tell this, are judged as before. A replica that starts with the older disk meanwhile is harmless, since votes and entries name the incarnation.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -120,6 +120,12 @@
     When a leader that reaches only one voter proposes to remove it
     Then that voter keeps its state and stays a voter
 
+  Scenario: A machine keeps its disk if its admission with an empty one is not committed
+    Given a control group of 5 replicas
+    When a voter joins with an empty disk at a leader without a majority
+    And it returns with its own disk
+    Then it keeps its state, and none is lost
+
   Scenario Outline: A machine returns with an old disk that has a snapshot
     Given a control group of 5 replicas that takes a snapshot every <entries> entries
     When 1 machines in a row are gone, each with a successor after 1 s, beginning with a follower
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -511,6 +511,56 @@
     play(context, context.play)
 
 
+@behave.when('a voter joins with an empty disk at a leader without a majority')
+def plan_uncommitted_admission(context):
+    async def join(group):
+        leader = group.leader()
+        vm, *others = followers(group)
+        context.vm, context.disk = vm, group.disks[vm]
+        context.incarnation = group.replicas[vm].incarnation
+        group.crash(vm)
+        group.lose_disk(vm)
+        group.start(vm)
+        # Its request to join reaches the leader, whose entry reaches nobody.
+        group.network.cut([leader.vm], others)
+        await wait_for(
+            group,
+            lambda: (
+                leader.members.get(vm).incarnation
+                == group.replicas[vm].incarnation
+            ),
+            0.9,
+        )
+        assert leader.members_index > leader.commit_index
+
+    add_part(context, join)
+
+
+@behave.when('it returns with its own disk')
+def plan_own_disk(context):
+    async def return_disk(group):
+        group.crash(context.vm)
+        group.disks[context.vm] = context.disk
+        group.start(context.vm)
+        await group.advance(3)
+
+    add_part(context, return_disk)
+
+
+@behave.then('it keeps its state, and none is lost')
+def check_state_kept(context):
+    async def check(group):
+        for part in context.parts:
+            await part(group)
+        replica = group.replicas[context.vm]
+        assert replica.incarnation == context.incarnation
+        assert replica.storage.last_index > 0
+        group.network.heal()
+        await check_recovery(group)
+
+    play(context, check)
+
+
 # Planned stops.
 
 LEAVE_SECONDS = 2.0
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -132,7 +132,13 @@
 
 
 def is_replaced(replica: 'replicas.Replica', reply: dict) -> bool:
-    """Returns whether this VM has joined again with a newer disk."""
+    """Returns whether this VM has joined again with a newer disk.
+
+    Only for peers of an earlier release: their replies do not tell whether
+    the admission of the newer disk is committed.
+    """
+    if 'are_members_committed' in reply:
+        return False
     if reply['members_index'] <= replica.members_index:
         return False
     members = log_entries.Members.unpack(reply['members'])
