Ignore late messages of a leader that has handed over

An entry that the leader had sent before it stepped down arrived after its `released` message, so voters believed in it again and refused the successor; and the old leader campaigned against its successor.

A follower no longer takes the leader of a released term for its leader, and the old leader waits for an election timeout before it campaigns.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -167,6 +167,11 @@
       | 6    | the leader | 5      |
       | 7    | the leader | 7      |
 
+  Scenario: A message of a leader that is stopped arrives after it has stepped down
+    Given a control group of 6 replicas with the random numbers of seed 10
+    When the leader is stopped without a successor
+    Then 5 VMs vote, and a command is acknowledged within 1.5 s of the stop
+
   Scenario: A VM is stopped while the leader runs an earlier release
     Given a control group of 5 replicas
     When a follower is stopped that the leader does not understand
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -61,6 +61,15 @@
     context.snapshot_after = replicas.SNAPSHOT_AFTER_ENTRIES
 
 
+@behave.given(
+    'a control group of {count:d} replicas with the random numbers of seed'
+    ' {seed:d}'
+)
+def set_count_and_seed(context, count, seed):
+    set_count(context, count)
+    context.seed = seed
+
+
 @behave.given(
     'a control group of {count:d} replicas that takes a snapshot every'
     ' {every:d} entries'
--- a/src/greengagegw/replication/departure.py
+++ b/src/greengagegw/replication/departure.py
@@ -81,6 +81,8 @@
     )
     term = replica.term
     replica.become_follower()
+    # It must not campaign against its successor.
+    replica.last_campaign_at += replica.timeouts.election_seconds
 
     async def tell(vm: str, is_successor: bool) -> None:
         try:
@@ -112,6 +114,7 @@
     if replica.term != term or replica.leader != peer:
         return
     replica.leader = None
+    replica.released_term = term
     member = replica.members.get(replica.vm)
     if is_successor and member is not None and member.is_voter:
         replica.tasks.start_soon(election.campaign, replica)
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -132,6 +132,7 @@
         self.leader_heard_at = timers.now()
         self.last_leader: str | None = None
         self.led_since = timers.now()
+        self.released_term = 0
         self.is_leaving = False
         self.leaving: dict[str, float] = {}
         self.last_votes: dict[str, list[str]] = {}
@@ -834,7 +835,9 @@
         await self.adopt_term(term)
         if self.role is not roles.Role.FOLLOWER:
             self.become_follower()
-        self.leader = self.last_leader = leader
+        self.last_leader = leader
+        # A message that the leader sent before it stepped down may come late.
+        self.leader = None if term == self.released_term else leader
         self.last_contact_at = self.leader_heard_at = self.timers.now()
 
     async def append_entries(self, added: list[log_entries.Entry]) -> None:
