--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -120,6 +120,12 @@
     When a leader that reaches only one voter proposes to remove it
     Then that voter keeps its state and stays a voter
 
+  Scenario: A machine keeps its disk if its admission with an empty one is not committed
+    Given a control group of 5 replicas
+    When a voter joins with an empty disk at a leader without a majority
+    And it returns with its own disk
+    Then it keeps its state, and none is lost
+
   Scenario Outline: A machine returns with an old disk that has a snapshot
     Given a control group of 5 replicas that takes a snapshot every <entries> entries
     When 1 machines in a row are gone, each with a successor after 1 s, beginning with a follower
@@ -161,6 +167,11 @@
       | 6    | the leader | 5      |
       | 7    | the leader | 7      |
 
+  Scenario: A message of a leader that is stopped arrives after it has stepped down
+    Given a control group of 6 replicas with the random numbers of seed 10
+    When the leader is stopped without a successor
+    Then 5 VMs vote, and a command is acknowledged within 1.5 s of the stop
+
   Scenario: A VM is stopped while the leader runs an earlier release
     Given a control group of 5 replicas
     When a follower is stopped that the leader does not understand
