Do not end control VMs on a command that cannot be applied

Callers saw: after one call of replica.control.propose with contents such as ["put", 1] or the byte 0xc1, from any authenticated peer, every control VM ended when the entry was committed, and again after each restart. The proposer got no reply.

Cause: Replica.on_propose appended any bytes, and neither Replica.apply_committed nor Store.apply expected an error, so the error left Replica.run.

Change: Store.apply checks the name and all arguments of a command with unpack_command before it changes anything. StateMachine has an optional function, check, which on_propose asks; a malformed command is refused with InvalidCommandError and logged as replica:command_refused. A committed command that raises is logged as replica:command_not_applied with its index and a reason of at most 200 characters, and its proposer gets InvalidCommandError. Commands with names of later releases are ignored as before. Wire and disk formats are unchanged.

Why it works: the check depends on the content only, so all replicas skip the same entries with the same state, also when the log is read at a restart. A MemoryError, which depends on the VM, still ends the replica. Not checked: the state machines of the claim ledger and of control/state.py, whose errors are caught, but which may change a part of their state before they raise.

Measured: the new scenario outline of features/fleet/orders.feature has 15 commands.

--- a/features/fleet/orders.feature
+++ b/features/fleet/orders.feature
@@ -122,3 +122,30 @@
       | 1        | the response is lost      | unknown |
       | 2        | the response is lost      | unknown |
       | 2        | the VM leads no longer    | not_run |
+
+  Scenario Outline: A malformed command ends no control VM
+    Given a fleet of 5 control VMs and 1 entry VMs
+    And the fleet holds version 4
+    When a peer proposes this malformed command: <command>
+    Then it is refused with a declared error, and no log contains it
+    When a leader without the check commits this malformed command: <command>
+    Then its proposer gets a declared error, and all stores stay as they were
+    And that is so after all control VMs restarted, and version 5 is stored
+
+    Examples:
+      | command                    |
+      | a document that is missing |
+      | a document with no end     |
+      | a document with a tail     |
+      | a version as text          |
+      | a reserved byte            |
+      | an empty list              |
+      | a list as the name         |
+      | a list as the domain       |
+      | text instead of an index   |
+      | no domain                  |
+      | a hold without traits      |
+      | a hold of one value        |
+      | a lift of a list           |
+      | a history that is missing  |
+      | a history of one value     |
--- a/features/fleet_world.py
+++ b/features/fleet_world.py
@@ -155,7 +155,9 @@
             vm,
             self.seeds,
             log_storage.Storage(disk),
-            replicas.StateMachine(store.apply, store.save, store.restore),
+            replicas.StateMachine(
+                store.apply, store.save, store.restore, stores.unpack_command
+            ),
             self.network.mesh(vm),
             self.timers,
             self.rng,
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -748,3 +748,115 @@
 def then_attempts(context, attempts, run):
     assert context.mesh.calls == attempts, context.mesh.calls
     assert context.error.run == run, context.error.run
+
+
+# Malformed commands.
+
+MALFORMED_COMMANDS = {
+    'a document that is missing': msgpack.packb(['put', 1]),
+    'a document with no end': msgpack.packb(
+        ['put', 9, zlib.compress(b'document')[:-1]]
+    ),
+    'a document with a tail': msgpack.packb(
+        ['put', 9, zlib.compress(b'document') + b'tail']
+    ),
+    'a version as text': msgpack.packb(['put', '9', zlib.compress(b'{}')]),
+    'a reserved byte': b'\xc1',
+    'an empty list': msgpack.packb([]),
+    'a list as the name': msgpack.packb([['put'], 1]),
+    'a list as the domain': msgpack.packb(['evacuate', ['x'], 1, 'a']),
+    'text instead of an index': msgpack.packb(['evacuate', 'z', '3', 'id']),
+    'no domain': msgpack.packb(['readmit']),
+    'a hold without traits': msgpack.packb(
+        ['hold', ['engine', [], 1.0, [], []]]
+    ),
+    'a hold of one value': msgpack.packb(['hold', ['engine']]),
+    'a lift of a list': msgpack.packb(['lift', ['x'], 1.0]),
+    'a history that is missing': msgpack.packb(['history', None]),
+    'a history of one value': msgpack.packb(['history', [1]]),
+}
+
+
+@behave.when('a peer proposes this malformed command: {command}')
+@in_fleet
+async def when_malformed_proposed(context, command):
+    fleet = context.fleet
+    leader = fleet.leader()
+    sender = next(vm for vm in fleet.control_vms if vm != leader.vm)
+    context.content = MALFORMED_COMMANDS[command]
+    context.saved = {
+        vm: one.store.save() for vm, one in fleet.controls.items()
+    }
+    context.outcome = await fleet.wait_for(
+        lambda: fleet.network.mesh(sender).call(
+            leader.vm, PROPOSE, context.content, 2.0
+        ),
+        5.0,
+    )
+
+
+@behave.then('it is refused with a declared error, and no log contains it')
+@in_fleet
+async def then_refused(context):
+    assert isinstance(context.outcome, errors.InvalidCommandError), (
+        context.outcome
+    )
+    await context.fleet.timers.advance(2.0)
+    assert not any(
+        entry.content == context.content
+        for replica in context.fleet.replicas.values()
+        for entry in replica.storage.entries
+    )
+
+
+@behave.when(
+    'a leader without the check commits this malformed command: {command}'
+)
+@in_fleet
+async def when_malformed_committed(context, command):
+    fleet = context.fleet
+    content = MALFORMED_COMMANDS[command]
+    context.outcome = await fleet.wait_for(
+        lambda: fleet.leader().propose(content), 5.0
+    )
+    await fleet.timers.advance(2.0)
+
+
+@behave.then(
+    'its proposer gets a declared error, and all stores stay as they were'
+)
+@in_fleet
+async def then_nothing_changed(context):
+    assert isinstance(context.outcome, errors.InvalidCommandError), (
+        context.outcome
+    )
+    check_stores(context)
+
+
+def check_stores(context):
+    fleet = context.fleet
+    assert set(fleet.controls) == set(fleet.control_vms)
+    for vm, one in fleet.controls.items():
+        assert one.store.save() == context.saved[vm], vm
+        assert any(
+            entry.content == context.content
+            for entry in one.replica.storage.entries
+        ), vm
+
+
+@behave.then(
+    'that is so after all control VMs restarted, and version {version:d} is'
+    ' stored'
+)
+@in_fleet
+async def then_same_after_restart(context, version):
+    fleet = context.fleet
+    for vm in fleet.control_vms:
+        fleet.crash(vm)
+    for vm in fleet.control_vms:
+        fleet.start(vm)
+    await fleet.timers.advance(10.0)
+    check_stores(context)
+    assert await fleet.put(version) == [True, version]
+    await fleet.timers.advance(2.0)
+    assert {one.store.version for one in fleet.controls.values()} == {version}
--- a/src/greengagegw/errors.py
+++ b/src/greengagegw/errors.py
@@ -380,6 +380,13 @@
     code = 'leadership_lost'
 
 
+class InvalidCommandError(NotRunError):
+    """A command is malformed; no replica changes its state because of it."""
+
+    status = 400
+    code = 'invalid_command'
+
+
 class CompactedError(ReplicationError):
     """The requested revision was compacted; the client must list again."""
 
--- a/src/greengagegw/fleet/store.py
+++ b/src/greengagegw/fleet/store.py
@@ -12,9 +12,11 @@
 import eliot
 import msgpack
 
+from .. import errors
 from .. import held_requests
 from . import orders
 from . import origin_history
+from ..ports import peers
 
 # The oldest hold yields to a new one.
 MAX_HOLDS = 256
@@ -24,6 +26,16 @@
 HOLD = 'hold'
 LIFT = 'lift'
 HISTORY = 'history'
+# What decoding a malformed command raises.
+MALFORMED_COMMAND_ERRORS = (
+    TypeError,
+    ValueError,
+    LookupError,
+    AttributeError,
+    OverflowError,
+    msgpack.UnpackException,
+    zlib.error,
+)
 # Values of a packed history, after which those of later releases follow.
 HISTORY_VALUES = 4
 
@@ -67,6 +79,77 @@
     return msgpack.packb([HISTORY, history.pack()])
 
 
+def unpack_command(content: bytes) -> tuple[str, list]:
+    """Returns the name and the arguments of a command.
+
+    The result depends on the content only, so all replicas agree on it.
+    Commands of later releases, which have other names, are not checked.
+
+    :raises InvalidCommandError: if the command is malformed.
+    """
+    try:
+        name, *arguments = msgpack.unpackb(content)
+        check = ARGUMENT_CHECKS.get(peers.check_text(name))
+        if check is not None:
+            check(*arguments)
+    except MALFORMED_COMMAND_ERRORS as error:
+        raise errors.InvalidCommandError(
+            f'malformed command: {type(error).__name__}: {error}'
+        ) from error
+    return name, arguments
+
+
+def check_put(version: typing.Any, packed: typing.Any) -> None:
+    if type(version) is not int:
+        raise TypeError('the version of a configuration is not whole')
+    if not isinstance(packed, bytes):
+        raise TypeError('a configuration is not bytes')
+    decompressor = zlib.decompressobj()
+    decompressor.decompress(packed)
+    # A snapshot appends the history to the document.
+    if not decompressor.eof or decompressor.unused_data:
+        raise ValueError('a configuration is not one compressed document')
+
+
+def check_order(
+    domain: typing.Any,
+    based_on: typing.Any = None,
+    order_id: typing.Any = '',
+    *_: typing.Any,
+) -> None:
+    peers.check_text(domain)
+    if based_on is not None:
+        peers.check_count(based_on)
+    peers.check_text(order_id)
+
+
+def check_hold(hold: typing.Any, *_: typing.Any) -> None:
+    held_requests.unpack_checked(hold)
+
+
+def check_lift(
+    hold_id: typing.Any, since: typing.Any = None, *_: typing.Any
+) -> None:
+    peers.check_text(hold_id)
+    if since is not None:
+        peers.check_number(since)
+
+
+def check_history(history: typing.Any, *_: typing.Any) -> None:
+    if origin_history.unpack_if_present(history) is None:
+        raise TypeError('a history is missing')
+
+
+ARGUMENT_CHECKS: dict[str, collections.abc.Callable[..., None]] = {
+    PUT: check_put,
+    EVACUATE: check_order,
+    READMIT: check_order,
+    HOLD: check_hold,
+    LIFT: check_lift,
+    HISTORY: check_history,
+}
+
+
 class Store:
     """State machine that keeps the highest configuration version.
 
@@ -107,8 +190,10 @@
         :returns: whether the state changed, and the current version. For an
             order on an evacuation that says what it is based on, also whether
             it took effect.
+        :raises InvalidCommandError: if the command is malformed; then the
+            state does not change.
         """
-        name, *arguments = msgpack.unpackb(content)
+        name, arguments = unpack_command(content)
         index = self.entry_index()
         self.orders.complete_after(index - 1)
         before = (self.version, self.evacuated)
--- a/src/greengagegw/platform/control_role.py
+++ b/src/greengagegw/platform/control_role.py
@@ -129,7 +129,9 @@
         process.vm,
         process.seeds(),
         log_storage.Storage(folder),
-        replicas.StateMachine(store.apply, store.save, store.restore),
+        replicas.StateMachine(
+            store.apply, store.save, store.restore, stores.unpack_command
+        ),
         process.mesh,
         timers,
         process.rng,
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -45,20 +45,31 @@
 # A new leader gives the voters this many heartbeats to reply.
 FIRST_REPLY_HEARTBEATS = 2
 STATE_POLL_SECONDS = 0.02
+# Bounds the log line and the error of a command that cannot be applied.
+MAX_REASON_CHARACTERS = 200
+
+
+def accept_any(content: bytes) -> None:
+    """Accepts every command, for state machines without a check."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateMachine:
     """The state machine that the log is applied to.
 
-    :ivar apply: applies a committed command and returns its outcome.
+    :ivar apply: applies a committed command and returns its outcome. If it
+        raises an error, it must have changed nothing, and raise it on all
+        replicas.
     :ivar save: returns the whole state as bytes, for a snapshot.
     :ivar restore: replaces the state by one from ``save``.
+    :ivar check: raises InvalidCommandError if a command is malformed. It is
+        asked before a command of a peer is proposed.
     """
 
     apply: collections.abc.Callable[[bytes], typing.Any]
     save: collections.abc.Callable[[], bytes]
     restore: collections.abc.Callable[[bytes], None]
+    check: collections.abc.Callable[[bytes], typing.Any] = accept_any
 
 
 class PendingProposal:
@@ -820,7 +831,26 @@
         self.proposal_queued.set()
         return proposal
 
-    async def on_propose(self, peer: str, content: bytes) -> typing.Any:
+    async def on_propose(self, peer: str, content: typing.Any) -> typing.Any:
+        """Proposes a command of a peer.
+
+        :raises InvalidCommandError: if it is malformed.
+        """
+        self.require_leader()
+        try:
+            if not isinstance(content, bytes):
+                raise errors.InvalidCommandError(
+                    f'a command is a {type(content).__name__}, not bytes'
+                )
+            self.machine.check(content)
+        except errors.InvalidCommandError as error:
+            eliot.log_message(
+                'replica:command_refused',
+                group=self.group,
+                peer=peer,
+                reason=error.message[:MAX_REASON_CHARACTERS],
+            )
+            raise
         return await self.propose(content)
 
     async def write_proposals(self) -> None:
@@ -1011,17 +1041,17 @@
         while self.applied_index < self.commit_index:
             index = self.applied_index + 1
             entry = self.storage.entries[index - self.storage.base_index - 1]
-            outcome = None
+            outcome, failure = None, None
             if self.is_machine_outdated:
                 self.machine.restore(self.initial_state)
                 self.is_machine_outdated = False
             if entry.kind is log_entries.EntryKind.COMMAND:
-                outcome = self.machine.apply(entry.content)
+                outcome, failure = self.apply_command(entry)
             self.applied_index = index
             proposal = self.pending_proposals.pop(index, None)
             if proposal is None:
                 continue
-            proposal.outcome = outcome
+            proposal.outcome, proposal.error = outcome, failure
             if proposal.term != entry.term:
                 proposal.error = errors.LostLeadershipError(
                     'the entry was overwritten by another leader'
@@ -1031,6 +1061,32 @@
         if applied_count >= SNAPSHOT_AFTER_ENTRIES and self.tasks is not None:
             self.tasks.start_soon(self.take_snapshot)
 
+    def apply_command(
+        self, entry: log_entries.Entry
+    ) -> tuple[typing.Any, errors.InvalidCommandError | None]:
+        """Returns the outcome of a command, or why it cannot be applied.
+
+        Such a command is in the log of every replica, so an error that ended
+        one of them would end all of them, again after each restart.
+        """
+        try:
+            return self.machine.apply(entry.content), None
+        except MemoryError:
+            # Depends on the VM: skipping the command would leave this replica
+            # with another state than the others.
+            raise
+        except Exception as error:
+            reason = f'{type(error).__name__}: {error}'[:MAX_REASON_CHARACTERS]
+            eliot.log_message(
+                'replica:command_not_applied',
+                group=self.group,
+                index=entry.index,
+                reason=reason,
+            )
+            return None, errors.InvalidCommandError(
+                f'the command cannot be applied: {reason}'
+            )
+
     async def take_snapshot(self) -> None:
         """Compacts the applied entries into a snapshot."""
         # A failure of the disk is logged where it is found.
