--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,8 @@
 	$(BIN)/python -m demo
 
 test: $(VENV)/installed lint binary
+	$(BIN)/python -m soak --rounds 1
+	$(BIN)/python -m soak --rounds 1 --scenario replacements
 	$(BIN)/python -m features.run
 
 # Options are in `python -m soak --help`.
