--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -217,3 +217,8 @@
     Given a control group of 5 replicas
     When all replicas start again with a snapshot that lacks commands
     Then none that lacks a command counts as caught up
+
+  Scenario: A replica whose disk was full at its start takes its snapshot for the empty state
+    Given a control group of 5 replicas
+    When a follower with a snapshot starts while its disk takes no bytes
+    Then its state machine is reset to the empty state
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -869,3 +869,34 @@
 @behave.then('none that lacks a command counts as caught up')
 def check_caught_up(context):
     play(context, context.play)
+
+
+@behave.when('a follower with a snapshot starts while its disk takes no bytes')
+def plan_full_start(context):
+    async def start_full(group):
+        empty = group.machines[followers(group)[0]].__class__().save()
+        vm = followers(group)[0]
+        group.crash(vm)
+        group.disks[vm].fill(1.0)
+        group.start(vm)
+        await group.advance(5)
+        replica = group.replicas[vm]
+        assert replica.is_loaded and replica.storage.snapshot is not None
+        assert replica.initial_state == empty, replica.initial_state
+
+    async def start_with_snapshots(group):
+        kept = replicas.SNAPSHOT_AFTER_ENTRIES
+        replicas.SNAPSHOT_AFTER_ENTRIES = 1
+        try:
+            await group.propose_and_wait()
+            await group.propose_and_wait()
+            await start_full(group)
+        finally:
+            replicas.SNAPSHOT_AFTER_ENTRIES = kept
+
+    context.play = start_with_snapshots
+
+
+@behave.then('its state machine is reset to the empty state')
+def check_empty_state(context):
+    play(context, context.play)
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -279,7 +279,8 @@
     async def load(self) -> None:
         """Loads the stored state and increments the count of starts."""
         await self.storage.load()
-        self.initial_state = self.machine.save()
+        if not self.initial_state:
+            self.initial_state = self.machine.save()
         if self.storage.snapshot is not None:
             self.restore(self.storage.snapshot)
         self.refresh_members()
