--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -11,6 +11,29 @@
     When a follower gets entries that do not follow its own
     Then it rejects them and its log has no gap
 
+  Scenario: A replica of an earlier release never catches up, and its leader sends snapshots without a pause
+    Given a control group of 3 replicas that takes a snapshot every 5 entries
+    When a follower accepts snapshots for 20 s without storing them
+    Then it gets at most one snapshot per heartbeat
+
+  Scenario: A replica that lost its log discards snapshots up to its commit index
+    Given a control group of 3 replicas that takes a snapshot every 5 entries
+    When a follower has lost its log, but not its commit index
+    Then it catches up within 5 s, and has applied each command once
+
+  Scenario: A restored disk with a snapshot fails at the start, and the replica counts changes twice
+    Given a control group of 3 replicas
+    When a follower with a snapshot comes back with an old disk that takes no bytes for 1 s
+    Then it catches up within 5 s, and has applied each command once
+
+  Scenario Outline: A state machine that is reset and gets the log again differs from the others
+    Then <machine> has the same state after a reset and the same commands
+
+    Examples:
+      | machine                     |
+      | the store of the platform   |
+      | the state of the table      |
+
   Scenario: A new leader changes the members before an entry of its term is committed
     Given a control group of 5 replicas
     When a VM joins at a new leader that has committed nothing of its term
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -7,8 +7,11 @@
 
 from features import fakes
 from features import membership_model
+from greengagegw.control import state as control_state
 from greengagegw import errors
+from greengagegw.fleet import store as stores
 from greengagegw.fleet import timing
+from greengagegw import held_requests
 from greengagegw.replication import departure
 from greengagegw.replication import entries
 from greengagegw.replication import membership
@@ -184,6 +187,159 @@
     play(context, context.play)
 
 
+# Replicas that cannot use what they have stored.
+
+
+@behave.when(
+    'a follower accepts snapshots for {seconds:g} s without storing them'
+)
+def plan_discarded_snapshots(context, seconds):
+    async def discard_snapshots(group):
+        for _ in range(5):
+            await group.propose_and_wait()
+        leader = group.leader()
+        assert leader.storage.base_index > 0, 'no snapshot was taken'
+        vm = followers(group)[0]
+        context.snapshot_count = 0
+
+        async def accept_snapshot(peer, message):
+            context.snapshot_count += 1
+            return [leader.term, True]
+
+        async def reject_entries(peer, message):
+            return [leader.term, False, 0, group.replicas[vm].incarnation]
+
+        handlers = group.network.handlers[vm]
+        handlers['replica.g.snapshot'] = accept_snapshot
+        handlers['replica.g.append'] = reject_entries
+        await group.advance(seconds)
+        limit = seconds / timing.CONTROL_TIMEOUTS.heartbeat_seconds
+        assert 0 < context.snapshot_count <= limit, context.snapshot_count
+
+    context.play = discard_snapshots
+
+
+@behave.then('it gets at most one snapshot per heartbeat')
+def check_snapshot_count(context):
+    play(context, context.play)
+
+
+@behave.when('a follower has lost its log, but not its commit index')
+def plan_lost_log(context):
+    async def lose_log(group):
+        for _ in range(5):
+            await group.propose_and_wait()
+        vm = followers(group)[0]
+        replica = group.replicas[vm]
+        async with replica.lock_storage():
+            await replica.storage.wipe(replica.incarnation)
+        return vm
+
+    context.play = lose_log
+
+
+@behave.when(
+    'a follower with a snapshot comes back with an old disk that takes no'
+    ' bytes for {seconds:g} s'
+)
+def plan_full_old_disk(context, seconds):
+    async def restore_disk(group):
+        # The leader has not compacted its log, and sends all of it again.
+        vm = followers(group)[0]
+        replicas.SNAPSHOT_AFTER_ENTRIES = 1
+        await group.replicas[vm].take_snapshot()
+        replicas.SNAPSHOT_AFTER_ENTRIES = context.snapshot_after
+        disk = group.disks[vm]
+        group.crash(vm)
+        saved = dict(disk.synced)
+        group.start(vm)
+        await group.advance(5)
+        group.crash(vm)
+        disk.files, disk.synced = dict(saved), dict(saved)
+        await group.propose_and_wait()
+        assert group.leader().storage.base_index == 0
+        disk.fill(seconds)
+        group.start(vm)
+        await group.advance(seconds)
+        return vm
+
+    context.play = restore_disk
+
+
+@behave.then(
+    'it catches up within {seconds:g} s, and has applied each command once'
+)
+def check_caught_up(context, seconds):
+    async def check(group):
+        vm = await context.play(group)
+
+        def has_caught_up():
+            applied = group.machines[vm].applied
+            leader = group.leader()
+            replica = group.replicas[vm]
+            return (
+                leader is not None
+                and replica.storage.last_index == leader.storage.last_index
+                and applied == group.machines[leader.vm].applied
+                and replica.is_up_to_date
+                and replica.applied_index == leader.applied_index
+            )
+
+        await wait_for(group, has_caught_up, seconds)
+        await group.propose_and_wait()
+        await group.advance(1)
+        group.check_acknowledged()
+
+    play(context, check)
+
+
+def commands_of_store():
+    hold = held_requests.Hold('service', ('trait',), 1.0, (), ())
+    return stores.Store(), [
+        stores.put_command(1, b'{}'),
+        stores.evacuate_command('domain', True, 0, 'order'),
+        stores.hold_command(hold),
+        stores.lift_command(hold.hold_id),
+    ]
+
+
+def commands_of_table():
+    table = (
+        'kind,name,weight,rate,burst,limit,home,bound,end\n'
+        'organisation,org,1,1,1,,,,\n'
+    )
+    key = {'id': 'k', 'digest': 'd', 'organisation': 'org', 'at': 1.0}
+    edits = [
+        ('put_table', {'text': table, 'based_on': 0}),
+        ('give_key', key),
+        ('withdraw_key', {'id': 'k'}),
+    ]
+    machine = control_state.ControlState(('region',), lambda event: None)
+    return machine, [
+        control_state.encode_command(name, f'edit-{name}', arguments)
+        for name, arguments in edits
+    ]
+
+
+@behave.then(
+    '{machine} has the same state after a reset and the same commands'
+)
+def check_reset(context, machine):
+    state_machine, commands = {
+        'the store of the platform': commands_of_store,
+        'the state of the table': commands_of_table,
+    }[machine]()
+    initial = state_machine.save()
+    first = [state_machine.apply(command) for command in commands]
+    assert not any('error' in one for one in first), first
+    saved = state_machine.save()
+    assert saved != initial
+    state_machine.restore(initial)
+    again = [state_machine.apply(command) for command in commands]
+    assert again == first, (first, again)
+    assert state_machine.save() == saved
+
+
 # The rules of single-server changes.
 
 
--- a/src/greengagegw/control/state.py
+++ b/src/greengagegw/control/state.py
@@ -220,6 +220,9 @@
         configuration, edits, self.fence = msgpack.unpackb(
             content, raw=False, strict_map_key=False
         )
+        # A withdrawal that the state does not contain must not be kept: it
+        # would not count as a change when its entry is applied again.
+        self.configuration = Configuration()
         self.configuration.replace(configuration)
         self.edits = collections.OrderedDict(
             (edit_id, outcome) for edit_id, outcome in edits
--- a/src/greengagegw/replication/log_replication.py
+++ b/src/greengagegw/replication/log_replication.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import eliot
+
 from .. import errors
 
 if typing.TYPE_CHECKING:
@@ -32,10 +34,23 @@
     next_index = replica.storage.last_index + 1
     while replica.is_leader and replica.is_current_member(vm, incarnation):
         try:
+            has_sent_snapshot = False
             # The log may be compacted again while a snapshot is sent.
             while next_index <= replica.storage.base_index:
                 next_index = await send_snapshot(replica, vm)
-            next_index = await send_entries(replica, vm, next_index)
+                has_sent_snapshot = True
+            first_index = next_index
+            next_index = await send_entries(replica, vm, first_index)
+            if has_sent_snapshot and next_index < first_index:
+                # A member that accepts a snapshot without storing it, such as
+                # one of an earlier release, would get it again at once.
+                eliot.log_message(
+                    'replica:snapshot_not_stored',
+                    group=replica.group,
+                    member=vm,
+                    index=first_index - 1,
+                )
+                await replica.timers.sleep(replica.timeouts.heartbeat_seconds)
             if vm in ready_learners(replica):
                 replica.members_check_wanted.set()
         except errors.GatewayError:
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -124,7 +124,9 @@
         self.members = log_entries.Members(())
         self.members_index = 0
         self.former_voters: tuple[str, ...] = ()
-        self.initial_state = b''
+        # Saved before any snapshot is restored: a load that is repeated after
+        # a failure of the disk finds the state of the first attempt.
+        self.initial_state = machine.save()
         self.is_machine_outdated = False
         self.session = secrets.token_hex(8)
         self.commit_index = 0
@@ -267,7 +269,6 @@
     async def load(self) -> None:
         """Loads the stored state and increments the count of starts."""
         await self.storage.load()
-        self.initial_state = self.machine.save()
         if self.storage.snapshot is not None:
             self.restore(self.storage.snapshot)
         self.refresh_members()
@@ -990,7 +991,9 @@
             ):
                 return [self.term, False]
             self.incoming_snapshot += chunk
-            if is_last and index > self.commit_index:
+            # The commit index may be ahead of a log that was lost.
+            is_lost = index > self.storage.last_index
+            if is_last and (is_lost or index > self.commit_index):
                 snapshot = log_entries.Snapshot(
                     index,
                     snapshot_term,
@@ -998,6 +1001,9 @@
                     bytes(self.incoming_snapshot),
                 )
                 await self.storage.install_snapshot(snapshot)
+                if is_lost:
+                    # The entries after it are committed again as they come.
+                    self.commit_index = index
                 self.restore(snapshot)
                 self.refresh_members()
             if is_last:
