Step down when any step holds the storage lock for too long

A leader whose disk hung while it compacted its log kept leading for as long as the disk hung, and acknowledged nothing: 30 s without an acknowledgement with a hang of 30 s.

check_quorum measured only how long a batch of proposals was being written. A compaction holds the same lock, so the batch waited for it and its time never began, while heartbeats, which need no disk, kept the followers from electing.

lock_storage now notes since when the lock is held, and check_quorum steps down once that is an election timeout, with the same penalty as before. It covers each step that keeps entries from being written. The time replaces writing_since; the scenario of fleet.feature that sets the time of a hanging write sets the new attribute, with the same bounds.

--- a/features/replication/failing_disks.feature
+++ b/features/replication/failing_disks.feature
@@ -102,6 +102,20 @@
       | a follower                | 20      |
       | the leader and a follower | 20      |
 
+  Scenario Outline: A leader whose disk hangs while it compacts its log keeps leading
+    Given a group of 5 replicas that takes a snapshot every 20 entries
+    When the disk of the leader hangs for <seconds> s as it compacts its log
+    Then no outage is longer than 5 s
+    And the term has increased by at most 2
+    And no process has ended
+    And every replica votes and has all acknowledged commands
+
+    Examples:
+      | seconds |
+      | 0.7     |
+      | 3       |
+      | 30      |
+
   Scenario Outline: A write step fails, and its replica does not return
     Given a group of 5 replicas that takes a snapshot every 5 entries
     When the step <step> of the disks of <which> fails for 3 s
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -84,10 +84,10 @@
     leader = fleet.leader()
     lock = leader.storage_lock
     await lock.acquire()
-    leader.writing_since = fleet.timers.now()
+    leader.storage_held_since = fleet.timers.now()
     await fleet.timers.advance(5.0)
     assert not leader.is_leader
-    leader.writing_since = None
+    leader.storage_held_since = None
     lock.release()
 
 
--- a/features/steps/replication.py
+++ b/features/steps/replication.py
@@ -1036,6 +1036,33 @@
     plan_outage(context, which, seconds, lambda disk: disk.hang(seconds))
 
 
+@behave.when(
+    'the disk of the leader hangs for {seconds:g} s as it compacts its log'
+)
+def plan_hanging_compaction(context, seconds):
+    async def hang(group):
+        leader = group.leader()
+        disk = group.disks[leader.vm]
+        context.first_term = leader.term
+        install_snapshot = leader.storage.install_snapshot
+        hang_count = 0
+
+        async def hang_once(snapshot):
+            nonlocal hang_count
+            hang_count += 1
+            if hang_count == 1:
+                disk.hang(seconds)
+            await install_snapshot(snapshot)
+
+        leader.storage.install_snapshot = hang_once
+        context.outage = await propose_regularly(
+            group, seconds + 4 * MAX_OUTAGE_SECONDS
+        )
+        assert hang_count > 0, 'the leader did not compact its log'
+
+    context.plan.append(hang)
+
+
 @behave.when(
     'each write of the disks of {which} takes {duration:g} s for {seconds:g} s'
 )
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -151,7 +151,7 @@
         self.replication_wanted = anyio.Event()
         self.contacted = anyio.Event()
         self.members_check_wanted = anyio.Event()
-        self.writing_since: float | None = None
+        self.storage_held_since: float | None = None
         self.disk_fault_at = -math.inf
         self.last_write_seconds = 0.0
         self.slow_write_count = 0
@@ -213,11 +213,14 @@
         async with self.storage_lock:
             self.require_sound_disk()
             with anyio.CancelScope(shield=True):
+                self.storage_held_since = self.timers.now()
                 try:
                     yield
                 except errors.DiskFailedError as error:
                     self.stop_participating(error)
                     raise
+                finally:
+                    self.storage_held_since = None
 
     def require_sound_disk(self) -> None:
         if self.failure is not None:
@@ -566,12 +569,15 @@
     def check_quorum(self) -> None:
         """Steps down if no majority replies, or the disk stalls or is slow.
 
-        A leader whose disk stalls commits nothing, while another could.
+        A leader whose disk stalls commits nothing, while another could. That
+        is so whichever step holds the storage lock, since it keeps entries
+        from being written.
         """
         now = self.timers.now()
+        held_since = self.storage_held_since
         if (
-            self.writing_since is not None
-            and now - self.writing_since >= self.timeouts.election_seconds
+            held_since is not None
+            and now - held_since >= self.timeouts.election_seconds
         ):
             eliot.log_message('replica:disk_hangs', group=self.group)
             self.disk_fault_at = now
@@ -844,12 +850,11 @@
 
     async def write_queue(self) -> None:
         batch, self.proposal_queue = self.proposal_queue, []
-        self.writing_since = self.timers.now()
+        started_at = self.timers.now()
         try:
             await self.write_batch(batch)
         finally:
-            self.last_write_seconds = self.timers.now() - self.writing_since
-            self.writing_since = None
+            self.last_write_seconds = self.timers.now() - started_at
         is_slow = self.last_write_seconds >= election.SLOW_WRITE_SECONDS
         self.slow_write_count = self.slow_write_count + 1 if is_slow else 0
 
