--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -135,7 +135,9 @@
         self.members = log_entries.Members(())
         self.members_index = 0
         self.former_voters: tuple[str, ...] = ()
-        self.initial_state = b''
+        # Saved before any snapshot is restored: a load that is repeated after
+        # a failure of the disk finds the state of the first attempt.
+        self.initial_state = machine.save()
         self.is_machine_outdated = False
         self.session = secrets.token_hex(8)
         self.commit_index = 0
@@ -161,7 +163,7 @@
         self.replication_wanted = anyio.Event()
         self.contacted = anyio.Event()
         self.members_check_wanted = anyio.Event()
-        self.writing_since: float | None = None
+        self.storage_held_since: float | None = None
         self.disk_fault_at = -math.inf
         self.last_write_seconds = 0.0
         self.slow_write_count = 0
@@ -223,11 +225,14 @@
         async with self.storage_lock:
             self.require_sound_disk()
             with anyio.CancelScope(shield=True):
+                self.storage_held_since = self.timers.now()
                 try:
                     yield
                 except errors.DiskFailedError as error:
                     self.stop_participating(error)
                     raise
+                finally:
+                    self.storage_held_since = None
 
     def require_sound_disk(self) -> None:
         if self.failure is not None:
@@ -279,8 +284,6 @@
     async def load(self) -> None:
         """Loads the stored state and increments the count of starts."""
         await self.storage.load()
-        if not self.initial_state:
-            self.initial_state = self.machine.save()
         if self.storage.snapshot is not None:
             self.restore(self.storage.snapshot)
         self.refresh_members()
@@ -578,12 +581,15 @@
     def check_quorum(self) -> None:
         """Steps down if no majority replies, or the disk stalls or is slow.
 
-        A leader whose disk stalls commits nothing, while another could.
+        A leader whose disk stalls commits nothing, while another could. That
+        is so whichever step holds the storage lock, since it keeps entries
+        from being written.
         """
         now = self.timers.now()
+        held_since = self.storage_held_since
         if (
-            self.writing_since is not None
-            and now - self.writing_since >= self.timeouts.election_seconds
+            held_since is not None
+            and now - held_since >= self.timeouts.election_seconds
         ):
             eliot.log_message('replica:disk_hangs', group=self.group)
             self.disk_fault_at = now
@@ -878,12 +884,11 @@
 
     async def write_queue(self) -> None:
         batch, self.proposal_queue = self.proposal_queue, []
-        self.writing_since = self.timers.now()
+        started_at = self.timers.now()
         try:
             await self.write_batch(batch)
         finally:
-            self.last_write_seconds = self.timers.now() - self.writing_since
-            self.writing_since = None
+            self.last_write_seconds = self.timers.now() - started_at
         is_slow = self.last_write_seconds >= election.SLOW_WRITE_SECONDS
         self.slow_write_count = self.slow_write_count + 1 if is_slow else 0
 
@@ -1032,7 +1037,9 @@
             ):
                 return [self.term, False]
             self.incoming_snapshot += chunk
-            if is_last and index > self.commit_index:
+            # The commit index may be ahead of a log that was lost.
+            is_lost = index > self.storage.last_index
+            if is_last and (is_lost or index > self.commit_index):
                 snapshot = log_entries.Snapshot(
                     index,
                     snapshot_term,
@@ -1040,6 +1047,9 @@
                     bytes(self.incoming_snapshot),
                 )
                 await self.storage.install_snapshot(snapshot)
+                if is_lost:
+                    # The entries after it are committed again as they come.
+                    self.commit_index = index
                 self.restore(snapshot)
                 self.refresh_members()
             if is_last:
