Do not end a replica on a malformed reply of a peer

Cause: the callers in election, log_replication, startup and departure catch only GatewayError, and the errors of unpacking and comparing a reply left Replica.run.

Change: Replica.call_peer takes a check of the reply, from the new module replies. A malformed reply is logged as replica:malformed_reply with the peer, the method and a reason of at most 200 characters, and raises PeerProtocolError, which the callers handle as no reply. A stopping voter whose leader replies with a malformed message does not ask again.

Why it works: each reply is checked at the one place at which replies arrive, before any value of it is read.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -166,6 +166,39 @@
     When a follower is stopped that the leader does not understand
     Then the stop ends within 2.5 s
 
+  Scenario Outline: Malformed replies of one peer end no replica
+    Given a control group of 5 replicas that takes a snapshot every 10 entries
+    When a follower replies to <method> with <reply>
+    Then no replica ends while disks are lost and leaders change
+    And the log names that peer and <method>
+
+    Examples:
+      | method   | reply                                  |
+      | vote     | [1]                                    |
+      | vote     | ["x", true, "i"]                       |
+      | vote     | [9, true, []]                          |
+      | vote     | null                                   |
+      | append   | [1]                                    |
+      | append   | ["x", true, 0, "i"]                    |
+      | append   | [1, false, "x", "i"]                   |
+      | snapshot | [1]                                    |
+      | snapshot | ["x", true]                            |
+      | identify | [1]                                    |
+      | identify | {}                                     |
+      | identify | {"is_stale": false, "members_index": 1} |
+      | identify | "text"                                 |
+
+  Scenario Outline: A leader replies to a planned stop with a malformed reply
+    Given a control group of 5 replicas
+    When a follower is stopped whose leader replies with <reply>
+    Then the stop ends within 2.5 s
+
+    Examples:
+      | reply             |
+      | [1]               |
+      | {}                |
+      | {"is_voter": "x"} |
+
   Scenario: The decision of a leader satisfies the rules for all members
     Then each change of up to 9 voters and 3 learners satisfies the rules
 
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -4,6 +4,8 @@
 
 import anyio
 import behave
+import eliot
+import orjson
 
 from features import fakes
 from features import membership_model
@@ -608,6 +610,77 @@
     assert context.stop_seconds <= seconds, context.stop_seconds
 
 
+# Malformed replies.
+
+
+def reply_always(group, vm, method, reply):
+    async def handle(peer, message):
+        return orjson.loads(reply)
+
+    group.network.handlers[vm][f'replica.g.{method}'] = handle
+
+
+@behave.when('a follower replies to {method} with {reply}')
+def plan_malformed_replies(context, method, reply):
+    async def act(group):
+        vm = followers(group)[0]
+        context.peer = vm
+        reply_always(group, vm, method, reply)
+        # The next leader asks it for its vote and sends it entries.
+        group.crash(group.leader().vm)
+        await advance_with_load(group, 10)
+        # Another replica asks it at its start.
+        other = next(one for one in followers(group) if one != vm)
+        group.crash(other)
+        group.lose_disk(other)
+        group.start(other)
+        await advance_with_load(group, 5)
+        # With an empty disk, it is sent a snapshot.
+        group.crash(vm)
+        group.lose_disk(vm)
+        group.start(vm)
+        reply_always(group, vm, method, reply)
+        await advance_with_load(group, 10)
+        assert len(group.replicas) == 4, describe(group)
+        assert not group.failures, group.failures
+        await wait_for_command(group, len(group.acknowledged))
+
+    context.play = act
+
+
+@behave.then('no replica ends while disks are lost and leaders change')
+def check_none_ends(context):
+    messages = []
+    eliot.add_destinations(messages.append)
+    try:
+        play(context, context.play)
+    finally:
+        eliot.remove_destination(messages.append)
+    context.messages = messages
+
+
+@behave.then('the log names that peer and {method}')
+def check_malformed_reply_logged(context, method):
+    lines = [
+        one
+        for one in context.messages
+        if one.get('message_type') == 'replica:malformed_reply'
+    ]
+    assert lines
+    for one in lines:
+        assert (one['peer'], one['method']) == (context.peer, method), one
+        assert one['reason']
+
+
+@behave.when('a follower is stopped whose leader replies with {reply}')
+def plan_stop_with_malformed_reply(context, reply):
+    async def stop(group):
+        reply_always(group, group.leader().vm, 'leave', reply)
+        context.stop_seconds = await stop_vm(group, followers(group)[0])
+
+    context.play = stop
+
+
 # Models that are searched exhaustively.
 
 
--- a/src/greengagegw/replication/departure.py
+++ b/src/greengagegw/replication/departure.py
@@ -8,6 +8,7 @@
 
 from .. import errors
 from . import election
+from . import replies
 from . import roles
 
 if typing.TYPE_CHECKING:
@@ -47,7 +48,9 @@
     """Returns whether to ask again later."""
     message = [replica.vm, replica.incarnation]
     try:
-        reply = await replica.call_peer(leader, 'leave', message)
+        reply = await replica.call_peer(
+            leader, 'leave', message, replies.check_leave
+        )
     except errors.GatewayError as error:
         eliot.log_message(
             'replica:leave_not_asked',
@@ -55,7 +58,8 @@
             leader=leader,
             reason=error.message,
         )
-        # A leader of an earlier release does not know the method.
+        # A leader of an earlier release does not know the method. One whose
+        # reply is malformed is not asked again either.
         return not isinstance(error, errors.PeerProtocolError)
     return reply['is_voter'] and reply['is_removable']
 
--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -7,6 +7,7 @@
 import eliot
 
 from .. import errors
+from . import replies
 from . import roles
 
 if typing.TYPE_CHECKING:
@@ -150,11 +151,11 @@
     finished = anyio.Event()
 
     async def request_vote(vm: str) -> None:
-        # The reason of a refusal is logged by the voter, and a failure of the
-        # own disk where it is found.
+        # The voter logs the reason of a refusal. A malformed reply and a
+        # failure of the own disk are logged where they are found.
         with contextlib.suppress(errors.GatewayError):
             peer_term, granted, incarnation = await replica.call_peer(
-                vm, 'vote', message
+                vm, 'vote', message, replies.check_vote
             )
             if granted and replica.is_current_member(vm, incarnation):
                 votes.add(vm)
--- a/src/greengagegw/replication/log_replication.py
+++ b/src/greengagegw/replication/log_replication.py
@@ -3,6 +3,7 @@
 import typing
 
 from .. import errors
+from . import replies
 
 if typing.TYPE_CHECKING:
     from . import replica as replicas
@@ -74,7 +75,7 @@
         # Set again by the reply; a late one must not leave an old time.
         replica.append_seconds.pop(vm, None)
     term, accepted, peer_index_hint, incarnation = await replica.call_peer(
-        vm, 'append', message
+        vm, 'append', message, replies.check_append
     )
     if term > replica.term:
         async with replica.lock_storage():
@@ -101,6 +102,7 @@
 
     :returns: the index of the next entry to send to the member.
     :raises ReplicationError: if the member rejects a chunk.
+    :raises PeerProtocolError: if its reply is malformed.
     """
     snapshot = replica.storage.snapshot
     size = len(snapshot.state)
@@ -116,7 +118,9 @@
             snapshot.state[offset:end],
             end >= size,
         ]
-        term, accepted = await replica.call_peer(vm, 'snapshot', message)
+        term, accepted = await replica.call_peer(
+            vm, 'snapshot', message, replies.check_snapshot
+        )
         if term > replica.term:
             async with replica.lock_storage():
                 await replica.adopt_term(term)
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -32,6 +32,7 @@
 from . import log_replication
 from . import membership
 from ..ports import peers
+from . import replies
 from . import roles
 from . import startup
 from . import status
@@ -45,7 +46,7 @@
 # A new leader gives the voters this many heartbeats to reply.
 FIRST_REPLY_HEARTBEATS = 2
 STATE_POLL_SECONDS = 0.02
-# Bounds the log line and the error of a command that cannot be applied.
+# Bounds the log lines and errors on malformed commands and replies.
 MAX_REASON_CHARACTERS = 200
 
 
@@ -252,10 +253,35 @@
         }
 
     async def call_peer(
-        self, vm: str, method: str, message: typing.Any
+        self,
+        vm: str,
+        method: str,
+        message: typing.Any,
+        check: collections.abc.Callable[
+            [typing.Any], typing.Any
+        ] = replies.accept_any,
     ) -> typing.Any:
+        """Returns the reply of a peer.
+
+        :param check: a function of the replies module.
+        :raises PeerProtocolError: if the reply is malformed.
+        """
         name = f'replica.{self.group}.{method}'
-        return await self.mesh.call(vm, name, message, CALL_TIMEOUT_SECONDS)
+        reply = await self.mesh.call(vm, name, message, CALL_TIMEOUT_SECONDS)
+        try:
+            return check(reply)
+        except replies.MALFORMED_REPLY_ERRORS as error:
+            reason = f'{type(error).__name__}: {error}'[:MAX_REASON_CHARACTERS]
+            eliot.log_message(
+                'replica:malformed_reply',
+                group=self.group,
+                peer=vm,
+                method=method,
+                reason=reason,
+            )
+            raise errors.PeerProtocolError(
+                f'{vm} sent a malformed reply to {method}: {reason}'
+            ) from error
 
     async def run(self) -> None:
         """Runs the replica until it is cancelled.
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -14,6 +14,7 @@
 from .. import errors
 from . import entries as log_entries
 from . import membership
+from . import replies as reply_checks
 from . import roles
 
 if typing.TYPE_CHECKING:
@@ -64,7 +65,9 @@
 
     async def identify_to(vm: str) -> None:
         with contextlib.suppress(errors.GatewayError):
-            replies[vm] = await replica.call_peer(vm, 'identify', message)
+            replies[vm] = await replica.call_peer(
+                vm, 'identify', message, reply_checks.check_identity
+            )
 
     others = {
         *replica.founders,
@@ -234,7 +237,9 @@
         if vm not in replies or not replies[vm]['members']:
             continue
         with contextlib.suppress(errors.GatewayError):
-            export = await replica.call_peer(vm, 'export', None)
+            export = await replica.call_peer(
+                vm, 'export', None, reply_checks.check_export
+            )
             if best is None or export[:2] > best[:2]:
                 best = export
     if best is None:
