Refuse malformed requests to join a group

Callers saw: a leader ended after a peer asked it to admit a replica whose incarnation is a list or a map. The entry was in its log by then.

Cause: Replica.on_join proposed the values as they came. The mesh confines an error of a handler to its call, but this one was raised later, in the task that replicates to the members.

Change: on_join raises PeerProtocolError unless both values are texts.

Why it works: the values are checked before they become a part of the log.

Measured: 3 new scenarios of members.feature.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -188,6 +188,17 @@
       | identify | {"is_stale": false, "members_index": 1} |
       | identify | "text"                                 |
 
+  Scenario Outline: A malformed request to join ends no replica
+    Given a control group of 5 replicas
+    When a peer asks the leader to admit <member>
+    Then it gets a protocol error, and the members stay as they were
+
+    Examples:
+      | member       |
+      | ["x", ["i"]] |
+      | ["x", {}]    |
+      | [[], "i"]    |
+
   Scenario Outline: A leader replies to a planned stop with a malformed reply
     Given a control group of 5 replicas
     When a follower is stopped whose leader replies with <reply>
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -672,6 +672,35 @@
         assert one['reason']
 
 
+@behave.when('a peer asks the leader to admit {member}')
+def plan_malformed_join(context, member):
+    async def ask(group):
+        leader = group.leader()
+        before = leader.members
+        outcomes = []
+
+        async def join():
+            try:
+                await group.network.mesh(followers(group)[0]).call(
+                    leader.vm, 'replica.g.join', orjson.loads(member), 1.0
+                )
+            except errors.GatewayError as error:
+                outcomes.append(error)
+
+        group.tasks.start_soon(join)
+        await advance_with_load(group, 5)
+        assert len(outcomes) == 1, outcomes
+        assert isinstance(outcomes[0], errors.PeerProtocolError), outcomes
+        assert group.leader().members == before, describe(group)
+
+    context.play = ask
+
+
+@behave.then('it gets a protocol error, and the members stay as they were')
+def check_join_refused(context):
+    play(context, context.play)
+
+
 @behave.when('a follower is stopped whose leader replies with {reply}')
 def plan_stop_with_malformed_reply(context, reply):
     async def stop(group):
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -414,6 +414,7 @@
 
     async def on_join(self, peer: str, message: list) -> None:
         vm, incarnation = message
+        _require_texts('join', vm, incarnation)
         self.require_leader()
         self.require_settled_members()
         if self.is_current_member(vm, incarnation):
@@ -1152,6 +1153,20 @@
     return proposal.outcome
 
 
+def _require_texts(method: str, *values: typing.Any) -> None:
+    """Checks values of a request that are stored or replicated.
+
+    :raises PeerProtocolError: if one of them is no text.
+    """
+    try:
+        for one in values:
+            peers.check_text(one)
+    except TypeError as error:
+        raise errors.PeerProtocolError(
+            f'a malformed request {method}: {error}'
+        ) from error
+
+
 def _pack_members(members: log_entries.Members) -> bytes:
     return msgpack.packb(members.pack())
 
