Read the memory and the descriptors of the machine from the settings

No process knew what its machine allows: `limits.memoryMb` and `limits.maxFds` of the platform's settings were not read, and the own interface had no such settings. Nothing else changes here.

--- a/src/greengagegw/platform/settings.py
+++ b/src/greengagegw/platform/settings.py
@@ -12,6 +12,7 @@
 # Part of the platform's rules that is in force where requests compete for
 # capacity.
 PRESSURE_CONTRACT = 'pressure'
+BYTES_PER_MEGABYTE = 1_000_000
 PORT = re.compile(r'[0-9]{1,5}', re.ASCII)
 MAX_PORT = 65535
 DEFAULT_FILE = '/etc/greengagegw/local.conf'
@@ -66,6 +67,9 @@
     :ivar is_first_start: whether the deployment starts for the first time,
         with empty disks.
     :ivar cores: processor cores that the process may use; 0 if unknown.
+    :ivar memory_bytes: memory that the process may use; 0 if unknown.
+    :ivar descriptors: file descriptors that the process may have open; 0 if
+        unknown.
     :ivar divides_capacity: whether classes and organisations compete for
         capacity, so that overloaded services are divided among them.
     :ivar max_lost_disks: how many disks may be lost at the same time.
@@ -89,6 +93,8 @@
     bounds: Bounds
     cores: float = 0.0
     divides_capacity: bool = False
+    memory_bytes: int = 0
+    descriptors: int = 0
 
 
 class SettingsFile:
@@ -310,6 +316,23 @@
             directory_ttl_seconds=reader.seconds('bounds.ttl_max_s', 2.0, 1.0),
         ),
         cores=decode_cores(reader),
+        memory_bytes=int(
+            BYTES_PER_MEGABYTE
+            * reader.parse(
+                'limits.memoryMb',
+                parse_non_negative,
+                'a non-negative number',
+                0.0,
+            )
+        ),
+        descriptors=int(
+            reader.parse(
+                'limits.maxFds',
+                parse_non_negative,
+                'a non-negative number',
+                0.0,
+            )
+        ),
     )
     if reader.problems:
         raise errors.SettingsError(tuple(reader.problems))
--- a/src/greengagegw/settings.py
+++ b/src/greengagegw/settings.py
@@ -12,6 +12,7 @@
 
 from . import errors
 
+BYTES_PER_MEGABYTE = 1_000_000
 Name = typing.Annotated[
     str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$')
 ]
@@ -74,6 +75,14 @@
 
 @settings_dataclass
 class Limits:
+    """Limits on requests, and of the machine.
+
+    :ivar memory_megabytes: memory that the process may use, in units of
+        1,000,000 bytes; by default that of the machine.
+    :ivar descriptors: file descriptors that the process may have open; by
+        default the soft resource limit of the process.
+    """
+
     header_bytes: Count = 16384
     body_bytes: Count = 4 * 1024 * 1024
     requests_in_flight: Count = 1000
@@ -86,6 +95,14 @@
         int, pydantic.Field(ge=0, le=100)
     ] = 10
     claims: Count = 100000
+    memory_megabytes: Count | None = None
+    descriptors: Count | None = None
+
+    @property
+    def memory_bytes(self) -> int | None:
+        if self.memory_megabytes is None:
+            return None
+        return self.memory_megabytes * BYTES_PER_MEGABYTE
 
 
 @settings_dataclass
