Bound the memory and the connections that clients' requests hold

What callers saw: a process on a small machine ended by memory, and with it everybody's requests, when clients sent many large bodies of legal size at once and stopped just short of their end. With more connections than descriptors, most ordinary callers got no answer at all.

Cause: nothing added up what the requests of a process hold. `body_bytes` bounds one request, and every connection of every listener buffered several hundred kilobytes beside it: the stream reader up to 128 KiB and one read of up to 256 KiB more, ten parts of a body in a queue, and an object for each part however small. Nothing bounded the number of connections.

Change: one account for all connections of a process (request_memory.py), derived from the memory of the machine. It counts what has arrived, with its copies, not what a head declares. If it is short, incomplete requests give way, large before small ones, of the address that holds most, what has stalled first; large requests that run may use three quarters of it. A request that gives way gets 503, not run, with Retry-After, and its connection is closed after the client has stopped sending, so that it can read the response. Each listener has a limit of connections, from descriptors and memory (connection_limit.py); the connection that waits longest gives way to a new one. A connection of its own (client_connection.py) passes hypercorn's protocol parts of 8 KiB in place of hypercorn's stream reader, and a body is one buffer. A client that reads nothing for 20 s is closed. The operators' address of the own interface had no time limit for a body; it has `body_seconds` now.

HTTP/2 and WebSocket, which nothing uses and no account covers, are refused (505, 403; an offer of h2c is ignored). The scenario that showed that their deferred imports work is replaced by one that shows the refusals.

--- /dev/null
+++ b/features/crowds/decisions.feature
@@ -0,0 +1,65 @@
+Feature: Who gives way when memory or connections are short
+  The decisions are replayed without sockets, in simulated time.
+
+  Scenario: A crowd of large bodies does not displace small requests
+    Given an account of 10 MB for requests
+    When 200 clients at 4 addresses send bodies of 1 MB that do not end
+    And 500 small requests arrive, run and end meanwhile
+    Then at no time more than 10 MB were held
+    And no small request was rejected
+
+  Scenario: A client that progresses is kept longer than one that does not
+    Given an account of 10 MB for requests
+    When 9 clients hold 1 MB each, and one of them has stalled for 5 seconds
+    And another client sends 2 MB
+    Then the stalled client was rejected first
+
+  Scenario: The address that holds most gives way first
+    Given an account of 10 MB for requests
+    When address a holds 8 bodies of 1 MB, and address b one of 1.5 MB
+    And another client sends 2 MB
+    Then only clients at address a were rejected
+
+  Scenario: Large requests that run leave room for small ones
+    Given an account of 10 MB for requests
+    When 20 requests of 1 MB have arrived completely
+    Then 3 of them run, and the others are rejected
+    And a request of 10 kB runs
+
+  Scenario: What has run to its end holds nothing
+    Given an account of 10 MB for requests
+    When 1000 requests of 1 MB arrive, run and end one after another
+    Then all of them ran, and nothing is held
+
+  Scenario: The connection that has waited longest gives way
+    Given a limit of 3 connections
+    When 2 connections have served a request, and 1 new one has not
+    And another connection comes
+    Then the new one was closed
+    When another connection comes
+    Then the second new one was closed
+
+  Scenario: A connection is refused while all others serve
+    Given a limit of 3 connections
+    When 3 connections serve requests
+    And another connection comes
+    Then it is refused
+
+  Scenario: A stalled body gives its connection to another one
+    Given a limit of 3 connections
+    When 3 connections wait for bodies, one of them for 2 seconds
+    And another connection comes
+    Then the stalled one was closed
+
+  Scenario Outline: The limits follow from the machine
+    Given a machine with <memory> MB and <descriptors> descriptors
+    Then requests may hold <requests> MB
+    And clients may have <connections> connections
+
+    Examples:
+      | memory | descriptors | requests | connections |
+      | 300    | 4100        | 110      | 2237        |
+      | 296    | 4096        | 108      | 2197        |
+      | 128    | 4100        | 24       | 488         |
+      | 296    | 400         | 108      | 60          |
+      | 64     | 400         | 8        | 60          |
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -9,6 +9,8 @@
 import msgpack
 
 from greengagegw import errors
+from greengagegw import intake
+from greengagegw import machine
 from greengagegw.replication import replica as replicas
 from greengagegw.replication import storage as log_storage
 from greengagegw import timers as timer_service
@@ -16,6 +18,12 @@
 DELAY_SECONDS = 0.005
 
 
+def limit_clients(timers):
+    """Returns a limit that no few clients meet."""
+    limits = machine.MachineLimits(300_000_000, 4096)
+    return intake.Intake(limits, timers).limit_clients()
+
+
 class NetworkFaults:
     """Faults that a network injects; the rates are probabilities.
 
--- a/features/program/start.feature
+++ b/features/program/start.feature
@@ -12,14 +12,15 @@
       | entry   | h2.connection wsproto httpx greengagegw.fleet.control     |
       | control | h2.connection wsproto httpx greengagegw.serving.dispatcher |
 
-  Scenario Outline: A protocol whose import is deferred still works
+  Scenario Outline: A protocol that the gateway does not speak is refused
     When a client of an imported role uses <protocol>
     Then the server answers with <answer>
 
     Examples:
-      | protocol  | answer                 |
-      | HTTP/2    | 00000004               |
-      | WebSocket | HTTP/1.1 101           |
+      | protocol           | answer       |
+      | HTTP/2             | HTTP/1.1 505 |
+      | an upgrade to h2c  | HTTP/1.1 404 |
+      | WebSocket          | HTTP/1.1 403 |
 
   Scenario: An unchanged settings file is decoded once
     Given a settings file of the platform
--- a/features/steps/abandoned_edits.py
+++ b/features/steps/abandoned_edits.py
@@ -10,6 +10,7 @@
 from features.steps.fleet import in_fleet
 from greengagegw.adapters import operator_http
 from greengagegw.control import state
+from greengagegw import timers as timer_service
 
 TOKEN = 'token'
 BODIES = {
@@ -48,13 +49,17 @@
     digest = hashlib.sha256(TOKEN.encode()).hexdigest()
     context.recorded = recorded = RecordingOperations()
     application = operator_http.OperatorApplication(
-        types.SimpleNamespace(operator_token_sha256=[digest]),
+        types.SimpleNamespace(
+            operator_token_sha256=[digest],
+            timeouts=types.SimpleNamespace(body_seconds=30.0),
+        ),
         recorded,
         None,
         recorded,
         None,
         dict,
         lambda: None,
+        timer_service.Timers(),
     )
     messages = [{'type': 'http.request', 'body': BODIES[method]}]
     context.responses = []
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -12,6 +12,7 @@
 import anyio.lowlevel
 import behave
 
+from features import fakes
 from features import fleet_world
 from features.steps.fleet import in_fleet
 from features import tcp_sockets
@@ -378,6 +379,8 @@
             (HOST, PORT),
             servers.ServerSettings(16384, 0.2, 1.0),
             stop.wait,
+            fakes.limit_clients(timers),
+            timers,
         )
         context.received = await exchange(
             f'GET / HTTP/{version}\r\nHost: h.example\r\n\r\n'.encode()
@@ -522,6 +525,7 @@
         await anyio.sleep_forever()
 
     async def run():
+        timers = timer_service.Timers()
         limits = servers.ServerSettings(16384, 15.0, 0.1)
         before = {one.getsockname() for one in tcp_sockets.open_sockets()}
         listener = await anyio.create_tcp_listener(
@@ -534,6 +538,8 @@
                 (HOST, PORT + 2),
                 limits,
                 anyio.sleep_forever,
+                fakes.limit_clients(timers),
+                timers,
             )
             tasks.start_soon(listener.serve, keep_open)
             # The connections of both clients of servers, and of the mesh.
--- a/features/steps/foreign_bytes.py
+++ b/features/steps/foreign_bytes.py
@@ -11,6 +11,7 @@
 import msgpack
 import orjson
 
+from features import fakes
 from features import fleet_world
 from features import odd_values
 from features.steps import foreign_entries
@@ -1100,8 +1101,9 @@
 
 @contextlib.asynccontextmanager
 async def serving_clients():
+    timers = timer_service.Timers()
     application = client_application.ClientApplication(
-        timer_service.Timers(), Answering(), lambda: False, lambda one: False
+        timers, Answering(), lambda: False, lambda one: False
     )
     stopped = anyio.Event()
     async with anyio.create_task_group() as tasks:
@@ -1111,6 +1113,8 @@
             CLIENT_ADDRESS,
             servers.ServerSettings(16384, 5.0, 1.0),
             stopped.wait,
+            fakes.limit_clients(timers),
+            timers,
         )
         yield
         stopped.set()
--- a/features/steps/operator_calls.py
+++ b/features/steps/operator_calls.py
@@ -8,6 +8,7 @@
 import anyio
 import behave
 
+from features import fakes
 from features.steps.fleet import in_fleet
 from greengagegw.adapters import servers
 from greengagegw import errors
@@ -80,8 +81,9 @@
 )
 @in_fleet
 async def when_sent(context, method, path, ending):
+    timers = timer_service.Timers()
     application = operator_application.OperatorApplication(
-        timer_service.Timers(), context.control
+        timers, context.control
     )
     stopped = anyio.Event()
     context.statuses = []
@@ -95,6 +97,8 @@
             (HOST, PORT),
             servers.ServerSettings(65536, 20.0, 0.1),
             stopped.wait,
+            fakes.limit_clients(timers),
+            timers,
         )
         await wait_for_server()
         operator.start()
--- a/features/steps/start.py
+++ b/features/steps/start.py
@@ -23,19 +23,22 @@
 import anyio
 from greengagegw.adapters import asgi
 from greengagegw.adapters import servers
+from greengagegw import intake, machine, timers as timer_service
+
+timers = timer_service.Timers()
+limits = machine.MachineLimits(300_000_000, 4096)
+limit = intake.Intake(limits, timers).limit_clients()
 
 async def application(scope, receive, send):
     if scope['type'] == 'lifespan':
         return await asgi.serve_lifespan(receive, send)
-    if scope['type'] == 'websocket':
-        await receive()
-        await send({{'type': 'websocket.accept'}})
-    await anyio.sleep_forever()
+    await asgi.send_response(send, 404, [], b'')
 
 async def main():
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(servers.serve, application, ({host!r}, 8080),
-            servers.ServerSettings(65536, 20.0, 0.1), anyio.sleep_forever)
+            servers.ServerSettings(65536, 20.0, 0.1), anyio.sleep_forever,
+            limit, timers)
         with anyio.fail_after(20):
             while True:
                 try:
@@ -45,9 +48,7 @@
                     await anyio.sleep(0.05)
             await stream.send({request!r})
             answer = await stream.receive()
-        # The type of an HTTP/2 frame is its fourth byte.
-        print(answer[:12].decode() if answer[:1] == b'H' else
-              '%08x' % answer[3])
+        print(answer[:12].decode())
         sys.stdout.flush()
         import os
         os._exit(0)
@@ -56,6 +57,8 @@
 """
 REQUESTS = {
     'HTTP/2': b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0',
+    'an upgrade to h2c': b'GET / HTTP/1.1\r\nhost: h\r\n'
+    b'connection: upgrade\r\nupgrade: h2c\r\n\r\n',
     'WebSocket': b'GET / HTTP/1.1\r\nhost: h\r\nconnection: upgrade\r\n'
     b'upgrade: websocket\r\nsec-websocket-version: 13\r\n'
     b'sec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n',
--- a/src/greengagegw/adapters/asgi.py
+++ b/src/greengagegw/adapters/asgi.py
@@ -8,12 +8,12 @@
 import anyio.lowlevel
 
 from .. import errors
+from .. import request_memory
 from .. import timers as timer_service
+from . import client_connection
 
 Receive = collections.abc.Callable[[], collections.abc.Awaitable[dict]]
 Send = collections.abc.Callable[[dict], collections.abc.Awaitable[None]]
-DRAIN_BYTES = 16 * 1024 * 1024
-DRAIN_SECONDS = 1.0
 # The end of a connection passes through some six callbacks of the event loop,
 # the stream reader and the HTTP server before ``receive`` returns it.
 READ_ROUNDS = 20
@@ -39,56 +39,57 @@
         that no more than that is buffered.
     :raises ClientDisconnected: if the client closes the connection.
     :raises RequestTimeoutError: if the body does not arrive in time.
+    :raises OverloadedError: if the requests of this VM need more memory than
+        there is.
     """
-    try:
-        check_content_length(scope, max_bytes)
-        return await read_chunks(receive, max_bytes, timers, timeout_seconds)
-    except errors.BodyTooLargeError:
-        await drain_body(receive, timers)
-        raise
+    check_content_length(scope, max_bytes)
+    connection = find_connection(scope)
+    with timers.move_on_after(timeout_seconds) as time_limit:
+        if connection is not None:
+            connection.start_body(time_limit.cancel)
+        body = await receive_body(receive, max_bytes)
+        if connection is not None and not connection.end_body(len(body)):
+            raise make_memory_error()
+        return body
+    if connection is not None and connection.is_rejected:
+        raise make_memory_error()
+    raise errors.RequestTimeoutError(
+        f'the body did not arrive within {timeout_seconds:g} s'
+    )
 
 
-async def read_chunks(
-    receive: Receive,
-    max_bytes: int,
-    timers: timer_service.Timers,
-    timeout_seconds: float,
-) -> bytes:
-    chunks = []
-    size = 0
-    is_complete = False
-    with timers.move_on_after(timeout_seconds):
-        while not is_complete:
+async def receive_body(receive: Receive, max_bytes: int) -> bytes:
+    # One buffer, whatever the sizes of the parts are.
+    body = bytearray()
+    try:
+        while True:
             message = await receive()
             if message['type'] == 'http.disconnect':
                 raise ClientDisconnected
-            chunks.append(message.get('body', b''))
-            size += len(chunks[-1])
-            if size > max_bytes:
+            body += message.get('body', b'')
+            if len(body) > max_bytes:
                 raise errors.BodyTooLargeError(
                     f'the body is larger than {max_bytes} bytes'
                 )
-            is_complete = not message.get('more_body', False)
-    if not is_complete:
-        raise errors.RequestTimeoutError(
-            f'the body did not arrive within {timeout_seconds:g} s'
-        )
-    return b''.join(chunks)
+            if not message.get('more_body', False):
+                return bytes(body)
+    finally:
+        # The traceback of an error refers to it.
+        body.clear()
 
 
-async def drain_body(receive: Receive, timers: timer_service.Timers) -> None:
-    """Discards the rest of a rejected body, within limits of size and time.
+def find_connection(
+    scope: dict,
+) -> client_connection.ClientConnection | None:
+    """Returns the connection of a request, None without a server."""
+    return scope.get('state', {}).get('connection')
 
-    Closing a connection with unread bytes resets it, and the client may then
-    never receive the error response.
-    """
-    size = 0
-    with timers.move_on_after(DRAIN_SECONDS):
-        while size < DRAIN_BYTES:
-            message = await receive()
-            size += len(message.get('body', b''))
-            if not message.get('more_body', False):
-                return
+
+def make_memory_error() -> errors.OverloadedError:
+    return errors.OverloadedError(
+        'the requests of this VM need more memory than there is',
+        retry_after=request_memory.RETRY_AFTER_SECONDS,
+    )
 
 
 def check_header_size(scope: dict, max_bytes: int) -> None:
--- a/src/greengagegw/adapters/operator_http.py
+++ b/src/greengagegw/adapters/operator_http.py
@@ -14,6 +14,7 @@
 from .. import metrics as metric_sets
 from .. import settings as settings_module
 from .. import table as tables
+from .. import timers as timer_service
 from . import asgi
 from . import client_http
 from ..control import operations as operation_sets
@@ -52,8 +53,10 @@
         metrics: metric_sets.Metrics,
         describe_status: collections.abc.Callable[[], dict],
         update_gauges: collections.abc.Callable[[], None],
+        timers: timer_service.Timers,
     ) -> None:
         self.settings = settings
+        self.timers = timers
         self.operations = operations
         self.view = view
         self.guard = guard
@@ -101,7 +104,7 @@
             for name, value in scope['headers']
         }
         self.authenticate(headers)
-        body = await read_body(receive)
+        body = await self.read_body(scope, receive)
         match = KEY_PATH_PATTERN.match(path)
         if match and method == 'DELETE':
             # Nothing undoes a withdrawal, so that it may come late.
@@ -124,6 +127,20 @@
             )
         raise errors.NotFoundError(f'unknown path {path}')
 
+    async def read_body(self, scope: dict, receive: asgi.Receive) -> bytes:
+        try:
+            return await asgi.read_body(
+                scope,
+                receive,
+                MAX_BODY_BYTES,
+                self.timers,
+                self.settings.timeouts.body_seconds,
+            )
+        except asgi.ClientDisconnected as error:
+            raise errors.BadRequestError(
+                'the connection closed before the end of the body'
+            ) from error
+
     def authenticate(self, headers: dict[str, str]) -> None:
         """Checks the operator's token.
 
@@ -231,25 +248,6 @@
     )
 
 
-async def read_body(receive: asgi.Receive) -> bytes:
-    chunks = []
-    size = 0
-    while True:
-        message = await receive()
-        if message['type'] == 'http.disconnect':
-            raise errors.BadRequestError(
-                'the connection closed before the end of the body'
-            )
-        chunks.append(message.get('body', b''))
-        size += len(chunks[-1])
-        if size > MAX_BODY_BYTES:
-            raise errors.BodyTooLargeError(
-                f'the body is larger than {MAX_BODY_BYTES} bytes'
-            )
-        if not message.get('more_body', False):
-            return b''.join(chunks)
-
-
 def read_edit_id(headers: dict[str, str]) -> str:
     """Returns the ID that identifies a resent edit, or an empty string.
 
--- a/src/greengagegw/fleet/metrics.py
+++ b/src/greengagegw/fleet/metrics.py
@@ -123,6 +123,7 @@
             registry=self.registry,
         )
 
+        self.gauges: dict[str, prometheus_client.Gauge] = {}
         # Finding a time series by its labels takes longer than updating it.
         self.find_series = functools.cache(
             lambda metric, label: metric.labels(label)
@@ -180,12 +181,19 @@
         name: str,
         help_text: str,
         read_value: collections.abc.Callable[[], float],
+        **labels: str,
     ) -> None:
-        """Adds a gauge whose value is read whenever metrics are scraped."""
-        gauge = prometheus_client.Gauge(
-            name, help_text, registry=self.registry
-        )
-        gauge.set_function(read_value)
+        """Adds a gauge whose value is read whenever metrics are scraped.
+
+        :param labels: of the time series; one gauge can have several.
+        """
+        gauge = self.gauges.get(name)
+        if gauge is None:
+            gauge = self.gauges[name] = prometheus_client.Gauge(
+                name, help_text, tuple(labels), registry=self.registry
+            )
+        series = gauge.labels(**labels) if labels else gauge
+        series.set_function(read_value)
 
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
--- a/src/greengagegw/metrics.py
+++ b/src/greengagegw/metrics.py
@@ -124,6 +124,32 @@
             'Bytes sent to other VMs',
             registry=registry,
         )
+        self.request_memory = prometheus_client.Gauge(
+            'greengagegw_request_memory_bytes',
+            "Memory that clients' requests hold",
+            registry=registry,
+        )
+        self.request_memory_limit = prometheus_client.Gauge(
+            'greengagegw_request_memory_limit_bytes',
+            "Memory that clients' requests may hold",
+            registry=registry,
+        )
+        self.client_connections = prometheus_client.Gauge(
+            'greengagegw_client_connections',
+            'Connections of clients and operators',
+            registry=registry,
+        )
+        self.client_connections_limit = prometheus_client.Gauge(
+            'greengagegw_client_connections_limit',
+            'Connections that clients and operators may have',
+            registry=registry,
+        )
+        self.intake_rejected = prometheus_client.Gauge(
+            'greengagegw_intake_rejected',
+            'Requests and connections that gave way, by reason',
+            ('reason',),
+            registry=registry,
+        )
 
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
--- a/src/greengagegw/platform/client_application.py
+++ b/src/greengagegw/platform/client_application.py
@@ -115,10 +115,7 @@
                 BODY_TIMEOUT_SECONDS,
             )
         request = decode_request(scope, body)
-        if self.rejects_request(request):
-            raise errors.StoppingError(
-                'this VM is shutting down', retry_after=0.05
-            )
+        self.check_stop(request)
         failure: errors.GatewayError | None = None
 
         async def handle() -> None:
@@ -130,8 +127,22 @@
                 failure = error
 
         await asgi.run_until_disconnect(receive, handle)
-        if failure is not None:
-            raise failure
+        try:
+            if failure is not None:
+                raise failure
+        finally:
+            # The error refers to this frame, and so to the body.
+            failure = None
+
+    def check_stop(self, request: ports.Request) -> None:
+        """Checks that a request does not come too late in a shutdown.
+
+        :raises StoppingError: if it does.
+        """
+        if self.rejects_request(request):
+            raise errors.StoppingError(
+                'this VM is shutting down', retry_after=0.05
+            )
 
 
 class ResponseWriter:
--- a/src/greengagegw/platform/control_role.py
+++ b/src/greengagegw/platform/control_role.py
@@ -119,7 +119,10 @@
             ('dataDir and listen.control: required for a control VM',)
         )
     process = processes.Process(
-        settings, settings_file, settings.internal_port_range[0]
+        settings,
+        settings_file,
+        settings.internal_port_range[0],
+        client_listeners=2,
     )
     timers = process.timers
     store = stores.Store()
@@ -191,7 +194,12 @@
             processes.EXIT_RESERVE_SECONDS / 2,
         )
         processes.serve(
-            tasks, application, settings.control_endpoint, allowed, process
+            tasks,
+            application,
+            settings.control_endpoint,
+            allowed,
+            process,
+            process.intake.limit_clients(),
         )
         if settings.directory_endpoint is not None:
             processes.serve(
@@ -200,6 +208,7 @@
                 settings.directory_endpoint,
                 allowed,
                 process,
+                process.intake.limit_clients(),
             )
         processes.serve(
             tasks,
@@ -207,6 +216,7 @@
             platform_settings.Endpoint(settings.host, CONTROL_METRICS_PORT),
             allowed,
             process,
+            process.intake.limit_internal(),
         )
         add_control_gauges(process, control)
         await process.stopped.wait()
--- a/src/greengagegw/platform/process.py
+++ b/src/greengagegw/platform/process.py
@@ -1,6 +1,7 @@
 """The process of a VM, as both roles need it."""
 
 import collections.abc
+import functools
 import random
 import signal
 import ssl
@@ -10,7 +11,11 @@
 import eliot
 
 from .. import __version__
+from .. import connection_limit
 from .. import errors
+from .. import intake as intakes
+from .. import machine
+from .. import request_memory
 from .. import timers as timer_service
 from ..adapters import asgi
 from ..adapters import peer_mesh
@@ -46,6 +51,7 @@
     :param settings_file: that the settings were read from; None for the
         platform's default.
     :param port: internal port that the mesh listens on.
+    :param client_listeners: how many listeners clients or operators have.
     :ivar leaving_since: timer seconds of the stop signal, None before.
     :ivar stopped: set when the servers are to shut down.
     :ivar reload_requested: set when the settings are to be read at once.
@@ -57,12 +63,18 @@
         settings: platform_settings.Settings,
         settings_file: str | None,
         port: int,
+        client_listeners: int = 1,
     ) -> None:
         self.settings = settings
         self.settings_file = settings_file
         self.vm = f'{settings.host}:{port}'
         self.port = port
         self.timers = timer_service.Timers()
+        self.intake = intakes.Intake(
+            machine.find_limits(settings.memory_bytes, settings.descriptors),
+            self.timers,
+            client_listeners,
+        )
         self.rng = random.Random()  # noqa: S311
         self.leaving_since: float | None = None
         self.stopped = anyio.Event()
@@ -112,6 +124,7 @@
         tasks.start_soon(self.mesh.run, listener)
         tasks.start_soon(self.watch_settings)
         self.measure_loop_lag()
+        self.intake.start_reporting()
         eliot.add_destinations(self.metrics)
         self.metrics.add_gauge(
             'greengagegw_loop_lag_seconds',
@@ -123,6 +136,37 @@
             'Bytes sent to other VMs',
             lambda: self.mesh.total_bytes_sent,
         )
+        self.add_intake_gauges()
+
+    def add_intake_gauges(self) -> None:
+        intake, add_gauge = self.intake, self.metrics.add_gauge
+        add_gauge(
+            'greengagegw_request_memory_bytes',
+            "Memory that clients' requests hold",
+            lambda: intake.memory.held_bytes,
+        )
+        add_gauge(
+            'greengagegw_request_memory_limit_bytes',
+            "Memory that clients' requests may hold",
+            lambda: intake.memory.limits.request_bytes,
+        )
+        add_gauge(
+            'greengagegw_client_connections',
+            'Connections of clients and operators',
+            lambda: intake.connections,
+        )
+        add_gauge(
+            'greengagegw_client_connections_limit',
+            'Connections that clients and operators may have',
+            lambda: intake.max_connections,
+        )
+        for reason in request_memory.REASONS:
+            add_gauge(
+                'greengagegw_intake_rejected',
+                'Requests and connections that gave way, by reason',
+                functools.partial(intake.memory.rejections.get, reason, 0),
+                reason=reason,
+            )
 
     def measure_loop_lag(self) -> None:
         """Measures how late the event loop calls a callback, regularly."""
@@ -203,6 +247,7 @@
     endpoint: platform_settings.Endpoint,
     server_settings: servers.ServerSettings,
     process: Process,
+    limit: connection_limit.ConnectionLimit,
 ) -> None:
     """Starts an HTTP server that runs until the process has stopped."""
     tasks.start_soon(
@@ -211,4 +256,6 @@
         endpoint.address,
         server_settings,
         process.stopped.wait,
+        limit,
+        process.timers,
     )
--- a/src/greengagegw/platform/roles.py
+++ b/src/greengagegw/platform/roles.py
@@ -150,6 +150,7 @@
             settings.client_endpoint,
             server_settings,
             process,
+            process.intake.limit_clients(),
         )
         processes.serve(
             tasks,
@@ -157,6 +158,7 @@
             settings.readiness_endpoint,
             server_settings,
             process,
+            process.intake.limit_internal(),
         )
         processes.serve(
             tasks,
@@ -164,6 +166,7 @@
             platform_settings.Endpoint(settings.host, ENTRY_METRICS_PORT),
             server_settings,
             process,
+            process.intake.limit_internal(),
         )
         add_entry_gauges(process, agent, dispatcher)
         await process.stopped.wait()
--- a/src/greengagegw/status.py
+++ b/src/greengagegw/status.py
@@ -68,6 +68,13 @@
     metrics.requests_in_flight.set(vm.gateway.total_in_flight)
     metrics.revision.set(vm.view.revision)
     metrics.peer_bytes_sent.set(vm.mesh.total_bytes_sent)
+    intake = vm.intake
+    metrics.request_memory.set(intake.memory.held_bytes)
+    metrics.request_memory_limit.set(intake.memory.limits.request_bytes)
+    metrics.client_connections.set(intake.connections)
+    metrics.client_connections_limit.set(intake.max_connections)
+    for reason, count in intake.memory.rejections.items():
+        metrics.intake_rejected.labels(reason).set(count)
     for server in vm.backend_pool.by_name.values():
         metrics.backend_server_load.labels(server.name).set(server.load(now))
         metrics.backend_server_limit.labels(server.name).set(
--- a/src/greengagegw/vm.py
+++ b/src/greengagegw/vm.py
@@ -16,8 +16,10 @@
 from . import fair_queue
 from . import forwarding
 from . import gateway as gateways
+from . import intake as intakes
 from . import load_polling
 from . import local_execution
+from . import machine
 from . import metrics as metric_sets
 from . import peer_exchange
 from . import region_routing
@@ -77,6 +79,13 @@
         self.stopped = anyio.Event()
         self.stop_requested = anyio.Event()
         self.guard = crash_guard.CrashGuard(timers)
+        self.intake = intakes.Intake(
+            machine.find_limits(
+                settings.limits.memory_bytes or 0,
+                settings.limits.descriptors or 0,
+            ),
+            timers,
+        )
         self.build_execution()
         self.build_membership()
         self.build_guard()
@@ -364,6 +373,7 @@
             self.metrics,
             functools.partial(status.describe_vm, self),
             functools.partial(status.update_gauges, self),
+            self.timers,
         )
 
     # Running.
@@ -418,6 +428,8 @@
             self.settings.callers.address,
             self.server_settings(),
             self.entry_closed.wait,
+            self.intake.limit_clients(),
+            self.timers,
         )
         tasks.start_soon(
             servers.serve,
@@ -425,7 +437,10 @@
             self.settings.operators.address,
             self.server_settings(),
             anyio.sleep_forever,
+            self.intake.limit_internal(),
+            self.timers,
         )
+        self.intake.start_reporting()
 
     def server_settings(self) -> servers.ServerSettings:
         return servers.ServerSettings(
