Reject from the head what the head decides, before a body is kept

What callers saw: 400 whole bodies of 1 MiB with an unknown key took a process to 296 MB; each got its 401 after the whole body had been kept.

Cause: key, route, rate and the limits of a planned stop were checked when the body was complete, although the head tells them.

Change: before more than 16 KiB of a body are kept, the head is checked (`check_head`): on the platform the stop, the route, the key and a full queue for the rate; on the own interface the requests in flight, the key, the path and the organisation's limit. The rejection is sent at once and what still arrives is discarded. The checks after the body stay as they are, since a key may be withdrawn meanwhile. A request of up to 16 KiB is checked once, as before.

Evidence: the rows without a key in features/crowds/crowds.feature.

--- a/features/crowds/crowds.feature
+++ b/features/crowds/crowds.feature
@@ -16,11 +16,14 @@
       | 150   | unfinished bodies in pieces           | the clients               |
       | 150   | unfinished bodies in large chunks     | the clients               |
       | 300   | unfinished bodies in chunks of a byte | the clients               |
+      | 150   | unfinished bodies                     | the clients without a key |
+      | 150   | unfinished bodies in large chunks     | the clients without a key |
 
     Examples: Whole bodies
       | count | requests                              | listener                  |
       | 400   | whole bodies                          | the clients               |
       | 400   | whole bodies in large chunks          | the clients               |
+      | 400   | whole bodies                          | the clients without a key |
 
     Examples: Heads and connections
       | count | requests                              | listener                  |
@@ -118,6 +121,7 @@
       | 150   | unfinished bodies in large chunks     | its clients                   |
       | 300   | unfinished bodies in chunks of a byte | its clients                   |
       | 250   | whole bodies                          | its clients                   |
+      | 400   | whole bodies                          | its clients without a key     |
       | 3000  | unfinished heads                      | its clients                   |
       | 150   | unfinished bodies                     | its operators                 |
       | 150   | unfinished bodies                     | its operators without a token |
--- a/src/greengagegw/adapters/asgi.py
+++ b/src/greengagegw/adapters/asgi.py
@@ -14,6 +14,8 @@
 
 Receive = collections.abc.Callable[[], collections.abc.Awaitable[dict]]
 Send = collections.abc.Callable[[dict], collections.abc.Awaitable[None]]
+# A body over this size waits until the head has been checked.
+CHECKED_BODY_BYTES = 16 * 1024
 # The end of a connection passes through some six callbacks of the event loop,
 # the stream reader and the HTTP server before ``receive`` returns it.
 READ_ROUNDS = 20
@@ -31,10 +33,13 @@
     max_bytes: int,
     timers: timer_service.Timers,
     timeout_seconds: float,
+    check_head: collections.abc.Callable[[], None] | None = None,
 ) -> bytes:
     """Returns the complete body of a request.
 
     :param timeout_seconds: limit for the whole body to arrive.
+    :param check_head: raises an error if the head shows that the request
+        will be rejected; called before a large body is kept.
     :raises BodyTooLargeError: as soon as the body is over ``max_bytes``, so
         that no more than that is buffered.
     :raises ClientDisconnected: if the client closes the connection.
@@ -42,12 +47,15 @@
     :raises OverloadedError: if the requests of this VM need more memory than
         there is.
     """
-    check_content_length(scope, max_bytes)
+    length = check_content_length(scope, max_bytes)
+    if check_head is not None and length > CHECKED_BODY_BYTES:
+        check_head()
+        check_head = None
     connection = find_connection(scope)
     with timers.move_on_after(timeout_seconds) as time_limit:
         if connection is not None:
             connection.start_body(time_limit.cancel)
-        body = await receive_body(receive, max_bytes)
+        body = await receive_body(receive, max_bytes, check_head)
         if connection is not None and not connection.end_body(len(body)):
             raise make_memory_error()
         return body
@@ -58,7 +66,11 @@
     )
 
 
-async def receive_body(receive: Receive, max_bytes: int) -> bytes:
+async def receive_body(
+    receive: Receive,
+    max_bytes: int,
+    check_head: collections.abc.Callable[[], None] | None,
+) -> bytes:
     # One buffer, whatever the sizes of the parts are.
     body = bytearray()
     try:
@@ -73,6 +85,9 @@
                 )
             if not message.get('more_body', False):
                 return bytes(body)
+            if check_head is not None and len(body) > CHECKED_BODY_BYTES:
+                check_head()
+                check_head = None
     finally:
         # The traceback of an error refers to it.
         body.clear()
@@ -105,9 +120,10 @@
         )
 
 
-def check_content_length(scope: dict, max_bytes: int) -> None:
+def check_content_length(scope: dict, max_bytes: int) -> int:
     """Checks the declared length of a request's body.
 
+    :returns: the length, 0 if there is none.
     :raises BadRequestError: if it is not a number.
     :raises BodyTooLargeError: if it is over ``max_bytes``.
     """
@@ -120,6 +136,8 @@
             raise errors.BodyTooLargeError(
                 f'the body is larger than {max_bytes} bytes'
             )
+        return int(value)
+    return 0
 
 
 async def run_until_disconnect(
--- a/src/greengagegw/adapters/client_http.py
+++ b/src/greengagegw/adapters/client_http.py
@@ -82,6 +82,9 @@
             limits.body_bytes,
             self.timers,
             self.settings.timeouts.body_seconds,
+            lambda: self.gateway.check_head(
+                parse_request(scope, b'', request_id)
+            ),
         )
         request = parse_request(scope, body, request_id)
 
--- a/src/greengagegw/fleet/quota.py
+++ b/src/greengagegw/fleet/quota.py
@@ -164,6 +164,15 @@
             retry_after=DEFAULT_RETRY_SECONDS,
         )
 
+    def check(self, name: str, tokens: float) -> None:
+        """Checks that a request may get its tokens, without spending them.
+
+        :raises RateLimitError: if it would be rejected at once.
+        """
+        quota = self.find_quota(name)
+        if quota.waiting:
+            self.reject_if_queue_full(name, quota, tokens)
+
     def rate_limit_error(
         self,
         name: str,
--- a/src/greengagegw/gateway.py
+++ b/src/greengagegw/gateway.py
@@ -122,12 +122,7 @@
     async def respond(
         self, request: clients.ClientRequest, outcome: RequestOutcome
     ) -> collections.abc.AsyncIterator[backends.Response]:
-        if self.total_in_flight > self.settings.limits.requests_in_flight:
-            raise errors.OverloadedError(
-                f'{self.settings.vm} has reached its limit of requests in'
-                ' flight',
-                retry_after=1,
-            )
+        self.check_in_flight(self.total_in_flight)
         self.check_loop(request)
         row = self.authenticate(request)
         outcome.organisation = row.name
@@ -136,6 +131,30 @@
             async with handler(request, row, outcome) as response:
                 yield response
 
+    def check_head(self, request: clients.ClientRequest) -> None:
+        """Checks a request whose body has not arrived.
+
+        :raises NotRunError: if the request will be rejected.
+        """
+        self.check_in_flight(self.total_in_flight + 1)
+        self.check_loop(request)
+        row = self.authenticate(request)
+        self.find_handler(request)
+        with self.limit_concurrency(row):
+            pass
+
+    def check_in_flight(self, count: int) -> None:
+        """Checks a number of requests against the limit.
+
+        :raises OverloadedError: if it is over the limit.
+        """
+        if count > self.settings.limits.requests_in_flight:
+            raise errors.OverloadedError(
+                f'{self.settings.vm} has reached its limit of requests in'
+                ' flight',
+                retry_after=1,
+            )
+
     def check_loop(self, request: clients.ClientRequest) -> None:
         """Rejects a request that passed through this deployment before.
 
--- a/src/greengagegw/platform/client_application.py
+++ b/src/greengagegw/platform/client_application.py
@@ -113,6 +113,7 @@
                 limits.body_bytes,
                 self.timers,
                 BODY_TIMEOUT_SECONDS,
+                lambda: self.check_head(scope),
             )
         request = decode_request(scope, body)
         self.check_stop(request)
@@ -134,6 +135,15 @@
             # The error refers to this frame, and so to the body.
             failure = None
 
+    def check_head(self, scope: dict) -> None:
+        """Checks what the head of a request tells before its body arrives.
+
+        :raises NotRunError: if the request will be rejected.
+        """
+        request = decode_request(scope, b'')
+        self.check_stop(request)
+        self.dispatcher.check_head(request)
+
     def check_stop(self, request: ports.Request) -> None:
         """Checks that a request does not come too late in a shutdown.
 
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -227,6 +227,17 @@
                     self.agent.quota_client.refund(job.organisation, cost)
                 raise
 
+    def check_head(self, request: ports.Request) -> None:
+        """Checks a request whose body has not arrived.
+
+        :raises NotRunError: if the request will be rejected.
+        """
+        _, _, organisation = self.planner.authorize(request, self.timers.now())
+        if organisation is not None and organisation.is_limited:
+            self.agent.quota_client.check(
+                organisation.name, find_cost(organisation, request)
+            )
+
     def record_duration(
         self, job: jobs.Job, response: ports.Response, arrived_at: float
     ) -> None:
@@ -355,14 +366,7 @@
         )
         if organisation is None or not organisation.is_limited:
             return 0.0
-        cost = 1.0
-        if organisation.counts_tokens:
-            prompt = job.request.prompt
-            cost = (
-                organisation.default_cost
-                if prompt is None
-                else prompt.total_tokens
-            )
+        cost = find_cost(organisation, job.request)
         await self.agent.quota_client.acquire(job.organisation, cost)
         return cost
 
@@ -752,6 +756,17 @@
             await execution.close()
 
 
+def find_cost(
+    organisation: configurations.Organisation, request: ports.Request
+) -> float:
+    """Returns what a request costs its organisation."""
+    if not organisation.counts_tokens:
+        return 1.0
+    if request.prompt is None:
+        return organisation.default_cost
+    return request.prompt.total_tokens
+
+
 def stream_key(job: jobs.Job, request_id: str) -> origin_table.StreamKey:
     return origin_table.StreamKey(job.organisation or '', request_id)
 
--- a/src/greengagegw/serving/planner.py
+++ b/src/greengagegw/serving/planner.py
@@ -21,6 +21,7 @@
 from . import cost_distribution
 from . import departures
 from ..fleet import agent as agents
+from ..fleet import configuration as configurations
 from ..fleet import instances
 from ..fleet import members
 from ..fleet import origin_history
@@ -189,28 +190,7 @@
         :param now: timer seconds at which the request arrived.
         :raises NotRunError: if the request may not be run.
         """
-        configuration = self.view.configuration
-        if configuration is None:
-            left = self.started_at + STARTUP_SECONDS - now
-            raise errors.NotReadyError(
-                'this VM has no configuration yet',
-                retry_after=self.add_jitter(
-                    max(MIN_RETRY_AFTER_SECONDS, left)
-                ),
-            )
-        route = configuration.find_route(request.host, request.path)
-        if route is None:
-            raise errors.NotFoundError('no route matches the host and path')
-        organisation = None
-        if configuration.needs_keys and not route.is_public:
-            if not self.agent.has_lease:
-                raise errors.LeaseError(
-                    'the key cannot be verified: this VM has no lease',
-                    retry_after=self.add_jitter(OUTAGE_SECONDS),
-                )
-            organisation = configuration.find_organisation(request.key)
-            if organisation is None:
-                raise errors.AuthenticationError('the API key is unknown')
+        configuration, route, organisation = self.authorize(request, now)
         service_name = route.choose_service(self.rng)
         service = configuration.services[service_name]
         timeout_seconds = request.client_timeout_seconds
@@ -240,6 +220,42 @@
         self.check_held(job)
         return job
 
+    def authorize(
+        self, request: ports.Request, now: float
+    ) -> tuple[
+        configurations.Configuration,
+        configurations.Route,
+        configurations.Organisation | None,
+    ]:
+        """Returns the configuration in force, and who may use which route.
+
+        :returns: no organisation for a route that needs no key.
+        :raises NotRunError: if the request may not be run.
+        """
+        configuration = self.view.configuration
+        if configuration is None:
+            left = self.started_at + STARTUP_SECONDS - now
+            raise errors.NotReadyError(
+                'this VM has no configuration yet',
+                retry_after=self.add_jitter(
+                    max(MIN_RETRY_AFTER_SECONDS, left)
+                ),
+            )
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            raise errors.NotFoundError('no route matches the host and path')
+        organisation = None
+        if configuration.needs_keys and not route.is_public:
+            if not self.agent.has_lease:
+                raise errors.LeaseError(
+                    'the key cannot be verified: this VM has no lease',
+                    retry_after=self.add_jitter(OUTAGE_SECONDS),
+                )
+            organisation = configuration.find_organisation(request.key)
+            if organisation is None:
+                raise errors.AuthenticationError('the API key is unknown')
+        return configuration, route, organisation
+
     def check_held(self, job: jobs.Job) -> None:
         """Checks that a request is not held back.
 
