Return the memory of large bodies to the system when they are freed

Cause: the allocator of the C library raises the size from which it returns blocks to the system, up to 32 MiB, once such a block has been freed. Bodies were then kept on the heap between small blocks, and growing ones were copied.

Change: the threshold is fixed at 128 KiB (mallopt), where the C library has that setting.

--- a/src/greengagegw/cli/platform.py
+++ b/src/greengagegw/cli/platform.py
@@ -8,6 +8,7 @@
 import anyio
 import click
 
+from .. import allocator
 from .. import logs
 from . import imports
 from ..platform import settings as platform_settings
@@ -31,6 +32,7 @@
 )
 def platform(role: str, file: str | None) -> None:
     """Runs an entry VM or a control VM on the Guild's platform."""
+    allocator.return_large_blocks()
     run = import_role(role)
     log_writer = logs.start_logging(time.monotonic)
     try:
--- a/src/greengagegw/cli/serve.py
+++ b/src/greengagegw/cli/serve.py
@@ -8,6 +8,7 @@
 import click
 import eliot
 
+from .. import allocator
 from .. import errors
 from .. import settings as settings_module
 from .. import vm as vms
@@ -30,6 +31,7 @@
 )
 def serve(file: str, log: click.utils.LazyFile) -> None:
     """Runs one VM until SIGTERM or SIGINT, then drains it."""
+    allocator.return_large_blocks()
     settings = settings_module.load(file)
     eliot.to_file(log)
     anyio.run(
