Count what responses hold that their clients do not read

What was seen: 900 clients that asked for 1 MB each and read nothing took an entry VM to 204 MB of 128 MB, by HTTP/1.1 as by HTTP/1.0.

Cause: a connection to a backend server buffered up to 64 KiB and one read of up to 256 KiB more, passed it on as one part, and a whole response for a client of HTTP/1.0 was collected without being counted.

Change: a connection to a backend server reads 8 to 32 KiB ahead; a response that waits for its client counts in the account of the requests' memory with what its connections hold; a collected response counts as it grows, and ends with 502 if there is no room; whole responses are written in parts. A large body is sent to a backend server without copying it together with the head.

--- a/features/crowds/crowds.feature
+++ b/features/crowds/crowds.feature
@@ -54,6 +54,18 @@
     Then an ordinary request is answered, while the crowd stays and after
     And the process has stayed within its memory and descriptors
 
+  Scenario Outline: Responses that nobody reads do not exhaust memory
+    Given VMs of the platform with 128 MB and 4100 descriptors
+    And a backend server with responses of 1000000 bytes
+    When 900 clients that read nothing send whole small bodies to <listener>
+    Then an ordinary request is answered, while the crowd stays and after
+    And the process has stayed within its memory and descriptors
+
+    Examples:
+      | listener                |
+      | the clients             |
+      | the clients in HTTP/1.0 |
+
   Scenario Outline: A crowd at a control VM does not exhaust its memory
     Given VMs of the platform with 128 MB and 4100 descriptors
     When <count> clients send <requests> to <listener>
--- a/src/greengagegw/adapters/asgi.py
+++ b/src/greengagegw/adapters/asgi.py
@@ -16,6 +16,8 @@
 Send = collections.abc.Callable[[dict], collections.abc.Awaitable[None]]
 # A body over this size waits until the head has been checked.
 CHECKED_BODY_BYTES = 16 * 1024
+# Parts in which a response is sent, each when the client has read the last.
+RESPONSE_PART_BYTES = 32 * 1024
 # The end of a connection passes through some six callbacks of the event loop,
 # the stream reader and the HTTP server before ``receive`` returns it.
 READ_ROUNDS = 20
@@ -100,6 +102,17 @@
     return scope.get('state', {}).get('connection')
 
 
+def memory_counter(
+    scope: dict,
+) -> collections.abc.Callable[[int], bool] | None:
+    """Returns what counts the bytes that a response needs.
+
+    It returns False if there is no room for them.
+    """
+    connection = find_connection(scope)
+    return None if connection is None else connection.extend
+
+
 def make_memory_error() -> errors.OverloadedError:
     return errors.OverloadedError(
         'the requests of this VM need more memory than there is',
@@ -233,9 +246,20 @@
     await send(
         {'type': 'http.response.start', 'status': status, 'headers': headers}
     )
+    if len(body) > RESPONSE_PART_BYTES:
+        await send_parts(send, body)
+        return
     await send({'type': 'http.response.body', 'body': body})
 
 
+async def send_parts(send: Send, body: bytes) -> None:
+    """Sends a body in parts, so that a slow client has few of them."""
+    content = memoryview(body)
+    for start in range(0, len(content), RESPONSE_PART_BYTES):
+        await send(make_chunk(content[start : start + RESPONSE_PART_BYTES]))
+    await send({'type': 'http.response.body', 'body': b''})
+
+
 async def send_chunk(send: Send, chunk: bytes) -> None:
     await send(make_chunk(chunk))
 
--- a/src/greengagegw/adapters/backend_connection.py
+++ b/src/greengagegw/adapters/backend_connection.py
@@ -26,8 +26,12 @@
 from .. import timers as timer_service
 
 MAX_HEAD_BYTES = 100 * 1024
+# A larger body is not copied to send it together with the head.
+MAX_COPIED_BYTES = 16 * 1024
+# What one read of a socket returns at most.
+SOCKET_READ_BYTES = 16 * 1024
 # Reading pauses while this much of a response waits for a slow client.
-MAX_BUFFERED_BYTES = 64 * 1024
+MAX_BUFFERED_BYTES = 16 * 1024
 # Idle connections that a pool keeps for longer than its shorter idle time.
 LONG_IDLE_CONNECTIONS = 2
 # Part of the time after which a server closes idle connections.
@@ -58,7 +62,11 @@
     request_id: bytes = b''
 
 
-class Connection(asyncio.Protocol):
+# All connections of the event loop read into one buffer, one after another.
+socket_buffer = bytearray(SOCKET_READ_BYTES)
+
+
+class Connection(asyncio.BufferedProtocol):
     """One connection, which runs one request at a time.
 
     :ivar received: bytes that were not parsed yet.
@@ -104,7 +112,13 @@
     def connection_made(self, transport: typing.Any) -> None:
         self.transport = transport
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, size_hint: int) -> bytearray:
+        return socket_buffer
+
+    def buffer_updated(self, count: int) -> None:
+        self.data_received(memoryview(socket_buffer)[:count])
+
+    def data_received(self, data: bytes | memoryview) -> None:
         self.received += data
         if self.on_idle_bytes is not None:
             self.on_idle_bytes()
@@ -188,16 +202,20 @@
                 target=request.target,
                 headers=request.headers,
             )
-            content = self.http.send(head)
+            parts = [self.http.send(head)]
             if request.body:
-                content += self.http.send(h11.Data(data=request.body))
-            content += self.http.send(h11.EndOfMessage())
+                parts.append(self.http.send(h11.Data(data=request.body)))
+            parts.append(self.http.send(h11.EndOfMessage()))
         except h11.LocalProtocolError as error:
             raise httpcore.LocalProtocolError(str(error)) from error
         self.is_first = not self.request_ids
         self.request_ids.add(request.request_id)
         if not self.has_ended:
-            self.transport.write(content)
+            if len(request.body or b'') > MAX_COPIED_BYTES:
+                # Without a copy of the body.
+                self.transport.writelines(parts)
+            else:
+                self.transport.write(b''.join(parts))
         if self.can_write is not None:
             await self.can_write
         while True:
--- a/src/greengagegw/adapters/client_connection.py
+++ b/src/greengagegw/adapters/client_connection.py
@@ -230,7 +230,7 @@
         unsent = self.transport.get_write_buffer_size()
         if phase is not request_memory.Phase.REJECTED:
             holding.phase = request_memory.Phase.STALLED
-        added = unsent
+        added = unsent + request_memory.RESPONSE_BUFFER_BYTES
         memory.add(holding, added)
         while not self.writable.is_set():
             with self.server.timers.move_on_after(SEND_STALL_SECONDS):
--- a/src/greengagegw/adapters/client_http.py
+++ b/src/greengagegw/adapters/client_http.py
@@ -128,7 +128,9 @@
         ]
         headers.append((b'x-request-id', self.request_id.encode()))
         if asgi.ends_by_close(self.scope, headers):
-            body = await streams.read_body(response.chunks)
+            body = await streams.read_body(
+                response.chunks, asgi.memory_counter(self.scope)
+            )
             self.is_started = True
             await asgi.send_response(self.send, response.status, headers, body)
             return
--- a/src/greengagegw/platform/client_application.py
+++ b/src/greengagegw/platform/client_application.py
@@ -181,7 +181,9 @@
         :raises BrokenStreamError: if the response ends early.
         """
         if asgi.ends_by_close(self.scope, response.headers):
-            body = await streams.read_body(response.chunks)
+            body = await streams.read_body(
+                response.chunks, asgi.memory_counter(self.scope)
+            )
             headers = [*response.headers, *self.connection_headers()]
             self.status = response.status
             await asgi.send_response(self.send, self.status, headers, body)
--- a/src/greengagegw/request_memory.py
+++ b/src/greengagegw/request_memory.py
@@ -25,6 +25,9 @@
 CONNECTION_BYTES = 24 * 1024
 # What the kernel may have received on a connection that is not read.
 KERNEL_BUFFER_BYTES = 64 * 1024
+# What a connection to a backend server keeps of a response while the client
+# does not read.
+RESPONSE_BUFFER_BYTES = 64 * 1024
 # A request that runs is kept for retries while a copy of it is sent.
 RUNNING_COPIES = 2
 # Requests up to this size can use all of the account, larger ones a part.
--- a/src/greengagegw/streams.py
+++ b/src/greengagegw/streams.py
@@ -162,9 +162,14 @@
     return read_usage(content) if isinstance(content, dict) else None
 
 
-async def read_body(chunks: collections.abc.AsyncIterator[bytes]) -> bytes:
+async def read_body(
+    chunks: collections.abc.AsyncIterator[bytes],
+    count_memory: collections.abc.Callable[[int], bool] | None = None,
+) -> bytes:
     """Returns a whole body.
 
+    :param count_memory: counts bytes that are kept, and returns whether
+        there is room for them.
     :raises BackendError: if it breaks off or is too large to buffer.
     """
     parts = []
@@ -176,4 +181,8 @@
             raise errors.BackendError(
                 f'the response exceeds {MAX_BUFFERED_BYTES} bytes'
             )
+        if count_memory is not None and not count_memory(len(chunk)):
+            raise errors.BackendError(
+                f'there is no memory for a response over {size} bytes'
+            )
     return b''.join(parts)
