Bound what a peer may send before it is authenticated

What was seen: 60 connections to the peers' address that each sent 4 MiB of a frame of 16 MiB took an entry VM to 296 MB and a control VM to 306 MB, and 600 connections without a byte took 621 descriptors of 400.

Cause: the limit on frames was that of authenticated peers also during the handshake, which may take 5 s, and nothing bounded the handshakes at a time.

Change: a frame of the handshake may have 16 KiB. Connections that are not authenticated are limited to a tenth of the descriptors (256 where nothing is set); the oldest one gives way. The queue of new connections of the listener is 1,024 instead of 65,536, since all of it may be accepted in one turn of the event loop.

--- a/features/crowds/crowds.feature
+++ b/features/crowds/crowds.feature
@@ -90,6 +90,17 @@
     Then an ordinary request is answered, while the crowd stays and after
     And the process has stayed within its memory and descriptors
 
+  Scenario Outline: Peers that do not authenticate do not exhaust memory
+    Given VMs of the platform with 128 MB and 4100 descriptors
+    When 60 clients send unfinished frames to <listener>
+    Then an ordinary request is answered, while the crowd stays and after
+    And the process has stayed within its memory and descriptors
+
+    Examples:
+      | listener               |
+      | the entry VM's peers   |
+      | the control VM's peers |
+
   Scenario Outline: Connections do not use up the descriptors of a process
     Given VMs of the platform with 296 MB and 400 descriptors
     When 600 clients send <requests> to <listener>
@@ -103,6 +114,7 @@
       | no requests       | the metrics         |
       | no requests       | the operators       |
       | no requests       | the lookups         |
+      | no requests       | the entry VM's peers |
       | unfinished heads  | the clients         |
       | unfinished bodies | the clients         |
       | unfinished bodies | the readiness probe |
--- a/src/greengagegw/adapters/handshake.py
+++ b/src/greengagegw/adapters/handshake.py
@@ -16,6 +16,8 @@
 from . import frames
 
 HANDSHAKE_TIMEOUT_SECONDS = 5.0
+# Far more than the names and nonces of a handshake take.
+MAX_FRAME_BYTES = 16 * 1024
 MAX_DESCRIBED_CHARACTERS = 100
 
 
--- a/src/greengagegw/adapters/peer_mesh.py
+++ b/src/greengagegw/adapters/peer_mesh.py
@@ -3,7 +3,6 @@
 import collections.abc
 import contextlib
 import dataclasses
-import functools
 import math
 import re
 import typing
@@ -25,6 +24,9 @@
 
 # Time after a failed dial during which further calls fail immediately.
 REDIAL_DELAY_SECONDS = 0.25
+# Accepted connections that are not authenticated yet. Beyond them the oldest
+# one is closed.
+MAX_HANDSHAKES = 256
 PORT = re.compile('[0-9]{1,5}', re.ASCII)
 
 
@@ -81,6 +83,8 @@
     that the peer dialled is separate and carries only the peer's own calls
     and streams.
 
+    :ivar handshaking: accepted sockets that are not authenticated yet, the
+        oldest first.
     :param find_peer: returns the address of a VM, or None if the VM is not a
         peer; by default the peers are the VMs in the settings.
     """
@@ -102,6 +106,8 @@
         self.find_peer = find_peer
         self.dialled: dict[str, peer_connection.Connection] = {}
         self.accepted: set[peer_connection.Connection] = set()
+        self.handshaking: dict[peer_socket.PeerSocket, None] = {}
+        self.max_handshakes = MAX_HANDSHAKES
         self.dial_locks: dict[str, anyio.Lock] = {}
         self.dial_failed_at: dict[str, float] = {}
         self.posting_to: set[str] = set()
@@ -124,7 +130,7 @@
                 await stack.enter_async_context(
                     peer_socket.accepting(
                         one.extra(anyio.abc.SocketAttribute.raw_socket),
-                        functools.partial(tasks.start_soon, self.accept),
+                        self.begin_handshake,
                     )
                 )
             self.schedule_check()
@@ -145,6 +151,15 @@
         for one in [*self.dialled.values(), *self.accepted]:
             one.check(now)
 
+    def begin_handshake(self, socket: peer_socket.PeerSocket) -> None:
+        """Serves an accepted socket; the oldest one may have to give way."""
+        self.handshaking[socket] = None
+        if len(self.handshaking) > self.max_handshakes:
+            oldest = next(iter(self.handshaking))
+            del self.handshaking[oldest]
+            oldest.close()
+        self.tasks.start_soon(self.accept, socket)
+
     async def accept(self, socket: peer_socket.PeerSocket) -> None:
         """Serves one connection that a peer dialled."""
         try:
@@ -157,7 +172,7 @@
             socket.close()
 
     async def serve(self, socket: peer_socket.PeerSocket) -> None:
-        reader = frames.FrameReader(socket, self.settings.limits.frame_bytes)
+        reader = frames.FrameReader(socket, handshake.MAX_FRAME_BYTES)
         peer = None
         try:
             with self.timers.move_on_after(
@@ -179,8 +194,11 @@
             peer = None
         except peer_connection.CONNECTION_LOST_ERRORS + (anyio.EndOfStream,):
             peer = None
+        finally:
+            self.handshaking.pop(socket, None)
         if peer is None:
             return
+        reader.max_body_bytes = self.settings.limits.frame_bytes
         connection = self.make_connection(socket, reader, peer, False)
         self.accepted.add(connection)
         try:
--- a/src/greengagegw/adapters/peer_socket.py
+++ b/src/greengagegw/adapters/peer_socket.py
@@ -16,7 +16,7 @@
 # Bytes that may wait to be written while the peer reads slowly. Up to here
 # frames are sent without waiting.
 MAX_UNSENT_BYTES = 65536
-LISTEN_BACKLOG = 65536
+LISTEN_BACKLOG = 1024
 
 
 class PeerSocket(asyncio.Protocol):
--- a/src/greengagegw/connection_limit.py
+++ b/src/greengagegw/connection_limit.py
@@ -11,6 +11,7 @@
 # Part of the other descriptors that accepted connections may use. The rest is
 # for backend servers, peers and files.
 ACCEPTED_SHARE = 0.6
+HANDSHAKE_SHARE = 0.1
 # Connections of a listener that only machines of the platform use.
 MAX_INTERNAL_CONNECTIONS = 32
 # An incomplete request without progress for so long may give way.
@@ -23,10 +24,12 @@
 
     :ivar clients: of all listeners for clients or operators together.
     :ivar internal: of each other listener.
+    :ivar handshakes: of peers that are not authenticated yet.
     """
 
     clients: int
     internal: int
+    handshakes: int
 
 
 def find_limits(limits: machine.MachineLimits) -> ConnectionLimits:
@@ -38,6 +41,7 @@
     return ConnectionLimits(
         max(min(accepted - 2 * internal, by_memory), 1),
         max(internal, 1),
+        max(int(available * HANDSHAKE_SHARE), 4),
     )
 
 
--- a/src/greengagegw/platform/process.py
+++ b/src/greengagegw/platform/process.py
@@ -98,6 +98,7 @@
             self.timers,
             peer_mesh.parse_address,
         )
+        self.mesh.max_handshakes = self.intake.connection_limits.handshakes
 
     @property
     def is_leaving(self) -> bool:
--- a/src/greengagegw/vm.py
+++ b/src/greengagegw/vm.py
@@ -86,6 +86,7 @@
             ),
             timers,
         )
+        self.mesh.max_handshakes = self.intake.connection_limits.handshakes
         self.build_execution()
         self.build_membership()
         self.build_guard()
