Count a forwarded request at the VM that runs it

What was read: the body of a request that another VM forwards is held a second time there, and nothing counted it.

Change: a forwarded request counts in the account of the VM that runs it while it is served, with its copies. Without room it is rejected as not run with the time to retry; the VM that took it tries other regions or passes that on.

--- a/features/crowds/decisions.feature
+++ b/features/crowds/decisions.feature
@@ -63,3 +63,10 @@
       | 128    | 4100        | 24       | 488         |
       | 296    | 400         | 108      | 60          |
       | 64     | 400         | 8        | 60          |
+
+  Scenario: A forwarded request that the VM has no room for is rejected
+    Given entry VMs in regions a and b, and requests that run in region b only
+    When the VM of region b has no room, and one of region a forwards 1 MB
+    Then the request was rejected as not run, and no engine got it
+    When a small request is forwarded
+    Then it is answered, and the VM of region b holds nothing
--- a/src/greengagegw/platform/roles.py
+++ b/src/greengagegw/platform/roles.py
@@ -91,6 +91,7 @@
         process.rng,
     )
 
+    dispatcher.memory = process.intake.memory
     agent.report_notices = lambda: pool.report_notices(timers.now())
     agent.report_retries = dispatcher.planner.retry_budgets.report
     dispatcher.planner.retry_budgets.report_soon = agent.report_retries_soon
--- a/src/greengagegw/request_memory.py
+++ b/src/greengagegw/request_memory.py
@@ -6,6 +6,7 @@
 
 import collections
 import collections.abc
+import contextlib
 import dataclasses
 import enum
 import heapq
@@ -23,11 +24,11 @@
 CONNECTION_SHARE = 0.25
 # A connection with its tasks and its buffers, without content.
 CONNECTION_BYTES = 24 * 1024
-# What the kernel may have received on a connection that is not read.
-KERNEL_BUFFER_BYTES = 64 * 1024
 # What a connection to a backend server keeps of a response while the client
 # does not read.
 RESPONSE_BUFFER_BYTES = 64 * 1024
+# What the kernel may have received on a connection that is not read.
+KERNEL_BUFFER_BYTES = 64 * 1024
 # A request that runs is kept for retries while a copy of it is sent.
 RUNNING_COPIES = 2
 # Requests up to this size can use all of the account, larger ones a part.
@@ -193,6 +194,18 @@
         self.set_size(holding, 0)
         holding.reject()
 
+    @contextlib.contextmanager
+    def hold(self, origin: str, size: int) -> collections.abc.Iterator[bool]:
+        """Counts a request that another VM has forwarded.
+
+        The context is whether there is room for it.
+        """
+        holding = self.open(origin, lambda: None)
+        try:
+            yield self.begin_running(holding, size)
+        finally:
+            self.close(holding)
+
     def begin_running(self, holding: Holding, size: int) -> bool:
         """Counts a complete request of a size with its copies.
 
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -16,6 +16,7 @@
 from .. import errors
 from .. import logs
 from .. import peer_exchange
+from .. import request_memory
 from .. import supervision
 from .. import timers as timer_service
 from . import backlog_exchange as backlog_exchange_module
@@ -55,6 +56,8 @@
 
     :ivar durations: of requests that this VM has handled.
     :ivar in_flight: the requests that are being handled.
+    :ivar memory: the account of the requests' memory; None if it is not
+        limited.
     :ivar stop: the planned stop of this VM, None before it begins.
     :ivar rejects_request: whether a new request is to be rejected before it
         is looked at further.
@@ -143,6 +146,7 @@
             request_cost.classify_duration
         )
         self.stop: stopping.Stop | None = None
+        self.memory: request_memory.RequestMemory | None = None
         self.rejects_request: collections.abc.Callable[
             [ports.Request], bool
         ] = self.is_late
@@ -649,7 +653,10 @@
             )
         job = self.create_forwarded_job(request, *decision)
         arrived_at = self.timers.now()
-        with self.in_flight.enter(arrived_at) as entered:
+        with (
+            self.hold_forwarded(peer, request),
+            self.in_flight.enter(arrived_at) as entered,
+        ):
             entered.attempts = job.attempts
             self.check_stop(job)
             async with self.run_locally(job, may_leave=False) as response:
@@ -664,6 +671,26 @@
                     await stream.send(chunk)
                 self.record_duration(job, response, arrived_at)
 
+    @contextlib.contextmanager
+    def hold_forwarded(
+        self, peer: str, request: ports.Request
+    ) -> collections.abc.Iterator[None]:
+        """Counts the memory of a forwarded request while it is served.
+
+        :raises OverloadedError: if there is no room for it.
+        """
+        if self.memory is None:
+            yield
+            return
+        with self.memory.hold(peer, len(request.body)) as has_room:
+            if not has_room:
+                raise errors.OverloadedError(
+                    f'the requests of {self.vm} need more memory than there'
+                    ' is',
+                    retry_after=request_memory.RETRY_AFTER_SECONDS,
+                )
+            yield
+
     def create_forwarded_job(
         self,
         request: ports.Request,
