Report a body limit that the memory cannot hold

`greengagegw check` accepted any pair of `limits.memory_megabytes` and `limits.body_bytes`. A request of the greatest size would then be rejected on an idle VM as well. The pair is an error now, with both figures.

--- a/features/crowds/decisions.feature
+++ b/features/crowds/decisions.feature
@@ -64,6 +64,15 @@
       | 296    | 400         | 108      | 60          |
       | 64     | 400         | 8        | 60          |
 
+  Scenario Outline: A body limit that the memory cannot hold is reported
+    When settings have <memory> MB of memory and bodies of <body> bytes
+    Then the settings are <outcome>
+
+    Examples:
+      | memory | body     | outcome                        |
+      | 300    | 4194304  | valid                          |
+      | 128    | 16777216 | rejected with limits.body_bytes |
+
   Scenario: A forwarded request that the VM has no room for is rejected
     Given entry VMs in regions a and b, and requests that run in region b only
     When the VM of region b has no room, and one of region a forwards 1 MB
--- a/src/greengagegw/settings.py
+++ b/src/greengagegw/settings.py
@@ -11,6 +11,8 @@
 import yaml
 
 from . import errors
+from . import machine
+from . import request_memory
 
 BYTES_PER_MEGABYTE = 1_000_000
 Name = typing.Annotated[
@@ -104,6 +106,22 @@
             return None
         return self.memory_megabytes * BYTES_PER_MEGABYTE
 
+    def find_contradictions(self) -> list[str]:
+        """Returns a message for each limit that others leave no room for."""
+        if self.memory_bytes is None:
+            return []
+        needed = request_memory.RUNNING_COPIES * self.body_bytes
+        available = request_memory.divide(
+            machine.MachineLimits(self.memory_bytes, 0)
+        ).large_bytes
+        if needed <= available:
+            return []
+        return [
+            f'limits.body_bytes: a request of {self.body_bytes} bytes needs'
+            f' {needed}, but limits.memory_megabytes leaves {available} for'
+            ' large requests'
+        ]
+
 
 @settings_dataclass
 class Timeouts:
@@ -176,6 +194,7 @@
         ]
         if not any(peer.disk for peer in self.peers):
             problems.append('peers: at least one VM must have disk: true')
+        problems += self.limits.find_contradictions()
         if problems:
             raise ValueError('\n'.join(problems))
         return self
