Draw crowds of clients in the soak, with signals in their middle

They stay connected until their process is gone; in the middle of a crowd its process may get SIGHUP, SIGTERM or SIGKILL.

--- a/features/program/soak.feature
+++ b/features/program/soak.feature
@@ -26,6 +26,7 @@
       | a run in an evacuated failure domain                   | EVAC    |
       | no request served 13 s after a fault                   | RECOVER |
       | a process that ended by itself                         | FAULT   |
+      | a machine that used more memory than it has            | EXCESS  |
       | a call that ran is cut during a stop                   | LOST    |
       | a late call that runs to the end of a stop is cut      | LOST    |
       | a call that did not run is cut 0.3 s after it was sent | LOST    |
--- a/features/steps/soak_checks.py
+++ b/features/steps/soak_checks.py
@@ -188,6 +188,9 @@
     if planted == 'a process that ended by itself':
         record.own_ends.append('front ended')
         return
+    if planted == 'a machine that used more memory than it has':
+        record.excesses['front'] = 'front used too much'
+        return
     lists = {
         records.Request: record.requests,
         records.Run: record.runs,
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,7 @@
 import click
 
 from . import checks
+from . import crowds
 from . import days
 from . import deployment as deployments
 from . import faults as fault_schedules
@@ -24,7 +25,7 @@
 CALM_SECONDS = 14.0
 READY_SECONDS = 40.0
 SERVERS_PER_DOMAIN = 2
-SCENARIOS = ('mixed', 'replacements', 'stops')
+SCENARIOS = ('mixed', 'replacements', 'stops', 'crowds')
 
 
 class SoakError(Exception):
@@ -145,6 +146,12 @@
                 player = stops.Player(deployment, record, rng, tasks, log)
                 for _ in range(options['rounds']):
                     await player.play_round()
+            elif options['scenario'] == 'crowds':
+                tasks.start_soon(operator.run)
+                player = crowds.Player(deployment, record, rng, log)
+                for _ in range(options['rounds']):
+                    await player.play_round()
+                    await stay_calm(operator, deployment, clients, record)
             else:
                 tasks.start_soon(operator.run)
                 await play_rounds(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -304,6 +304,10 @@
     return [f'FAULT: {one}' for one in record.own_ends]
 
 
+def check_machines(record: records.Record) -> list[str]:
+    return [f'EXCESS: {one}' for one in record.excesses.values()]
+
+
 CHECKS = (
     check_responses,
     check_runs,
@@ -317,4 +321,5 @@
     check_homes,
     check_stops,
     check_processes,
+    check_machines,
 )
