Send ordinary requests elsewhere while a crowd holds a backend server

Trace: the entry VM was within its memory (88 MB of 128), but the crowd's 900 requests ran at the only backend server, a stand-in that shares the processor with the crowd and did not accept 269 connections within 0.4 s; the entry VM then stopped using it, as it should. In another run the 400 slots of that server were taken. Neither is what the scenario is about.

The ordinary request of this scenario goes to another backend server now, through the same entry VM; crowd, bounds and the status that is expected are unchanged.

--- a/features/crowd_world.py
+++ b/features/crowd_world.py
@@ -30,6 +30,7 @@
 ENTRY_HOST = f'127.{BLOCK}.0.9'
 LIST_HOST = f'127.{BLOCK}.0.7'
 BACKEND_HOST = f'127.{BLOCK}.0.8'
+OTHER_BACKEND_HOST = f'127.{BLOCK}.0.6'
 PORT, SECOND_PORT, METRICS_PORT = 8080, 8081, 9464
 INTERNAL_PORTS = (7600, 7615)
 BYTES_PER_MEGABYTE = 1_000_000
@@ -77,16 +78,22 @@
 
 
 async def serve_list(request, reply):
-    entry = {
-        'id': 'i-1',
-        'service': 'desk',
-        'address': f'{BACKEND_HOST}:{PORT}',
-        'zone': 'a-1',
-        'slots': 400,
-        'state': 'ready',
-        'coldLeftMs': 0,
-    }
-    content = {'instances': [entry], 'nextToken': None}
+    entries = [
+        {
+            'id': f'i-{service}',
+            'service': service,
+            'address': f'{host}:{PORT}',
+            'zone': 'a-1',
+            'slots': 400,
+            'state': 'ready',
+            'coldLeftMs': 0,
+        }
+        for service, host in (
+            ('desk', BACKEND_HOST),
+            ('other', OTHER_BACKEND_HOST),
+        )
+    ]
+    content = {'instances': entries, 'nextToken': None}
     await reply.send_response(200, orjson.dumps(content))
 
 
@@ -97,13 +104,19 @@
             name=f'r-{at}',
             kind='unsafe',
             service='desk',
-            pathPrefix='/book/' if at == 0 else f'/other-{at}/',
+            pathPrefix='/book/' if at == 0 else f'/route-{at}/',
             timeoutMs=30000,
             homeRegions=[],
         )
         for at in range(1 + padding)
     ]
+    routes.append(
+        routes[0]
+        | {'name': 'r-other', 'pathPrefix': '/other/', 'service': 'other'}
+    )
     document = fleet_world.document(version, routes=routes)
+    desk = document['services'][-1]
+    document['services'].append(desk | {'name': 'other'})
     document['limits']['maxBodyBytes'] = BODY_BYTES
     for one in document['services']:
         one['maxConns'] = 400
@@ -153,6 +166,8 @@
         self.folder = folder
         self.machine = machine
         self.backend = Backend()
+        self.other_backend = Backend()
+        self.ordinary_path = '/book/seat'
         self.request_count = 0
 
     @contextlib.asynccontextmanager
@@ -161,6 +176,7 @@
             for host, handler in (
                 (LIST_HOST, serve_list),
                 (BACKEND_HOST, self.backend.serve),
+                (OTHER_BACKEND_HOST, self.other_backend.serve),
             ):
                 await tasks.start(http_server.Server(host, PORT, handler).run)
             self.control = self.start('control', CONTROL_HOST)
@@ -240,7 +256,10 @@
             'Greengagegw-Credential': 'key-1',
         }
         response = await request(
-            'POST', f'http://{ENTRY_HOST}:{PORT}/book/seat', b'x', headers
+            'POST',
+            f'http://{ENTRY_HOST}:{PORT}{self.ordinary_path}',
+            b'x',
+            headers,
         )
         return response.status_code == 200
 
--- a/features/crowds/crowds.feature
+++ b/features/crowds/crowds.feature
@@ -57,6 +57,7 @@
   Scenario Outline: Responses that nobody reads do not exhaust memory
     Given VMs of the platform with 128 MB and 4100 descriptors
     And a backend server with responses of 1000000 bytes
+    And ordinary requests that go to another backend server
     When 900 clients that read nothing send whole small bodies to <listener>
     Then an ordinary request is answered, while the crowd stays and after
     And the process has stayed within its memory and descriptors
--- a/features/steps/crowds.py
+++ b/features/steps/crowds.py
@@ -46,6 +46,11 @@
     context.vms.backend.answer = b'y' * size
 
 
+@behave.given('ordinary requests that go to another backend server')
+def given_other_backend(context):
+    context.vms.ordinary_path = '/other/x'
+
+
 @behave.given('a configuration of many routes')
 def given_large_configuration(context):
     content = crowd_world.make_configuration(padding=1500)
