Count a forwarded request at the VM that runs it, own interface

What was read: the body of a call that another region's VM forwards was held a second time without being counted, as on the platform before.

Change: it counts once it has arrived, while the call runs. Without room the call is rejected as not run with the time to retry. Both interfaces use `RequestMemory.hold_forwarded`, and the error has one place.

Evidence: the scenario "A VM rejects a forwarded request that it has no room for" failed on the commit before (the call was served).

--- a/features/regions/partition.feature
+++ b/features/regions/partition.feature
@@ -36,6 +36,11 @@
     When a VM forwards a request with a future table revision
     Then the forwarded request is rejected as not_ready and not_run
 
+  Scenario: A VM rejects a forwarded request that it has no room for
+    Given the VMs of piedmont have no memory for requests
+    When a VM forwards a request of orchard to piedmont
+    Then the forwarded request is rejected as overloaded and not_run
+
   Scenario: A forwarded request is not forwarded again
     Given piedmont has no usable engine
     When a VM forwards a request of orchard to piedmont
--- a/features/steps/regions.py
+++ b/features/steps/regions.py
@@ -1,6 +1,7 @@
 """Steps for regions and network partitions between them."""
 
 import contextlib
+import dataclasses
 import functools
 import uuid
 
@@ -120,6 +121,16 @@
     context.error = call(context, forward, context.world, organisation, region)
 
 
+@behave.given('the VMs of {region} have no memory for requests')
+def fill_memory(context, region):
+    for vm in context.world.deployment.vms.values():
+        if vm.settings.region == region:
+            memory = vm.intake.memory
+            limits = memory.limits
+            memory.limits = dataclasses.replace(limits, request_bytes=0)
+            context.add_cleanup(setattr, memory, 'limits', limits)
+
+
 @behave.when('a VM forwards a registration of {organisation} to {region}')
 def forward_registration(context, organisation, region):
     context.error = call(
--- a/src/greengagegw/adapters/asgi.py
+++ b/src/greengagegw/adapters/asgi.py
@@ -60,10 +60,10 @@
             connection.start_body(time_limit.cancel)
         body = await receive_body(receive, max_bytes, check_head)
         if connection is not None and not connection.end_body(len(body)):
-            raise make_memory_error()
+            raise request_memory.make_error()
         return body
     if connection is not None and connection.is_rejected:
-        raise make_memory_error()
+        raise request_memory.make_error()
     raise errors.RequestTimeoutError(
         f'the body did not arrive within {timeout_seconds:g} s'
     )
@@ -123,14 +123,7 @@
     if connection is None or len(body) <= CHECKED_BODY_BYTES:
         return
     if not connection.extend(json_memory.estimate(body)):
-        raise make_memory_error()
-
-
-def make_memory_error() -> errors.OverloadedError:
-    return errors.OverloadedError(
-        'the requests of this VM need more memory than there is',
-        retry_after=request_memory.RETRY_AFTER_SECONDS,
-    )
+        raise request_memory.make_error()
 
 
 def check_header_size(scope: dict, max_bytes: int) -> None:
--- a/src/greengagegw/forwarding.py
+++ b/src/greengagegw/forwarding.py
@@ -14,6 +14,7 @@
 
 from . import errors
 from . import local_execution
+from . import request_memory
 from . import request_parsing
 from . import settings as settings_module
 from . import timers as timer_service
@@ -52,6 +53,7 @@
         executor: local_execution.LocalExecutor,
         timers: timer_service.Timers,
         rng: random.Random,
+        memory: request_memory.RequestMemory,
     ) -> None:
         self.settings = settings
         self.mesh = mesh
@@ -60,6 +62,7 @@
         self.executor = executor
         self.timers = timers
         self.rng = rng
+        self.memory = memory
         self.suspicions = suspicion.SuspicionTracker()
 
     def stream_handlers(self) -> dict[str, peers.StreamHandler]:
@@ -293,8 +296,13 @@
         await stream.send(ACCEPTED)
         await self.wait_for_revision(revision)
         self.check_residency(packed['call']['organisation'])
-        spec = unpack_spec(packed, await read_body(stream))
-        async with self.executor.run(spec) as active_call:
+        body = await read_body(stream)
+        spec = unpack_spec(packed, body)
+        async with contextlib.AsyncExitStack() as stack:
+            stack.enter_context(self.memory.hold_forwarded(peer, len(body)))
+            active_call = await stack.enter_async_context(
+                self.executor.run(spec)
+            )
             response = active_call.response
             await stream.send(
                 {
--- a/src/greengagegw/request_memory.py
+++ b/src/greengagegw/request_memory.py
@@ -12,6 +12,7 @@
 import heapq
 import itertools
 
+from . import errors
 from . import machine
 
 # Memory of the program, its libraries and its state.
@@ -195,14 +196,18 @@
         holding.reject()
 
     @contextlib.contextmanager
-    def hold(self, origin: str, size: int) -> collections.abc.Iterator[bool]:
+    def hold_forwarded(
+        self, peer: str, size: int
+    ) -> collections.abc.Iterator[None]:
         """Counts a request that another VM has forwarded.
 
-        The context is whether there is room for it.
+        :raises OverloadedError: if there is no room for it.
         """
-        holding = self.open(origin, lambda: None)
+        holding = self.open(peer, lambda: None)
         try:
-            yield self.begin_running(holding, size)
+            if not self.begin_running(holding, size):
+                raise make_error()
+            yield
         finally:
             self.close(holding)
 
@@ -256,6 +261,14 @@
         self.large_bytes += holding.large_size
 
 
+def make_error() -> errors.OverloadedError:
+    """Returns the error of a request that there is no room for."""
+    return errors.OverloadedError(
+        'the requests of this VM need more memory than there is',
+        retry_after=RETRY_AFTER_SECONDS,
+    )
+
+
 def choose_victims(
     candidates: collections.abc.Iterable[Holding],
     needed_bytes: float,
--- a/src/greengagegw/serving/dispatcher.py
+++ b/src/greengagegw/serving/dispatcher.py
@@ -653,10 +653,10 @@
             )
         job = self.create_forwarded_job(request, *decision)
         arrived_at = self.timers.now()
-        with (
-            self.hold_forwarded(peer, request),
-            self.in_flight.enter(arrived_at) as entered,
-        ):
+        held = contextlib.nullcontext()
+        if self.memory is not None:
+            held = self.memory.hold_forwarded(peer, len(request.body))
+        with held, self.in_flight.enter(arrived_at) as entered:
             entered.attempts = job.attempts
             self.check_stop(job)
             async with self.run_locally(job, may_leave=False) as response:
@@ -671,26 +671,6 @@
                     await stream.send(chunk)
                 self.record_duration(job, response, arrived_at)
 
-    @contextlib.contextmanager
-    def hold_forwarded(
-        self, peer: str, request: ports.Request
-    ) -> collections.abc.Iterator[None]:
-        """Counts the memory of a forwarded request while it is served.
-
-        :raises OverloadedError: if there is no room for it.
-        """
-        if self.memory is None:
-            yield
-            return
-        with self.memory.hold(peer, len(request.body)) as has_room:
-            if not has_room:
-                raise errors.OverloadedError(
-                    f'the requests of {self.vm} need more memory than there'
-                    ' is',
-                    retry_after=request_memory.RETRY_AFTER_SECONDS,
-                )
-            yield
-
     def create_forwarded_job(
         self,
         request: ports.Request,
--- a/src/greengagegw/vm.py
+++ b/src/greengagegw/vm.py
@@ -338,6 +338,7 @@
             self.executor,
             self.timers,
             self.rng,
+            self.intake.memory,
         )
         self.mesh.handlers.streams.update(self.forwarder.stream_handlers())
         router = region_routing.RegionRouter(
