Hold nothing for a connection that was lost before its request ran

Found in the read-through: the account let a holding that had been closed grow again.

Change: an account that does not know a holding any more counts nothing for it, and has no room for its request, whose client has gone.

Evidence: the four rows of "A connection that was lost holds nothing afterwards" failed before.

--- a/features/crowds/decisions.feature
+++ b/features/crowds/decisions.feature
@@ -79,3 +79,15 @@
     Then the request was rejected as not run, and no engine got it
     When a small request is forwarded
     Then it is answered, and the VM of region b holds nothing
+
+  Scenario Outline: A connection that was lost holds nothing afterwards
+    Given an account of 10 MB for requests
+    When a client sends 1 MB, its connection is lost, and then <what>
+    Then nothing is held, and the request was rejected
+
+    Examples:
+      | what                          |
+      | its request is to run         |
+      | its response needs 1 MB       |
+      | its size is set               |
+      | a further packet of it counts |
--- a/features/steps/crowd_decisions.py
+++ b/features/steps/crowd_decisions.py
@@ -375,3 +375,30 @@
     assert context.outcome.error is None, context.outcome.error
     assert context.outcome.status == 200
     assert context.memory.held_bytes == 0
+
+
+# Lost connections.
+
+
+@behave.when('a client sends 1 MB, its connection is lost, and then {what}')
+def when_lost(context, what):
+    client = Client(context)
+    client.send(MEGABYTE)
+    client.end()
+    memory, holding = context.memory, client.holding
+    context.has_room = False
+    if what == 'its request is to run':
+        context.has_room = memory.begin_running(holding, MEGABYTE)
+    elif what == 'its response needs 1 MB':
+        context.has_room = memory.extend(holding, MEGABYTE)
+    elif what == 'its size is set':
+        memory.set_size(holding, MEGABYTE)
+    else:
+        memory.add(holding, PACKET_BYTES)
+
+
+@behave.then('nothing is held, and the request was rejected')
+def then_lost(context):
+    assert not context.has_room
+    memory = context.memory
+    assert (memory.held_bytes, memory.large_bytes) == (0, 0), memory.held_bytes
--- a/src/greengagegw/request_memory.py
+++ b/src/greengagegw/request_memory.py
@@ -160,6 +160,8 @@
 
     def set_size(self, holding: Holding, size: int) -> None:
         """Sets what a holding holds, and no longer counts it as large."""
+        if holding not in self.holdings:
+            return
         self.held_bytes += size - holding.size
         holding.size = size
         self.large_bytes -= holding.large_size
@@ -168,7 +170,7 @@
     def add(self, holding: Holding, count: int) -> None:
         """Counts bytes that have arrived, and makes room if it is short."""
         holding.progressed_at = self.now()
-        if holding.phase is Phase.REJECTED:
+        if holding.phase is Phase.REJECTED or holding not in self.holdings:
             return
         holding.size += count
         self.held_bytes += count
@@ -216,6 +218,9 @@
 
         :returns: False if there is no room for it.
         """
+        if holding not in self.holdings:
+            # The client has gone.
+            return False
         held = RUNNING_COPIES * size
         if not self.has_room(held - holding.size, held):
             self.rejections['memory'] += 1
@@ -230,6 +235,8 @@
 
         :returns: False if there is no room for them.
         """
+        if holding not in self.holdings:
+            return False
         held = holding.size + count
         if not self.has_room(count, held - holding.large_size):
             self.rejections['memory'] += 1
