Log since when a VM is a learner, and why it does not vote yet

In the report a VM with a whole disk had no vote when two other disks were lost, and no line tells since when or why. Its hypotheses can't be told apart from the logs: a slow way back to the vote, a state that the VM discarded itself, or a condition that stays false.

- replica:status names each learner with its incarnation, the seconds it has been one and, on the leader, the condition that keeps it from its vote with its figures.
- replica:old_disk names the peer and the rule that made a VM discard its state, with its incarnation, starts, term and last entry.
- replica:admit tells which incarnation of a VM a new one replaces, and replica:change_members by which rule a voter comes or goes.
- Two gauges: voters that are missing, and the longest wait for a vote.

--- a/src/greengagegw/platform/control_role.py
+++ b/src/greengagegw/platform/control_role.py
@@ -74,6 +74,16 @@
         'Members of the control group that do not vote',
         lambda: len(replica.members.members) - len(replica.members.voters),
     )
+    add_gauge(
+        'greengagegw_replica_missing_voters',
+        'Members of the control group that should vote and do not',
+        lambda: status.missing_voters(replica),
+    )
+    add_gauge(
+        'greengagegw_replica_longest_learner_seconds',
+        'Seconds for which a member has been waiting for its vote',
+        lambda: status.longest_learner_seconds(replica),
+    )
     add_gauge(
         'greengagegw_replica_silent_voters',
         'Voters that do not reply to this VM, if it leads',
--- a/src/greengagegw/replication/log_replication.py
+++ b/src/greengagegw/replication/log_replication.py
@@ -159,22 +159,29 @@
         for member in replica.members.members
         if not member.is_voter
         and member.vm not in replica.memory_replicas
-        and _is_ready(replica, member.vm, now)
+        and promotion_obstacle(replica, member.vm, now) is None
     )
 
 
-def _is_ready(replica: 'replicas.Replica', vm: str, now: float) -> bool:
+def promotion_obstacle(
+    replica: 'replicas.Replica', vm: str, now: float
+) -> str | None:
+    """Returns why a learner may not become a voter yet, None if it may."""
     contact_at = replica.contact_times.get(vm)
     match_index = replica.match_index.get(vm, 0)
     known_index = max(
         replica.members_index, replica.sent_commit_index.get(vm, 0)
     )
-    return (
-        contact_at is not None
-        and now - contact_at < replica.timeouts.election_seconds
-        and match_index >= known_index > 0
-        and replica.storage.term_at(match_index) == replica.term
-    )
+    if contact_at is None:
+        return 'has not replied to this leader'
+    silence = now - contact_at
+    if silence >= replica.timeouts.election_seconds:
+        return f'silent for {silence:.1f} s'
+    if not match_index >= known_index > 0:
+        return f'holds {match_index} of {known_index} entries'
+    if replica.storage.term_at(match_index) != replica.term:
+        return f'holds no entry of term {replica.term}'
+    return None
 
 
 def memory_replicated_index(replica: 'replicas.Replica') -> int:
--- a/src/greengagegw/replication/membership.py
+++ b/src/greengagegw/replication/membership.py
@@ -97,6 +97,19 @@
     return None if removable is None else view.members.without(removable)
 
 
+def describe_change(view: GroupView, members: log_entries.Members) -> str:
+    """Returns by which rule :func:`next_members` changes the members."""
+    before, after = set(view.members.voters), set(members.voters)
+    for vm in after - before:
+        return f'{vm} is ready'
+    for vm in before - after:
+        silence = view.silences.get(vm, 0.0)
+        if silence >= SILENT_VOTER_SECONDS:
+            return f'{vm} is silent for {silence:.1f} s'
+        return f'{vm} is about to stop'
+    return 'no voter changes'
+
+
 def _with_voter(members: log_entries.Members, vm: str) -> log_entries.Members:
     learner = members.get(vm)
     return members.with_member(dataclasses.replace(learner, is_voter=True))
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -135,6 +135,7 @@
         self.leader: str | None = None
         self.members = log_entries.Members(())
         self.members_index = 0
+        self.learner_since: dict[tuple[str, str], float] = {}
         self.former_voters: tuple[str, ...] = ()
         # Saved before any snapshot is restored: a load that is repeated after
         # a failure of the disk finds the state of the first attempt.
@@ -356,6 +357,17 @@
 
         As Raft requires, the entry takes effect before it is committed.
         """
+        self.find_members()
+        now = self.timers.now()
+        self.learner_since = {
+            (one.vm, one.incarnation): self.learner_since.get(
+                (one.vm, one.incarnation), now
+            )
+            for one in self.members.members
+            if not one.is_voter
+        }
+
+    def find_members(self) -> None:
         self.members_index = self.storage.base_index
         for entry in reversed(self.storage.entries):
             if entry.kind is log_entries.EntryKind.MEMBERSHIP:
@@ -430,6 +442,14 @@
                 'the group has reached its maximum number of members'
             )
         member = log_entries.Member(vm, incarnation, False)
+        eliot.log_message(
+            'replica:admit',
+            group=self.group,
+            vm=vm,
+            incarnation=incarnation,
+            replaced=known.incarnation if known is not None else None,
+            was_voter=known is not None and known.is_voter,
+        )
         self.match_index.pop(vm, None)
         self.contact_times.pop(vm, None)
         await self.change_members(self.members.with_member(member))
@@ -743,7 +763,8 @@
         """Makes the next change of the members, if one is due."""
         if not self.is_membership_settled:
             return
-        members = membership.next_members(self.describe_group())
+        view = self.describe_group()
+        members = membership.next_members(view)
         if members is None:
             return
         eliot.log_message(
@@ -751,6 +772,7 @@
             group=self.group,
             voters=members.voters,
             previous=self.members.voters,
+            reason=membership.describe_change(view, members),
         )
         try:
             await self.change_members(members)
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -88,14 +88,11 @@
 
     :returns: the replies of members of a group that this replica must join.
     """
-    if any(
-        reply['is_stale']
-        or is_replaced(replica, reply)
-        or is_removed(replica, vm, reply)
-        for vm, reply in replies.items()
-    ):
-        await discard_state(replica)
-        return []
+    for vm, reply in replies.items():
+        reason = find_reason_to_discard(replica, vm, reply)
+        if reason is not None:
+            await discard_state(replica, vm, reason)
+            return []
     if replica.members.members:
         if replica.members.is_majority({replica.vm, *replies}):
             replica.become_follower()
@@ -138,6 +135,19 @@
     )
 
 
+def find_reason_to_discard(
+    replica: 'replicas.Replica', vm: str, reply: dict
+) -> str | None:
+    """Returns why a reply shows the state to be stale, None if it does not."""
+    if reply['is_stale']:
+        return 'the disk is an old copy'
+    if is_replaced(replica, reply):
+        return 'joined again with a newer disk'
+    if is_removed(replica, vm, reply):
+        return 'is not a member'
+    return None
+
+
 def is_replaced(replica: 'replicas.Replica', reply: dict) -> bool:
     """Returns whether this VM has joined again with a newer disk.
 
@@ -191,9 +201,24 @@
     replica.become_follower()
 
 
-async def discard_state(replica: 'replicas.Replica') -> None:
-    """Wipes a stale state and gives the replica a new incarnation."""
-    eliot.log_message('replica:old_disk', group=replica.group, vm=replica.vm)
+async def discard_state(
+    replica: 'replicas.Replica', peer: str, reason: str
+) -> None:
+    """Wipes a stale state and gives the replica a new incarnation.
+
+    :param peer: VM whose reply shows that the state is stale.
+    """
+    eliot.log_message(
+        'replica:old_disk',
+        group=replica.group,
+        vm=replica.vm,
+        peer=peer,
+        reason=reason,
+        incarnation=replica.incarnation,
+        boots=replica.storage.meta.boots,
+        term=replica.term,
+        last=replica.storage.last_index,
+    )
     # The voters that it knew, since the founders may have been replaced.
     replica.former_voters = tuple(replica.members.voters)
     await replica.storage.wipe(secrets.token_hex(8))
@@ -318,7 +343,7 @@
                     replica, vm, reply
                 ):
                     continue
-                await discard_state(replica)
+                await discard_state(replica, vm, 'is not a member')
                 replica.become_follower()
         if not await request_admission(replica, [reply]):
             # Tries again with the next check of the election timer.
--- a/src/greengagegw/replication/status.py
+++ b/src/greengagegw/replication/status.py
@@ -4,6 +4,8 @@
 
 import eliot
 
+from . import log_replication
+
 if typing.TYPE_CHECKING:
     from . import replica as replicas
 
@@ -42,6 +44,46 @@
     }
 
 
+def missing_voters(replica: 'replicas.Replica') -> int:
+    """Returns how many members should vote and do not.
+
+    While it is not 0, the group tolerates fewer lost disks than it should.
+    """
+    members = replica.members
+    count = sum(
+        one.vm not in replica.memory_replicas for one in members.members
+    )
+    return max(0, min(replica.min_voters, count) - len(members.voters))
+
+
+def waiting_learners(replica: 'replicas.Replica') -> dict[str, dict]:
+    """Returns since when each VM is a learner, and why it does not vote yet.
+
+    Only a leader knows the reason. Memory replicas are left out, as they never
+    vote.
+    """
+    now = replica.timers.now()
+    return {
+        vm: {
+            'seconds': round(now - since, 1),
+            'incarnation': incarnation,
+            'waits': log_replication.promotion_obstacle(replica, vm, now)
+            if replica.is_leader
+            else None,
+        }
+        for (vm, incarnation), since in replica.learner_since.items()
+        if vm not in replica.memory_replicas
+    }
+
+
+def longest_learner_seconds(replica: 'replicas.Replica') -> float:
+    """Returns for how long the longest waiting learner has not voted."""
+    return max(
+        (one['seconds'] for one in waiting_learners(replica).values()),
+        default=0.0,
+    )
+
+
 def describe(replica: 'replicas.Replica') -> dict[str, typing.Any]:
     """Returns the fields of a log line about a replica.
 
@@ -57,6 +99,8 @@
         'leaderless': round(leaderless_seconds(replica), 1),
         'voters': members.voters,
         'learners': [m.vm for m in members.members if not m.is_voter],
+        'waiting': waiting_learners(replica),
+        'is_settled': replica.is_membership_settled,
         'silent': silent_voters(replica),
         'committed': replica.commit_index,
         'applied': replica.applied_index,
@@ -80,7 +124,12 @@
             leaderless_seconds(replica) > 0,
             tuple(silent_voters(replica)),
         )
-        is_healthy = key[3] and not key[4] and not key[5]
+        is_healthy = (
+            key[3]
+            and not key[4]
+            and not key[5]
+            and not missing_voters(replica)
+        )
         interval = (
             HEALTHY_INTERVAL_SECONDS
             if is_healthy
