Show that a group is lost when half of four voters lose their disks

A test of the state in the report: a voter of five has lost its disk and is a learner; the leader and another voter lose theirs.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -280,6 +280,29 @@
     When the only VM with the newest entry is unknown to a voter that lags
     Then a leader is elected and no acknowledged command is lost
 
+  Scenario: The status does not tell why a learner has no vote yet
+    Given a control group of 5 replicas
+    When a follower loses its disk, and it has been admitted
+    Then the status of the leader names that learner and why it waits
+    And one voter is missing until it votes
+
+  @known_red
+  Scenario Outline: Half of four voters lose their disks, and the group has no leader for good
+    Given a control group of 5 replicas
+    When a follower loses its disk, and it <moment>
+    And at that moment <lost> lose their disks <power>
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
+    Examples:
+      | moment            | lost                       | power                     |
+      | has been admitted | the leader and a follower  | alone                     |
+      | has been admitted | two followers              | alone                     |
+      | has been admitted | the leader and a follower  | and all others lose power |
+      | holds the log     | the leader and a follower  | alone                     |
+      | holds the log     | two followers              | alone                     |
+      | holds the log     | the leader and a follower  | and all others lose power |
+
   Scenario: A replica counts as caught up with its snapshot after a restart of all
     Given a control group of 5 replicas
     When all replicas start again with a snapshot that lacks commands
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -19,6 +19,7 @@
 from greengagegw.replication import membership
 from greengagegw.replication import replica as replicas
 from greengagegw.replication import startup
+from greengagegw.replication import status
 
 VMS = ('a', 'b', 'c', 'd', 'e')
 MIN_VOTERS = 5
@@ -728,6 +729,126 @@
     play(context, check)
 
 
+# Voters that have lost their disks and are not voters again yet.
+
+STEP_SECONDS = 0.01
+
+
+async def wait_in_steps(group, condition, seconds):
+    """Advances time in short steps until a condition holds."""
+    started_at = group.timers.now()
+    while not condition():
+        assert group.timers.now() - started_at < seconds, describe(group)
+        await group.timers.advance(STEP_SECONDS)
+
+
+@behave.when('a follower loses its disk, and it {moment}')
+def plan_learner(context, moment):
+    async def lose_disk(group):
+        vm = followers(group)[0]
+        group.crash(vm)
+        group.lose_disk(vm)
+        await advance_with_load(group, RESTART_SECONDS)
+        group.start(vm)
+        leader = group.leader()
+        replica = group.replicas[vm]
+
+        def is_learner():
+            member = leader.members.get(vm)
+            return (
+                leader.members_index <= leader.commit_index
+                and member.incarnation == replica.incarnation
+                and not member.is_voter
+            )
+
+        def holds_log():
+            return (
+                is_learner()
+                and replica.storage.last_index == leader.storage.last_index
+            )
+
+        await wait_in_steps(
+            group,
+            {'has been admitted': is_learner, 'holds the log': holds_log}[
+                moment
+            ],
+            RECOVERY_SECONDS,
+        )
+        assert len(leader.members.voters) == context.count - 1
+        context.vm = vm
+
+    add_part(context, lose_disk)
+
+
+@behave.when('at that moment {which} lose their disks alone')
+def plan_half_lost(context, which):
+    async def lose_half(group):
+        leader = group.leader().vm
+        others = [vm for vm in followers(group) if vm != context.vm]
+        await lose_disks(
+            group,
+            {
+                'the leader and a follower': [leader, others[0]],
+                'two followers': others[:2],
+            }[which],
+        )
+
+    add_part(context, lose_half)
+
+
+@behave.when(
+    'at that moment {which} lose their disks and all others lose power'
+)
+def plan_half_lost_without_power(context, which):
+    async def lose_half(group):
+        leader = group.leader().vm
+        others = [vm for vm in followers(group) if vm != context.vm]
+        for vm in group.vms:
+            group.crash(vm)
+        for vm in (leader, others[0]):
+            group.lose_disk(vm)
+        await group.advance(RESTART_SECONDS)
+        for vm in group.vms:
+            group.start(vm)
+
+    assert which == 'the leader and a follower'
+    add_part(context, lose_half)
+
+
+@behave.then('the status of the leader names that learner and why it waits')
+def check_waiting(context):
+    async def check(group):
+        for part in context.parts:
+            await part(group)
+        leader = group.leader()
+        waiting = status.waiting_learners(leader)
+        assert list(waiting) == [context.vm], waiting
+        assert waiting[context.vm]['waits'], waiting
+        replica = group.replicas[context.vm]
+        assert waiting[context.vm]['incarnation'] == replica.incarnation
+        assert status.describe(leader)['waiting'] == waiting
+
+    context.play = check
+    play(context, check)
+
+
+@behave.then('one voter is missing until it votes')
+def check_missing(context):
+    async def check(group):
+        await context.play(group)
+        leader = group.leader()
+        assert status.missing_voters(leader) == 1
+        await wait_in_steps(
+            group,
+            lambda: context.vm in leader.members.voters,
+            RECOVERY_SECONDS,
+        )
+        assert status.missing_voters(leader) == 0
+        assert status.waiting_learners(leader) == {}
+
+    play(context, check)
+
+
 # Planned stops.
 
 LEAVE_SECONDS = 2.0
