Elect a leader without voters whose disks are lost

Callers saw no configuration in force and no change accepted, for good: a group of five control VMs had four voters and a learner when two disks were lost. An empty disk is admitted by a leader only, and the two voters that remained were two votes of the three that four voters need.

A majority of four is three, so each entry that was committed is held by one of the two that remain. They may go on as soon as nobody else can: the other half cannot lead, since its disks are empty, and even if those came back it could not by the same rule, since the disks of the first half are not lost. A candidate that all remaining voters vote for therefore leads if another incarnation replies on the VM of each other voter. Its first entry makes these voters learners with their new incarnation, and it commits with all remaining voters.

Two cases are excluded. A learner may have been promoted by the lost leader, so each must vote for the candidate or show that it knows no newer members. And the last change of the members may be unknown to a majority that has committed with the former ones, so each majority of these must contain a remaining voter as well, unless that change is committed. At or above the number of voters that the group should have, a silent voter may be removed without its knowledge, so the rule holds only below.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -286,7 +286,6 @@
     Then the status of the leader names that learner and why it waits
     And one voter is missing until it votes
 
-  @known_red
   Scenario Outline: Half of four voters lose their disks, and the group has no leader for good
     Given a control group of 5 replicas
     When a follower loses its disk, and it <moment>
--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -1,12 +1,16 @@
 """Leader election: timeouts, pre-votes and votes."""
 
+import collections.abc
 import contextlib
+import dataclasses
 import typing
 
 import anyio
 import eliot
 
 from .. import errors
+from . import entries as log_entries
+from . import lost_voters
 from . import replies
 from . import roles
 
@@ -29,6 +33,23 @@
 FASTER_RATIO = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Electorate:
+    """Who votes in an election, and which votes win it.
+
+    :ivar asked: the VMs that are asked, without the candidate.
+    :ivar is_won: returns whether the VMs that granted their vote are enough.
+    """
+
+    asked: frozenset[str]
+    is_won: collections.abc.Callable[[set[str]], bool]
+
+
+def usual_electorate(vm: str, members: log_entries.Members) -> Electorate:
+    """Returns the electorate in which a majority of the voters wins."""
+    return Electorate(frozenset(members.voters) - {vm}, members.is_majority)
+
+
 def election_timeout_seconds(
     replica: 'replicas.Replica', jitter: float
 ) -> float:
@@ -87,8 +108,9 @@
     # The leader has been silent for too long; requests wait for the next one.
     replica.leader = None
     term = replica.term
+    electorate = usual_electorate(replica.vm, replica.members)
     won_pre_vote = await collect_votes(
-        replica, replica.term + 1, is_pre_vote=True
+        replica, replica.term + 1, electorate, is_pre_vote=True
     )
     eliot.log_message(
         'replica:stands',
@@ -98,13 +120,20 @@
         supported=won_pre_vote,
         **replica.last_votes,
     )
+    recovery = None
+    if not won_pre_vote:
+        recovery = await lost_voters.find_recovery(replica)
+        if recovery is None:
+            return
+        asked = (recovery.remaining | recovery.learners) - {replica.vm}
+        electorate = Electorate(asked, asked.issubset)
     # During the pre-vote, it may have voted for another candidate or
     # received a message of a leader.
     is_superseded = (
         replica.term != term
         or replica.last_contact_at > replica.last_campaign_at
     )
-    if not won_pre_vote or is_superseded:
+    if is_superseded:
         return
     async with replica.lock_storage():
         if replica.term != term:
@@ -126,15 +155,22 @@
         replica.role = roles.Role.CANDIDATE
         replica.leader = None
     term = replica.term
-    won = await collect_votes(replica, term, is_pre_vote=False)
+    won = await collect_votes(replica, term, electorate, is_pre_vote=False)
+    if not won and recovery is not None:
+        won = await lost_voters.is_confirmed(replica, recovery)
     if won and replica.term == term and replica.role is roles.Role.CANDIDATE:
-        await replica.become_leader()
+        await replica.become_leader(
+            None if recovery is None else recovery.members
+        )
 
 
 async def collect_votes(
-    replica: 'replicas.Replica', term: int, is_pre_vote: bool
+    replica: 'replicas.Replica',
+    term: int,
+    electorate: Electorate,
+    is_pre_vote: bool,
 ) -> bool:
-    """Returns whether a majority of the voters grants its vote."""
+    """Returns whether enough of an electorate grant their vote."""
     last_log_index = replica.storage.last_index
     message = [
         term,
@@ -145,7 +181,7 @@
         is_pre_vote,
     ]
     votes = {replica.vm}
-    others = set(replica.members.voters) - votes
+    others = electorate.asked
     pending = set(others)
     refused: set[str] = set()
     finished = anyio.Event()
@@ -165,13 +201,13 @@
                     async with replica.lock_storage():
                         await replica.adopt_term(peer_term)
         pending.discard(vm)
-        if not pending or replica.members.is_majority(votes):
+        if not pending or electorate.is_won(votes):
             finished.set()
 
     async with anyio.create_task_group() as tasks:
         for vm in sorted(others):
             tasks.start_soon(request_vote, vm)
-        if not replica.members.is_majority(votes):
+        if not electorate.is_won(votes):
             with replica.timers.move_on_after(VOTE_TIMEOUT_SECONDS):
                 await finished.wait()
             tasks.cancel_scope.cancel()
@@ -180,4 +216,4 @@
         'refused': sorted(refused),
         'silent': sorted(others - votes - refused),
     }
-    return replica.members.is_majority(votes)
+    return electorate.is_won(votes)
--- a/src/greengagegw/replication/membership.py
+++ b/src/greengagegw/replication/membership.py
@@ -110,6 +110,77 @@
     return 'no voter changes'
 
 
+def can_lead_without(
+    members: log_entries.Members,
+    previous: log_entries.Members | None,
+    granted: collections.abc.Set[str],
+    lost: collections.abc.Set[str],
+    min_voters: int,
+) -> bool:
+    """Returns whether a candidate may lead although no majority is left.
+
+    That is so if every voter whose disk is not lost grants its vote, and
+    every majority that may have committed an entry has one of them. Half of
+    an even number of voters is enough then: the other half cannot lead, as
+    its disks are lost, and could not by this rule, as those of the first half
+    are not. Beyond ``min_voters`` a silent voter may be removed without its
+    knowledge, so the rule holds only below.
+
+    The learners must have confirmed that they do not know of newer members,
+    since one of them may have been promoted meanwhile.
+
+    :param previous: the members before the last change, None if that change
+        is known to be committed. A leader that does not know the change may
+        have committed with them.
+    """
+    voters = set(members.voters)
+    return (
+        len(voters) < min_voters
+        and voters - lost <= granted
+        and _meets_all_majorities(members, members, granted)
+        and (
+            previous is None
+            or _meets_all_majorities(previous, members, granted)
+        )
+    )
+
+
+def _meets_all_majorities(
+    members: log_entries.Members,
+    newest: log_entries.Members,
+    granted: collections.abc.Set[str],
+) -> bool:
+    """Returns whether each possible majority has a VM that granted its vote.
+
+    A voter that has joined again with another disk is in none that matters:
+    what it had acknowledged is in the log of the leader that admitted it.
+    """
+    others = 0
+    for vm in members.voters:
+        member = newest.get(vm)
+        is_replaced = (
+            member is not None
+            and member.incarnation != members.get(vm).incarnation
+        )
+        others += vm not in granted and not is_replaced
+    return others < votes_needed(len(members.voters))
+
+
+def without_lost(
+    members: log_entries.Members,
+    incarnations: collections.abc.Mapping[str, str],
+) -> log_entries.Members:
+    """Returns the members with lost voters as learners with a new disk.
+
+    :param incarnations: the new incarnation of each lost voter, by VM.
+    """
+    for vm, incarnation in incarnations.items():
+        members = members.with_member(
+            log_entries.Member(vm, incarnation, False)
+        )
+    return members
+
+
 def _with_voter(members: log_entries.Members, vm: str) -> log_entries.Members:
     learner = members.get(vm)
     return members.with_member(dataclasses.replace(learner, is_voter=True))
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -715,8 +715,14 @@
             reason=reason,
         )
 
-    async def become_leader(self) -> None:
-        """Becomes the leader and starts replicating to the members."""
+    async def become_leader(
+        self, members: log_entries.Members | None = None
+    ) -> None:
+        """Becomes the leader and starts replicating to the members.
+
+        :param members: with which the first entry of its term replaces the
+            current ones; None to keep them.
+        """
         self.role = roles.Role.LEADER
         self.leader = self.vm
         now = self.timers.now()
@@ -736,9 +742,12 @@
         eliot.log_message('replica:lead', group=self.group, term=self.term)
         self.leader_scope = anyio.CancelScope()
         self.tasks.start_soon(self.replicate_to_members, self.leader_scope)
-        proposal = PendingProposal(self.term)
-        self.proposal_queue.append((log_entries.EntryKind.NOOP, b'', proposal))
-        self.proposal_queued.set()
+        if members is None:
+            self.queue_proposal(b'', log_entries.EntryKind.NOOP)
+            return
+        self.member_change = self.queue_proposal(
+            _pack_members(members), log_entries.EntryKind.MEMBERSHIP
+        )
 
     async def replicate_to_members(self, scope: anyio.CancelScope) -> None:
         """Runs one replication task for each other member."""
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -4,6 +4,7 @@
 part only after their replies show which of these cases applies.
 """
 
+import collections.abc
 import contextlib
 import secrets
 import typing
@@ -55,6 +56,22 @@
 
     :returns: the replies of the reachable peers, by VM.
     """
+    return await identify_to(
+        replica,
+        {
+            *replica.founders,
+            *replica.members.voters,
+            *replica.former_voters,
+            *replica.memory_replicas,
+        }
+        - {replica.vm},
+    )
+
+
+async def identify_to(
+    replica: 'replicas.Replica', vms: collections.abc.Set[str]
+) -> dict[str, dict]:
+    """Identifies this replica to some VMs and returns their replies."""
     message = [
         replica.vm,
         replica.incarnation,
@@ -63,21 +80,15 @@
     ]
     replies: dict[str, dict] = {}
 
-    async def identify_to(vm: str) -> None:
+    async def identify(vm: str) -> None:
         with contextlib.suppress(errors.GatewayError):
             replies[vm] = await replica.call_peer(
                 vm, 'identify', message, reply_checks.check_identity
             )
 
-    others = {
-        *replica.founders,
-        *replica.members.voters,
-        *replica.former_voters,
-        *replica.memory_replicas,
-    }
     async with anyio.create_task_group() as tasks:
-        for vm in sorted(others - {replica.vm}):
-            tasks.start_soon(identify_to, vm)
+        for vm in sorted(vms):
+            tasks.start_soon(identify, vm)
     return replies
 
 
