Fit the size of messages to what the link to a member carries

If the link carries less than that in a second, the call ends, the reply to it is dropped, and the same bytes are sent again: the member receives each of them and hears its leader, but is never known to hold one. TCP carries some 100 kB/s over a round trip of 0.11 s if 2.5 of 100 packets are lost. A single entry that takes longer than a second had the same end, and then no change was committed any more.

Messages begin with 64 KiB, grow up to 256 KiB while they take less than 0.4 of the call and shrink to no less than 4 KiB if they take more than 0.6. After a call without a reply an empty message asks what the member holds, so that what has arrived late counts.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -302,6 +302,26 @@
       | holds the log     | two followers              | alone                     |
       | holds the log     | the leader and a follower  | and all others lose power |
 
+  Scenario Outline: A VM behind a slow link gets the same entries again and again, and never votes
+    Given a control group of 5 replicas
+    When <count> commands of <size> bytes are committed
+    And a follower loses its disk, and then receives <rate> bytes per second
+    Then it votes within <seconds> s
+    And a command is acknowledged within 12 s, and none is lost
+
+    Examples: three times the seconds that the bytes take, and 4 s
+      | count | size   | rate   | seconds |
+      | 30    | 20000  | 400000 | 8.5     |
+      | 30    | 20000  | 100000 | 22      |
+      | 1     | 400000 | 300000 | 8       |
+
+  Scenario: A VM behind a slow link gets the first part of a snapshot again and again, and never votes
+    Given a control group of 5 replicas
+    When 30 commands of 20000 bytes are committed and compacted
+    And a follower loses its disk, and then receives 100000 bytes per second
+    Then it votes within 22 s
+    And a command is acknowledged within 12 s, and none is lost
+
   Scenario: A replica counts as caught up with its snapshot after a restart of all
     Given a control group of 5 replicas
     When all replicas start again with a snapshot that lacks commands
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -5,6 +5,7 @@
 import anyio
 import behave
 import eliot
+import msgpack
 import orjson
 
 from features import fakes
@@ -815,6 +816,91 @@
     add_part(context, lose_half)
 
 
+def limit_rate(group, vm, rate):
+    """Makes the messages to a replica take as long as their bytes need."""
+    free_at = 0.0
+
+    def limited(handler):
+        async def handle(peer, message):
+            nonlocal free_at
+            now = group.timers.now()
+            free_at = max(now, free_at) + len(msgpack.packb(message)) / rate
+            await group.timers.sleep(free_at - now)
+            return await handler(peer, message)
+
+        return handle
+
+    handlers = group.network.handlers[vm]
+    for method in ('replica.g.append', 'replica.g.snapshot'):
+        handlers[method] = limited(handlers[method])
+
+
+async def commit_large(group, count, size):
+    leader = group.leader()
+    for number in range(count):
+        command = f'large {number} '.encode().ljust(size, b'-')
+        group.tasks.start_soon(leader.propose, command)
+    await wait_for(
+        group,
+        lambda: (
+            leader.commit_index == leader.storage.last_index
+            and leader.commit_index >= count
+        ),
+        RECOVERY_SECONDS,
+    )
+
+
+@behave.when('{count:d} commands of {size:d} bytes are committed')
+def plan_large_commands(context, count, size):
+    add_part(context, lambda group: commit_large(group, count, size))
+
+
+@behave.when(
+    '{count:d} commands of {size:d} bytes are committed and compacted'
+)
+def plan_large_snapshot(context, count, size):
+    async def compact(group):
+        await commit_large(group, count, size)
+        kept = replicas.SNAPSHOT_AFTER_ENTRIES
+        replicas.SNAPSHOT_AFTER_ENTRIES = 1
+        try:
+            await group.leader().take_snapshot()
+        finally:
+            replicas.SNAPSHOT_AFTER_ENTRIES = kept
+        assert group.leader().storage.base_index >= count
+
+    add_part(context, compact)
+
+
+@behave.when(
+    'a follower loses its disk, and then receives {rate:d} bytes per second'
+)
+def plan_slow_link(context, rate):
+    async def lose_disk(group):
+        vm = followers(group)[0]
+        await lose_disks(group, [vm])
+        limit_rate(group, vm, rate)
+        context.vm = vm
+
+    add_part(context, lose_disk)
+
+
+@behave.then('it votes within {seconds:g} s')
+def check_votes_in_time(context, seconds):
+    async def wait_for_vote(group):
+        replica = group.replicas[context.vm]
+
+        def has_vote():
+            member = group.leader().members.get(context.vm)
+            return member.is_voter and member.incarnation == (
+                replica.incarnation
+            )
+
+        await wait_for(group, has_vote, seconds)
+
+    add_part(context, wait_for_vote)
+
+
 @behave.then('the status of the leader names that learner and why it waits')
 def check_waiting(context):
     async def check(group):
--- a/src/greengagegw/replication/log_replication.py
+++ b/src/greengagegw/replication/log_replication.py
@@ -6,6 +6,7 @@
 
 from .. import errors
 from . import replies
+from . import timing
 
 if typing.TYPE_CHECKING:
     from . import replica as replicas
@@ -13,13 +14,45 @@
 # A VM and its incarnation.
 MemberId = tuple[str, str]
 
-MAX_BATCH_BYTES = 256 * 1024
-SNAPSHOT_CHUNK_BYTES = 256 * 1024
+# Sizes of the entries in a message and of a chunk of a snapshot. A slow link
+# must carry the smallest one, and a heartbeat, within the time of a call.
+FIRST_MESSAGE_BYTES = 64 * 1024
+MIN_MESSAGE_BYTES = 4 * 1024
+MAX_MESSAGE_BYTES = 256 * 1024
+# Parts of the time of a call below which messages grow, and above which they
+# shrink.
+FAST_CALL_RATIO = 0.4
+SLOW_CALL_RATIO = 0.6
 # With this many voters, a group survives the loss of one disk without memory
 # replicas.
 MIN_VOTERS_WITHOUT_MEMORY_REPLICAS = 3
 
 
+class MessageSize:
+    """The size of messages to a member, fitted to what its link carries.
+
+    A message that takes longer than its call is sent in vain: without smaller
+    ones, a member behind a slow link would never catch up.
+    """
+
+    def __init__(self) -> None:
+        self.bytes = FIRST_MESSAGE_BYTES
+
+    def reset(self) -> None:
+        """Forgets the link, as after the loss of a connection."""
+        self.bytes = FIRST_MESSAGE_BYTES
+
+    def shrink(self) -> None:
+        self.bytes = max(MIN_MESSAGE_BYTES, self.bytes // 2)
+
+    def fit(self, seconds: float, timeout: float) -> None:
+        """Fits the size to the time that a full message has taken."""
+        if seconds < timeout * FAST_CALL_RATIO:
+            self.bytes = min(MAX_MESSAGE_BYTES, self.bytes * 2)
+        elif seconds > timeout * SLOW_CALL_RATIO:
+            self.shrink()
+
+
 def other_members(replica: 'replicas.Replica') -> set[MemberId]:
     return {
         (member.vm, member.incarnation)
@@ -33,15 +66,16 @@
 ) -> None:
     """Replicates the log to one member while this replica leads."""
     next_index = replica.storage.last_index + 1
+    size = MessageSize()
     while replica.is_leader and replica.is_current_member(vm, incarnation):
         try:
             has_sent_snapshot = False
             # The log may be compacted again while a snapshot is sent.
             while next_index <= replica.storage.base_index:
-                next_index = await send_snapshot(replica, vm)
+                next_index = await send_snapshot(replica, vm, size)
                 has_sent_snapshot = True
             first_index = next_index
-            next_index = await send_entries(replica, vm, first_index)
+            next_index = await send_entries(replica, vm, first_index, size)
             if has_sent_snapshot and next_index < first_index:
                 # A member that accepts a snapshot without storing it, such as
                 # one of an earlier release, would get it again at once.
@@ -54,7 +88,15 @@
                 await replica.timers.sleep(replica.timeouts.heartbeat_seconds)
             if vm in ready_learners(replica):
                 replica.members_check_wanted.set()
+        except errors.PeerTimeoutError:
+            # The message may arrive later. An empty one tells what the member
+            # holds, so that nothing is sent again that has arrived.
+            size.shrink()
+            next_index = replica.storage.last_index + 1
+            await replica.timers.sleep(replica.timeouts.heartbeat_seconds)
+            continue
         except errors.GatewayError:
+            size.reset()
             await replica.timers.sleep(replica.timeouts.heartbeat_seconds)
             continue
         knows_commit_index = (
@@ -69,14 +111,14 @@
 
 
 async def send_entries(
-    replica: 'replicas.Replica', vm: str, next_index: int
+    replica: 'replicas.Replica', vm: str, next_index: int, size: MessageSize
 ) -> int:
     """Sends a batch of entries or, if there are none, a heartbeat.
 
     :returns: the index of the next entry to send to the member.
     """
     previous_index = next_index - 1
-    batch = replica.storage.entries_from(next_index, MAX_BATCH_BYTES)
+    batch = replica.storage.entries_from(next_index, size.bytes)
     message = [
         replica.term,
         replica.vm,
@@ -107,12 +149,15 @@
         return max(1, min(next_index - 1, peer_index_hint + 1))
     if batch:
         replica.append_seconds[vm] = replica.timers.now() - sent_at
+        size.fit(replica.append_seconds[vm], timing.CALL_TIMEOUT_SECONDS)
     replica.match_index[vm] = previous_index + len(batch)
     replica.advance_commit_index()
     return replica.match_index[vm] + 1
 
 
-async def send_snapshot(replica: 'replicas.Replica', vm: str) -> int:
+async def send_snapshot(
+    replica: 'replicas.Replica', vm: str, size: MessageSize
+) -> int:
     """Sends the snapshot in chunks.
 
     :returns: the index of the next entry to send to the member.
@@ -120,9 +165,10 @@
     :raises PeerProtocolError: if its reply is malformed.
     """
     snapshot = replica.storage.snapshot
-    size = len(snapshot.state)
-    for offset in range(0, max(size, 1), SNAPSHOT_CHUNK_BYTES):
-        end = offset + SNAPSHOT_CHUNK_BYTES
+    total = len(snapshot.state)
+    offset = 0
+    while True:
+        end = offset + size.bytes
         message = [
             replica.term,
             replica.vm,
@@ -131,8 +177,9 @@
             snapshot.members.pack(),
             offset,
             snapshot.state[offset:end],
-            end >= size,
+            end >= total,
         ]
+        sent_at = replica.timers.now()
         term, accepted = await replica.call_peer(
             vm, 'snapshot', message, replies.check_snapshot
         )
@@ -141,9 +188,12 @@
                 await replica.adopt_term(term)
         if not accepted:
             raise errors.ReplicationError(
-                f'{vm} rejected the snapshot at byte {offset} of {size}'
+                f'{vm} rejected the snapshot at byte {offset} of {total}'
             )
-    return snapshot.index + 1
+        if end >= total:
+            return snapshot.index + 1
+        offset = end
+        size.fit(replica.timers.now() - sent_at, timing.CALL_TIMEOUT_SECONDS)
 
 
 def ready_learners(replica: 'replicas.Replica') -> frozenset[str]:
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -39,7 +39,6 @@
 from . import storage as log_storage
 from . import timing
 
-CALL_TIMEOUT_SECONDS = 1.0
 SNAPSHOT_AFTER_ENTRIES = 2000
 MAX_MEMBERS = 64
 DEFAULT_TIMEOUTS = timing.Timeouts()
@@ -274,7 +273,9 @@
         :raises PeerProtocolError: if the reply is malformed.
         """
         name = f'replica.{self.group}.{method}'
-        reply = await self.mesh.call(vm, name, message, CALL_TIMEOUT_SECONDS)
+        reply = await self.mesh.call(
+            vm, name, message, timing.CALL_TIMEOUT_SECONDS
+        )
         try:
             return check(reply)
         except replies.MALFORMED_REPLY_ERRORS as error:
--- a/src/greengagegw/replication/timing.py
+++ b/src/greengagegw/replication/timing.py
@@ -3,6 +3,8 @@
 import dataclasses
 
 ELECTION_SECONDS = 1.5
+# Time that a call to a peer has, with the bytes of both directions.
+CALL_TIMEOUT_SECONDS = 1.0
 HEARTBEAT_SECONDS = 0.4
 # Covers an election: two round trips of 0.11 s between regions, two disk
 # syncs, and the delivery of the new leader's first message.
