Do not wait for silent peers to be admitted with an empty disk

A VM whose disk was lost asked all founders who leads, and waited for the slowest of them: one that is frozen or cut off cost the time of a call, 1 s, in each attempt of the 4 s after which the VM must count. An attempt that met another change of the members began anew after 0.3 s, with all these calls again.

It now goes on as soon as the leader itself has replied, asks a leader that is no founder too, and repeats its request to join every 0.05 s while the leader may not change the members yet.

'A VM with an empty disk waits for a peer that does not answer' failed before.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -322,6 +322,11 @@
     Then it votes within 22 s
     And a command is acknowledged within 12 s, and none is lost
 
+  Scenario: A VM with an empty disk waits for a peer that does not answer
+    Given a control group of 5 replicas
+    When a follower loses its disk and starts again while another is silent
+    Then it is admitted before a call to the silent one has ended
+
   Scenario: A replica counts as caught up with its snapshot after a restart of all
     Given a control group of 5 replicas
     When all replicas start again with a snapshot that lacks commands
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -19,8 +19,10 @@
 from greengagegw.replication import entries
 from greengagegw.replication import membership
 from greengagegw.replication import replica as replicas
+from greengagegw.replication import roles
 from greengagegw.replication import startup
 from greengagegw.replication import status
+from greengagegw.replication import timing as replication_timing
 
 VMS = ('a', 'b', 'c', 'd', 'e')
 MIN_VOTERS = 5
@@ -901,6 +903,35 @@
     add_part(context, wait_for_vote)
 
 
+@behave.when(
+    'a follower loses its disk and starts again while another is silent'
+)
+def plan_silent_peer(context):
+    async def start_beside_silent(group):
+        vm, *others = followers(group)
+        leader = group.leader()
+        group.crash(vm)
+        group.lose_disk(vm)
+        await group.advance(RESTART_SECONDS)
+        group.network.cut(others[:1], group.vms)
+        group.start(vm)
+        replica = group.replicas[vm]
+        context.seconds = await wait_for(
+            group,
+            lambda: replica.role is roles.Role.FOLLOWER,
+            RECOVERY_SECONDS,
+        )
+        assert leader.is_current_member(vm, replica.incarnation)
+
+    context.play = start_beside_silent
+
+
+@behave.then('it is admitted before a call to the silent one has ended')
+def check_admitted_early(context):
+    play(context, context.play)
+    assert context.seconds < replication_timing.CALL_TIMEOUT_SECONDS
+
+
 @behave.then('the status of the leader names that learner and why it waits')
 def check_waiting(context):
     async def check(group):
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -22,6 +22,9 @@
     from . import replica as replicas
 
 RETRY_DELAY_SECONDS = 0.3
+# A change of the members takes a round trip of 0.11 s and two syncs.
+JOIN_RETRY_SECONDS = 0.05
+JOIN_SECONDS = 1.0
 # Before a group whose only disk was lost is recovered, the memory replicas
 # get this long to reply, so that the most recent one can be used.
 RECOVERY_DELAY_SECONDS = 3.0
@@ -54,24 +57,37 @@
 ) -> dict[str, dict]:
     """Identifies this replica to its peers.
 
+    A replica that has no members does not wait for silent peers once the
+    leader of its group has replied. If its peers name a leader that is none
+    of them, it is asked as well.
+
     :returns: the replies of the reachable peers, by VM.
     """
-    return await identify_to(
-        replica,
-        {
-            *replica.founders,
-            *replica.members.voters,
-            *replica.former_voters,
-            *replica.memory_replicas,
-        }
-        - {replica.vm},
-    )
+    peers = {
+        *replica.founders,
+        *replica.members.voters,
+        *replica.former_voters,
+        *replica.memory_replicas,
+    }
+    if replica.members.members:
+        return await identify_to(replica, peers - {replica.vm})
+    return await identify_to(replica, peers - {replica.vm}, is_leader_found)
+
+
+def is_leader_found(replies: dict[str, dict]) -> bool:
+    return any(reply['leader'] == vm for vm, reply in replies.items())
 
 
 async def identify_to(
-    replica: 'replicas.Replica', vms: collections.abc.Set[str]
+    replica: 'replicas.Replica',
+    vms: collections.abc.Set[str],
+    is_enough: collections.abc.Callable[[dict[str, dict]], bool] | None = None,
 ) -> dict[str, dict]:
-    """Identifies this replica to some VMs and returns their replies."""
+    """Identifies this replica to some VMs and returns their replies.
+
+    :param is_enough: whether to wait for no more replies. If it is given,
+        leaders that a reply names are asked as well.
+    """
     message = [
         replica.vm,
         replica.incarnation,
@@ -80,11 +96,22 @@
     ]
     replies: dict[str, dict] = {}
 
+    asked = {replica.vm, *vms}
+
     async def identify(vm: str) -> None:
         with contextlib.suppress(errors.GatewayError):
             replies[vm] = await replica.call_peer(
                 vm, 'identify', message, reply_checks.check_identity
             )
+        if is_enough is None or vm not in replies:
+            return
+        if is_enough(replies):
+            tasks.cancel_scope.cancel()
+            return
+        leader = replies[vm]['leader']
+        if leader is not None and leader not in asked:
+            asked.add(leader)
+            tasks.start_soon(identify, leader)
 
     async with anyio.create_task_group() as tasks:
         for vm in sorted(vms):
@@ -247,9 +274,24 @@
     for leader in sorted(leaders):
         if leader == replica.vm:
             continue
-        message = [replica.vm, replica.incarnation]
+        if await join(replica, leader):
+            replica.become_follower()
+            return True
+    return False
+
+
+async def join(replica: 'replicas.Replica', leader: str) -> bool:
+    """Asks a leader to admit this replica, again while it may not yet.
+
+    A leader makes one change of the members at a time, and none before an
+    entry of its term is committed.
+    """
+    deadline = replica.timers.now() + JOIN_SECONDS
+    message = [replica.vm, replica.incarnation]
+    while True:
         try:
             await replica.call_peer(leader, 'join', message)
+            return True
         except errors.GatewayError as error:
             eliot.log_message(
                 'replica:not_admitted',
@@ -257,10 +299,12 @@
                 leader=leader,
                 reason=error.message,
             )
-            continue
-        replica.become_follower()
-        return True
-    return False
+            may_be_admitted = isinstance(
+                error, errors.ReplicationError
+            ) and not isinstance(error, errors.NotLeaderError)
+            if not may_be_admitted or replica.timers.now() >= deadline:
+                return False
+        await replica.timers.sleep(JOIN_RETRY_SECONDS)
 
 
 async def recover_from_memory_replica(
