Lose the disks of half of four voters in the soak

The soak had no fault that leaves a VM without its vote, so it could not reach the state of the report. The new scenario slows the links to a control VM that has lost its disk, waits until the leader counts a learner, and then loses the disks of the leader and of one more right after a change was acknowledged; in half of the rounds all processes are killed as well.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,7 @@
 from . import deployment as deployments
 from . import faults as fault_schedules
 from . import layout as layouts
+from . import learners
 from . import record as records
 from . import stops
 from . import traffic
@@ -25,7 +26,7 @@
 CALM_SECONDS = 14.0
 READY_SECONDS = 40.0
 SERVERS_PER_DOMAIN = 2
-SCENARIOS = ('mixed', 'replacements', 'stops', 'crowds')
+SCENARIOS = ('mixed', 'replacements', 'stops', 'crowds', 'learners')
 
 
 class SoakError(Exception):
@@ -146,6 +147,16 @@
                 player = stops.Player(deployment, record, rng, tasks, log)
                 for _ in range(options['rounds']):
                     await player.play_round()
+            elif options['scenario'] == 'learners':
+                tasks.start_soon(operator.run)
+                player = days.Player(
+                    deployment, operator, injector, record, rng, log
+                )
+                for _ in range(options['rounds']):
+                    await learners.play_round(player)
+                    await stay_calm(operator, deployment, clients, record)
+                operator.may_order = False
+                await operator.read_back()
             elif options['scenario'] == 'crowds':
                 tasks.start_soon(operator.run)
                 player = crowds.Player(deployment, record, rng, log)
@@ -249,7 +260,7 @@
         folder = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
         try:
             found = anyio.run(run_seed, one, options, folder)
-        except* SoakError as group:
+        except* (SoakError, learners.LearnerError) as group:
             found = [f'FAULT: {error}' for error in group.exceptions]
         finally:
             deployments.kill_started_processes()
--- /dev/null
+++ b/soak/learners.py
@@ -0,0 +1,86 @@
+"""Half of four voters lose their disks while the fifth VM has no vote yet.
+
+A control VM loses its disk, and its links are so slow that it stays a learner.
+Then the leader and one more lose theirs, right after a change was
+acknowledged.
+"""
+
+import re
+
+import anyio
+import httpx
+
+from . import days
+from . import deployment as deployments
+from . import traffic
+
+LINK_BYTES_PER_SECOND = 8000
+RESTART_SECONDS = 1.0
+# For an election, the admission and a lost call each.
+LEARNER_SECONDS = 10.0
+POLL_SECONDS = 0.05
+LEARNER_PATTERN = re.compile(rb'^greengagegw_replica_learners 1', re.MULTILINE)
+
+
+class LearnerError(Exception):
+    """The state that the scenario is for was not reached."""
+
+
+async def play_round(player: days.Player) -> None:
+    """Loses one disk, then two others and, in half of the rounds, all power.
+
+    :raises LearnerError: if the first VM did not become a learner.
+    """
+    controls = player.deployment.controls
+    leader = await player.find_leader()
+    if leader is None:
+        raise LearnerError('no control VM leads')
+    others = [one for one in controls if one is not leader]
+    learner, lost, *_ = player.rng.sample(others, len(others))
+    player.log(f'learner {learner.name}, lost {leader.name}, {lost.name}')
+    began_at = player.record.now()
+    for one in controls:
+        one.set_faults(slow_to={learner.host: LINK_BYTES_PER_SECOND})
+    learner.kill()
+    learner.wipe()
+    await anyio.sleep(RESTART_SECONDS)
+    learner.start()
+    await wait_for_learner(leader)
+    with anyio.move_on_after(player.record.bounds.acknowledge):
+        await player.operator.put()
+    await lose_half(player, [leader, lost])
+    for one in controls:
+        one.set_faults(slow_to=None)
+    player.disturbed('half of the voters', began_at)
+    await anyio.sleep(player.record.bounds.recovery)
+
+
+async def wait_for_learner(leader) -> None:
+    """Waits until a leader counts a member that does not vote."""
+    port = deployments.CONTROL_METRICS_PORT
+    url = f'http://{leader.host}:{port}/metrics'
+    with anyio.move_on_after(LEARNER_SECONDS):
+        async with traffic.make_client(days.METRICS_SECONDS) as client:
+            while True:
+                try:
+                    text = (await client.get(url)).content
+                except httpx.HTTPError as error:
+                    raise LearnerError(f'{leader.name}: {error!r}') from error
+                if LEARNER_PATTERN.search(text):
+                    return
+                await anyio.sleep(POLL_SECONDS)
+    raise LearnerError(f'{leader.name} has no learner')
+
+
+async def lose_half(player: days.Player, lost: list) -> None:
+    machines = lost
+    if player.rng.random() < 0.5:
+        machines = player.deployment.machines
+        player.log('all lose power')
+    for one in machines:
+        one.kill()
+    for one in lost:
+        one.wipe()
+    await anyio.sleep(RESTART_SECONDS)
+    for one in machines:
+        one.start()
--- a/soak/process.py
+++ b/soak/process.py
@@ -6,6 +6,7 @@
 - ``silent_to`` and ``silent_from``: hosts to and from which bytes of peers
   are lost;
 - ``link_seconds``: one-way delay of the links to hosts of other regions;
+- ``slow_to``: by host, the bytes a second that are carried to it;
 - those of the disk, which :mod:`soak.disk` names.
 """
 
@@ -78,6 +79,7 @@
         self.host = host
         self.is_silent = [False, False]
         self.is_remote = region_of(host) != region_of(HOST)
+        self.free_at = 0.0
 
     def is_dropped(self, direction: int) -> bool:
         name = ('silent_to', 'silent_from')[direction]
@@ -93,8 +95,19 @@
             function(data)
 
     def write(self, data: bytes) -> None:
-        if not self.is_dropped(0):
+        if self.is_dropped(0):
+            return
+        rate = faults.get('slow_to', {}).get(self.host)
+        now = asyncio.get_running_loop().time()
+        if rate is None and now >= self.free_at:
             self.delayed(self.write_late, bytes(data))
+            return
+        self.free_at = max(now, self.free_at)
+        if rate is not None:
+            self.free_at += len(data) / rate
+        asyncio.get_running_loop().call_at(
+            self.free_at, self.delayed, self.write_late, bytes(data)
+        )
 
     def write_late(self, data: bytes) -> None:
         if not self.is_lost:
