Test groups of two and four voters, and a promotion that only the lost knew

Groups of the own interface may have two voters and memory replicas; they had the same fault when the leader lost its disk. A learner that was promoted by the two VMs that were lost later holds an acknowledged command that the two others lack: without asking it, these would lead and lose the command (tried: 'the applied logs diverge'). Voters that are silent, and not lost, still stop a group.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -302,6 +302,32 @@
       | holds the log     | two followers              | alone                     |
       | holds the log     | the leader and a follower  | and all others lose power |
 
+  Scenario Outline: Half of <size> voters lose their disks
+    Given a control group of <size> replicas
+    When at once, <lost> lose their disks
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
+    Examples:
+      | size | lost                      |
+      | 2    | the leader                |
+      | 2    | a follower                |
+      | 4    | the leader and the newest |
+      | 4    | two followers             |
+
+  Scenario: Half of four voters lead without a learner that holds an acknowledged command
+    Given a control group of 5 replicas
+    When a follower loses its disk, and it has been admitted
+    And only the leader, that learner and one more commit its promotion and a command
+    And at that moment the leader and that one lose their disks
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
+  Scenario: Half of four voters lead while the others are only silent
+    Given a control group of 4 replicas
+    When the leader and a follower are cut off
+    Then the others elect no leader within 12 s
+
   Scenario Outline: A VM behind a slow link gets the same entries again and again, and never votes
     Given a control group of 5 replicas
     When <count> commands of <size> bytes are committed
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -818,6 +818,82 @@
     add_part(context, lose_half)
 
 
+@behave.when(
+    'only the leader, that learner and one more commit its promotion and a'
+    ' command'
+)
+def plan_hidden_promotion(context):
+    async def promote(group):
+        leader = group.leader()
+        replica = group.replicas[context.vm]
+        others = [vm for vm in followers(group) if vm != context.vm]
+        context.lost = [leader.vm, others[0]]
+        cut_off = others[1:]
+        await wait_in_steps(
+            group,
+            lambda: all(
+                group.replicas[vm].members == leader.members for vm in cut_off
+            ),
+            RECOVERY_SECONDS,
+        )
+        assert context.vm not in leader.members.voters
+        group.network.cut(cut_off, [*context.lost, context.vm])
+        await wait_in_steps(
+            group,
+            lambda: (
+                context.vm in replica.members.voters
+                and leader.commit_index >= leader.members_index
+            ),
+            RECOVERY_SECONDS,
+        )
+        before = len(group.acknowledged)
+        group.propose(leader.vm)
+        await wait_in_steps(
+            group, lambda: len(group.acknowledged) > before, RECOVERY_SECONDS
+        )
+
+    add_part(context, promote)
+
+
+@behave.when('at that moment the leader and that one lose their disks')
+def plan_promoters_lost(context):
+    async def lose(group):
+        for vm in context.lost:
+            group.crash(vm)
+            group.lose_disk(vm)
+        group.network.heal()
+        await group.advance(RESTART_SECONDS)
+        for vm in context.lost:
+            group.start(vm)
+
+    add_part(context, lose)
+
+
+@behave.when('the leader and a follower are cut off')
+def plan_half_cut_off(context):
+    async def cut_off(group):
+        leader = group.leader().vm
+        first, *others = followers(group)
+        group.network.cut([leader, first], others)
+        context.others = others
+
+    add_part(context, cut_off)
+
+
+@behave.then('the others elect no leader within {seconds:g} s')
+def check_no_leader(context, seconds):
+    async def check(group):
+        for part in context.parts:
+            await part(group)
+        for _ in range(round(seconds / 0.25)):
+            await group.advance(0.25)
+            assert not any(
+                group.replicas[vm].is_leader for vm in context.others
+            )
+
+    play(context, check)
+
+
 def limit_rate(group, vm, rate):
     """Makes the messages to a replica take as long as their bytes need."""
     free_at = 0.0
