Wait for the exported state of a memory replica behind a slow link

A group with one voter whose disk is lost is restored from a memory replica. Its whole state came in one reply within 1 s; if it took longer, the reply was dropped and asked for again, for good: no command was acknowledged any more.

The reply may take 20 s now. A lost connection ends the call before that.

'the disk is lost, and the state is 3 s on its way' failed before.

--- a/features/replication/replication.feature
+++ b/features/replication/replication.feature
@@ -131,6 +131,7 @@
       | the disk is lost                                 |
       | the disk is lost and a copy is down              |
       | the disk is lost twice                           |
+      | the disk is lost, and the state is 3 s on its way |
       | a copy restarts, and then the disk is lost       |
       | both copies restart in turn, and the disk is lost |
       | both copies restart at once                      |
--- a/features/steps/replication.py
+++ b/features/steps/replication.py
@@ -551,6 +551,19 @@
     await lose_only_disk(group)
 
 
+async def lose_disk_behind_slow_links(group):
+    for vm in group.memory_replicas:
+        handlers = group.network.handlers[vm]
+        export = handlers['replica.g.export']
+
+        async def export_slowly(peer, message, export=export):
+            await group.timers.sleep(3)
+            return await export(peer, message)
+
+        handlers['replica.g.export'] = export_slowly
+    await lose_only_disk(group)
+
+
 async def lose_disk_twice(group):
     await lose_only_disk(group)
     await group.propose_and_wait()
@@ -596,6 +609,9 @@
     'the disk is lost': lose_only_disk,
     'the disk is lost and a copy is down': lose_disk_with_memory_replica_down,
     'the disk is lost twice': lose_disk_twice,
+    'the disk is lost, and the state is 3 s on its way': (
+        lose_disk_behind_slow_links
+    ),
     'a copy restarts, and then the disk is lost': (
         restart_memory_replica_and_lose_disk
     ),
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -266,16 +266,16 @@
         check: collections.abc.Callable[
             [typing.Any], typing.Any
         ] = replies.accept_any,
+        timeout: float = timing.CALL_TIMEOUT_SECONDS,
     ) -> typing.Any:
         """Returns the reply of a peer.
 
         :param check: a function of the replies module.
+        :param timeout: in seconds.
         :raises PeerProtocolError: if the reply is malformed.
         """
         name = f'replica.{self.group}.{method}'
-        reply = await self.mesh.call(
-            vm, name, message, timing.CALL_TIMEOUT_SECONDS
-        )
+        reply = await self.mesh.call(vm, name, message, timeout)
         try:
             return check(reply)
         except replies.MALFORMED_REPLY_ERRORS as error:
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -28,6 +28,8 @@
 # Before a group whose only disk was lost is recovered, the memory replicas
 # get this long to reply, so that the most recent one can be used.
 RECOVERY_DELAY_SECONDS = 3.0
+# The whole state is sent in one reply, which may be large and the link slow.
+EXPORT_TIMEOUT_SECONDS = 20.0
 MEMBERSHIP_CHECK_SECONDS = 4.0
 # A voter that hears no leader checks this often whether it was removed.
 REMOVAL_CHECK_SECONDS = 1.0
@@ -324,7 +326,11 @@
             continue
         with contextlib.suppress(errors.GatewayError):
             export = await replica.call_peer(
-                vm, 'export', None, reply_checks.check_export
+                vm,
+                'export',
+                None,
+                reply_checks.check_export,
+                EXPORT_TIMEOUT_SECONDS,
             )
             if best is None or export[:2] > best[:2]:
                 best = export
