End the response of a server that sends informational ones without end

Callers got no answer before their deadline, 20 of 20 requests beside 20 others, while servers answered with '100 Continue' without end: each was parsed and dropped, which took the process's time from all other requests.

More than 16 informational responses before the final one now end the connection as no valid HTTP. Connections of the own interface, which httpcore parses, take at most 256 KiB up to the end of a head.

--- a/features/backends/broken_heads.feature
+++ b/features/backends/broken_heads.feature
@@ -41,3 +41,31 @@
       | platform  | chunks   | GET    |
       | own       | a length | GET    |
       | own       | chunks   | POST   |
+
+  Scenario Outline: A server sends <what> without end, and its caller waits for the deadline
+    Given a backend server of the <interface> interface whose response has HTTP/1.1 and a length
+    When it sends <what> without end as the response to a <method>
+    Then no caller gets a response, and each gets an error within 1 s
+
+    Examples:
+      | interface | what                    | method |
+      | platform  | informational responses | GET    |
+      | platform  | informational responses | POST   |
+      | platform  | header lines            | GET    |
+      | platform  | one header line         | POST   |
+      | platform  | bytes of no response    | GET    |
+      | own       | informational responses | GET    |
+      | own       | informational responses | POST   |
+      | own       | header lines            | GET    |
+      | own       | one header line         | POST   |
+      | own       | bytes of no response    | GET    |
+
+  Scenario Outline: A few informational responses cost a caller its response
+    Given a backend server of the <interface> interface whose response has HTTP/1.1 and a length
+    When it sends <count> informational responses before its response
+    Then each caller gets the whole response
+
+    Examples:
+      | interface | count |
+      | platform  | 16    |
+      | own       | 16    |
--- a/features/steps/broken_heads.py
+++ b/features/steps/broken_heads.py
@@ -57,6 +57,7 @@
     """A backend server whose last response on a connection is cut short.
 
     :ivar whole_count: responses before it on a connection.
+    :ivar part: what it sends after ``start`` without end, if not empty.
     """
 
     def __init__(self, interface, version, framing):
@@ -66,6 +67,8 @@
         self.whole_count = 0
         self.change = bytes
         self.sent = b''
+        self.start = b''
+        self.part = b''
 
     def head_lines(self, name):
         lines = [b'HTTP/%s 200 OK' % self.version.encode()]
@@ -101,6 +104,10 @@
                     while len(received) < size:
                         received += await stream.receive()
                     received = received[size:]
+                    if self.part:
+                        await stream.send(self.start)
+                    while self.part:
+                        await stream.send(self.part)
                     response = self.response(REQUEST_ID.search(head).group(1))
                     if count == self.whole_count:
                         response = self.sent = self.change(response)
@@ -269,3 +276,53 @@
         )
         assert not has_framing and one.is_ended_by_close is not False, one
         assert head and one.body == sent_body, one
+
+
+ENDLESS_PARTS = {
+    'informational responses': b'HTTP/1.1 100 Continue\r\n\r\n',
+    'header lines': b'X-Noise: 1\r\n',
+    'one header line': b'noise',
+    'bytes of no response': b'\x00\xffnoise',
+}
+
+
+@behave.when('it sends {what} without end as the response to a {method}')
+@in_fleet
+async def when_endless(context, what, method):
+    part = ENDLESS_PARTS[what]
+    start = b''
+    if what.endswith('line') or what.endswith('lines'):
+        start = b'HTTP/1.1 200 OK\r\nX-First: '
+    context.server.start, context.server.part = start, part * 100
+    async with serving(context) as (timers, make_call):
+        started_at = timers.now()
+        with anyio.fail_after(CALL_SECONDS):
+            body, is_ended_by_close = await make_call(timers, method, 1)
+        context.seconds = timers.now() - started_at
+        context.results.append(Result(b'', body, is_ended_by_close))
+
+
+@behave.when('it sends {count:d} informational responses before its response')
+@in_fleet
+async def when_few_informational(context, count):
+    await run_changes(
+        context, 'GET', [lambda response: EARLY_HINTS * count + response]
+    )
+
+
+@behave.then('no caller gets a response')
+def then_no_response(context):
+    assert context.results
+    for one in context.results:
+        assert one.body is None, one
+
+
+@behave.then('no caller gets a response, and each gets an error within 1 s')
+def then_no_response_in_time(context):
+    then_no_response(context)
+    assert context.seconds <= 1.0, context.seconds
+
+
+@behave.then('each caller gets the whole response')
+def then_whole(context):
+    assert [one.body for one in context.results] == [BODY], context.results
--- a/src/greengagegw/adapters/backend_connection.py
+++ b/src/greengagegw/adapters/backend_connection.py
@@ -26,6 +26,9 @@
 from .. import timers as timer_service
 
 MAX_HEAD_BYTES = 100 * 1024
+# Informational responses before the final one. More are no use, and a server
+# that sends them without end would keep the process from all other work.
+MAX_INFORMATIONAL_RESPONSES = 16
 # A larger body is not copied to send it together with the head.
 MAX_COPIED_BYTES = 16 * 1024
 # What one read of a socket returns at most.
@@ -218,11 +221,19 @@
                 self.transport.write(b''.join(parts))
         if self.can_write is not None:
             await self.can_write
+        informational_count = 0
         while True:
             event = self.parse_event()
             if event is h11.NEED_DATA:
                 await self.wait_received()
                 self.parse_received()
+            elif type(event) is h11.InformationalResponse:
+                informational_count += 1
+                if informational_count > MAX_INFORMATIONAL_RESPONSES:
+                    raise httpcore.RemoteProtocolError(
+                        f'more than {MAX_INFORMATIONAL_RESPONSES}'
+                        ' informational responses'
+                    )
             elif type(event) is h11.Response:
                 self.is_between_chunks = False
                 self.ends_chunk = not self.http.trailing_data[0]
--- a/src/greengagegw/adapters/backend_httpx.py
+++ b/src/greengagegw/adapters/backend_httpx.py
@@ -62,6 +62,10 @@
                 extensions=request.extensions,
             )
         )
+        connection = response.extensions['network_stream'].get_extra_info(
+            'connection'
+        )
+        connection.is_receiving_head = False
         return httpx.Response(
             response.status,
             headers=response.headers,
--- a/src/greengagegw/adapters/backend_transport.py
+++ b/src/greengagegw/adapters/backend_transport.py
@@ -32,6 +32,9 @@
     httpcore.ConnectTimeout,
     httpcore.PoolTimeout,
 )
+# Bytes up to the end of the head of a response, with informational ones before
+# it. A server may send these without end.
+MAX_HEADS_BYTES = 256 * 1024
 HTTP_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -43,11 +46,16 @@
     """A connection over TCP or TLS.
 
     :ivar response_count: responses that were received, as its user counts.
+    :ivar is_receiving_head: whether the head of a response is not complete,
+        as its user tells.
+    :ivar head_bytes: bytes that were received since the last write.
     """
 
     def __init__(self, stream: anyio.abc.ByteStream) -> None:
         self.stream = stream
         self.response_count = 0
+        self.is_receiving_head = False
+        self.head_bytes = 0
         self.socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
         self.poll = select.poll()
         self.poll.register(self.socket, select.POLLIN)
@@ -56,17 +64,25 @@
         self, max_bytes: int, timeout: float | None = None
     ) -> bytes:
         try:
-            return await self.stream.receive(max_bytes)
+            data = await self.stream.receive(max_bytes)
         except anyio.EndOfStream:
             return b''
         except CONNECTION_LOST_ERRORS as error:
             raise httpcore.ReadError(
                 f'connection lost while reading: {error!r}'
             ) from error
+        self.head_bytes += len(data)
+        if self.is_receiving_head and self.head_bytes > MAX_HEADS_BYTES:
+            raise httpcore.RemoteProtocolError(
+                f'no response in the first {MAX_HEADS_BYTES} bytes'
+            )
+        return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         if not buffer:
             return
+        self.is_receiving_head = True
+        self.head_bytes = 0
         try:
             await self.stream.send(buffer)
         except CONNECTION_LOST_ERRORS as error:
