Take a status above 599 for a failure of the server

A server in trouble sent an answer whose status was none of HTTP's, and the client got it as an answer. Statuses 000, 042, 099 and 1000 ended as a failed server already; 600 and 999 were passed on by both interfaces.

RFC 9110 defines five classes, so a status above 599 is no valid response.

'A status that HTTP does not have is passed on to the caller': 4 rows failed before.

--- a/features/backends/broken_heads.feature
+++ b/features/backends/broken_heads.feature
@@ -42,6 +42,18 @@
       | own       | a length | GET    |
       | own       | chunks   | POST   |
 
+  Scenario Outline: A status that HTTP does not have is passed on to the caller
+    Given a backend server of the <interface> interface whose response has HTTP/1.1 and a length
+    When its response to a <method> has each of the statuses 000, 042, 099, 600, 999 and 1000
+    Then no caller gets a response
+
+    Examples:
+      | interface | method |
+      | platform  | GET    |
+      | platform  | POST   |
+      | own       | GET    |
+      | own       | POST   |
+
   Scenario Outline: A server sends <what> without end, and its caller waits for the deadline
     Given a backend server of the <interface> interface whose response has HTTP/1.1 and a length
     When it sends <what> without end as the response to a <method>
--- a/features/steps/broken_heads.py
+++ b/features/steps/broken_heads.py
@@ -278,6 +278,19 @@
         assert head and one.body == sent_body, one
 
 
+@behave.when(
+    'its response to a {method} has each of the statuses 000, 042, 099, 600,'
+    ' 999 and 1000'
+)
+@in_fleet
+async def when_odd_status(context, method):
+    def with_status(status):
+        return lambda response: response.replace(b' 200 ', status, 1)
+
+    statuses = (b' 000 ', b' 042 ', b' 099 ', b' 600 ', b' 999 ', b' 1000 ')
+    await run_changes(context, method, [with_status(one) for one in statuses])
+
+
 ENDLESS_PARTS = {
     'informational responses': b'HTTP/1.1 100 Continue\r\n\r\n',
     'header lines': b'X-Noise: 1\r\n',
--- a/src/greengagegw/adapters/backend_connection.py
+++ b/src/greengagegw/adapters/backend_connection.py
@@ -24,6 +24,7 @@
 import httpcore
 
 from .. import timers as timer_service
+from . import backend_transport
 
 MAX_HEAD_BYTES = 100 * 1024
 # Informational responses before the final one. More are no use, and a server
@@ -235,6 +236,11 @@
                         ' informational responses'
                     )
             elif type(event) is h11.Response:
+                if event.status_code > backend_transport.MAX_STATUS:
+                    raise httpcore.RemoteProtocolError(
+                        f'status {event.status_code} is above'
+                        f' {backend_transport.MAX_STATUS}'
+                    )
                 self.is_between_chunks = False
                 self.ends_chunk = not self.http.trailing_data[0]
                 self.is_chunked = any(
--- a/src/greengagegw/adapters/backend_httpx.py
+++ b/src/greengagegw/adapters/backend_httpx.py
@@ -66,6 +66,12 @@
             'connection'
         )
         connection.is_receiving_head = False
+        if response.status > backend_transport.MAX_STATUS:
+            await response.aclose()
+            raise httpcore.RemoteProtocolError(
+                f'status {response.status} is above'
+                f' {backend_transport.MAX_STATUS}'
+            )
         return httpx.Response(
             response.status,
             headers=response.headers,
--- a/src/greengagegw/adapters/backend_transport.py
+++ b/src/greengagegw/adapters/backend_transport.py
@@ -35,6 +35,8 @@
 # Bytes up to the end of the head of a response, with informational ones before
 # it. A server may send these without end.
 MAX_HEADS_BYTES = 256 * 1024
+# Higher status codes belong to no class (RFC 9110, section 15).
+MAX_STATUS = 599
 HTTP_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
