Find a leader that is none of the founders

A VM that starts also asks the VMs that have called it.

'All founders lose their disks, and find no leader among themselves' failed before. In the simulated groups, only the first start may form a group there, as on the platform; else the three empty founders form a second one.

--- a/features/fakes.py
+++ b/features/fakes.py
@@ -392,6 +392,7 @@
         timeouts=replicas.DEFAULT_TIMEOUTS,
     ):
         self.min_voters = min_voters
+        self.may_bootstrap = True
         self.timeouts = timeouts
         self.vms = (*vms, *memory_replicas)
         self.founders = tuple(vms)
@@ -431,6 +432,7 @@
             self.timers,
             self.rng,
             self.memory_replicas,
+            may_bootstrap=self.may_bootstrap,
             min_voters=self.min_voters,
             timeouts=self.timeouts,
         )
--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -328,6 +328,12 @@
     When the leader and a follower are cut off
     Then the others elect no leader within 12 s
 
+  Scenario: All founders lose their disks, and find no leader among themselves
+    Given a control group of 3 founders and two VMs that joined
+    When a founder loses its disk, and the others when it has been admitted and all lose power
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
   Scenario Outline: A VM behind a slow link gets the same entries again and again, and never votes
     Given a control group of 5 replicas
     When <count> commands of <size> bytes are committed
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -783,6 +783,56 @@
     add_part(context, lose_disk)
 
 
+@behave.given('a control group of 3 founders and two VMs that joined')
+def set_founders(context):
+    set_count(context, 3)
+
+    async def grow(group):
+        # As on the platform, where only the first start may form a group.
+        group.may_bootstrap = False
+        for vm in ('d', 'e'):
+            group.add(vm)
+        await wait_for(
+            group,
+            lambda: len(group.leader().members.voters) == 5,
+            RECOVERY_SECONDS,
+        )
+
+    add_part(context, grow)
+
+
+@behave.when(
+    'a founder loses its disk, and the others when it has been admitted and'
+    ' all lose power'
+)
+def plan_founders_lost(context):
+    async def lose_founders(group):
+        leader = group.leader()
+        vm = next(one for one in group.founders if one != leader.vm)
+        await lose_disks(group, [vm])
+        replica = group.replicas[vm]
+        await wait_in_steps(
+            group,
+            lambda: (
+                leader.members_index <= leader.commit_index
+                and leader.is_current_member(vm, replica.incarnation)
+            ),
+            RECOVERY_SECONDS,
+        )
+        assert vm not in leader.members.voters
+        others = [one for one in group.founders if one != vm]
+        assert leader.vm in others
+        for one in group.vms:
+            group.crash(one)
+        for one in others:
+            group.lose_disk(one)
+        await group.advance(RESTART_SECONDS)
+        for one in group.vms:
+            group.start(one)
+
+    add_part(context, lose_founders)
+
+
 @behave.when('at that moment {which} lose their disks alone')
 def plan_half_lost(context, which):
     async def lose_half(group):
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -136,6 +136,7 @@
         self.members_index = 0
         self.learner_since: dict[tuple[str, str], float] = {}
         self.former_voters: tuple[str, ...] = ()
+        self.heard_peers: set[str] = set()
         # Saved before any snapshot is restored: a load that is repeated after
         # a failure of the disk finds the state of the first attempt.
         self.initial_state = machine.save()
@@ -389,6 +390,7 @@
 
     async def on_identify(self, peer: str, message: list) -> dict:
         vm, incarnation, boots, session = message
+        self.note_peer(peer)
         if not self.is_loaded:
             raise errors.ReplicationError('the replica is still loading')
         is_stale = False
@@ -411,6 +413,14 @@
             'are_members_committed': self.is_membership_settled,
         }
 
+    def note_peer(self, vm: str) -> None:
+        """Remembers a VM that this one may ask for its group.
+
+        All founders may be unreachable, or have lost their disks too.
+        """
+        if self.is_starting and len(self.heard_peers) < MAX_MEMBERS:
+            self.heard_peers.add(vm)
+
     def find_seen_boot(
         self, vm: str, incarnation: str
     ) -> log_storage.SeenBoot | None:
@@ -666,6 +676,7 @@
             message
         )
         if self.role in (roles.Role.STARTING, roles.Role.FAILED):
+            self.note_peer(peer)
             self.log_refused_vote(candidate, term, self.role.value)
             return [self.term, False, '']
         async with self.lock_storage():
@@ -1021,6 +1032,7 @@
             # Requests are still sent to the leader, though the entries cannot
             # be stored.
             self.leader, self.leader_heard_at = leader, self.timers.now()
+        self.note_peer(peer)
         self.require_started()
         async with self.lock_storage():
             rejection = [self.term, False, 0, self.incarnation]
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -59,7 +59,8 @@
 ) -> dict[str, dict]:
     """Identifies this replica to its peers.
 
-    A replica that has no members does not wait for silent peers once the
+    These are the founders, and the VMs that it knows or that have called it. A
+    replica that has no members does not wait for silent peers once the
     leader of its group has replied. If its peers name a leader that is none
     of them, it is asked as well.
 
@@ -70,6 +71,7 @@
         *replica.members.voters,
         *replica.former_voters,
         *replica.memory_replicas,
+        *replica.heard_peers,
     }
     if replica.members.members:
         return await identify_to(replica, peers - {replica.vm})
