Begin the scenario of learners with all voters

The round began before the fifth VM had its vote, so that three disks of a group of four were lost, a learner's among them (seed 9): that may lose what was acknowledged, and the group waits.

--- a/soak/learners.py
+++ b/soak/learners.py
@@ -17,9 +17,8 @@
 LINK_BYTES_PER_SECOND = 8000
 RESTART_SECONDS = 1.0
 # For an election, the admission and a lost call each.
-LEARNER_SECONDS = 10.0
+MEMBERS_SECONDS = 10.0
 POLL_SECONDS = 0.05
-LEARNER_PATTERN = re.compile(rb'^greengagegw_replica_learners 1', re.MULTILINE)
 
 
 class LearnerError(Exception):
@@ -35,6 +34,7 @@
     leader = await player.find_leader()
     if leader is None:
         raise LearnerError('no control VM leads')
+    await wait_for_metric(leader, b'voters', len(controls))
     others = [one for one in controls if one is not leader]
     learner, lost, *_ = player.rng.sample(others, len(others))
     player.log(f'learner {learner.name}, lost {leader.name}, {lost.name}')
@@ -45,7 +45,7 @@
     learner.wipe()
     await anyio.sleep(RESTART_SECONDS)
     learner.start()
-    await wait_for_learner(leader)
+    await wait_for_metric(leader, b'learners', 1)
     with anyio.move_on_after(player.record.bounds.acknowledge):
         await player.operator.put()
     await lose_half(player, [leader, lost])
@@ -55,21 +55,27 @@
     await anyio.sleep(player.record.bounds.recovery)
 
 
-async def wait_for_learner(leader) -> None:
-    """Waits until a leader counts a member that does not vote."""
+async def wait_for_metric(leader, name: bytes, value: int) -> None:
+    """Waits until a leader counts so many members of a kind.
+
+    :raises LearnerError: if it does not in time, or cannot be asked.
+    """
     port = deployments.CONTROL_METRICS_PORT
     url = f'http://{leader.host}:{port}/metrics'
-    with anyio.move_on_after(LEARNER_SECONDS):
+    pattern = re.compile(
+        rb'^greengagegw_replica_%s %d(\.0)?$' % (name, value), re.MULTILINE
+    )
+    with anyio.move_on_after(MEMBERS_SECONDS):
         async with traffic.make_client(days.METRICS_SECONDS) as client:
             while True:
                 try:
                     text = (await client.get(url)).content
                 except httpx.HTTPError as error:
                     raise LearnerError(f'{leader.name}: {error!r}') from error
-                if LEARNER_PATTERN.search(text):
+                if pattern.search(text):
                     return
                 await anyio.sleep(POLL_SECONDS)
-    raise LearnerError(f'{leader.name} has no learner')
+    raise LearnerError(f'{leader.name} does not count {value} {name.decode()}')
 
 
 async def lose_half(player: days.Player, lost: list) -> None:
