Remember on disk which change of the members is committed

An election by half of the voters must know that the last change of the members is committed. A replica forgot at its start what is committed, so a group that lost two disks and all of its power at once stayed without a leader.

A replica stores index and term of a change of the members when it applies it, in a file of its own that earlier releases ignore. A state that is wiped loses it.

The rows in which all VMs lose power failed before.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -275,6 +275,27 @@
       | replicas that join | a state is discarded on an uncommitted removal             |
       | replicas that join | a state is discarded on the word of an earlier leader      |
 
+  Scenario Outline: No schedule of elections without lost voters loses a commit
+    Then the search of lost disks with <group> satisfies the rules
+
+    Examples:
+      | group                       |
+      | two voters                  |
+      | two voters and a learner    |
+      | three voters and a learner  |
+      | four voters and a learner   |
+
+  Scenario Outline: A mistake in the election without lost voters is found
+    Then the search of lost disks with <group> finds this mistake: <mistake>
+
+    Examples:
+      | group                      | mistake                                     |
+      | four voters and a learner  | the learners are not asked                  |
+      | four voters                | a silent voter counts as lost               |
+      | three voters and a learner | the former members do not count             |
+      | three voters and a learner | a voter that joined again does not count    |
+      | three voters and a learner | all voters that are left are enough         |
+
   Scenario: A voter that lags refuses a candidate that was admitted meanwhile
     Given a control group of 5 replicas
     When the only VM with the newest entry is unknown to a voter that lags
@@ -297,7 +318,7 @@
       | moment            | lost                       | power                     |
       | has been admitted | the leader and a follower  | alone                     |
       | has been admitted | two followers              | alone                     |
-      | has been admitted | the leader and a follower  | and all others lose power |
+      | has been admitted as all know | the leader and a follower  | and all others lose power |
       | holds the log     | the leader and a follower  | alone                     |
       | holds the log     | two followers              | alone                     |
       | holds the log     | the leader and a follower  | and all others lose power |
@@ -330,7 +351,7 @@
 
   Scenario: All founders lose their disks, and find no leader among themselves
     Given a control group of 3 founders and two VMs that joined
-    When a founder loses its disk, and the others when it has been admitted and all lose power
+    When a founder loses its disk, and the others when all know its admission and lose power
     Then a command is acknowledged within 12 s, and none is lost
     And all machines vote again
 
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -9,6 +9,7 @@
 import orjson
 
 from features import fakes
+from features import lost_disk_model
 from features import membership_model
 from greengagegw.control import state as control_state
 from greengagegw import errors
@@ -745,6 +746,20 @@
         await group.timers.advance(STEP_SECONDS)
 
 
+def all_know_members(group):
+    """Returns whether all voters have stored that the members are committed.
+
+    Until then, a group that loses its power may not know it.
+    """
+    members = group.leader().members
+    return all(
+        group.replicas[vm].members == members
+        and group.replicas[vm].storage.committed_members[0]
+        == group.leader().members_index
+        for vm in members.voters
+    )
+
+
 @behave.when('a follower loses its disk, and it {moment}')
 def plan_learner(context, moment):
     async def lose_disk(group):
@@ -770,13 +785,14 @@
                 and replica.storage.last_index == leader.storage.last_index
             )
 
-        await wait_in_steps(
-            group,
-            {'has been admitted': is_learner, 'holds the log': holds_log}[
-                moment
-            ],
-            RECOVERY_SECONDS,
-        )
+        moments = {
+            'has been admitted': is_learner,
+            'has been admitted as all know': lambda: (
+                is_learner() and all_know_members(group)
+            ),
+            'holds the log': holds_log,
+        }
+        await wait_in_steps(group, moments[moment], RECOVERY_SECONDS)
         assert len(leader.members.voters) == context.count - 1
         context.vm = vm
 
@@ -802,8 +818,8 @@
 
 
 @behave.when(
-    'a founder loses its disk, and the others when it has been admitted and'
-    ' all lose power'
+    'a founder loses its disk, and the others when all know its admission and'
+    ' lose power'
 )
 def plan_founders_lost(context):
     async def lose_founders(group):
@@ -814,8 +830,8 @@
         await wait_in_steps(
             group,
             lambda: (
-                leader.members_index <= leader.commit_index
-                and leader.is_current_member(vm, replica.incarnation)
+                leader.is_current_member(vm, replica.incarnation)
+                and all_know_members(group)
             ),
             RECOVERY_SECONDS,
         )
@@ -1411,6 +1427,71 @@
     raise AssertionError('the mistake was not found')
 
 
+def can_lead_by_newest(members, previous, *others):
+    return membership.can_lead_without(members, None, *others)
+
+
+def can_lead_beside_replaced(members, previous, *others):
+    if previous is not None:
+        for one in previous.members:
+            known = members.get(one.vm)
+            if known is not None and known.incarnation != one.incarnation:
+                previous = previous.without(one.vm)
+    return membership.can_lead_without(members, previous, *others)
+
+
+def can_lead_if_all_grant(members, previous, granted, lost, min_voters):
+    return set(members.voters) - lost <= granted
+
+
+WRONG_ELECTIONS = {
+    'the learners are not asked': lost_disk_model.Rules(
+        are_learners_asked=False
+    ),
+    'a silent voter counts as lost': lost_disk_model.Rules(
+        is_loss_proved=False
+    ),
+    'the former members do not count': lost_disk_model.Rules(
+        can_lead_without=can_lead_by_newest
+    ),
+    'a voter that joined again does not count': lost_disk_model.Rules(
+        can_lead_without=can_lead_beside_replaced
+    ),
+    'all voters that are left are enough': lost_disk_model.Rules(
+        can_lead_without=can_lead_if_all_grant
+    ),
+}
+# Voters, learners, and the limits of terms, lost disks and entries.
+LOST_DISK_SEARCHES = {
+    'two voters': (2, 0, 4, 2, 5),
+    'two voters and a learner': (2, 1, 3, 2, 4),
+    'three voters and a learner': (3, 1, 3, 2, 3),
+    'four voters': (4, 0, 3, 2, 3),
+    'four voters and a learner': (4, 1, 2, 2, 3),
+}
+
+
+@behave.then('the search of lost disks with {group} satisfies the rules')
+def check_lost_disks(context, group):
+    count = lost_disk_model.search(
+        lost_disk_model.Rules(), *LOST_DISK_SEARCHES[group]
+    )
+    assert count > 1000, count
+
+
+@behave.then(
+    'the search of lost disks with {group} finds this mistake: {mistake}'
+)
+def check_wrong_election(context, group, mistake):
+    try:
+        lost_disk_model.search(
+            WRONG_ELECTIONS[mistake], *LOST_DISK_SEARCHES[group]
+        )
+    except lost_disk_model.ViolationError:
+        return
+    raise AssertionError('the mistake was not found')
+
+
 # Voters that lag.
 
 
--- a/src/greengagegw/replication/lost_voters.py
+++ b/src/greengagegw/replication/lost_voters.py
@@ -74,7 +74,7 @@
     lost: frozenset[str],
 ) -> bool:
     previous = None
-    if replica.commit_index < replica.members_index:
+    if not replica.are_members_committed:
         previous = replica.members_at(replica.members_index - 1)
     return membership.can_lead_without(
         replica.members, previous, granted, lost, replica.min_voters
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -1140,6 +1140,8 @@
                 self.is_machine_outdated = False
             if entry.kind is log_entries.EntryKind.COMMAND:
                 outcome, failure = self.apply_command(entry)
+            elif entry.kind is log_entries.EntryKind.MEMBERSHIP:
+                self.start_saving_members()
             self.applied_index = index
             proposal = self.pending_proposals.pop(index, None)
             if proposal is None:
@@ -1154,6 +1156,29 @@
         if applied_count >= SNAPSHOT_AFTER_ENTRIES and self.tasks is not None:
             self.tasks.start_soon(self.take_snapshot)
 
+    def start_saving_members(self) -> None:
+        if self.tasks is not None:
+            self.tasks.start_soon(self.save_committed_members)
+
+    async def save_committed_members(self) -> None:
+        """Remembers over a restart that the members are committed."""
+        # A failure of the disk is logged where it is found.
+        with contextlib.suppress(errors.DiskFailedError):
+            async with self.lock_storage():
+                index = self.members_index
+                if self.storage.base_index < index <= self.commit_index:
+                    await self.storage.save_committed_members(index)
+
+    @property
+    def are_members_committed(self) -> bool:
+        """Whether the newest members are known to be committed."""
+        index = self.members_index
+        return (
+            self.commit_index >= index
+            or self.storage.committed_members
+            == (index, self.storage.term_at(index))
+        )
+
     def apply_command(
         self, entry: log_entries.Entry
     ) -> tuple[typing.Any, errors.InvalidCommandError | None]:
--- a/src/greengagegw/replication/storage.py
+++ b/src/greengagegw/replication/storage.py
@@ -25,6 +25,8 @@
 HEADER = struct.Struct('>4sII')
 META_NAME = 'meta'
 SNAPSHOT_NAME = 'snapshot'
+# A file of its own, since an earlier release rejects unknown values in `meta`.
+MEMBERS_NAME = 'members'
 LOG_PREFIX = 'log-'
 # The probe of a disk that has failed; more than a block of usual file systems.
 PROBE_BYTES = 8192
@@ -79,12 +81,15 @@
     failed write, :meth:`recover` can bring the disk to the state in memory.
 
     :ivar file_size: bytes of the newest log file that are known to be synced.
+    :ivar committed_members: index and term of the newest change of the members
+        that is known to be committed.
     """
 
     def __init__(self, folder: disk.FolderPort) -> None:
         self.folder = folder
         self.meta = Meta()
         self.snapshot: log_entries.Snapshot | None = None
+        self.committed_members = (0, 0)
         self.entries: list[log_entries.Entry] = []
         self.locations: list[EntryLocation] = []
         self.file: disk.FilePort | None = None
@@ -134,6 +139,7 @@
         """
         await self.close()
         self.meta, self.snapshot = Meta(), None
+        self.committed_members = (0, 0)
         self.entries, self.locations = [], []
         self.file_name, self.file_size = '', 0
         names = await self.folder.names()
@@ -151,6 +157,11 @@
                 log_entries.Members.unpack(values['members']),
                 values['state'],
             )
+        if MEMBERS_NAME in names:
+            values = _decode_file(
+                MEMBERS_NAME, await self.folder.read(MEMBERS_NAME)
+            )
+            self.committed_members = values['index'], values['term']
         logs = [name for name in names if name.startswith(LOG_PREFIX)]
         for name in logs:
             await self.load_log(name, is_last=name == logs[-1])
@@ -265,6 +276,14 @@
         await self.folder.replace(META_NAME, content)
         self.meta = meta
 
+    async def save_committed_members(self, index: int) -> None:
+        """Stores durably that a change of the members is committed."""
+        term = self.term_at(index)
+        await self.folder.replace(
+            MEMBERS_NAME, _encode_file({'index': index, 'term': term})
+        )
+        self.committed_members = index, term
+
     async def append(self, added: list[log_entries.Entry]) -> None:
         """Appends entries as one batch and returns when it is synced."""
         if not added:
@@ -376,6 +395,8 @@
             META_NAME, _encode_file(dataclasses.asdict(meta))
         )
         self.meta = meta
+        self.committed_members = (0, 0)
+        await self.folder.remove(MEMBERS_NAME)
         await self.remove_logs()
         self.snapshot = None
         await self.folder.remove(SNAPSHOT_NAME)
