Test responses that are reset during an upload, and bodies without end

Reports on systems of this kind: a part of a response without a length, reset during the upload, was taken for whole; bytes without end filled the memory.

--- a/features/backends/broken_heads.feature
+++ b/features/backends/broken_heads.feature
@@ -81,3 +81,29 @@
       | interface | count |
       | platform  | 16    |
       | own       | 16    |
+
+  Scenario Outline: A part of a response that was reset during the upload is taken for whole
+    Given a backend server of the <interface> interface whose response has HTTP/1.1 and <framing>
+    When it sends a part of its response and resets the connection during an upload of <size> bytes
+    Then no caller gets a response
+
+    Examples:
+      | interface | framing   | size    |
+      | platform  | no length | 3000000 |
+      | platform  | no length | 7       |
+      | platform  | chunks    | 3000000 |
+      | own       | no length | 3000000 |
+      | own       | no length | 7       |
+      | own       | chunks    | 3000000 |
+
+  Scenario Outline: A body without end is kept while its caller reads nothing
+    Given a backend server of the <interface> interface whose response has HTTP/1.1 and <framing>
+    When it sends a body without end to a caller that reads nothing for 1 s
+    Then it could send less than a tenth of the 300 MB of a VM
+
+    Examples:
+      | interface | framing   |
+      | platform  | no length |
+      | platform  | chunks    |
+      | own       | no length |
+      | own       | chunks    |
--- a/features/steps/broken_heads.py
+++ b/features/steps/broken_heads.py
@@ -3,9 +3,12 @@
 import contextlib
 import dataclasses
 import re
+import socket
 import ssl
+import struct
 
 import anyio
+import anyio.abc
 import behave
 
 from features import fleet_world
@@ -69,6 +72,8 @@
         self.sent = b''
         self.start = b''
         self.part = b''
+        self.sent_bytes = 0
+        self.resets_upload = False
 
     def head_lines(self, name):
         lines = [b'HTTP/%s 200 OK' % self.version.encode()]
@@ -98,6 +103,9 @@
                 for count in range(self.whole_count + 1):
                     while b'\r\n\r\n' not in received:
                         received += await stream.receive()
+                    if self.resets_upload:
+                        await self.reset(stream, received)
+                        return
                     head, _, received = received.partition(b'\r\n\r\n')
                     length = LENGTH.search(head)
                     size = int(length.group(1)) if length else 0
@@ -108,11 +116,25 @@
                         await stream.send(self.start)
                     while self.part:
                         await stream.send(self.part)
+                        self.sent_bytes += len(self.part)
                     response = self.response(REQUEST_ID.search(head).group(1))
                     if count == self.whole_count:
                         response = self.sent = self.change(response)
                     await stream.send(response)
 
+    async def reset(self, stream, received):
+        """Sends a part of a response, and resets the connection."""
+        name = REQUEST_ID.search(received).group(1)
+        body = CHUNKED_BODY[:12] if self.framing == 'chunks' else b'a part'
+        await stream.send(b'\r\n'.join([*self.head_lines(name), b'', body]))
+        await anyio.sleep(0.05)
+        connection = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        # A close without lingering sends a reset.
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+        await anyio.aclose_forcefully(stream)
+
 
 @behave.given(
     'a backend server of the {interface} interface whose response has'
@@ -140,7 +162,13 @@
         tasks.cancel_scope.cancel()
 
 
-async def call_platform(timers, method, count):
+async def read_at_once(chunks):
+    return b''.join([one async for one in chunks])
+
+
+async def call_platform(
+    timers, method, count, upload=b'content', read=read_at_once
+):
     """Sends requests one after another; returns the last outcome."""
     client = backend_client.BackendClient(timers)
     instance = fleet_world.instance(address=f'{HOST}:{PORT}')
@@ -156,7 +184,7 @@
                 (b'greengagegw-attempt-id', b'r-%d' % at),
             ],
         }
-        content = b'content' if method == 'POST' else b''
+        content = upload if method == 'POST' else b''
         request = client_application.decode_request(scope, content)
         backend_request = ports.BackendRequest(
             request, None, 3.0, 0, None, method == 'GET'
@@ -167,12 +195,14 @@
                 instance, backend_request, lambda notice: None
             ) as response:
                 is_ended_by_close = response.ends_by_close
-                body = b''.join([one async for one in response.chunks])
+                body = await read(response.chunks)
     client.prune_pools(())
     return body, is_ended_by_close
 
 
-async def call_own(timers, method, count):
+async def call_own(
+    timers, method, count, upload=b'content', read=read_at_once
+):
     """Sends calls one after another; returns the last outcome."""
     backend = backend_http.HttpBackend(
         settings_module.BackendServer(
@@ -185,13 +215,13 @@
     )
     for at in range(count):
         body = None
-        content = b'content' if method == 'POST' else b''
+        content = upload if method == 'POST' else b''
         call = late_calls.make_call(f'r-{at}', content, method == 'GET')
         with contextlib.suppress(errors.BackendError):
             async with backend.send(
                 dataclasses.replace(call, method=method, kind='plain')
             ) as response:
-                body = b''.join([one async for one in response.chunks])
+                body = await read(response.chunks)
     await backend.close()
     return body, None
 
@@ -323,6 +353,45 @@
     )
 
 
+@behave.when(
+    'it sends a part of its response and resets the connection during an'
+    ' upload of {size:d} bytes'
+)
+@in_fleet
+async def when_upload_reset(context, size):
+    context.server.resets_upload = True
+    async with serving(context) as (timers, make_call):
+        with anyio.fail_after(CALL_SECONDS):
+            body, is_ended_by_close = await make_call(
+                timers, 'POST', 1, bytes(size)
+            )
+        context.results.append(Result(b'', body, is_ended_by_close))
+
+
+@behave.when(
+    'it sends a body without end to a caller that reads nothing for'
+    ' {seconds:g} s'
+)
+@in_fleet
+async def when_body_without_end(context, seconds):
+    server = context.server
+    server.start = b'\r\n'.join([*server.head_lines(b'r-0'), b'', b''])
+    server.part = bytes(8192)
+    if server.framing == 'chunks':
+        server.part = b'2000\r\n%s\r\n' % bytes(8192)
+
+    async def read_nothing(chunks):
+        await anyio.sleep(seconds)
+
+    async with serving(context) as (timers, make_call):
+        await make_call(timers, 'GET', 1, read=read_nothing)
+
+
+@behave.then('it could send less than a tenth of the {size:d} MB of a VM')
+def then_little_sent(context, size):
+    assert 0 < context.server.sent_bytes < size * 1e6 / 10
+
+
 @behave.then('no caller gets a response')
 def then_no_response(context):
     assert context.results
