Vote by the members that a candidate has when it asks for votes

Found in the review: a candidate counted its votes by the members from before its pre-vote. While it waited for its disk after the pre-vote, a late message of its former leader could add voters, and it led with 2 votes of 5.

Under the lock that its vote needs, it now gives up if the members have changed or a leader has been heard since.

'A candidate wins with the members that it had before its pre-vote' failed before.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -344,6 +344,11 @@
     Then a command is acknowledged within 12 s, and none is lost
     And all machines vote again
 
+  Scenario: A candidate wins with the members that it had before its pre-vote
+    Given a control group of 3 replicas
+    When two voters are added while a candidate waits for its disk after its pre-vote
+    Then it does not lead with the votes of two
+
   Scenario: Half of four voters lead while the others are only silent
     Given a control group of 4 replicas
     When the leader and a follower are cut off
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -935,6 +935,72 @@
     add_part(context, lose)
 
 
+@behave.when(
+    'two voters are added while a candidate waits for its disk after its'
+    ' pre-vote'
+)
+def plan_members_after_pre_vote(context):
+    async def add_voters(group):
+        leader = group.leader()
+        candidate, other = (group.replicas[vm] for vm in followers(group))
+        context.vm = candidate.vm
+        last = candidate.storage.last_index
+        members, added = candidate.members, []
+        for number, vm in enumerate(('d', 'e'), 1):
+            members = members.with_member(entries.Member(vm, 'i', True))
+            content = msgpack.packb(members.pack())
+            kind = entries.EntryKind.MEMBERSHIP
+            added.append(
+                entries.Entry(last + number, leader.term, kind, content).pack()
+            )
+        message = [
+            leader.term,
+            leader.vm,
+            last,
+            candidate.storage.term_at(last),
+            added,
+            last,
+        ]
+        group.network.cut([leader.vm], [candidate.vm, other.vm])
+        # It does not stand itself.
+        other.last_contact_at = group.timers.now() + 1000
+        was_added = False
+
+        async def write_slowly():
+            async with candidate.lock_storage():
+                await group.timers.sleep(2)
+
+        vote = group.network.handlers[other.vm]['replica.g.vote']
+
+        async def vote_late(peer, vote_request):
+            nonlocal was_added
+            reply = await vote(peer, vote_request)
+            if not was_added:
+                was_added = True
+                group.tasks.start_soon(write_slowly)
+                await group.timers.sleep(STEP_SECONDS)
+                group.tasks.start_soon(candidate.on_append, leader.vm, message)
+            return reply
+
+        group.network.handlers[other.vm]['replica.g.vote'] = vote_late
+
+    add_part(context, add_voters)
+
+
+@behave.then('it does not lead with the votes of two')
+def check_enough_votes(context):
+    async def check(group):
+        for part in context.parts:
+            await part(group)
+        replica = group.replicas[context.vm]
+        for _ in range(round(RECOVERY_SECONDS / 0.25)):
+            await group.timers.advance(0.25)
+            assert not replica.is_leader, replica.last_votes
+        assert len(replica.members.voters) == 5
+
+    play(context, check)
+
+
 @behave.when('the leader and a follower are cut off')
 def plan_half_cut_off(context):
     async def cut_off(group):
--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -107,8 +107,8 @@
     replica.last_campaign_at = replica.timers.now()
     # The leader has been silent for too long; requests wait for the next one.
     replica.leader = None
-    term = replica.term
-    electorate = usual_electorate(replica.vm, replica.members)
+    term, members = replica.term, replica.members
+    electorate = usual_electorate(replica.vm, members)
     won_pre_vote = await collect_votes(
         replica, replica.term + 1, electorate, is_pre_vote=True
     )
@@ -127,16 +127,15 @@
             return
         asked = (recovery.remaining | recovery.learners) - {replica.vm}
         electorate = Electorate(asked, asked.issubset)
-    # During the pre-vote, it may have voted for another candidate or
-    # received a message of a leader.
-    is_superseded = (
-        replica.term != term
-        or replica.last_contact_at > replica.last_campaign_at
-    )
-    if is_superseded:
-        return
     async with replica.lock_storage():
-        if replica.term != term:
+        # Until it has the lock, it may have voted for another candidate, or
+        # received a message of a leader, with new members as well.
+        is_superseded = (
+            replica.term != term
+            or replica.members != members
+            or replica.last_contact_at > replica.last_campaign_at
+        )
+        if is_superseded:
             return
         had_penalty = has_disk_penalty(replica)
         started_at = replica.timers.now()
