--- a/soak/learners.py
+++ b/soak/learners.py
@@ -14,7 +14,9 @@
 from . import deployment as deployments
 from . import traffic
 
-LINK_BYTES_PER_SECOND = 8000
+LINK_BYTES_PER_SECOND = 2000
+# Before the others know that the VM is admitted, three disks would be lost.
+ADMISSION_SECONDS = 0.5
 RESTART_SECONDS = 1.0
 # For an election, the admission and a lost call each.
 MEMBERS_SECONDS = 10.0
@@ -46,6 +48,7 @@
     await anyio.sleep(RESTART_SECONDS)
     learner.start()
     await wait_for_metric(leader, b'learners', 1)
+    await anyio.sleep(ADMISSION_SECONDS)
     with anyio.move_on_after(player.record.bounds.acknowledge):
         await player.operator.put()
     await lose_half(player, [leader, lost])
