--- a/src/greengagegw/adapters/backend_httpx.py
+++ b/src/greengagegw/adapters/backend_httpx.py
@@ -62,10 +62,6 @@
                 extensions=request.extensions,
             )
         )
-        connection = response.extensions['network_stream'].get_extra_info(
-            'connection'
-        )
-        connection.is_receiving_head = False
         if response.status > backend_transport.MAX_STATUS:
             await response.aclose()
             raise httpcore.RemoteProtocolError(
--- a/src/greengagegw/adapters/backend_transport.py
+++ b/src/greengagegw/adapters/backend_transport.py
@@ -224,6 +224,20 @@
     return body
 
 
+class ConnectionPool(httpcore.AsyncConnectionPool):
+    """A pool whose connections are told when a head is complete."""
+
+    async def handle_async_request(
+        self, request: httpcore.Request
+    ) -> httpcore.Response:
+        response = await super().handle_async_request(request)
+        connection = response.extensions['network_stream'].get_extra_info(
+            'connection'
+        )
+        connection.is_receiving_head = False
+        return response
+
+
 def make_pool(
     ssl_context: ssl.SSLContext, max_idle: int, idle_seconds: float
 ) -> httpcore.AsyncConnectionPool:
@@ -232,7 +246,7 @@
     :param max_idle: maximal number of idle connections.
     :param idle_seconds: time after which an idle connection is closed.
     """
-    return httpcore.AsyncConnectionPool(
+    return ConnectionPool(
         ssl_context=ssl_context,
         max_connections=None,
         max_keepalive_connections=max_idle,
