Remove a learner that has been silent for 15 seconds

Cause: half of the voters lead only once every learner has confirmed that it knows of no newer members, and no leader ever removed a learner.

Change: a leader removes a learner that has not replied for 15 s, if no voter changes and a majority replies.

Why it works: the removal is a committed change of one member, so an earlier leader that may have promoted the learner is either known or cannot commit. Both models search removals of learners too; the exhaustive check of decisions also fails if a lost learner stays.

--- a/features/lost_disk_model.py
+++ b/features/lost_disk_model.py
@@ -208,7 +208,7 @@
 
 
 def changes(nodes, max_entries):
-    """Yields admissions of VMs with an empty disk, and promotions."""
+    """Yields admissions, promotions, and removals of learners."""
     for at, leader in enumerate(nodes):
         if not leader.is_leader or len(leader.log) >= max_entries:
             continue
@@ -231,8 +231,16 @@
                 )
             else:
                 continue
-            log = (*leader.log, (leader.term, changed))
-            yield update_commit(replace_node(nodes, at, log=log), at)
+            yield change(nodes, at, changed)
+        for member in members.members:
+            if not member.is_voter:
+                yield change(nodes, at, members.without(member.vm))
+
+
+def change(nodes, at, members):
+    leader = nodes[at]
+    log = (*leader.log, (leader.term, members))
+    return update_commit(replace_node(nodes, at, log=log), at)
 
 
 def losses(nodes, max_losses):
--- a/features/membership_model.py
+++ b/features/membership_model.py
@@ -38,12 +38,13 @@
         for voter_kinds in kinds:
             for learners in range(max_learners + 1):
                 for ready in range(learners + 1):
-                    view = make_view(voter_kinds, learners, ready)
-                    if view.members.is_majority(reachable(view)):
-                        yield view
+                    for lost in range(learners - ready + 1):
+                        view = make_view(voter_kinds, learners, ready, lost)
+                        if view.members.is_majority(reachable(view)):
+                            yield view
 
 
-def make_view(voter_kinds, learners, ready):
+def make_view(voter_kinds, learners, ready, lost):
     voters = [f'v{at}' for at in range(len(voter_kinds))]
     members = [
         *(entries.Member(vm, 'i', True) for vm in [LEADER, *voters]),
@@ -62,6 +63,7 @@
             for vm, kind in zip(voters, voter_kinds, strict=True)
             if kind == 'leaving'
         ),
+        frozenset(f'x{learners - 1 - at}' for at in range(lost)),
         MIN_VOTERS,
         REPLY_SECONDS,
     )
@@ -84,6 +86,8 @@
 def check_change(view, members):
     """Checks one change of the members against the rules."""
     before, after = set(view.members.voters), set(members.voters)
+    if before == after:
+        return check_removed_learner(view, members)
     if len(before ^ after) != 1 or LEADER not in after:
         raise ViolationError(f'not one change: {before} to {after}')
     added = after - before
@@ -112,6 +116,21 @@
     return changed
 
 
+def check_removed_learner(view, members):
+    removed = set(view.members.members) - set(members.members)
+    if (
+        len(removed) != 1
+        or not {one.vm for one in removed} <= view.lost_learners
+        or not members.is_majority(reachable(view))
+    ):
+        raise ViolationError(f'removes the learners {removed}')
+    return dataclasses.replace(
+        view,
+        members=members,
+        lost_learners=view.lost_learners - {one.vm for one in removed},
+    )
+
+
 def check_decisions(decide, max_voters=9, max_learners=3):
     """Checks each change, and what is left when no change is due.
 
@@ -128,6 +147,8 @@
             view = check_change(view, members)
         else:
             raise ViolationError(f'the members change for ever: {first}')
+        if view.lost_learners:
+            raise ViolationError(f'keeps {view.lost_learners}: {first}')
         check_tolerance(first, view)
     return count
 
--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -336,6 +336,21 @@
       | 4    | the leader and the newest |
       | 4    | two followers             |
 
+  Scenario: A learner that is gone for good keeps half of four voters without a leader
+    Given a control group of 5 replicas
+    When a follower loses its disk, and it has been admitted as all know
+    And that learner is gone for 20 s
+    And at that moment the leader and a follower lose their disks alone
+    Then a command is acknowledged within 12 s, and none is lost
+
+  Scenario: A learner that was removed returns with its old disk
+    Given a control group of 5 replicas
+    When a follower loses its disk, and it has been admitted as all know
+    And that learner is gone for 20 s
+    And it returns
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
   Scenario: Half of four voters lead without a learner that holds an acknowledged command
     Given a control group of 5 replicas
     When a follower loses its disk, and it has been admitted
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -849,6 +849,24 @@
     add_part(context, lose_founders)
 
 
+@behave.when('that learner is gone for {seconds:g} s')
+def plan_learner_gone(context, seconds):
+    async def crash(group):
+        group.crash(context.vm)
+        await advance_with_load(group, seconds)
+
+    add_part(context, crash)
+
+
+@behave.when('it returns')
+def plan_learner_back(context):
+    async def start(group):
+        assert group.leader().members.get(context.vm) is None
+        group.start(context.vm)
+
+    add_part(context, start)
+
+
 @behave.when('at that moment {which} lose their disks alone')
 def plan_half_lost(context, which):
     async def lose_half(group):
--- a/src/greengagegw/replication/log_replication.py
+++ b/src/greengagegw/replication/log_replication.py
@@ -140,6 +140,7 @@
         return next_index
     if not replica.is_current_member(vm, incarnation):
         return next_index
+    replica.replied_at[vm] = replica.timers.now()
     replica.record_contact(vm, sent_at)
     replica.sent_commit_index[vm] = message[-1]
     if not accepted:
@@ -192,6 +193,7 @@
             )
         if end >= total:
             return snapshot.index + 1
+        replica.replied_at[vm] = replica.timers.now()
         offset = end
         size.fit(replica.timers.now() - sent_at, timing.CALL_TIMEOUT_SECONDS)
 
--- a/src/greengagegw/replication/membership.py
+++ b/src/greengagegw/replication/membership.py
@@ -15,6 +15,9 @@
 SILENT_VOTER_SECONDS = 2.5
 # Well above the time that the restart of a machine takes.
 REMOVE_VOTER_AFTER_SECONDS = 15.0
+# A learner has no vote, but it must be asked in an election by half of the
+# voters.
+REMOVE_LEARNER_AFTER_SECONDS = REMOVE_VOTER_AFTER_SECONDS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,6 +29,8 @@
         leader.
     :ivar ready: learners that reply, hold the log and may be promoted.
     :ivar leaving: voters that are about to stop.
+    :ivar lost_learners: learners that have been silent for
+        ``REMOVE_LEARNER_AFTER_SECONDS``.
     :ivar min_voters: number of voters below which the group does not shrink,
         except while a voter is exchanged.
     :ivar reply_seconds: silence up to which a voter counts as reachable.
@@ -36,6 +41,7 @@
     silences: collections.abc.Mapping[str, float]
     ready: frozenset[str]
     leaving: frozenset[str]
+    lost_learners: frozenset[str]
     min_voters: int
     reply_seconds: float
 
@@ -94,6 +100,8 @@
         removable = _removable(view, REMOVE_VOTER_AFTER_SECONDS)
     else:
         removable = None
+    if removable is None:
+        removable = _lost_learner(view)
     return None if removable is None else view.members.without(removable)
 
 
@@ -107,7 +115,10 @@
         if silence >= SILENT_VOTER_SECONDS:
             return f'{vm} is silent for {silence:.1f} s'
         return f'{vm} is about to stop'
-    return 'no voter changes'
+    removed = {one.vm for one in view.members.members} - {
+        one.vm for one in members.members
+    }
+    return f'learners are silent: {", ".join(sorted(removed))}'
 
 
 def can_lead_without(
@@ -191,8 +202,14 @@
     return leaving[0] if leaving else None
 
 
+def _lost_learner(view: GroupView) -> str | None:
+    """Returns a learner to remove, if that can be committed."""
+    vm = min(view.lost_learners, default=None)
+    return vm if vm is not None and _can_commit_without(view, vm) else None
+
+
 def _can_commit_without(view: GroupView, removed: str) -> bool:
-    """Returns whether the voters that remain can commit the change."""
+    """Returns whether the voters that remain can commit a removal."""
     reachable = {
         vm
         for vm in view.members.voters
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -170,6 +170,7 @@
         self.last_write_seconds = 0.0
         self.slow_write_count = 0
         self.append_seconds: dict[str, float] = {}
+        self.replied_at: dict[str, float] = {}
         self.storage_lock = anyio.Lock()
         self.incoming_snapshot: bytearray | None = None
         self.failure: errors.StorageError | None = None
@@ -749,6 +750,7 @@
         self.match_index = {}
         self.sent_commit_index = {}
         self.append_seconds = {}
+        self.replied_at = {}
         self.slow_write_count = 0
         self.is_caught_up = False
         eliot.log_message('replica:lead', group=self.group, term=self.term)
@@ -828,10 +830,25 @@
             silences,
             log_replication.ready_learners(self),
             departure.leaving_voters(self),
+            self.find_lost_learners(),
             self.min_voters,
             reply_seconds,
         )
 
+    def find_lost_learners(self) -> frozenset[str]:
+        """Returns the learners that have been silent for too long."""
+        now = self.timers.now()
+        silent_since = {
+            vm: max(since, self.led_since, self.replied_at.get(vm, 0.0))
+            for (vm, _), since in self.learner_since.items()
+            if vm not in self.memory_replicas
+        }
+        return frozenset(
+            vm
+            for vm, since in silent_since.items()
+            if now - since >= membership.REMOVE_LEARNER_AFTER_SECONDS
+        )
+
     async def read_index(self) -> int:
         """Returns an index that covers all entries committed before the call.
 
