Send heartbeats while a long frame arrives

Cause: each end of a connection between VMs sends a heartbeat only if it has received nothing for a while. An end that receives a long frame sent none, and the ping of the sender waits behind its frame. So the sender received nothing for 2 s and closed the connection, each time anew.

--- a/features/peers/streams.feature
+++ b/features/peers/streams.feature
@@ -101,6 +101,10 @@
     Then the call fails as peer_lost
     And the next call succeeds on a new connection
 
+  Scenario: A frame that takes longer than the limit of silence ends its connection
+    When a frame of an authenticated peer takes 6 seconds
+    Then the peer receives a frame at least every 1.5 seconds, and the reply
+
   Scenario: Closing a stream early stops its handler
     When a reader closes a stream early
     Then the handler is stopped
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 import struct
 
@@ -236,6 +237,50 @@
     context.stream = call(context, connect)
 
 
+@behave.when('a frame of an authenticated peer takes {seconds:g} seconds')
+def send_slowly(context, seconds):
+    step = 0.25
+    timers = context.pair.timers
+    received = context.received = []
+
+    async def receive(reader):
+        while True:
+            frame = await reader.receive()
+            received.append((timers.now(), frame))
+
+    async def send():
+        stream = await anyio.connect_tcp(HOST, PORT)
+        reader = frames.FrameReader(stream, 65536)
+        await handshake.authenticate_as_dialler(
+            stream, reader, 'guild', 'dialler', 'listener', SECRET
+        )
+        data = frames.encode(frames.Kind.CALL, 1, 'echo', 'x' * 48000)
+        size = -(-len(data) // round(seconds / step))
+        with anyio.fail_after(TIMEOUT_SECONDS):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(receive, reader)
+                context.began_at = timers.now()
+                for at in range(0, len(data), size):
+                    await stream.send(data[at : at + size])
+                    await anyio.sleep(0.02)
+                    await timers.advance(step)
+                    await anyio.sleep(0.02)
+                tasks.cancel_scope.cancel()
+
+    call(context, send)
+
+
+@behave.then(
+    'the peer receives a frame at least every {seconds:g} seconds, and the'
+    ' reply'
+)
+def check_frame_pauses(context, seconds):
+    times = [context.began_at, *(at for at, _ in context.received)]
+    pauses = [after - before for before, after in itertools.pairwise(times)]
+    assert max(pauses) <= seconds, pauses
+    assert context.received[-1][1].kind is frames.Kind.REPLY
+
+
 @behave.when('a connection is opened')
 def open_connection(context):
     pair = context.pair
--- a/src/greengagegw/adapters/peer_connection.py
+++ b/src/greengagegw/adapters/peer_connection.py
@@ -264,6 +264,9 @@
         heartbeats of the dialling end are enough. If frames are lost in one
         direction, the end that receives nothing closes the connection, which
         ends it for the other one.
+
+        An end that receives a long frame sends heartbeats too, as those of
+        the sender would wait behind the frame.
         """
         if self.is_closed:
             return
@@ -275,11 +278,12 @@
             self.is_dialler and self.is_unused(now)
         ):
             self.end()
-        elif (
-            silence >= idle_intervals * self.heartbeat_seconds
-            and self.socket.is_writable
-        ):
+        elif not self.socket.is_writable:
+            return
+        elif silence >= idle_intervals * self.heartbeat_seconds:
             self.append(PING_FRAME)
+        elif self.reader.buffer:
+            self.append(PONG_FRAME)
 
     def is_unused(self, now: float) -> bool:
         """Returns whether nothing has used the connection for a while."""
