--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -395,6 +395,19 @@
     Then it votes within 22 s
     And a command is acknowledged within 12 s, and none is lost
 
+  Scenario Outline: A snapshot begins anew after each lost message, and its VM never votes
+    Given a control group of 5 replicas
+    When 40 commands of 20000 bytes are committed and compacted
+    And a follower loses its disk, and then receives 100000 bytes per second
+    And each fourth <part> of a snapshot that is sent to it is lost
+    Then it votes within 28 s
+    And a command is acknowledged within 12 s, and none is lost
+
+    Examples:
+      | part  |
+      | chunk |
+      | reply |
+
   Scenario: A VM with an empty disk waits for a peer that does not answer
     Given a control group of 5 replicas
     When a follower loses its disk and starts again while another is silent
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -1,6 +1,7 @@
 """Steps for changes of the members of a control group."""
 
 import functools
+import itertools
 
 import anyio
 import behave
@@ -1113,6 +1114,27 @@
     add_part(context, lose_disk)
 
 
+@behave.when('each fourth {part} of a snapshot that is sent to it is lost')
+def plan_lost_chunks(context, part):
+    async def lose_chunks(group):
+        handlers = group.network.handlers[context.vm]
+        deliver = handlers['replica.g.snapshot']
+        numbers = itertools.count(1)
+
+        async def handle(peer, message):
+            is_lost = next(numbers) % 4 == 0
+            if is_lost and part == 'chunk':
+                await anyio.sleep_forever()
+            reply = await deliver(peer, message)
+            if is_lost:
+                await anyio.sleep_forever()
+            return reply
+
+        handlers['replica.g.snapshot'] = handle
+
+    add_part(context, lose_chunks)
+
+
 @behave.then('it votes within {seconds:g} s')
 def check_votes_in_time(context, seconds):
     async def wait_for_vote(group):
--- a/src/greengagegw/replication/log_replication.py
+++ b/src/greengagegw/replication/log_replication.py
@@ -53,6 +53,14 @@
             self.shrink()
 
 
+class SnapshotTransfer:
+    """How much of which snapshot a member has accepted."""
+
+    def __init__(self) -> None:
+        self.index = 0
+        self.offset = 0
+
+
 def other_members(replica: 'replicas.Replica') -> set[MemberId]:
     return {
         (member.vm, member.incarnation)
@@ -67,12 +75,13 @@
     """Replicates the log to one member while this replica leads."""
     next_index = replica.storage.last_index + 1
     size = MessageSize()
+    transfer = SnapshotTransfer()
     while replica.is_leader and replica.is_current_member(vm, incarnation):
         try:
             has_sent_snapshot = False
             # The log may be compacted again while a snapshot is sent.
             while next_index <= replica.storage.base_index:
-                next_index = await send_snapshot(replica, vm, size)
+                next_index = await send_snapshot(replica, vm, size, transfer)
                 has_sent_snapshot = True
             first_index = next_index
             next_index = await send_entries(replica, vm, first_index, size)
@@ -157,18 +166,26 @@
 
 
 async def send_snapshot(
-    replica: 'replicas.Replica', vm: str, size: MessageSize
+    replica: 'replicas.Replica',
+    vm: str,
+    size: MessageSize,
+    transfer: SnapshotTransfer,
 ) -> int:
     """Sends the snapshot in chunks.
 
+    It goes on where an earlier call ended, unless the log has been compacted
+    since, or the member rejects the chunk.
+
     :returns: the index of the next entry to send to the member.
     :raises ReplicationError: if the member rejects a chunk.
     :raises PeerProtocolError: if its reply is malformed.
     """
     snapshot = replica.storage.snapshot
     total = len(snapshot.state)
-    offset = 0
+    if transfer.index != snapshot.index:
+        transfer.index, transfer.offset = snapshot.index, 0
     while True:
+        offset = transfer.offset
         end = offset + size.bytes
         message = [
             replica.term,
@@ -188,13 +205,15 @@
             async with replica.lock_storage():
                 await replica.adopt_term(term)
         if not accepted:
+            transfer.offset = 0
             raise errors.ReplicationError(
                 f'{vm} rejected the snapshot at byte {offset} of {total}'
             )
         if end >= total:
+            transfer.offset = 0
             return snapshot.index + 1
         replica.replied_at[vm] = replica.timers.now()
-        offset = end
+        transfer.offset = end
         size.fit(replica.timers.now() - sent_at, timing.CALL_TIMEOUT_SECONDS)
 
 
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -72,6 +72,27 @@
     check: collections.abc.Callable[[bytes], typing.Any] = accept_any
 
 
+class IncomingSnapshot:
+    """The part of a snapshot that has arrived.
+
+    :ivar source: term of the leader, index and term of the last entry.
+    """
+
+    def __init__(self, source: tuple[int, int, int]) -> None:
+        self.source = source
+        self.content = bytearray()
+
+    def add(self, offset: int, chunk: bytes) -> bool:
+        """Adds a chunk, which may have arrived before with another size.
+
+        :returns: whether all bytes before it have arrived.
+        """
+        if offset > len(self.content):
+            return False
+        self.content += chunk[len(self.content) - offset :]
+        return True
+
+
 class PendingProposal:
     """A proposal whose entry is not yet applied.
 
@@ -172,7 +193,7 @@
         self.append_seconds: dict[str, float] = {}
         self.replied_at: dict[str, float] = {}
         self.storage_lock = anyio.Lock()
-        self.incoming_snapshot: bytearray | None = None
+        self.incoming_snapshot: IncomingSnapshot | None = None
         self.failure: errors.StorageError | None = None
         self.disk_failed = anyio.Event()
         self.is_loaded = False
@@ -1117,14 +1138,14 @@
             if term < self.term:
                 return [self.term, False]
             await self.accept_leader(term, leader)
-            if offset == 0:
-                self.incoming_snapshot = bytearray()
-            if (
-                self.incoming_snapshot is None
-                or len(self.incoming_snapshot) != offset
-            ):
+            incoming = self.incoming_snapshot
+            source = (term, index, snapshot_term)
+            if incoming is None or incoming.source != source:
+                if offset > 0:
+                    return [self.term, False]
+                incoming = self.incoming_snapshot = IncomingSnapshot(source)
+            if not incoming.add(offset, chunk):
                 return [self.term, False]
-            self.incoming_snapshot += chunk
             # The commit index may be ahead of a log that was lost.
             is_lost = index > self.storage.last_index
             if is_last and (is_lost or index > self.commit_index):
@@ -1132,7 +1153,7 @@
                     index,
                     snapshot_term,
                     log_entries.Members.unpack(members),
-                    bytes(self.incoming_snapshot),
+                    bytes(incoming.content),
                 )
                 await self.storage.install_snapshot(snapshot)
                 if is_lost:
