Leave a connection time for its request before it gives way

Seen: with 600 idle connections or unfinished heads at a limit of 400 descriptors, 1 of 67 ordinary calls was answered in 20 s.

Cause: a server of asyncio accepts up to 1024 waiting connections in one pass of the event loop. At the limit of 60, each of them closed the one that had waited for longest, so a connection was closed before its request had been read, and clients that connect again filled the backlog at once.

Change: the server accepts a connection only while there is room, or when the one that gives way has had 0.1 s for the head of its request. The others wait in the backlog. As sockets are accepted one at a time there, the descriptors in use stay at the limit too.

Why it works: of 600 clients that connect again at a limit of 60, each waits for some 0.9 s and then has 0.1 s, which a client that sends its request with its connection needs a part of.

--- a/features/crowd_world.py
+++ b/features/crowd_world.py
@@ -39,6 +39,8 @@
 # A crowd that neither sends nor receives for so long has settled.
 QUIET_SECONDS = 2.0
 SETTLE_TIMEOUT_SECONDS = 45.0
+# Clients that connect again never settle.
+RECONNECT_SECONDS = 3.0
 STATUS_LINE = re.compile(rb'HTTP/1\.[01] (\d{3}) ')
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -433,18 +435,22 @@
         self.closed = 0
         self.progressed_at = time.monotonic()
 
-    def add(self, address, parts, reads=True) -> None:
+    def add(self, address, parts, reads=True, reconnects=False) -> None:
         """Adds a client.
 
         :param parts: what it sends, in order.
         :param reads: whether it reads responses.
+        :param reconnects: whether it connects again when it is closed.
         """
+        run = self.run_again if reconnects else self.run_client
         self.tasks.append(
-            asyncio.get_running_loop().create_task(
-                self.run_client(address, parts, reads)
-            )
+            asyncio.get_running_loop().create_task(run(address, parts, reads))
         )
 
+    async def run_again(self, address, parts, reads) -> None:
+        while True:
+            await self.run_client(address, parts, reads)
+
     async def run_client(self, address, parts, reads) -> None:
         connection = socket.socket()
         connection.setblocking(False)
@@ -488,10 +494,13 @@
             if found:
                 self.statuses[first_part] = int(found[-1])
 
-    async def settle(self, process: Process) -> None:
-        """Waits until no client makes progress."""
+    async def settle(self, process: Process, seconds: float) -> None:
+        """Waits until no client makes progress.
+
+        :param seconds: for which it waits at most.
+        """
         self.progressed_at = time.monotonic()
-        with anyio.move_on_after(SETTLE_TIMEOUT_SECONDS):
+        with anyio.move_on_after(seconds):
             while time.monotonic() - self.progressed_at < QUIET_SECONDS:
                 await asyncio.sleep(0.05)
                 if process.is_alive:
--- a/features/crowds/crowds.feature
+++ b/features/crowds/crowds.feature
@@ -122,6 +122,20 @@
       | unfinished bodies | the metrics         |
       | unfinished bodies | the lookups         |
 
+  Scenario Outline: Clients that connect again and again keep others from being served
+    Given VMs of the platform with 296 MB and 400 descriptors
+    When 600 clients that connect again send <requests> to <listener>
+    Then 5 ordinary requests are answered, while the crowd stays
+    And an ordinary request is answered, while the crowd stays and after
+    And the process has stayed within its memory and descriptors
+
+    Examples:
+      | requests         | listener            |
+      | no requests      | the clients         |
+      | unfinished heads | the clients         |
+      | no requests      | the readiness probe |
+      | no requests      | the operators       |
+
   Scenario Outline: Requests whose body nothing reads leave no descriptors
     Given VMs of the platform with 296 MB and 4100 descriptors
     When 600 clients send unfinished bodies to <listener>
--- a/features/crowds/decisions.feature
+++ b/features/crowds/decisions.feature
@@ -39,6 +39,18 @@
     When another connection comes
     Then the second new one was closed
 
+  Scenario Outline: A connection gives way before its request can arrive
+    Given a limit of 3 connections
+    When all 3 connections <have> for <seconds> seconds
+    Then the next one is accepted in <wait> seconds
+
+    Examples:
+      | have             | seconds | wait |
+      | have no request  | 0       | 0.1  |
+      | have no request  | 0.04    | 0.06 |
+      | have no request  | 0.2     | 0    |
+      | serve requests   | 0       | 0    |
+
   Scenario: A connection is refused while all others serve
     Given a limit of 3 connections
     When 3 connections serve requests
--- a/features/steps/crowd_decisions.py
+++ b/features/steps/crowd_decisions.py
@@ -252,6 +252,21 @@
         one.entry.holding.phase = request_memory.Phase.RUNNING
 
 
+@behave.when('all {count:d} connections {have} for {seconds:g} seconds')
+def when_connected(context, count, have, seconds):
+    if have == 'serve requests':
+        when_serving(context, count)
+    else:
+        context.peers = [Peer(context) for _ in range(count)]
+    context.timers.time += seconds
+
+
+@behave.then('the next one is accepted in {seconds:g} seconds')
+def then_accepted_in(context, seconds):
+    found = context.limit.seconds_until_room()
+    assert abs(found - seconds) < 1e-9, found
+
+
 @behave.then('it is refused')
 def then_refused(context):
     assert not context.peers[-1].is_admitted
--- a/features/steps/crowds.py
+++ b/features/steps/crowds.py
@@ -150,7 +150,12 @@
     send_crowd(context, [(count, kind)], listener, reads=False)
 
 
-def send_crowd(context, groups, listener, reads=True):
+@behave.when('{count:d} clients that connect again send {kind} to {listener}')
+def when_reconnecting(context, count, kind, listener):
+    send_crowd(context, [(count, kind)], listener, reconnects=True)
+
+
+def send_crowd(context, groups, listener, reads=True, reconnects=False):
     context.target = target_of(context, listener)[0]
 
     async def send():
@@ -161,8 +166,13 @@
             parts = crowd_world.KINDS[kind]()
             for _ in range(count):
                 head = [make_head()] if parts else []
-                crowd.add(address, [*head, *parts], reads)
-        await crowd.settle(process)
+                crowd.add(address, [*head, *parts], reads, reconnects)
+        await crowd.settle(
+            process,
+            crowd_world.RECONNECT_SECONDS
+            if reconnects
+            else crowd_world.SETTLE_TIMEOUT_SECONDS,
+        )
 
     call(context, send)
 
@@ -185,6 +195,12 @@
         assert call(context, context.vms.is_ready)
 
 
+@behave.then('{count:d} ordinary requests are answered, while the crowd stays')
+def then_all_answered(context, count):
+    for _ in range(count):
+        check_answers(context)
+
+
 @behave.then(
     'an ordinary request is answered, while the crowd stays and after'
 )
--- a/src/greengagegw/adapters/servers.py
+++ b/src/greengagegw/adapters/servers.py
@@ -14,6 +14,7 @@
 from .. import connection_limit
 from .. import request_memory
 from .. import timers as timer_service
+from . import acceptor
 from . import client_connection
 from . import request_body
 
@@ -86,6 +87,7 @@
             )
             listener.setblocking(False)
             listener.bind(self.address)
+            listener.listen(BACKLOG)
         except BaseException:
             listener.close()
             raise
@@ -98,19 +100,21 @@
         ],
     ) -> None:
         """Serves until ``stop`` returns and the open requests have ended."""
-        listening = await asyncio.get_running_loop().create_server(
+        connections = acceptor.Acceptor(
+            self.listen(),
             lambda: client_connection.ClientConnection(self),
-            sock=self.listen(),
-            backlog=BACKLOG,
+            self.limit,
+            self.timers,
         )
+        connections.start()
         try:
             await stop()
         except anyio.get_cancelled_exc_class():
             self.stop_seconds = ABORT_GRACE_SECONDS
             raise
         finally:
-            listening.close()
             with anyio.CancelScope(shield=True):
+                await connections.close()
                 await self.stop_connections()
 
     async def stop_connections(self) -> None:
--- a/src/greengagegw/connection_limit.py
+++ b/src/greengagegw/connection_limit.py
@@ -16,6 +16,9 @@
 MAX_INTERNAL_CONNECTIONS = 32
 # An incomplete request without progress for so long may give way.
 STALLED_SECONDS = 1.0
+# A client has at least so long to send the head of a request before its
+# connection may give way.
+MIN_WAITING_SECONDS = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,9 +53,10 @@
 
     :param abort: closes it at once.
     :ivar has_served: whether it has had a complete response.
+    :ivar waiting_since: timer seconds since which it has had no request.
     """
 
-    __slots__ = ('abort', 'has_served', 'holding')
+    __slots__ = ('abort', 'has_served', 'holding', 'waiting_since')
 
     def __init__(
         self,
@@ -62,6 +66,7 @@
         self.holding = holding
         self.abort = abort
         self.has_served = False
+        self.waiting_since = 0.0
 
 
 class ConnectionLimit:
@@ -82,6 +87,20 @@
             True: {},
         }
 
+    def seconds_until_room(self, opening: int = 0) -> float:
+        """Returns in how long a connection may be accepted.
+
+        :param opening: connections that are accepted and not admitted yet.
+        """
+        if len(self.connections) + opening < self.max_connections:
+            return 0.0
+        waiting = self.find_waiting()
+        if waiting is None:
+            # One whose request has stalled gives way, or the new one.
+            return 0.0
+        waited = self.memory.now() - waiting.waiting_since
+        return max(0.0, MIN_WAITING_SECONDS - waited)
+
     def admit(self, connection: Connection) -> bool:
         """Adds a connection, for which another one may be closed.
 
@@ -130,6 +149,7 @@
     def start_waiting(self, connection: Connection) -> None:
         """Notes that a connection has no request."""
         if connection in self.connections:
+            connection.waiting_since = self.memory.now()
             self.waiting[connection.has_served][connection] = None
 
     def stop_waiting(self, connection: Connection) -> None:
