--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -126,7 +126,7 @@
         if recovery is None:
             return
         asked = (recovery.remaining | recovery.learners) - {replica.vm}
-        electorate = Electorate(asked, asked.issubset)
+        electorate = Electorate(asked, is_won=asked.issubset)
     async with replica.lock_storage():
         # Until it has the lock, it may have voted for another candidate, or
         # received a message of a leader, with new members as well.
--- a/src/greengagegw/replication/lost_voters.py
+++ b/src/greengagegw/replication/lost_voters.py
@@ -87,17 +87,18 @@
     """Returns whether the votes of the last election are enough.
 
     A learner that holds entries which the candidate lacks refuses its vote.
-    They are not committed unless they have promoted it. It has adopted the
-    term of the candidate, so an earlier leader cannot promote it any more.
+    They are not committed unless they have promoted it, of which it would
+    know. Its refusal has made it adopt the term of the candidate, so it takes
+    no promotion from an earlier leader any more.
     """
     granted = set(replica.last_votes['granted'])
     if not recovery.remaining <= granted:
         return False
-    unsure = recovery.learners - granted
-    replies = await startup.identify_to(replica, unsure)
+    refusing = recovery.learners - granted
+    replies = await startup.identify_to(replica, refusing)
     unconfirmed = [
         vm
-        for vm in sorted(unsure)
+        for vm in sorted(refusing)
         if vm not in replies
         or not knows_no_newer_members(replica, vm, replies[vm])
     ]
--- a/src/greengagegw/replication/membership.py
+++ b/src/greengagegw/replication/membership.py
@@ -131,11 +131,12 @@
     """Returns whether a candidate may lead although no majority is left.
 
     That is so if every voter whose disk is not lost grants its vote, and
-    every majority that may have committed an entry has one of them. Half of
-    an even number of voters is enough then: the other half cannot lead, as
-    its disks are lost, and could not by this rule, as those of the first half
-    are not. Beyond ``min_voters`` a silent voter may be removed without its
-    knowledge, so the rule holds only below.
+    every majority that may have committed an entry has one of them. So half
+    of an even number of voters is enough. There is no second leader: the
+    voters of the other half are empty and cannot stand, and had they not been
+    lost, this rule would have needed the votes of all of them. At or above
+    ``min_voters`` a silent voter may be removed without its knowledge, so the
+    rule holds only below.
 
     The learners must have confirmed that they do not know of newer members,
     since one of them may have been promoted meanwhile.
