Count a promoted learner once it holds its promotion

Cause: a leader counts the members of its newest entry at once. So it committed entries before a promotion with a learner that did not hold the promotion yet. When the leader and the third holder lost their disks, the learner confirmed members without itself as a voter, and the two other voters elected a leader without the command.

Change: while the newest change of the members is not committed, a voter that the former members lack counts towards a majority only if it holds that change.

Why it works: the election by half of the voters rests on a learner that knows whether it has been promoted; what it helped to commit it then shows by its members. The model of lost disks now searches schedules with a command on its way, and finds the loss if a promotion counts before it is held.

Entries wait for at most one more message to the new voter.

--- a/features/lost_disk_model.py
+++ b/features/lost_disk_model.py
@@ -28,11 +28,14 @@
     :ivar are_learners_asked: whether learners must confirm the members.
     :ivar is_loss_proved: whether only a VM with another incarnation counts
         as lost, and not one that is silent.
+    :ivar are_promotions_held: whether a new voter counts for a commit only
+        once it holds its promotion.
     """
 
     can_lead_without: object = membership.can_lead_without
     are_learners_asked: bool = True
     is_loss_proved: bool = True
+    are_promotions_held: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,7 +165,7 @@
     ), vm
 
 
-def replications(nodes):
+def replications(nodes, rules):
     for at, leader in enumerate(nodes):
         if not leader.is_leader:
             continue
@@ -185,13 +188,14 @@
                 is_leader=False,
                 committed=max(node.committed, leader.committed),
             )
-            yield update_commit(changed, at)
+            yield update_commit(changed, at, rules)
 
 
-def update_commit(nodes, at):
+def update_commit(nodes, at, rules):
     """Returns the nodes after a leader counted who holds its entries."""
     leader = nodes[at]
-    _, members = newest(leader.log)
+    index, members = newest(leader.log)
+    _, former = newest(leader.log[: index - 1])
     for size in range(len(leader.log), leader.committed, -1):
         if leader.log[size - 1][0] != leader.term:
             break
@@ -201,13 +205,19 @@
             if is_member(nodes, members, vm)
             and nodes[int(vm)].term == leader.term
             and nodes[int(vm)].log[:size] == leader.log[:size]
+            and (
+                not rules.are_promotions_held
+                or leader.committed >= index
+                or vm in former.voters
+                or nodes[int(vm)].log[:index] == leader.log[:index]
+            )
         }
         if members.is_majority(holders):
             return replace_node(nodes, at, committed=size)
     return nodes
 
 
-def changes(nodes, max_entries):
+def changes(nodes, rules, max_entries):
     """Yields admissions, promotions, and removals of learners."""
     for at, leader in enumerate(nodes):
         if not leader.is_leader or len(leader.log) >= max_entries:
@@ -231,16 +241,16 @@
                 )
             else:
                 continue
-            yield change(nodes, at, changed)
+            yield change(nodes, at, changed, rules)
         for member in members.members:
             if not member.is_voter:
-                yield change(nodes, at, members.without(member.vm))
+                yield change(nodes, at, members.without(member.vm), rules)
 
 
-def change(nodes, at, members):
+def change(nodes, at, members, rules):
     leader = nodes[at]
     log = (*leader.log, (leader.term, members))
-    return update_commit(replace_node(nodes, at, log=log), at)
+    return update_commit(replace_node(nodes, at, log=log), at, rules)
 
 
 def losses(nodes, max_losses):
@@ -270,11 +280,22 @@
     return committed
 
 
-def search(rules, voters, learners, max_term, max_losses, max_entries):
+def search(
+    rules,
+    voters,
+    learners,
+    max_term,
+    max_losses,
+    max_entries,
+    has_command=False,
+):
     """Explores all schedules and returns the number of states.
 
     They begin with a leader whose first entry is committed.
 
+    :param has_command: whether the leader has a command besides that it has
+        sent to nobody.
+
     :raises ViolationError: if a leader is elected that lacks a committed
         entry, or if two commits differ.
     """
@@ -287,7 +308,9 @@
     log = ((0, members), (1, None))
     node = Node('0', 1, log, committed=2)
     nodes = (
-        dataclasses.replace(node, is_leader=True),
+        dataclasses.replace(
+            node, log=(*log, *[(1, None)] * has_command), is_leader=True
+        ),
         *(node for _ in range(voters + learners - 1)),
     )
     first = (nodes, log)
@@ -300,9 +323,9 @@
             held = changed[int(vm)].log[: len(committed)]
             if held != committed:
                 raise ViolationError(f'{vm} leads without {committed}')
-            following.append(update_commit(changed, int(vm)))
-        following += replications(nodes)
-        following += changes(nodes, max_entries)
+            following.append(update_commit(changed, int(vm), rules))
+        following += replications(nodes, rules)
+        following += changes(nodes, rules, max_entries)
         following += losses(nodes, max_losses)
         for changed in following:
             state = (changed, check(changed, committed))
--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -284,6 +284,7 @@
       | two voters and a learner    |
       | three voters and a learner  |
       | four voters and a learner   |
+      | four voters, a learner and a command |
 
   Scenario Outline: A mistake in the election without lost voters is found
     Then the search of lost disks with <group> finds this mistake: <mistake>
@@ -295,6 +296,7 @@
       | three voters and a learner | the former members do not count             |
       | three voters and a learner | a voter that joined again does not count    |
       | three voters and a learner | all voters that are left are enough         |
+      | four voters, a learner and a command | a promotion counts before it is held |
 
   Scenario: A voter that lags refuses a candidate that was admitted meanwhile
     Given a control group of 5 replicas
@@ -359,6 +361,13 @@
     Then a command is acknowledged within 12 s, and none is lost
     And all machines vote again
 
+  Scenario: A learner counts for a command before it knows of its promotion, and the command is lost
+    Given a control group of 5 replicas
+    When a follower loses its disk, and its promotion does not reach it
+    And only the leader, that learner and one more hold a command
+    And at that moment the leader and that one lose their disks
+    Then a command is acknowledged within 12 s, and none is lost
+
   Scenario: A candidate wins with the members that it had before its pre-vote
     Given a control group of 3 replicas
     When two voters are added while a candidate waits for its disk after its pre-vote
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -433,6 +433,7 @@
 SUCCESSOR_SECONDS = 1.0
 CATCH_UP_SECONDS = 5.0
 RESTART_SECONDS = 1.0
+COMMIT_SECONDS = 0.5
 RECOVERY_SECONDS = 12.0
 
 
@@ -940,6 +941,57 @@
     add_part(context, promote)
 
 
+@behave.when('a follower loses its disk, and its promotion does not reach it')
+def plan_lost_promotion(context):
+    async def lose_promotion(group):
+        vm = context.vm = followers(group)[0]
+        await lose_disks(group, [vm])
+        replica = group.replicas[vm]
+        handlers = group.network.handlers[vm]
+        deliver = handlers['replica.g.append']
+
+        async def handle(peer, message):
+            for packed in message[4]:
+                entry = entries.Entry.unpack(packed)
+                if entry.kind is entries.EntryKind.MEMBERSHIP:
+                    members = entries.Members.unpack(
+                        msgpack.unpackb(entry.content)
+                    )
+                    member = members.get(vm)
+                    if member.is_voter and (
+                        member.incarnation == replica.incarnation
+                    ):
+                        await anyio.sleep_forever()
+            return await deliver(peer, message)
+
+        handlers['replica.g.append'] = handle
+        leader = group.leader()
+        await wait_in_steps(
+            group,
+            lambda: (
+                leader.is_current_member(vm, replica.incarnation)
+                and all_know_members(group)
+            ),
+            RECOVERY_SECONDS,
+        )
+        assert vm not in leader.members.voters
+
+    add_part(context, lose_promotion)
+
+
+@behave.when('only the leader, that learner and one more hold a command')
+def plan_command_of_three(context):
+    async def propose(group):
+        leader = group.leader().vm
+        others = [vm for vm in followers(group) if vm != context.vm]
+        context.lost = [leader, others[0]]
+        group.network.cut(others[1:], [*context.lost, context.vm])
+        group.propose(leader)
+        await group.advance(COMMIT_SECONDS)
+
+    add_part(context, propose)
+
+
 @behave.when('at that moment the leader and that one lose their disks')
 def plan_promoters_lost(context):
     async def lose(group):
@@ -1551,6 +1603,9 @@
 
 
 WRONG_ELECTIONS = {
+    'a promotion counts before it is held': lost_disk_model.Rules(
+        are_promotions_held=False
+    ),
     'the learners are not asked': lost_disk_model.Rules(
         are_learners_asked=False
     ),
@@ -1574,6 +1629,7 @@
     'three voters and a learner': (3, 1, 3, 2, 3),
     'four voters': (4, 0, 3, 2, 3),
     'four voters and a learner': (4, 1, 2, 2, 3),
+    'four voters, a learner and a command': (4, 1, 2, 2, 4, True),
 }
 
 
--- a/src/greengagegw/replication/lost_voters.py
+++ b/src/greengagegw/replication/lost_voters.py
@@ -88,8 +88,9 @@
 
     A learner that holds entries which the candidate lacks refuses its vote.
     They are not committed unless they have promoted it, of which it would
-    know. Its refusal has made it adopt the term of the candidate, so it takes
-    no promotion from an earlier leader any more.
+    know: a leader counts it only once it holds its promotion. Its refusal has
+    made it adopt the term of the candidate, so it takes no promotion from an
+    earlier leader any more.
     """
     granted = set(replica.last_votes['granted'])
     if not recovery.remaining <= granted:
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -1024,15 +1024,19 @@
         """
         if not self.is_leader:
             return
-        match_indexes = []
-        for vm in self.members.voters:
-            own_last_index = self.storage.last_index
-            match_indexes.append(
-                own_last_index
-                if vm == self.vm
-                else self.match_index.get(vm, 0)
-            )
-        match_indexes.sort(reverse=True)
+        held = {vm: self.match_index.get(vm, 0) for vm in self.members.voters}
+        held[self.vm] = self.storage.last_index
+        if self.members_index > self.commit_index:
+            # A learner that does not hold its promotion yet may confirm
+            # members without it in an election by half of the voters.
+            former = self.members_at(self.members_index - 1).voters
+            held = {
+                vm: index if vm in former or index >= self.members_index else 0
+                for vm, index in held.items()
+            }
+        match_indexes = sorted(
+            (held[vm] for vm in self.members.voters), reverse=True
+        )
         index = match_indexes[len(match_indexes) // 2] if match_indexes else 0
         index = min(index, log_replication.memory_replicated_index(self))
         if index <= self.commit_index:
