Keep a replica that discards its state during its pre-vote

Cause: the search for an election without lost voters took the members of that moment, which were empty, with the votes of the pre-vote before.

Change: it takes the members whose votes were asked for, and gives up if the replica has others by now.

Result: "A candidate that discards its state during its pre-vote ends its replica" failed with the AttributeError before and passes.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -373,6 +373,12 @@
     When two voters are added while a candidate waits for its disk after its pre-vote
     Then it does not lead with the votes of two
 
+  Scenario: A candidate that discards its state during its pre-vote ends its replica
+    Given a control group of 4 replicas
+    When a candidate discards its state while others refuse their votes
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
   Scenario: Half of four voters lead while the others are only silent
     Given a control group of 4 replicas
     When the leader and a follower are cut off
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -1058,6 +1058,36 @@
     add_part(context, add_voters)
 
 
+@behave.when('a candidate discards its state while others refuse their votes')
+def plan_discard_in_pre_vote(context):
+    async def discard(group):
+        vm = followers(group)[0]
+        candidate = group.replicas[vm]
+        has_discarded = False
+
+        def refuse(other):
+            vote = group.network.handlers[other]['replica.g.vote']
+
+            async def handle(peer, message):
+                nonlocal has_discarded
+                if peer != vm or has_discarded:
+                    return await vote(peer, message)
+                await startup.discard_state(candidate, other, 'a test')
+                has_discarded = True
+                return [candidate.term, False, 'i']
+
+            group.network.handlers[other]['replica.g.vote'] = handle
+
+        for one in group.vms:
+            if one != vm:
+                refuse(one)
+        group.network.cut([group.leader().vm], [vm])
+        await wait_in_steps(group, lambda: has_discarded, RECOVERY_SECONDS)
+        group.network.heal()
+
+    add_part(context, discard)
+
+
 @behave.then('it does not lead with the votes of two')
 def check_enough_votes(context):
     async def check(group):
--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -122,7 +122,7 @@
     )
     recovery = None
     if not won_pre_vote:
-        recovery = await lost_voters.find_recovery(replica)
+        recovery = await lost_voters.find_recovery(replica, members)
         if recovery is None:
             return
         asked = (recovery.remaining | recovery.learners) - {replica.vm}
--- a/src/greengagegw/replication/lost_voters.py
+++ b/src/greengagegw/replication/lost_voters.py
@@ -33,15 +33,21 @@
     members: log_entries.Members
 
 
-async def find_recovery(replica: 'replicas.Replica') -> Recovery | None:
+async def find_recovery(
+    replica: 'replicas.Replica', members: log_entries.Members
+) -> Recovery | None:
     """Returns the election that a candidate without a majority may hold.
 
     A voter has lost its disk if another incarnation replies on its VM.
+
+    :param members: those whose votes were asked for. The replica may have
+        others by now, or none if it has discarded its state.
     """
     remaining = frozenset(replica.last_votes['granted'])
     lost = frozenset(replica.last_votes['refused'])
-    members = replica.members
-    if not can_lead_without(replica, remaining, lost):
+    if replica.members != members or not can_lead_without(
+        replica, remaining, lost
+    ):
         return None
     replies = await startup.identify_to(replica, lost)
     incarnations = {
