Keep a learner that receives a long entry

Cause: an entry is sent as a whole, and its receiver replies only at its end.

Change: the limit of 15 s grows by the time that the bytes without a reply need at 16 KiB a second. A lost connection ends that. The silent learners are named so, since "lost" means a lost disk elsewhere.

Result: "A learner that receives a long entry is removed again and again" failed in both rows before (the learner was no member any more) and passes; the gone learner of the other scenarios is still removed after 15 s.

--- a/features/membership_model.py
+++ b/features/membership_model.py
@@ -120,14 +120,14 @@
     removed = set(view.members.members) - set(members.members)
     if (
         len(removed) != 1
-        or not {one.vm for one in removed} <= view.lost_learners
+        or not {one.vm for one in removed} <= view.silent_learners
         or not members.is_majority(reachable(view))
     ):
         raise ViolationError(f'removes the learners {removed}')
     return dataclasses.replace(
         view,
         members=members,
-        lost_learners=view.lost_learners - {one.vm for one in removed},
+        silent_learners=view.silent_learners - {one.vm for one in removed},
     )
 
 
@@ -147,8 +147,8 @@
             view = check_change(view, members)
         else:
             raise ViolationError(f'the members change for ever: {first}')
-        if view.lost_learners:
-            raise ViolationError(f'keeps {view.lost_learners}: {first}')
+        if view.silent_learners:
+            raise ViolationError(f'keeps {view.silent_learners}: {first}')
         check_tolerance(first, view)
     return count
 
--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -410,6 +410,18 @@
     Then it votes within 22 s
     And a command is acknowledged within 12 s, and none is lost
 
+  Scenario Outline: A learner that receives a long entry is removed again and again
+    Given a control group of 5 replicas
+    When 1 commands of <size> bytes are committed
+    And a follower loses its disk, and then receives <rate> bytes per second
+    Then it votes within <seconds> s
+    And a command is acknowledged within 12 s, and none is lost
+
+    Examples: three times the seconds that the bytes take, and 4 s
+      | size    | rate   | seconds |
+      | 1700000 | 100000 | 55      |
+      | 400000  | 20000  | 64      |
+
   Scenario Outline: A snapshot begins anew after each lost message, and its VM never votes
     Given a control group of 5 replicas
     When 40 commands of 20000 bytes are committed and compacted
--- a/src/greengagegw/replication/log_replication.py
+++ b/src/greengagegw/replication/log_replication.py
@@ -19,6 +19,9 @@
 FIRST_MESSAGE_BYTES = 64 * 1024
 MIN_MESSAGE_BYTES = 4 * 1024
 MAX_MESSAGE_BYTES = 256 * 1024
+# An entry that is longer than these messages is sent as a whole. While it may
+# still be on its way at this rate, its silent receiver is not taken for lost.
+MIN_LINK_BYTES_PER_SECOND = 16 * 1024
 # Parts of the time of a call below which messages grow, and above which they
 # shrink.
 FAST_CALL_RATIO = 0.4
@@ -106,6 +109,7 @@
             continue
         except errors.GatewayError:
             size.reset()
+            replica.unanswered_bytes.pop(vm, None)
             await replica.timers.sleep(replica.timeouts.heartbeat_seconds)
             continue
         knows_commit_index = (
@@ -140,6 +144,7 @@
     if batch:
         # Set again by the reply; a late one must not leave an old time.
         replica.append_seconds.pop(vm, None)
+        replica.unanswered_bytes[vm] = sum(len(one.content) for one in batch)
     term, accepted, peer_index_hint, incarnation = await replica.call_peer(
         vm, 'append', message, replies.check_append
     )
@@ -150,6 +155,7 @@
     if not replica.is_current_member(vm, incarnation):
         return next_index
     replica.replied_at[vm] = replica.timers.now()
+    replica.unanswered_bytes.pop(vm, None)
     replica.record_contact(vm, sent_at)
     replica.sent_commit_index[vm] = message[-1]
     if not accepted:
--- a/src/greengagegw/replication/membership.py
+++ b/src/greengagegw/replication/membership.py
@@ -15,8 +15,8 @@
 SILENT_VOTER_SECONDS = 2.5
 # Well above the time that the restart of a machine takes.
 REMOVE_VOTER_AFTER_SECONDS = 15.0
-# A learner has no vote, but it must be asked in an election by half of the
-# voters.
+# Half of the voters cannot lead before each learner has replied, so one that
+# is gone for good must not stay.
 REMOVE_LEARNER_AFTER_SECONDS = REMOVE_VOTER_AFTER_SECONDS
 
 
@@ -29,7 +29,7 @@
         leader.
     :ivar ready: learners that reply, hold the log and may be promoted.
     :ivar leaving: voters that are about to stop.
-    :ivar lost_learners: learners that have been silent for
+    :ivar silent_learners: learners that have been silent for
         ``REMOVE_LEARNER_AFTER_SECONDS``.
     :ivar min_voters: number of voters below which the group does not shrink,
         except while a voter is exchanged.
@@ -41,7 +41,7 @@
     silences: collections.abc.Mapping[str, float]
     ready: frozenset[str]
     leaving: frozenset[str]
-    lost_learners: frozenset[str]
+    silent_learners: frozenset[str]
     min_voters: int
     reply_seconds: float
 
@@ -101,7 +101,7 @@
     else:
         removable = None
     if removable is None:
-        removable = _lost_learner(view)
+        removable = _silent_learner(view)
     return None if removable is None else view.members.without(removable)
 
 
@@ -203,9 +203,9 @@
     return leaving[0] if leaving else None
 
 
-def _lost_learner(view: GroupView) -> str | None:
+def _silent_learner(view: GroupView) -> str | None:
     """Returns a learner to remove, if that can be committed."""
-    vm = min(view.lost_learners, default=None)
+    vm = min(view.silent_learners, default=None)
     return vm if vm is not None and _can_commit_without(view, vm) else None
 
 
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -191,7 +191,11 @@
         self.last_write_seconds = 0.0
         self.slow_write_count = 0
         self.append_seconds: dict[str, float] = {}
+        # When a member last replied, to a chunk of a snapshot too. The times
+        # of contact are those of sending, and prove that this VM led then.
         self.replied_at: dict[str, float] = {}
+        # Bytes of the entries that a member has not replied to.
+        self.unanswered_bytes: dict[str, int] = {}
         self.storage_lock = anyio.Lock()
         self.incoming_snapshot: IncomingSnapshot | None = None
         self.failure: errors.StorageError | None = None
@@ -772,6 +776,7 @@
         self.sent_commit_index = {}
         self.append_seconds = {}
         self.replied_at = {}
+        self.unanswered_bytes = {}
         self.slow_write_count = 0
         self.is_caught_up = False
         eliot.log_message('replica:lead', group=self.group, term=self.term)
@@ -851,24 +856,26 @@
             silences,
             log_replication.ready_learners(self),
             departure.leaving_voters(self),
-            self.find_lost_learners(),
+            self.find_silent_learners(),
             self.min_voters,
             reply_seconds,
         )
 
-    def find_lost_learners(self) -> frozenset[str]:
+    def find_silent_learners(self) -> frozenset[str]:
         """Returns the learners that have been silent for too long."""
         now = self.timers.now()
-        silent_since = {
-            vm: max(since, self.led_since, self.replied_at.get(vm, 0.0))
-            for (vm, _), since in self.learner_since.items()
-            if vm not in self.memory_replicas
-        }
-        return frozenset(
-            vm
-            for vm, since in silent_since.items()
-            if now - since >= membership.REMOVE_LEARNER_AFTER_SECONDS
-        )
+        silent = set()
+        for (vm, _), since in self.learner_since.items():
+            replied_at = self.replied_at.get(vm, 0.0)
+            silence = now - max(since, self.led_since, replied_at)
+            sending_seconds = (
+                self.unanswered_bytes.get(vm, 0)
+                / log_replication.MIN_LINK_BYTES_PER_SECOND
+            )
+            limit = membership.REMOVE_LEARNER_AFTER_SECONDS + sending_seconds
+            if vm not in self.memory_replicas and silence >= limit:
+                silent.add(vm)
+        return frozenset(silent)
 
     async def read_index(self) -> int:
         """Returns an index that covers all entries committed before the call.
