Test servers that misbehave beside whole processes

Tests of cut, invalid and endless responses called the clients of backend servers directly. The list of instances and the load reports are answered without end as well; what was known before stays in force.

--- a/features/crowd_world.py
+++ b/features/crowd_world.py
@@ -79,26 +79,6 @@
         await reply.send_response(200, self.answer, pairs)
 
 
-async def serve_list(request, reply):
-    entries = [
-        {
-            'id': f'i-{service}',
-            'service': service,
-            'address': f'{host}:{PORT}',
-            'zone': 'a-1',
-            'slots': 400,
-            'state': 'ready',
-            'coldLeftMs': 0,
-        }
-        for service, host in (
-            ('desk', BACKEND_HOST),
-            ('other', OTHER_BACKEND_HOST),
-        )
-    ]
-    content = {'instances': entries, 'nextToken': None}
-    await reply.send_response(200, orjson.dumps(content))
-
-
 def make_configuration(version: int = 1, padding: int = 0) -> bytes:
     """Returns a configuration; padding adds so many routes."""
     routes = [
@@ -167,6 +147,7 @@
     def __init__(self, folder: pathlib.Path, machine: Machine) -> None:
         self.folder = folder
         self.machine = machine
+        self.services = {'desk': BACKEND_HOST, 'other': OTHER_BACKEND_HOST}
         self.backend = Backend()
         self.other_backend = Backend()
         self.ordinary_path = '/book/seat'
@@ -176,7 +157,7 @@
     async def started(self):
         async with anyio.create_task_group() as tasks:
             for host, handler in (
-                (LIST_HOST, serve_list),
+                (LIST_HOST, self.serve_list),
                 (BACKEND_HOST, self.backend.serve),
                 (OTHER_BACKEND_HOST, self.other_backend.serve),
             ):
@@ -192,9 +173,25 @@
                 self.control.kill()
                 tasks.cancel_scope.cancel()
 
-    def start(self, role: str, host: str) -> Process:
-        file = self.folder / f'{role}.conf'
-        file.write_text(self.make_settings(role, host))
+    async def serve_list(self, request, reply):
+        entries = [
+            {
+                'id': f'i-{service}',
+                'service': service,
+                'address': f'{host}:{PORT}',
+                'zone': 'a-1',
+                'slots': 400,
+                'state': 'ready',
+                'coldLeftMs': 0,
+            }
+            for service, host in self.services.items()
+        ]
+        content = {'instances': entries, 'nextToken': None}
+        await reply.send_response(200, orjson.dumps(content))
+
+    def start(self, role: str, host: str, region: str = 'a') -> Process:
+        file = self.folder / f'{role}-{region}.conf'
+        file.write_text(self.make_settings(role, host, region))
         program = str(ROOT / 'deploy' / 'greengagegw.py')
         return Process(
             self.machine,
@@ -203,16 +200,17 @@
             file.with_suffix('.log'),
         )
 
-    def make_settings(self, role: str, host: str) -> str:
+    def make_settings(self, role: str, host: str, region: str) -> str:
         names = ('front', 'ready')
         if role == 'control':
             names = ('control', 'directory')
         lines = [
-            f'nodeName={role}',
+            f'nodeName={role}-{region}',
             f'ip={host}',
-            'zone=a-1',
-            'region=a',
+            f'zone={region}-1',
+            f'region={region}',
             'zones.a-1=a',
+            'zones.b-1=b',
             f'internalPortRange={INTERNAL_PORTS[0]},{INTERNAL_PORTS[1]}',
             f'seeds={CONTROL_HOST}:{PORT}',
             'bootstrap=true',
--- a/features/platform/connections.feature
+++ b/features/platform/connections.feature
@@ -65,10 +65,28 @@
     Then the read fails and the server was cut off within <limit> MiB
 
     Examples:
-      | part | reader                    | limit |
-      | head | the platform's client     | 2     |
-      | body | the instance list         | 6     |
-      | body | the poll of a load report | 2     |
+      | part                          | reader                    | limit |
+      | head                          | the platform's client     | 2     |
+      | head                          | the instance list         | 2     |
+      | slow head                     | the instance list         | 2     |
+      | series of informational heads | the instance list         | 2     |
+      | body                          | the instance list         | 6     |
+      | body in chunks                | the instance list         | 6     |
+      | head                          | the poll of a load report | 2     |
+      | series of informational heads | the poll of a load report | 2     |
+      | body                          | the poll of a load report | 2     |
+      | body in chunks                | the poll of a load report | 2     |
+
+  Scenario Outline: A load report without end ends the polls or replaces the last one
+    Given a server that sends a <part> without end
+    When its load is polled after a report that it is leaving
+    Then the last report stays in force, and the poll ended within 2.5 s
+
+    Examples:
+      | part                          |
+      | slow head                     |
+      | series of informational heads |
+      | body in chunks                |
 
   Scenario: The kernel gives up no connection before its keep-alive probes do
     If TCP_USER_TIMEOUT is set, it decides when a connection is given up, and
--- a/features/steps/broken_heads.py
+++ b/features/steps/broken_heads.py
@@ -61,6 +61,7 @@
 
     :ivar whole_count: responses before it on a connection.
     :ivar part: what it sends after ``start`` without end, if not empty.
+    :ivar starts_body: whether ``start`` is the head of its response.
     """
 
     def __init__(self, interface, version, framing):
@@ -72,6 +73,7 @@
         self.sent = b''
         self.start = b''
         self.part = b''
+        self.starts_body = False
         self.sent_bytes = 0
         self.resets_upload = False
 
@@ -112,12 +114,16 @@
                     while len(received) < size:
                         received += await stream.receive()
                     received = received[size:]
+                    name = REQUEST_ID.search(head).group(1)
+                    if self.starts_body:
+                        lines = [*self.head_lines(name), b'', b'']
+                        self.start = b'\r\n'.join(lines)
                     if self.part:
                         await stream.send(self.start)
                     while self.part:
                         await stream.send(self.part)
                         self.sent_bytes += len(self.part)
-                    response = self.response(REQUEST_ID.search(head).group(1))
+                    response = self.response(name)
                     if count == self.whole_count:
                         response = self.sent = self.change(response)
                     await stream.send(response)
@@ -368,6 +374,13 @@
         context.results.append(Result(b'', body, is_ended_by_close))
 
 
+def send_body_without_end(server):
+    server.starts_body = True
+    server.part = bytes(8192)
+    if server.framing == 'chunks':
+        server.part = b'2000\r\n%s\r\n' % bytes(8192)
+
+
 @behave.when(
     'it sends a body without end to a caller that reads nothing for'
     ' {seconds:g} s'
@@ -375,10 +388,7 @@
 @in_fleet
 async def when_body_without_end(context, seconds):
     server = context.server
-    server.start = b'\r\n'.join([*server.head_lines(b'r-0'), b'', b''])
-    server.part = bytes(8192)
-    if server.framing == 'chunks':
-        server.part = b'2000\r\n%s\r\n' % bytes(8192)
+    send_body_without_end(server)
 
     async def read_nothing(chunks):
         await anyio.sleep(seconds)
--- a/features/steps/connections.py
+++ b/features/steps/connections.py
@@ -21,11 +21,14 @@
 from greengagegw.adapters import backend_http
 from greengagegw.adapters import backend_transport
 from greengagegw.adapters import servers
+from greengagegw import backend_pool
 from greengagegw import errors
+from greengagegw import load_polling
 from greengagegw.platform import backend_client
 from greengagegw.platform import client_application
 from greengagegw.platform import instance_list
 from greengagegw.platform import settings as platform_settings
+from greengagegw.ports import backends
 from greengagegw.serving import execution
 from greengagegw.serving import ports
 from greengagegw.serving import stopping
@@ -428,25 +431,41 @@
         assert body == b'firstlast' and int(length.group(1)) == 9, head
 
 
-ENDLESS_CHUNK = b'x' * 65536
+OK = b'HTTP/1.1 200 OK\r\n'
+# What comes first, what follows again and again, and the pause after it.
+ENDLESS_PARTS = {
+    'head': (OK + b'Name: ', b'x' * 65536, 0.0),
+    'slow head': (OK + b'Name: ', b'x', 0.05),
+    'series of informational heads': (
+        b'',
+        b'HTTP/1.1 100 Continue\r\n\r\n' * 2600,
+        0.0,
+    ),
+    'body': (OK + b'\r\n', b'x' * 65536, 0.0),
+    'body in chunks': (
+        OK + b'Transfer-Encoding: chunked\r\n\r\n',
+        b'1\r\n \r\n' * 10000,
+        0.0,
+    ),
+}
 
 
 class EndlessServer:
     """Sends a head or a body until the client closes the connection."""
 
     def __init__(self, part):
-        self.part = part
+        self.start, self.part, self.pause = ENDLESS_PARTS[part]
         self.sent_bytes = 0
 
     async def serve(self, stream):
         async with stream:
             await stream.receive()
-            await stream.send(b'HTTP/1.1 200 OK\r\n')
-            await stream.send(b'\r\n' if self.part == 'body' else b'Name: ')
             with contextlib.suppress(anyio.BrokenResourceError):
+                await stream.send(self.start)
                 while True:
-                    await stream.send(ENDLESS_CHUNK)
-                    self.sent_bytes += len(ENDLESS_CHUNK)
+                    await stream.send(self.part)
+                    self.sent_bytes += len(self.part)
+                    await anyio.sleep(self.pause)
 
 
 @behave.given('a server that sends a {part} without end')
@@ -483,23 +502,60 @@
     ).read()
 
 
-async def read_load_report(client, instance):
+def make_backend(timers):
     server = settings_module.BackendServer(
         name='i-1', service='s', region='a', url=f'http://{HOST}:{PORT}'
     )
-    backend = backend_http.HttpBackend(
+    return backend_http.HttpBackend(
         server,
         settings_module.Timeouts(),
-        client.timers,
+        timers,
         'd',
         ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT),
     )
+
+
+async def read_load_report(client, instance):
+    backend = make_backend(client.timers)
     try:
         await backend.fetch_load()
     finally:
         await backend.close()
 
 
+@behave.when('its load is polled after a report that it is leaving')
+@in_fleet
+async def when_polled(context):
+    async with connected_client(context) as (client, _):
+        timers = client.timers
+        backend = make_backend(timers)
+        context.report = backends.LoadReport(timers.now(), 3, 4, True)
+        context.state = backend_pool.ServerState(
+            backend.settings, backend, timers.now()
+        )
+        context.state.record_report(context.report)
+        poller = load_polling.LoadPoller.__new__(load_polling.LoadPoller)
+        poller.timers, poller.poll_count = timers, 0
+        poller.settings = types.SimpleNamespace(
+            timeouts=settings_module.Timeouts()
+        )
+        poller.pool = types.SimpleNamespace(by_name={'i-1': context.state})
+        started_at = timers.now()
+        with anyio.fail_after(REQUEST_TIMEOUT_SECONDS):
+            await poller.poll('i-1')
+        context.read_seconds = timers.now() - started_at
+        await backend.close()
+
+
+@behave.then(
+    'the last report stays in force, and the poll ended within {limit:g} s'
+)
+def then_report_stays(context, limit):
+    assert context.state.report is context.report
+    assert context.state.is_leaving
+    assert context.read_seconds < limit, context.read_seconds
+
+
 READERS = {
     "the platform's client": read_from_client,
     'the instance list': read_instance_list,
