Free what a cancelled timer refers to at once

Callers saw: nothing yet; a VM with 128 MB grew to 159 MB while clients of HTTP/1.0 asked for responses without end and came again after each error.

Cause: a cancelled timer stays in the queue until it would be due, 15 s for idle connections and up to the deadline for requests, and kept its callback. So the connections and tasks of requests that had ended were kept for that time: 4,314 transports at 262 open descriptors, with 23,071 timers.

Change: Timer.cancel() lets go of the callback, and all users call it.

Why it works: what is left of a cancelled timer is its entry in the queue.

Measured: 'A timer that was cancelled keeps what its callback refers to' fails in its three rows before.

--- a/features/program/timers.feature
+++ b/features/program/timers.feature
@@ -35,3 +35,17 @@
       | 20           | 0    |
       | 100          | 9    |
       | 60000        | 9    |
+
+  Scenario Outline: A timer that was cancelled keeps what its callback refers to
+    Timers of clients that come and go quickly would keep their connections
+    until they would have been due.
+
+    Given the timer service in the event loop of the program
+    When a timer of 60 s is cancelled by <means>
+    Then what its callback referred to is freed at once
+
+    Examples:
+      | means                   |
+      | its owner               |
+      | the end of a task       |
+      | the end of a time limit |
--- a/features/steps/timers.py
+++ b/features/steps/timers.py
@@ -1,7 +1,10 @@
 """Steps for the timer service in a real event loop."""
 
 import asyncio
+import functools
+import gc
 import time
+import types
 
 import anyio
 import behave
@@ -134,3 +137,29 @@
     rounding = 1e-9
     assert min(context.late) >= -rounding, min(context.late)
     assert max(context.late) <= late / 1000 + rounding, max(context.late)
+
+
+@behave.when('a timer of {seconds:g} s is cancelled by {means}')
+def when_cancelled(context, seconds, means):
+    async def cancel(timers):
+        if means == 'its owner':
+            timers.call_later(seconds, anyio.Event().set).cancel()
+        elif means == 'the end of a task':
+            with anyio.move_on_after(0.01):
+                await timers.sleep(seconds)
+        else:
+            with timers.move_on_after(seconds):
+                pass
+        (context.timer,) = [one for _, _, one in timers.pending]
+
+    run_with_timers(cancel)
+
+
+@behave.then('what its callback referred to is freed at once')
+def then_freed(context):
+    assert context.timer.cancelled
+    referents = gc.get_referents(context.timer)
+    assert not any(
+        isinstance(one, types.MethodType | functools.partial)
+        for one in referents
+    ), referents
--- a/src/greengagegw/timers.py
+++ b/src/greengagegw/timers.py
@@ -26,6 +26,10 @@
 COALESCING_SECONDS = 0.008
 
 
+def do_nothing() -> None:
+    """Is the callback of cancelled timers."""
+
+
 class Timer:
     """A scheduled callback.
 
@@ -44,6 +48,9 @@
     def cancel(self) -> None:
         """Cancels the callback; does nothing if it was already called."""
         self.cancelled = True
+        # A cancelled timer is queued until it would be due, and must not keep
+        # what the callback refers to, such as a closed connection.
+        self.callback = do_nothing
 
 
 class Timers:
@@ -108,7 +115,7 @@
         try:
             await woken
         finally:
-            timer.cancelled = True
+            timer.cancel()
 
     def move_on_after(self, delay: float) -> 'TimeLimit':
         """Cancels the enclosed block after a delay in seconds.
@@ -205,7 +212,7 @@
         error: BaseException | None,
         traceback: types.TracebackType | None,
     ) -> bool | None:
-        self.timer.cancelled = True
+        self.timer.cancel()
         return self.scope.__exit__(error_type, error, traceback)
 
 
