Keep room for requests that arrive beside responses that grow

Callers saw: connections closed without any response, among them those of readiness probes, while other clients of HTTP/1.0 asked for responses without end on a VM of 128 MB.

Cause: a response without a length is kept whole for a client of HTTP/1.0, and running requests could grow until the account of the requests' memory was full. The bytes of the next request to arrive were then over the limit, and only requests that arrive can give way.

Change: running requests grow up to 0.8 of the account. What requests that arrive hold beyond that still gives way to them.

Why it works: a reclaim leaves 0.9 of the account held. Between the two there is room for small requests that arrive.

Measured: both new scenarios of crowds/decisions.feature fail before.

--- a/features/backends/foreign_servers.feature
+++ b/features/backends/foreign_servers.feature
@@ -30,8 +30,10 @@
       | version | reading      | vm         |
       | 1.1     | read         | home       |
       | 1.1     | read nothing | home       |
+      | 1.0     | read         | home       |
       | 1.1     | read         | forwarding |
       | 1.1     | read nothing | forwarding |
+      | 1.0     | read         | forwarding |
 
   Scenario Outline: A list of instances without end hides those known before
     Given entry VMs with 128 MB whose backend servers misbehave, but one
--- a/features/crowds/decisions.feature
+++ b/features/crowds/decisions.feature
@@ -26,6 +26,19 @@
     Then 3 of them run, and the others are rejected
     And a request of 10 kB runs
 
+  Scenario: Responses that grow do not displace requests that arrive
+    Given an account of 10 MB for requests
+    When responses to 300 requests grow until there is no room for them
+    Then more than 7 MB are held
+    And 50 requests of 10 kB arrive, and none has to give way
+
+  Scenario: Responses that grow go before large bodies that arrive
+    Given an account of 10 MB for requests
+    When 20 clients at 4 addresses send bodies of 1 MB that do not end
+    And responses to 300 requests grow until there is no room for them
+    Then more than 7 MB are held
+    And 50 requests of 10 kB arrive, and none has to give way
+
   Scenario: What has run to its end holds nothing
     Given an account of 10 MB for requests
     When 1000 requests of 1 MB arrive, run and end one after another
--- a/features/steps/crowd_decisions.py
+++ b/features/steps/crowd_decisions.py
@@ -100,6 +100,34 @@
     assert all(context.small), context.small.count(False)
 
 
+@behave.when(
+    'responses to {count:d} requests grow until there is no room for them'
+)
+def when_responses_grow(context, count):
+    for one in getattr(context, 'crowd', ()):
+        one.send(MEGABYTE // 2)
+    growing = [Client(context, 'growing') for _ in range(count)]
+    for one in growing:
+        assert one.run(0)
+    while any(
+        [context.memory.extend(one.holding, PACKET_BYTES) for one in growing]
+    ):
+        pass
+
+
+@behave.then('more than {megabytes:d} MB are held')
+def then_much_held(context, megabytes):
+    assert context.memory.held_bytes > megabytes * MEGABYTE
+
+
+@behave.then('{count:d} requests of 10 kB arrive, and none has to give way')
+def then_arrive(context, count):
+    clients = [Client(context, 'arriving') for _ in range(count)]
+    for one in clients:
+        one.send(10_000)
+    assert not any(one.is_rejected for one in clients)
+
+
 @behave.when(
     '{count:d} clients hold 1 MB each, and one of them has stalled for'
     ' {seconds:d} seconds'
--- a/src/greengagegw/request_memory.py
+++ b/src/greengagegw/request_memory.py
@@ -38,6 +38,9 @@
 # Part of the account that is freed at once, so that a crowd does not cause a
 # search for each of its packets.
 RECLAIM_SHARE = 0.1
+# Part of the account that running requests may grow to. It lies below what a
+# reclaim leaves, so that small requests that arrive stay.
+GROWTH_SHARE = 0.8
 # Another VM may have room at once, and this one when others have given way.
 RETRY_AFTER_SECONDS = 1.0
 
@@ -238,7 +241,9 @@
         if holding not in self.holdings:
             return False
         held = holding.size + count
-        if not self.has_room(count, held - holding.large_size):
+        if not self.can_grow(count) or not self.has_room(
+            count, held - holding.large_size
+        ):
             self.rejections['memory'] += 1
             return False
         holding.size = held
@@ -246,6 +251,20 @@
         self.count_large(holding)
         return True
 
+    def can_grow(self, count: int) -> bool:
+        """Returns whether running requests may need further bytes.
+
+        They leave a part of the account to requests that arrive, which would
+        have to give way to them otherwise, and would get no response.
+        """
+        allowed = self.limits.request_bytes * GROWTH_SHARE
+        if self.held_bytes + count <= allowed:
+            return True
+        reclaimable = sum(
+            one.size for one in self.holdings if one.phase in RECLAIMABLE
+        )
+        return self.held_bytes - reclaimable + count <= allowed
+
     def has_room(self, count: int, large_count: int) -> bool:
         """Returns whether further bytes fit, after others have given way.
 
