Drop what a disk had not synced at a loss of power in the soak

Missing: a loss of power was played as a kill, so that bytes, names and truncations that were never synced survived it, and `power_off_all` was refused.

Change: a process in the soak keeps a second folder with the synced content of each file and the names at the last sync of the data folder. After the kill the data folder is put back to it. In half of the losses all the rest is gone; in the others each part is kept, torn, missing below a later write, or lost. The word `power`, the kinds `power_off` and `power_off_all`, the final faults with lost disks and half of those of `mixed` use it.

Why it works: the copy is brought up to date after the system's sync and before the program sees it return, and files are only appended to or truncated. A link to each file keeps its inode from being used again, so the state goes on through a kill and a start without a loss of power.

--- a/features/program/soak.feature
+++ b/features/program/soak.feature
@@ -71,7 +71,7 @@
       | old            | new            | reason                                        |
       | disk_full      | srv_crash      | cannot be played: srv_crash                   |
       | renewed        | renewed race   | cannot be played: disk_full how race          |
-      | wipe_after_ack | power_off_all  | cannot be played: power_off_all               |
+      | wipe_after_ack | region_cut     | cannot be played: region_cut                  |
       | [[day]]        | [[month]]      | KeyError: 'day'                               |
       | plan =         | plan           | TOMLDecodeError: Expected '=' after a key in a key/value pair (at line 6, column 6) |
 
@@ -96,3 +96,27 @@
     Then on it, a write beyond the last block: writes 10
     And on it, one more write: fails
     And on it, a write after the removal of a block: writes 4096
+
+  Scenario Outline: A loss of power keeps what was not synced, or drops more
+    Given a process that <operation>
+    Then after 60 losses of power, <file> is always <possible>, and once <least>
+
+    Examples:
+      | operation                             | file | possible           | least       |
+      | does nothing                          | log  | s{100}             | s{100}      |
+      | does nothing                          | new  | gone\|[u0]{0,100}  | gone        |
+      | syncs the folder                      | new  | [u0]{0,100}        | u{0}        |
+      | syncs the new file                    | new  | gone\|u{100}       | gone        |
+      | syncs the new file and the folder     | new  | u{100}             | u{100}      |
+      | appends 50 bytes                      | log  | s{100}[a0]{0,50}   | s{100}      |
+      | appends 50 bytes and starts again     | log  | s{100}[a0]{0,50}   | s{100}      |
+      | appends 50 bytes and syncs the log    | log  | s{100}a{50}        | s{100}a{50} |
+      | truncates to 30 bytes                 | log  | s{100}\|s{30}      | s{100}      |
+      | truncates to 30 and starts again      | log  | s{100}\|s{30}      | s{100}      |
+      | truncates to 30 and syncs the log     | log  | s{30}              | s{30}       |
+      | truncates, appends                    | log  | s{100}\|s{30}a{50} | s{100}      |
+      | truncates, appends and syncs the log  | log  | s{30}a{50}         | s{30}a{50}  |
+      | replaces the log                      | log  | s{100}\|u{100}     | s{100}      |
+      | replaces the log and syncs the folder | log  | u{100}             | u{100}      |
+      | removes the log                       | log  | gone\|s{100}       | s{100}      |
+      | removes the log and syncs the folder  | log  | gone               | gone        |
--- a/features/steps/soak_checks.py
+++ b/features/steps/soak_checks.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import random
+import re
 import tempfile
 
 import behave
@@ -11,6 +12,7 @@
 from soak import checks
 from soak import days
 from soak import disk
+from soak import durable
 from soak import faults
 from soak import record as records
 
@@ -299,13 +301,20 @@
         raise AssertionError('the day was read')
 
 
+def make_disk(folder, fault_values):
+    """Returns the disk of a process that starts with a folder."""
+    state = durable.DurableState(folder / 'data', folder / 'copies')
+    state.load()
+    return disk.Disk(folder / 'data', fault_values.get, state)
+
+
 class FullDisk:
     """A folder on a disk that is full in one way."""
 
     def __init__(self, folder, kind):
         self.faults = {}
-        self.path = os.path.join(folder, 'log')
-        self.disk = disk.Disk(folder, self.faults.get)
+        self.disk = make_disk(folder, self.faults)
+        self.path = os.path.join(folder, 'data', 'log')
         self.descriptor = self.disk.open(self.path, os.O_CREAT | os.O_WRONLY)
         self.disk.write(self.descriptor, bytes(disk.BLOCK_BYTES - 10))
         self.disk.fsync(self.descriptor)
@@ -314,7 +323,7 @@
 
 @behave.given('a disk that is full: {kind}')
 def fill_disk(context, kind):
-    context.full = FullDisk(str(make_folder(context)), kind)
+    context.full = FullDisk(make_folder(context), kind)
 
 
 @behave.then('on it, {operation}: {outcome}')
@@ -354,3 +363,65 @@
         assert found == int(outcome.split()[1]), found
     else:
         assert outcome == 'succeeds', outcome
+
+
+@behave.given('a process that {operation}')
+def set_operation(context, operation):
+    context.operation = operation
+
+
+def sync_folder(one, path):
+    descriptor = one.open(path, os.O_RDONLY | os.O_DIRECTORY)
+    one.fsync(descriptor)
+    one.close(descriptor)
+
+
+def use_disk(folder, operation):
+    """Has 100 synced bytes s in log, and u in new, before the operation."""
+    one = make_disk(folder, {})
+    data = folder / 'data'
+    flags = os.O_CREAT | os.O_WRONLY | os.O_APPEND
+    log = one.open(data / 'log', flags)
+    one.write(log, b's' * 100)
+    one.fsync(log)
+    sync_folder(one, data)
+    new = one.open(data / 'new', flags)
+    one.write(new, b'u' * 100)
+    if 'new file' in operation or 'replaces' in operation:
+        one.fsync(new)
+    if 'truncates' in operation:
+        one.ftruncate(log, 30)
+    if 'appends' in operation:
+        one.write(log, b'a' * 50)
+    if 'replaces' in operation:
+        one.rename(data / 'new', data / 'log')
+    if 'removes' in operation:
+        one.unlink(data / 'log')
+    if operation.endswith('and starts again'):
+        make_disk(folder, {})
+    elif operation.endswith('syncs the log'):
+        one.fdatasync(log)
+    elif operation.endswith('the folder'):
+        sync_folder(one, data)
+    one.close(log)
+    one.close(new)
+
+
+@behave.then(
+    'after {count:d} losses of power, {name} is always {possible}, and once'
+    ' {least}'
+)
+def check_power_loss(context, count, name, possible, least):
+    found = set()
+    for seed in range(count):
+        folder = make_folder(context)
+        use_disk(folder, context.operation)
+        durable.lose_power(
+            folder / 'data', folder / 'copies', random.Random(seed)
+        )
+        path = folder / 'data' / name
+        content = path.read_bytes() if path.exists() else b'gone'
+        found.add(content.replace(b'\0', b'0').decode())
+    bad = [one for one in found if not re.fullmatch(possible, one)]
+    assert not bad, bad
+    assert any(re.fullmatch(least, one) for one in found), found
--- a/soak/days.py
+++ b/soak/days.py
@@ -1,8 +1,7 @@
 """Plays a day in the bench's format with real processes.
 
-The kinds and words that are known here are in KINDS. A loss of power is
-played as a kill of which the machine comes back later, so that bytes that
-were not synced are kept.
+The kinds and words that are known here are in KINDS. A VM that loses power
+is killed, and loses what its disk had not synced.
 """
 
 import collections.abc
@@ -175,6 +174,15 @@
             records.Disturbance(kind, began_at, self.record.now())
         )
 
+    def lose_power(self, machines: list) -> None:
+        """Ends processes and drops what their disks had not synced."""
+        for one in machines:
+            one.kill()
+        for one in machines:
+            changes = one.lose_power(self.rng)
+            if changes:
+                self.log(f'{one.name} lost power: {changes}')
+
     async def find_leader(self):
         """Returns the control VM that seems to lead, or None."""
         for _ in range(LEADER_ATTEMPTS):
@@ -329,9 +337,13 @@
     pause = RESTART_SECONDS if has_power else event.seconds
 
     async def apply(chosen: list) -> None:
-        for one in chosen:
-            one.kill()
-            if 'wipe' in event.words and event.on == 'core':
+        if has_power:
+            for one in chosen:
+                one.kill()
+        else:
+            player.lose_power(chosen)
+        if 'wipe' in event.words and event.on == 'core':
+            for one in chosen:
                 one.wipe()
         await anyio.sleep(pause)
         for one in chosen:
@@ -348,20 +360,34 @@
         share = 0.6 if event.share is None else event.share
         machines = player.rng.sample(entries, round(share * len(entries)))
     began_at = player.record.now()
-    await kill_machines(
-        machines, event.seconds if 'power' in event.words else RESTART_SECONDS
-    )
+    if 'power' in event.words:
+        player.lose_power(machines)
+        await start_late(machines, event.seconds)
+    else:
+        for one in machines:
+            one.kill()
+        await start_late(machines, RESTART_SECONDS)
     player.disturbed(event.kind, began_at)
 
 
-async def kill_machines(machines: list, pause: float) -> None:
-    for one in machines:
-        one.kill()
+async def start_late(machines: list, pause: float) -> None:
     await anyio.sleep(pause)
     for one in machines:
         one.start()
 
 
+async def power_off(player: Player, event: Event) -> None:
+    words = event.words | {'power'}
+    await kill(player, dataclasses.replace(event, words=words))
+
+
+async def power_off_all(player: Player, event: Event) -> None:
+    began_at = player.record.now()
+    player.lose_power(player.deployment.machines)
+    await start_late(player.deployment.machines, event.seconds)
+    player.disturbed(event.kind, began_at)
+
+
 async def freeze(player: Player, event: Event) -> None:
     async def apply(chosen: list) -> None:
         for one in chosen:
@@ -447,14 +473,13 @@
     if 'all' in event.words or player.rng.random() < 0.5:
         machines = player.deployment.machines
     player.log(
-        f'final fault: {len(machines)} killed, lost disks'
+        f'final fault: {len(machines)} lose power, lost disks'
         f' {[one.name for one in lost]}'
     )
-    for one in machines:
-        one.kill()
+    player.lose_power(machines)
     for one in lost:
         one.wipe()
-    await kill_machines(machines, event.seconds)
+    await start_late(machines, event.seconds)
     settle = fault_schedules.SETTLE_SECONDS
     player.record.disturbances.append(
         records.Disturbance(event.kind, began_at, player.record.now() + settle)
@@ -463,7 +488,9 @@
 
 async def kill_everything(player: Player, event: Event) -> None:
     began_at = player.record.now()
-    await kill_machines(player.deployment.machines, event.seconds)
+    for one in player.deployment.machines:
+        one.kill()
+    await start_late(player.deployment.machines, event.seconds)
     player.disturbed(event.kind, began_at)
 
 
@@ -480,6 +507,8 @@
     'disk_slow': (slow_disks, TARGET_WORDS),
     'disk_stall': (stall_disks, TARGET_WORDS),
     'node_kill': (kill, TARGET_WORDS | {'power', 'wipe'}),
+    'power_off': (power_off, TARGET_WORDS | {'wipe'}),
+    'power_off_all': (power_off_all, NO_WORDS),
     'herd_kill': (kill_many, frozenset({'power'})),
     'node_freeze': (freeze, TARGET_WORDS),
     'roll_term': (stop_in_turn, NO_WORDS),
@@ -490,5 +519,6 @@
 }
 CLOSINGS: dict[str, tuple] = {
     'wipe_after_ack': (lose_disks, frozenset({'all'})),
+    'power_off_all': (power_off_all, NO_WORDS),
     'kill_all': (kill_everything, NO_WORDS),
 }
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -10,6 +11,7 @@
 import anyio
 
 from . import backends
+from . import durable
 from . import layout as layouts
 from . import record as records
 
@@ -90,6 +92,11 @@
     def folder(self) -> pathlib.Path:
         return self.deployment.folder / self.name
 
+    @property
+    def copies(self) -> pathlib.Path:
+        """Where what is durable of its folder is kept."""
+        return self.deployment.folder / f'durable-{self.name}'
+
     @property
     def is_running(self) -> bool:
         return self.process is not None and self.process.poll() is None
@@ -182,6 +189,8 @@
             'SOAK_HOST': self.host,
             'SOAK_DATA': str(self.folder),
         }
+        if self.role == 'control':
+            environment['SOAK_COPIES'] = str(self.copies)
         self.is_expected_to_end = False
         with open(folder / f'{self.name}.log', 'ab') as log:
             self.process = subprocess.Popen(
@@ -209,8 +218,17 @@
             self.process.send_signal(signal.SIGKILL)
             self.process.wait()
 
+    def lose_power(self, rng) -> dict[str, str]:
+        """Ends the process and drops what was not synced.
+
+        :returns: what happened to the files with unsynced changes.
+        """
+        self.kill()
+        return durable.lose_power(self.folder, self.copies, rng)
+
     def wipe(self) -> None:
         """Removes all files of its disk."""
+        shutil.rmtree(self.copies, ignore_errors=True)
         for path in self.folder.glob('*'):
             path.unlink()
 
--- a/soak/disk.py
+++ b/soak/disk.py
@@ -27,6 +27,7 @@
     :param get_fault: returns the value of a fault in force by its name:
         ``full_disk`` (one of FULL_DISK_KINDS), ``sync_seconds`` (how much
         longer a sync takes) and ``is_disk_stalled`` (writes and syncs wait).
+    :param state: follows what of the folder is durable.
     :ivar free_blocks: blocks that are left, None unless the disk is full.
     :ivar unsynced: descriptors with bytes that were not synced.
     """
@@ -35,7 +36,9 @@
         self,
         folder: str,
         get_fault: collections.abc.Callable[[str, typing.Any], typing.Any],
+        state: typing.Any,
     ) -> None:
+        self.state = state
         self.folder = os.path.abspath(folder)
         self.get_fault = get_fault
         self.descriptors: set[int] = set()
@@ -57,6 +60,7 @@
 
     def install(self) -> None:
         """Replaces the calls of the operating system."""
+        self.state.load()
         for name in self.system:
             setattr(os, name, getattr(self, name))
 
@@ -91,7 +95,12 @@
         self.require_space(is_new and self.fullness() in ('names', 'writes'))
         if flags & os.O_TRUNC and os.path.exists(path):
             self.free(os.path.getsize(path))
-        descriptor = self.system['open'](path, flags, mode, **options)
+        with self.state.lock:
+            descriptor = self.system['open'](path, flags, mode, **options)
+            if is_new:
+                self.state.on_created(descriptor)
+        if flags & os.O_TRUNC:
+            self.state.on_truncated(descriptor, 0)
         self.descriptors.add(descriptor)
         return descriptor
 
@@ -121,6 +130,7 @@
             size = os.fstat(descriptor).st_size
             if length < size and self.free_blocks is not None:
                 self.free_blocks += blocks_of(size) - blocks_of(length)
+            self.state.on_truncated(descriptor, length)
         self.system['ftruncate'](descriptor, length)
 
     def sync(self, name, descriptor):
@@ -132,6 +142,8 @@
             self.unsynced.discard(descriptor)
             self.require_space(kind == 'writes' or is_lost)
         self.system[name](descriptor)
+        if descriptor in self.descriptors:
+            self.state.on_synced(descriptor)
 
     def fsync(self, descriptor):
         self.sync('fsync', descriptor)
@@ -144,12 +156,17 @@
             self.require_space(self.fullness() in ('names', 'writes'))
             if os.path.exists(target):
                 self.free(os.path.getsize(target))
-        self.system['rename'](source, target, **options)
+        with self.state.lock:
+            self.system['rename'](source, target, **options)
 
     def unlink(self, path, **options):
-        if self.is_inside(path) and os.path.exists(path):
+        if not self.is_inside(path):
+            self.system['unlink'](path, **options)
+            return
+        if os.path.exists(path):
             self.free(os.path.getsize(path))
-        self.system['unlink'](path, **options)
+        with self.state.lock:
+            self.system['unlink'](path, **options)
 
 
 def blocks_of(size: int) -> int:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -267,12 +267,20 @@
         self.disturbed(fault.kind, began_at, SETTLE_SECONDS)
 
     async def final_fault(self, machines_lost: int) -> None:
-        """Ends all processes; some disks are lost."""
+        """All processes end or lose power; some disks are lost."""
         began_at = self.record.now()
         lost = self.rng.sample(self.deployment.controls, machines_lost)
-        self.log(f'final fault, lost disks: {[one.name for one in lost]}')
+        has_power = self.rng.random() < 0.5
+        self.log(
+            f'final fault {"with" if has_power else "without"} power, lost'
+            f' disks: {[one.name for one in lost]}'
+        )
         for one in self.deployment.machines:
             one.kill()
+        if not has_power:
+            for one in self.deployment.controls:
+                changes = one.lose_power(self.rng)
+                self.log(f'{one.name} lost power: {changes}')
         for one in lost:
             one.wipe()
         await anyio.sleep(0.5)
--- a/soak/learners.py
+++ b/soak/learners.py
@@ -86,8 +86,7 @@
     if player.rng.random() < 0.5:
         machines = player.deployment.machines
         player.log('all lose power')
-    for one in machines:
-        one.kill()
+    player.lose_power(machines)
     for one in lost:
         one.wipe()
     await anyio.sleep(RESTART_SECONDS)
--- a/soak/process.py
+++ b/soak/process.py
@@ -30,6 +30,7 @@
 sys.path.insert(0, str(ROOT / 'src'))
 
 import disk  # noqa: E402
+import durable  # noqa: E402
 
 from greengagegw.cli import main  # noqa: E402
 
@@ -131,5 +132,8 @@
 if __name__ == '__main__':
     if peer_socket is not None:
         peer_socket.connect = connect
-    disk.Disk(os.environ['SOAK_DATA'], faults.get).install()
+    if 'SOAK_COPIES' in os.environ:
+        data = os.environ['SOAK_DATA']
+        state = durable.DurableState(data, os.environ['SOAK_COPIES'])
+        disk.Disk(data, faults.get, state).install()
     main.main()
