Lose the disks that acknowledged a change in the soak

Missing: `wipe_after_ack` and `after_ack_wipe` took any disks, and the words `aimed` and `synced` were refused.

Change: a change is sent and the control VMs are put in the order in which they took part: the VM that answered and the leader first or, with `synced`, by the times of their first syncs after it was sent. `after_ack_wipe` and an aimed `wipe_after_ack` take the first ones, which are killed right after the acknowledgement. Places among the VMs that may be lost are taken before the change is sent, so that two events cannot take more.

--- a/soak/days.py
+++ b/soak/days.py
@@ -6,9 +6,11 @@
 
 import collections.abc
 import dataclasses
+import math
 import pathlib
 import re
 import signal
+import time
 import tomllib
 import typing
 
@@ -130,6 +132,8 @@
     """Plays a day against a deployment.
 
     :ivar lost: control VMs that count as lost.
+    :ivar acknowledgers: control VMs of the last change that was sent by
+        :meth:`acknowledge_change`, those that took part in it first.
     """
 
     def __init__(self, deployment, operator, injector, record, rng, log):
@@ -140,6 +144,7 @@
         self.rng = rng
         self.log = log
         self.lost: set = set()
+        self.acknowledgers: list = []
 
     async def play(self, day: Day) -> None:
         """Plays the events and the final fault, and reads back.
@@ -157,7 +162,7 @@
             else:
                 self.log(f'final fault {day.closing}')
                 with anyio.move_on_after(bounds.acknowledge):
-                    await self.operator.put()
+                    await self.acknowledge_change(day.closing)
                 await CLOSINGS[day.closing.kind][0](self, day.closing)
                 await anyio.sleep(bounds.recovery + LAST_TRAFFIC_SECONDS)
             await self.operator.read_back()
@@ -199,6 +204,30 @@
                     return machine
         return None
 
+    async def acknowledge_change(self, event: Event) -> None:
+        """Sends a change and finds the VMs that took part in it.
+
+        Those of which the disk synced come first, in the order of the syncs,
+        or, without the word ``synced``, the VM that answered and the leader.
+        """
+        self.acknowledgers = []
+        leader = await self.find_leader()
+        sent_at = time.time()
+        await self.operator.put()
+
+        def position(machine) -> tuple:
+            synced_at = machine.first_sync(sent_at) or math.inf
+            if 'synced' in event.words:
+                return (synced_at,)
+            is_other = machine is not self.operator.acknowledged_by
+            return is_other, machine is not leader, synced_at
+
+        self.acknowledgers = sorted(self.deployment.controls, key=position)
+        self.log(
+            f'leader {leader and leader.name}, acknowledged in this order:'
+            f' {[one.name for one in self.acknowledgers]}'
+        )
+
     async def choose(self, event: Event) -> list:
         """Returns the VMs that an event is for, and waits its turn.
 
@@ -211,6 +240,14 @@
         count = min(limit, event_count(event, self.deployment.controls))
         while len(self.lost) + count > limit:
             await anyio.sleep(0.1)
+        places = {object() for _ in range(count)}
+        self.lost |= places
+        try:
+            return await self.choose_controls(event, count)
+        finally:
+            self.lost -= places
+
+    async def choose_controls(self, event: Event, count: int) -> list:
         leader = None
         if event.words & {'leader', 'renewed', 'follower'}:
             leader = await self.find_leader()
@@ -221,6 +258,11 @@
             candidates.remove(leader)
         if 'oldest' not in event.words:
             self.rng.shuffle(candidates)
+        if 'aimed' in event.words:
+            await self.acknowledge_change(event)
+            candidates = [
+                one for one in self.acknowledgers if one not in self.lost
+            ]
         if event.words & {'leader', 'renewed'} and leader in candidates:
             candidates.remove(leader)
             candidates.insert(0, leader)
@@ -456,8 +498,7 @@
 
 async def wipe_after_change(player: Player, event: Event) -> None:
     """Wipes the disks of control VMs right after an acknowledged change."""
-    await player.operator.put()
-    words = event.words | {'wipe', 'power'}
+    words = event.words | {'aimed', 'wipe', 'power'}
     await kill(player, dataclasses.replace(on_core(event), words=words))
 
 
@@ -468,7 +509,10 @@
     """Loses as many disks as allowed, and may end all other processes."""
     controls = player.deployment.controls
     began_at = player.record.now()
-    lost = player.rng.sample(controls, player.deployment.layout.lost_machines)
+    count = player.deployment.layout.lost_machines
+    lost = player.rng.sample(controls, count)
+    if 'aimed' in event.words and player.acknowledgers:
+        lost = player.acknowledgers[:count]
     machines = lost
     if 'all' in event.words or player.rng.random() < 0.5:
         machines = player.deployment.machines
@@ -494,6 +538,7 @@
     player.disturbed(event.kind, began_at)
 
 
+AIMED_WORDS = frozenset({'aimed', 'synced'})
 NO_WORDS: frozenset[str] = frozenset()
 # What a change of the configuration changes is not played: each version adds
 # and drops routes.
@@ -515,10 +560,10 @@
     'hup': (reload_settings, NO_WORDS),
     'replace_core': (replace_control, TARGET_WORDS | {'planned'}),
     'core_cut': (cut_off, TARGET_WORDS | {'one_way', 'split'}),
-    'after_ack_wipe': (wipe_after_change, TARGET_WORDS),
+    'after_ack_wipe': (wipe_after_change, TARGET_WORDS | AIMED_WORDS),
 }
 CLOSINGS: dict[str, tuple] = {
-    'wipe_after_ack': (lose_disks, frozenset({'all'})),
+    'wipe_after_ack': (lose_disks, AIMED_WORDS | {'all'}),
     'power_off_all': (power_off_all, NO_WORDS),
     'kill_all': (kill_everything, NO_WORDS),
 }
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -226,6 +226,10 @@
         self.kill()
         return durable.lose_power(self.folder, self.copies, rng)
 
+    def first_sync(self, since: float) -> float | None:
+        """Returns when its disk first synced a file since a time of day."""
+        return durable.first_sync(self.copies, since)
+
     def wipe(self) -> None:
         """Removes all files of its disk."""
         shutil.rmtree(self.copies, ignore_errors=True)
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -108,6 +108,7 @@
 
     :param objective_ms: latency objective of all routes.
     :ivar listed: control VMs by a list that lags.
+    :ivar acknowledged_by: control VM that acknowledged the last order.
     """
 
     def __init__(
@@ -124,6 +125,7 @@
         self.pending: list[records.Order] = []
         self.may_order = True
         self.is_ordering = False
+        self.acknowledged_by = None
 
     async def follow_list(self) -> None:
         while True:
@@ -166,6 +168,8 @@
             )
             if is_done or gives_up or 400 <= status < 500:
                 self.pending.remove(pending)
+                if is_done:
+                    self.acknowledged_by = machine
                 self.record.orders.append(
                     dataclasses.replace(
                         pending,
