Play hard and racing suspensions and cuts in the soak

Missing: `node_freeze` and `core_cut` refused the words `hard` and `race`.

Change: with `race` a change is on its way when the fault begins, another one is sent while it lasts, and the VMs of the fault are read every 50 ms from 0.1 s before its end on, so that a stale answer is seen. In a split `hard` adds nothing, since operators reach both halves.

Why it works: the clock's offset is in a file that the process has mapped, so it is in force when the process runs again.

--- a/soak/days.py
+++ b/soak/days.py
@@ -33,6 +33,10 @@
 METRICS_SECONDS = 0.5
 # Traffic that is sent after the time that a deployment has to recover.
 LAST_TRAFFIC_SECONDS = 8.0
+# A change is on its way that long when a fault begins, and reads follow each
+# other in half of that when it ends.
+RACE_SECONDS = 0.1
+RACE_READS = 30
 TARGET_WORDS = frozenset({'leader', 'renewed', 'follower', 'oldest'})
 
 
@@ -132,6 +136,7 @@
     """Plays a day against a deployment.
 
     :ivar lost: control VMs that count as lost.
+    :ivar tasks: those of the day, None before it is played.
     :ivar acknowledgers: control VMs of the last change that was sent by
         :meth:`acknowledge_change`, those that took part in it first.
     """
@@ -145,6 +150,7 @@
         self.log = log
         self.lost: set = set()
         self.acknowledgers: list = []
+        self.tasks = None
 
     async def play(self, day: Day) -> None:
         """Plays the events and the final fault, and reads back.
@@ -154,6 +160,7 @@
         began_at = self.record.now()
         bounds = self.record.bounds
         async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
             for event in day.events:
                 tasks.start_soon(self.play_event, event, began_at)
             await anyio.sleep(day.length)
@@ -228,6 +235,31 @@
             f' {[one.name for one in self.acknowledgers]}'
         )
 
+    async def begin_race(self, event: Event) -> None:
+        """With the word ``race``, has a change on its way at the fault."""
+        if 'race' in event.words:
+            self.tasks.start_soon(self.operator.put)
+            await anyio.sleep(self.rng.uniform(0, RACE_SECONDS))
+
+    async def follow_race(self, event: Event, machines: list) -> None:
+        """Lets a fault last; with ``race``, changes and reads meet it.
+
+        The VMs are read from just before the end of the fault until it must
+        have reached them.
+        """
+        if 'race' in event.words:
+            self.tasks.start_soon(self.operator.put)
+            self.tasks.start_soon(self.read_until_known, event, machines)
+        await anyio.sleep(event.seconds)
+
+    async def read_until_known(self, event: Event, machines: list) -> None:
+        await anyio.sleep(event.seconds - RACE_SECONDS)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(RACE_READS):
+                for one in machines:
+                    tasks.start_soon(self.operator.read, one)
+                await anyio.sleep(RACE_SECONDS / 2)
+
     async def choose(self, event: Event) -> list:
         """Returns the VMs that an event is for, and waits its turn.
 
@@ -431,12 +463,17 @@
 
 
 async def freeze(player: Player, event: Event) -> None:
+    """Freezes VMs; with ``hard``, their steady clocks stand still too."""
+
     async def apply(chosen: list) -> None:
+        await player.begin_race(event)
         for one in chosen:
             one.send(signal.SIGSTOP)
-        await anyio.sleep(event.seconds)
+        stopped_at = time.monotonic()
+        await player.follow_race(event, chosen)
+        is_hard = 'hard' in event.words
         for one in chosen:
-            one.send(signal.SIGCONT)
+            one.resume((time.monotonic() - stopped_at) * is_hard)
 
     await player.disturb(event, apply)
 
@@ -481,17 +518,30 @@
 
 
 async def cut_off(player: Player, event: Event) -> None:
+    """Cuts VMs off, or halves; ``hard`` keeps operators from them too."""
     event = on_core(event)
+    is_hard = 'hard' in event.words
     if 'split' in event.words:
+        await player.begin_race(event)
         began_at = player.record.now()
-        await player.injector.split(event.seconds)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(player.injector.split, event.seconds)
+            await player.follow_race(event, player.deployment.controls)
         player.disturbed(event.kind, began_at)
         return
 
     async def apply(chosen: list) -> None:
-        await player.injector.cut(
-            chosen, event.seconds, 'one_way' in event.words
-        )
+        await player.begin_race(event)
+        player.operator.unreachable |= set(chosen) if is_hard else set()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                player.injector.cut,
+                chosen,
+                event.seconds,
+                'one_way' in event.words,
+            )
+            await player.follow_race(event, chosen)
+        player.operator.unreachable -= set(chosen)
 
     await player.disturb(event, apply)
 
@@ -538,6 +588,7 @@
     player.disturbed(event.kind, began_at)
 
 
+RACE_WORDS = frozenset({'hard', 'race'})
 AIMED_WORDS = frozenset({'aimed', 'synced'})
 NO_WORDS: frozenset[str] = frozenset()
 # What a change of the configuration changes is not played: each version adds
@@ -555,11 +606,11 @@
     'power_off': (power_off, TARGET_WORDS | {'wipe'}),
     'power_off_all': (power_off_all, NO_WORDS),
     'herd_kill': (kill_many, frozenset({'power'})),
-    'node_freeze': (freeze, TARGET_WORDS),
+    'node_freeze': (freeze, TARGET_WORDS | RACE_WORDS),
     'roll_term': (stop_in_turn, NO_WORDS),
     'hup': (reload_settings, NO_WORDS),
     'replace_core': (replace_control, TARGET_WORDS | {'planned'}),
-    'core_cut': (cut_off, TARGET_WORDS | {'one_way', 'split'}),
+    'core_cut': (cut_off, TARGET_WORDS | RACE_WORDS | {'one_way', 'split'}),
     'after_ack_wipe': (wipe_after_change, TARGET_WORDS | AIMED_WORDS),
 }
 CLOSINGS: dict[str, tuple] = {
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -5,6 +5,7 @@
 import pathlib
 import shutil
 import signal
+import struct
 import subprocess
 import sys
 
@@ -87,6 +88,7 @@
         self.process: subprocess.Popen | None = None
         self.is_expected_to_end = False
         self.faults: dict = {}
+        self.suspended_seconds = 0.0
 
     @property
     def folder(self) -> pathlib.Path:
@@ -97,6 +99,10 @@
         """Where what is durable of its folder is kept."""
         return self.deployment.folder / f'durable-{self.name}'
 
+    @property
+    def clocks(self) -> pathlib.Path:
+        return self.deployment.folder / f'{self.name}.clocks'
+
     @property
     def is_running(self) -> bool:
         return self.process is not None and self.process.poll() is None
@@ -169,6 +175,18 @@
         temporary.write_text(json.dumps(content))
         temporary.rename(file)
 
+    def set_clocks(self) -> None:
+        """Writes in place, since the process has mapped the file."""
+        self.clocks.touch()
+        with open(self.clocks, 'r+b') as file:
+            file.write(struct.pack('d', self.suspended_seconds))
+
+    def resume(self, suspended_seconds: float = 0.0) -> None:
+        """Resumes the process; its steady clock stood still that long."""
+        self.suspended_seconds += suspended_seconds
+        self.set_clocks()
+        self.send(signal.SIGCONT)
+
     def start(self, is_first_start: bool = False) -> None:
         """Starts the process, unless an overlapping fault has done so."""
         if self.is_running:
@@ -177,6 +195,7 @@
         file = folder / f'{self.name}.conf'
         file.write_text(self.settings(is_first_start))
         self.set_faults()
+        self.set_clocks()
         environment = {
             name: os.environ[name]
             for name in ('PATH', 'HOME', 'LANG')
@@ -188,6 +207,7 @@
             'SOAK_FAULTS': str(folder / f'{self.name}.faults.json'),
             'SOAK_HOST': self.host,
             'SOAK_DATA': str(self.folder),
+            'SOAK_CLOCKS': str(self.clocks),
         }
         if self.role == 'control':
             environment['SOAK_COPIES'] = str(self.copies)
--- a/soak/process.py
+++ b/soak/process.py
@@ -8,13 +8,18 @@
 - ``link_seconds``: one-way delay of the links to hosts of other regions;
 - ``slow_to``: by host, the bytes a second that are carried to it;
 - those of the disk, which :mod:`soak.disk` names.
+
+The clocks are those of the system less what a second file names, which is
+mapped so that a process sees a change at once when it runs again.
 """
 
 import asyncio
 import errno
 import json
+import mmap
 import os
 import pathlib
+import struct
 import sys
 import time
 
@@ -29,6 +34,27 @@
 # modules; the program is that of the other checkout.
 sys.path.insert(0, str(ROOT / 'src'))
 
+
+class Clocks:
+    """Clocks that differ from those of the system.
+
+    The steady clock does not count the time that a machine was suspended.
+    """
+
+    def __init__(self, path: str) -> None:
+        with open(path, 'rb') as file:
+            self.values = mmap.mmap(file.fileno(), 0, access=mmap.ACCESS_READ)
+        self.steady = time.monotonic
+
+    def monotonic(self) -> float:
+        (suspended_seconds,) = struct.unpack_from('d', self.values)
+        return self.steady() - suspended_seconds
+
+
+clocks = Clocks(os.environ['SOAK_CLOCKS'])
+# Before the program's modules, which keep references to it.
+time.monotonic = clocks.monotonic
+
 import disk  # noqa: E402
 import durable  # noqa: E402
 
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -108,6 +108,7 @@
 
     :param objective_ms: latency objective of all routes.
     :ivar listed: control VMs by a list that lags.
+    :ivar unreachable: control VMs that do not get its calls.
     :ivar acknowledged_by: control VM that acknowledged the last order.
     """
 
@@ -126,6 +127,7 @@
         self.may_order = True
         self.is_ordering = False
         self.acknowledged_by = None
+        self.unreachable: set = set()
 
     async def follow_list(self) -> None:
         while True:
@@ -137,6 +139,8 @@
         """Returns status and content; status 0 without an answer."""
         url = f'http://{machine.host}:{deployments.CONTROL_PORT}{path}'
         with anyio.move_on_after(CALL_SECONDS):
+            if machine in self.unreachable:
+                await anyio.sleep(CALL_SECONDS)
             try:
                 async with make_client(CALL_SECONDS) as client:
                     response = await client.request(method, url, content=body)
