Lose packets of links in the soak

Missing: `lossy` was refused.

Change: a lost packet holds up the bytes of its connection, and all behind them, for 0.2 s, the least time after which the system sends again. The chance is that of each packet of 1,460 bytes, in both directions, between the VMs of a failure domain and all others.

--- a/soak/days.py
+++ b/soak/days.py
@@ -335,6 +335,14 @@
     return max(1, round(share * len(machines)))
 
 
+def choose_domain(player: Player, event: Event) -> str:
+    domains = player.deployment.layout.domains
+    domain = event.domain or player.rng.choice(domains)
+    if domain not in domains:
+        raise DayError(f'{event.kind}: {domain} is no failure domain')
+    return domain
+
+
 def on_core(event: Event) -> Event:
     """Returns an event of a kind that is always for one control VM."""
     count = 1 if event.count is None else event.count
@@ -366,10 +374,7 @@
 
 
 async def evacuate(player: Player, event: Event) -> None:
-    domains = player.deployment.layout.domains
-    domain = event.domain or player.rng.choice(domains)
-    if domain not in domains:
-        raise DayError(f'evacuate: {domain} is no failure domain')
+    domain = choose_domain(player, event)
     await player.operator.order('evacuate', domain)
     await anyio.sleep(event.seconds)
     await player.operator.order('readmit', domain)
@@ -546,6 +551,23 @@
     await player.disturb(event, apply)
 
 
+async def lose_packets(player: Player, event: Event) -> None:
+    """Loses packets between the VMs of a failure domain and all others."""
+    domain = choose_domain(player, event)
+    share = 0.03 if event.strength is None else event.strength
+    machines = player.deployment.machines
+    inner = [one for one in machines if one.domain == domain]
+    outer = [one for one in machines if one.domain != domain]
+    began_at = player.record.now()
+    for group, others in ((inner, outer), (outer, inner)):
+        for one in group:
+            one.set_faults(lossy_to={other.host: share for other in others})
+    await anyio.sleep(event.seconds)
+    for one in machines:
+        one.set_faults(lossy_to=None)
+    player.disturbed(event.kind, began_at)
+
+
 async def wipe_after_change(player: Player, event: Event) -> None:
     """Wipes the disks of control VMs right after an acknowledged change."""
     words = event.words | {'aimed', 'wipe', 'power'}
@@ -611,6 +633,7 @@
     'hup': (reload_settings, NO_WORDS),
     'replace_core': (replace_control, TARGET_WORDS | {'planned'}),
     'core_cut': (cut_off, TARGET_WORDS | RACE_WORDS | {'one_way', 'split'}),
+    'lossy': (lose_packets, NO_WORDS),
     'after_ack_wipe': (wipe_after_change, TARGET_WORDS | AIMED_WORDS),
 }
 CLOSINGS: dict[str, tuple] = {
--- a/soak/process.py
+++ b/soak/process.py
@@ -7,6 +7,7 @@
   are lost;
 - ``link_seconds``: one-way delay of the links to hosts of other regions;
 - ``slow_to``: by host, the bytes a second that are carried to it;
+- ``lossy_to``: by host, the share of packets that are lost to and from it;
 - those of the disk, which :mod:`soak.disk` names.
 
 The clocks are those of the system less what a second file names, which is
@@ -19,6 +20,7 @@
 import mmap
 import os
 import pathlib
+import random
 import struct
 import sys
 import time
@@ -29,6 +31,9 @@
 READ_INTERVAL_SECONDS = 0.02
 # A connection through a partition does not fail before its caller gives up.
 PARTITION_SECONDS = 30.0
+# The least time after which the system sends a lost packet again.
+RESEND_SECONDS = 0.2
+PACKET_BYTES = 1460
 
 # The folder of this script, which is first in the path, holds the soak's own
 # modules; the program is that of the other checkout.
@@ -107,6 +112,14 @@
         self.is_silent = [False, False]
         self.is_remote = region_of(host) != region_of(HOST)
         self.free_at = 0.0
+        self.received_at = 0.0
+
+    def resend_seconds(self, data: bytes) -> float:
+        """Returns how long lost packets delay data and what follows it."""
+        share = faults.get('lossy_to', {}).get(self.host, 0.0)
+        packets = -(-len(data) // PACKET_BYTES)
+        is_lost = random.random() < 1 - (1 - share) ** packets
+        return RESEND_SECONDS if is_lost else 0.0
 
     def is_dropped(self, direction: int) -> bool:
         name = ('silent_to', 'silent_from')[direction]
@@ -126,10 +139,11 @@
             return
         rate = faults.get('slow_to', {}).get(self.host)
         now = asyncio.get_running_loop().time()
-        if rate is None and now >= self.free_at:
+        lost_seconds = self.resend_seconds(data)
+        if rate is None and not lost_seconds and now >= self.free_at:
             self.delayed(self.write_late, bytes(data))
             return
-        self.free_at = max(now, self.free_at)
+        self.free_at = max(now, self.free_at) + lost_seconds
         if rate is not None:
             self.free_at += len(data) / rate
         asyncio.get_running_loop().call_at(
@@ -141,8 +155,20 @@
             super().write(data)
 
     def data_received(self, data: bytes) -> None:
-        if not self.is_dropped(1):
+        if self.is_dropped(1):
+            return
+        loop = asyncio.get_running_loop()
+        lost_seconds = self.resend_seconds(data)
+        if not lost_seconds and loop.time() >= self.received_at:
             self.delayed(super().data_received, bytes(data))
+            return
+        self.received_at = max(loop.time(), self.received_at) + lost_seconds
+        loop.call_at(
+            self.received_at,
+            self.delayed,
+            super().data_received,
+            bytes(data),
+        )
 
 
 connect_socket = getattr(peer_socket, 'connect', None)
