Play more faults of the control VMs in the soak

Missing: `region_cut`, `region_loss`, `clock_step`, `ack_lost`, `bad_config`, `big_config`, `burst` and `config_change` with `tenant`, `quota` or `down` were refused. A final fault that loses disks could begin while another VM had not caught up, which is more than a deployment bears.

Change: these kinds are played. Links of a region or of two fall silent, a region loses power, the time of day steps on some VMs and back, answers to orders are lost after they took effect, and changes arrive that are invalid, older, or of the version held with other content. One that is invalid must not be acknowledged, which is a new check; what an older or equal version changes is seen by the check of what is read. The final fault waits until no VM counts as lost. Processes are ended in one place.

--- a/features/program/soak.feature
+++ b/features/program/soak.feature
@@ -27,6 +27,7 @@
       | no request served 13 s after a fault                   | RECOVER |
       | a process that ended by itself                         | FAULT   |
       | a machine that used more memory than it has            | EXCESS  |
+      | an invalid change that was acknowledged                | CONFIG  |
       | a call that ran is cut during a stop                   | LOST    |
       | a late call that runs to the end of a stop is cut      | LOST    |
       | a call that did not run is cut 0.3 s after it was sent | LOST    |
@@ -71,7 +72,7 @@
       | old            | new            | reason                                        |
       | disk_full      | srv_crash      | cannot be played: srv_crash                   |
       | renewed        | renewed race   | cannot be played: disk_full how race          |
-      | wipe_after_ack | region_cut     | cannot be played: region_cut                  |
+      | wipe_after_ack | srv_crash      | cannot be played: srv_crash                   |
       | [[day]]        | [[month]]      | KeyError: 'day'                               |
       | plan =         | plan           | TOMLDecodeError: Expected '=' after a key in a key/value pair (at line 6, column 6) |
 
--- a/features/steps/soak_checks.py
+++ b/features/steps/soak_checks.py
@@ -190,6 +190,9 @@
     if planted == 'a process that ended by itself':
         record.own_ends.append('front ended')
         return
+    if planted == 'an invalid change that was acknowledged':
+        record.accepted_invalid.append('core acknowledged')
+        return
     if planted == 'a machine that used more memory than it has':
         record.excesses['front'] = 'front used too much'
         return
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -128,7 +128,8 @@
             tasks.start_soon(deployment.watch_processes)
             await wait_ready(clients, operator, deployment, record)
             if day is not None:
-                await anyio.sleep(layout.bounds.lead - record.now())
+                lead = layout.bounds.lead - record.now()
+                await anyio.sleep(max(0.0, lead))
             record.disturbances.append(
                 records.Disturbance('start', 0.0, record.now())
             )
@@ -140,7 +141,7 @@
                 tasks.start_soon(task)
             if day is not None:
                 player = days.Player(
-                    deployment, operator, injector, record, rng, log
+                    deployment, operator, injector, record, rng, log, clients
                 )
                 await player.play(day)
             elif has_stops:
@@ -150,7 +151,7 @@
             elif options['scenario'] == 'learners':
                 tasks.start_soon(operator.run)
                 player = days.Player(
-                    deployment, operator, injector, record, rng, log
+                    deployment, operator, injector, record, rng, log, clients
                 )
                 for _ in range(options['rounds']):
                     await learners.play_round(player)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -281,6 +281,10 @@
     return found
 
 
+def check_invalid(record: records.Record) -> list[str]:
+    return [f'CONFIG: {one}' for one in record.accepted_invalid]
+
+
 def check_read_back(record: records.Record) -> list[str]:
     if record.read_back is not False:
         return []
@@ -318,6 +322,7 @@
     check_recovery,
     check_routes,
     check_read_back,
+    check_invalid,
     check_homes,
     check_stops,
     check_processes,
--- a/soak/days.py
+++ b/soak/days.py
@@ -6,7 +6,6 @@
 
 import collections.abc
 import dataclasses
-import math
 import pathlib
 import re
 import signal
@@ -19,6 +18,7 @@
 
 from . import deployment as deployments
 from . import disk
+from . import durable
 from . import faults as fault_schedules
 from . import record as records
 from . import traffic
@@ -141,7 +141,10 @@
         :meth:`acknowledge_change`, those that took part in it first.
     """
 
-    def __init__(self, deployment, operator, injector, record, rng, log):
+    def __init__(
+        self, deployment, operator, injector, record, rng, log, clients
+    ) -> None:
+        self.clients = clients
         self.deployment = deployment
         self.operator = operator
         self.injector = injector
@@ -157,17 +160,19 @@
 
         Orders that have no outcome by then are given up.
         """
-        began_at = self.record.now()
         bounds = self.record.bounds
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
             for event in day.events:
-                tasks.start_soon(self.play_event, event, began_at)
+                tasks.start_soon(self.play_event, event)
             await anyio.sleep(day.length)
             if day.closing is None:
                 await anyio.sleep(bounds.contact)
             else:
                 self.log(f'final fault {day.closing}')
+                # It loses as many disks as may be lost, none beside it.
+                while self.lost:
+                    await anyio.sleep(0.1)
                 with anyio.move_on_after(bounds.acknowledge):
                     await self.acknowledge_change(day.closing)
                 await CLOSINGS[day.closing.kind][0](self, day.closing)
@@ -175,7 +180,7 @@
             await self.operator.read_back()
             tasks.cancel_scope.cancel()
 
-    async def play_event(self, event: Event, began_at: float) -> None:
+    async def play_event(self, event: Event) -> None:
         await anyio.sleep(event.at)
         self.log(f'begin {event}')
         await KINDS[event.kind][0](self, event)
@@ -186,15 +191,6 @@
             records.Disturbance(kind, began_at, self.record.now())
         )
 
-    def lose_power(self, machines: list) -> None:
-        """Ends processes and drops what their disks had not synced."""
-        for one in machines:
-            one.kill()
-        for one in machines:
-            changes = one.lose_power(self.rng)
-            if changes:
-                self.log(f'{one.name} lost power: {changes}')
-
     async def find_leader(self):
         """Returns the control VM that seems to lead, or None."""
         for _ in range(LEADER_ATTEMPTS):
@@ -223,7 +219,7 @@
         await self.operator.put()
 
         def position(machine) -> tuple:
-            synced_at = machine.first_sync(sent_at) or math.inf
+            synced_at = durable.first_sync(machine.copies, sent_at)
             if 'synced' in event.words:
                 return (synced_at,)
             is_other = machine is not self.operator.acknowledged_by
@@ -353,24 +349,24 @@
 
 
 async def change_configuration(player: Player, event: Event) -> None:
-    await player.operator.put()
+    await player.operator.put(added_routes=event.count or 0)
 
 
 async def change_repeatedly(player: Player, event: Event) -> None:
-    count = event.count or max(1, round(event.seconds / event.gap))
+    """Sends versions, in a race two at the same time."""
+    is_race = event.kind == 'config_race'
+    count = 1 if is_race else max(1, round(event.seconds / event.gap))
     async with anyio.create_task_group() as tasks:
-        for _ in range(count):
-            tasks.start_soon(player.operator.put)
+        for _ in range(event.count or count):
+            for _ in range(1 + is_race):
+                tasks.start_soon(player.operator.put)
             await anyio.sleep(event.gap)
 
 
-async def race_changes(player: Player, event: Event) -> None:
-    """Sends pairs of versions at the same time."""
-    async with anyio.create_task_group() as tasks:
-        for _ in range(event.count or 1):
-            tasks.start_soon(player.operator.put)
-            tasks.start_soon(player.operator.put)
-            await anyio.sleep(event.gap)
+async def send_invalid(player: Player, event: Event) -> None:
+    for _ in range(event.count or 1):
+        await player.operator.put_invalid(event.words)
+        await anyio.sleep(event.gap)
 
 
 async def evacuate(player: Player, event: Event) -> None:
@@ -412,15 +408,11 @@
 
 
 async def kill(player: Player, event: Event) -> None:
-    has_power = 'power' not in event.words
+    has_power = not event.words & {'power'} and event.kind != 'power_off'
     pause = RESTART_SECONDS if has_power else event.seconds
 
     async def apply(chosen: list) -> None:
-        if has_power:
-            for one in chosen:
-                one.kill()
-        else:
-            player.lose_power(chosen)
+        player.injector.end(chosen, has_power)
         if 'wipe' in event.words and event.on == 'core':
             for one in chosen:
                 one.wipe()
@@ -438,14 +430,10 @@
         entries = player.deployment.entries
         share = 0.6 if event.share is None else event.share
         machines = player.rng.sample(entries, round(share * len(entries)))
+    has_power = 'power' not in event.words
     began_at = player.record.now()
-    if 'power' in event.words:
-        player.lose_power(machines)
-        await start_late(machines, event.seconds)
-    else:
-        for one in machines:
-            one.kill()
-        await start_late(machines, RESTART_SECONDS)
+    player.injector.end(machines, has_power)
+    await start_late(machines, RESTART_SECONDS if has_power else event.seconds)
     player.disturbed(event.kind, began_at)
 
 
@@ -455,18 +443,6 @@
         one.start()
 
 
-async def power_off(player: Player, event: Event) -> None:
-    words = event.words | {'power'}
-    await kill(player, dataclasses.replace(event, words=words))
-
-
-async def power_off_all(player: Player, event: Event) -> None:
-    began_at = player.record.now()
-    player.lose_power(player.deployment.machines)
-    await start_late(player.deployment.machines, event.seconds)
-    player.disturbed(event.kind, began_at)
-
-
 async def freeze(player: Player, event: Event) -> None:
     """Freezes VMs; with ``hard``, their steady clocks stand still too."""
 
@@ -568,6 +544,59 @@
     player.disturbed(event.kind, began_at)
 
 
+async def disturb_region(player: Player, event: Event) -> None:
+    """Cuts a region off, with ``pair`` from one other, or loses it."""
+    regions = player.deployment.layout.regions
+    machines = player.deployment.machines
+    names = sorted(set(regions.values()))
+    player.rng.shuffle(names)
+    if event.domain:
+        names.sort(key=lambda one: one != regions[event.domain])
+    inner, pair = (
+        [one for one in machines if regions[one.domain] == name]
+        for name in names[:2]
+    )
+    began_at = player.record.now()
+    if event.kind == 'region_loss':
+        player.injector.end(inner, has_power=False)
+        await start_late(inner, event.seconds)
+    else:
+        others = pair if 'pair' in event.words else None
+        await player.injector.cut(inner, event.seconds, others=others)
+    player.disturbed(event.kind, began_at)
+
+
+async def step_clocks(player: Player, event: Event) -> None:
+    """Steps the time of day on some VMs by ``x`` ms, and back again."""
+    machines = player.deployment.machines
+    share = 0.3 if event.share is None else event.share
+    chosen = player.rng.sample(machines, round(share * len(machines)))
+    leader = await player.find_leader()
+    if 'leader' in event.words and leader and leader not in chosen:
+        chosen.append(leader)
+    step = (event.strength or 2000.0) / 1000
+    began_at = player.record.now()
+    for seconds in (-step if 'back' in event.words else step, 0.0):
+        for one in chosen:
+            one.stepped_seconds = seconds
+            one.set_clocks()
+        await anyio.sleep(event.seconds if seconds else 0.0)
+    player.disturbed(event.kind, began_at)
+
+
+async def send_more(player: Player, event: Event) -> None:
+    factor = event.strength or 2.0
+    player.clients.per_second *= factor
+    await anyio.sleep(event.seconds)
+    player.clients.per_second /= factor
+
+
+async def lose_acknowledgements(player: Player, event: Event) -> None:
+    player.operator.lost_share = event.strength or 0.5
+    await anyio.sleep(event.seconds)
+    player.operator.lost_share = 0.0
+
+
 async def wipe_after_change(player: Player, event: Event) -> None:
     """Wipes the disks of control VMs right after an acknowledged change."""
     words = event.words | {'aimed', 'wipe', 'power'}
@@ -592,7 +621,7 @@
         f'final fault: {len(machines)} lose power, lost disks'
         f' {[one.name for one in lost]}'
     )
-    player.lose_power(machines)
+    player.injector.end(machines, has_power=False)
     for one in lost:
         one.wipe()
     await start_late(machines, event.seconds)
@@ -602,10 +631,9 @@
     )
 
 
-async def kill_everything(player: Player, event: Event) -> None:
+async def end_everything(player: Player, event: Event) -> None:
     began_at = player.record.now()
-    for one in player.deployment.machines:
-        one.kill()
+    player.injector.end(player.deployment.machines, event.kind == 'kill_all')
     await start_late(player.deployment.machines, event.seconds)
     player.disturbed(event.kind, began_at)
 
@@ -615,18 +643,23 @@
 NO_WORDS: frozenset[str] = frozenset()
 # What a change of the configuration changes is not played: each version adds
 # and drops routes.
-CHANGE_WORDS = frozenset({'idle', 'route', 'timeout', 'weights'})
+CHANGE_WORDS = frozenset(
+    {'down', 'idle', 'quota', 'route', 'tenant', 'timeout', 'weights'}
+)
 KINDS: dict[str, tuple] = {
     'config_change': (change_configuration, CHANGE_WORDS),
     'config_storm': (change_repeatedly, CHANGE_WORDS),
-    'config_race': (race_changes, NO_WORDS),
+    'config_race': (change_repeatedly, NO_WORDS),
+    'big_config': (change_configuration, NO_WORDS),
+    'burst': (send_more, NO_WORDS),
+    'bad_config': (send_invalid, frozenset({'old_version', 'same_version'})),
     'evacuate': (evacuate, frozenset({'warm'})),
     'disk_full': (fill_disks, TARGET_WORDS),
     'disk_slow': (slow_disks, TARGET_WORDS),
     'disk_stall': (stall_disks, TARGET_WORDS),
     'node_kill': (kill, TARGET_WORDS | {'power', 'wipe'}),
-    'power_off': (power_off, TARGET_WORDS | {'wipe'}),
-    'power_off_all': (power_off_all, NO_WORDS),
+    'power_off': (kill, TARGET_WORDS | {'wipe'}),
+    'power_off_all': (end_everything, NO_WORDS),
     'herd_kill': (kill_many, frozenset({'power'})),
     'node_freeze': (freeze, TARGET_WORDS | RACE_WORDS),
     'roll_term': (stop_in_turn, NO_WORDS),
@@ -634,10 +667,14 @@
     'replace_core': (replace_control, TARGET_WORDS | {'planned'}),
     'core_cut': (cut_off, TARGET_WORDS | RACE_WORDS | {'one_way', 'split'}),
     'lossy': (lose_packets, NO_WORDS),
+    'region_cut': (disturb_region, frozenset({'pair'})),
+    'region_loss': (disturb_region, NO_WORDS),
+    'clock_step': (step_clocks, frozenset({'leader', 'back'})),
+    'ack_lost': (lose_acknowledgements, NO_WORDS),
     'after_ack_wipe': (wipe_after_change, TARGET_WORDS | AIMED_WORDS),
 }
 CLOSINGS: dict[str, tuple] = {
     'wipe_after_ack': (lose_disks, AIMED_WORDS | {'all'}),
-    'power_off_all': (power_off_all, NO_WORDS),
-    'kill_all': (kill_everything, NO_WORDS),
+    'power_off_all': (end_everything, NO_WORDS),
+    'kill_all': (end_everything, NO_WORDS),
 }
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -89,6 +89,7 @@
         self.is_expected_to_end = False
         self.faults: dict = {}
         self.suspended_seconds = 0.0
+        self.stepped_seconds = 0.0
 
     @property
     def folder(self) -> pathlib.Path:
@@ -179,7 +180,8 @@
         """Writes in place, since the process has mapped the file."""
         self.clocks.touch()
         with open(self.clocks, 'r+b') as file:
-            file.write(struct.pack('d', self.suspended_seconds))
+            content = self.suspended_seconds, self.stepped_seconds
+            file.write(struct.pack('dd', *content))
 
     def resume(self, suspended_seconds: float = 0.0) -> None:
         """Resumes the process; its steady clock stood still that long."""
@@ -246,10 +248,6 @@
         self.kill()
         return durable.lose_power(self.folder, self.copies, rng)
 
-    def first_sync(self, since: float) -> float | None:
-        """Returns when its disk first synced a file since a time of day."""
-        return durable.first_sync(self.copies, since)
-
     def wipe(self) -> None:
         """Removes all files of its disk."""
         shutil.rmtree(self.copies, ignore_errors=True)
--- a/soak/durable.py
+++ b/soak/durable.py
@@ -9,6 +9,7 @@
 """
 
 import json
+import math
 import os
 import pathlib
 import random
@@ -19,6 +20,7 @@
 
 NAMES = 'names.json'
 SYNCS = 'syncs'
+time_of_day = time.time
 HELD_SUFFIX = '.held'
 
 
@@ -79,7 +81,7 @@
             source = pathlib.Path(f'/proc/self/fd/{descriptor}')
             self.keep_content(status.st_ino, source)
             with open(self.copies / SYNCS, 'a', encoding='ascii') as file:
-                file.write(f'{time.time():.6f}\n')
+                file.write(f'{time_of_day():.6f}\n')
 
     def keep_content(self, inode: int, source: pathlib.Path) -> None:
         copy = self.copies / str(inode)
@@ -141,23 +143,19 @@
         if is_renewed and not loses_all and rng.random() < 0.5:
             inode = current.get(name)
         if is_renewed:
-            is_kept = inode == current.get(name)
-            changes[name] = f'the name is {"kept" if is_kept else "lost"}'
+            changes[name] = f'inode {inode} of {durable.get(name)} synced'
         if inode is None:
             continue
-        content = read_copy(copies, inode)
-        if inode == current.get(name):
-            written = (folder / name).read_bytes()
-            synced, content = (
-                content,
-                content if loses_all else tear(content, written, rng),
-            )
-            if synced != written:
-                changes[name] = (
-                    f'{len(synced)} of {len(written)} bytes synced,'
-                    f' {len(content)} kept'
-                )
-        contents[name] = content
+        synced = contents[name] = read_copy(copies, inode)
+        if inode != current.get(name):
+            continue
+        written = (folder / name).read_bytes()
+        if synced == written:
+            continue
+        if not loses_all:
+            contents[name] = tear(synced, written, rng)
+        sizes = len(synced), len(written), len(contents[name])
+        changes[name] = 'bytes synced, written and kept: %d, %d, %d' % sizes
     for name in current:
         (folder / name).unlink()
     for name, content in contents.items():
@@ -179,9 +177,10 @@
     return bytes(kept)
 
 
-def first_sync(copies: pathlib.Path, since: float) -> float | None:
-    """Returns when a file was first synced since a time of day."""
-    if not (copies / SYNCS).exists():
-        return None
-    times = map(float, (copies / SYNCS).read_text().split())
-    return next((one for one in times if one >= since), None)
+def first_sync(copies: pathlib.Path, since: float) -> float:
+    """Returns when a file was first synced since a time of day, or inf."""
+    file = copies / SYNCS
+    times = file.read_text().split() if file.exists() else []
+    return min(
+        (float(one) for one in times if float(one) >= since), default=math.inf
+    )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -113,6 +113,15 @@
             records.Disturbance(name, began_at, self.record.now() + settle)
         )
 
+    def end(self, machines: list, has_power: bool) -> None:
+        """Ends processes; without power, unsynced bytes are lost."""
+        for one in machines:
+            one.kill()
+        for one in [] if has_power else machines:
+            changes = one.lose_power(self.rng)
+            if changes:
+                self.log(f'{one.name} lost power: {changes}')
+
     async def run_round(self, faults: list[Fault]) -> None:
         """Applies the faults and returns when all have ended."""
         targets = self.rng.sample(self.deployment.controls, 2)
@@ -216,9 +225,11 @@
                 await anyio.sleep(0.05)
         machine.kill()
 
-    async def cut(self, machines, seconds: float, is_one_way=False) -> None:
-        """Makes the links between some machines and all others silent."""
-        others = [
+    async def cut(
+        self, machines, seconds: float, is_one_way=False, others=None
+    ) -> None:
+        """Makes the links between some machines and others silent."""
+        others = others or [
             one for one in self.deployment.machines if one not in machines
         ]
         inner = [one.host for one in machines]
@@ -259,8 +270,7 @@
             if fault.kind == 'kill_everything'
             else list(self.deployment.controls)
         )
-        for one in machines:
-            one.kill()
+        self.end(machines, has_power=True)
         await anyio.sleep(min(fault.seconds, 1.0))
         for one in machines:
             one.start()
@@ -275,12 +285,7 @@
             f'final fault {"with" if has_power else "without"} power, lost'
             f' disks: {[one.name for one in lost]}'
         )
-        for one in self.deployment.machines:
-            one.kill()
-        if not has_power:
-            for one in self.deployment.controls:
-                changes = one.lose_power(self.rng)
-                self.log(f'{one.name} lost power: {changes}')
+        self.end(self.deployment.machines, has_power)
         for one in lost:
             one.wipe()
         await anyio.sleep(0.5)
--- a/soak/learners.py
+++ b/soak/learners.py
@@ -86,7 +86,7 @@
     if player.rng.random() < 0.5:
         machines = player.deployment.machines
         player.log('all lose power')
-    player.lose_power(machines)
+    player.injector.end(machines, has_power=False)
     for one in lost:
         one.wipe()
     await anyio.sleep(RESTART_SECONDS)
--- a/soak/process.py
+++ b/soak/process.py
@@ -25,6 +25,9 @@
 import sys
 import time
 
+# It takes the time of day from the system.
+import durable
+
 ROOT = pathlib.Path(os.environ['SOAK_ROOT'])
 FAULTS = pathlib.Path(os.environ['SOAK_FAULTS'])
 HOST = os.environ['SOAK_HOST']
@@ -43,25 +46,29 @@
 class Clocks:
     """Clocks that differ from those of the system.
 
-    The steady clock does not count the time that a machine was suspended.
+    The steady clock does not count the time that a machine was suspended, and
+    the time of day may have been stepped.
     """
 
     def __init__(self, path: str) -> None:
         with open(path, 'rb') as file:
             self.values = mmap.mmap(file.fileno(), 0, access=mmap.ACCESS_READ)
         self.steady = time.monotonic
+        self.time_of_day = time.time
 
     def monotonic(self) -> float:
-        (suspended_seconds,) = struct.unpack_from('d', self.values)
-        return self.steady() - suspended_seconds
+        return self.steady() - struct.unpack('dd', self.values[:])[0]
+
+    def time(self) -> float:
+        return self.time_of_day() + struct.unpack('dd', self.values[:])[1]
 
 
 clocks = Clocks(os.environ['SOAK_CLOCKS'])
 # Before the program's modules, which keep references to it.
 time.monotonic = clocks.monotonic
+time.time = clocks.time
 
 import disk  # noqa: E402
-import durable  # noqa: E402
 
 from greengagegw.cli import main  # noqa: E402
 
@@ -111,8 +118,7 @@
         self.host = host
         self.is_silent = [False, False]
         self.is_remote = region_of(host) != region_of(HOST)
-        self.free_at = 0.0
-        self.received_at = 0.0
+        self.free_at = [0.0, 0.0]
 
     def resend_seconds(self, data: bytes) -> float:
         """Returns how long lost packets delay data and what follows it."""
@@ -134,41 +140,31 @@
         else:
             function(data)
 
-    def write(self, data: bytes) -> None:
-        if self.is_dropped(0):
-            return
-        rate = faults.get('slow_to', {}).get(self.host)
-        now = asyncio.get_running_loop().time()
+    def carry(self, direction: int, function, data: bytes, rate=None) -> None:
+        """Passes data on in its order, after what holds it up."""
+        loop = asyncio.get_running_loop()
         lost_seconds = self.resend_seconds(data)
-        if rate is None and not lost_seconds and now >= self.free_at:
-            self.delayed(self.write_late, bytes(data))
+        free_at = self.free_at[direction]
+        if rate is None and not lost_seconds and loop.time() >= free_at:
+            self.delayed(function, data)
             return
-        self.free_at = max(now, self.free_at) + lost_seconds
-        if rate is not None:
-            self.free_at += len(data) / rate
-        asyncio.get_running_loop().call_at(
-            self.free_at, self.delayed, self.write_late, bytes(data)
-        )
+        slow_seconds = len(data) / rate if rate else 0.0
+        free_at = max(loop.time(), free_at) + lost_seconds + slow_seconds
+        self.free_at[direction] = free_at
+        loop.call_at(free_at, self.delayed, function, data)
+
+    def write(self, data: bytes) -> None:
+        if not self.is_dropped(0):
+            rate = faults.get('slow_to', {}).get(self.host)
+            self.carry(0, self.write_late, bytes(data), rate)
 
     def write_late(self, data: bytes) -> None:
         if not self.is_lost:
             super().write(data)
 
     def data_received(self, data: bytes) -> None:
-        if self.is_dropped(1):
-            return
-        loop = asyncio.get_running_loop()
-        lost_seconds = self.resend_seconds(data)
-        if not lost_seconds and loop.time() >= self.received_at:
-            self.delayed(super().data_received, bytes(data))
-            return
-        self.received_at = max(loop.time(), self.received_at) + lost_seconds
-        loop.call_at(
-            self.received_at,
-            self.delayed,
-            super().data_received,
-            bytes(data),
-        )
+        if not self.is_dropped(1):
+            self.carry(1, super().data_received, bytes(data))
 
 
 connect_socket = getattr(peer_socket, 'connect', None)
--- a/soak/record.py
+++ b/soak/record.py
@@ -112,6 +112,7 @@
     :ivar home_domains: failure domains that may serve the route with homes.
     :ivar run_ends: when servers had sent their last byte, by request.
     :ivar excesses: what was seen of machines over their limits, by name.
+    :ivar accepted_invalid: changes that should have been rejected.
     :ivar read_back: whether the operator got the configuration at the end;
         None if it did not ask.
     """
@@ -134,6 +135,7 @@
         self.reads: list[Read] = []
         self.disturbances: list[Disturbance] = []
         self.own_ends: list[str] = []
+        self.accepted_invalid: list[str] = []
         self.excesses: dict[str, str] = {}
         self.sent_versions: dict[int, float] = {}
 
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -2,11 +2,13 @@
 
 import dataclasses
 import json
+import math
 import ssl
 
 import anyio
 import httpx
 
+from . import checks
 from . import deployment as deployments
 from . import record as records
 
@@ -108,6 +110,7 @@
 
     :param objective_ms: latency objective of all routes.
     :ivar listed: control VMs by a list that lags.
+    :ivar lost_share: share of acknowledgements that are lost.
     :ivar unreachable: control VMs that do not get its calls.
     :ivar acknowledged_by: control VM that acknowledged the last order.
     """
@@ -128,6 +131,7 @@
         self.is_ordering = False
         self.acknowledged_by = None
         self.unreachable: set = set()
+        self.lost_share = 0.0
 
     async def follow_list(self) -> None:
         while True:
@@ -144,6 +148,9 @@
             try:
                 async with make_client(CALL_SECONDS) as client:
                     response = await client.request(method, url, content=body)
+                    is_lost = self.rng.random() < self.lost_share
+                    if is_lost and method != 'GET':
+                        return 0, b''
                     return response.status_code, response.content
             except httpx.HTTPError:
                 return 0, b''
@@ -189,16 +196,43 @@
         """Records the orders that had no outcome when the run ended."""
         self.record.orders += self.pending
 
-    async def put(self) -> bool:
+    async def put(self, added_routes: int = 0) -> bool:
         self.version += self.rng.randint(1, 3)
         self.sent[self.version] = deployments.configuration(
             self.version,
             self.deployment.layout.home_regions,
             self.objective_ms,
         )
+        routes = self.sent[self.version]['routes']
+        routes += [
+            routes[0] | {'name': f'b-{one}', 'pathPrefix': f'/b/{one}/'}
+            for one in range(added_routes)
+        ]
         self.record.sent_versions[self.version] = self.record.now()
         return await self.order('put', str(self.version))
 
+    async def put_invalid(self, how: frozenset[str]) -> None:
+        """Sends a change that must not take effect.
+
+        One without a higher version is acknowledged, an invalid one is not.
+        """
+        acknowledged = checks.acknowledged_version(self.record, math.inf)
+        content = dict(self.sent[acknowledged])
+        if how:
+            content['version'] -= 'old_version' in how
+            content['limits'] = content['limits'] | {'idleTimeoutMs': 14000}
+        else:
+            content['version'] = self.version + 1
+            content |= self.rng.choice([{'services': []}, {'routes': 'none'}])
+        machine = self.rng.choice(self.listed)
+        body = json.dumps(content).encode()
+        status, _ = await self.call(machine, 'PUT', '/-/config', body)
+        if 200 <= status < 300 and not how:
+            self.record.accepted_invalid.append(
+                f'{machine.name} acknowledged an invalid version'
+                f' {content["version"]} at {self.record.now():.2f}'
+            )
+
     async def run(self) -> None:
         """Sends orders at random, one at a time."""
         while True:
