Play some faults of backend servers in the soak

Missing: `srv_crash`, `srv_grey`, `answer_lost` and `garble` were refused.

Change: for a time, some servers close each connection, answer a share of the requests that they ran with 500, close without an answer, or send noise or bytes behind a response.

--- a/features/program/soak.feature
+++ b/features/program/soak.feature
@@ -70,7 +70,7 @@
 
     Examples:
       | old            | new            | reason                                        |
-      | disk_full      | srv_crash      | cannot be played: srv_crash                   |
+      | disk_full      | node_slow      | cannot be played: node_slow                   |
       | renewed        | renewed race   | cannot be played: disk_full how race          |
       | wipe_after_ack | srv_crash      | cannot be played: srv_crash                   |
       | [[day]]        | [[month]]      | KeyError: 'day'                               |
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -139,10 +139,10 @@
                 operator.read_at_random,
             ):
                 tasks.start_soon(task)
+            player = days.Player(
+                deployment, operator, injector, record, rng, log, clients
+            )
             if day is not None:
-                player = days.Player(
-                    deployment, operator, injector, record, rng, log, clients
-                )
                 await player.play(day)
             elif has_stops:
                 player = stops.Player(deployment, record, rng, tasks, log)
@@ -150,9 +150,6 @@
                     await player.play_round()
             elif options['scenario'] == 'learners':
                 tasks.start_soon(operator.run)
-                player = days.Player(
-                    deployment, operator, injector, record, rng, log, clients
-                )
                 for _ in range(options['rounds']):
                     await learners.play_round(player)
                     await stay_calm(operator, deployment, clients, record)
--- a/soak/backends.py
+++ b/soak/backends.py
@@ -89,6 +89,7 @@
     has.
 
     :ivar is_faulty: whether it does so.
+    :ivar faults: shares of requests that have a fault of a day, by its kind.
     """
 
     name: str
@@ -101,6 +102,7 @@
     state: str = 'ready'
     running: int = 0
     is_faulty: bool = True
+    faults: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def entry(self) -> dict:
         """Returns its entry in the platform's list."""
@@ -119,6 +121,9 @@
 
     async def answer(self, method, path, headers, stream) -> None:
         load = {'Greengagegw-Instance-Load': f'{self.running},0,{SLOTS}'}
+        if self.has_fault(self.faults.get('srv_crash', 0.0)):
+            await anyio.aclose_forcefully(stream)
+            return
         if path == '/healthz':
             own = {'Greengagegw-Instance-Id': self.name, **load}
             await stream.send(encode_response(200, own, b''))
@@ -149,11 +154,18 @@
                 )
             finally:
                 self.running -= 1
+            failed = self.has_fault(self.faults.get('srv_grey', 0.0))
             response = encode_response(
-                200, own, b'response to ' + attempt.encode()
+                500 if failed else 200,
+                own,
+                b'response to ' + attempt.encode(),
             )
-            if self.has_fault(RESET_SHARE):
-                response = response[: len(response) // 2]
+            if self.has_fault(self.faults.get('garble', 0.0)):
+                noise = self.rng.randbytes(99), response + b'HTTP/1.1 200'
+                response = self.rng.choice(noise)
+            is_lost = self.has_fault(self.faults.get('answer_lost', 0.0))
+            if is_lost or self.has_fault(RESET_SHARE):
+                response = b'' if is_lost else response[: len(response) // 2]
                 await stream.send(response)
                 await anyio.aclose_forcefully(stream)
                 return
--- a/soak/days.py
+++ b/soak/days.py
@@ -11,12 +11,10 @@
 import signal
 import time
 import tomllib
-import typing
 
 import anyio
 import httpx
 
-from . import deployment as deployments
 from . import disk
 from . import durable
 from . import faults as fault_schedules
@@ -30,7 +28,6 @@
 SYNC_SECONDS = 0.002
 LEADER_ATTEMPTS = 3
 LEADER_PATTERN = re.compile(rb'^greengagegw_replica_leads 1', re.MULTILINE)
-METRICS_SECONDS = 0.5
 # Traffic that is sent after the time that a deployment has to recover.
 LAST_TRAFFIC_SECONDS = 8.0
 # A change is on its way that long when a fault begins, and reads follow each
@@ -195,11 +192,8 @@
         """Returns the control VM that seems to lead, or None."""
         for _ in range(LEADER_ATTEMPTS):
             for machine in list(self.deployment.controls):
-                port = deployments.CONTROL_METRICS_PORT
-                url = f'http://{machine.host}:{port}/metrics'
                 try:
-                    async with traffic.make_client(METRICS_SECONDS) as client:
-                        text = (await client.get(url)).content
+                    text = await traffic.read_metrics(machine)
                 except httpx.HTTPError:
                     # It is down or frozen, so it does not seem to lead.
                     continue
@@ -226,10 +220,8 @@
             return is_other, machine is not leader, synced_at
 
         self.acknowledgers = sorted(self.deployment.controls, key=position)
-        self.log(
-            f'leader {leader and leader.name}, acknowledged in this order:'
-            f' {[one.name for one in self.acknowledgers]}'
-        )
+        names = [one.name for one in self.acknowledgers]
+        self.log(f'acknowledged in this order: {names}')
 
     async def begin_race(self, event: Event) -> None:
         """With the word ``race``, has a change on its way at the fault."""
@@ -355,7 +347,7 @@
 async def change_repeatedly(player: Player, event: Event) -> None:
     """Sends versions, in a race two at the same time."""
     is_race = event.kind == 'config_race'
-    count = 1 if is_race else max(1, round(event.seconds / event.gap))
+    count = 1 if is_race else round(event.seconds / event.gap)
     async with anyio.create_task_group() as tasks:
         for _ in range(event.count or count):
             for _ in range(1 + is_race):
@@ -379,24 +371,15 @@
 # Faults.
 
 
-async def fill_disks(player: Player, event: Event) -> None:
+async def fail_disks(player: Player, event: Event) -> None:
     kind = player.rng.choice(disk.FULL_DISK_KINDS)
-    player.log(f'full disk: {kind}')
-    await fail_disks(player, event, full_disk=kind)
-
-
-async def slow_disks(player: Player, event: Event) -> None:
-    seconds = SYNC_SECONDS * (event.strength or 30)
-    await fail_disks(player, event, sync_seconds=seconds)
-
+    fault = {
+        'disk_full': {'full_disk': kind},
+        'disk_slow': {'sync_seconds': SYNC_SECONDS * (event.strength or 30)},
+        'disk_stall': {'is_disk_stalled': True},
+    }[event.kind]
+    player.log(f'{event.kind}: {fault}')
 
-async def stall_disks(player: Player, event: Event) -> None:
-    await fail_disks(player, event, is_disk_stalled=True)
-
-
-async def fail_disks(
-    player: Player, event: Event, **fault: typing.Any
-) -> None:
     async def apply(chosen: list) -> None:
         for one in chosen:
             one.set_faults(**fault)
@@ -416,9 +399,7 @@
         if 'wipe' in event.words and event.on == 'core':
             for one in chosen:
                 one.wipe()
-        await anyio.sleep(pause)
-        for one in chosen:
-            one.start()
+        await player.injector.restart(chosen, pause)
 
     await player.disturb(event, apply)
 
@@ -433,16 +414,12 @@
     has_power = 'power' not in event.words
     began_at = player.record.now()
     player.injector.end(machines, has_power)
-    await start_late(machines, RESTART_SECONDS if has_power else event.seconds)
+    await player.injector.restart(
+        machines, RESTART_SECONDS if has_power else event.seconds
+    )
     player.disturbed(event.kind, began_at)
 
 
-async def start_late(machines: list, pause: float) -> None:
-    await anyio.sleep(pause)
-    for one in machines:
-        one.start()
-
-
 async def freeze(player: Player, event: Event) -> None:
     """Freezes VMs; with ``hard``, their steady clocks stand still too."""
 
@@ -559,7 +536,7 @@
     began_at = player.record.now()
     if event.kind == 'region_loss':
         player.injector.end(inner, has_power=False)
-        await start_late(inner, event.seconds)
+        await player.injector.restart(inner, event.seconds)
     else:
         others = pair if 'pair' in event.words else None
         await player.injector.cut(inner, event.seconds, others=others)
@@ -584,6 +561,17 @@
     player.disturbed(event.kind, began_at)
 
 
+async def disturb_servers(player: Player, event: Event) -> None:
+    """Has servers fail the share ``x`` of their requests in one way."""
+    servers = player.deployment.platform.servers
+    chosen = player.rng.sample(servers, event_count(event, servers))
+    for one in chosen:
+        one.faults[event.kind] = event.strength or 1.0
+    await anyio.sleep(event.seconds)
+    for one in chosen:
+        one.faults.pop(event.kind, None)
+
+
 async def send_more(player: Player, event: Event) -> None:
     factor = event.strength or 2.0
     player.clients.per_second *= factor
@@ -624,7 +612,7 @@
     player.injector.end(machines, has_power=False)
     for one in lost:
         one.wipe()
-    await start_late(machines, event.seconds)
+    await player.injector.restart(machines, event.seconds)
     settle = fault_schedules.SETTLE_SECONDS
     player.record.disturbances.append(
         records.Disturbance(event.kind, began_at, player.record.now() + settle)
@@ -634,10 +622,11 @@
 async def end_everything(player: Player, event: Event) -> None:
     began_at = player.record.now()
     player.injector.end(player.deployment.machines, event.kind == 'kill_all')
-    await start_late(player.deployment.machines, event.seconds)
+    await player.injector.restart(player.deployment.machines, event.seconds)
     player.disturbed(event.kind, began_at)
 
 
+GARBLE_WORDS = frozenset({'extra'})
 RACE_WORDS = frozenset({'hard', 'race'})
 AIMED_WORDS = frozenset({'aimed', 'synced'})
 NO_WORDS: frozenset[str] = frozenset()
@@ -654,9 +643,9 @@
     'burst': (send_more, NO_WORDS),
     'bad_config': (send_invalid, frozenset({'old_version', 'same_version'})),
     'evacuate': (evacuate, frozenset({'warm'})),
-    'disk_full': (fill_disks, TARGET_WORDS),
-    'disk_slow': (slow_disks, TARGET_WORDS),
-    'disk_stall': (stall_disks, TARGET_WORDS),
+    'disk_full': (fail_disks, TARGET_WORDS),
+    'disk_slow': (fail_disks, TARGET_WORDS),
+    'disk_stall': (fail_disks, TARGET_WORDS),
     'node_kill': (kill, TARGET_WORDS | {'power', 'wipe'}),
     'power_off': (kill, TARGET_WORDS | {'wipe'}),
     'power_off_all': (end_everything, NO_WORDS),
@@ -670,6 +659,10 @@
     'region_cut': (disturb_region, frozenset({'pair'})),
     'region_loss': (disturb_region, NO_WORDS),
     'clock_step': (step_clocks, frozenset({'leader', 'back'})),
+    'srv_crash': (disturb_servers, NO_WORDS),
+    'srv_grey': (disturb_servers, frozenset({'all', 'errors'})),
+    'answer_lost': (disturb_servers, frozenset({'reset'})),
+    'garble': (disturb_servers, GARBLE_WORDS),
     'ack_lost': (lose_acknowledgements, NO_WORDS),
     'after_ack_wipe': (wipe_after_change, TARGET_WORDS | AIMED_WORDS),
 }
--- a/soak/durable.py
+++ b/soak/durable.py
@@ -147,9 +147,8 @@
         if inode is None:
             continue
         synced = contents[name] = read_copy(copies, inode)
-        if inode != current.get(name):
-            continue
-        written = (folder / name).read_bytes()
+        now = current.get(name)
+        written = (folder / name).read_bytes() if inode == now else synced
         if synced == written:
             continue
         if not loses_all:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -122,6 +122,11 @@
             if changes:
                 self.log(f'{one.name} lost power: {changes}')
 
+    async def restart(self, machines: list, pause: float) -> None:
+        await anyio.sleep(pause)
+        for one in machines:
+            one.start()
+
     async def run_round(self, faults: list[Fault]) -> None:
         """Applies the faults and returns when all have ended."""
         targets = self.rng.sample(self.deployment.controls, 2)
@@ -251,17 +256,8 @@
     async def split(self, seconds: float) -> None:
         controls = self.deployment.controls
         half = self.rng.sample(controls, len(controls) // 2)
-        for one in controls:
-            same_side = one in half
-            hosts = [
-                other.host
-                for other in controls
-                if (other in half) != same_side
-            ]
-            one.set_faults(silent_to=hosts, silent_from=hosts)
-        await anyio.sleep(seconds)
-        for one in controls:
-            one.set_faults(silent_to=None, silent_from=None)
+        others = [one for one in controls if one not in half]
+        await self.cut(half, seconds, others=others)
 
     async def kill_all(self, fault: Fault) -> None:
         began_at = self.record.now()
@@ -271,9 +267,7 @@
             else list(self.deployment.controls)
         )
         self.end(machines, has_power=True)
-        await anyio.sleep(min(fault.seconds, 1.0))
-        for one in machines:
-            one.start()
+        await self.restart(machines, min(fault.seconds, 1.0))
         self.disturbed(fault.kind, began_at, SETTLE_SECONDS)
 
     async def final_fault(self, machines_lost: int) -> None:
@@ -288,9 +282,7 @@
         self.end(self.deployment.machines, has_power)
         for one in lost:
             one.wipe()
-        await anyio.sleep(0.5)
-        for one in self.deployment.machines:
-            one.start()
+        await self.restart(self.deployment.machines, 0.5)
         self.disturbed('final fault', began_at, SETTLE_SECONDS)
 
     async def replace_repeatedly(self, count: int) -> None:
--- a/soak/learners.py
+++ b/soak/learners.py
@@ -11,7 +11,6 @@
 import httpx
 
 from . import days
-from . import deployment as deployments
 from . import traffic
 
 LINK_BYTES_PER_SECOND = 2000
@@ -63,21 +62,18 @@
 
     :raises LearnerError: if it does not in time, or cannot be asked.
     """
-    port = deployments.CONTROL_METRICS_PORT
-    url = f'http://{leader.host}:{port}/metrics'
     pattern = re.compile(
         rb'^greengagegw_replica_%s %d(\.0)?$' % (name, value), re.MULTILINE
     )
     with anyio.move_on_after(MEMBERS_SECONDS):
-        async with traffic.make_client(days.METRICS_SECONDS) as client:
-            while True:
-                try:
-                    text = (await client.get(url)).content
-                except httpx.HTTPError as error:
-                    raise LearnerError(f'{leader.name}: {error!r}') from error
-                if pattern.search(text):
-                    return
-                await anyio.sleep(POLL_SECONDS)
+        while True:
+            try:
+                text = await traffic.read_metrics(leader)
+            except httpx.HTTPError as error:
+                raise LearnerError(f'{leader.name}: {error!r}') from error
+            if pattern.search(text):
+                return
+            await anyio.sleep(POLL_SECONDS)
     raise LearnerError(f'{leader.name} does not count {value} {name.decode()}')
 
 
@@ -89,6 +85,4 @@
     player.injector.end(machines, has_power=False)
     for one in lost:
         one.wipe()
-    await anyio.sleep(RESTART_SECONDS)
-    for one in machines:
-        one.start()
+    await player.injector.restart(machines, RESTART_SECONDS)
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -13,6 +13,7 @@
 from . import record as records
 
 CALL_SECONDS = 1.0
+METRICS_SECONDS = 0.5
 CONNECT_SECONDS = 1.0
 NO_CERTIFICATES = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 MAX_PAUSE_SECONDS = 1.0
@@ -32,6 +33,16 @@
     )
 
 
+async def read_metrics(machine) -> bytes:
+    """Returns the metrics of a control VM.
+
+    :raises httpx.HTTPError: if it is down or frozen.
+    """
+    url = f'http://{machine.host}:{deployments.CONTROL_METRICS_PORT}/metrics'
+    async with make_client(METRICS_SECONDS) as client:
+        return (await client.get(url)).content
+
+
 class Clients:
     """Sends requests to all entry VMs on connections that are kept.
 
