Bound how long the soak waits before a final fault

Cause: the final fault waits until no control VM counts as lost. A VM counts as lost while an event that loses disks waits for its acknowledgement, which never comes if the group has stopped, so the run would not have ended.

Change: it waits for at most the recovery time of the deployment.

--- a/soak/days.py
+++ b/soak/days.py
@@ -168,8 +168,9 @@
             else:
                 self.log(f'final fault {day.closing}')
                 # It loses as many disks as may be lost, none beside it.
-                while self.lost:
-                    await anyio.sleep(0.1)
+                with anyio.move_on_after(bounds.recovery):
+                    while self.lost:
+                        await anyio.sleep(0.1)
                 with anyio.move_on_after(bounds.acknowledge):
                     await self.acknowledge_change(day.closing)
                 await CLOSINGS[day.closing.kind][0](self, day.closing)
