--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -128,7 +128,8 @@
             tasks.start_soon(deployment.watch_processes)
             await wait_ready(clients, operator, deployment, record)
             if day is not None:
-                await anyio.sleep(layout.bounds.lead - record.now())
+                lead = layout.bounds.lead - record.now()
+                await anyio.sleep(max(0.0, lead))
             record.disturbances.append(
                 records.Disturbance('start', 0.0, record.now())
             )
@@ -138,10 +139,10 @@
                 operator.read_at_random,
             ):
                 tasks.start_soon(task)
+            player = days.Player(
+                deployment, operator, injector, record, rng, log, clients
+            )
             if day is not None:
-                player = days.Player(
-                    deployment, operator, injector, record, rng, log
-                )
                 await player.play(day)
             elif has_stops:
                 player = stops.Player(deployment, record, rng, tasks, log)
@@ -149,9 +150,6 @@
                     await player.play_round()
             elif options['scenario'] == 'learners':
                 tasks.start_soon(operator.run)
-                player = days.Player(
-                    deployment, operator, injector, record, rng, log
-                )
                 for _ in range(options['rounds']):
                     await learners.play_round(player)
                     await stay_calm(operator, deployment, clients, record)
--- a/soak/days.py
+++ b/soak/days.py
@@ -1,8 +1,7 @@
 """Plays a day in the bench's format with real processes.
 
-The kinds and words that are known here are in KINDS. A loss of power is
-played as a kill of which the machine comes back later, so that bytes that
-were not synced are kept.
+The kinds and words that are known here are in KINDS. A VM that loses power
+is killed, and loses what its disk had not synced.
 """
 
 import collections.abc
@@ -10,14 +9,14 @@
 import pathlib
 import re
 import signal
+import time
 import tomllib
-import typing
 
 import anyio
 import httpx
 
-from . import deployment as deployments
 from . import disk
+from . import durable
 from . import faults as fault_schedules
 from . import record as records
 from . import traffic
@@ -29,9 +28,12 @@
 SYNC_SECONDS = 0.002
 LEADER_ATTEMPTS = 3
 LEADER_PATTERN = re.compile(rb'^greengagegw_replica_leads 1', re.MULTILINE)
-METRICS_SECONDS = 0.5
 # Traffic that is sent after the time that a deployment has to recover.
 LAST_TRAFFIC_SECONDS = 8.0
+# A change is on its way that long when a fault begins, and reads follow each
+# other in half of that when it ends.
+RACE_SECONDS = 0.1
+RACE_READS = 30
 TARGET_WORDS = frozenset({'leader', 'renewed', 'follower', 'oldest'})
 
 
@@ -131,9 +133,15 @@
     """Plays a day against a deployment.
 
     :ivar lost: control VMs that count as lost.
+    :ivar tasks: those of the day, None before it is played.
+    :ivar acknowledgers: control VMs of the last change that was sent by
+        :meth:`acknowledge_change`, those that took part in it first.
     """
 
-    def __init__(self, deployment, operator, injector, record, rng, log):
+    def __init__(
+        self, deployment, operator, injector, record, rng, log, clients
+    ) -> None:
+        self.clients = clients
         self.deployment = deployment
         self.operator = operator
         self.injector = injector
@@ -141,30 +149,36 @@
         self.rng = rng
         self.log = log
         self.lost: set = set()
+        self.acknowledgers: list = []
+        self.tasks = None
 
     async def play(self, day: Day) -> None:
         """Plays the events and the final fault, and reads back.
 
         Orders that have no outcome by then are given up.
         """
-        began_at = self.record.now()
         bounds = self.record.bounds
         async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
             for event in day.events:
-                tasks.start_soon(self.play_event, event, began_at)
+                tasks.start_soon(self.play_event, event)
             await anyio.sleep(day.length)
             if day.closing is None:
                 await anyio.sleep(bounds.contact)
             else:
                 self.log(f'final fault {day.closing}')
+                # It loses as many disks as may be lost, none beside it.
+                with anyio.move_on_after(bounds.recovery):
+                    while self.lost:
+                        await anyio.sleep(0.1)
                 with anyio.move_on_after(bounds.acknowledge):
-                    await self.operator.put()
+                    await self.acknowledge_change(day.closing)
                 await CLOSINGS[day.closing.kind][0](self, day.closing)
                 await anyio.sleep(bounds.recovery + LAST_TRAFFIC_SECONDS)
             await self.operator.read_back()
             tasks.cancel_scope.cancel()
 
-    async def play_event(self, event: Event, began_at: float) -> None:
+    async def play_event(self, event: Event) -> None:
         await anyio.sleep(event.at)
         self.log(f'begin {event}')
         await KINDS[event.kind][0](self, event)
@@ -179,11 +193,8 @@
         """Returns the control VM that seems to lead, or None."""
         for _ in range(LEADER_ATTEMPTS):
             for machine in list(self.deployment.controls):
-                port = deployments.CONTROL_METRICS_PORT
-                url = f'http://{machine.host}:{port}/metrics'
                 try:
-                    async with traffic.make_client(METRICS_SECONDS) as client:
-                        text = (await client.get(url)).content
+                    text = await traffic.read_metrics(machine)
                 except httpx.HTTPError:
                     # It is down or frozen, so it does not seem to lead.
                     continue
@@ -191,6 +202,53 @@
                     return machine
         return None
 
+    async def acknowledge_change(self, event: Event) -> None:
+        """Sends a change and finds the VMs that took part in it.
+
+        Those of which the disk synced come first, in the order of the syncs,
+        or, without the word ``synced``, the VM that answered and the leader.
+        """
+        self.acknowledgers = []
+        leader = await self.find_leader()
+        sent_at = time.time()
+        await self.operator.put()
+
+        def position(machine) -> tuple:
+            synced_at = durable.first_sync(machine.copies, sent_at)
+            if 'synced' in event.words:
+                return (synced_at,)
+            is_other = machine is not self.operator.acknowledged_by
+            return is_other, machine is not leader, synced_at
+
+        self.acknowledgers = sorted(self.deployment.controls, key=position)
+        names = [one.name for one in self.acknowledgers]
+        self.log(f'acknowledged in this order: {names}')
+
+    async def begin_race(self, event: Event) -> None:
+        """With the word ``race``, has a change on its way at the fault."""
+        if 'race' in event.words:
+            self.tasks.start_soon(self.operator.put)
+            await anyio.sleep(self.rng.uniform(0, RACE_SECONDS))
+
+    async def follow_race(self, event: Event, machines: list) -> None:
+        """Lets a fault last; with ``race``, changes and reads meet it.
+
+        The VMs are read from just before the end of the fault until it must
+        have reached them.
+        """
+        if 'race' in event.words:
+            self.tasks.start_soon(self.operator.put)
+            self.tasks.start_soon(self.read_until_known, event, machines)
+        await anyio.sleep(event.seconds)
+
+    async def read_until_known(self, event: Event, machines: list) -> None:
+        await anyio.sleep(event.seconds - RACE_SECONDS)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(RACE_READS):
+                for one in machines:
+                    tasks.start_soon(self.operator.read, one)
+                await anyio.sleep(RACE_SECONDS / 2)
+
     async def choose(self, event: Event) -> list:
         """Returns the VMs that an event is for, and waits its turn.
 
@@ -203,6 +261,14 @@
         count = min(limit, event_count(event, self.deployment.controls))
         while len(self.lost) + count > limit:
             await anyio.sleep(0.1)
+        places = {object() for _ in range(count)}
+        self.lost |= places
+        try:
+            return await self.choose_controls(event, count)
+        finally:
+            self.lost -= places
+
+    async def choose_controls(self, event: Event, count: int) -> list:
         leader = None
         if event.words & {'leader', 'renewed', 'follower'}:
             leader = await self.find_leader()
@@ -213,6 +279,11 @@
             candidates.remove(leader)
         if 'oldest' not in event.words:
             self.rng.shuffle(candidates)
+        if 'aimed' in event.words:
+            await self.acknowledge_change(event)
+            candidates = [
+                one for one in self.acknowledgers if one not in self.lost
+            ]
         if event.words & {'leader', 'renewed'} and leader in candidates:
             candidates.remove(leader)
             candidates.insert(0, leader)
@@ -253,6 +324,14 @@
     return max(1, round(share * len(machines)))
 
 
+def choose_domain(player: Player, event: Event) -> str:
+    domains = player.deployment.layout.domains
+    domain = event.domain or player.rng.choice(domains)
+    if domain not in domains:
+        raise DayError(f'{event.kind}: {domain} is no failure domain')
+    return domain
+
+
 def on_core(event: Event) -> Event:
     """Returns an event of a kind that is always for one control VM."""
     count = 1 if event.count is None else event.count
@@ -263,31 +342,28 @@
 
 
 async def change_configuration(player: Player, event: Event) -> None:
-    await player.operator.put()
+    await player.operator.put(added_routes=event.count or 0)
 
 
 async def change_repeatedly(player: Player, event: Event) -> None:
-    count = event.count or max(1, round(event.seconds / event.gap))
+    """Sends versions, in a race two at the same time."""
+    is_race = event.kind == 'config_race'
+    count = 1 if is_race else round(event.seconds / event.gap)
     async with anyio.create_task_group() as tasks:
-        for _ in range(count):
-            tasks.start_soon(player.operator.put)
+        for _ in range(event.count or count):
+            for _ in range(1 + is_race):
+                tasks.start_soon(player.operator.put)
             await anyio.sleep(event.gap)
 
 
-async def race_changes(player: Player, event: Event) -> None:
-    """Sends pairs of versions at the same time."""
-    async with anyio.create_task_group() as tasks:
-        for _ in range(event.count or 1):
-            tasks.start_soon(player.operator.put)
-            tasks.start_soon(player.operator.put)
-            await anyio.sleep(event.gap)
+async def send_invalid(player: Player, event: Event) -> None:
+    for _ in range(event.count or 1):
+        await player.operator.put_invalid(event.words)
+        await anyio.sleep(event.gap)
 
 
 async def evacuate(player: Player, event: Event) -> None:
-    domains = player.deployment.layout.domains
-    domain = event.domain or player.rng.choice(domains)
-    if domain not in domains:
-        raise DayError(f'evacuate: {domain} is no failure domain')
+    domain = choose_domain(player, event)
     await player.operator.order('evacuate', domain)
     await anyio.sleep(event.seconds)
     await player.operator.order('readmit', domain)
@@ -296,24 +372,15 @@
 # Faults.
 
 
-async def fill_disks(player: Player, event: Event) -> None:
+async def fail_disks(player: Player, event: Event) -> None:
     kind = player.rng.choice(disk.FULL_DISK_KINDS)
-    player.log(f'full disk: {kind}')
-    await fail_disks(player, event, full_disk=kind)
-
+    fault = {
+        'disk_full': {'full_disk': kind},
+        'disk_slow': {'sync_seconds': SYNC_SECONDS * (event.strength or 30)},
+        'disk_stall': {'is_disk_stalled': True},
+    }[event.kind]
+    player.log(f'{event.kind}: {fault}')
 
-async def slow_disks(player: Player, event: Event) -> None:
-    seconds = SYNC_SECONDS * (event.strength or 30)
-    await fail_disks(player, event, sync_seconds=seconds)
-
-
-async def stall_disks(player: Player, event: Event) -> None:
-    await fail_disks(player, event, is_disk_stalled=True)
-
-
-async def fail_disks(
-    player: Player, event: Event, **fault: typing.Any
-) -> None:
     async def apply(chosen: list) -> None:
         for one in chosen:
             one.set_faults(**fault)
@@ -325,17 +392,15 @@
 
 
 async def kill(player: Player, event: Event) -> None:
-    has_power = 'power' not in event.words
+    has_power = not event.words & {'power'} and event.kind != 'power_off'
     pause = RESTART_SECONDS if has_power else event.seconds
 
     async def apply(chosen: list) -> None:
-        for one in chosen:
-            one.kill()
-            if 'wipe' in event.words and event.on == 'core':
+        player.injector.end(chosen, has_power)
+        if 'wipe' in event.words and event.on == 'core':
+            for one in chosen:
                 one.wipe()
-        await anyio.sleep(pause)
-        for one in chosen:
-            one.start()
+        await player.injector.restart(chosen, pause)
 
     await player.disturb(event, apply)
 
@@ -347,28 +412,27 @@
         entries = player.deployment.entries
         share = 0.6 if event.share is None else event.share
         machines = player.rng.sample(entries, round(share * len(entries)))
+    has_power = 'power' not in event.words
     began_at = player.record.now()
-    await kill_machines(
-        machines, event.seconds if 'power' in event.words else RESTART_SECONDS
+    player.injector.end(machines, has_power)
+    await player.injector.restart(
+        machines, RESTART_SECONDS if has_power else event.seconds
     )
     player.disturbed(event.kind, began_at)
 
 
-async def kill_machines(machines: list, pause: float) -> None:
-    for one in machines:
-        one.kill()
-    await anyio.sleep(pause)
-    for one in machines:
-        one.start()
-
-
 async def freeze(player: Player, event: Event) -> None:
+    """Freezes VMs; with ``hard``, their steady clocks stand still too."""
+
     async def apply(chosen: list) -> None:
+        await player.begin_race(event)
         for one in chosen:
             one.send(signal.SIGSTOP)
-        await anyio.sleep(event.seconds)
+        stopped_at = time.monotonic()
+        await player.follow_race(event, chosen)
+        is_hard = 'hard' in event.words
         for one in chosen:
-            one.send(signal.SIGCONT)
+            one.resume((time.monotonic() - stopped_at) * is_hard)
 
     await player.disturb(event, apply)
 
@@ -413,25 +477,118 @@
 
 
 async def cut_off(player: Player, event: Event) -> None:
+    """Cuts VMs off, or halves; ``hard`` keeps operators from them too."""
     event = on_core(event)
+    is_hard = 'hard' in event.words
     if 'split' in event.words:
+        await player.begin_race(event)
         began_at = player.record.now()
-        await player.injector.split(event.seconds)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(player.injector.split, event.seconds)
+            await player.follow_race(event, player.deployment.controls)
         player.disturbed(event.kind, began_at)
         return
 
     async def apply(chosen: list) -> None:
-        await player.injector.cut(
-            chosen, event.seconds, 'one_way' in event.words
-        )
+        await player.begin_race(event)
+        player.operator.unreachable |= set(chosen) if is_hard else set()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                player.injector.cut,
+                chosen,
+                event.seconds,
+                'one_way' in event.words,
+            )
+            await player.follow_race(event, chosen)
+        player.operator.unreachable -= set(chosen)
 
     await player.disturb(event, apply)
 
 
+async def lose_packets(player: Player, event: Event) -> None:
+    """Loses packets between the VMs of a failure domain and all others."""
+    domain = choose_domain(player, event)
+    share = 0.03 if event.strength is None else event.strength
+    machines = player.deployment.machines
+    inner = [one for one in machines if one.domain == domain]
+    outer = [one for one in machines if one.domain != domain]
+    began_at = player.record.now()
+    for group, others in ((inner, outer), (outer, inner)):
+        for one in group:
+            one.set_faults(lossy_to={other.host: share for other in others})
+    await anyio.sleep(event.seconds)
+    for one in machines:
+        one.set_faults(lossy_to=None)
+    player.disturbed(event.kind, began_at)
+
+
+async def disturb_region(player: Player, event: Event) -> None:
+    """Cuts a region off, with ``pair`` from one other, or loses it."""
+    regions = player.deployment.layout.regions
+    machines = player.deployment.machines
+    names = sorted(set(regions.values()))
+    player.rng.shuffle(names)
+    if event.domain:
+        names.sort(key=lambda one: one != regions[event.domain])
+    inner, pair = (
+        [one for one in machines if regions[one.domain] == name]
+        for name in names[:2]
+    )
+    began_at = player.record.now()
+    if event.kind == 'region_loss':
+        player.injector.end(inner, has_power=False)
+        await player.injector.restart(inner, event.seconds)
+    else:
+        others = pair if 'pair' in event.words else None
+        await player.injector.cut(inner, event.seconds, others=others)
+    player.disturbed(event.kind, began_at)
+
+
+async def step_clocks(player: Player, event: Event) -> None:
+    """Steps the time of day on some VMs by ``x`` ms, and back again."""
+    machines = player.deployment.machines
+    share = 0.3 if event.share is None else event.share
+    chosen = player.rng.sample(machines, round(share * len(machines)))
+    leader = await player.find_leader()
+    if 'leader' in event.words and leader and leader not in chosen:
+        chosen.append(leader)
+    step = (event.strength or 2000.0) / 1000
+    began_at = player.record.now()
+    for seconds in (-step if 'back' in event.words else step, 0.0):
+        for one in chosen:
+            one.stepped_seconds = seconds
+            one.set_clocks()
+        await anyio.sleep(event.seconds if seconds else 0.0)
+    player.disturbed(event.kind, began_at)
+
+
+async def disturb_servers(player: Player, event: Event) -> None:
+    """Has servers fail the share ``x`` of their requests in one way."""
+    servers = player.deployment.platform.servers
+    chosen = player.rng.sample(servers, event_count(event, servers))
+    for one in chosen:
+        one.faults[event.kind] = event.strength or 1.0
+    await anyio.sleep(event.seconds)
+    for one in chosen:
+        one.faults.pop(event.kind, None)
+
+
+async def send_more(player: Player, event: Event) -> None:
+    factor = event.strength or 2.0
+    player.clients.per_second *= factor
+    await anyio.sleep(event.seconds)
+    player.clients.per_second /= factor
+
+
+async def lose_acknowledgements(player: Player, event: Event) -> None:
+    player.operator.lost_share = event.strength or 0.5
+    await anyio.sleep(event.seconds)
+    player.operator.lost_share = 0.0
+
+
 async def wipe_after_change(player: Player, event: Event) -> None:
     """Wipes the disks of control VMs right after an acknowledged change."""
-    await player.operator.put()
-    words = event.words | {'wipe', 'power'}
+    words = event.words | {'aimed', 'wipe', 'power'}
     await kill(player, dataclasses.replace(on_core(event), words=words))
 
 
@@ -442,53 +599,76 @@
     """Loses as many disks as allowed, and may end all other processes."""
     controls = player.deployment.controls
     began_at = player.record.now()
-    lost = player.rng.sample(controls, player.deployment.layout.lost_machines)
+    count = player.deployment.layout.lost_machines
+    lost = player.rng.sample(controls, count)
+    if 'aimed' in event.words and player.acknowledgers:
+        lost = player.acknowledgers[:count]
     machines = lost
     if 'all' in event.words or player.rng.random() < 0.5:
         machines = player.deployment.machines
     player.log(
-        f'final fault: {len(machines)} killed, lost disks'
+        f'final fault: {len(machines)} lose power, lost disks'
         f' {[one.name for one in lost]}'
     )
-    for one in machines:
-        one.kill()
+    player.injector.end(machines, has_power=False)
     for one in lost:
         one.wipe()
-    await kill_machines(machines, event.seconds)
+    await player.injector.restart(machines, event.seconds)
     settle = fault_schedules.SETTLE_SECONDS
     player.record.disturbances.append(
         records.Disturbance(event.kind, began_at, player.record.now() + settle)
     )
 
 
-async def kill_everything(player: Player, event: Event) -> None:
+async def end_everything(player: Player, event: Event) -> None:
     began_at = player.record.now()
-    await kill_machines(player.deployment.machines, event.seconds)
+    player.injector.end(player.deployment.machines, event.kind == 'kill_all')
+    await player.injector.restart(player.deployment.machines, event.seconds)
     player.disturbed(event.kind, began_at)
 
 
+GARBLE_WORDS = frozenset({'extra'})
+RACE_WORDS = frozenset({'hard', 'race'})
+AIMED_WORDS = frozenset({'aimed', 'synced'})
 NO_WORDS: frozenset[str] = frozenset()
 # What a change of the configuration changes is not played: each version adds
 # and drops routes.
-CHANGE_WORDS = frozenset({'idle', 'route', 'timeout', 'weights'})
+CHANGE_WORDS = frozenset(
+    {'down', 'idle', 'quota', 'route', 'tenant', 'timeout', 'weights'}
+)
 KINDS: dict[str, tuple] = {
     'config_change': (change_configuration, CHANGE_WORDS),
     'config_storm': (change_repeatedly, CHANGE_WORDS),
-    'config_race': (race_changes, NO_WORDS),
+    'config_race': (change_repeatedly, NO_WORDS),
+    'big_config': (change_configuration, NO_WORDS),
+    'burst': (send_more, NO_WORDS),
+    'bad_config': (send_invalid, frozenset({'old_version', 'same_version'})),
     'evacuate': (evacuate, frozenset({'warm'})),
-    'disk_full': (fill_disks, TARGET_WORDS),
-    'disk_slow': (slow_disks, TARGET_WORDS),
-    'disk_stall': (stall_disks, TARGET_WORDS),
+    'disk_full': (fail_disks, TARGET_WORDS),
+    'disk_slow': (fail_disks, TARGET_WORDS),
+    'disk_stall': (fail_disks, TARGET_WORDS),
     'node_kill': (kill, TARGET_WORDS | {'power', 'wipe'}),
+    'power_off': (kill, TARGET_WORDS | {'wipe'}),
+    'power_off_all': (end_everything, NO_WORDS),
     'herd_kill': (kill_many, frozenset({'power'})),
-    'node_freeze': (freeze, TARGET_WORDS),
+    'node_freeze': (freeze, TARGET_WORDS | RACE_WORDS),
     'roll_term': (stop_in_turn, NO_WORDS),
     'hup': (reload_settings, NO_WORDS),
     'replace_core': (replace_control, TARGET_WORDS | {'planned'}),
-    'core_cut': (cut_off, TARGET_WORDS | {'one_way', 'split'}),
-    'after_ack_wipe': (wipe_after_change, TARGET_WORDS),
+    'core_cut': (cut_off, TARGET_WORDS | RACE_WORDS | {'one_way', 'split'}),
+    'lossy': (lose_packets, NO_WORDS),
+    'region_cut': (disturb_region, frozenset({'pair'})),
+    'region_loss': (disturb_region, NO_WORDS),
+    'clock_step': (step_clocks, frozenset({'leader', 'back'})),
+    'srv_crash': (disturb_servers, NO_WORDS),
+    'srv_grey': (disturb_servers, frozenset({'all', 'errors'})),
+    'answer_lost': (disturb_servers, frozenset({'reset'})),
+    'garble': (disturb_servers, GARBLE_WORDS),
+    'ack_lost': (lose_acknowledgements, NO_WORDS),
+    'after_ack_wipe': (wipe_after_change, TARGET_WORDS | AIMED_WORDS),
 }
 CLOSINGS: dict[str, tuple] = {
-    'wipe_after_ack': (lose_disks, frozenset({'all'})),
-    'kill_all': (kill_everything, NO_WORDS),
+    'wipe_after_ack': (lose_disks, AIMED_WORDS | {'all'}),
+    'power_off_all': (end_everything, NO_WORDS),
+    'kill_all': (end_everything, NO_WORDS),
 }
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -3,13 +3,16 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
+import struct
 import subprocess
 import sys
 
 import anyio
 
 from . import backends
+from . import durable
 from . import layout as layouts
 from . import record as records
 
@@ -85,11 +88,22 @@
         self.process: subprocess.Popen | None = None
         self.is_expected_to_end = False
         self.faults: dict = {}
+        self.suspended_seconds = 0.0
+        self.stepped_seconds = 0.0
 
     @property
     def folder(self) -> pathlib.Path:
         return self.deployment.folder / self.name
 
+    @property
+    def copies(self) -> pathlib.Path:
+        """Where what is durable of its folder is kept."""
+        return self.deployment.folder / f'durable-{self.name}'
+
+    @property
+    def clocks(self) -> pathlib.Path:
+        return self.deployment.folder / f'{self.name}.clocks'
+
     @property
     def is_running(self) -> bool:
         return self.process is not None and self.process.poll() is None
@@ -162,6 +176,19 @@
         temporary.write_text(json.dumps(content))
         temporary.rename(file)
 
+    def set_clocks(self) -> None:
+        """Writes in place, since the process has mapped the file."""
+        self.clocks.touch()
+        with open(self.clocks, 'r+b') as file:
+            content = self.suspended_seconds, self.stepped_seconds
+            file.write(struct.pack('dd', *content))
+
+    def resume(self, suspended_seconds: float = 0.0) -> None:
+        """Resumes the process; its steady clock stood still that long."""
+        self.suspended_seconds += suspended_seconds
+        self.set_clocks()
+        self.send(signal.SIGCONT)
+
     def start(self, is_first_start: bool = False) -> None:
         """Starts the process, unless an overlapping fault has done so."""
         if self.is_running:
@@ -170,6 +197,7 @@
         file = folder / f'{self.name}.conf'
         file.write_text(self.settings(is_first_start))
         self.set_faults()
+        self.set_clocks()
         environment = {
             name: os.environ[name]
             for name in ('PATH', 'HOME', 'LANG')
@@ -181,7 +209,10 @@
             'SOAK_FAULTS': str(folder / f'{self.name}.faults.json'),
             'SOAK_HOST': self.host,
             'SOAK_DATA': str(self.folder),
+            'SOAK_CLOCKS': str(self.clocks),
         }
+        if self.role == 'control':
+            environment['SOAK_COPIES'] = str(self.copies)
         self.is_expected_to_end = False
         with open(folder / f'{self.name}.log', 'ab') as log:
             self.process = subprocess.Popen(
@@ -209,8 +240,17 @@
             self.process.send_signal(signal.SIGKILL)
             self.process.wait()
 
+    def lose_power(self, rng) -> dict[str, str]:
+        """Ends the process and drops what was not synced.
+
+        :returns: what happened to the files with unsynced changes.
+        """
+        self.kill()
+        return durable.lose_power(self.folder, self.copies, rng)
+
     def wipe(self) -> None:
         """Removes all files of its disk."""
+        shutil.rmtree(self.copies, ignore_errors=True)
         for path in self.folder.glob('*'):
             path.unlink()
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -113,6 +113,20 @@
             records.Disturbance(name, began_at, self.record.now() + settle)
         )
 
+    def end(self, machines: list, has_power: bool) -> None:
+        """Ends processes; without power, unsynced bytes are lost."""
+        for one in machines:
+            one.kill()
+        for one in [] if has_power else machines:
+            changes = one.lose_power(self.rng)
+            if changes:
+                self.log(f'{one.name} lost power: {changes}')
+
+    async def restart(self, machines: list, pause: float) -> None:
+        await anyio.sleep(pause)
+        for one in machines:
+            one.start()
+
     async def run_round(self, faults: list[Fault]) -> None:
         """Applies the faults and returns when all have ended."""
         targets = self.rng.sample(self.deployment.controls, 2)
@@ -216,9 +230,11 @@
                 await anyio.sleep(0.05)
         machine.kill()
 
-    async def cut(self, machines, seconds: float, is_one_way=False) -> None:
-        """Makes the links between some machines and all others silent."""
-        others = [
+    async def cut(
+        self, machines, seconds: float, is_one_way=False, others=None
+    ) -> None:
+        """Makes the links between some machines and others silent."""
+        others = others or [
             one for one in self.deployment.machines if one not in machines
         ]
         inner = [one.host for one in machines]
@@ -240,17 +256,8 @@
     async def split(self, seconds: float) -> None:
         controls = self.deployment.controls
         half = self.rng.sample(controls, len(controls) // 2)
-        for one in controls:
-            same_side = one in half
-            hosts = [
-                other.host
-                for other in controls
-                if (other in half) != same_side
-            ]
-            one.set_faults(silent_to=hosts, silent_from=hosts)
-        await anyio.sleep(seconds)
-        for one in controls:
-            one.set_faults(silent_to=None, silent_from=None)
+        others = [one for one in controls if one not in half]
+        await self.cut(half, seconds, others=others)
 
     async def kill_all(self, fault: Fault) -> None:
         began_at = self.record.now()
@@ -259,25 +266,23 @@
             if fault.kind == 'kill_everything'
             else list(self.deployment.controls)
         )
-        for one in machines:
-            one.kill()
-        await anyio.sleep(min(fault.seconds, 1.0))
-        for one in machines:
-            one.start()
+        self.end(machines, has_power=True)
+        await self.restart(machines, min(fault.seconds, 1.0))
         self.disturbed(fault.kind, began_at, SETTLE_SECONDS)
 
     async def final_fault(self, machines_lost: int) -> None:
-        """Ends all processes; some disks are lost."""
+        """All processes end or lose power; some disks are lost."""
         began_at = self.record.now()
         lost = self.rng.sample(self.deployment.controls, machines_lost)
-        self.log(f'final fault, lost disks: {[one.name for one in lost]}')
-        for one in self.deployment.machines:
-            one.kill()
+        has_power = self.rng.random() < 0.5
+        self.log(
+            f'final fault {"with" if has_power else "without"} power, lost'
+            f' disks: {[one.name for one in lost]}'
+        )
+        self.end(self.deployment.machines, has_power)
         for one in lost:
             one.wipe()
-        await anyio.sleep(0.5)
-        for one in self.deployment.machines:
-            one.start()
+        await self.restart(self.deployment.machines, 0.5)
         self.disturbed('final fault', began_at, SETTLE_SECONDS)
 
     async def replace_repeatedly(self, count: int) -> None:
