Say which names a loss of power lost in the soak

Cause: the note of a run named the inodes that were put back, from which it was not plain whether a new or a removed name was lost.

Change: it says whether the change of the name was lost or kept.

--- a/soak/durable.py
+++ b/soak/durable.py
@@ -143,7 +143,8 @@
         if is_renewed and not loses_all and rng.random() < 0.5:
             inode = current.get(name)
         if is_renewed:
-            changes[name] = f'inode {inode} of {durable.get(name)} synced'
+            is_lost = inode == durable.get(name)
+            changes[name] = f'new name {"lost" if is_lost else "kept"}'
         if inode is None:
             continue
         synced = contents[name] = read_copy(copies, inode)
