Sync the log when it is loaded

One follower had been killed in the middle of a sync and started again, two VMs were down; then all power and two disks were lost.

Cause: a start took what it read for durable. The entry whose sync the kill had interrupted was in the page cache only, and the follower answered the leader that it held it. Nothing synced the log again before the power was lost.

Change: loading a log syncs its last file. The others were synced before the next one began, and the folder is synced by the start's metadata.

There is no other log in the program.

--- a/features/replication/failing_disks.feature
+++ b/features/replication/failing_disks.feature
@@ -244,6 +244,11 @@
     When two followers crash, and the disk of a third hangs for 600 s
     Then the leader has stepped down within 5 s
 
+  Scenario: A killed process has not synced an entry, and the next one counts it as stored
+    Given a log whose process was killed before it synced the last entry
+    When it is loaded, and then the power is lost
+    Then all entries that were loaded are there
+
   Scenario: A heartbeat during a write confirms an entry or a term that is not stored
     Given a group of 5 replicas with 5 acknowledged commands
     When heartbeats reach a follower while it writes an entry
--- a/features/steps/replication.py
+++ b/features/steps/replication.py
@@ -1168,6 +1168,45 @@
     context.plan.append(slow_down)
 
 
+@behave.given('a log whose process was killed before it synced the last entry')
+def given_unsynced_entry(context):
+    async def write(disk):
+        storage = log_storage.Storage(disk)
+        await storage.load()
+        for index in (1, 2):
+            synced = dict(disk.synced)
+            await storage.append(
+                [entries.Entry(index, 1, entries.EntryKind.COMMAND, b'x' * 50)]
+            )
+        disk.synced = synced
+
+    context.disks = [fakes.FakeDisk(random.Random(seed)) for seed in range(20)]
+    for disk in context.disks:
+        run(write, disk)
+
+
+@behave.when('it is loaded, and then the power is lost')
+def load_and_cut_power(context):
+    async def load(disk):
+        storage = log_storage.Storage(disk)
+        await storage.load()
+        disk.cut_power()
+        return storage.last_index
+
+    context.loaded = [run(load, disk) for disk in context.disks]
+
+
+@behave.then('all entries that were loaded are there')
+def check_loaded_again(context):
+    async def load(disk):
+        storage = log_storage.Storage(disk)
+        await storage.load()
+        return storage.last_index
+
+    found = [run(load, disk) for disk in context.disks]
+    assert found == context.loaded, (context.loaded, found)
+
+
 @behave.when('heartbeats reach a follower while it writes an entry')
 def plan_heartbeats_during_write(context):
     async def send(group):
--- a/src/greengagegw/replication/storage.py
+++ b/src/greengagegw/replication/storage.py
@@ -189,6 +189,9 @@
             self.file_name, self.file_size = name, size
             if size < len(content):
                 await self.file.truncate(size)
+            else:
+                # The process before may have been killed before its sync.
+                await self.file.sync()
 
     async def recover(self) -> None:
         """Brings the disk to the state in memory after a failed write.
