Store the starts of several peers with one write

Seen: a group whose disks are slow takes over 16 s to return after a loss of power (trial in simulated time, syncs of 1.2 s).

Cause: each peer that identifies itself has its count of starts stored with a write of its own, under the storage lock. When all replicas start at the same time, the last of four replies comes after four writes, and the caller has given up after 1 s.

Change: checks that wait for the storage lock are made and stored together by the first of them that gets it.

Test: 'Replicas that start at the same time wait for one write after the other' failed before: two of four replies within 3 s; it passes now.

--- a/features/replication/failing_disks.feature
+++ b/features/replication/failing_disks.feature
@@ -232,6 +232,11 @@
       | 0.6      |
       | 0.7      |
 
+  Scenario: Replicas that start at the same time wait for one write after the other
+    Given a control group of 5 replicas in several regions with 5 acknowledged commands
+    When four VMs identify themselves at a replica while each write takes 1.2 s
+    Then all of them have a reply within 3 s
+
   Scenario: A slow leader that the majority needs is deposed again and again
     Given a control group of 5 replicas in several regions with 5 acknowledged commands
     When two followers crash, and each write of the disk of the leader takes 0.6 s for 60 s
--- a/features/steps/replication.py
+++ b/features/steps/replication.py
@@ -1168,6 +1168,43 @@
     context.plan.append(slow_down)
 
 
+@behave.when(
+    'four VMs identify themselves at a replica while each write takes'
+    ' {duration:g} s'
+)
+def plan_identifications(context, duration):
+    async def identify(group):
+        vm = followers(group)[0]
+        replica = group.replicas[vm]
+        context.replies = []
+
+        async def send(peer):
+            message = [peer, f'incarnation of {peer}', 1, 'session']
+            reply = await replica.on_identify(peer, message)
+            context.replies.append(reply['is_stale'])
+
+        group.disks[vm].sync_seconds = duration
+        for peer in ('w', 'x', 'y', 'z'):
+            group.tasks.start_soon(send, peer)
+        context.vm = vm
+
+    context.plan.append(identify)
+
+
+@behave.then('all of them have a reply within {seconds:g} s')
+def check_identifications(context, seconds):
+    async def check(group):
+        await group.timers.advance(seconds)
+        replied = list(context.replies)
+        group.disks[context.vm].end_faults()
+        await group.advance(MAX_OUTAGE_SECONDS)
+        seen_boots = group.replicas[context.vm].storage.meta.seen_boots
+        assert replied == [False] * 4, replied
+        assert {one.vm for one in seen_boots} >= {'w', 'x', 'y', 'z'}
+
+    run(run_plan, context, check)
+
+
 @behave.given('a log whose process was killed before it synced the last entry')
 def given_unsynced_entry(context):
     async def write(disk):
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -93,6 +93,19 @@
         return True
 
 
+class BootCheck:
+    """A peer's count of starts that is to be checked and stored.
+
+    :ivar is_stale: whether its disk is an old copy, None while unknown.
+    """
+
+    __slots__ = ('is_stale', 'seen')
+
+    def __init__(self, seen: log_storage.SeenBoot) -> None:
+        self.seen = seen
+        self.is_stale: bool | None = None
+
+
 class PendingProposal:
     """A proposal whose entry is not yet applied.
 
@@ -158,6 +171,7 @@
         self.learner_since: dict[tuple[str, str], float] = {}
         self.former_voters: tuple[str, ...] = ()
         self.heard_peers: set[str] = set()
+        self.boot_checks: list[BootCheck] = []
         # Saved before any snapshot is restored: a load that is repeated after
         # a failure of the disk finds the state of the first attempt.
         self.initial_state = machine.save()
@@ -419,21 +433,20 @@
         self.note_peer(peer)
         if not self.is_loaded:
             raise errors.ReplicationError('the replica is still loading')
-        is_stale = False
+        check = BootCheck(
+            log_storage.SeenBoot(vm, incarnation, boots, session)
+        )
+        self.boot_checks.append(check)
         async with self.lock_storage():
-            known = self.find_seen_boot(vm, incarnation)
-            if known is not None and known.session != session:
-                is_stale = known.boots >= boots
-            if known is None or boots > known.boots:
-                seen = log_storage.SeenBoot(vm, incarnation, boots, session)
-                await self.record_boot(seen)
+            if check.is_stale is None:
+                await self.record_boots()
         return {
             'incarnation': self.incarnation,
             'founders': list(self.storage.meta.founders),
             'members': self.members.pack(),
             'members_index': self.members_index,
             'leader': self.leader,
-            'is_stale': is_stale,
+            'is_stale': check.is_stale,
             # Peers of an earlier release neither send nor read these.
             'term': self.term,
             'are_members_committed': self.is_membership_settled,
@@ -447,24 +460,32 @@
         if self.is_starting and len(self.heard_peers) < MAX_MEMBERS:
             self.heard_peers.add(vm)
 
-    def find_seen_boot(
-        self, vm: str, incarnation: str
-    ) -> log_storage.SeenBoot | None:
-        for seen in self.storage.meta.seen_boots:
-            if (seen.vm, seen.incarnation) == (vm, incarnation):
-                return seen
-        return None
+    async def record_boots(self) -> None:
+        """Checks and stores the counts of starts that peers have sent.
 
-    async def record_boot(self, seen: log_storage.SeenBoot) -> None:
-        """Stores a peer's count of starts.
-
-        Records of older incarnations of the VM are dropped, since these
-        never become members again.
+        One write covers all of them: if many replicas start, the replies to
+        the last ones would else come after as many writes. Records of older
+        incarnations of a VM are dropped, since these never become members
+        again.
         """
-        others = [
-            one for one in self.storage.meta.seen_boots if one.vm != seen.vm
-        ]
-        await self.storage.save_meta(seen_boots=(*others, seen))
+        checks, self.boot_checks = self.boot_checks, []
+        known = {one.vm: one for one in self.storage.meta.seen_boots}
+        results = []
+        for check in checks:
+            seen = check.seen
+            old = known.get(seen.vm)
+            if old is not None and old.incarnation != seen.incarnation:
+                old = None
+            is_other = old is not None and old.session != seen.session
+            results.append(is_other and old.boots >= seen.boots)
+            if old is None or seen.boots > old.boots:
+                known.pop(seen.vm, None)
+                known[seen.vm] = seen
+        seen_boots = tuple(known.values())
+        if seen_boots != self.storage.meta.seen_boots:
+            await self.storage.save_meta(seen_boots=seen_boots)
+        for check, is_stale in zip(checks, results, strict=True):
+            check.is_stale = is_stale
 
     async def on_join(self, peer: str, message: list) -> None:
         vm, incarnation = message
