Commit entries of a voter whose sync takes longer than a call

Cause: an append that times out was followed by an empty message at the end of the leader's log. The voter had stored the entries of the append by then, but not those that had come since, so it rejected the message; its acknowledged index was set to 0, and the next append timed out again. Beside it, a follower stopped answering heartbeats 1 s after a write began, and the leader stepped down.

Change: the empty message ends where the append did, so it is accepted as soon as the append is stored.

--- a/features/replication/failing_disks.feature
+++ b/features/replication/failing_disks.feature
@@ -231,6 +231,9 @@
       | 0.3      |
       | 0.6      |
       | 0.7      |
+      | 0.9      |
+      | 1.2      |
+      | 2        |
 
   Scenario: Replicas that start at the same time wait for one write after the other
     Given a control group of 5 replicas in several regions with 5 acknowledged commands
--- a/src/greengagegw/replication/log_replication.py
+++ b/src/greengagegw/replication/log_replication.py
@@ -63,6 +63,20 @@
             self.shrink()
 
 
+class SentEntries:
+    """The last entries that were sent to a member.
+
+    :ivar last_index: index of the last one, or of the one before if the
+        message had none.
+    :ivar is_probe_due: whether the next message is to ask without entries
+        whether the member holds them.
+    """
+
+    def __init__(self, last_index: int) -> None:
+        self.last_index = last_index
+        self.is_probe_due = False
+
+
 class SnapshotTransfer:
     """How much of which snapshot a member has accepted."""
 
@@ -85,6 +99,7 @@
     """Replicates the log to one member while this replica leads."""
     next_index = replica.storage.last_index + 1
     size = MessageSize()
+    sent = SentEntries(replica.storage.last_index)
     transfer = SnapshotTransfer()
     while replica.is_leader and replica.is_current_member(vm, incarnation):
         try:
@@ -94,7 +109,9 @@
                 next_index = await send_snapshot(replica, vm, size, transfer)
                 has_sent_snapshot = True
             first_index = next_index
-            next_index = await send_entries(replica, vm, first_index, size)
+            next_index = await send_entries(
+                replica, vm, first_index, size, sent
+            )
             if has_sent_snapshot and next_index < first_index:
                 # A member that accepts a snapshot without storing it, such as
                 # one of an earlier release, would get it again at once.
@@ -108,10 +125,11 @@
             if vm in ready_learners(replica):
                 replica.members_check_wanted.set()
         except errors.PeerTimeoutError:
-            # The message may arrive later. An empty one tells what the member
-            # holds, so that nothing is sent again that has arrived.
+            # The message may arrive, or be stored, later. An empty one that
+            # follows it tells whether it was, so that it is not sent again.
             size.shrink()
-            next_index = replica.storage.last_index + 1
+            next_index = 1 + max(sent.last_index, replica.storage.base_index)
+            sent.is_probe_due = True
             await replica.timers.sleep(replica.timeouts.heartbeat_seconds)
             continue
         except errors.GatewayError:
@@ -131,7 +149,11 @@
 
 
 async def send_entries(
-    replica: 'replicas.Replica', vm: str, next_index: int, size: MessageSize
+    replica: 'replicas.Replica',
+    vm: str,
+    next_index: int,
+    size: MessageSize,
+    sent: SentEntries,
 ) -> int:
     """Sends a batch of entries or, if there are none, a heartbeat.
 
@@ -139,6 +161,9 @@
     """
     previous_index = next_index - 1
     batch = replica.storage.entries_from(next_index, size.bytes)
+    if sent.is_probe_due:
+        batch = []
+    sent.last_index = previous_index + len(batch)
     commit_index = replica.commit_index
     sent_at = replica.timers.now()
     if batch:
@@ -149,6 +174,7 @@
     if reply is None:
         return next_index
     accepted, peer_index_hint = reply
+    sent.is_probe_due = False
     replica.unanswered_bytes.pop(vm, None)
     replica.sent_commit_index[vm] = commit_index
     if not accepted:
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -1152,15 +1152,21 @@
         log in memory, which is durable, holds the entry before. A disk that
         hangs must be noticed, so a write that lasts too long is waited for.
         """
-        held_since = self.storage_held_since
         return (
-            held_since is not None
-            and self.timers.now() - held_since < self.timeouts.election_seconds
+            self.has_short_write()
             and self.role is roles.Role.FOLLOWER
             and term == self.term
             and self.holds(previous_index, previous_term)
         )
 
+    def has_short_write(self) -> bool:
+        """Returns whether a write is under way that is no hang yet."""
+        held_since = self.storage_held_since
+        return (
+            held_since is not None
+            and self.timers.now() - held_since < timing.WRITE_HANG_SECONDS
+        )
+
     def holds(self, index: int, term: int | None) -> bool:
         """Returns whether an entry is stored or covered by the snapshot."""
         own_term = self.storage.term_at(index)
