Elect a leader while all disks are slow

Seen: a soak whose disk was loaded (syncs of 0.38 s in the median, 2.8 s at most) did not start in 40 s: three voters stood against each other up to term 5, and the one leader stepped down after 1.0 s of a write.

Cause: the bounds of an election assume syncs well below a call. A voter stores its vote before it replies, but the candidate waits for 1 s. The stagger of 0.3 s covers an election with sound disks, so each voter stands while another stores its candidacy, and votes for itself. A pre-vote waits for a write. A leader hands over after each write of 1 s, though the others are no faster.

Change, in force only for 20 s after a write of 0.5 s or longer, so that elections with sound disks stay as they are: - a voter leaves a candidate that it supports the time of three such writes; - a leader that was elected in spite of its slow disk hands over only after a write of 3 s; a voter that has seen a slow write stands after all others. Always: a candidate waits up to 3 s for reachable voters to store their vote, and gives up as soon as it can't win; a pre-vote, which promises nothing, is answered during a write. Votes are stored before the reply as before.

Test: 'Syncs that last longer than a call leave a group without a leader or a commit', simulated time.

--- a/features/replication/failing_disks.feature
+++ b/features/replication/failing_disks.feature
@@ -235,6 +235,29 @@
       | 1.2      |
       | 2        |
 
+  Scenario Outline: Syncs that last longer than a call leave a group without a leader or a commit
+    Given a control group of 5 replicas in several regions with 5 acknowledged commands
+    When all disks take <duration> s for a write, and <failure>
+    Then no outage is longer than 12 s
+    And every replica votes and has all acknowledged commands
+
+    Examples:
+      | duration | failure                              |
+      | 0.3      | the leader crashes                   |
+      | 0.7      | the leader crashes                   |
+      | 1.2      | the leader crashes                   |
+      | 0.3      | all replicas lose power for a moment |
+      | 0.7      | all replicas lose power for a moment |
+      | 0.7      | nothing else fails                   |
+      | 1.2      | nothing else fails                   |
+
+    @known_red
+    Examples: Each step of an election waits for a sync
+      | duration | failure                              |
+      | 2        | the leader crashes                   |
+      | 1.2      | all replicas lose power for a moment |
+      | 2        | nothing else fails                   |
+
   Scenario: Replicas that start at the same time wait for one write after the other
     Given a control group of 5 replicas in several regions with 5 acknowledged commands
     When four VMs identify themselves at a replica while each write takes 1.2 s
--- a/features/steps/replication.py
+++ b/features/steps/replication.py
@@ -1168,6 +1168,34 @@
     context.plan.append(slow_down)
 
 
+SLOW_DISKS_SECONDS = 60.0
+
+
+@behave.when('all disks take {duration:g} s for a write, and {failure}')
+def plan_all_disks_slow(context, duration, failure):
+    async def slow_down(group):
+        for vm in group.vms:
+            group.disks[vm].sync_seconds = duration
+        leader = group.leader().vm
+        if failure == 'the leader crashes':
+            group.crash(leader)
+        elif failure == 'all replicas lose power for a moment':
+            for vm in group.vms:
+                group.crash(vm)
+            for vm in group.vms:
+                group.start(vm)
+        else:
+            assert failure == 'nothing else fails', failure
+        context.outage = await propose_regularly(group, SLOW_DISKS_SECONDS)
+        for vm in group.vms:
+            group.disks[vm].end_faults()
+        if leader not in group.replicas:
+            group.start(leader)
+        await group.advance(MAX_OUTAGE_SECONDS)
+
+    context.plan.append(slow_down)
+
+
 @behave.when(
     'four VMs identify themselves at a replica while each write takes'
     ' {duration:g} s'
--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import math
 import typing
 
 import anyio
@@ -13,11 +14,14 @@
 from . import lost_voters
 from . import replies
 from . import roles
+from . import timing
 
 if typing.TYPE_CHECKING:
     from . import replica as replicas
 
-VOTE_TIMEOUT_SECONDS = 1.0
+REPLY_TIMEOUT_SECONDS = 1.0
+# A voter stores its vote before it replies.
+VOTE_TIMEOUT_SECONDS = timing.WRITE_HANG_SECONDS
 # Caps the stagger in large groups; voters past this rank share one timeout,
 # and only the jitter separates them.
 MAX_STAGGERED_RANK = 5
@@ -29,6 +33,9 @@
 # others are faster, and a candidate that needs longer gives up once.
 SLOW_WRITE_SECONDS = 0.5
 SLOW_WRITES_BEFORE_HANDOVER = 3
+# An election takes a write of the candidate and one of the voters, which may
+# wait for a write that is under way.
+WRITES_PER_ELECTION = 3
 # The disks of others are faster if they need less than this part of the time.
 FASTER_RATIO = 0.5
 
@@ -39,10 +46,12 @@
 
     :ivar asked: the VMs that are asked, without the candidate.
     :ivar is_won: returns whether the VMs that granted their vote are enough.
+    :ivar needs_all_replies: whether the replies are needed if it is lost.
     """
 
     asked: frozenset[str]
     is_won: collections.abc.Callable[[set[str]], bool]
+    needs_all_replies: bool = False
 
 
 def usual_electorate(vm: str, members: log_entries.Members) -> Electorate:
@@ -80,6 +89,53 @@
     return replica.timers.now() - replica.disk_fault_at < DISK_PENALTY_SECONDS
 
 
+def leader_hang_seconds(replica: 'replicas.Replica') -> float:
+    """Returns after how long a write of a leader is taken for a hang.
+
+    One that was elected though its disk had a fault leads because no other
+    could: if it handed over after each slow write, nothing would be committed.
+    """
+    if replica.was_elected_with_penalty:
+        return timing.WRITE_HANG_SECONDS
+    return replica.timeouts.election_seconds
+
+
+def slow_write_seconds(replica: 'replicas.Replica') -> float:
+    """Returns how long a recent slow write took, 0 if none was slow."""
+    if replica.timers.now() - replica.slow_write_at >= DISK_PENALTY_SECONDS:
+        return 0.0
+    return min(replica.slow_write_seconds, timing.WRITE_HANG_SECONDS)
+
+
+def support(replica: 'replicas.Replica', candidate: str) -> None:
+    """Leaves a candidate the time for its election if the disks are slow.
+
+    The stagger of the timeouts covers an election with sound disks only. If
+    voters campaigned during the writes of another's election, each would vote
+    for itself, and none would win.
+    """
+    seconds = WRITES_PER_ELECTION * slow_write_seconds(replica)
+    if seconds > 0:
+        replica.supported_candidate = candidate
+        replica.supported_until = replica.timers.now() + seconds
+
+
+def supports_other(replica: 'replicas.Replica', candidate: str) -> bool:
+    """Returns whether the election of another candidate may be under way."""
+    return (
+        replica.timers.now() < replica.supported_until
+        and replica.supported_candidate != candidate
+    )
+
+
+def quiet_since(replica: 'replicas.Replica') -> float:
+    """Returns the time from which the election timeout is counted."""
+    times = [replica.last_contact_at, replica.last_campaign_at]
+    if replica.supported_candidate != replica.vm:
+        times.append(replica.supported_until)
+    return max(times)
+
+
 def is_slowest_writer(replica: 'replicas.Replica') -> bool:
     """Returns whether a leader should hand over, as its disk is slow.
 
@@ -107,6 +163,7 @@
     replica.last_campaign_at = replica.timers.now()
     # The leader has been silent for too long; requests wait for the next one.
     replica.leader = None
+    support(replica, replica.vm)
     term, members = replica.term, replica.members
     electorate = usual_electorate(replica.vm, members)
     won_pre_vote = await collect_votes(
@@ -124,9 +181,13 @@
     if not won_pre_vote:
         recovery = await lost_voters.find_recovery(replica, members)
         if recovery is None:
+            if replica.supported_candidate == replica.vm:
+                replica.supported_until = -math.inf
             return
         asked = (recovery.remaining | recovery.learners) - {replica.vm}
-        electorate = Electorate(asked, is_won=asked.issubset)
+        electorate = Electorate(
+            asked, is_won=asked.issubset, needs_all_replies=True
+        )
     async with replica.lock_storage():
         # Until it has the lock, it may have voted for another candidate, or
         # received a message of a leader, with new members as well.
@@ -154,7 +215,13 @@
         replica.role = roles.Role.CANDIDATE
         replica.leader = None
     term = replica.term
-    won = await collect_votes(replica, term, electorate, is_pre_vote=False)
+    reachable = {
+        *replica.last_votes['granted'],
+        *replica.last_votes['refused'],
+    }
+    won = await collect_votes(
+        replica, term, electorate, is_pre_vote=False, reachable=reachable
+    )
     if not won and recovery is not None:
         won = await lost_voters.is_confirmed(replica, recovery)
     if won and replica.term == term and replica.role is roles.Role.CANDIDATE:
@@ -168,8 +235,12 @@
     term: int,
     electorate: Electorate,
     is_pre_vote: bool,
+    reachable: collections.abc.Set[str] = frozenset(),
 ) -> bool:
-    """Returns whether enough of an electorate grant their vote."""
+    """Returns whether enough of an electorate grant their vote.
+
+    :param reachable: VMs that get the time to store their vote.
+    """
     last_log_index = replica.storage.last_index
     message = [
         term,
@@ -179,6 +250,8 @@
         replica.storage.term_at(last_log_index),
         is_pre_vote,
     ]
+    timeout = REPLY_TIMEOUT_SECONDS if is_pre_vote else VOTE_TIMEOUT_SECONDS
+    needs_all_replies = is_pre_vote or electorate.needs_all_replies
     votes = {replica.vm}
     others = electorate.asked
     pending = set(others)
@@ -190,7 +263,7 @@
         # failure of the own disk are logged where they are found.
         with contextlib.suppress(errors.GatewayError):
             peer_term, granted, incarnation = await replica.call_peer(
-                vm, 'vote', message, replies.check_vote
+                vm, 'vote', message, replies.check_vote, timeout
             )
             if granted and replica.is_current_member(vm, incarnation):
                 votes.add(vm)
@@ -200,15 +273,21 @@
                     async with replica.lock_storage():
                         await replica.adopt_term(peer_term)
         pending.discard(vm)
-        if not pending or electorate.is_won(votes):
+        may_win = needs_all_replies or electorate.is_won(votes | pending)
+        if not pending or not may_win or electorate.is_won(votes):
             finished.set()
 
     async with anyio.create_task_group() as tasks:
         for vm in sorted(others):
             tasks.start_soon(request_vote, vm)
         if not electorate.is_won(votes):
-            with replica.timers.move_on_after(VOTE_TIMEOUT_SECONDS):
+            with replica.timers.move_on_after(REPLY_TIMEOUT_SECONDS):
                 await finished.wait()
+            if electorate.is_won(votes | (pending & reachable)):
+                with replica.timers.move_on_after(
+                    VOTE_TIMEOUT_SECONDS - REPLY_TIMEOUT_SECONDS
+                ):
+                    await finished.wait()
             tasks.cancel_scope.cancel()
     replica.last_votes = {
         'granted': sorted(votes),
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -45,6 +45,8 @@
 # A new leader gives the voters this many heartbeats to reply.
 FIRST_REPLY_HEARTBEATS = 2
 STATE_POLL_SECONDS = 0.02
+# Why a vote is refused, see `find_refusal`.
+SHORTER_LOG = 'shorter log'
 # Bounds the log lines and errors on malformed commands and replies.
 MAX_REASON_CHARACTERS = 200
 
@@ -204,6 +206,11 @@
         self.disk_fault_at = -math.inf
         self.last_write_seconds = 0.0
         self.slow_write_count = 0
+        self.slow_write_seconds = 0.0
+        self.slow_write_at = -math.inf
+        self.supported_candidate = ''
+        self.supported_until = -math.inf
+        self.was_elected_with_penalty = False
         self.append_seconds: dict[str, float] = {}
         # When a member last replied, to a chunk of a snapshot too. The times
         # of contact are those of sending, and prove that this VM led then.
@@ -274,8 +281,15 @@
                     self.stop_participating(error)
                     raise
                 finally:
+                    self.note_write(self.storage_held_since)
                     self.storage_held_since = None
 
+    def note_write(self, started_at: float) -> None:
+        now = self.timers.now()
+        if now - started_at >= election.SLOW_WRITE_SECONDS:
+            self.slow_write_seconds = now - started_at
+            self.slow_write_at = self.disk_fault_at = now
+
     def require_sound_disk(self) -> None:
         if self.failure is not None:
             raise errors.DiskFailedError(self.failure.message)
@@ -650,8 +664,8 @@
         jitter = self.rng.random()
         while True:
             timeout = election.election_timeout_seconds(self, jitter)
-            quiet_since = max(self.last_contact_at, self.last_campaign_at)
-            remaining = quiet_since + timeout - self.timers.now()
+            due_at = election.quiet_since(self) + timeout
+            remaining = due_at - self.timers.now()
             pause = min(max(0.0, remaining), self.timeouts.heartbeat_seconds)
             await self.timers.sleep(max(STATE_POLL_SECONDS, pause))
             if self.role is roles.Role.LEADER:
@@ -676,9 +690,8 @@
         own_member = self.members.get(self.vm)
         if own_member is None or not own_member.is_voter:
             return False
-        quiet_since = max(self.last_contact_at, self.last_campaign_at)
         timeout = election.election_timeout_seconds(self, jitter)
-        if self.timers.now() - quiet_since < timeout:
+        if self.timers.now() - election.quiet_since(self) < timeout:
             return False
         await election.campaign(self)
         return True
@@ -694,7 +707,7 @@
         held_since = self.storage_held_since
         if (
             held_since is not None
-            and now - held_since >= self.timeouts.election_seconds
+            and now - held_since >= election.leader_hang_seconds(self)
         ):
             eliot.log_message('replica:disk_hangs', group=self.group)
             self.disk_fault_at = now
@@ -726,32 +739,18 @@
             self.note_peer(peer)
             self.log_refused_vote(candidate, term, self.role.value)
             return [self.term, False, '']
+        candidacy = (term, candidate, incarnation, last_index, last_term)
+        if is_pre_vote and self.has_short_write():
+            # It promises nothing, so it need not wait for the write.
+            return self.answer_pre_vote(*candidacy)
         async with self.lock_storage():
-            own_last_index = self.storage.last_index
-            own_last = (self.storage.term_at(own_last_index), own_last_index)
-            # A newer log may have admitted a candidate that is unknown here
-            # (Ongaro's dissertation, 2014, section 4.1).
-            if (
-                not self.is_current_member(candidate, incarnation)
-                and (last_term, last_index) <= own_last
-            ):
-                self.log_refused_vote(candidate, term, 'not a member')
-                return [self.term, False, self.incarnation]
-            silence = self.timers.now() - self.last_contact_at
-            has_leader = self.leader is not None and (
-                self.is_leader or silence < self.timeouts.election_seconds
-            )
-            if has_leader or term < self.term:
-                reason = 'has a leader' if has_leader else 'old term'
-                self.log_refused_vote(candidate, term, reason)
-                return [self.term, False, self.incarnation]
-            is_log_current = (last_term, last_index) >= own_last
-            if not is_log_current:
-                self.log_refused_vote(candidate, term, 'shorter log')
             if is_pre_vote:
-                return [self.term, is_log_current, self.incarnation]
-            if not is_log_current:
-                await self.adopt_term(term)
+                return self.answer_pre_vote(*candidacy)
+            refusal = self.find_refusal(*candidacy)
+            if refusal is not None:
+                self.log_refused_vote(candidate, term, refusal)
+                if refusal == SHORTER_LOG:
+                    await self.adopt_term(term)
                 return [self.term, False, self.incarnation]
             if term == self.term and self.storage.meta.voted_for not in (
                 '',
@@ -761,8 +760,57 @@
                 return [self.term, False, self.incarnation]
             await self.adopt_term(term, voted_for=candidate)
             self.last_contact_at = self.timers.now()
+            election.support(self, candidate)
             return [self.term, True, self.incarnation]
 
+    def answer_pre_vote(
+        self,
+        term: int,
+        candidate: str,
+        incarnation: str,
+        last_index: int,
+        last_term: int | None,
+    ) -> list:
+        refusal = self.find_refusal(
+            term, candidate, incarnation, last_index, last_term
+        )
+        if refusal is None and election.supports_other(self, candidate):
+            refusal = f'supports {self.supported_candidate}'
+        if refusal is None:
+            election.support(self, candidate)
+        else:
+            self.log_refused_vote(candidate, term, refusal)
+        return [self.term, refusal is None, self.incarnation]
+
+    def find_refusal(
+        self,
+        term: int,
+        candidate: str,
+        incarnation: str,
+        last_index: int,
+        last_term: int | None,
+    ) -> str | None:
+        """Returns why a candidate gets no vote, None if it may get one."""
+        own_last_index = self.storage.last_index
+        own_last = (self.storage.term_at(own_last_index), own_last_index)
+        # A newer log may have admitted a candidate that is unknown here
+        # (Ongaro's dissertation, 2014, section 4.1).
+        if (
+            not self.is_current_member(candidate, incarnation)
+            and (last_term, last_index) <= own_last
+        ):
+            return 'not a member'
+        silence = self.timers.now() - self.last_contact_at
+        if self.leader is not None and (
+            self.is_leader or silence < self.timeouts.election_seconds
+        ):
+            return 'has a leader'
+        if term < self.term:
+            return 'old term'
+        if (last_term, last_index) < own_last:
+            return SHORTER_LOG
+        return None
+
     def log_refused_vote(self, candidate: str, term: int, reason: str) -> None:
         eliot.log_message(
             'replica:vote_refused',
@@ -799,6 +847,7 @@
         self.replied_at = {}
         self.unanswered_bytes = {}
         self.slow_write_count = 0
+        self.was_elected_with_penalty = election.has_disk_penalty(self)
         self.is_caught_up = False
         eliot.log_message('replica:lead', group=self.group, term=self.term)
         self.leader_scope = anyio.CancelScope()
@@ -1183,6 +1232,7 @@
     def note_leader(self, leader: str) -> None:
         """Records a message of the leader of the current term."""
         self.last_leader = leader
+        self.supported_until = -math.inf
         # A message that the leader sent before it stepped down may come late.
         is_released = self.term == self.released_term
         self.leader = None if is_released else leader
