--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -120,6 +120,12 @@
         replica.supported_until = replica.timers.now() + seconds
 
 
+def end_own_support(replica: 'replicas.Replica') -> None:
+    """Lets others have pre-votes again after an own campaign."""
+    if replica.supported_candidate == replica.vm:
+        replica.supported_until = -math.inf
+
+
 def supports_other(replica: 'replicas.Replica', candidate: str) -> bool:
     """Returns whether the election of another candidate may be under way."""
     return (
@@ -155,6 +161,15 @@
 
 
 async def campaign(replica: 'replicas.Replica') -> None:
+    """Campaigns once, with this replica as the candidate it supports."""
+    support(replica, replica.vm)
+    try:
+        await run_campaign(replica)
+    finally:
+        end_own_support(replica)
+
+
+async def run_campaign(replica: 'replicas.Replica') -> None:
     """Runs a pre-vote and, if it is won, an election.
 
     The pre-vote leaves the term alone, so that a replica that cannot win
@@ -163,7 +178,6 @@
     replica.last_campaign_at = replica.timers.now()
     # The leader has been silent for too long; requests wait for the next one.
     replica.leader = None
-    support(replica, replica.vm)
     term, members = replica.term, replica.members
     electorate = usual_electorate(replica.vm, members)
     won_pre_vote = await collect_votes(
@@ -181,8 +195,6 @@
     if not won_pre_vote:
         recovery = await lost_voters.find_recovery(replica, members)
         if recovery is None:
-            if replica.supported_candidate == replica.vm:
-                replica.supported_until = -math.inf
             return
         asked = (recovery.remaining | recovery.learners) - {replica.vm}
         electorate = Electorate(
