Test how long reads wait while the majority needs a slow disk

Found in the review of the elections with slow syncs: the time limit of a read, 0.6 s, contains the pause of 0.5 s between heartbeats beside a write and a round trip.

--- a/features/replication/failing_disks.feature
+++ b/features/replication/failing_disks.feature
@@ -263,6 +263,20 @@
     When four VMs identify themselves at a replica while each write takes 1.2 s
     Then all of them have a reply within 3 s
 
+  Scenario Outline: Reads are not confirmed while the majority needs a slow disk
+    Given a control group of 5 replicas in several regions with 5 acknowledged commands
+    When two followers crash, and reads come while each write of a follower takes <duration> s
+    Then each read is confirmed within 0.6 s
+
+    Examples:
+      | duration |
+      | 0.5      |
+
+    @known_red
+    Examples: A heartbeat beside a write comes after 0.5 s without contact
+      | duration |
+      | 1.2      |
+
   Scenario: A slow leader that the majority needs is deposed again and again
     Given a control group of 5 replicas in several regions with 5 acknowledged commands
     When two followers crash, and each write of the disk of the leader takes 0.6 s for 60 s
--- a/features/steps/replication.py
+++ b/features/steps/replication.py
@@ -1168,6 +1168,47 @@
     context.plan.append(slow_down)
 
 
+READ_COUNT = 40
+
+
+@behave.when(
+    'two followers crash, and reads come while each write of a follower takes'
+    ' {duration:g} s'
+)
+def plan_reads_with_slow_disk(context, duration):
+    async def read_regularly(group):
+        leader = group.leader()
+        slow, *_, first_lost, second_lost = followers(group)
+        group.crash(first_lost)
+        group.crash(second_lost)
+        group.disks[slow].sync_seconds = duration
+        context.read_seconds = []
+
+        async def read():
+            started_at = group.timers.now()
+            await leader.read_index()
+            context.read_seconds.append(group.timers.now() - started_at)
+
+        for _ in range(READ_COUNT):
+            group.propose(leader.vm)
+            group.tasks.start_soon(read)
+            await group.advance(PROPOSAL_INTERVAL_SECONDS)
+        group.disks[slow].end_faults()
+        await group.advance(MAX_OUTAGE_SECONDS)
+
+    context.plan.append(read_regularly)
+
+
+@behave.then('each read is confirmed within {seconds:g} s')
+def check_reads(context, seconds):
+    async def check(group):
+        assert len(context.read_seconds) == READ_COUNT, context.read_seconds
+        slowest = max(context.read_seconds)
+        assert slowest <= seconds, slowest
+
+    run(run_plan, context, check)
+
+
 SLOW_DISKS_SECONDS = 60.0
 
 
