--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -189,6 +189,11 @@
         term=replica.term + 1,
         silence=round(replica.timers.now() - replica.last_contact_at, 3),
         supported=won_pre_vote,
+        voters=members.voters,
+        learners=members.learners,
+        members_index=replica.members_index,
+        are_members_committed=replica.are_members_committed,
+        last=replica.storage.last_index,
         **replica.last_votes,
     )
     recovery = None
--- a/src/greengagegw/replication/entries.py
+++ b/src/greengagegw/replication/entries.py
@@ -56,6 +56,10 @@
     def voters(self) -> list[str]:
         return [one.vm for one in self.members if one.is_voter]
 
+    @property
+    def learners(self) -> list[str]:
+        return [one.vm for one in self.members if not one.is_voter]
+
     def get(self, vm: str) -> Member | None:
         return next((one for one in self.members if one.vm == vm), None)
 
