--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,7 @@
 from . import crowds
 from . import days
 from . import deployment as deployments
+from . import disk_losses
 from . import faults as fault_schedules
 from . import layout as layouts
 from . import learners
@@ -34,6 +35,7 @@
     'crowds',
     'learners',
     'slow-disks',
+    'disk-losses',
 )
 
 
@@ -44,8 +46,14 @@
 ROUND_PLAYERS = {
     'learners': learners.play_round,
     'slow-disks': slow_disks.play_round,
+    'disk-losses': disk_losses.play_round,
 }
-FAULTS = (SoakError, learners.LearnerError, slow_disks.SlowDiskError)
+FAULTS = (
+    SoakError,
+    learners.LearnerError,
+    slow_disks.SlowDiskError,
+    disk_losses.DiskLossError,
+)
 
 
 async def wait_ready(clients, operator, deployment, record) -> None:
