--- a/soak/disk_losses.py
+++ b/soak/disk_losses.py
@@ -12,6 +12,7 @@
 
 from . import days
 from . import faults as fault_schedules
+from . import learners
 
 SYNC_SECONDS = (0.002, 0.3)
 # Those whose processes end without power at the second loss.
@@ -60,9 +61,14 @@
 async def play_round(player: days.Player) -> None:
     """Loses two disks, and two others when the first VMs must count again.
 
+    :raises LearnerError: if not all control VMs have a vote before.
     :raises DiskLossError: if no change is acknowledged before a loss.
     """
     controls = player.deployment.controls
+    leader = await player.find_leader()
+    if leader is None:
+        raise DiskLossError('no control VM leads')
+    await learners.wait_for_metric(leader, b'voters', len(controls))
     catch_up = player.record.bounds.catch_up
     losses = draw(player.rng, controls, catch_up)
     restarted = losses.restarted and losses.restarted.name
