Keep an acknowledged change on more disks than may be lost

Cause: the settings promise that two disks may be lost, and the code counted voters. While lost disks are replaced there are three or four voters. With three, an acknowledged change was on two disks, so nobody could lead safely once these were lost. With four of which one was just promoted, a commit under the former three could not be excluded.

Change: an entry is committed when a majority of the voters and more members than the disks that may be lost hold it; learners count. So a candidate may lead without a majority if all members, voters and learners, grant their vote or are proven lost, and fewer are lost than a committed entry has copies. That replaces the election by half of the voters. - A learner may hold the only copy that is left, so it can stand, and lead by this rule only. - Members that may be in force besides the newest ones are asked as well. - All that granted become voters. This change needs all of them to commit, and until then also to elect. - Recovery elections have terms of their own: the votes of a lost leader may all be on lost disks, and nobody would know its term. - Each leader writes how many lost disks its entries survive. One of an earlier release does not, and its entries are not recovered by this rule. - A member is told that it is admitted before the change is committed, as the commit may need its copy.

Why it works: a committed entry has a copy that is not lost, on a member that is asked and refuses a candidate without the entry.

--- a/features/fakes.py
+++ b/features/fakes.py
@@ -392,6 +392,9 @@
         timeouts=replicas.DEFAULT_TIMEOUTS,
     ):
         self.min_voters = min_voters
+        self.max_lost_disks = None
+        if min_voters < replicas.MAX_MEMBERS:
+            self.max_lost_disks = (min_voters - 1) // 2
         self.may_bootstrap = True
         self.timeouts = timeouts
         self.vms = (*vms, *memory_replicas)
@@ -435,6 +438,7 @@
             may_bootstrap=self.may_bootstrap,
             min_voters=self.min_voters,
             timeouts=self.timeouts,
+            max_lost_disks=self.max_lost_disks,
         )
         self.replicas[vm] = replica
         self.network.handlers[vm] = {
--- a/features/fleet_world.py
+++ b/features/fleet_world.py
@@ -164,6 +164,7 @@
             may_bootstrap=vm not in self.started_before,
             min_voters=5,
             timeouts=timing.CONTROL_TIMEOUTS,
+            max_lost_disks=2,
         )
         control = controls.ControlServer(
             vm,
--- a/src/greengagegw/platform/control_role.py
+++ b/src/greengagegw/platform/control_role.py
@@ -151,6 +151,7 @@
         may_bootstrap=settings.is_first_start,
         min_voters=2 * settings.max_lost_disks + 1,
         timeouts=timing.CONTROL_TIMEOUTS,
+        max_lost_disks=settings.max_lost_disks,
     )
     list_client = instance_list.InstanceListClient(
         settings.instance_list_endpoint, timers, process.ssl_context
--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -10,7 +10,6 @@
 import eliot
 
 from .. import errors
-from . import entries as log_entries
 from . import lost_voters
 from . import replies
 from . import roles
@@ -36,6 +35,11 @@
 # An election takes a write of the candidate and one of the voters, which may
 # wait for a write that is under way.
 WRITES_PER_ELECTION = 3
+# Terms of recovery elections are the multiples of this number, which other
+# elections leave out: the voters of a leader that is lost may all be lost
+# disks, so that nobody knows its term. It exceeds the number of elections that
+# may be held while a replica is cut off.
+RECOVERY_TERM_STEP = 1000
 # The disks of others are faster if they need less than this part of the time.
 FASTER_RATIO = 0.5
 
@@ -46,17 +50,45 @@
 
     :ivar asked: the VMs that are asked, without the candidate.
     :ivar is_won: returns whether the VMs that granted their vote are enough.
-    :ivar needs_all_replies: whether the replies are needed if it is lost.
     """
 
     asked: frozenset[str]
     is_won: collections.abc.Callable[[set[str]], bool]
-    needs_all_replies: bool = False
 
 
-def usual_electorate(vm: str, members: log_entries.Members) -> Electorate:
-    """Returns the electorate in which a majority of the voters wins."""
-    return Electorate(frozenset(members.voters) - {vm}, members.is_majority)
+def usual_electorate(replica: 'replicas.Replica') -> Electorate:
+    """Returns the electorate in which a majority of the voters wins.
+
+    Members that were chosen without a majority are known to any two voters
+    only once they are committed. Until then all voters are needed.
+    """
+    members = replica.members
+    voters = frozenset(members.voters)
+    is_won = members.is_majority
+    if replica.vm not in voters:
+        is_won = _is_never_won
+    elif (
+        replica.is_recovery(replica.members_index)
+        and not replica.are_members_committed
+    ):
+        is_won = voters.issubset
+    return Electorate(voters - {replica.vm}, is_won)
+
+
+def with_learners(
+    replica: 'replicas.Replica', electorate: Electorate
+) -> Electorate:
+    """Returns the electorate with the learners, whose votes do not count.
+
+    They are needed for an election without the lost disks.
+    """
+    learners = replica.disk_members(replica.members).learners
+    asked = electorate.asked | (set(learners) - {replica.vm})
+    return dataclasses.replace(electorate, asked=asked)
+
+
+def _is_never_won(votes: set[str]) -> bool:
+    return False
 
 
 def election_timeout_seconds(
@@ -68,7 +100,7 @@
     can end before the next one begins and votes are not split. If no leader
     is known, as after a restart, the timeout starts from the heartbeat
     interval: a live leader would have sent one by then, and voters that
-    have a leader reject the campaign.
+    have a leader reject the campaign. Learners come after all voters.
 
     :param jitter: 0 to 1, drawn again for each election.
     """
@@ -76,8 +108,9 @@
     seconds = timeouts.election_seconds
     if replica.leader is None:
         seconds = timeouts.heartbeat_seconds
-    voters = sorted(replica.members.voters)
-    rank = voters.index(replica.vm) if replica.vm in voters else 0
+    members = replica.members
+    ranked = [*sorted(members.voters), *sorted(members.learners)]
+    rank = ranked.index(replica.vm) if replica.vm in ranked else 0
     rank = min(rank, MAX_STAGGERED_RANK)
     if has_disk_penalty(replica):
         rank += MAX_STAGGERED_RANK + 1
@@ -179,9 +212,12 @@
     # The leader has been silent for too long; requests wait for the next one.
     replica.leader = None
     term, members = replica.term, replica.members
-    electorate = usual_electorate(replica.vm, members)
+    electorate = usual_electorate(replica)
     won_pre_vote = await collect_votes(
-        replica, replica.term + 1, electorate, is_pre_vote=True
+        replica,
+        replica.term + 1,
+        with_learners(replica, electorate),
+        is_pre_vote=True,
     )
     eliot.log_message(
         'replica:stands',
@@ -196,15 +232,17 @@
         last=replica.storage.last_index,
         **replica.last_votes,
     )
+    next_term = term + 1
+    if next_term % RECOVERY_TERM_STEP == 0:
+        next_term += 1
     recovery = None
     if not won_pre_vote:
         recovery = await lost_voters.find_recovery(replica, members)
         if recovery is None:
             return
-        asked = (recovery.remaining | recovery.learners) - {replica.vm}
-        electorate = Electorate(
-            asked, is_won=asked.issubset, needs_all_replies=True
-        )
+        asked = recovery.remaining - {replica.vm}
+        electorate = Electorate(asked, asked.issubset)
+        next_term = (term // RECOVERY_TERM_STEP + 1) * RECOVERY_TERM_STEP
     async with replica.lock_storage():
         # Until it has the lock, it may have voted for another candidate, or
         # received a message of a leader, with new members as well.
@@ -217,7 +255,7 @@
             return
         had_penalty = has_disk_penalty(replica)
         started_at = replica.timers.now()
-        await replica.storage.save_meta(term=term + 1, voted_for=replica.vm)
+        await replica.storage.save_meta(term=next_term, voted_for=replica.vm)
         seconds = replica.timers.now() - started_at
         if seconds >= SLOW_WRITE_SECONDS:
             replica.disk_fault_at = replica.timers.now()
@@ -239,8 +277,6 @@
     won = await collect_votes(
         replica, term, electorate, is_pre_vote=False, reachable=reachable
     )
-    if not won and recovery is not None:
-        won = await lost_voters.is_confirmed(replica, recovery)
     if won and replica.term == term and replica.role is roles.Role.CANDIDATE:
         await replica.become_leader(
             None if recovery is None else recovery.members
@@ -268,7 +304,6 @@
         is_pre_vote,
     ]
     timeout = REPLY_TIMEOUT_SECONDS if is_pre_vote else VOTE_TIMEOUT_SECONDS
-    needs_all_replies = is_pre_vote or electorate.needs_all_replies
     votes = {replica.vm}
     others = electorate.asked
     pending = set(others)
@@ -290,7 +325,8 @@
                     async with replica.lock_storage():
                         await replica.adopt_term(peer_term)
         pending.discard(vm)
-        may_win = needs_all_replies or electorate.is_won(votes | pending)
+        # The replies to a pre-vote also tell whose disk may be lost.
+        may_win = is_pre_vote or electorate.is_won(votes | pending)
         if not pending or not may_win or electorate.is_won(votes):
             finished.set()
 
--- a/src/greengagegw/replication/entries.py
+++ b/src/greengagegw/replication/entries.py
@@ -15,6 +15,10 @@
     MEMBERSHIP = 2
 
 
+# A VM and its incarnation.
+MemberId = tuple[str, str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Entry:
     """An entry of the replicated log; indexes start at 1."""
@@ -56,6 +60,16 @@
     def voters(self) -> list[str]:
         return [one.vm for one in self.members if one.is_voter]
 
+    @property
+    def ids(self) -> frozenset[MemberId]:
+        return frozenset((one.vm, one.incarnation) for one in self.members)
+
+    @property
+    def voter_ids(self) -> frozenset[MemberId]:
+        return frozenset(
+            (one.vm, one.incarnation) for one in self.members if one.is_voter
+        )
+
     @property
     def learners(self) -> list[str]:
         return [one.vm for one in self.members if not one.is_voter]
@@ -86,12 +100,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
-    """The state after an entry; it replaces all entries up to that one."""
+    """The state after an entry; it replaces all entries up to that one.
+
+    :ivar survivable_losses: number of lost disks that the committed entries of
+        its term survive, 0 if that is not known.
+    """
 
     index: int
     term: int
     members: Members
     state: bytes
+    survivable_losses: int = 0
 
 
 def _by_vm(member: Member) -> str:
--- a/src/greengagegw/replication/log_replication.py
+++ b/src/greengagegw/replication/log_replication.py
@@ -13,9 +13,6 @@
 if typing.TYPE_CHECKING:
     from . import replica as replicas
 
-# A VM and its incarnation.
-MemberId = tuple[str, str]
-
 # Sizes of the entries in a message and of a chunk of a snapshot. A slow link
 # must carry the smallest one, and a heartbeat, within the time of a call.
 FIRST_MESSAGE_BYTES = 64 * 1024
@@ -85,7 +82,9 @@
         self.offset = 0
 
 
-def other_members(replica: 'replicas.Replica') -> set[MemberId]:
+def other_members(
+    replica: 'replicas.Replica',
+) -> set[log_entries.MemberId]:
     return {
         (member.vm, member.incarnation)
         for member in replica.members.members
--- a/src/greengagegw/replication/lost_voters.py
+++ b/src/greengagegw/replication/lost_voters.py
@@ -1,8 +1,8 @@
-"""Election of a leader when half of the voters have lost their disks.
+"""Election of a leader when a majority of the voters has lost its disks.
 
-An empty disk is admitted by a leader only, so a group of an even number of
-voters of which half are empty would have no leader for good. The rule that
-such a group can lead itself is ``membership.can_lead_without``.
+An empty disk is admitted by a leader only, so such a group would have no
+leader for good. The rule that it can lead itself is
+``membership.can_lead_without``.
 """
 
 import dataclasses
@@ -20,16 +20,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Recovery:
-    """An election without the voters whose disks are lost.
+    """An election without the members whose disks are lost.
 
-    :ivar remaining: voters that must grant their vote.
-    :ivar learners: VMs that must know no newer members, since a leader that
-        is lost may have promoted them.
-    :ivar members: members after it; lost voters are learners.
+    :ivar remaining: members that must grant their vote.
+    :ivar members: members after it; the remaining ones are voters, the others
+        learners.
     """
 
     remaining: frozenset[str]
-    learners: frozenset[str]
     members: log_entries.Members
 
 
@@ -38,96 +36,79 @@
 ) -> Recovery | None:
     """Returns the election that a candidate without a majority may hold.
 
-    A voter has lost its disk if another incarnation replies on its VM.
-
     :param members: those whose votes were asked for. The replica may have
         others by now, or none if it has discarded its state.
     """
-    remaining = frozenset(replica.last_votes['granted'])
-    lost = frozenset(replica.last_votes['refused'])
-    if replica.members != members or not can_lead_without(
-        replica, remaining, lost
-    ):
-        return None
-    replies = await startup.identify_to(replica, lost)
-    incarnations = {
-        vm: reply['incarnation']
-        for vm, reply in replies.items()
-        if reply['incarnation'] != members.get(vm).incarnation
-    }
-    if set(incarnations) != lost or replica.members != members:
+    votes = replica.last_votes
+    if replica.members != members or votes['silent'] or not votes['refused']:
         return None
-    learners = frozenset(
-        one.vm
-        for one in members.members
-        if not one.is_voter and one.vm not in replica.memory_replicas
+    in_force = replica.members_in_force()
+    granted = frozenset(
+        (vm, members.get(vm).incarnation) for vm in votes['granted']
     )
+    others = frozenset().union(*(one.ids for one in in_force)) - granted
+    successors = await find_lost(replica, others)
+    lost = frozenset(successors)
+    if not lost:
+        return None
+    # Asked when the losses are known: no earlier leader that is lost can
+    # count them for a commit any more.
+    empty = await find_empty(replica, others - lost)
+    limit = replica.survivable_losses
+    if replica.members != members:
+        return None
+    if not membership.can_lead_without(in_force, granted, empty, lost, limit):
+        eliot.log_message(
+            'replica:not_recovered',
+            group=replica.group,
+            lost=sorted(vm for vm, _ in lost),
+            survivable=limit,
+            unconfirmed=sorted(vm for vm, _ in others - lost - empty),
+        )
+        return None
+    remaining = frozenset(votes['granted'])
     eliot.log_message(
         'replica:voters_lost',
         group=replica.group,
-        lost=sorted(lost),
+        lost=sorted(vm for vm, _ in lost),
         remaining=sorted(remaining),
-        learners=sorted(learners),
     )
+    incarnations = {
+        vm: successor
+        for (vm, incarnation), successor in successors.items()
+        if (vm, incarnation) in members.ids
+    }
     return Recovery(
-        remaining, learners, membership.without_lost(members, incarnations)
+        remaining, membership.recovered(members, remaining, incarnations)
     )
 
 
-def can_lead_without(
-    replica: 'replicas.Replica',
-    granted: frozenset[str],
-    lost: frozenset[str],
-) -> bool:
-    previous = None
-    if not replica.are_members_committed:
-        previous = replica.members_at(replica.members_index - 1)
-    return membership.can_lead_without(
-        replica.members, previous, granted, lost, replica.min_voters
-    )
-
+async def find_lost(
+    replica: 'replicas.Replica', ids: frozenset[log_entries.MemberId]
+) -> dict[log_entries.MemberId, str]:
+    """Returns the members that have lost their disks.
 
-async def is_confirmed(
-    replica: 'replicas.Replica', recovery: Recovery
-) -> bool:
-    """Returns whether the votes of the last election are enough.
+    A disk is lost if another incarnation replies on its VM.
 
-    A learner that holds entries which the candidate lacks refuses its vote.
-    They are not committed unless they have promoted it, of which it would
-    know: a leader counts it only once it holds its promotion. Its refusal has
-    made it adopt the term of the candidate, so it takes no promotion from an
-    earlier leader any more.
+    :returns: the incarnation that replies, by lost member.
     """
-    granted = set(replica.last_votes['granted'])
-    if not recovery.remaining <= granted:
-        return False
-    refusing = recovery.learners - granted
-    replies = await startup.identify_to(replica, refusing)
-    unconfirmed = [
-        vm
-        for vm in sorted(refusing)
-        if vm not in replies
-        or not knows_no_newer_members(replica, vm, replies[vm])
-    ]
-    if unconfirmed:
-        eliot.log_message(
-            'replica:not_recovered',
-            group=replica.group,
-            unconfirmed=unconfirmed,
-        )
-    return not unconfirmed
-
-
-def knows_no_newer_members(
-    replica: 'replicas.Replica', vm: str, reply: dict
-) -> bool:
-    """Returns whether a learner has no members, or those of the candidate."""
-    if not replica.is_current_member(vm, reply['incarnation']):
-        return False
-    if not reply['members']:
-        return True
-    return (
-        reply.get('term') == replica.term
-        and reply['members_index'] == replica.members_index
-        and log_entries.Members.unpack(reply['members']) == replica.members
+    replies = await startup.identify_to(replica, {vm for vm, _ in ids})
+    return {
+        (vm, incarnation): replies[vm]['incarnation']
+        for vm, incarnation in ids
+        if vm in replies and replies[vm]['incarnation'] != incarnation
+    }
+
+
+async def find_empty(
+    replica: 'replicas.Replica', ids: frozenset[log_entries.MemberId]
+) -> frozenset[log_entries.MemberId]:
+    """Returns the members that hold nothing yet."""
+    replies = await startup.identify_to(replica, {vm for vm, _ in ids})
+    return frozenset(
+        (vm, incarnation)
+        for vm, incarnation in ids
+        if vm in replies
+        and replies[vm]['incarnation'] == incarnation
+        and not replies[vm]['members']
     )
--- a/src/greengagegw/replication/membership.py
+++ b/src/greengagegw/replication/membership.py
@@ -34,6 +34,7 @@
     :ivar min_voters: number of voters below which the group does not shrink,
         except while a voter is exchanged.
     :ivar reply_seconds: silence up to which a voter counts as reachable.
+    :ivar max_lost_disks: number of disks that may be lost at once.
     """
 
     members: log_entries.Members
@@ -44,6 +45,7 @@
     silent_learners: frozenset[str]
     min_voters: int
     reply_seconds: float
+    max_lost_disks: int = 0
 
 
 def votes_needed(voter_count: int) -> int:
@@ -81,6 +83,10 @@
     """
     voters = view.members.voters
     is_even = len(voters) % 2 == 0
+    # The members that remain must be able to hold the copies of a commit.
+    may_remove = len(view.members.members) > required_copies(
+        view.members, view.max_lost_disks
+    )
     is_any_unheard = any(
         view.silences.get(vm, 0.0) >= view.reply_seconds for vm in voters
     )
@@ -102,7 +108,9 @@
         removable = None
     if removable is None:
         removable = _silent_learner(view)
-    return None if removable is None else view.members.without(removable)
+    if removable is None or not may_remove:
+        return None
+    return view.members.without(removable)
 
 
 def describe_change(view: GroupView, members: log_entries.Members) -> str:
@@ -121,55 +129,136 @@
     return f'learners are silent: {", ".join(sorted(removed))}'
 
 
-def can_lead_without(
+def committed_index(
     members: log_entries.Members,
-    previous: log_entries.Members | None,
-    granted: collections.abc.Set[str],
-    lost: collections.abc.Set[str],
-    min_voters: int,
-) -> bool:
-    """Returns whether a candidate may lead although no majority is left.
+    former: log_entries.Members | None,
+    members_index: int,
+    is_recovery: bool,
+    held: collections.abc.Mapping[str, int],
+    max_lost_disks: int,
+) -> int:
+    """Returns the last index that is on enough disks to be committed.
+
+    That is a majority of the voters, as an election asks them, and more
+    members than the disks that may be lost. Voters alone would not do: while
+    lost disks are replaced, a majority of them is fewer disks.
+
+    :param former: the members before the last change, None if that change is
+        committed. It is committed by the members before and after it, since
+        another leader may not know it; later entries by those after it.
+    :param members_index: index of the last change.
+    :param is_recovery: whether that change made voters without a majority.
+        All of them must hold it, as any majority must know it afterwards.
+    :param held: index of the last entry that each member holds, by VM.
+    """
+    if former is not None:
+        index = _committed_change(
+            members, former, members_index, is_recovery, held, max_lost_disks
+        )
+        if index < members_index:
+            return index
+    index = min(
+        _held_by(votes_needed(len(members.voters)), members.voters, held),
+        _held_by(
+            required_copies(members, max_lost_disks), _vms(members.ids), held
+        ),
+    )
+    return index if former is None else max(index, members_index)
+
+
+def _committed_change(
+    members: log_entries.Members,
+    former: log_entries.Members,
+    members_index: int,
+    is_recovery: bool,
+    held: collections.abc.Mapping[str, int],
+    max_lost_disks: int,
+) -> int:
+    # A voter that does not hold its promotion yet does not count.
+    counted = {
+        vm: index if vm in former.voters or index >= members_index else 0
+        for vm, index in held.items()
+    }
+    voters = members.voters
+    copies = members.ids & former.ids
+    copies_needed = max(
+        required_copies(former, max_lost_disks),
+        required_copies(members, max_lost_disks),
+    )
+    return min(
+        _held_by(
+            len(voters) if is_recovery else votes_needed(len(voters)),
+            voters,
+            counted,
+        ),
+        _held_by(min(copies_needed, len(copies)), _vms(copies), held),
+    )
+
 
-    That is so if every voter whose disk is not lost grants its vote, and
-    every majority that may have committed an entry has one of them. So half
-    of an even number of voters is enough. There is no second leader: the
-    voters of the other half are empty and cannot stand, and had they not been
-    lost, this rule would have needed the votes of all of them. At or above
-    ``min_voters`` a silent voter may be removed without its knowledge, so the
-    rule holds only below.
+def _vms(ids: collections.abc.Iterable[log_entries.MemberId]) -> list[str]:
+    return [vm for vm, _ in ids]
 
-    The learners must have confirmed that they do not know of newer members,
-    since one of them may have been promoted meanwhile.
 
-    :param previous: the members before the last change, None if that change
-        is known to be committed. A leader that does not know the change may
-        have committed with them.
+def required_copies(members: log_entries.Members, max_lost_disks: int) -> int:
+    """Returns on how many disks a committed entry is.
+
+    A small group cannot keep more than a majority of all members while one of
+    them is silent.
     """
-    voters = set(members.voters)
-    return (
-        len(voters) < min_voters
-        and voters - lost <= granted
-        and _meets_all_majorities(members, granted)
-        and (previous is None or _meets_all_majorities(previous, granted))
-    )
+    return min(max_lost_disks + 1, votes_needed(len(members.members)))
+
 
+def _held_by(
+    count: int,
+    vms: collections.abc.Iterable[str],
+    held: collections.abc.Mapping[str, int],
+) -> int:
+    """Returns the last index that so many VMs hold, 0 if there are fewer."""
+    indexes = sorted((held.get(vm, 0) for vm in vms), reverse=True)
+    return indexes[count - 1] if 0 < count <= len(indexes) else 0
 
-def _meets_all_majorities(
-    members: log_entries.Members, granted: collections.abc.Set[str]
+
+def can_lead_without(
+    in_force: collections.abc.Sequence[log_entries.Members],
+    granted: collections.abc.Set[log_entries.MemberId],
+    empty: collections.abc.Set[log_entries.MemberId],
+    lost: collections.abc.Set[log_entries.MemberId],
+    max_lost_disks: int,
 ) -> bool:
-    """Returns whether each majority has a VM that granted its vote."""
-    others = set(members.voters) - granted
-    return len(others) < votes_needed(len(members.voters))
+    """Returns whether a candidate may lead although no majority is left.
+
+    That is so if all members grant their vote that have not lost their disks,
+    and no more disks are lost than a committed entry survives: one that grants
+    its vote holds each of them. There is no second leader in the term: who
+    else wins needs the vote of one of these members too.
 
+    :param in_force: the newest members that the candidate knows and, if
+        their change may not be committed, those before, as another leader may
+        have committed with these.
+    :param empty: learners that hold nothing yet.
+    """
+    answered = granted | empty | lost
+    return all(
+        members.ids <= answered
+        and not members.voter_ids & empty
+        and len(members.ids & lost) < required_copies(members, max_lost_disks)
+        for members in in_force
+    )
 
-def without_lost(
+
+def recovered(
     members: log_entries.Members,
+    granted: collections.abc.Set[str],
     incarnations: collections.abc.Mapping[str, str],
 ) -> log_entries.Members:
-    """Returns the members with lost voters as learners with a new disk.
+    """Returns the members after an election without the lost disks.
+
+    All VMs that granted their vote are voters, and lost ones learners.
 
-    :param incarnations: the new incarnation of each lost voter, by VM.
+    :param incarnations: the new incarnation of each lost member, by VM.
     """
+    for vm in granted:
+        members = _with_voter(members, vm)
     for vm, incarnation in incarnations.items():
         members = members.with_member(
             log_entries.Member(vm, incarnation, False)
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -137,6 +137,9 @@
         replaces a lost one.
     :param min_voters: number of voters at or below which unreachable voters
         are only exchanged for learners, not removed.
+    :param max_lost_disks: number of disks that may be lost at once without the
+        loss of a committed entry; None for what a majority of the founders
+        survives.
     """
 
     def __init__(
@@ -153,8 +156,12 @@
         may_bootstrap: bool = True,
         min_voters: int = MAX_MEMBERS,
         timeouts: timing.Timeouts = DEFAULT_TIMEOUTS,
+        max_lost_disks: int | None = None,
     ) -> None:
         self.timeouts = timeouts
+        if max_lost_disks is None:
+            max_lost_disks = membership.votes_needed(len(founders)) - 1
+        self.max_lost_disks = max_lost_disks
         self.memory_replicas = memory_replicas
         self.may_bootstrap = may_bootstrap
         self.min_voters = min_voters
@@ -505,9 +512,10 @@
         vm, incarnation = message
         _require_texts('join', vm, incarnation)
         self.require_leader()
-        self.require_settled_members()
+        # The commit of its admission may need the copy that it will hold.
         if self.is_current_member(vm, incarnation):
             return
+        self.require_settled_members()
         known = self.members.get(vm)
         if known is None and len(self.members.members) >= MAX_MEMBERS:
             raise errors.ReplicationError(
@@ -687,9 +695,7 @@
         if self.vm in self.memory_replicas or not is_member:
             await startup.rejoin_if_not_member(self)
             return False
-        own_member = self.members.get(self.vm)
-        if own_member is None or not own_member.is_voter:
-            return False
+        # A learner may hold the only copy that is left of an entry.
         timeout = election.election_timeout_seconds(self, jitter)
         if self.timers.now() - election.quiet_since(self) < timeout:
             return False
@@ -835,7 +841,9 @@
         now = self.timers.now()
         self.led_since = now
         self.leaving = {}
-        self.contact_times = {vm: now for vm in self.members.voters}
+        # Whose disk is lost counts as silent only later, like all others.
+        voters = {*self.members.voters, *(members or self.members).voters}
+        self.contact_times = dict.fromkeys(voters, now)
         if self.last_leader in self.contact_times:
             # It may be lost, which must not be noticed later than the loss of
             # a follower is.
@@ -852,11 +860,20 @@
         eliot.log_message('replica:lead', group=self.group, term=self.term)
         self.leader_scope = anyio.CancelScope()
         self.tasks.start_soon(self.replicate_to_members, self.leader_scope)
-        if members is None:
-            self.queue_proposal(b'', log_entries.EntryKind.NOOP)
-            return
-        self.member_change = self.queue_proposal(
-            _pack_members(members), log_entries.EntryKind.MEMBERSHIP
+        if members is not None:
+            self.member_change = self.queue_proposal(
+                _pack_members(members), log_entries.EntryKind.MEMBERSHIP
+            )
+        self.announce_survivable_losses()
+
+    def announce_survivable_losses(self) -> None:
+        """Writes how many lost disks the entries of this term survive.
+
+        A leader of an earlier release writes nothing and commits with a
+        majority of the voters, however few these are.
+        """
+        self.queue_proposal(
+            msgpack.packb(self.max_lost_disks), log_entries.EntryKind.NOOP
         )
 
     async def replicate_to_members(self, scope: anyio.CancelScope) -> None:
@@ -932,6 +949,7 @@
             self.find_silent_learners(),
             self.min_voters,
             reply_seconds,
+            self.max_lost_disks,
         )
 
     def find_silent_learners(self) -> frozenset[str]:
@@ -1099,28 +1117,27 @@
         self.replication_wanted = anyio.Event()
 
     def advance_commit_index(self) -> None:
-        """Commits the entries that a majority holds.
+        """Commits the entries that enough disks hold.
 
         Entries of earlier terms are committed only along with one of this
         term.
         """
         if not self.is_leader:
             return
-        held = {vm: self.match_index.get(vm, 0) for vm in self.members.voters}
-        held[self.vm] = self.storage.last_index
+        former = None
         if self.members_index > self.commit_index:
-            # A learner that does not hold its promotion yet may confirm
-            # members without it in an election by half of the voters.
-            former = self.members_at(self.members_index - 1).voters
-            held = {
-                vm: index if vm in former or index >= self.members_index else 0
-                for vm, index in held.items()
-            }
-        match_indexes = sorted(
-            (held[vm] for vm in self.members.voters), reverse=True
+            former = self.disk_members(self.members_at(self.members_index - 1))
+        index = min(
+            membership.committed_index(
+                self.disk_members(self.members),
+                former,
+                self.members_index,
+                self.is_recovery(self.members_index),
+                {**self.match_index, self.vm: self.storage.last_index},
+                self.max_lost_disks,
+            ),
+            log_replication.memory_replicated_index(self),
         )
-        index = match_indexes[len(match_indexes) // 2] if match_indexes else 0
-        index = min(index, log_replication.memory_replicated_index(self))
         if index <= self.commit_index:
             return
         if self.storage.term_at(index) == self.term:
@@ -1335,13 +1352,87 @@
     @property
     def are_members_committed(self) -> bool:
         """Whether the newest members are known to be committed."""
+        return self.is_change_committed(self.members_index)
+
+    def is_change_committed(self, index: int) -> bool:
+        """Returns whether a change of the members is known to be committed.
+
+        What was committed before a restart is known for the last change only.
+        """
+        stored_index, stored_term = self.storage.committed_members
+        return self.commit_index >= index or (
+            stored_index >= index
+            and self.storage.term_at(stored_index) == stored_term
+        )
+
+    def is_recovery(self, index: int) -> bool:
+        """Returns whether a change of the members ended a recovery election.
+
+        The first entry of all other leaders changes no members.
+        """
+        return index > self.storage.base_index and (
+            self.storage.term_at(index - 1) != self.storage.term_at(index)
+        )
+
+    def members_in_force(self) -> list[log_entries.Members]:
+        """Returns the newest members, and earlier ones that may be in force.
+
+        A change is proposed only when the one before is committed, except by a
+        leader that was elected by a recovery.
+        """
+        found = [self.disk_members(self.members)]
         index = self.members_index
-        return (
-            self.commit_index >= index
-            or self.storage.committed_members
-            == (index, self.storage.term_at(index))
+        while not self.is_change_committed(index):
+            was_recovery = self.is_recovery(index)
+            index = self.change_before(index)
+            found.append(self.disk_members(self.members_at(index)))
+            if not was_recovery:
+                break
+        return found
+
+    def change_before(self, index: int) -> int:
+        """Returns the index of the last change of the members before one."""
+        return max(
+            (
+                one.index
+                for one in self.storage.entries
+                if one.index < index
+                and one.kind is log_entries.EntryKind.MEMBERSHIP
+            ),
+            default=self.storage.base_index,
         )
 
+    def disk_members(
+        self, members: log_entries.Members
+    ) -> log_entries.Members:
+        """Returns the members that have a disk."""
+        for vm in self.memory_replicas:
+            members = members.without(vm)
+        return members
+
+    @property
+    def survivable_losses(self) -> int:
+        """How many lost disks the committed entries that it knows survive.
+
+        The leader of the last term held all committed entries of earlier ones,
+        so that term decides.
+        """
+        last_term = self.storage.term_at(self.storage.last_index)
+        return min(self.losses_of_term(last_term), self.max_lost_disks)
+
+    def losses_of_term(self, term: int) -> int:
+        """Returns what a leader announced, 0 for one of an earlier release."""
+        for entry in reversed(self.storage.entries):
+            if entry.term < term:
+                break
+            is_noop = entry.kind is log_entries.EntryKind.NOOP
+            if entry.term == term and is_noop and entry.content:
+                return _unpack_losses(entry.content)
+        snapshot = self.storage.snapshot
+        if snapshot is not None and snapshot.term == term:
+            return snapshot.survivable_losses
+        return 0
+
     def apply_command(
         self, entry: log_entries.Entry
     ) -> tuple[typing.Any, errors.InvalidCommandError | None]:
@@ -1379,13 +1470,18 @@
         index = self.applied_index
         if index - self.storage.base_index < SNAPSHOT_AFTER_ENTRIES:
             return
+        term = self.storage.term_at(index)
         snapshot = log_entries.Snapshot(
             index,
-            self.storage.term_at(index),
+            term,
             self.members_at(index),
             self.machine.save(),
+            self.losses_of_term(term),
         )
         await self.storage.install_snapshot(snapshot)
+        if self.is_leader:
+            # For members that get the snapshot, which does not tell them.
+            self.announce_survivable_losses()
 
     def members_at(self, index: int) -> log_entries.Members:
         """Returns the members as of an index at or after the snapshot."""
@@ -1421,6 +1517,11 @@
         ) from error
 
 
+def _unpack_losses(content: bytes) -> int:
+    losses = msgpack.unpackb(content)
+    return losses if isinstance(losses, int) else 0
+
+
 def _pack_members(members: log_entries.Members) -> bytes:
     return msgpack.packb(members.pack())
 
--- a/src/greengagegw/replication/storage.py
+++ b/src/greengagegw/replication/storage.py
@@ -156,6 +156,8 @@
                 values['term'],
                 log_entries.Members.unpack(values['members']),
                 values['state'],
+                # An earlier release does not store it.
+                values.get('survivable_losses', 0),
             )
         if MEMBERS_NAME in names:
             values = _decode_file(
@@ -343,6 +345,7 @@
                 'term': snapshot.term,
                 'members': snapshot.members.pack(),
                 'state': snapshot.state,
+                'survivable_losses': snapshot.survivable_losses,
             }
         )
         covers_log_prefix = self.term_at(snapshot.index) == snapshot.term
