--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -1285,12 +1285,14 @@
         await context.play(group)
         leader = group.leader()
         assert status.missing_voters(leader) == 1
+        assert status.copies(leader) == 4
         await wait_in_steps(
             group,
             lambda: context.vm in leader.members.voters,
             RECOVERY_SECONDS,
         )
         assert status.missing_voters(leader) == 0
+        assert status.copies(leader) == 5
         assert status.waiting_learners(leader) == {}
 
     play(context, check)
--- a/src/greengagegw/platform/control_role.py
+++ b/src/greengagegw/platform/control_role.py
@@ -79,6 +79,11 @@
         'Members of the control group that should vote and do not',
         lambda: status.missing_voters(replica),
     )
+    add_gauge(
+        'greengagegw_replica_copies',
+        'Members that hold all committed entries, if this VM leads',
+        lambda: status.copies(replica),
+    )
     add_gauge(
         'greengagegw_replica_longest_learner_seconds',
         'Seconds for which a member has been waiting for its vote',
--- a/src/greengagegw/replication/membership.py
+++ b/src/greengagegw/replication/membership.py
@@ -15,8 +15,8 @@
 SILENT_VOTER_SECONDS = 2.5
 # Well above the time that the restart of a machine takes.
 REMOVE_VOTER_AFTER_SECONDS = 15.0
-# Half of the voters cannot lead before each learner has replied, so one that
-# is gone for good must not stay.
+# An election without a majority waits for the reply of each learner, so one
+# that is gone for good must not stay.
 REMOVE_LEARNER_AFTER_SECONDS = REMOVE_VOTER_AFTER_SECONDS
 
 
--- a/src/greengagegw/replication/status.py
+++ b/src/greengagegw/replication/status.py
@@ -56,6 +56,20 @@
     return max(0, min(replica.min_voters, count) - len(members.voters))
 
 
+def copies(replica: 'replicas.Replica') -> int:
+    """Returns how many members with a disk hold all committed entries.
+
+    Only a leader knows it, so it is 0 on others.
+    """
+    if not replica.is_leader:
+        return 0
+    return sum(
+        vm == replica.vm
+        or replica.match_index.get(vm, 0) >= replica.commit_index
+        for vm, _ in replica.disk_members(replica.members).ids
+    )
+
+
 def waiting_learners(replica: 'replicas.Replica') -> dict[str, dict]:
     """Returns since when each VM is a learner, and why it does not vote yet.
 
