Replace all lost voters with the first entry of a leader

Cause: the leader was lost with the first two disks, and the election and a planned restart took so long that one of the two VMs was not admitted after 6.9 and 7.7 s. It counted as a voter with a lost disk beside the two that were lost next, three in all.

A leader now replaces all lost voters with the first entry of its term if the voters that are left are just a majority. All of them are needed for each entry anyway, so the entry is on a majority of the former voters as well. A replica that starts tells its incarnation with the vote it refuses, so that the candidate knows whose disk is lost.

--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -278,9 +278,11 @@
         replica, term, electorate, is_pre_vote=False, reachable=reachable
     )
     if won and replica.term == term and replica.role is roles.Role.CANDIDATE:
-        await replica.become_leader(
-            None if recovery is None else recovery.members
-        )
+        if recovery is not None:
+            members = recovery.members
+        else:
+            members = lost_voters.replace_lost(replica)
+        await replica.become_leader(members)
 
 
 async def collect_votes(
@@ -308,6 +310,7 @@
     others = electorate.asked
     pending = set(others)
     refused: set[str] = set()
+    new_incarnations: dict[str, str] = {}
     finished = anyio.Event()
 
     async def request_vote(vm: str) -> None:
@@ -321,6 +324,10 @@
                 votes.add(vm)
             else:
                 refused.add(vm)
+                if incarnation and not replica.is_current_member(
+                    vm, incarnation
+                ):
+                    new_incarnations[vm] = incarnation
                 if peer_term > replica.term:
                     async with replica.lock_storage():
                         await replica.adopt_term(peer_term)
@@ -347,4 +354,5 @@
         'refused': sorted(refused),
         'silent': sorted(others - votes - refused),
     }
+    replica.new_incarnations = new_incarnations
     return electorate.is_won(votes)
--- a/src/greengagegw/replication/lost_voters.py
+++ b/src/greengagegw/replication/lost_voters.py
@@ -112,3 +112,31 @@
         and replies[vm]['incarnation'] == incarnation
         and not replies[vm]['members']
     )
+
+
+def replace_lost(replica: 'replicas.Replica') -> log_entries.Members | None:
+    """Returns the members by which an elected candidate replaces lost voters.
+
+    To admit one after the other takes several syncs each, in which
+    further disks may be lost. If the voters that are left are just a majority,
+    all of them are needed for each entry anyway, so that all lost ones can be
+    replaced at once.
+
+    :returns: None if there is nothing to replace, or more voters are left.
+    """
+    members = replica.members
+    lost = {
+        vm: incarnation
+        for vm, incarnation in replica.new_incarnations.items()
+        if vm in members.voters
+    }
+    remaining = len(members.voters) - len(lost)
+    if not lost or remaining != membership.votes_needed(len(members.voters)):
+        return None
+    eliot.log_message(
+        'replica:voters_lost',
+        group=replica.group,
+        lost=sorted(lost),
+        remaining=sorted(set(members.voters) - set(lost)),
+    )
+    return membership.recovered(members, (), lost)
--- a/src/greengagegw/replication/membership.py
+++ b/src/greengagegw/replication/membership.py
@@ -147,8 +147,8 @@
         committed. It is committed by the members before and after it, since
         another leader may not know it; later entries by those after it.
     :param members_index: index of the last change.
-    :param is_recovery: whether that change made voters without a majority.
-        All of them must hold it, as any majority must know it afterwards.
+    :param is_recovery: whether that change replaced all lost voters. Then all
+        voters must hold it, as any majority of them must know it afterwards.
     :param held: index of the last entry that each member holds, by VM.
     """
     if former is not None:
@@ -248,7 +248,7 @@
 
 def recovered(
     members: log_entries.Members,
-    granted: collections.abc.Set[str],
+    granted: collections.abc.Iterable[str],
     incarnations: collections.abc.Mapping[str, str],
 ) -> log_entries.Members:
     """Returns the members after an election without the lost disks.
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -197,6 +197,8 @@
         self.is_leaving = False
         self.leaving: dict[str, float] = {}
         self.last_votes: dict[str, list[str]] = {}
+        # Incarnations of other disks that replied to the last campaign.
+        self.new_incarnations: dict[str, str] = {}
         self.contact_times: dict[str, float] = {}
         self.match_index: dict[str, int] = {}
         self.sent_commit_index: dict[str, int] = {}
@@ -744,7 +746,8 @@
         if self.role in (roles.Role.STARTING, roles.Role.FAILED):
             self.note_peer(peer)
             self.log_refused_vote(candidate, term, self.role.value)
-            return [self.term, False, '']
+            # The incarnation tells whether the disk of this VM was lost.
+            return [self.term, False, self.incarnation]
         candidacy = (term, candidate, incarnation, last_index, last_term)
         if is_pre_vote and self.has_short_write():
             # It promises nothing, so it need not wait for the write.
@@ -834,7 +837,8 @@
         """Becomes the leader and starts replicating to the members.
 
         :param members: with which the first entry of its term replaces the
-            current ones; None to keep them.
+            current ones; None to keep them. All its voters must hold that
+            entry to commit it.
         """
         self.role = roles.Role.LEADER
         self.leader = self.vm
@@ -1366,9 +1370,9 @@
         )
 
     def is_recovery(self, index: int) -> bool:
-        """Returns whether a change of the members ended a recovery election.
+        """Returns whether a change of the members replaced all lost voters.
 
-        The first entry of all other leaders changes no members.
+        That is the first entry of a term, and no other change is.
         """
         return index > self.storage.base_index and (
             self.storage.term_at(index - 1) != self.storage.term_at(index)
