Ask former members, and count copies by the members that commit a change

Found by the review, by reasoning, and the second and third by a script: - An election without a majority waited for a member that an uncommitted change had removed, and did not ask it for its vote. It is asked now. - A group of three with one VM down could not admit a new one: the admission needed as many copies as the larger group. The copies of a change are counted by the members before it, those of later entries by the new ones. - A learner that is gone for good stayed in a group of two, where each entry waited for it.

--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -75,15 +75,16 @@
     return Electorate(voters - {replica.vm}, is_won)
 
 
-def with_learners(
+def with_all_in_force(
     replica: 'replicas.Replica', electorate: Electorate
 ) -> Electorate:
-    """Returns the electorate with the learners, whose votes do not count.
+    """Returns the electorate with all members that may be in force.
 
-    They are needed for an election without the lost disks.
+    The votes of learners and of former members are needed for an election
+    without the lost disks only.
     """
-    learners = replica.disk_members(replica.members).learners
-    asked = electorate.asked | (set(learners) - {replica.vm})
+    ids = replica.ids_in_force()
+    asked = electorate.asked | {vm for vm, _ in ids} - {replica.vm}
     return dataclasses.replace(electorate, asked=asked)
 
 
@@ -216,7 +217,7 @@
     won_pre_vote = await collect_votes(
         replica,
         replica.term + 1,
-        with_learners(replica, electorate),
+        with_all_in_force(replica, electorate),
         is_pre_vote=True,
     )
     eliot.log_message(
@@ -307,6 +308,12 @@
     ]
     timeout = REPLY_TIMEOUT_SECONDS if is_pre_vote else VOTE_TIMEOUT_SECONDS
     votes = {replica.vm}
+    granted_ids = {(replica.vm, replica.incarnation)}
+    former_ids = {
+        (vm, incarnation)
+        for vm, incarnation in replica.ids_in_force()
+        if replica.members.get(vm) is None
+    }
     others = electorate.asked
     pending = set(others)
     refused: set[str] = set()
@@ -320,13 +327,16 @@
             peer_term, granted, incarnation = await replica.call_peer(
                 vm, 'vote', message, replies.check_vote, timeout
             )
-            if granted and replica.is_current_member(vm, incarnation):
+            is_member = (
+                replica.is_current_member(vm, incarnation)
+                or (vm, incarnation) in former_ids
+            )
+            if granted and is_member:
                 votes.add(vm)
+                granted_ids.add((vm, incarnation))
             else:
                 refused.add(vm)
-                if incarnation and not replica.is_current_member(
-                    vm, incarnation
-                ):
+                if incarnation and not is_member:
                     new_incarnations[vm] = incarnation
                 if peer_term > replica.term:
                     async with replica.lock_storage():
@@ -354,5 +364,6 @@
         'refused': sorted(refused),
         'silent': sorted(others - votes - refused),
     }
+    replica.granted_ids = frozenset(granted_ids)
     replica.new_incarnations = new_incarnations
     return electorate.is_won(votes)
--- a/src/greengagegw/replication/lost_voters.py
+++ b/src/greengagegw/replication/lost_voters.py
@@ -23,8 +23,8 @@
     """An election without the members whose disks are lost.
 
     :ivar remaining: members that must grant their vote.
-    :ivar members: members after it; the remaining ones are voters, the others
-        learners.
+    :ivar members: members after it: all members that granted their vote are
+        voters, the others learners.
     """
 
     remaining: frozenset[str]
@@ -43,10 +43,8 @@
     if replica.members != members or votes['silent'] or not votes['refused']:
         return None
     in_force = replica.members_in_force()
-    granted = frozenset(
-        (vm, members.get(vm).incarnation) for vm in votes['granted']
-    )
-    others = frozenset().union(*(one.ids for one in in_force)) - granted
+    granted = replica.granted_ids
+    others = replica.ids_in_force() - granted
     successors = await find_lost(replica, others)
     lost = frozenset(successors)
     if not lost:
@@ -66,7 +64,7 @@
             unconfirmed=sorted(vm for vm, _ in others - lost - empty),
         )
         return None
-    remaining = frozenset(votes['granted'])
+    remaining = frozenset(vm for vm, _ in granted)
     eliot.log_message(
         'replica:voters_lost',
         group=replica.group,
@@ -79,7 +77,12 @@
         if (vm, incarnation) in members.ids
     }
     return Recovery(
-        remaining, membership.recovered(members, remaining, incarnations)
+        remaining,
+        membership.recovered(
+            members,
+            [vm for vm in remaining if members.get(vm) is not None],
+            incarnations,
+        ),
     )
 
 
--- a/src/greengagegw/replication/membership.py
+++ b/src/greengagegw/replication/membership.py
@@ -34,7 +34,6 @@
     :ivar min_voters: number of voters below which the group does not shrink,
         except while a voter is exchanged.
     :ivar reply_seconds: silence up to which a voter counts as reachable.
-    :ivar max_lost_disks: number of disks that may be lost at once.
     """
 
     members: log_entries.Members
@@ -45,7 +44,6 @@
     silent_learners: frozenset[str]
     min_voters: int
     reply_seconds: float
-    max_lost_disks: int = 0
 
 
 def votes_needed(voter_count: int) -> int:
@@ -83,10 +81,6 @@
     """
     voters = view.members.voters
     is_even = len(voters) % 2 == 0
-    # The members that remain must be able to hold the copies of a commit.
-    may_remove = len(view.members.members) > required_copies(
-        view.members, view.max_lost_disks
-    )
     is_any_unheard = any(
         view.silences.get(vm, 0.0) >= view.reply_seconds for vm in voters
     )
@@ -108,9 +102,7 @@
         removable = None
     if removable is None:
         removable = _silent_learner(view)
-    if removable is None or not may_remove:
-        return None
-    return view.members.without(removable)
+    return None if removable is None else view.members.without(removable)
 
 
 def describe_change(view: GroupView, members: log_entries.Members) -> str:
@@ -181,10 +173,7 @@
     }
     voters = members.voters
     copies = members.ids & former.ids
-    copies_needed = max(
-        required_copies(former, max_lost_disks),
-        required_copies(members, max_lost_disks),
-    )
+    copies_needed = required_copies(former, max_lost_disks)
     return min(
         _held_by(
             len(voters) if is_recovery else votes_needed(len(voters)),
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -197,7 +197,9 @@
         self.is_leaving = False
         self.leaving: dict[str, float] = {}
         self.last_votes: dict[str, list[str]] = {}
-        # Incarnations of other disks that replied to the last campaign.
+        # Members that granted their vote in the last campaign, and the
+        # incarnations of other disks that replied to it.
+        self.granted_ids: frozenset[log_entries.MemberId] = frozenset()
         self.new_incarnations: dict[str, str] = {}
         self.contact_times: dict[str, float] = {}
         self.match_index: dict[str, int] = {}
@@ -785,9 +787,10 @@
         )
         if refusal is None and election.supports_other(self, candidate):
             refusal = f'supports {self.supported_candidate}'
-        if refusal is None:
+        # A learner cannot win by a majority, so that others need not wait.
+        if refusal is None and candidate in self.members.voters:
             election.support(self, candidate)
-        else:
+        if refusal is not None:
             self.log_refused_vote(candidate, term, refusal)
         return [self.term, refusal is None, self.incarnation]
 
@@ -953,7 +956,6 @@
             self.find_silent_learners(),
             self.min_voters,
             reply_seconds,
-            self.max_lost_disks,
         )
 
     def find_silent_learners(self) -> frozenset[str]:
@@ -1394,6 +1396,9 @@
                 break
         return found
 
+    def ids_in_force(self) -> frozenset[log_entries.MemberId]:
+        return frozenset().union(*(one.ids for one in self.members_in_force()))
+
     def change_before(self, index: int) -> int:
         """Returns the index of the last change of the members before one."""
         return max(
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -387,7 +387,9 @@
     asked_at = replica.timers.now()
     if replica.is_leaving:
         return
-    if asked_at - replica.membership_checked_at < MEMBERSHIP_CHECK_SECONDS:
+    # One without a state was admitted by a change that may be lost.
+    pause = MEMBERSHIP_CHECK_SECONDS if has_state(replica) else JOIN_SECONDS
+    if asked_at - replica.membership_checked_at < pause:
         return
     replica.membership_checked_at = asked_at
     replies = await identify_to_all(replica)
