Leave a candidate its time for disks that take 0.05 s and more

Voters supported a candidate only once they had seen a write of 0.5 s; a write of 0.05 s is enough now. What counts as a fault of the disk stays at 0.5 s.

--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -32,6 +32,9 @@
 # others are faster, and a candidate that needs longer gives up once.
 SLOW_WRITE_SECONDS = 0.5
 SLOW_WRITES_BEFORE_HANDOVER = 3
+# Two writes of this time and two round trips of 0.11 s exceed the stagger of the
+# timeouts. Voters that have seen one leave a candidate more time.
+SUPPORTED_WRITE_SECONDS = 0.05
 # An election takes a write of the candidate and one of the voters, which may
 # wait for a write that is under way.
 WRITES_PER_ELECTION = 3
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -297,9 +297,11 @@
 
     def note_write(self, started_at: float) -> None:
         now = self.timers.now()
-        if now - started_at >= election.SLOW_WRITE_SECONDS:
+        if now - started_at >= election.SUPPORTED_WRITE_SECONDS:
             self.slow_write_seconds = now - started_at
-            self.slow_write_at = self.disk_fault_at = now
+            self.slow_write_at = now
+        if now - started_at >= election.SLOW_WRITE_SECONDS:
+            self.disk_fault_at = now
 
     def require_sound_disk(self) -> None:
         if self.failure is not None:
