End the writes of a simulated group when its test fails

A test that failed while a disk was slow never ended: writes are shielded from cancellation, and simulated time stood still. The power of the disks is now cut on any end. FakeDisk.syncs_folder counts the syncs of the folder, as files.Folder makes them: a replacement takes two in a row, an opening one.

--- a/features/fakes.py
+++ b/features/fakes.py
@@ -181,6 +181,8 @@
     :ivar full_until: time until which every step that needs space fails.
     :ivar hangs_until: time until which writes and syncs wait.
     :ivar sync_seconds: duration of each write step.
+    :ivar syncs_folder: whether steps that change names take another sync, of
+        the folder, as in files.Folder.
     :ivar dropped: by file, the offset after which bytes can be read but are
         not on the disk, since a sync of them has failed. As with the page
         cache of a kernel, a later sync reports a success.
@@ -196,6 +198,7 @@
         self.failing_step = ''
         self.full_until = self.hangs_until = -math.inf
         self.sync_seconds = 0.0
+        self.syncs_folder = False
         self.power_cut = anyio.Event()
         self.steps = 0
 
@@ -230,6 +233,10 @@
         if power_cut.is_set():
             raise PowerCutError
 
+    async def wait_for_folder(self):
+        if self.syncs_folder:
+            await self.wait()
+
     def step(self, name):
         self.steps += 1
         is_full = name in ('open', 'append', 'sync', 'replace') and (
@@ -278,10 +285,12 @@
             self.step('open')
             self.files[name] = b''
             self.synced[name] = b''
+        await self.wait_for_folder()
         return FakeFile(self, name)
 
     async def replace(self, name, content):
         await self.wait()
+        await self.wait_for_folder()
         self.step('replace')
         # As in files.Folder: the content is synced before the rename, and
         # the folder after it.
@@ -290,6 +299,7 @@
 
     async def remove(self, name):
         self.step('remove')
+        await self.wait_for_folder()
         self.files.pop(name, None)
         self.synced.pop(name, None)
         self.dropped.pop(name, None)
@@ -416,9 +426,13 @@
     async def running(self):
         """Starts every replica; on exit, ends writes and cancels them all."""
         async with super().running():
-            yield self
-            for disk in self.disks.values():
-                disk.cut_power()
+            try:
+                yield self
+            finally:
+                # Writes are shielded: without it, a test that fails would
+                # wait for ever for those under way.
+                for disk in self.disks.values():
+                    disk.cut_power()
 
     def start(self, vm):
         self.machines[vm] = RecordingMachine()
