Answer the first start of an empty disk without a write

Callers saw a VM with a new disk wait for the write of its count of starts, two syncs on each peer, and two more if another VM started just after it.

Safe, since the record of a first start is never used: an incarnation counts 1 only at its creation. A disk that is started again, also an old copy, reports 2 or more, which a record of 1 never shows to be stale; the record of 2 and of all later starts is stored before the reply, as before. The record of the former incarnation of the VM stays, so its old copies are still found.

The test of the writes that many starts share uses second starts, which are stored: with first ones it would pass without any write.

--- a/features/steps/replication.py
+++ b/features/steps/replication.py
@@ -1248,7 +1248,8 @@
         context.replies = []
 
         async def send(peer):
-            message = [peer, f'incarnation of {peer}', 1, 'session']
+            # A first start needs no write.
+            message = [peer, f'incarnation of {peer}', 2, 'session']
             reply = await replica.on_identify(peer, message)
             context.replies.append(reply['is_stale'])
 
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -481,6 +481,10 @@
         the last ones would else come after as many writes. Records of older
         incarnations of a VM are dropped, since these never become members
         again.
+
+        The first start of an incarnation is not stored. Each later start
+        reports a higher count, so that record could never show an old disk,
+        and a VM with an empty disk would wait for its write.
         """
         checks, self.boot_checks = self.boot_checks, []
         known = {one.vm: one for one in self.storage.meta.seen_boots}
@@ -492,6 +496,9 @@
                 old = None
             is_other = old is not None and old.session != seen.session
             results.append(is_other and old.boots >= seen.boots)
+            is_first_start = old is None and seen.boots <= 1
+            if is_first_start:
+                continue
             if old is None or seen.boots > old.boots:
                 known.pop(seen.vm, None)
                 known[seen.vm] = seen
