Store that members are committed beside the log

After each change of the members, the leader and its followers held their storage lock for two syncs, which the next entry, such as the next admission or promotion, waited for. A learner that caught up wrote the same content once for each change in its log: five writes, 1 s with syncs of 100 ms.

The file is written without the lock now, by one task, and only if it does not state the newest change. Safe, since no reply rests on it, it is written at the same moment as before, and what it states of an index and a term stays true, whatever happens to the log beside it. A failure is raised again under the lock, where failures of the disk are handled.

--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -218,6 +218,7 @@
         # Bytes of the entries that a member has not replied to.
         self.unanswered_bytes: dict[str, int] = {}
         self.storage_lock = anyio.Lock()
+        self.is_saving_members = False
         self.incoming_snapshot: IncomingSnapshot | None = None
         self.failure: errors.StorageError | None = None
         self.disk_failed = anyio.Event()
@@ -266,7 +267,8 @@
         """Holds the storage lock and shields the body from cancellation.
 
         Every access to the disk is made under this lock, so that this is the
-        one place at which a failure of the disk is found.
+        one place at which a failure of the disk is found. The one exception
+        is `save_committed_members`, which raises a failure here again.
 
         :raises DiskFailedError: if the disk fails in the body, or has failed
             and has not recovered; the replica does not take part then.
@@ -1331,13 +1333,39 @@
             self.tasks.start_soon(self.save_committed_members)
 
     async def save_committed_members(self) -> None:
-        """Remembers over a restart that the members are committed."""
-        # A failure of the disk is logged where it is found.
-        with contextlib.suppress(errors.DiskFailedError):
-            async with self.lock_storage():
-                index = self.members_index
-                if self.storage.base_index < index <= self.commit_index:
-                    await self.storage.save_committed_members(index)
+        """Remembers over a restart that the members are committed.
+
+        The file is written beside the log, without the storage lock, so that
+        the next entry does not wait for it. What it states, that the entry of
+        an index and a term is committed, stays true whatever else is written.
+        One task writes it until it states the newest change.
+        """
+        if self.is_saving_members:
+            return
+        self.is_saving_members = True
+        try:
+            while self.failure is None and self.has_unsaved_members():
+                try:
+                    with anyio.CancelScope(shield=True):
+                        await self.storage.save_committed_members(
+                            self.members_index
+                        )
+                except errors.DiskFailedError as error:
+                    # A failure is handled and logged under the lock.
+                    with contextlib.suppress(errors.DiskFailedError):
+                        async with self.lock_storage():
+                            raise error
+        finally:
+            self.is_saving_members = False
+
+    def has_unsaved_members(self) -> bool:
+        """Returns whether the newest members are committed and not saved."""
+        index = self.members_index
+        return (
+            self.storage.base_index < index <= self.commit_index
+            and self.storage.committed_members
+            != (index, self.storage.term_at(index))
+        )
 
     @property
     def are_members_committed(self) -> bool:
