Admit a VM as soon as the change before it is committed

Two VMs that lost their disks asked to be admitted at the same moment. The second was rejected until it happened to ask between two changes, 0.05 s and a round trip apart. The leader now lets a request wait for the change under way, up to 0.4 s, and looks for the next change when one is committed instead of with the next reply. The rule is the same: one change at a time, and none before an entry of the own term is committed, which is rejected at once.

--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -45,6 +45,9 @@
 # A new leader gives the voters this many heartbeats to reply.
 FIRST_REPLY_HEARTBEATS = 2
 STATE_POLL_SECONDS = 0.02
+# A VM that asks to be admitted waits this long for the change before it. Its
+# own change must fit into the rest of the time of its call.
+ADMISSION_WAIT_SECONDS = 0.4
 # Why a vote is refused, see `find_refusal`.
 SHORTER_LOG = 'shorter log'
 # Bounds the log lines and errors on malformed commands and replies.
@@ -514,6 +517,8 @@
         vm, incarnation = message
         _require_texts('join', vm, incarnation)
         self.require_leader()
+        await self.wait_for_settled_members()
+        self.require_leader()
         self.require_settled_members()
         if self.is_current_member(vm, incarnation):
             return
@@ -549,6 +554,17 @@
             self.commit_index,
         )
 
+    async def wait_for_settled_members(self) -> None:
+        """Waits for a change under way, as by another VM that joins."""
+        deadline = self.timers.now() + ADMISSION_WAIT_SECONDS
+        while (
+            self.is_leader
+            and self.is_caught_up
+            and not self.is_membership_settled
+            and self.timers.now() < deadline
+        ):
+            await self.timers.sleep(STATE_POLL_SECONDS)
+
     def require_settled_members(self) -> None:
         if not self.is_membership_settled:
             raise errors.ReplicationError(
@@ -1314,6 +1330,7 @@
                 outcome, failure = self.apply_command(entry)
             elif entry.kind is log_entries.EntryKind.MEMBERSHIP:
                 self.start_saving_members()
+                self.members_check_wanted.set()
             self.applied_index = index
             proposal = self.pending_proposals.pop(index, None)
             if proposal is None:
