Send a VM that joins its first entries before its admission is known to it

A VM with an empty disk rejected the messages of the leader until it had the reply to its request, each of which cost a heartbeat interval. Then it stored the term, and the first message, which began at the end of the log, was rejected, before it stored an entry.

Safe: it acknowledges only what is stored, for its own new incarnation, which the leader counts only if its members contain it. It neither votes nor stands before its admission is in its log, as each member of a group that follows an entry that is not committed yet. If the admission is lost, it is found to be no member as before.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -435,6 +435,25 @@
       | chunk |
       | reply |
 
+  Scenario Outline: VMs with empty disks wait for many syncs in a row, and vote too late
+    Given a control group of 5 replicas with the random numbers of seed <seed>
+    When <which> lose their disks at once while each sync takes <sync> s
+    Then they vote within <seconds> s of their start
+
+    Examples: half of the bound of 4 s, and the bound with slower disks
+      | which                     | sync | seconds | seed |
+      | two followers             | 0.1  | 2       | 1    |
+      | two followers             | 0.1  | 2       | 2    |
+      | two followers             | 0.1  | 2       | 3    |
+      | two followers             | 0.2  | 4       | 1    |
+      | two followers             | 0.2  | 4       | 2    |
+      | the leader and the newest | 0.1  | 4       | 1    |
+
+    @known_red
+    Examples: An election comes first, in which each step waits for syncs
+      | which                     | sync | seconds | seed |
+      | the leader and the newest | 0.2  | 4       | 1    |
+
   Scenario: A VM with an empty disk waits for a peer that does not answer
     Given a control group of 5 replicas
     When a follower loses its disk and starts again while another is silent
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -1233,6 +1233,52 @@
     add_part(context, wait_for_vote)
 
 
+def has_all_votes(group, vm):
+    """Returns whether a VM counts itself and all others as voters."""
+    replica = group.replicas[vm]
+    return replica.members.voters == sorted(
+        group.vms
+    ) and replica.is_current_member(vm, replica.incarnation)
+
+
+@behave.when(
+    '{which} lose their disks at once while each sync takes {seconds:g} s'
+)
+def plan_slow_syncs(context, which, seconds):
+    def slow_down(group, vms):
+        for vm in vms:
+            group.disks[vm].sync_seconds = seconds
+            group.disks[vm].syncs_folder = True
+
+    async def lose_at_once(group):
+        slow_down(group, group.vms)
+        context.vms = choose(group, which)
+        for vm in context.vms:
+            group.crash(vm)
+            group.lose_disk(vm)
+        slow_down(group, context.vms)
+        await advance_with_load(group, RESTART_SECONDS)
+        for vm in context.vms:
+            group.start(vm)
+
+    add_part(context, lose_at_once)
+
+
+@behave.then('they vote within {seconds:g} s of their start')
+def check_votes_after_start(context, seconds):
+    async def check(group):
+        for part in context.parts:
+            await part(group)
+        await wait_in_steps(
+            group,
+            lambda: all(has_all_votes(group, vm) for vm in context.vms),
+            seconds,
+        )
+        await check_recovery(group)
+
+    play(context, check)
+
+
 @behave.when(
     'a follower loses its disk and starts again while another is silent'
 )
--- a/src/greengagegw/replication/log_replication.py
+++ b/src/greengagegw/replication/log_replication.py
@@ -94,12 +94,14 @@
 
 
 async def replicate(
-    replica: 'replicas.Replica', vm: str, incarnation: str
+    replica: 'replicas.Replica', vm: str, incarnation: str, next_index: int
 ) -> None:
-    """Replicates the log to one member while this replica leads."""
-    next_index = replica.storage.last_index + 1
+    """Replicates the log to one member while this replica leads.
+
+    :param next_index: of the entry that the member is thought to need first.
+    """
     size = MessageSize()
-    sent = SentEntries(replica.storage.last_index)
+    sent = SentEntries(next_index - 1)
     transfer = SnapshotTransfer()
     while replica.is_leader and replica.is_current_member(vm, incarnation):
         try:
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -222,6 +222,8 @@
         self.unanswered_bytes: dict[str, int] = {}
         self.storage_lock = anyio.Lock()
         self.is_saving_members = False
+        # Whether an empty replica has asked a leader to admit it.
+        self.is_joining = False
         self.incoming_snapshot: IncomingSnapshot | None = None
         self.failure: errors.StorageError | None = None
         self.disk_failed = anyio.Event()
@@ -889,16 +891,22 @@
         with scope:
             async with anyio.create_task_group() as tasks:
                 running: set[log_replication.MemberId] = set()
+                # Whoever is admitted later has an empty log.
+                next_index = self.storage.last_index + 1
                 while True:
                     members = log_replication.other_members(self)
                     for member in sorted(members - running):
                         tasks.start_soon(
-                            log_replication.replicate, self, *member
+                            log_replication.replicate,
+                            self,
+                            *member,
+                            next_index,
                         )
                         tasks.start_soon(
                             log_replication.send_heartbeats, self, *member
                         )
                     running = members
+                    next_index = max(1, self.storage.base_index)
                     with self.timers.move_on_after(
                         self.timeouts.heartbeat_seconds
                     ):
@@ -1182,7 +1190,8 @@
             # be stored.
             self.leader, self.leader_heard_at = leader, self.timers.now()
         self.note_peer(peer)
-        self.require_started()
+        if not self.is_joining:
+            self.require_started()
         if not packed_entries and self.can_confirm(
             term, previous_index, previous_term
         ):
@@ -1192,7 +1201,10 @@
             rejection = [self.term, False, 0, self.incarnation]
             if term < self.term:
                 return rejection
-            await self.accept_leader(term, leader)
+            if self.is_starting:
+                await self.accept_leader_of_admission(term, leader)
+            else:
+                await self.accept_leader(term, leader)
             added = [log_entries.Entry.unpack(one) for one in packed_entries]
             is_consistent = self.holds(previous_index, previous_term)
             # A leader of an earlier release may send entries with a gap if
@@ -1254,6 +1266,16 @@
             self.become_follower()
         self.note_leader(leader)
 
+    async def accept_leader_of_admission(self, term: int, leader: str) -> None:
+        """Stores the term of a leader that this replica asks to admit it.
+
+        It still takes part only after its admission; what it acknowledges is
+        stored, and counts for its new incarnation only.
+        """
+        if term > self.term:
+            await self.storage.save_meta(term=term, voted_for='')
+        self.note_leader(leader)
+
     def note_leader(self, leader: str) -> None:
         """Records a message of the leader of the current term."""
         self.last_leader = leader
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -275,12 +275,15 @@
     :returns: whether it did.
     """
     leaders = {one['leader'] for one in group_replies if one['leader']}
-    for leader in sorted(leaders):
-        if leader == replica.vm:
-            continue
-        if await join(replica, leader):
-            replica.become_follower()
-            return True
+    try:
+        for leader in sorted(leaders):
+            if leader == replica.vm:
+                continue
+            if await join(replica, leader):
+                replica.become_follower()
+                return True
+    finally:
+        replica.is_joining = False
     return False
 
 
@@ -291,6 +294,8 @@
     entry of its term is committed.
     """
     deadline = replica.timers.now() + JOIN_SECONDS
+    # The first entries may come before the reply.
+    replica.is_joining = replica.is_starting and not has_state(replica)
     message = [replica.vm, replica.incarnation]
     while True:
         try:
