--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -32,7 +32,7 @@
 # others are faster, and a candidate that needs longer gives up once.
 SLOW_WRITE_SECONDS = 0.5
 SLOW_WRITES_BEFORE_HANDOVER = 3
-# Two writes of this time and two round trips of 0.11 s exceed the stagger of the
+# Two such writes and two round trips of 0.11 s exceed the stagger of the
 # timeouts. Voters that have seen one leave a candidate more time.
 SUPPORTED_WRITE_SECONDS = 0.05
 # An election takes a write of the candidate and one of the voters, which may
@@ -60,21 +60,9 @@
 
 
 def usual_electorate(replica: 'replicas.Replica') -> Electorate:
-    """Returns the electorate in which a majority of the voters wins.
-
-    Members that were chosen without a majority are known to any two voters
-    only once they are committed. Until then all voters are needed.
-    """
-    members = replica.members
-    voters = frozenset(members.voters)
-    is_won = members.is_majority
-    if replica.vm not in voters:
-        is_won = _is_never_won
-    elif (
-        replica.is_recovery(replica.members_index)
-        and not replica.are_members_committed
-    ):
-        is_won = voters.issubset
+    """Returns the electorate in which a majority of the voters wins."""
+    voters = frozenset(replica.members.voters)
+    is_won = replica.is_quorum if replica.vm in voters else _is_never_won
     return Electorate(voters - {replica.vm}, is_won)
 
 
@@ -368,5 +356,9 @@
         'silent': sorted(others - votes - refused),
     }
     replica.granted_ids = frozenset(granted_ids)
-    replica.new_incarnations = new_incarnations
+    replica.new_incarnations = (
+        new_incarnations
+        if is_pre_vote
+        else replica.new_incarnations | new_incarnations
+    )
     return electorate.is_won(votes)
--- a/src/greengagegw/replication/log_replication.py
+++ b/src/greengagegw/replication/log_replication.py
@@ -93,12 +93,14 @@
 
 
 async def replicate(
-    replica: 'replicas.Replica', vm: str, incarnation: str
+    replica: 'replicas.Replica', vm: str, incarnation: str, next_index: int
 ) -> None:
-    """Replicates the log to one member while this replica leads."""
-    next_index = replica.storage.last_index + 1
+    """Replicates the log to one member while this replica leads.
+
+    :param next_index: of the entry that the member is thought to need first.
+    """
     size = MessageSize()
-    sent = SentEntries(replica.storage.last_index)
+    sent = SentEntries(next_index - 1)
     transfer = SnapshotTransfer()
     while replica.is_leader and replica.is_current_member(vm, incarnation):
         try:
@@ -278,7 +280,8 @@
             snapshot.members.pack(),
             offset,
             snapshot.state[offset:end],
-            end >= total,
+            # Earlier releases only read whether it is the last chunk.
+            1 + snapshot.survivable_losses if end >= total else 0,
         ]
         sent_at = replica.timers.now()
         term, accepted = await replica.call_peer(
--- a/src/greengagegw/replication/lost_voters.py
+++ b/src/greengagegw/replication/lost_voters.py
@@ -42,6 +42,9 @@
     votes = replica.last_votes
     if replica.members != members or votes['silent'] or not votes['refused']:
         return None
+    if replica.is_quorum(set(votes['granted'])):
+        # They grant a learner their votes, and can elect one of themselves.
+        return None
     in_force = replica.members_in_force()
     granted = replica.granted_ids
     others = replica.ids_in_force() - granted
@@ -120,9 +123,9 @@
 def replace_lost(replica: 'replicas.Replica') -> log_entries.Members | None:
     """Returns the members by which an elected candidate replaces lost voters.
 
-    To admit one after the other takes several syncs each, in which
-    further disks may be lost. If the voters that are left are just a majority,
-    all of them are needed for each entry anyway, so that all lost ones can be
+    To admit one after the other takes several syncs each, in which further
+    disks may be lost. If the voters that are left are just a majority, all of
+    them are needed for each entry anyway, so that all lost members can be
     replaced at once.
 
     :returns: None if there is nothing to replace, or more voters are left.
@@ -131,10 +134,10 @@
     lost = {
         vm: incarnation
         for vm, incarnation in replica.new_incarnations.items()
-        if vm in members.voters
+        if members.get(vm) is not None
     }
-    remaining = len(members.voters) - len(lost)
-    if not lost or remaining != membership.votes_needed(len(members.voters)):
+    remaining = len(set(members.voters) - set(lost))
+    if remaining != membership.votes_needed(len(members.voters)) or not lost:
         return None
     eliot.log_message(
         'replica:voters_lost',
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -45,6 +45,9 @@
 # A new leader gives the voters this many heartbeats to reply.
 FIRST_REPLY_HEARTBEATS = 2
 STATE_POLL_SECONDS = 0.02
+# A VM that asks to be admitted waits this long for the change before it. Its
+# own change must fit into the rest of the time of its call.
+ADMISSION_WAIT_SECONDS = 0.4
 # Why a vote is refused, see `find_refusal`.
 SHORTER_LOG = 'shorter log'
 # Bounds the log lines and errors on malformed commands and replies.
@@ -229,6 +232,9 @@
         # Bytes of the entries that a member has not replied to.
         self.unanswered_bytes: dict[str, int] = {}
         self.storage_lock = anyio.Lock()
+        self.is_saving_members = False
+        # Whether an empty replica has asked a leader to admit it.
+        self.is_joining = False
         self.incoming_snapshot: IncomingSnapshot | None = None
         self.failure: errors.StorageError | None = None
         self.disk_failed = anyio.Event()
@@ -277,7 +283,8 @@
         """Holds the storage lock and shields the body from cancellation.
 
         Every access to the disk is made under this lock, so that this is the
-        one place at which a failure of the disk is found.
+        one place at which a failure of the disk is found. The one exception
+        is `save_committed_members`, which raises a failure here again.
 
         :raises DiskFailedError: if the disk fails in the body, or has failed
             and has not recovered; the replica does not take part then.
@@ -494,6 +501,10 @@
         the last ones would else come after as many writes. Records of older
         incarnations of a VM are dropped, since these never become members
         again.
+
+        The first start of an incarnation is not stored. Each later start
+        reports a higher count, so that record could never show an old disk,
+        and a VM with an empty disk would wait for its write.
         """
         checks, self.boot_checks = self.boot_checks, []
         known = {one.vm: one for one in self.storage.meta.seen_boots}
@@ -505,6 +516,9 @@
                 old = None
             is_other = old is not None and old.session != seen.session
             results.append(is_other and old.boots >= seen.boots)
+            is_first_start = old is None and seen.boots <= 1
+            if is_first_start:
+                continue
             if old is None or seen.boots > old.boots:
                 known.pop(seen.vm, None)
                 known[seen.vm] = seen
@@ -519,6 +533,10 @@
         _require_texts('join', vm, incarnation)
         self.require_leader()
         # The commit of its admission may need the copy that it will hold.
+        if self.is_current_member(vm, incarnation):
+            return
+        await self.wait_for_settled_members()
+        self.require_leader()
         if self.is_current_member(vm, incarnation):
             return
         self.require_settled_members()
@@ -554,6 +572,17 @@
             self.commit_index,
         )
 
+    async def wait_for_settled_members(self) -> None:
+        """Waits for a change under way, as by another VM that joins."""
+        deadline = self.timers.now() + ADMISSION_WAIT_SECONDS
+        while (
+            self.is_leader
+            and self.is_caught_up
+            and not self.is_membership_settled
+            and self.timers.now() < deadline
+        ):
+            await self.timers.sleep(STATE_POLL_SECONDS)
+
     def require_settled_members(self) -> None:
         if not self.is_membership_settled:
             raise errors.ReplicationError(
@@ -890,16 +919,22 @@
         with scope:
             async with anyio.create_task_group() as tasks:
                 running: set[log_replication.MemberId] = set()
+                # Whoever is admitted later has an empty log.
+                next_index = self.storage.last_index + 1
                 while True:
                     members = log_replication.other_members(self)
                     for member in sorted(members - running):
                         tasks.start_soon(
-                            log_replication.replicate, self, *member
+                            log_replication.replicate,
+                            self,
+                            *member,
+                            next_index,
                         )
                         tasks.start_soon(
                             log_replication.send_heartbeats, self, *member
                         )
                     running = members
+                    next_index = max(1, self.storage.base_index)
                     with self.timers.move_on_after(
                         self.timeouts.heartbeat_seconds
                     ):
@@ -1133,7 +1168,7 @@
         if not self.is_leader:
             return
         former = None
-        if self.members_index > self.commit_index:
+        if not self.are_members_committed:
             former = self.disk_members(self.members_at(self.members_index - 1))
         index = min(
             membership.committed_index(
@@ -1182,7 +1217,8 @@
             # be stored.
             self.leader, self.leader_heard_at = leader, self.timers.now()
         self.note_peer(peer)
-        self.require_started()
+        if not self.is_joining:
+            self.require_started()
         if not packed_entries and self.can_confirm(
             term, previous_index, previous_term
         ):
@@ -1192,7 +1228,10 @@
             rejection = [self.term, False, 0, self.incarnation]
             if term < self.term:
                 return rejection
-            await self.accept_leader(term, leader)
+            if self.is_starting:
+                await self.accept_leader_of_admission(term, leader)
+            else:
+                await self.accept_leader(term, leader)
             added = [log_entries.Entry.unpack(one) for one in packed_entries]
             is_consistent = self.holds(previous_index, previous_term)
             # A leader of an earlier release may send entries with a gap if
@@ -1254,6 +1293,16 @@
             self.become_follower()
         self.note_leader(leader)
 
+    async def accept_leader_of_admission(self, term: int, leader: str) -> None:
+        """Stores the term of a leader that this replica asks to admit it.
+
+        It still takes part only after its admission; what it acknowledges is
+        stored, and counts for its new incarnation only.
+        """
+        if term > self.term:
+            await self.storage.save_meta(term=term, voted_for='')
+        self.note_leader(leader)
+
     def note_leader(self, leader: str) -> None:
         """Records a message of the leader of the current term."""
         self.last_leader = leader
@@ -1280,9 +1329,11 @@
             self.refresh_members()
 
     async def on_snapshot(self, peer: str, message: list) -> list:
-        term, leader, index, snapshot_term, members, offset, chunk, is_last = (
+        term, leader, index, snapshot_term, members, offset, chunk, end = (
             message
         )
+        # An earlier release sends True.
+        is_last = bool(end)
         self.require_started()
         async with self.lock_storage():
             if term < self.term:
@@ -1304,6 +1355,7 @@
                     snapshot_term,
                     log_entries.Members.unpack(members),
                     bytes(incoming.content),
+                    int(end) - 1,
                 )
                 await self.storage.install_snapshot(snapshot)
                 if is_lost:
@@ -1330,6 +1382,7 @@
                 outcome, failure = self.apply_command(entry)
             elif entry.kind is log_entries.EntryKind.MEMBERSHIP:
                 self.start_saving_members()
+                self.members_check_wanted.set()
             self.applied_index = index
             proposal = self.pending_proposals.pop(index, None)
             if proposal is None:
@@ -1349,13 +1402,39 @@
             self.tasks.start_soon(self.save_committed_members)
 
     async def save_committed_members(self) -> None:
-        """Remembers over a restart that the members are committed."""
-        # A failure of the disk is logged where it is found.
-        with contextlib.suppress(errors.DiskFailedError):
-            async with self.lock_storage():
-                index = self.members_index
-                if self.storage.base_index < index <= self.commit_index:
-                    await self.storage.save_committed_members(index)
+        """Remembers over a restart that the members are committed.
+
+        The file is written beside the log, without the storage lock, so that
+        the next entry does not wait for it. What it states, that the entry of
+        an index and a term is committed, stays true whatever else is written.
+        One task writes it until it states the newest change.
+        """
+        if self.is_saving_members:
+            return
+        self.is_saving_members = True
+        try:
+            while self.failure is None and self.has_unsaved_members():
+                try:
+                    with anyio.CancelScope(shield=True):
+                        await self.storage.save_committed_members(
+                            self.members_index
+                        )
+                except errors.DiskFailedError as error:
+                    # A failure is handled and logged under the lock.
+                    with contextlib.suppress(errors.DiskFailedError):
+                        async with self.lock_storage():
+                            raise error
+        finally:
+            self.is_saving_members = False
+
+    def has_unsaved_members(self) -> bool:
+        """Returns whether the newest members are committed and not saved."""
+        index = self.members_index
+        return (
+            self.storage.base_index < index <= self.commit_index
+            and self.storage.committed_members
+            != (index, self.storage.term_at(index))
+        )
 
     @property
     def are_members_committed(self) -> bool:
@@ -1382,6 +1461,18 @@
             self.storage.term_at(index - 1) != self.storage.term_at(index)
         )
 
+    def is_quorum(self, vms: set[str]) -> bool:
+        """Returns whether the votes of these VMs elect a voter.
+
+        Members that replaced all lost voters are known to any two voters only
+        once they are committed. Until then all voters are needed.
+        """
+        if self.are_members_committed or not self.is_recovery(
+            self.members_index
+        ):
+            return self.members.is_majority(vms)
+        return vms.issuperset(self.members.voters)
+
     def members_in_force(self) -> list[log_entries.Members]:
         """Returns the newest members, and earlier ones that may be in force.
 
@@ -1490,9 +1581,6 @@
             self.losses_of_term(term),
         )
         await self.storage.install_snapshot(snapshot)
-        if self.is_leader:
-            # For members that get the snapshot, which does not tell them.
-            self.announce_survivable_losses()
 
     def members_at(self, index: int) -> log_entries.Members:
         """Returns the members as of an index at or after the snapshot."""
