End the support for a candidate that has not won

Only the candidate's support for itself ended.

A candidate that has not won tells the voters, with a message of its own that earlier releases ignore, and they campaign and answer others again. Safe: the support delays campaigns and refuses pre-votes only, no vote rests on it. If the message is lost, the support ends by time as before.

--- a/features/replication/failing_disks.feature
+++ b/features/replication/failing_disks.feature
@@ -258,6 +258,11 @@
       | 1.2      | all replicas lose power for a moment |
       | 2        | nothing else fails                   |
 
+  Scenario: A voter goes on supporting a candidate that has lost its pre-vote
+    Given a control group of 5 replicas in several regions with 5 acknowledged commands
+    When a candidate loses its pre-vote, which a voter with a slow disk granted
+    Then that voter grants the next candidate its pre-vote
+
   Scenario: Replicas that start at the same time wait for one write after the other
     Given a control group of 5 replicas in several regions with 5 acknowledged commands
     When four VMs identify themselves at a replica while each write takes 1.2 s
--- a/features/steps/replication.py
+++ b/features/steps/replication.py
@@ -16,6 +16,7 @@
 from greengagegw.adapters import files
 from greengagegw import errors
 from greengagegw.fleet import timing as fleet_timing
+from greengagegw.replication import election
 from greengagegw.replication import entries
 from greengagegw.replication import replica as replicas
 from greengagegw.replication import roles
@@ -1237,6 +1238,59 @@
     context.plan.append(slow_down)
 
 
+@behave.when(
+    'a candidate loses its pre-vote, which a voter with a slow disk granted'
+)
+def plan_lost_pre_vote(context):
+    async def lose(group):
+        leader = group.leader().vm
+        candidate, voter, successor, last = followers(group)
+        # They lack the newest command, so that only the voter grants.
+        group.network.cut([candidate, voter], [leader, successor, last])
+        await group.propose_and_wait()
+        group.crash(leader)
+        group.network.heal()
+        replica = group.replicas[voter]
+        for vm in (candidate, voter, successor, last):
+            one = group.replicas[vm]
+            one.leader = None
+            one.last_contact_at = one.last_campaign_at = group.timers.now()
+        replica.slow_write_seconds = 1.0
+        replica.slow_write_at = group.timers.now()
+        stood = group.replicas[candidate]
+        group.tasks.start_soon(election.campaign, stood)
+        await group.timers.advance(0.1)
+        assert replica.supported_candidate == candidate
+        await group.timers.advance(0.3)
+        assert stood.last_votes['granted'] == [candidate, voter], (
+            stood.last_votes
+        )
+        next_one = group.replicas[successor]
+        last_index = next_one.storage.last_index
+        reply = await replica.on_vote(
+            successor,
+            [
+                next_one.term + 1,
+                successor,
+                next_one.incarnation,
+                last_index,
+                next_one.storage.term_at(last_index),
+                True,
+            ],
+        )
+        context.is_granted = reply[1]
+
+    context.plan.append(lose)
+
+
+@behave.then('that voter grants the next candidate its pre-vote')
+def check_next_pre_vote(context):
+    async def check(group):
+        assert context.is_granted
+
+    run(run_plan, context, check)
+
+
 @behave.when(
     'four VMs identify themselves at a replica while each write takes'
     ' {duration:g} s'
--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -167,6 +167,26 @@
         await run_campaign(replica)
     finally:
         end_own_support(replica)
+        if not replica.is_leader:
+            announce_end(replica)
+
+
+def announce_end(replica: 'replicas.Replica') -> None:
+    """Tells the voters that this replica does not stand any more.
+
+    Else they would support it for the time of three slow writes. A build
+    without this method ignores it.
+    """
+    method = f'replica.{replica.group}.stands_no_more'
+    for vm in replica.members.voters:
+        if vm != replica.vm:
+            replica.mesh.post(vm, method, [replica.vm])
+
+
+def end_support(replica: 'replicas.Replica', candidate: str) -> None:
+    """Notes that a candidate has not won."""
+    if replica.supported_candidate == candidate != replica.vm:
+        replica.supported_until = -math.inf
 
 
 async def run_campaign(replica: 'replicas.Replica') -> None:
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -314,6 +314,7 @@
             f'{prefix}.export': self.on_export,
             f'{prefix}.step_down': self.on_step_down,
             # Peers of an earlier release do not know the following.
+            f'{prefix}.stands_no_more': self.on_stands_no_more,
             f'{prefix}.leave': functools.partial(departure.on_leave, self),
             f'{prefix}.released': functools.partial(
                 departure.on_released, self
@@ -621,6 +622,10 @@
         if term >= self.term:
             self.forget_leader(vm)
 
+    async def on_stands_no_more(self, peer: str, message: list) -> None:
+        (candidate,) = message
+        election.end_support(self, candidate)
+
     def forget_leader(self, vm: str) -> None:
         """Notes that a VM does not lead any more, if it was the leader.
 
