Forget a leader whose VM runs with another disk

A replica forgets its leader when that VM identifies itself with another incarnation than the member's. A starting VM does not ask a leader that denies it, and tells those that named it, with a message that earlier releases ignore, since the lost leader may not know them. Safe: a forgotten leader only makes room for an election; a late message of the former disk of a leader costs at most a heartbeat interval.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -454,6 +454,17 @@
       | which                     | sync | seconds | seed |
       | the leader and the newest | 0.2  | 4       | 1    |
 
+  Scenario Outline: A learner names a leader that has lost its disk, and empty VMs ask that one for good
+    Given a control group of 5 replicas
+    When a follower loses its disk, and it has been admitted
+    And the leader and all other voters but one lose their disks, and <who> finds that learner
+    Then that learner names no leader within 3 s, and no VM asks a lost one any more
+
+    Examples:
+      | who               |
+      | the former leader |
+      | another empty VM  |
+
   Scenario: A VM with an empty disk waits for a peer that does not answer
     Given a control group of 5 replicas
     When a follower loses its disk and starts again while another is silent
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -1233,6 +1233,55 @@
     add_part(context, wait_for_vote)
 
 
+@behave.when(
+    'the leader and all other voters but one lose their disks, and {who}'
+    ' finds that learner'
+)
+def plan_named_leader_lost(context, who):
+    async def lose(group):
+        leader, learner = group.leader().vm, context.vm
+        await wait_in_steps(
+            group,
+            lambda: group.replicas[learner].leader == leader,
+            RECOVERY_SECONDS,
+        )
+        context.leader = leader
+        # Each VM finds only the peers that it knows from its settings.
+        lost = [leader, *followers_without(group, learner)[:2]]
+        for vm in lost:
+            group.crash(vm)
+            group.lose_disk(vm)
+        finder = leader if who == 'the former leader' else lost[1]
+        if finder != leader:
+            group.network.cut([leader], [learner])
+        for vm in lost:
+            group.start(vm)
+
+    add_part(context, lose)
+
+
+def followers_without(group, learner):
+    return [vm for vm in followers(group) if vm != learner]
+
+
+@behave.then(
+    'that learner names no leader within {seconds:g} s, and no VM asks a lost'
+    ' one any more'
+)
+def check_lost_leader_forgotten(context, seconds):
+    async def check(group):
+        for part in context.parts:
+            await part(group)
+        learner = group.replicas[context.vm]
+        await wait_for(group, lambda: learner.leader is None, seconds)
+        group.network.calls.clear()
+        await group.advance(seconds)
+        assert learner.leader is None, learner.leader
+        assert group.network.calls['replica.g.join'] == 0, group.network.calls
+
+    play(context, check)
+
+
 def has_all_votes(group, vm):
     """Returns whether a VM counts itself and all others as voters."""
     replica = group.replicas[vm]
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -315,6 +315,7 @@
             f'{prefix}.step_down': self.on_step_down,
             # Peers of an earlier release do not know the following.
             f'{prefix}.stands_no_more': self.on_stands_no_more,
+            f'{prefix}.lost_leader': self.on_lost_leader,
             f'{prefix}.leave': functools.partial(departure.on_leave, self),
             f'{prefix}.released': functools.partial(
                 departure.on_released, self
@@ -462,6 +463,7 @@
         async with self.lock_storage():
             if check.is_stale is None:
                 await self.record_boots()
+        self.forget_lost_leader(vm, incarnation)
         return {
             'incarnation': self.incarnation,
             'founders': list(self.storage.meta.founders),
@@ -622,6 +624,18 @@
         if term >= self.term:
             self.forget_leader(vm)
 
+    async def on_lost_leader(self, peer: str, message: list) -> None:
+        self.forget_lost_leader(*message)
+
+    def forget_lost_leader(self, vm: str, incarnation: str) -> None:
+        """Forgets the leader if its VM runs with another disk.
+
+        :param incarnation: that of the VM by its own word.
+        """
+        member = self.members.get(vm)
+        if member is not None and member.incarnation != incarnation:
+            self.forget_leader(vm)
+
     async def on_stands_no_more(self, peer: str, message: list) -> None:
         (candidate,) = message
         election.end_support(self, candidate)
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -46,7 +46,11 @@
             replies = await identify_to_all(replica)
             async with replica.lock_storage():
                 group_replies = await resolve_start(replica, replies)
-            await request_admission(replica, group_replies)
+            tell_of_lost_leaders(replica, replies)
+            await request_admission(
+                replica,
+                [one for one in group_replies if may_lead(replies, one)],
+            )
             waited = replica.timers.now() - started_at
             if replica.is_starting and waited >= RECOVERY_DELAY_SECONDS:
                 await recover_from_memory_replica(replica, replies)
@@ -267,6 +271,27 @@
     replica.reset_applied_state()
 
 
+def may_lead(replies: dict[str, dict], reply: dict) -> bool:
+    """Returns whether the leader that a reply names does not deny it."""
+    leader = reply['leader']
+    return leader not in replies or replies[leader]['leader'] == leader
+
+
+def tell_of_lost_leaders(
+    replica: 'replicas.Replica', replies: dict[str, dict]
+) -> None:
+    """Tells peers whose leader does not lead with which disk its VM runs.
+
+    That VM may not know them, and they name it until they hear another one.
+    """
+    method = f'replica.{replica.group}.lost_leader'
+    for vm, reply in replies.items():
+        leader = reply['leader']
+        if leader is not None and not may_lead(replies, reply):
+            incarnation = replies[leader]['incarnation']
+            replica.mesh.post(vm, method, [leader, incarnation])
+
+
 async def request_admission(
     replica: 'replicas.Replica', group_replies: list[dict]
 ) -> bool:
