Keep the order of the campaigns when a lost leader is forgotten

Without a leader the election timeout is shorter. A voter that forgot a lost leader started its timeout anew, which delayed an election that was due; with its old time of contact all voters would campaign at once. The time of contact is now set so that the election is due no later than before, in the order of the names.

--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -630,11 +630,26 @@
     def forget_lost_leader(self, vm: str, incarnation: str) -> None:
         """Forgets the leader if its VM runs with another disk.
 
+        The election is due no later than if the leader was known, and in the
+        same order: without a leader the timeout is shorter, and all voters
+        that are silent for longer would campaign at once.
+
         :param incarnation: that of the VM by its own word.
         """
         member = self.members.get(vm)
-        if member is not None and member.incarnation != incarnation:
-            self.forget_leader(vm)
+        if (
+            self.leader == vm != self.vm
+            and member is not None
+            and member.incarnation != incarnation
+        ):
+            self.leader = None
+            timeouts = self.timeouts
+            self.last_contact_at = min(
+                self.timers.now(),
+                self.last_contact_at
+                + timeouts.election_seconds
+                - timeouts.heartbeat_seconds,
+            )
 
     async def on_stands_no_more(self, peer: str, message: list) -> None:
         (candidate,) = message
