--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -762,6 +762,28 @@
     )
 
 
+def hold_back(group, vm, is_stored):
+    """Delays the entries to a learner, or only its replies to them.
+
+    A learner with sound disks and links may else be promoted before all know
+    its admission.
+
+    :returns: a function that ends the delay.
+    """
+    released = anyio.Event()
+    handlers = group.network.handlers[vm]
+    deliver = handlers['replica.g.append']
+
+    async def handle(peer, message):
+        reply = await deliver(peer, message) if is_stored else None
+        if message[4]:
+            await released.wait()
+        return reply if is_stored else await deliver(peer, message)
+
+    handlers['replica.g.append'] = handle
+    return released.set
+
+
 @behave.when('a follower loses its disk, and it {moment}')
 def plan_learner(context, moment):
     async def lose_disk(group):
@@ -793,8 +815,16 @@
                 is_learner() and all_know_members(group)
             ),
             'holds the log': holds_log,
+            'holds the log as all know': lambda: (
+                holds_log() and all_know_members(group)
+            ),
         }
+        release = None
+        if moment.endswith('as all know'):
+            release = hold_back(group, vm, moment.startswith('holds'))
         await wait_in_steps(group, moments[moment], RECOVERY_SECONDS)
+        if release is not None:
+            release()
         assert len(leader.members.voters) == context.count - 1
         context.vm = vm
 
@@ -829,6 +859,7 @@
         vm = next(one for one in group.founders if one != leader.vm)
         await lose_disks(group, [vm])
         replica = group.replicas[vm]
+        hold_back(group, vm, is_stored=True)
         await wait_in_steps(
             group,
             lambda: (
@@ -965,6 +996,7 @@
             return await deliver(peer, message)
 
         handlers['replica.g.append'] = handle
+        release = hold_back(group, vm, is_stored=True)
         leader = group.leader()
         await wait_in_steps(
             group,
@@ -975,6 +1007,7 @@
             RECOVERY_SECONDS,
         )
         assert vm not in leader.members.voters
+        release()
 
     add_part(context, lose_promotion)
 
@@ -1233,6 +1266,55 @@
     add_part(context, wait_for_vote)
 
 
+@behave.when(
+    'the leader and all other voters but one lose their disks, and {who}'
+    ' finds that learner'
+)
+def plan_named_leader_lost(context, who):
+    async def lose(group):
+        leader, learner = group.leader().vm, context.vm
+        await wait_in_steps(
+            group,
+            lambda: group.replicas[learner].leader == leader,
+            RECOVERY_SECONDS,
+        )
+        context.leader = leader
+        # Each VM finds only the peers that it knows from its settings.
+        lost = [leader, *followers_without(group, learner)[:2]]
+        for vm in lost:
+            group.crash(vm)
+            group.lose_disk(vm)
+        finder = leader if who == 'the former leader' else lost[1]
+        if finder != leader:
+            group.network.cut([leader], [learner])
+        for vm in lost:
+            group.start(vm)
+
+    add_part(context, lose)
+
+
+def followers_without(group, learner):
+    return [vm for vm in followers(group) if vm != learner]
+
+
+@behave.then(
+    'that learner names no leader within {seconds:g} s, and no VM asks a lost'
+    ' one any more'
+)
+def check_lost_leader_forgotten(context, seconds):
+    async def check(group):
+        for part in context.parts:
+            await part(group)
+        learner = group.replicas[context.vm]
+        await wait_for(group, lambda: learner.leader is None, seconds)
+        group.network.calls.clear()
+        await group.advance(seconds)
+        assert learner.leader is None, learner.leader
+        assert group.network.calls['replica.g.join'] == 0, group.network.calls
+
+    play(context, check)
+
+
 def has_all_votes(group, vm):
     """Returns whether a VM counts itself and all others as voters."""
     replica = group.replicas[vm]
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -327,6 +327,8 @@
             f'{prefix}.export': self.on_export,
             f'{prefix}.step_down': self.on_step_down,
             # Peers of an earlier release do not know the following.
+            f'{prefix}.stands_no_more': self.on_stands_no_more,
+            f'{prefix}.lost_leader': self.on_lost_leader,
             f'{prefix}.leave': functools.partial(departure.on_leave, self),
             f'{prefix}.released': functools.partial(
                 departure.on_released, self
@@ -474,6 +476,7 @@
         async with self.lock_storage():
             if check.is_stale is None:
                 await self.record_boots()
+        self.forget_lost_leader(vm, incarnation)
         return {
             'incarnation': self.incarnation,
             'founders': list(self.storage.meta.founders),
@@ -637,6 +640,37 @@
         if term >= self.term:
             self.forget_leader(vm)
 
+    async def on_lost_leader(self, peer: str, message: list) -> None:
+        self.forget_lost_leader(*message)
+
+    def forget_lost_leader(self, vm: str, incarnation: str) -> None:
+        """Forgets the leader if its VM runs with another disk.
+
+        The election is due no later than if the leader was known, and in the
+        same order: without a leader the timeout is shorter, and all voters
+        that are silent for longer would campaign at once.
+
+        :param incarnation: that of the VM by its own word.
+        """
+        member = self.members.get(vm)
+        if (
+            self.leader == vm != self.vm
+            and member is not None
+            and member.incarnation != incarnation
+        ):
+            self.leader = None
+            timeouts = self.timeouts
+            self.last_contact_at = min(
+                self.timers.now(),
+                self.last_contact_at
+                + timeouts.election_seconds
+                - timeouts.heartbeat_seconds,
+            )
+
+    async def on_stands_no_more(self, peer: str, message: list) -> None:
+        (candidate,) = message
+        election.end_support(self, candidate)
+
     def forget_leader(self, vm: str) -> None:
         """Notes that a VM does not lead any more, if it was the leader.
 
