Show two outages of the rule that counts copies, known red

Cause, first test: a new leader counts the copies of the last change of the members among those common to the former and the new ones, also if it has stored that the change is committed. Two of these may be lost, and the VM that was admitted holds a copy and does not count. It leads for good and commits nothing.

Cause, second test: a voter with slow writes supports a candidate for three writes. A learner that cannot win stands each 1.5 s and renews it, so the voters neither stand nor grant their vote to another.

--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -325,6 +325,26 @@
       | holds the log     | two followers              | alone                     |
       | holds the log     | the leader and a follower  | and all others lose power |
 
+  @known_red
+  Scenario Outline: A new leader cannot commit the last admission again, since the copies that it counts are lost
+    Given a control group of 5 replicas
+    When two followers lose their disks, and <moment> that both are admitted
+    And the leader and the learner admitted first lose their disks <power>
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
+    Examples:
+      | moment           | power                     |
+      | the leader knows | and all others lose power |
+      | all know         | and all others lose power |
+
+  @known_red
+  Scenario: A learner that stands again and again keeps voters with slow disks from electing a leader
+    Given a control group of 5 replicas
+    When a follower loses its disk, and it has been admitted as all know
+    And the leader stops while the other voters sync in 0.6 s
+    Then a command is acknowledged within 12 s, and none is lost
+
   Scenario Outline: Half of <size> voters lose their disks
     Given a control group of <size> replicas
     When at once, <lost> lose their disks
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -1,5 +1,6 @@
 """Steps for changes of the members of a control group."""
 
+import dataclasses
 import functools
 import itertools
 
@@ -738,6 +739,8 @@
 # Voters that have lost their disks and are not voters again yet.
 
 STEP_SECONDS = 0.01
+# Of a busy, sound disk.
+SYNC_SECONDS = 0.05
 
 
 async def wait_in_steps(group, condition, seconds):
@@ -851,6 +854,103 @@
     add_part(context, lose_founders)
 
 
+@behave.when(
+    'two followers lose their disks, and {moment} that both are admitted'
+)
+def plan_two_learners(context, moment):
+    async def lose_two_disks(group):
+        leader = group.leader()
+        vms = followers(group)[-2:]
+        # Neither is promoted yet, as with slow disks.
+        kept = membership.next_members
+        membership.next_members = lambda view: kept(
+            dataclasses.replace(view, ready=frozenset())
+        )
+        try:
+            for vm in vms:
+                group.crash(vm)
+                group.lose_disk(vm)
+            for disk in group.disks.values():
+                disk.sync_seconds = SYNC_SECONDS
+            await group.advance(RESTART_SECONDS)
+            for vm in vms:
+                group.start(vm)
+            await wait_in_steps(
+                group,
+                lambda: (
+                    all(
+                        leader.is_current_member(
+                            vm, group.replicas[vm].incarnation
+                        )
+                        for vm in vms
+                    )
+                    and leader.members_index <= leader.commit_index
+                    and (
+                        moment == 'the leader knows' or all_know_members(group)
+                    )
+                ),
+                RECOVERY_SECONDS,
+            )
+        finally:
+            membership.next_members = kept
+        before = leader.members_at(leader.members_index - 1)
+        (context.vm,) = (
+            vm
+            for vm in vms
+            if before.get(vm).incarnation == leader.members.get(vm).incarnation
+        )
+        assert not {*vms} & {*leader.members.voters}
+
+    add_part(context, lose_two_disks)
+
+
+@behave.when(
+    'the leader and the learner admitted first lose their disks {power}'
+)
+def plan_copies_lost(context, power):
+    async def lose_copies(group):
+        lost = [group.leader().vm, context.vm]
+        stopped = lost if power == 'alone' else group.vms
+        for vm in stopped:
+            group.crash(vm)
+        for vm in lost:
+            group.lose_disk(vm)
+        await group.advance(RESTART_SECONDS)
+        for vm in stopped:
+            group.start(vm)
+
+    add_part(context, lose_copies)
+
+
+@behave.when(
+    'the leader stops while the other voters sync in {seconds:g} s'
+)
+def plan_slow_voters(context, seconds):
+    async def stop_leader(group):
+        # The learner is not promoted meanwhile.
+        kept = membership.next_members
+        membership.next_members = lambda view: kept(
+            dataclasses.replace(view, ready=frozenset())
+        )
+        try:
+            leader = group.leader()
+            for vm in leader.members.voters:
+                group.disks[vm].sync_seconds = seconds
+            before = len(group.acknowledged)
+            group.propose(leader.vm)
+            await wait_in_steps(
+                group,
+                lambda: len(group.acknowledged) > before,
+                RECOVERY_SECONDS,
+            )
+            await group.advance(1)
+            group.retire(group.leader().vm)
+        finally:
+            membership.next_members = kept
+
+    add_part(context, stop_leader)
+
+
 @behave.when('that learner is gone for {seconds:g} s')
 def plan_learner_gone(context, seconds):
     async def crash(group):
