--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -922,9 +922,7 @@
     add_part(context, lose_copies)
 
 
-@behave.when(
-    'the leader stops while the other voters sync in {seconds:g} s'
-)
+@behave.when('the leader stops while the other voters sync in {seconds:g} s')
 def plan_slow_voters(context, seconds):
     async def stop_leader(group):
         # The learner is not promoted meanwhile.
