Test two lost disks 4 s after two others were lost

On the two rows with syncs of 300 ms and the three direct ones fail: no command is acknowledged within 12 s, and the survivors count three or four voters of which two are empty. The rows with syncs up to 200 ms pass there.

--- a/features/fakes.py
+++ b/features/fakes.py
@@ -381,6 +381,8 @@
     """A replicated group in simulated time.
 
     It records the commands that were acknowledged to a client.
+
+    :ivar sync_seconds: duration of each write step on disks that are new.
     """
 
     def __init__(
@@ -410,6 +412,7 @@
         self.failures = {}
         self.votes = collections.defaultdict(set)
         self.proposed = 0
+        self.sync_seconds = 0.0
         self.tasks = None
 
     @contextlib.asynccontextmanager
@@ -493,6 +496,7 @@
 
     def lose_disk(self, vm):
         self.disks[vm] = FakeDisk(self.rng, self.timers)
+        self.disks[vm].sync_seconds = self.sync_seconds
 
     def add(self, vm):
         """Starts a VM with an empty disk at a new address."""
--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -338,6 +338,57 @@
       | 4    | the leader and the newest |
       | 4    | two followers             |
 
+  Scenario Outline: Two of five disks are lost 4 s after two others were back, with syncs of <sync> s
+    Given a control group of 5 replicas
+    And each sync takes <sync> s
+    When at once two followers lose their disks
+    And 4 s after their start a command is acknowledged
+    And at that moment the leader and a follower lose their disks <power>
+    Then a command is acknowledged within 12 s, and none is lost
+
+    Examples:
+      | sync  | power                     |
+      | 0.002 | alone                     |
+      | 0.002 | and all others lose power |
+      | 0.05  | alone                     |
+      | 0.05  | and all others lose power |
+      | 0.1   | alone                     |
+      | 0.1   | and all others lose power |
+      | 0.2   | alone                     |
+      | 0.2   | and all others lose power |
+
+    @known_red
+    Examples:
+      | sync  | power                     |
+      | 0.3   | alone                     |
+      | 0.3   | and all others lose power |
+
+  @known_red
+  Scenario Outline: Two of four voters lose their disks before a promotion is known to be committed
+    Given a control group of 5 replicas
+    When at once two followers lose their disks
+    And both are learners that hold the log
+    And one of them has just been promoted
+    And at that moment the leader and a follower lose their disks <power>
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
+    Examples:
+      | power                     |
+      | alone                     |
+      | and all others lose power |
+
+  @known_red
+  Scenario: Two of three voters lose their disks, and only a learner holds an acknowledged command
+    Given a control group of 5 replicas
+    When at once two followers lose their disks
+    And both are learners that hold the log
+    And only the leader, that learner and one more hold a command
+    And that command is acknowledged
+    And at that moment the leader and that one lose their disks
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
   Scenario: A learner that is gone for good keeps half of four voters without a leader
     Given a control group of 5 replicas
     When a follower loses its disk, and it has been admitted as all know
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -1,5 +1,6 @@
 """Steps for changes of the members of a control group."""
 
+import dataclasses
 import functools
 import itertools
 
@@ -496,6 +497,17 @@
         group.start(vm)
 
 
+async def lose_disks_with_power(group, vms):
+    """Has all VMs lose power, and some of them their disks."""
+    for vm in group.vms:
+        group.crash(vm)
+    for vm in vms:
+        group.lose_disk(vm)
+    await group.advance(RESTART_SECONDS)
+    for vm in group.vms:
+        group.start(vm)
+
+
 def add_part(context, part):
     if not hasattr(context, 'parts'):
         context.parts = []
@@ -597,17 +609,10 @@
 
 @behave.when('all machines lose power, and {which} their disks too')
 def plan_power_loss(context, which):
-    async def lose_power(group):
-        empty = choose(group, which)
-        for vm in group.vms:
-            group.crash(vm)
-        for vm in empty:
-            group.lose_disk(vm)
-        await group.advance(RESTART_SECONDS)
-        for vm in group.vms:
-            group.start(vm)
-
-    add_part(context, lose_power)
+    add_part(
+        context,
+        lambda group: lose_disks_with_power(group, choose(group, which)),
+    )
 
 
 @behave.when('the machine that was gone first returns with its old disk')
@@ -801,6 +806,107 @@
     add_part(context, lose_disk)
 
 
+def other_followers(context, group):
+    """Returns the followers but ``context.vm``, those with whole disks first.
+
+    ``context.vms`` are those whose disks were lost, if several were.
+    """
+    lost = getattr(context, 'vms', ())
+    others = [vm for vm in followers(group) if vm != context.vm]
+    return sorted(others, key=lambda vm: vm in lost)
+
+
+@behave.given('each sync takes {seconds:g} s')
+def set_sync_seconds(context, seconds):
+    async def slow_down(group):
+        group.sync_seconds = seconds
+        for disk in group.disks.values():
+            disk.sync_seconds = seconds
+
+    add_part(context, slow_down)
+
+
+@behave.when('at once two followers lose their disks')
+def plan_two_lost(context):
+    async def lose_two(group):
+        context.vms = followers(group)[:2]
+        context.vm = context.vms[0]
+        await lose_disks(group, context.vms)
+
+    add_part(context, lose_two)
+
+
+@behave.when('{seconds:g} s after their start a command is acknowledged')
+def plan_acknowledgement(context, seconds):
+    async def wait_for_acknowledgement(group):
+        await advance_with_load(group, seconds)
+        count = len(group.acknowledged)
+        propose_everywhere(group)
+        await wait_in_steps(
+            group, lambda: len(group.acknowledged) > count, RECOVERY_SECONDS
+        )
+
+    add_part(context, wait_for_acknowledgement)
+
+
+@behave.when('both are learners that hold the log')
+def plan_two_learners(context):
+    async def wait_for_admissions(group):
+        leader = group.leader()
+        describe_group = leader.describe_group
+        # Nobody is promoted before both are admitted.
+        leader.describe_group = lambda: dataclasses.replace(
+            describe_group(), ready=frozenset()
+        )
+        learners = [group.replicas[vm] for vm in context.vms]
+        await wait_in_steps(
+            group,
+            lambda: (
+                all_know_members(group)
+                and all(
+                    leader.is_current_member(one.vm, one.incarnation)
+                    and one.storage.last_index == leader.storage.last_index
+                    for one in learners
+                )
+            ),
+            RECOVERY_SECONDS,
+        )
+        assert not set(context.vms) & set(leader.members.voters)
+
+    add_part(context, wait_for_admissions)
+
+
+@behave.when('one of them has just been promoted')
+def plan_promotion(context):
+    async def wait_for_promotion(group):
+        leader = group.leader()
+        survivors = [context.vms[0], other_followers(context, group)[1]]
+        del leader.describe_group
+
+        def is_held():
+            return leader.members.get(context.vm).is_voter and all(
+                group.replicas[vm].members == leader.members
+                for vm in survivors
+            )
+
+        await wait_in_steps(group, is_held, RECOVERY_SECONDS)
+        assert not any(
+            group.replicas[vm].are_members_committed for vm in survivors
+        )
+        assert len(leader.members.voters) == 4
+
+    add_part(context, wait_for_promotion)
+
+
+@behave.when('that command is acknowledged')
+def plan_command_check(context):
+    async def check(group):
+        content = f'command {group.proposed}'.encode()
+        assert content in group.acknowledged, group.acknowledged
+
+    add_part(context, check)
+
+
 @behave.given('a control group of 3 founders and two VMs that joined')
 def set_founders(context):
     set_count(context, 3)
@@ -873,7 +979,7 @@
 def plan_half_lost(context, which):
     async def lose_half(group):
         leader = group.leader().vm
-        others = [vm for vm in followers(group) if vm != context.vm]
+        others = other_followers(context, group)
         await lose_disks(
             group,
             {
@@ -891,14 +997,8 @@
 def plan_half_lost_without_power(context, which):
     async def lose_half(group):
         leader = group.leader().vm
-        others = [vm for vm in followers(group) if vm != context.vm]
-        for vm in group.vms:
-            group.crash(vm)
-        for vm in (leader, others[0]):
-            group.lose_disk(vm)
-        await group.advance(RESTART_SECONDS)
-        for vm in group.vms:
-            group.start(vm)
+        others = other_followers(context, group)
+        await lose_disks_with_power(group, [leader, others[0]])
 
     assert which == 'the leader and a follower'
     add_part(context, lose_half)
@@ -983,7 +1083,7 @@
 def plan_command_of_three(context):
     async def propose(group):
         leader = group.leader().vm
-        others = [vm for vm in followers(group) if vm != context.vm]
+        others = other_followers(context, group)
         context.lost = [leader, others[0]]
         group.network.cut(others[1:], [*context.lost, context.vm])
         group.propose(leader)
