--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -323,8 +323,30 @@
       | has been admitted as all know | the leader and a follower  | and all others lose power |
       | holds the log     | the leader and a follower  | alone                     |
       | holds the log     | two followers              | alone                     |
+      | holds the log as all know | the leader and a follower  | and all others lose power |
+
+    Examples: A replica that has not stored that the admission is committed
+      | moment            | lost                       | power                     |
       | holds the log     | the leader and a follower  | and all others lose power |
 
+  Scenario Outline: A new leader cannot commit the last admission again, since the copies that it counts are lost
+    Given a control group of 5 replicas
+    When two followers lose their disks, and <moment> that both are admitted
+    And the leader and the learner admitted first lose their disks <power>
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
+    Examples:
+      | moment           | power                     |
+      | the leader knows | and all others lose power |
+      | all know         | and all others lose power |
+
+  Scenario: A learner that stands again and again keeps voters with slow disks from electing a leader
+    Given a control group of 5 replicas
+    When a follower loses its disk, and it has been admitted as all know
+    And the leader stops while the other voters sync in 0.6 s
+    Then a command is acknowledged within 12 s, and none is lost
+
   Scenario Outline: Half of <size> voters lose their disks
     Given a control group of <size> replicas
     When at once, <lost> lose their disks
@@ -338,6 +360,55 @@
       | 4    | the leader and the newest |
       | 4    | two followers             |
 
+  Scenario Outline: Two of five disks are lost 4 s after two others were back, with syncs of <sync> s
+    Given a control group of 5 replicas
+    And each sync takes <sync> s
+    When at once two followers lose their disks
+    And 4 s after their start a command is acknowledged
+    And at that moment the leader and a follower lose their disks <power>
+    Then a command is acknowledged within 12 s, and none is lost
+
+    Examples:
+      | sync  | power                     |
+      | 0.002 | alone                     |
+      | 0.002 | and all others lose power |
+      | 0.05  | alone                     |
+      | 0.05  | and all others lose power |
+      | 0.1   | alone                     |
+      | 0.1   | and all others lose power |
+      | 0.2   | alone                     |
+      | 0.2   | and all others lose power |
+
+    @known_red
+    Examples: Elections take several syncs
+      | sync  | power                     |
+      | 0.3   | alone                     |
+      | 0.3   | and all others lose power |
+
+  Scenario Outline: Two of four voters lose their disks before a promotion is known to be committed
+    Given a control group of 5 replicas
+    When at once two followers lose their disks
+    And both are learners that hold the log
+    And one of them has just been promoted
+    And at that moment the leader and a follower lose their disks <power>
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
+    Examples:
+      | power                     |
+      | alone                     |
+      | and all others lose power |
+
+  Scenario: Two of three voters lose their disks, and only a learner holds an acknowledged command
+    Given a control group of 5 replicas
+    When at once two followers lose their disks
+    And both are learners that hold the log
+    And only the leader, that learner and one more hold a command
+    And that command is acknowledged
+    And at that moment the leader and that one lose their disks
+    Then a command is acknowledged within 12 s, and none is lost
+    And all machines vote again
+
   Scenario: A learner that is gone for good keeps half of four voters without a leader
     Given a control group of 5 replicas
     When a follower loses its disk, and it has been admitted as all know
@@ -435,6 +506,36 @@
       | chunk |
       | reply |
 
+  Scenario Outline: VMs with empty disks wait for many syncs in a row, and vote too late
+    Given a control group of 5 replicas with the random numbers of seed <seed>
+    When <which> lose their disks at once while each sync takes <sync> s
+    Then they vote within <seconds> s of their start
+
+    Examples: half of the bound of 4 s, and the bound with slower disks
+      | which                     | sync | seconds | seed |
+      | two followers             | 0.1  | 2       | 1    |
+      | two followers             | 0.1  | 2       | 2    |
+      | two followers             | 0.1  | 2       | 3    |
+      | two followers             | 0.2  | 4       | 1    |
+      | two followers             | 0.2  | 4       | 2    |
+      | the leader and the newest | 0.1  | 4       | 1    |
+
+    @known_red
+    Examples: An election comes first, in which each step waits for syncs
+      | which                     | sync | seconds | seed |
+      | the leader and the newest | 0.2  | 4       | 1    |
+
+  Scenario Outline: A learner names a leader that has lost its disk, and empty VMs ask that one for good
+    Given a control group of 5 replicas
+    When a follower loses its disk, and it has been admitted
+    And the leader and all other voters but one lose their disks, and <who> finds that learner
+    Then that learner names no leader within 3 s, and no VM asks a lost one any more
+
+    Examples:
+      | who               |
+      | the former leader |
+      | another empty VM  |
+
   Scenario: A VM with an empty disk waits for a peer that does not answer
     Given a control group of 5 replicas
     When a follower loses its disk and starts again while another is silent
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -1,5 +1,6 @@
 """Steps for changes of the members of a control group."""
 
+import dataclasses
 import functools
 import itertools
 
@@ -496,6 +497,17 @@
         group.start(vm)
 
 
+async def lose_disks_with_power(group, vms):
+    """Has all VMs lose power, and some of them their disks."""
+    for vm in group.vms:
+        group.crash(vm)
+    for vm in vms:
+        group.lose_disk(vm)
+    await group.advance(RESTART_SECONDS)
+    for vm in group.vms:
+        group.start(vm)
+
+
 def add_part(context, part):
     if not hasattr(context, 'parts'):
         context.parts = []
@@ -597,17 +609,10 @@
 
 @behave.when('all machines lose power, and {which} their disks too')
 def plan_power_loss(context, which):
-    async def lose_power(group):
-        empty = choose(group, which)
-        for vm in group.vms:
-            group.crash(vm)
-        for vm in empty:
-            group.lose_disk(vm)
-        await group.advance(RESTART_SECONDS)
-        for vm in group.vms:
-            group.start(vm)
-
-    add_part(context, lose_power)
+    add_part(
+        context,
+        lambda group: lose_disks_with_power(group, choose(group, which)),
+    )
 
 
 @behave.when('the machine that was gone first returns with its old disk')
@@ -738,6 +743,8 @@
 # Voters that have lost their disks and are not voters again yet.
 
 STEP_SECONDS = 0.01
+# Of a busy, sound disk.
+SYNC_SECONDS = 0.05
 
 
 async def wait_in_steps(group, condition, seconds):
@@ -762,6 +769,28 @@
     )
 
 
+def hold_back(group, vm, is_stored):
+    """Delays the entries to a learner, or only its replies to them.
+
+    A learner with sound disks and links may else be promoted before all know
+    its admission.
+
+    :returns: a function that ends the delay.
+    """
+    released = anyio.Event()
+    handlers = group.network.handlers[vm]
+    deliver = handlers['replica.g.append']
+
+    async def handle(peer, message):
+        reply = await deliver(peer, message) if is_stored else None
+        if message[4]:
+            await released.wait()
+        return reply if is_stored else await deliver(peer, message)
+
+    handlers['replica.g.append'] = handle
+    return released.set
+
+
 @behave.when('a follower loses its disk, and it {moment}')
 def plan_learner(context, moment):
     async def lose_disk(group):
@@ -793,14 +822,127 @@
                 is_learner() and all_know_members(group)
             ),
             'holds the log': holds_log,
+            'holds the log as all know': lambda: (
+                holds_log() and all_know_members(group)
+            ),
         }
+        release = None
+        if moment.endswith('as all know'):
+            release = hold_back(group, vm, moment.startswith('holds'))
         await wait_in_steps(group, moments[moment], RECOVERY_SECONDS)
+        if release is not None:
+            release()
         assert len(leader.members.voters) == context.count - 1
         context.vm = vm
 
     add_part(context, lose_disk)
 
 
+def other_followers(context, group):
+    """Returns the followers but ``context.vm``, those with whole disks first.
+
+    ``context.vms`` are those whose disks were lost, if several were.
+    """
+    lost = getattr(context, 'vms', ())
+    others = [vm for vm in followers(group) if vm != context.vm]
+    return sorted(others, key=lambda vm: vm in lost)
+
+
+@behave.given('each sync takes {seconds:g} s')
+def set_sync_seconds(context, seconds):
+    async def slow_down(group):
+        group.sync_seconds = seconds
+        for disk in group.disks.values():
+            disk.sync_seconds = seconds
+
+    add_part(context, slow_down)
+
+
+@behave.when('at once two followers lose their disks')
+def plan_two_lost(context):
+    async def lose_two(group):
+        context.vms = followers(group)[:2]
+        context.vm = context.vms[0]
+        await lose_disks(group, context.vms)
+
+    add_part(context, lose_two)
+
+
+@behave.when('{seconds:g} s after their start a command is acknowledged')
+def plan_acknowledgement(context, seconds):
+    async def wait_for_acknowledgement(group):
+        await advance_with_load(group, seconds)
+        count = len(group.acknowledged)
+        propose_everywhere(group)
+        await wait_in_steps(
+            group, lambda: len(group.acknowledged) > count, RECOVERY_SECONDS
+        )
+
+    add_part(context, wait_for_acknowledgement)
+
+
+@behave.when('both are learners that hold the log')
+def plan_two_learners(context):
+    async def wait_for_admissions(group):
+        leader = group.leader()
+        describe_group = leader.describe_group
+        # Nobody is promoted before both are admitted.
+        leader.describe_group = lambda: dataclasses.replace(
+            describe_group(), ready=frozenset()
+        )
+        learners = [group.replicas[vm] for vm in context.vms]
+        await wait_in_steps(
+            group,
+            lambda: (
+                all_know_members(group)
+                and all(
+                    leader.is_current_member(one.vm, one.incarnation)
+                    and one.storage.last_index == leader.storage.last_index
+                    for one in learners
+                )
+            ),
+            RECOVERY_SECONDS,
+        )
+        assert not set(context.vms) & set(leader.members.voters)
+
+    add_part(context, wait_for_admissions)
+
+
+@behave.when('one of them has just been promoted')
+def plan_promotion(context):
+    async def wait_for_promotion(group):
+        leader = group.leader()
+        survivors = [context.vms[0], other_followers(context, group)[1]]
+        describe_group = replicas.Replica.describe_group
+        # The other one is not promoted next.
+        leader.describe_group = lambda: dataclasses.replace(
+            describe_group(leader), ready=frozenset([context.vm])
+        )
+
+        def is_held():
+            return leader.members.get(context.vm).is_voter and all(
+                group.replicas[vm].members == leader.members
+                for vm in survivors
+            )
+
+        await wait_in_steps(group, is_held, RECOVERY_SECONDS)
+        assert not any(
+            group.replicas[vm].are_members_committed for vm in survivors
+        )
+        assert len(leader.members.voters) == 4
+
+    add_part(context, wait_for_promotion)
+
+
+@behave.when('that command is acknowledged')
+def plan_command_check(context):
+    async def check(group):
+        content = f'command {group.proposed}'.encode()
+        assert content in group.acknowledged, group.acknowledged
+
+    add_part(context, check)
+
+
 @behave.given('a control group of 3 founders and two VMs that joined')
 def set_founders(context):
     set_count(context, 3)
@@ -829,6 +971,7 @@
         vm = next(one for one in group.founders if one != leader.vm)
         await lose_disks(group, [vm])
         replica = group.replicas[vm]
+        hold_back(group, vm, is_stored=True)
         await wait_in_steps(
             group,
             lambda: (
@@ -851,6 +994,101 @@
     add_part(context, lose_founders)
 
 
+@behave.when(
+    'two followers lose their disks, and {moment} that both are admitted'
+)
+def plan_admissions(context, moment):
+    async def lose_two_disks(group):
+        leader = group.leader()
+        vms = followers(group)[-2:]
+        # Neither is promoted yet, as with slow disks.
+        kept = membership.next_members
+        membership.next_members = lambda view: kept(
+            dataclasses.replace(view, ready=frozenset())
+        )
+        try:
+            for vm in vms:
+                group.crash(vm)
+                group.lose_disk(vm)
+            for disk in group.disks.values():
+                disk.sync_seconds = SYNC_SECONDS
+            await group.advance(RESTART_SECONDS)
+            for vm in vms:
+                group.start(vm)
+            await wait_in_steps(
+                group,
+                lambda: (
+                    all(
+                        leader.is_current_member(
+                            vm, group.replicas[vm].incarnation
+                        )
+                        for vm in vms
+                    )
+                    and leader.members_index <= leader.commit_index
+                    and (
+                        moment == 'the leader knows' or all_know_members(group)
+                    )
+                ),
+                RECOVERY_SECONDS,
+            )
+        finally:
+            membership.next_members = kept
+        before = leader.members_at(leader.members_index - 1)
+        (context.vm,) = (
+            vm
+            for vm in vms
+            if before.get(vm).incarnation == leader.members.get(vm).incarnation
+        )
+        assert not {*vms} & {*leader.members.voters}
+
+    add_part(context, lose_two_disks)
+
+
+@behave.when(
+    'the leader and the learner admitted first lose their disks {power}'
+)
+def plan_copies_lost(context, power):
+    async def lose_copies(group):
+        lost = [group.leader().vm, context.vm]
+        stopped = lost if power == 'alone' else group.vms
+        for vm in stopped:
+            group.crash(vm)
+        for vm in lost:
+            group.lose_disk(vm)
+        await group.advance(RESTART_SECONDS)
+        for vm in stopped:
+            group.start(vm)
+
+    add_part(context, lose_copies)
+
+
+@behave.when('the leader stops while the other voters sync in {seconds:g} s')
+def plan_slow_voters(context, seconds):
+    async def stop_leader(group):
+        # The learner is not promoted meanwhile.
+        kept = membership.next_members
+        membership.next_members = lambda view: kept(
+            dataclasses.replace(view, ready=frozenset())
+        )
+        try:
+            leader = group.leader()
+            for vm in leader.members.voters:
+                group.disks[vm].sync_seconds = seconds
+            before = len(group.acknowledged)
+            group.propose(leader.vm)
+            await wait_in_steps(
+                group,
+                lambda: len(group.acknowledged) > before,
+                RECOVERY_SECONDS,
+            )
+            await group.advance(1)
+            group.retire(group.leader().vm)
+        finally:
+            membership.next_members = kept
+
+    add_part(context, stop_leader)
+
+
 @behave.when('that learner is gone for {seconds:g} s')
 def plan_learner_gone(context, seconds):
     async def crash(group):
@@ -873,7 +1111,7 @@
 def plan_half_lost(context, which):
     async def lose_half(group):
         leader = group.leader().vm
-        others = [vm for vm in followers(group) if vm != context.vm]
+        others = other_followers(context, group)
         await lose_disks(
             group,
             {
@@ -891,14 +1129,8 @@
 def plan_half_lost_without_power(context, which):
     async def lose_half(group):
         leader = group.leader().vm
-        others = [vm for vm in followers(group) if vm != context.vm]
-        for vm in group.vms:
-            group.crash(vm)
-        for vm in (leader, others[0]):
-            group.lose_disk(vm)
-        await group.advance(RESTART_SECONDS)
-        for vm in group.vms:
-            group.start(vm)
+        others = other_followers(context, group)
+        await lose_disks_with_power(group, [leader, others[0]])
 
     assert which == 'the leader and a follower'
     add_part(context, lose_half)
@@ -965,6 +1197,7 @@
             return await deliver(peer, message)
 
         handlers['replica.g.append'] = handle
+        release = hold_back(group, vm, is_stored=True)
         leader = group.leader()
         await wait_in_steps(
             group,
@@ -975,6 +1208,7 @@
             RECOVERY_SECONDS,
         )
         assert vm not in leader.members.voters
+        release()
 
     add_part(context, lose_promotion)
 
@@ -983,7 +1217,7 @@
 def plan_command_of_three(context):
     async def propose(group):
         leader = group.leader().vm
-        others = [vm for vm in followers(group) if vm != context.vm]
+        others = other_followers(context, group)
         context.lost = [leader, others[0]]
         group.network.cut(others[1:], [*context.lost, context.vm])
         group.propose(leader)
@@ -1233,6 +1467,101 @@
     add_part(context, wait_for_vote)
 
 
+@behave.when(
+    'the leader and all other voters but one lose their disks, and {who}'
+    ' finds that learner'
+)
+def plan_named_leader_lost(context, who):
+    async def lose(group):
+        leader, learner = group.leader().vm, context.vm
+        await wait_in_steps(
+            group,
+            lambda: group.replicas[learner].leader == leader,
+            RECOVERY_SECONDS,
+        )
+        context.leader = leader
+        # Each VM finds only the peers that it knows from its settings.
+        lost = [leader, *followers_without(group, learner)[:2]]
+        for vm in lost:
+            group.crash(vm)
+            group.lose_disk(vm)
+        finder = leader if who == 'the former leader' else lost[1]
+        if finder != leader:
+            group.network.cut([leader], [learner])
+        for vm in lost:
+            group.start(vm)
+
+    add_part(context, lose)
+
+
+def followers_without(group, learner):
+    return [vm for vm in followers(group) if vm != learner]
+
+
+@behave.then(
+    'that learner names no leader within {seconds:g} s, and no VM asks a lost'
+    ' one any more'
+)
+def check_lost_leader_forgotten(context, seconds):
+    async def check(group):
+        for part in context.parts:
+            await part(group)
+        learner = group.replicas[context.vm]
+        await wait_for(group, lambda: learner.leader is None, seconds)
+        group.network.calls.clear()
+        await group.advance(seconds)
+        assert learner.leader is None, learner.leader
+        assert group.network.calls['replica.g.join'] == 0, group.network.calls
+
+    play(context, check)
+
+
+def has_all_votes(group, vm):
+    """Returns whether a VM counts itself and all others as voters."""
+    replica = group.replicas[vm]
+    return replica.members.voters == sorted(
+        group.vms
+    ) and replica.is_current_member(vm, replica.incarnation)
+
+
+@behave.when(
+    '{which} lose their disks at once while each sync takes {seconds:g} s'
+)
+def plan_slow_syncs(context, which, seconds):
+    def slow_down(group, vms):
+        for vm in vms:
+            group.disks[vm].sync_seconds = seconds
+            group.disks[vm].syncs_folder = True
+
+    async def lose_at_once(group):
+        slow_down(group, group.vms)
+        context.vms = choose(group, which)
+        for vm in context.vms:
+            group.crash(vm)
+            group.lose_disk(vm)
+        slow_down(group, context.vms)
+        await advance_with_load(group, RESTART_SECONDS)
+        for vm in context.vms:
+            group.start(vm)
+
+    add_part(context, lose_at_once)
+
+
+@behave.then('they vote within {seconds:g} s of their start')
+def check_votes_after_start(context, seconds):
+    async def check(group):
+        for part in context.parts:
+            await part(group)
+        await wait_in_steps(
+            group,
+            lambda: all(has_all_votes(group, vm) for vm in context.vms),
+            seconds,
+        )
+        await check_recovery(group)
+
+    play(context, check)
+
+
 @behave.when(
     'a follower loses its disk and starts again while another is silent'
 )
@@ -1285,12 +1614,14 @@
         await context.play(group)
         leader = group.leader()
         assert status.missing_voters(leader) == 1
+        assert status.copies(leader) == 4
         await wait_in_steps(
             group,
             lambda: context.vm in leader.members.voters,
             RECOVERY_SECONDS,
         )
         assert status.missing_voters(leader) == 0
+        assert status.copies(leader) == 5
         assert status.waiting_learners(leader) == {}
 
     play(context, check)
--- a/src/greengagegw/platform/control_role.py
+++ b/src/greengagegw/platform/control_role.py
@@ -79,6 +79,11 @@
         'Members of the control group that should vote and do not',
         lambda: status.missing_voters(replica),
     )
+    add_gauge(
+        'greengagegw_replica_copies',
+        'Members that hold all committed entries, if this VM leads',
+        lambda: status.copies(replica),
+    )
     add_gauge(
         'greengagegw_replica_longest_learner_seconds',
         'Seconds for which a member has been waiting for its vote',
@@ -151,6 +156,7 @@
         may_bootstrap=settings.is_first_start,
         min_voters=2 * settings.max_lost_disks + 1,
         timeouts=timing.CONTROL_TIMEOUTS,
+        max_lost_disks=settings.max_lost_disks,
     )
     list_client = instance_list.InstanceListClient(
         settings.instance_list_endpoint, timers, process.ssl_context
--- a/src/greengagegw/replication/log_replication.py
+++ b/src/greengagegw/replication/log_replication.py
@@ -13,9 +13,6 @@
 if typing.TYPE_CHECKING:
     from . import replica as replicas
 
-# A VM and its incarnation.
-MemberId = tuple[str, str]
-
 # Sizes of the entries in a message and of a chunk of a snapshot. A slow link
 # must carry the smallest one, and a heartbeat, within the time of a call.
 FIRST_MESSAGE_BYTES = 64 * 1024
@@ -85,7 +82,9 @@
         self.offset = 0
 
 
-def other_members(replica: 'replicas.Replica') -> set[MemberId]:
+def other_members(
+    replica: 'replicas.Replica',
+) -> set[log_entries.MemberId]:
     return {
         (member.vm, member.incarnation)
         for member in replica.members.members
@@ -94,12 +93,14 @@
 
 
 async def replicate(
-    replica: 'replicas.Replica', vm: str, incarnation: str
+    replica: 'replicas.Replica', vm: str, incarnation: str, next_index: int
 ) -> None:
-    """Replicates the log to one member while this replica leads."""
-    next_index = replica.storage.last_index + 1
+    """Replicates the log to one member while this replica leads.
+
+    :param next_index: of the entry that the member is thought to need first.
+    """
     size = MessageSize()
-    sent = SentEntries(replica.storage.last_index)
+    sent = SentEntries(next_index - 1)
     transfer = SnapshotTransfer()
     while replica.is_leader and replica.is_current_member(vm, incarnation):
         try:
@@ -279,7 +280,8 @@
             snapshot.members.pack(),
             offset,
             snapshot.state[offset:end],
-            end >= total,
+            # Earlier releases only read whether it is the last chunk.
+            1 + snapshot.survivable_losses if end >= total else 0,
         ]
         sent_at = replica.timers.now()
         term, accepted = await replica.call_peer(
--- a/src/greengagegw/replication/replica.py
+++ b/src/greengagegw/replication/replica.py
@@ -45,6 +45,9 @@
 # A new leader gives the voters this many heartbeats to reply.
 FIRST_REPLY_HEARTBEATS = 2
 STATE_POLL_SECONDS = 0.02
+# A VM that asks to be admitted waits this long for the change before it. Its
+# own change must fit into the rest of the time of its call.
+ADMISSION_WAIT_SECONDS = 0.4
 # Why a vote is refused, see `find_refusal`.
 SHORTER_LOG = 'shorter log'
 # Bounds the log lines and errors on malformed commands and replies.
@@ -137,6 +140,9 @@
         replaces a lost one.
     :param min_voters: number of voters at or below which unreachable voters
         are only exchanged for learners, not removed.
+    :param max_lost_disks: number of disks that may be lost at once without the
+        loss of a committed entry; None for what a majority of the founders
+        survives.
     """
 
     def __init__(
@@ -153,8 +159,12 @@
         may_bootstrap: bool = True,
         min_voters: int = MAX_MEMBERS,
         timeouts: timing.Timeouts = DEFAULT_TIMEOUTS,
+        max_lost_disks: int | None = None,
     ) -> None:
         self.timeouts = timeouts
+        if max_lost_disks is None:
+            max_lost_disks = membership.votes_needed(len(founders)) - 1
+        self.max_lost_disks = max_lost_disks
         self.memory_replicas = memory_replicas
         self.may_bootstrap = may_bootstrap
         self.min_voters = min_voters
@@ -190,6 +200,10 @@
         self.is_leaving = False
         self.leaving: dict[str, float] = {}
         self.last_votes: dict[str, list[str]] = {}
+        # Members that granted their vote in the last campaign, and the
+        # incarnations of other disks that replied to it.
+        self.granted_ids: frozenset[log_entries.MemberId] = frozenset()
+        self.new_incarnations: dict[str, str] = {}
         self.contact_times: dict[str, float] = {}
         self.match_index: dict[str, int] = {}
         self.sent_commit_index: dict[str, int] = {}
@@ -218,6 +232,9 @@
         # Bytes of the entries that a member has not replied to.
         self.unanswered_bytes: dict[str, int] = {}
         self.storage_lock = anyio.Lock()
+        self.is_saving_members = False
+        # Whether an empty replica has asked a leader to admit it.
+        self.is_joining = False
         self.incoming_snapshot: IncomingSnapshot | None = None
         self.failure: errors.StorageError | None = None
         self.disk_failed = anyio.Event()
@@ -266,7 +283,8 @@
         """Holds the storage lock and shields the body from cancellation.
 
         Every access to the disk is made under this lock, so that this is the
-        one place at which a failure of the disk is found.
+        one place at which a failure of the disk is found. The one exception
+        is `save_committed_members`, which raises a failure here again.
 
         :raises DiskFailedError: if the disk fails in the body, or has failed
             and has not recovered; the replica does not take part then.
@@ -286,9 +304,11 @@
 
     def note_write(self, started_at: float) -> None:
         now = self.timers.now()
-        if now - started_at >= election.SLOW_WRITE_SECONDS:
+        if now - started_at >= election.SUPPORTED_WRITE_SECONDS:
             self.slow_write_seconds = now - started_at
-            self.slow_write_at = self.disk_fault_at = now
+            self.slow_write_at = now
+        if now - started_at >= election.SLOW_WRITE_SECONDS:
+            self.disk_fault_at = now
 
     def require_sound_disk(self) -> None:
         if self.failure is not None:
@@ -307,6 +327,8 @@
             f'{prefix}.export': self.on_export,
             f'{prefix}.step_down': self.on_step_down,
             # Peers of an earlier release do not know the following.
+            f'{prefix}.stands_no_more': self.on_stands_no_more,
+            f'{prefix}.lost_leader': self.on_lost_leader,
             f'{prefix}.leave': functools.partial(departure.on_leave, self),
             f'{prefix}.released': functools.partial(
                 departure.on_released, self
@@ -454,6 +476,7 @@
         async with self.lock_storage():
             if check.is_stale is None:
                 await self.record_boots()
+        self.forget_lost_leader(vm, incarnation)
         return {
             'incarnation': self.incarnation,
             'founders': list(self.storage.meta.founders),
@@ -481,6 +504,10 @@
         the last ones would else come after as many writes. Records of older
         incarnations of a VM are dropped, since these never become members
         again.
+
+        The first start of an incarnation is not stored. Each later start
+        reports a higher count, so that record could never show an old disk,
+        and a VM with an empty disk would wait for its write.
         """
         checks, self.boot_checks = self.boot_checks, []
         known = {one.vm: one for one in self.storage.meta.seen_boots}
@@ -492,6 +519,9 @@
                 old = None
             is_other = old is not None and old.session != seen.session
             results.append(is_other and old.boots >= seen.boots)
+            is_first_start = old is None and seen.boots <= 1
+            if is_first_start:
+                continue
             if old is None or seen.boots > old.boots:
                 known.pop(seen.vm, None)
                 known[seen.vm] = seen
@@ -505,9 +535,14 @@
         vm, incarnation = message
         _require_texts('join', vm, incarnation)
         self.require_leader()
-        self.require_settled_members()
+        # The commit of its admission may need the copy that it will hold.
         if self.is_current_member(vm, incarnation):
             return
+        await self.wait_for_settled_members()
+        self.require_leader()
+        if self.is_current_member(vm, incarnation):
+            return
+        self.require_settled_members()
         known = self.members.get(vm)
         if known is None and len(self.members.members) >= MAX_MEMBERS:
             raise errors.ReplicationError(
@@ -540,6 +575,17 @@
             self.commit_index,
         )
 
+    async def wait_for_settled_members(self) -> None:
+        """Waits for a change under way, as by another VM that joins."""
+        deadline = self.timers.now() + ADMISSION_WAIT_SECONDS
+        while (
+            self.is_leader
+            and self.is_caught_up
+            and not self.is_membership_settled
+            and self.timers.now() < deadline
+        ):
+            await self.timers.sleep(STATE_POLL_SECONDS)
+
     def require_settled_members(self) -> None:
         if not self.is_membership_settled:
             raise errors.ReplicationError(
@@ -594,6 +640,37 @@
         if term >= self.term:
             self.forget_leader(vm)
 
+    async def on_lost_leader(self, peer: str, message: list) -> None:
+        self.forget_lost_leader(*message)
+
+    def forget_lost_leader(self, vm: str, incarnation: str) -> None:
+        """Forgets the leader if its VM runs with another disk.
+
+        The election is due no later than if the leader was known, and in the
+        same order: without a leader the timeout is shorter, and all voters
+        that are silent for longer would campaign at once.
+
+        :param incarnation: that of the VM by its own word.
+        """
+        member = self.members.get(vm)
+        if (
+            self.leader == vm != self.vm
+            and member is not None
+            and member.incarnation != incarnation
+        ):
+            self.leader = None
+            timeouts = self.timeouts
+            self.last_contact_at = min(
+                self.timers.now(),
+                self.last_contact_at
+                + timeouts.election_seconds
+                - timeouts.heartbeat_seconds,
+            )
+
+    async def on_stands_no_more(self, peer: str, message: list) -> None:
+        (candidate,) = message
+        election.end_support(self, candidate)
+
     def forget_leader(self, vm: str) -> None:
         """Notes that a VM does not lead any more, if it was the leader.
 
@@ -687,9 +764,7 @@
         if self.vm in self.memory_replicas or not is_member:
             await startup.rejoin_if_not_member(self)
             return False
-        own_member = self.members.get(self.vm)
-        if own_member is None or not own_member.is_voter:
-            return False
+        # A learner may hold the only copy that is left of an entry.
         timeout = election.election_timeout_seconds(self, jitter)
         if self.timers.now() - election.quiet_since(self) < timeout:
             return False
@@ -738,7 +813,8 @@
         if self.role in (roles.Role.STARTING, roles.Role.FAILED):
             self.note_peer(peer)
             self.log_refused_vote(candidate, term, self.role.value)
-            return [self.term, False, '']
+            # The incarnation tells whether the disk of this VM was lost.
+            return [self.term, False, self.incarnation]
         candidacy = (term, candidate, incarnation, last_index, last_term)
         if is_pre_vote and self.has_short_write():
             # It promises nothing, so it need not wait for the write.
@@ -776,9 +852,10 @@
         )
         if refusal is None and election.supports_other(self, candidate):
             refusal = f'supports {self.supported_candidate}'
-        if refusal is None:
+        # A learner cannot win by a majority, so that others need not wait.
+        if refusal is None and candidate in self.members.voters:
             election.support(self, candidate)
-        else:
+        if refusal is not None:
             self.log_refused_vote(candidate, term, refusal)
         return [self.term, refusal is None, self.incarnation]
 
@@ -828,14 +905,17 @@
         """Becomes the leader and starts replicating to the members.
 
         :param members: with which the first entry of its term replaces the
-            current ones; None to keep them.
+            current ones; None to keep them. All its voters must hold that
+            entry to commit it.
         """
         self.role = roles.Role.LEADER
         self.leader = self.vm
         now = self.timers.now()
         self.led_since = now
         self.leaving = {}
-        self.contact_times = {vm: now for vm in self.members.voters}
+        # Whose disk is lost counts as silent only later, like all others.
+        voters = {*self.members.voters, *(members or self.members).voters}
+        self.contact_times = dict.fromkeys(voters, now)
         if self.last_leader in self.contact_times:
             # It may be lost, which must not be noticed later than the loss of
             # a follower is.
@@ -852,11 +932,20 @@
         eliot.log_message('replica:lead', group=self.group, term=self.term)
         self.leader_scope = anyio.CancelScope()
         self.tasks.start_soon(self.replicate_to_members, self.leader_scope)
-        if members is None:
-            self.queue_proposal(b'', log_entries.EntryKind.NOOP)
-            return
-        self.member_change = self.queue_proposal(
-            _pack_members(members), log_entries.EntryKind.MEMBERSHIP
+        if members is not None:
+            self.member_change = self.queue_proposal(
+                _pack_members(members), log_entries.EntryKind.MEMBERSHIP
+            )
+        self.announce_survivable_losses()
+
+    def announce_survivable_losses(self) -> None:
+        """Writes how many lost disks the entries of this term survive.
+
+        A leader of an earlier release writes nothing and commits with a
+        majority of the voters, however few these are.
+        """
+        self.queue_proposal(
+            msgpack.packb(self.max_lost_disks), log_entries.EntryKind.NOOP
         )
 
     async def replicate_to_members(self, scope: anyio.CancelScope) -> None:
@@ -864,16 +953,22 @@
         with scope:
             async with anyio.create_task_group() as tasks:
                 running: set[log_replication.MemberId] = set()
+                # Whoever is admitted later has an empty log.
+                next_index = self.storage.last_index + 1
                 while True:
                     members = log_replication.other_members(self)
                     for member in sorted(members - running):
                         tasks.start_soon(
-                            log_replication.replicate, self, *member
+                            log_replication.replicate,
+                            self,
+                            *member,
+                            next_index,
                         )
                         tasks.start_soon(
                             log_replication.send_heartbeats, self, *member
                         )
                     running = members
+                    next_index = max(1, self.storage.base_index)
                     with self.timers.move_on_after(
                         self.timeouts.heartbeat_seconds
                     ):
@@ -1099,28 +1194,27 @@
         self.replication_wanted = anyio.Event()
 
     def advance_commit_index(self) -> None:
-        """Commits the entries that a majority holds.
+        """Commits the entries that enough disks hold.
 
         Entries of earlier terms are committed only along with one of this
         term.
         """
         if not self.is_leader:
             return
-        held = {vm: self.match_index.get(vm, 0) for vm in self.members.voters}
-        held[self.vm] = self.storage.last_index
-        if self.members_index > self.commit_index:
-            # A learner that does not hold its promotion yet may confirm
-            # members without it in an election by half of the voters.
-            former = self.members_at(self.members_index - 1).voters
-            held = {
-                vm: index if vm in former or index >= self.members_index else 0
-                for vm, index in held.items()
-            }
-        match_indexes = sorted(
-            (held[vm] for vm in self.members.voters), reverse=True
+        former = None
+        if not self.are_members_committed:
+            former = self.disk_members(self.members_at(self.members_index - 1))
+        index = min(
+            membership.committed_index(
+                self.disk_members(self.members),
+                former,
+                self.members_index,
+                self.is_recovery(self.members_index),
+                {**self.match_index, self.vm: self.storage.last_index},
+                self.max_lost_disks,
+            ),
+            log_replication.memory_replicated_index(self),
         )
-        index = match_indexes[len(match_indexes) // 2] if match_indexes else 0
-        index = min(index, log_replication.memory_replicated_index(self))
         if index <= self.commit_index:
             return
         if self.storage.term_at(index) == self.term:
@@ -1157,7 +1251,8 @@
             # be stored.
             self.leader, self.leader_heard_at = leader, self.timers.now()
         self.note_peer(peer)
-        self.require_started()
+        if not self.is_joining:
+            self.require_started()
         if not packed_entries and self.can_confirm(
             term, previous_index, previous_term
         ):
@@ -1167,7 +1262,10 @@
             rejection = [self.term, False, 0, self.incarnation]
             if term < self.term:
                 return rejection
-            await self.accept_leader(term, leader)
+            if self.is_starting:
+                await self.accept_leader_of_admission(term, leader)
+            else:
+                await self.accept_leader(term, leader)
             added = [log_entries.Entry.unpack(one) for one in packed_entries]
             is_consistent = self.holds(previous_index, previous_term)
             # A leader of an earlier release may send entries with a gap if
@@ -1229,6 +1327,16 @@
             self.become_follower()
         self.note_leader(leader)
 
+    async def accept_leader_of_admission(self, term: int, leader: str) -> None:
+        """Stores the term of a leader that this replica asks to admit it.
+
+        It still takes part only after its admission; what it acknowledges is
+        stored, and counts for its new incarnation only.
+        """
+        if term > self.term:
+            await self.storage.save_meta(term=term, voted_for='')
+        self.note_leader(leader)
+
     def note_leader(self, leader: str) -> None:
         """Records a message of the leader of the current term."""
         self.last_leader = leader
@@ -1255,9 +1363,11 @@
             self.refresh_members()
 
     async def on_snapshot(self, peer: str, message: list) -> list:
-        term, leader, index, snapshot_term, members, offset, chunk, is_last = (
+        term, leader, index, snapshot_term, members, offset, chunk, end = (
             message
         )
+        # An earlier release sends True.
+        is_last = bool(end)
         self.require_started()
         async with self.lock_storage():
             if term < self.term:
@@ -1279,6 +1389,7 @@
                     snapshot_term,
                     log_entries.Members.unpack(members),
                     bytes(incoming.content),
+                    int(end) - 1,
                 )
                 await self.storage.install_snapshot(snapshot)
                 if is_lost:
@@ -1305,6 +1416,7 @@
                 outcome, failure = self.apply_command(entry)
             elif entry.kind is log_entries.EntryKind.MEMBERSHIP:
                 self.start_saving_members()
+                self.members_check_wanted.set()
             self.applied_index = index
             proposal = self.pending_proposals.pop(index, None)
             if proposal is None:
@@ -1324,24 +1436,139 @@
             self.tasks.start_soon(self.save_committed_members)
 
     async def save_committed_members(self) -> None:
-        """Remembers over a restart that the members are committed."""
-        # A failure of the disk is logged where it is found.
-        with contextlib.suppress(errors.DiskFailedError):
-            async with self.lock_storage():
-                index = self.members_index
-                if self.storage.base_index < index <= self.commit_index:
-                    await self.storage.save_committed_members(index)
+        """Remembers over a restart that the members are committed.
+
+        The file is written beside the log, without the storage lock, so that
+        the next entry does not wait for it. What it states, that the entry of
+        an index and a term is committed, stays true whatever else is written.
+        One task writes it until it states the newest change.
+        """
+        if self.is_saving_members:
+            return
+        self.is_saving_members = True
+        try:
+            while self.failure is None and self.has_unsaved_members():
+                try:
+                    with anyio.CancelScope(shield=True):
+                        await self.storage.save_committed_members(
+                            self.members_index
+                        )
+                except errors.DiskFailedError as error:
+                    # A failure is handled and logged under the lock.
+                    with contextlib.suppress(errors.DiskFailedError):
+                        async with self.lock_storage():
+                            raise error
+        finally:
+            self.is_saving_members = False
+
+    def has_unsaved_members(self) -> bool:
+        """Returns whether the newest members are committed and not saved."""
+        index = self.members_index
+        return (
+            self.storage.base_index < index <= self.commit_index
+            and self.storage.committed_members
+            != (index, self.storage.term_at(index))
+        )
 
     @property
     def are_members_committed(self) -> bool:
         """Whether the newest members are known to be committed."""
+        return self.is_change_committed(self.members_index)
+
+    def is_change_committed(self, index: int) -> bool:
+        """Returns whether a change of the members is known to be committed.
+
+        What was committed before a restart is known for the last change only.
+        """
+        stored_index, stored_term = self.storage.committed_members
+        return self.commit_index >= index or (
+            stored_index >= index
+            and self.storage.term_at(stored_index) == stored_term
+        )
+
+    def is_recovery(self, index: int) -> bool:
+        """Returns whether a change of the members replaced all lost voters.
+
+        That is the first entry of a term, and no other change is.
+        """
+        return index > self.storage.base_index and (
+            self.storage.term_at(index - 1) != self.storage.term_at(index)
+        )
+
+    def is_quorum(self, vms: set[str]) -> bool:
+        """Returns whether the votes of these VMs elect a voter.
+
+        Members that replaced all lost voters are known to any two voters only
+        once they are committed. Until then all voters are needed.
+        """
+        if self.are_members_committed or not self.is_recovery(
+            self.members_index
+        ):
+            return self.members.is_majority(vms)
+        return vms.issuperset(self.members.voters)
+
+    def members_in_force(self) -> list[log_entries.Members]:
+        """Returns the newest members, and earlier ones that may be in force.
+
+        A change is proposed only when the one before is committed, except by a
+        leader that was elected by a recovery.
+        """
+        found = [self.disk_members(self.members)]
         index = self.members_index
-        return (
-            self.commit_index >= index
-            or self.storage.committed_members
-            == (index, self.storage.term_at(index))
+        while not self.is_change_committed(index):
+            was_recovery = self.is_recovery(index)
+            index = self.change_before(index)
+            found.append(self.disk_members(self.members_at(index)))
+            if not was_recovery:
+                break
+        return found
+
+    def ids_in_force(self) -> frozenset[log_entries.MemberId]:
+        return frozenset().union(*(one.ids for one in self.members_in_force()))
+
+    def change_before(self, index: int) -> int:
+        """Returns the index of the last change of the members before one."""
+        return max(
+            (
+                one.index
+                for one in self.storage.entries
+                if one.index < index
+                and one.kind is log_entries.EntryKind.MEMBERSHIP
+            ),
+            default=self.storage.base_index,
         )
 
+    def disk_members(
+        self, members: log_entries.Members
+    ) -> log_entries.Members:
+        """Returns the members that have a disk."""
+        for vm in self.memory_replicas:
+            members = members.without(vm)
+        return members
+
+    @property
+    def survivable_losses(self) -> int:
+        """How many lost disks the committed entries that it knows survive.
+
+        The leader of the last term held all committed entries of earlier ones,
+        so that term decides.
+        """
+        last_term = self.storage.term_at(self.storage.last_index)
+        return min(self.losses_of_term(last_term), self.max_lost_disks)
+
+    def losses_of_term(self, term: int) -> int:
+        """Returns what a leader announced, 0 for one of an earlier release."""
+        for entry in reversed(self.storage.entries):
+            if entry.term < term:
+                break
+            is_noop = entry.kind is log_entries.EntryKind.NOOP
+            if entry.term == term and is_noop and entry.content:
+                return _unpack_losses(entry.content)
+        snapshot = self.storage.snapshot
+        if snapshot is not None and snapshot.term == term:
+            return snapshot.survivable_losses
+        return 0
+
     def apply_command(
         self, entry: log_entries.Entry
     ) -> tuple[typing.Any, errors.InvalidCommandError | None]:
@@ -1379,11 +1606,13 @@
         index = self.applied_index
         if index - self.storage.base_index < SNAPSHOT_AFTER_ENTRIES:
             return
+        term = self.storage.term_at(index)
         snapshot = log_entries.Snapshot(
             index,
-            self.storage.term_at(index),
+            term,
             self.members_at(index),
             self.machine.save(),
+            self.losses_of_term(term),
         )
         await self.storage.install_snapshot(snapshot)
 
@@ -1421,6 +1650,11 @@
         ) from error
 
 
+def _unpack_losses(content: bytes) -> int:
+    losses = msgpack.unpackb(content)
+    return losses if isinstance(losses, int) else 0
+
+
 def _pack_members(members: log_entries.Members) -> bytes:
     return msgpack.packb(members.pack())
 
--- a/src/greengagegw/replication/startup.py
+++ b/src/greengagegw/replication/startup.py
@@ -46,7 +46,11 @@
             replies = await identify_to_all(replica)
             async with replica.lock_storage():
                 group_replies = await resolve_start(replica, replies)
-            await request_admission(replica, group_replies)
+            tell_of_lost_leaders(replica, replies)
+            await request_admission(
+                replica,
+                [one for one in group_replies if may_lead(replies, one)],
+            )
             waited = replica.timers.now() - started_at
             if replica.is_starting and waited >= RECOVERY_DELAY_SECONDS:
                 await recover_from_memory_replica(replica, replies)
@@ -267,6 +271,27 @@
     replica.reset_applied_state()
 
 
+def may_lead(replies: dict[str, dict], reply: dict) -> bool:
+    """Returns whether the leader that a reply names does not deny it."""
+    leader = reply['leader']
+    return leader not in replies or replies[leader]['leader'] == leader
+
+
+def tell_of_lost_leaders(
+    replica: 'replicas.Replica', replies: dict[str, dict]
+) -> None:
+    """Tells peers whose leader does not lead with which disk its VM runs.
+
+    That VM may not know them, and they name it until they hear another one.
+    """
+    method = f'replica.{replica.group}.lost_leader'
+    for vm, reply in replies.items():
+        leader = reply['leader']
+        if leader is not None and not may_lead(replies, reply):
+            incarnation = replies[leader]['incarnation']
+            replica.mesh.post(vm, method, [leader, incarnation])
+
+
 async def request_admission(
     replica: 'replicas.Replica', group_replies: list[dict]
 ) -> bool:
@@ -275,12 +300,15 @@
     :returns: whether it did.
     """
     leaders = {one['leader'] for one in group_replies if one['leader']}
-    for leader in sorted(leaders):
-        if leader == replica.vm:
-            continue
-        if await join(replica, leader):
-            replica.become_follower()
-            return True
+    try:
+        for leader in sorted(leaders):
+            if leader == replica.vm:
+                continue
+            if await join(replica, leader):
+                replica.become_follower()
+                return True
+    finally:
+        replica.is_joining = False
     return False
 
 
@@ -291,6 +319,8 @@
     entry of its term is committed.
     """
     deadline = replica.timers.now() + JOIN_SECONDS
+    # The first entries may come before the reply.
+    replica.is_joining = replica.is_starting and not has_state(replica)
     message = [replica.vm, replica.incarnation]
     while True:
         try:
@@ -387,7 +417,9 @@
     asked_at = replica.timers.now()
     if replica.is_leaving:
         return
-    if asked_at - replica.membership_checked_at < MEMBERSHIP_CHECK_SECONDS:
+    # One without a state was admitted by a change that may be lost.
+    pause = MEMBERSHIP_CHECK_SECONDS if has_state(replica) else JOIN_SECONDS
+    if asked_at - replica.membership_checked_at < pause:
         return
     replica.membership_checked_at = asked_at
     replies = await identify_to_all(replica)
