Play garble unframed in the soak

Servers now send responses without a length or chunks: half end with their connection, half are reset after a part of the body, which the check of responses does not accept as a success.

--- a/features/program/soak.feature
+++ b/features/program/soak.feature
@@ -76,6 +76,11 @@
       | [[day]]        | [[month]]      | KeyError: 'day'                               |
       | plan =         | plan           | TOMLDecodeError: Expected '=' after a key in a key/value pair (at line 6, column 6) |
 
+  Scenario: Responses without a length end with their connection, or a reset
+    Given a backend server of the soak
+    When it sends 40 responses without a length
+    Then some are whole, and all others end with a reset
+
   Scenario Outline: A full disk refuses what the operating system would
     Given a disk that is full: <kind>
     Then on it, a write within the last block: <within>
--- a/features/steps/soak_checks.py
+++ b/features/steps/soak_checks.py
@@ -7,14 +7,17 @@
 import re
 import tempfile
 
+import anyio
 import behave
 
+from soak import backends
 from soak import checks
 from soak import days
 from soak import disk
 from soak import durable
 from soak import faults
 from soak import record as records
+from standins import loopback_blocks
 
 END = 60.0
 
@@ -428,3 +431,68 @@
     bad = [one for one in found if not re.fullmatch(possible, one)]
     assert not bad, bad
     assert any(re.fullmatch(least, one) for one in found), found
+
+
+@behave.given('a backend server of the soak')
+def make_backend_server(context):
+    context.record = records.Record()
+    context.server = backends.Server(
+        'i-1',
+        f'127.{loopback_blocks.reserve_block()}.1.1',
+        8080,
+        'piedmont-a',
+        context.record,
+        random.Random(1),
+        None,
+    )
+
+
+async def call_server(server, count, headers, receive):
+    """Returns what ``receive`` does for each of some connections."""
+    request = 'GET /lookup/one HTTP/1.1\r\nGreengagegw-Attempt-Id: r\r\n'
+    found = []
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(
+            backends.serve, server.host, server.port, server.answer
+        )
+        for _ in range(count):
+            stream = await anyio.connect_tcp(server.host, server.port)
+            async with stream:
+                await stream.send(f'{request}{headers}\r\n'.encode())
+                found.append(await receive(stream))
+        tasks.cancel_scope.cancel()
+    return found
+
+
+async def receive_until_end(stream):
+    """Returns all bytes, and whether a reset ended them."""
+    content = b''
+    while True:
+        try:
+            content += await stream.receive()
+        except anyio.EndOfStream:
+            return content, False
+        except anyio.BrokenResourceError:
+            return content, True
+
+
+@behave.when('it sends {count:d} responses without a length')
+def send_unframed(context, count):
+    context.server.faults['unframed'] = 1.0
+    context.responses = [
+        one
+        for one in anyio.run(
+            call_server, context.server, count, '', receive_until_end
+        )
+        if b' 200 ' in one[0]
+    ]
+
+
+@behave.then('some are whole, and all others end with a reset')
+def check_unframed(context):
+    resets = set()
+    for content, is_reset in context.responses:
+        assert b'Content-Length' not in content, content
+        assert content.endswith(b'response to r') != is_reset, content
+        resets.add(is_reset)
+    assert resets == {True, False}, resets
--- a/soak/backends.py
+++ b/soak/backends.py
@@ -3,6 +3,8 @@
 import dataclasses
 import json
 import random
+import socket
+import struct
 
 import anyio
 import anyio.abc
@@ -15,6 +17,8 @@
 MAX_HEAD_BYTES = 65536
 STUTTER_SHARE = 0.03
 STUTTER_SECONDS = 0.4
+# What was sent before a reset arrives first.
+RESET_SECONDS = 0.02
 REJECTED_SHARE = 0.02
 RESET_SHARE = 0.01
 # How long a request runs that does not name a time.
@@ -163,6 +167,9 @@
             if self.has_fault(self.faults.get('garble', 0.0)):
                 noise = self.rng.randbytes(99), response + b'HTTP/1.1 200'
                 response = self.rng.choice(noise)
+            if self.has_fault(self.faults.get('unframed', 0.0)):
+                await self.send_unframed(response, stream)
+                return
             is_lost = self.has_fault(self.faults.get('answer_lost', 0.0))
             if is_lost or self.has_fault(RESET_SHARE):
                 response = b'' if is_lost else response[: len(response) // 2]
@@ -194,6 +201,20 @@
             await stream.send(b'%x\r\n%s\r\n' % (len(event), event))
         await stream.send(b'0\r\n\r\n')
 
+    async def send_unframed(self, response: bytes, stream) -> None:
+        """Sends a response without a length; half of them are reset."""
+        head, _, body = response.partition(b'\r\n\r\n')
+        head = head[: head.index(b'\r\nContent-Length')] + b'\r\n\r\n'
+        is_reset = self.rng.random() < 0.5
+        if is_reset:
+            body = body[: self.rng.randrange(len(body))]
+            stream.extra(anyio.abc.SocketAttribute.raw_socket).setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+        await stream.send(head + body)
+        await anyio.sleep(RESET_SECONDS * is_reset)
+        await stream.aclose()
+
     async def send_again(self, stream, response: bytes) -> None:
         await anyio.sleep(self.rng.uniform(0, STUTTER_SECONDS))
         try:
--- a/soak/days.py
+++ b/soak/days.py
@@ -564,13 +564,14 @@
 
 async def disturb_servers(player: Player, event: Event) -> None:
     """Has servers fail the share ``x`` of their requests in one way."""
+    kind = 'unframed' if 'unframed' in event.words else event.kind
     servers = player.deployment.platform.servers
     chosen = player.rng.sample(servers, event_count(event, servers))
     for one in chosen:
-        one.faults[event.kind] = event.strength or 1.0
+        one.faults[kind] = event.strength or 1.0
     await anyio.sleep(event.seconds)
     for one in chosen:
-        one.faults.pop(event.kind, None)
+        one.faults.pop(kind, None)
 
 
 async def send_more(player: Player, event: Event) -> None:
@@ -627,7 +628,7 @@
     player.disturbed(event.kind, began_at)
 
 
-GARBLE_WORDS = frozenset({'extra'})
+GARBLE_WORDS = frozenset({'extra', 'unframed'})
 RACE_WORDS = frozenset({'hard', 'race'})
 AIMED_WORDS = frozenset({'aimed', 'synced'})
 NO_WORDS: frozenset[str] = frozenset()
