Play give_up in the soak, and check GONE

A share of the clients now leaves requests that would last longer. A server ends its work with the connection, as most do by the platform's protocol, and the check finds requests that reach a server over 0.5 s after their client left, and those on which one still works then.

--- a/features/program/soak.feature
+++ b/features/program/soak.feature
@@ -28,6 +28,8 @@
       | a process that ended by itself                         | FAULT   |
       | a machine that used more memory than it has            | EXCESS  |
       | an invalid change that was acknowledged                | CONFIG  |
+      | servers work for two of four callers that left         | GONE    |
+      | four requests reach a server after their callers left  | GONE    |
       | a call that ran is cut during a stop                   | LOST    |
       | a late call that runs to the end of a stop is cut      | LOST    |
       | a call that did not run is cut 0.3 s after it was sent | LOST    |
@@ -54,6 +56,9 @@
       | three calls that ran are cut without a stop                 |
       | four streams are cut by the stop of a VM that runs them     |
       | a run in an evacuated failure domain within 5 s             |
+      | servers work for one of four callers that left              |
+      | servers work for two of four callers that left beside a fault |
+      | three requests reach a server after their callers left      |
       | a run in an evacuated failure domain after its readmission  |
 
   Scenario: A schedule of faults depends on its seed only
@@ -81,6 +86,11 @@
     When it sends 40 responses without a length
     Then some are whole, and all others end with a reset
 
+  Scenario: A server ends the work for a connection that is closed
+    Given a backend server of the soak
+    When a client closes its connection 0.1 s after a request of 5 s
+    Then the server has ended its work within 0.5 s
+
   Scenario Outline: A full disk refuses what the operating system would
     Given a disk that is full: <kind>
     Then on it, a write within the last block: <within>
--- a/features/steps/soak_checks.py
+++ b/features/steps/soak_checks.py
@@ -1,5 +1,6 @@
 """Steps for the checks and schedules of the soak."""
 
+import dataclasses
 import errno
 import os
 import pathlib
@@ -71,7 +72,37 @@
     return [records.Stop('front', 20.0, 27.7), exchange, *runs, *ends]
 
 
+def left(count, run_after=-0.4, ended_after=0.4):
+    """Returns requests that their clients left at 30 s, and their runs."""
+    names = [f'left-{number}-{ended_after}' for number in range(count)]
+    return [
+        *(
+            dataclasses.replace(request(0, False, attempt=one), left_at=30.0)
+            for one in names
+        ),
+        *(run(30.0 + run_after, one) for one in names),
+        dict.fromkeys(names, 30.0 + ended_after),
+    ]
+
+
 PLANTED = {
+    'servers work for two of four callers that left': lambda: (
+        left(2) + left(2, ended_after=0.6)
+    ),
+    'servers work for two of four callers that left beside a fault': lambda: (
+        [records.Disturbance('kill', 25.0, 25.1)]
+        + left(2)
+        + left(2, ended_after=0.6)
+    ),
+    'servers work for one of four callers that left': lambda: (
+        left(3) + left(1, ended_after=0.6)
+    ),
+    'four requests reach a server after their callers left': lambda: left(
+        4, run_after=0.6
+    ),
+    'three requests reach a server after their callers left': lambda: left(
+        3, run_after=0.6
+    ),
     'a call that ran is cut during a stop': lambda: cut(22.0, 27.6, 26.0),
     'a late call that runs to the end of a stop is cut': lambda: cut(
         23.1, 27.6
@@ -496,3 +527,27 @@
         assert content.endswith(b'response to r') != is_reset, content
         resets.add(is_reset)
     assert resets == {True, False}, resets
+
+
+@behave.when(
+    'a client closes its connection {delay:g} s after a request of {work:g} s'
+)
+def leave_server(context, delay, work):
+    async def leave(stream):
+        await anyio.sleep(delay)
+        await stream.aclose()
+        closed_at = context.record.now()
+        await anyio.sleep(1.0)
+        return closed_at
+
+    headers = f'Work-Seconds: {work}\r\n'
+    (context.closed_at,) = anyio.run(
+        call_server, context.server, 1, headers, leave
+    )
+
+
+@behave.then('the server has ended its work within {bound:g} s')
+def check_work_ended(context, bound):
+    assert [one.attempt for one in context.record.runs] == ['r']
+    seconds = context.record.run_ends['r'] - context.closed_at
+    assert seconds < bound, seconds
--- a/soak/backends.py
+++ b/soak/backends.py
@@ -150,14 +150,16 @@
             try:
                 if 'events' in headers:
                     await self.send_events(headers, own, stream)
-                    self.record.run_ends[attempt] = self.record.now()
                     return
-                await anyio.sleep(
+                with anyio.move_on_after(
                     float(headers.get('work-seconds', 0))
                     or self.rng.uniform(*USUAL_SECONDS)
-                )
+                ):
+                    # The end of the connection ends the work.
+                    await stream.receive()
             finally:
                 self.running -= 1
+                self.record.run_ends[attempt] = self.record.now()
             failed = self.has_fault(self.faults.get('srv_grey', 0.0))
             response = encode_response(
                 500 if failed else 200,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -14,6 +14,10 @@
 
 MIN_SERVED_SHARE = 0.25
 LOSS_SLACK_SECONDS = 0.2
+# Until nothing is done any more for a client that has left.
+LEFT_SECONDS = 0.5
+MAX_RUNS_AFTER_LEAVING = 3
+MAX_SHARE_AT_WORK = 0.25
 # A request sent in the first seconds of a stop may be cut if its server is
 # still at work in the last sixth of it.
 EARLY_SECONDS_OF_STOP = 3.0
@@ -196,7 +200,11 @@
             ),
             default=record.now(),
         )
-        sent = [one for one in record.requests if since < one.sent_at < until]
+        sent = [
+            one
+            for one in record.requests
+            if since < one.sent_at < until and one.left_at is None
+        ]
         served = [one for one in sent if 200 <= one.status < 300]
         if len(sent) >= 20 and len(served) < MIN_SERVED_SHARE * len(sent):
             found.append(
@@ -206,6 +214,34 @@
     return found
 
 
+def check_left(record: records.Record) -> list[str]:
+    """Checks that servers do nothing for clients that have left."""
+    run_at = {one.attempt: one.at for one in record.runs}
+    late, lasting, at_work = [], 0, []
+    for one in record.requests:
+        if one.left_at is None or one.attempt not in run_at:
+            continue
+        end = one.left_at + LEFT_SECONDS
+        if not is_calm(record, one.left_at - record.bounds.contact, end):
+            continue
+        if run_at[one.attempt] > end:
+            late.append(
+                f'GONE: {one.attempt} reached a server at'
+                f' {run_at[one.attempt]:.2f}, its client left'
+                f' {one.entry_vm} at {one.left_at:.2f}'
+            )
+        elif one.kind != 'unsafe':
+            lasting += 1
+            if record.run_ends.get(one.attempt, math.inf) > end:
+                at_work.append(
+                    f'GONE: a server worked on {one.attempt} that was left at'
+                    f' {one.left_at:.2f} by a client of {one.entry_vm}'
+                )
+    return (late if len(late) > MAX_RUNS_AFTER_LEAVING else []) + (
+        at_work if len(at_work) > MAX_SHARE_AT_WORK * lasting else []
+    )
+
+
 def check_stops(record: records.Record) -> list[str]:
     """Checks the requests without a whole answer around planned stops."""
     runs = {one.attempt for one in record.runs}
@@ -325,6 +361,7 @@
     check_invalid,
     check_homes,
     check_stops,
+    check_left,
     check_processes,
     check_machines,
 )
--- a/soak/days.py
+++ b/soak/days.py
@@ -24,6 +24,7 @@
 DEFAULT_SECONDS = 5.0
 DEFAULT_GAP_SECONDS = 1.0
 RESTART_SECONDS = 0.3
+LEAVE_MS = 500.0
 # A usual sync of the bench's disks, which `disk_slow` multiplies.
 SYNC_SECONDS = 0.002
 LEADER_ATTEMPTS = 3
@@ -581,6 +582,15 @@
     player.clients.per_second /= factor
 
 
+async def leave_early(player: Player, event: Event) -> None:
+    """Has clients leave a share of their requests after ``x`` ms."""
+    share = 0.3 if event.share is None else event.share
+    leaving = share, (event.strength or LEAVE_MS) / 1000
+    player.clients.leaving.append(leaving)
+    await anyio.sleep(event.seconds)
+    player.clients.leaving.remove(leaving)
+
+
 async def lose_acknowledgements(player: Player, event: Event) -> None:
     player.operator.lost_share = event.strength or 0.5
     await anyio.sleep(event.seconds)
@@ -665,6 +675,7 @@
     'srv_grey': (disturb_servers, frozenset({'all', 'errors'})),
     'answer_lost': (disturb_servers, frozenset({'reset'})),
     'garble': (disturb_servers, GARBLE_WORDS),
+    'give_up': (leave_early, NO_WORDS),
     'ack_lost': (lose_acknowledgements, NO_WORDS),
     'after_ack_wipe': (wipe_after_change, TARGET_WORDS | AIMED_WORDS),
 }
--- a/soak/record.py
+++ b/soak/record.py
@@ -15,6 +15,7 @@
     :ivar status: 0 if the connection ended or was silent until the timeout.
     :ivar is_own: whether a success carried the response to this request.
     :ivar version: the version that added the route, 0 for other routes.
+    :ivar left_at: when the client closed its connection without a response.
     """
 
     attempt: str
@@ -25,6 +26,7 @@
     status: int
     is_own: bool
     version: int = 0
+    left_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,7 +112,8 @@
 
     :ivar sent_versions: when each version was first sent.
     :ivar home_domains: failure domains that may serve the route with homes.
-    :ivar run_ends: when servers had sent their last byte, by request.
+    :ivar run_ends: when servers last worked on each request, or had sent its
+        last byte.
     :ivar excesses: what was seen of machines over their limits, by name.
     :ivar accepted_invalid: changes that should have been rejected.
     :ivar read_back: whether the operator got the configuration at the end;
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -18,6 +18,8 @@
 NO_CERTIFICATES = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 MAX_PAUSE_SECONDS = 1.0
 REQUEST_SECONDS = 8.0
+# A request that its client leaves would last that much longer.
+LEFT_WORK_SECONDS = 2.0
 LIST_LAG_SECONDS = 3.0
 OBJECTIVE_MS = 600
 KINDS = ('safe', 'safe', 'unsafe', 'unsafe', 'home', 'added')
@@ -47,6 +49,8 @@
     """Sends requests to all entry VMs on connections that are kept.
 
     :param newest_version: returns the newest version that was sent.
+    :ivar leaving: shares of the requests that clients leave without a
+        response, each with the seconds after which they do.
     """
 
     def __init__(
@@ -59,6 +63,7 @@
         self.tasks = tasks
         self.per_second = per_second
         self.http: dict[str, httpx.AsyncClient] = {}
+        self.leaving: list[tuple[float, float]] = []
 
     async def run(self) -> None:
         while True:
@@ -82,25 +87,32 @@
             'Greengagegw-Deadline-Ms': str(int(REQUEST_SECONDS * 1000)),
             'Greengagegw-Credential': deployments.KEY,
         }
+        leaves_after = math.inf
+        for share, seconds in self.leaving:
+            if self.rng.random() < share:
+                leaves_after = seconds
+                work_seconds = seconds + LEFT_WORK_SECONDS
+                headers['Work-Seconds'] = str(work_seconds)
         url = f'http://{machine.host}:{deployments.CLIENT_PORT}{path}'
         sent_at = self.record.now()
         status, is_own = 0, False
-        try:
-            response = await client.request(
-                method,
-                url,
-                headers=headers,
-                content=b'entry' if method == 'POST' else None,
-            )
-            status = response.status_code
-            stamp = response.headers.get('greengagegw-server-stamp', '')
-            is_own = (
-                response.content == b'response to ' + attempt.encode()
-                and stamp.endswith(f'-{attempt}')
-            )
-        except httpx.HTTPError:
-            # The outcome is unknown, as for a client of the gateway.
-            status = 0
+        with anyio.move_on_after(leaves_after) as patience:
+            try:
+                response = await client.request(
+                    method,
+                    url,
+                    headers=headers,
+                    content=b'entry' if method == 'POST' else None,
+                )
+                status = response.status_code
+                stamp = response.headers.get('greengagegw-server-stamp', '')
+                is_own = (
+                    response.content == b'response to ' + attempt.encode()
+                    and stamp.endswith(f'-{attempt}')
+                )
+            except httpx.HTTPError:
+                # The outcome is unknown, as for a client of the gateway.
+                status = 0
         self.record.requests.append(
             records.Request(
                 attempt,
@@ -111,6 +123,7 @@
                 status,
                 is_own,
                 version,
+                self.record.now() if patience.cancelled_caught else None,
             )
         )
         return status
