Count acknowledgements that the soak dropped as answers

With ack_lost, a change that each call had acknowledged counted as not acknowledged in calm times, since the operator dropped the acknowledgements. The check now asks for an answer within the bound after the order was sent and after each acknowledgement that was dropped; orders without a dropped one are checked as before.

--- a/features/program/soak.feature
+++ b/features/program/soak.feature
@@ -23,6 +23,7 @@
       | a request with homes in another region                 | HOME    |
       | an order without an acknowledgement in calm times      | ACKS    |
       | an order without an acknowledgement after a fault      | ACKS    |
+      | an order without an answer since a lost acknowledgement | ACKS   |
       | a run in an evacuated failure domain                   | EVAC    |
       | no request served 13 s after a fault                   | RECOVER |
       | a process that ended by itself                         | FAULT   |
@@ -46,6 +47,7 @@
       | a safe request that ran twice                               |
       | no answer to any read for 6 s beside a fault                |
       | an order without an acknowledgement beside a fault          |
+      | an order of which the soak lost the acknowledgements        |
       | a route that was added is not served within 3 s             |
       | a route that was added is not served beside a fault         |
       | a route that a later version dropped is not served          |
--- a/features/steps/soak_checks.py
+++ b/features/steps/soak_checks.py
@@ -195,6 +195,12 @@
     'an order without an acknowledgement in calm times': lambda: [
         order('put', '5', 30.0, 36.1)
     ],
+    'an order of which the soak lost the acknowledgements': lambda: [
+        dataclasses.replace(order('put', '5', 30.0, 41.9), lost_at=[30.2, 36])
+    ],
+    'an order without an answer since a lost acknowledgement': lambda: [
+        dataclasses.replace(order('put', '5', 30.0, 36.4), lost_at=[30.3])
+    ],
     'an order without an acknowledgement beside a fault': lambda: [
         records.Disturbance('kill', 27.0, 32.0),
         order('put', '5', 30.0, 36.1),
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import itertools
 import math
 
 from . import deployment as deployments
@@ -131,7 +132,10 @@
     found = []
     for one in record.orders:
         end = one.acknowledged_at or one.gave_up_at or record.now()
-        seconds = longest_calm_seconds(record, one.sent_at, end)
+        seconds = max(
+            longest_calm_seconds(record, *span)
+            for span in itertools.pairwise((one.sent_at, *one.lost_at, end))
+        )
         if seconds > record.bounds.acknowledge:
             found.append(
                 f'ACKS: {one.name} {one.subject}, sent at {one.sent_at:.2f},'
--- a/soak/record.py
+++ b/soak/record.py
@@ -46,6 +46,7 @@
     :ivar name: ``put``, ``evacuate`` or ``readmit``.
     :ivar subject: the version, or the failure domain.
     :ivar acknowledged_at: None if the operator gave up.
+    :ivar lost_at: when acknowledgements came that the soak itself dropped.
     """
 
     name: str
@@ -53,6 +54,7 @@
     sent_at: float
     acknowledged_at: float | None
     gave_up_at: float | None = None
+    lost_at: list[float] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -20,6 +20,8 @@
 REQUEST_SECONDS = 8.0
 # A request that its client leaves would last that much longer.
 LEFT_WORK_SECONDS = 2.0
+# Content of an acknowledgement that is dropped.
+LOST = b'lost'
 LIST_LAG_SECONDS = 3.0
 OBJECTIVE_MS = 600
 KINDS = ('safe', 'safe', 'unsafe', 'unsafe', 'home', 'added')
@@ -174,7 +176,7 @@
                     response = await client.request(method, url, content=body)
                     is_lost = self.rng.random() < self.lost_share
                     if is_lost and method != 'GET':
-                        return 0, b''
+                        return 0, LOST if response.is_success else b''
                     return response.status_code, response.content
             except httpx.HTTPError:
                 return 0, b''
@@ -194,8 +196,10 @@
         pause = 0.1
         while True:
             machine = self.rng.choice(self.listed)
-            status, _ = await self.call(machine, method, path, body)
+            status, content = await self.call(machine, method, path, body)
             now = self.record.now()
+            if content is LOST:
+                pending.lost_at.append(now)
             is_done = 200 <= status < 300
             gives_up = (
                 name != 'put'
