Play revoke in the soak, and check revoked keys

The check finds those that run later than revokeMs after the acknowledgement, at any VM and beside faults too, and answers 401 to more requests with a key in force than DENIED allows.

--- a/features/program/soak.feature
+++ b/features/program/soak.feature
@@ -30,6 +30,8 @@
       | a machine that used more memory than it has            | EXCESS  |
       | an invalid change that was acknowledged                | CONFIG  |
       | servers work for two of four callers that left         | GONE    |
+      | a request runs 5.3 s after its key was taken away      | CONFIG  |
+      | six requests are refused before their key was taken away | DENIED |
       | four requests reach a server after their callers left  | GONE    |
       | a call that ran is cut during a stop                   | LOST    |
       | a late call that runs to the end of a stop is cut      | LOST    |
@@ -59,6 +61,8 @@
       | four streams are cut by the stop of a VM that runs them     |
       | a run in an evacuated failure domain within 5 s             |
       | servers work for one of four callers that left              |
+      | a request runs 4.9 s after its key was taken away           |
+      | six requests are refused after their key was taken away     |
       | servers work for two of four callers that left beside a fault |
       | three requests reach a server after their callers left      |
       | a run in an evacuated failure domain after its readmission  |
--- a/features/steps/soak_checks.py
+++ b/features/steps/soak_checks.py
@@ -85,7 +85,26 @@
     ]
 
 
+def keyed(at, status=401, count=1):
+    """Returns requests with a key that was taken away at 20.0 to 20.2 s."""
+    one = dataclasses.replace(request(status, status == 200, at=at), key='k')
+    runs = [run(at)] if status == 200 else []
+    return [{'k': 5}, order('put', '5', 20.0, 20.2), *runs, *count * [one]]
+
+
 PLANTED = {
+    'a request runs 5.3 s after its key was taken away': lambda: (
+        [records.Disturbance('kill', 19.0, 27.0)] + keyed(25.5, 200)
+    ),
+    'a request runs 4.9 s after its key was taken away': lambda: keyed(
+        25.1, 200
+    ),
+    'six requests are refused after their key was taken away': lambda: keyed(
+        20.0, count=6
+    ),
+    'six requests are refused before their key was taken away': lambda: keyed(
+        19.8, count=6
+    ),
     'servers work for two of four callers that left': lambda: (
         left(2) + left(2, ended_after=0.6)
     ),
@@ -250,7 +269,7 @@
             record.read_back = one
             continue
         if isinstance(one, dict):
-            record.run_ends |= one
+            (record.revoked if 'k' in one else record.run_ends).update(one)
             continue
         lists[type(one)].append(one)
         if isinstance(one, records.Order) and one.name == 'put':
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -138,6 +138,8 @@
         )
         injector = fault_schedules.Injector(deployment, record, rng, log)
         day = options['day']
+        if day is not None:
+            clients.keys, operator.keys = day.keys, day.keys
         try:
             await deployment.start(SERVERS_PER_DOMAIN)
             tasks.start_soon(deployment.watch_processes)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -14,6 +14,8 @@
 from . import stops
 
 MIN_SERVED_SHARE = 0.25
+# Requests with a key in force that may be answered 401.
+MAX_DENIED, MAX_DENIED_SHARE = 5, 1 / 500
 LOSS_SLACK_SECONDS = 0.2
 # Until nothing is done any more for a client that has left.
 LEFT_SECONDS = 0.5
@@ -207,7 +209,9 @@
         sent = [
             one
             for one in record.requests
-            if since < one.sent_at < until and one.left_at is None
+            if since < one.sent_at < until
+            and one.left_at is None
+            and one.key not in record.revoked
         ]
         served = [one for one in sent if 200 <= one.status < 300]
         if len(sent) >= 20 and len(served) < MIN_SERVED_SHARE * len(sent):
@@ -321,6 +325,32 @@
     return found
 
 
+def check_keys(record: records.Record) -> list[str]:
+    """Checks requests with a key that is revoked or in force, calm or not."""
+    found, denied = [], []
+    ran = {one.attempt for one in record.runs}
+    for one in record.requests:
+        where = f'by {one.entry_vm} at {one.ended_at:.2f}'
+        revoked = record.revoked.get(one.key, math.inf)
+        in_force = acknowledged_version(
+            record, one.sent_at - record.bounds.revoke
+        )
+        if in_force >= revoked and one.attempt in ran:
+            found.append(
+                f'CONFIG: {one.attempt} with the key that version {revoked}'
+                f' took away ran {where}, after {in_force} was acknowledged'
+            )
+        may_be_revoked = any(
+            version >= revoked and at < one.ended_at
+            for version, at in record.sent_versions.items()
+        )
+        if one.status == 401 and not may_be_revoked:
+            denied.append(f'{one.attempt} {where}')
+    if len(denied) > MAX_DENIED + MAX_DENIED_SHARE * len(record.requests):
+        found.append(f'DENIED: 401 with a key in force: {", ".join(denied)}')
+    return found
+
+
 def check_invalid(record: records.Record) -> list[str]:
     return [f'CONFIG: {one}' for one in record.accepted_invalid]
 
@@ -366,6 +396,7 @@
     check_homes,
     check_stops,
     check_left,
+    check_keys,
     check_processes,
     check_machines,
 )
--- a/soak/days.py
+++ b/soak/days.py
@@ -70,6 +70,14 @@
     events: tuple[Event, ...]
     closing: Event | None
 
+    @property
+    def keys(self) -> list[str]:
+        """Returns the keys that it takes away."""
+        counts = (
+            one.count or 1 for one in self.events if one.kind == 'revoke'
+        )
+        return [f'revoked-key-{one}' for one in range(sum(counts))]
+
 
 def read_day(path: pathlib.Path) -> Day:
     """Reads a day from a TOML file with one ``[[day]]``.
@@ -363,6 +371,13 @@
         await anyio.sleep(event.gap)
 
 
+async def revoke_keys(player: Player, event: Event) -> None:
+    async with anyio.create_task_group() as tasks:
+        for _ in range(event.count or 1):
+            tasks.start_soon(player.operator.revoke)
+            await anyio.sleep(event.gap)
+
+
 async def evacuate(player: Player, event: Event) -> None:
     domain = choose_domain(player, event)
     await player.operator.order('evacuate', domain)
@@ -654,6 +669,7 @@
     'big_config': (change_configuration, NO_WORDS),
     'burst': (send_more, NO_WORDS),
     'bad_config': (send_invalid, frozenset({'old_version', 'same_version'})),
+    'revoke': (revoke_keys, NO_WORDS),
     'evacuate': (evacuate, frozenset({'warm'})),
     'disk_full': (fail_disks, TARGET_WORDS),
     'disk_slow': (fail_disks, TARGET_WORDS),
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -32,7 +32,6 @@
 bounds.lossSlackMs=200
 bounds.rollbackSlackMs=250
 bounds.strictRevoke=true
-bounds.revokeMs=5000
 bounds.retryBudgetRatio=0.2
 bounds.budgetWindowS=10
 bounds.retrySlack=54
@@ -56,6 +55,7 @@
         'configApplyMs': bounds.apply,
         'maxStretchMs': bounds.stretch,
         'evacuateMs': bounds.evacuate,
+        'revokeMs': bounds.revoke,
     }
     seconds = {
         'catchUpS': bounds.catch_up,
@@ -375,9 +375,9 @@
 
 
 def configuration(
-    version: int, home_regions: list[str], objective_ms: int
+    version: int, home_regions: list[str], objective_ms: int, keys: list[str]
 ) -> dict:
-    """Returns the desired state of a version.
+    """Returns the desired state of a version, with keys beside the usual one.
 
     Each version adds a route ``/v/<version>/``, which later ones drop again.
     """
@@ -439,7 +439,7 @@
         'tenants': [
             {
                 'name': 'tenant-1',
-                'apiKeys': [KEY],
+                'apiKeys': [KEY, *keys],
                 'priority': 1,
                 'unit': 'token_stream',
                 'plainTokens': 200,
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -26,6 +26,7 @@
     apply: float = 3.0
     evacuate: float = 5.0
     drain: float = 5.0
+    revoke: float = 5.0
     stop: float = 8.0
     stretch: float = 8.0
     recovery: float = 12.0
--- a/soak/record.py
+++ b/soak/record.py
@@ -15,6 +15,7 @@
     :ivar status: 0 if the connection ended or was silent until the timeout.
     :ivar is_own: whether a success carried the response to this request.
     :ivar version: the version that added the route, 0 for other routes.
+    :ivar key: with which it was sent.
     :ivar left_at: when the client closed its connection without a response.
     """
 
@@ -26,6 +27,7 @@
     status: int
     is_own: bool
     version: int = 0
+    key: str = ''
     left_at: float | None = None
 
 
@@ -114,6 +116,7 @@
 
     :ivar sent_versions: when each version was first sent.
     :ivar home_domains: failure domains that may serve the route with homes.
+    :ivar revoked: the first version without a key, by key.
     :ivar run_ends: when servers last worked on each request, or had sent its
         last byte.
     :ivar excesses: what was seen of machines over their limits, by name.
@@ -142,6 +145,7 @@
         self.own_ends: list[str] = []
         self.accepted_invalid: list[str] = []
         self.excesses: dict[str, str] = {}
+        self.revoked: dict[str, int] = {}
         self.sent_versions: dict[int, float] = {}
 
     def now(self) -> float:
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -17,6 +17,8 @@
 CONNECT_SECONDS = 1.0
 NO_CERTIFICATES = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 MAX_PAUSE_SECONDS = 1.0
+# Share of the requests with a key that the day takes away.
+REVOCABLE_SHARE = 0.2
 REQUEST_SECONDS = 8.0
 # A request that its client leaves would last that much longer.
 LEFT_WORK_SECONDS = 2.0
@@ -51,6 +53,7 @@
     """Sends requests to all entry VMs on connections that are kept.
 
     :param newest_version: returns the newest version that was sent.
+    :ivar keys: those that are taken away, which it goes on using.
     :ivar leaving: shares of the requests that clients leave without a
         response, each with the seconds after which they do.
     """
@@ -65,6 +68,7 @@
         self.tasks = tasks
         self.per_second = per_second
         self.http: dict[str, httpx.AsyncClient] = {}
+        self.keys: list[str] = []
         self.leaving: list[tuple[float, float]] = []
 
     async def run(self) -> None:
@@ -83,11 +87,14 @@
         attempt = f'{self.rng.getrandbits(64):016x}'
         method = 'POST' if kind == 'unsafe' else 'GET'
         path = PATHS.get(kind, f'/v/{version}/one')
+        key = deployments.KEY
+        if self.keys and version == 0 and self.rng.random() < REVOCABLE_SHARE:
+            key = self.rng.choice(self.keys)
         headers = {
             'Host': deployments.HOST_NAME,
             'Greengagegw-Attempt-Id': attempt,
             'Greengagegw-Deadline-Ms': str(int(REQUEST_SECONDS * 1000)),
-            'Greengagegw-Credential': deployments.KEY,
+            'Greengagegw-Credential': key,
         }
         leaves_after = math.inf
         for share, seconds in self.leaving:
@@ -125,6 +132,7 @@
                 status,
                 is_own,
                 version,
+                key,
                 self.record.now() if patience.cancelled_caught else None,
             )
         )
@@ -136,6 +144,7 @@
 
     :param objective_ms: latency objective of all routes.
     :ivar listed: control VMs by a list that lags.
+    :ivar keys: those that the next change leaves in force.
     :ivar lost_share: share of acknowledgements that are lost.
     :ivar unreachable: control VMs that do not get its calls.
     :ivar acknowledged_by: control VM that acknowledged the last order.
@@ -158,6 +167,7 @@
         self.acknowledged_by = None
         self.unreachable: set = set()
         self.lost_share = 0.0
+        self.keys: list[str] = []
 
     async def follow_list(self) -> None:
         while True:
@@ -230,6 +240,7 @@
             self.version,
             self.deployment.layout.home_regions,
             self.objective_ms,
+            self.keys,
         )
         routes = self.sent[self.version]['routes']
         routes += [
@@ -239,6 +250,12 @@
         self.record.sent_versions[self.version] = self.record.now()
         return await self.order('put', str(self.version))
 
+    async def revoke(self) -> bool:
+        """Takes a key away."""
+        key, *self.keys = self.keys
+        self.record.revoked[key] = self.version + 1
+        return await self.put()
+
     async def put_invalid(self, how: frozenset[str]) -> None:
         """Sends a change that must not take effect.
 
