--- a/features/program/soak.feature
+++ b/features/program/soak.feature
@@ -23,11 +23,18 @@
       | a request with homes in another region                 | HOME    |
       | an order without an acknowledgement in calm times      | ACKS    |
       | an order without an acknowledgement after a fault      | ACKS    |
+      | an order without an answer since a lost acknowledgement | ACKS   |
       | a run in an evacuated failure domain                   | EVAC    |
       | no request served 13 s after a fault                   | RECOVER |
       | a process that ended by itself                         | FAULT   |
       | a machine that used more memory than it has            | EXCESS  |
       | an invalid change that was acknowledged                | CONFIG  |
+      | servers work for two of four callers that left         | GONE    |
+      | servers work for two of four callers that left beside the stop of another VM | GONE |
+      | an order without an acknowledgement beside the stop of an entry VM | ACKS |
+      | a request runs 5.3 s after its key was taken away      | CONFIG  |
+      | six requests are refused before their key was taken away | DENIED |
+      | four requests reach a server after their callers left  | GONE    |
       | a call that ran is cut during a stop                   | LOST    |
       | a late call that runs to the end of a stop is cut      | LOST    |
       | a call that did not run is cut 0.3 s after it was sent | LOST    |
@@ -44,6 +51,7 @@
       | a safe request that ran twice                               |
       | no answer to any read for 6 s beside a fault                |
       | an order without an acknowledgement beside a fault          |
+      | an order of which the soak lost the acknowledgements        |
       | a route that was added is not served within 3 s             |
       | a route that was added is not served beside a fault         |
       | a route that a later version dropped is not served          |
@@ -54,6 +62,12 @@
       | three calls that ran are cut without a stop                 |
       | four streams are cut by the stop of a VM that runs them     |
       | a run in an evacuated failure domain within 5 s             |
+      | servers work for one of four callers that left              |
+      | a request runs 4.9 s after its key was taken away           |
+      | six requests are refused after their key was taken away     |
+      | servers work for two of four callers that left beside a fault |
+      | servers work for two of four callers that left beside the stop of their VM |
+      | three requests reach a server after their callers left      |
       | a run in an evacuated failure domain after its readmission  |
 
   Scenario: A schedule of faults depends on its seed only
@@ -76,6 +90,16 @@
       | [[day]]        | [[month]]      | KeyError: 'day'                               |
       | plan =         | plan           | TOMLDecodeError: Expected '=' after a key in a key/value pair (at line 6, column 6) |
 
+  Scenario: Responses without a length end with their connection, or a reset
+    Given a backend server of the soak
+    When it sends 40 responses without a length
+    Then some are whole, and all others end with a reset
+
+  Scenario: A server ends the work for a connection that is closed
+    Given a backend server of the soak
+    When a client closes its connection 0.1 s after a request of 5 s
+    Then the server has ended its work within 0.5 s
+
   Scenario Outline: A full disk refuses what the operating system would
     Given a disk that is full: <kind>
     Then on it, a write within the last block: <within>
--- a/features/steps/soak_checks.py
+++ b/features/steps/soak_checks.py
@@ -1,5 +1,6 @@
 """Steps for the checks and schedules of the soak."""
 
+import dataclasses
 import errno
 import os
 import pathlib
@@ -7,14 +8,17 @@
 import re
 import tempfile
 
+import anyio
 import behave
 
+from soak import backends
 from soak import checks
 from soak import days
 from soak import disk
 from soak import durable
 from soak import faults
 from soak import record as records
+from standins import loopback_blocks
 
 END = 60.0
 
@@ -68,7 +72,64 @@
     return [records.Stop('front', 20.0, 27.7), exchange, *runs, *ends]
 
 
+def left(count, run_after=-0.4, ended_after=0.4):
+    """Returns requests that their clients left at 30 s, and their runs."""
+    names = [f'left-{number}-{ended_after}' for number in range(count)]
+    return [
+        *(
+            dataclasses.replace(request(0, False, attempt=one), left_at=30.0)
+            for one in names
+        ),
+        *(run(30.0 + run_after, one) for one in names),
+        dict.fromkeys(names, 30.0 + ended_after),
+    ]
+
+
+def keyed(at, status=401, count=1):
+    """Returns requests with a key that was taken away at 20.0 to 20.2 s."""
+    one = dataclasses.replace(request(status, status == 200, at=at), key='k')
+    runs = [run(at)] if status == 200 else []
+    return [{'k': 5}, order('put', '5', 20.0, 20.2), *runs, *count * [one]]
+
+
+def left_beside(entry_vm):
+    """Returns requests that clients left beside a disturbance."""
+    disturbance = records.Disturbance('roll_term', 25.0, 25.1, entry_vm)
+    return [disturbance, *left(2), *left(2, ended_after=0.6)]
+
+
 PLANTED = {
+    'a request runs 5.3 s after its key was taken away': lambda: (
+        [records.Disturbance('kill', 19.0, 27.0)] + keyed(25.5, 200)
+    ),
+    'a request runs 4.9 s after its key was taken away': lambda: keyed(
+        25.1, 200
+    ),
+    'six requests are refused after their key was taken away': lambda: keyed(
+        20.0, count=6
+    ),
+    'six requests are refused before their key was taken away': lambda: keyed(
+        19.8, count=6
+    ),
+    'servers work for two of four callers that left': lambda: (
+        left(2) + left(2, ended_after=0.6)
+    ),
+    'servers work for two of four callers that left beside a fault': lambda: (
+        left_beside('')
+    ),
+    'servers work for two of four callers that left beside the stop of their'
+    ' VM': lambda: left_beside('front'),
+    'servers work for two of four callers that left beside the stop of another'
+    ' VM': lambda: left_beside('other'),
+    'servers work for one of four callers that left': lambda: (
+        left(3) + left(1, ended_after=0.6)
+    ),
+    'four requests reach a server after their callers left': lambda: left(
+        4, run_after=0.6
+    ),
+    'three requests reach a server after their callers left': lambda: left(
+        3, run_after=0.6
+    ),
     'a call that ran is cut during a stop': lambda: cut(22.0, 27.6, 26.0),
     'a late call that runs to the end of a stop is cut': lambda: cut(
         23.1, 27.6
@@ -161,6 +222,17 @@
     'an order without an acknowledgement in calm times': lambda: [
         order('put', '5', 30.0, 36.1)
     ],
+    'an order of which the soak lost the acknowledgements': lambda: [
+        dataclasses.replace(order('put', '5', 30.0, 41.9), lost_at=[30.2, 36])
+    ],
+    'an order without an answer since a lost acknowledgement': lambda: [
+        dataclasses.replace(order('put', '5', 30.0, 36.4), lost_at=[30.3])
+    ],
+    'an order without an acknowledgement beside the stop of an entry'
+    ' VM': lambda: [
+        records.Disturbance('roll_term', 27.0, 32.0, 'front'),
+        order('put', '5', 30.0, 36.1),
+    ],
     'an order without an acknowledgement beside a fault': lambda: [
         records.Disturbance('kill', 27.0, 32.0),
         order('put', '5', 30.0, 36.1),
@@ -210,7 +282,7 @@
             record.read_back = one
             continue
         if isinstance(one, dict):
-            record.run_ends |= one
+            (record.revoked if 'k' in one else record.run_ends).update(one)
             continue
         lists[type(one)].append(one)
         if isinstance(one, records.Order) and one.name == 'put':
@@ -428,3 +500,92 @@
     bad = [one for one in found if not re.fullmatch(possible, one)]
     assert not bad, bad
     assert any(re.fullmatch(least, one) for one in found), found
+
+
+@behave.given('a backend server of the soak')
+def make_backend_server(context):
+    context.record = records.Record()
+    context.server = backends.Server(
+        'i-1',
+        f'127.{loopback_blocks.reserve_block()}.1.1',
+        8080,
+        'piedmont-a',
+        context.record,
+        random.Random(1),
+        None,
+    )
+
+
+async def call_server(server, count, headers, receive):
+    """Returns what ``receive`` does for each of some connections."""
+    request = 'GET /lookup/one HTTP/1.1\r\nGreengagegw-Attempt-Id: r\r\n'
+    found = []
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(
+            backends.serve, server.host, server.port, server.answer
+        )
+        for _ in range(count):
+            stream = await anyio.connect_tcp(server.host, server.port)
+            async with stream:
+                await stream.send(f'{request}{headers}\r\n'.encode())
+                found.append(await receive(stream))
+        tasks.cancel_scope.cancel()
+    return found
+
+
+async def receive_until_end(stream):
+    """Returns all bytes, and whether a reset ended them."""
+    content = b''
+    while True:
+        try:
+            content += await stream.receive()
+        except anyio.EndOfStream:
+            return content, False
+        except anyio.BrokenResourceError:
+            return content, True
+
+
+@behave.when('it sends {count:d} responses without a length')
+def send_unframed(context, count):
+    context.server.faults['unframed'] = 1.0
+    context.responses = [
+        one
+        for one in anyio.run(
+            call_server, context.server, count, '', receive_until_end
+        )
+        if b' 200 ' in one[0]
+    ]
+
+
+@behave.then('some are whole, and all others end with a reset')
+def check_unframed(context):
+    resets = set()
+    for content, is_reset in context.responses:
+        assert b'Content-Length' not in content, content
+        assert content.endswith(b'response to r') != is_reset, content
+        resets.add(is_reset)
+    assert resets == {True, False}, resets
+
+
+@behave.when(
+    'a client closes its connection {delay:g} s after a request of {work:g} s'
+)
+def leave_server(context, delay, work):
+    async def leave(stream):
+        await anyio.sleep(delay)
+        await stream.aclose()
+        closed_at = context.record.now()
+        await anyio.sleep(1.0)
+        return closed_at
+
+    headers = f'Work-Seconds: {work}\r\n'
+    (context.closed_at,) = anyio.run(
+        call_server, context.server, 1, headers, leave
+    )
+
+
+@behave.then('the server has ended its work within {bound:g} s')
+def check_work_ended(context, bound):
+    assert [one.attempt for one in context.record.runs] == ['r']
+    seconds = context.record.run_ends['r'] - context.closed_at
+    assert seconds < bound, seconds
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import itertools
 import math
 
 from . import deployment as deployments
@@ -13,7 +14,13 @@
 from . import stops
 
 MIN_SERVED_SHARE = 0.25
+# Requests with a key in force that may be answered 401.
+MAX_DENIED, MAX_DENIED_SHARE = 5, 1 / 500
 LOSS_SLACK_SECONDS = 0.2
+# Until nothing is done any more for a client that has left.
+LEFT_SECONDS = 0.5
+MAX_RUNS_AFTER_LEAVING = 3
+MAX_SHARE_AT_WORK = 0.25
 # A request sent in the first seconds of a stop may be cut if its server is
 # still at work in the last sixth of it.
 EARLY_SECONDS_OF_STOP = 3.0
@@ -34,11 +41,17 @@
     return found
 
 
-def is_calm(record: records.Record, begin: float, end: float) -> bool:
-    """Returns whether nothing was disturbed in a span of time."""
+def is_calm(
+    record: records.Record, begin: float, end: float, entry_vm=None
+) -> bool:
+    """Returns whether nothing was disturbed in a span of time.
+
+    :param entry_vm: leaves out what concerns another entry VM alone.
+    """
     return all(
         one.ended_at < begin or one.began_at > end
         for one in record.disturbances
+        if entry_vm is None or one.entry_vm in ('', entry_vm)
     )
 
 
@@ -127,7 +140,10 @@
     found = []
     for one in record.orders:
         end = one.acknowledged_at or one.gave_up_at or record.now()
-        seconds = longest_calm_seconds(record, one.sent_at, end)
+        seconds = max(
+            longest_calm_seconds(record, *span)
+            for span in itertools.pairwise((one.sent_at, *one.lost_at, end))
+        )
         if seconds > record.bounds.acknowledge:
             found.append(
                 f'ACKS: {one.name} {one.subject}, sent at {one.sent_at:.2f},'
@@ -142,10 +158,11 @@
     """Returns the longest stretch without a disturbance in a span.
 
     A stretch begins when the last disturbance is ``contact`` seconds ago.
+    Those of single entry VMs are left out, since they leave the core stable.
     """
     longest = 0.0
     for one in sorted(record.disturbances, key=lambda one: one.began_at):
-        if one.began_at < end:
+        if one.began_at < end and not one.entry_vm:
             longest = max(longest, one.began_at - begin)
             begin = max(begin, one.ended_at + record.bounds.contact)
     return max(longest, end - begin)
@@ -196,7 +213,13 @@
             ),
             default=record.now(),
         )
-        sent = [one for one in record.requests if since < one.sent_at < until]
+        sent = [
+            one
+            for one in record.requests
+            if since < one.sent_at < until
+            and one.left_at is None
+            and one.key not in record.revoked
+        ]
         served = [one for one in sent if 200 <= one.status < 300]
         if len(sent) >= 20 and len(served) < MIN_SERVED_SHARE * len(sent):
             found.append(
@@ -206,6 +229,35 @@
     return found
 
 
+def check_left(record: records.Record) -> list[str]:
+    """Checks that servers do nothing for clients that have left."""
+    run_at = {one.attempt: one.at for one in record.runs}
+    late, lasting, at_work = [], 0, []
+    for one in record.requests:
+        if one.left_at is None or one.attempt not in run_at:
+            continue
+        end = one.left_at + LEFT_SECONDS
+        begin = one.left_at - record.bounds.contact
+        if not is_calm(record, begin, end, one.entry_vm):
+            continue
+        if run_at[one.attempt] > end:
+            late.append(
+                f'GONE: {one.attempt} reached a server at'
+                f' {run_at[one.attempt]:.2f}, its client left'
+                f' {one.entry_vm} at {one.left_at:.2f}'
+            )
+        elif one.kind != 'unsafe':
+            lasting += 1
+            if record.run_ends.get(one.attempt, math.inf) > end:
+                at_work.append(
+                    f'GONE: a server worked on {one.attempt} that was left at'
+                    f' {one.left_at:.2f} by a client of {one.entry_vm}'
+                )
+    return (late if len(late) > MAX_RUNS_AFTER_LEAVING else []) + (
+        at_work if len(at_work) > MAX_SHARE_AT_WORK * lasting else []
+    )
+
+
 def check_stops(record: records.Record) -> list[str]:
     """Checks the requests without a whole answer around planned stops."""
     runs = {one.attempt for one in record.runs}
@@ -281,6 +333,32 @@
     return found
 
 
+def check_keys(record: records.Record) -> list[str]:
+    """Checks requests with a key that is revoked or in force, calm or not."""
+    found, denied = [], []
+    ran = {one.attempt for one in record.runs}
+    for one in record.requests:
+        where = f'by {one.entry_vm} at {one.ended_at:.2f}'
+        revoked = record.revoked.get(one.key, math.inf)
+        in_force = acknowledged_version(
+            record, one.sent_at - record.bounds.revoke
+        )
+        if in_force >= revoked and one.attempt in ran:
+            found.append(
+                f'CONFIG: {one.attempt} with the key that version {revoked}'
+                f' took away ran {where}, after {in_force} was acknowledged'
+            )
+        may_be_revoked = any(
+            version >= revoked and at < one.ended_at
+            for version, at in record.sent_versions.items()
+        )
+        if one.status == 401 and not may_be_revoked:
+            denied.append(f'{one.attempt} {where}')
+    if len(denied) > MAX_DENIED + MAX_DENIED_SHARE * len(record.requests):
+        found.append(f'DENIED: 401 with a key in force: {", ".join(denied)}')
+    return found
+
+
 def check_invalid(record: records.Record) -> list[str]:
     return [f'CONFIG: {one}' for one in record.accepted_invalid]
 
@@ -325,6 +403,8 @@
     check_invalid,
     check_homes,
     check_stops,
+    check_left,
+    check_keys,
     check_processes,
     check_machines,
 )
--- a/soak/days.py
+++ b/soak/days.py
@@ -24,6 +24,7 @@
 DEFAULT_SECONDS = 5.0
 DEFAULT_GAP_SECONDS = 1.0
 RESTART_SECONDS = 0.3
+LEAVE_MS = 500.0
 # A usual sync of the bench's disks, which `disk_slow` multiplies.
 SYNC_SECONDS = 0.002
 LEADER_ATTEMPTS = 3
@@ -69,6 +70,14 @@
     events: tuple[Event, ...]
     closing: Event | None
 
+    @property
+    def keys(self) -> list[str]:
+        """Returns the keys that it takes away."""
+        counts = (
+            one.count or 1 for one in self.events if one.kind == 'revoke'
+        )
+        return [f'revoked-key-{one}' for one in range(sum(counts))]
+
 
 def read_day(path: pathlib.Path) -> Day:
     """Reads a day from a TOML file with one ``[[day]]``.
@@ -184,9 +193,9 @@
         await KINDS[event.kind][0](self, event)
         self.log(f'end {event}')
 
-    def disturbed(self, kind: str, began_at: float) -> None:
+    def disturbed(self, kind: str, began_at: float, entry_vm='') -> None:
         self.record.disturbances.append(
-            records.Disturbance(kind, began_at, self.record.now())
+            records.Disturbance(kind, began_at, self.record.now(), entry_vm)
         )
 
     async def find_leader(self):
@@ -362,6 +371,13 @@
         await anyio.sleep(event.gap)
 
 
+async def revoke_keys(player: Player, event: Event) -> None:
+    async with anyio.create_task_group() as tasks:
+        for _ in range(event.count or 1):
+            tasks.start_soon(player.operator.revoke)
+            await anyio.sleep(event.gap)
+
+
 async def evacuate(player: Player, event: Event) -> None:
     domain = choose_domain(player, event)
     await player.operator.order('evacuate', domain)
@@ -446,12 +462,13 @@
     )
     share = 1.0 if event.share is None else event.share
     chosen = player.rng.sample(machines, round(share * len(machines)))
-    began_at = player.record.now()
     for one in chosen:
+        began_at = player.record.now()
         await player.injector.stop(one)
         one.start()
         await anyio.sleep(event.gap)
-    player.disturbed(event.kind, began_at)
+        entry_vm = one.name if one.role == 'entry' else ''
+        player.disturbed(event.kind, began_at, entry_vm)
 
 
 async def reload_settings(player: Player, event: Event) -> None:
@@ -564,13 +581,14 @@
 
 async def disturb_servers(player: Player, event: Event) -> None:
     """Has servers fail the share ``x`` of their requests in one way."""
+    kind = 'unframed' if 'unframed' in event.words else event.kind
     servers = player.deployment.platform.servers
     chosen = player.rng.sample(servers, event_count(event, servers))
     for one in chosen:
-        one.faults[event.kind] = event.strength or 1.0
+        one.faults[kind] = event.strength or 1.0
     await anyio.sleep(event.seconds)
     for one in chosen:
-        one.faults.pop(event.kind, None)
+        one.faults.pop(kind, None)
 
 
 async def send_more(player: Player, event: Event) -> None:
@@ -580,6 +598,15 @@
     player.clients.per_second /= factor
 
 
+async def leave_early(player: Player, event: Event) -> None:
+    """Has clients leave a share of their requests after ``x`` ms."""
+    share = 0.3 if event.share is None else event.share
+    leaving = share, (event.strength or LEAVE_MS) / 1000
+    player.clients.leaving.append(leaving)
+    await anyio.sleep(event.seconds)
+    player.clients.leaving.remove(leaving)
+
+
 async def lose_acknowledgements(player: Player, event: Event) -> None:
     player.operator.lost_share = event.strength or 0.5
     await anyio.sleep(event.seconds)
@@ -627,7 +654,7 @@
     player.disturbed(event.kind, began_at)
 
 
-GARBLE_WORDS = frozenset({'extra'})
+GARBLE_WORDS = frozenset({'extra', 'unframed'})
 RACE_WORDS = frozenset({'hard', 'race'})
 AIMED_WORDS = frozenset({'aimed', 'synced'})
 NO_WORDS: frozenset[str] = frozenset()
@@ -643,6 +670,7 @@
     'big_config': (change_configuration, NO_WORDS),
     'burst': (send_more, NO_WORDS),
     'bad_config': (send_invalid, frozenset({'old_version', 'same_version'})),
+    'revoke': (revoke_keys, NO_WORDS),
     'evacuate': (evacuate, frozenset({'warm'})),
     'disk_full': (fail_disks, TARGET_WORDS),
     'disk_slow': (fail_disks, TARGET_WORDS),
@@ -664,6 +692,7 @@
     'srv_grey': (disturb_servers, frozenset({'all', 'errors'})),
     'answer_lost': (disturb_servers, frozenset({'reset'})),
     'garble': (disturb_servers, GARBLE_WORDS),
+    'give_up': (leave_early, NO_WORDS),
     'ack_lost': (lose_acknowledgements, NO_WORDS),
     'after_ack_wipe': (wipe_after_change, TARGET_WORDS | AIMED_WORDS),
 }
--- a/soak/record.py
+++ b/soak/record.py
@@ -15,6 +15,8 @@
     :ivar status: 0 if the connection ended or was silent until the timeout.
     :ivar is_own: whether a success carried the response to this request.
     :ivar version: the version that added the route, 0 for other routes.
+    :ivar key: with which it was sent.
+    :ivar left_at: when the client closed its connection without a response.
     """
 
     attempt: str
@@ -25,6 +27,8 @@
     status: int
     is_own: bool
     version: int = 0
+    key: str = ''
+    left_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +48,7 @@
     :ivar name: ``put``, ``evacuate`` or ``readmit``.
     :ivar subject: the version, or the failure domain.
     :ivar acknowledged_at: None if the operator gave up.
+    :ivar lost_at: when acknowledgements came that the soak itself dropped.
     """
 
     name: str
@@ -51,6 +56,7 @@
     sent_at: float
     acknowledged_at: float | None
     gave_up_at: float | None = None
+    lost_at: list[float] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,11 +75,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disturbance:
-    """A fault, from its beginning until everything runs again."""
+    """A fault, from its beginning until everything runs again.
+
+    :ivar entry_vm: the only VM that it concerns; empty if there are others.
+    """
 
     name: str
     began_at: float
     ended_at: float
+    entry_vm: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,7 +120,9 @@
 
     :ivar sent_versions: when each version was first sent.
     :ivar home_domains: failure domains that may serve the route with homes.
-    :ivar run_ends: when servers had sent their last byte, by request.
+    :ivar revoked: the first version without a key, by key.
+    :ivar run_ends: when servers last worked on each request, or had sent its
+        last byte.
     :ivar excesses: what was seen of machines over their limits, by name.
     :ivar accepted_invalid: changes that should have been rejected.
     :ivar read_back: whether the operator got the configuration at the end;
@@ -137,6 +149,7 @@
         self.own_ends: list[str] = []
         self.accepted_invalid: list[str] = []
         self.excesses: dict[str, str] = {}
+        self.revoked: dict[str, int] = {}
         self.sent_versions: dict[int, float] = {}
 
     def now(self) -> float:
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -17,7 +17,13 @@
 CONNECT_SECONDS = 1.0
 NO_CERTIFICATES = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 MAX_PAUSE_SECONDS = 1.0
+# Share of the requests with a key that the day takes away.
+REVOCABLE_SHARE = 0.2
 REQUEST_SECONDS = 8.0
+# A request that its client leaves would last that much longer.
+LEFT_WORK_SECONDS = 2.0
+# Content of an acknowledgement that is dropped.
+LOST = b'lost'
 LIST_LAG_SECONDS = 3.0
 OBJECTIVE_MS = 600
 KINDS = ('safe', 'safe', 'unsafe', 'unsafe', 'home', 'added')
@@ -47,6 +53,9 @@
     """Sends requests to all entry VMs on connections that are kept.
 
     :param newest_version: returns the newest version that was sent.
+    :ivar keys: those that are taken away, which it goes on using.
+    :ivar leaving: shares of the requests that clients leave without a
+        response, each with the seconds after which they do.
     """
 
     def __init__(
@@ -59,6 +68,8 @@
         self.tasks = tasks
         self.per_second = per_second
         self.http: dict[str, httpx.AsyncClient] = {}
+        self.keys: list[str] = []
+        self.leaving: list[tuple[float, float]] = []
 
     async def run(self) -> None:
         while True:
@@ -76,31 +87,41 @@
         attempt = f'{self.rng.getrandbits(64):016x}'
         method = 'POST' if kind == 'unsafe' else 'GET'
         path = PATHS.get(kind, f'/v/{version}/one')
+        key = deployments.KEY
+        if self.keys and version == 0 and self.rng.random() < REVOCABLE_SHARE:
+            key = self.rng.choice(self.keys)
         headers = {
             'Host': deployments.HOST_NAME,
             'Greengagegw-Attempt-Id': attempt,
             'Greengagegw-Deadline-Ms': str(int(REQUEST_SECONDS * 1000)),
-            'Greengagegw-Credential': deployments.KEY,
+            'Greengagegw-Credential': key,
         }
+        leaves_after = math.inf
+        for share, seconds in self.leaving:
+            if self.rng.random() < share:
+                leaves_after = seconds
+                work_seconds = seconds + LEFT_WORK_SECONDS
+                headers['Work-Seconds'] = str(work_seconds)
         url = f'http://{machine.host}:{deployments.CLIENT_PORT}{path}'
         sent_at = self.record.now()
         status, is_own = 0, False
-        try:
-            response = await client.request(
-                method,
-                url,
-                headers=headers,
-                content=b'entry' if method == 'POST' else None,
-            )
-            status = response.status_code
-            stamp = response.headers.get('greengagegw-server-stamp', '')
-            is_own = (
-                response.content == b'response to ' + attempt.encode()
-                and stamp.endswith(f'-{attempt}')
-            )
-        except httpx.HTTPError:
-            # The outcome is unknown, as for a client of the gateway.
-            status = 0
+        with anyio.move_on_after(leaves_after) as patience:
+            try:
+                response = await client.request(
+                    method,
+                    url,
+                    headers=headers,
+                    content=b'entry' if method == 'POST' else None,
+                )
+                status = response.status_code
+                stamp = response.headers.get('greengagegw-server-stamp', '')
+                is_own = (
+                    response.content == b'response to ' + attempt.encode()
+                    and stamp.endswith(f'-{attempt}')
+                )
+            except httpx.HTTPError:
+                # The outcome is unknown, as for a client of the gateway.
+                status = 0
         self.record.requests.append(
             records.Request(
                 attempt,
@@ -111,6 +132,8 @@
                 status,
                 is_own,
                 version,
+                key,
+                self.record.now() if patience.cancelled_caught else None,
             )
         )
         return status
@@ -121,6 +144,7 @@
 
     :param objective_ms: latency objective of all routes.
     :ivar listed: control VMs by a list that lags.
+    :ivar keys: those that the next change leaves in force.
     :ivar lost_share: share of acknowledgements that are lost.
     :ivar unreachable: control VMs that do not get its calls.
     :ivar acknowledged_by: control VM that acknowledged the last order.
@@ -143,6 +167,7 @@
         self.acknowledged_by = None
         self.unreachable: set = set()
         self.lost_share = 0.0
+        self.keys: list[str] = []
 
     async def follow_list(self) -> None:
         while True:
@@ -161,7 +186,7 @@
                     response = await client.request(method, url, content=body)
                     is_lost = self.rng.random() < self.lost_share
                     if is_lost and method != 'GET':
-                        return 0, b''
+                        return 0, LOST if response.is_success else b''
                     return response.status_code, response.content
             except httpx.HTTPError:
                 return 0, b''
@@ -181,8 +206,10 @@
         pause = 0.1
         while True:
             machine = self.rng.choice(self.listed)
-            status, _ = await self.call(machine, method, path, body)
+            status, content = await self.call(machine, method, path, body)
             now = self.record.now()
+            if content is LOST:
+                pending.lost_at.append(now)
             is_done = 200 <= status < 300
             gives_up = (
                 name != 'put'
@@ -213,6 +240,7 @@
             self.version,
             self.deployment.layout.home_regions,
             self.objective_ms,
+            self.keys,
         )
         routes = self.sent[self.version]['routes']
         routes += [
@@ -222,6 +250,12 @@
         self.record.sent_versions[self.version] = self.record.now()
         return await self.order('put', str(self.version))
 
+    async def revoke(self) -> bool:
+        """Takes a key away."""
+        key, *self.keys = self.keys
+        self.record.revoked[key] = self.version + 1
+        return await self.put()
+
     async def put_invalid(self, how: frozenset[str]) -> None:
         """Sends a change that must not take effect.
 
