Count the disks of the final fault as lost until their VMs caught up

Faults that wait for their turn come before it now, and each lost disk counts until its VM, or the successor of that, has run for catchUpS; a VM that another fault ends in that time counts from its next start. The checks are unchanged.

--- a/features/program/soak.feature
+++ b/features/program/soak.feature
@@ -76,6 +76,15 @@
       | [[day]]        | [[month]]      | KeyError: 'day'                               |
       | plan =         | plan           | TOMLDecodeError: Expected '=' after a key in a key/value pair (at line 6, column 6) |
 
+  Scenario Outline: A day loses a third disk beside those of its final fault
+    Then with <events>, at most two disks of a day are lost at the same time
+
+    Examples:
+      | events                                 |
+      | two events that wipe two disks each    |
+      | three events that wipe a disk each     |
+      | an event that wipes two disks after it |
+
   Scenario Outline: A full disk refuses what the operating system would
     Given a disk that is full: <kind>
     Then on it, a write within the last block: <within>
--- a/features/steps/soak_checks.py
+++ b/features/steps/soak_checks.py
@@ -6,14 +6,19 @@
 import random
 import re
 import tempfile
+import time
+import types
 
+import anyio
 import behave
 
 from soak import checks
 from soak import days
+from soak import deployment as deployments
 from soak import disk
 from soak import durable
 from soak import faults
+from soak import layout as layouts
 from soak import record as records
 
 END = 60.0
@@ -304,6 +309,105 @@
         raise AssertionError('the day was read')
 
 
+CATCH_UP_SECONDS = 0.5
+WIPES = {
+    'two events that wipe two disks each': [(0.0, 2), (0.1, 2)],
+    'three events that wipe a disk each': [(0.0, 1), (0.1, 1), (0.2, 1)],
+    'an event that wipes two disks after it': [(0.5, 2)],
+}
+
+
+class IdleMachine(deployments.Machine):
+    """A control VM without a process, which notes lost disks and starts."""
+
+    is_running = False
+
+    def start(self, is_first_start=False):
+        if not self.is_running:
+            self.is_running = True
+            self.started_at = time.monotonic()
+            self.deployment.seen.append(('start', self, self.started_at))
+
+    def kill(self):
+        self.is_running = False
+
+    def wipe(self):
+        self.deployment.seen.append(('wipe', self, time.monotonic()))
+
+
+async def lose_nothing(*_):
+    return None
+
+
+async def play_wipes(folder, events, ended):
+    """Plays a day with wipes and a final fault of two disks.
+
+    :param ended: seconds after the start when all processes are killed and
+        started again.
+    :returns: the wipes and starts that its VMs saw.
+    """
+    deployment = types.SimpleNamespace(
+        folder=folder, root=folder, layout=layouts.make(5, 0), seen=[]
+    )
+    deployment.controls = deployment.machines = [
+        IdleMachine(deployment, f'core-{number}', 'control', 'host', 'domain')
+        for number in range(5)
+    ]
+    for one in deployment.controls:
+        one.start()
+    bounds = layouts.Bounds(catch_up=CATCH_UP_SECONDS, recovery=1.0)
+    record = records.Record(bounds)
+    rng = random.Random(1)
+    injector = faults.Injector(deployment, record, rng, lambda _: None)
+    operator = types.SimpleNamespace(
+        put=lose_nothing, read_back=lose_nothing, acknowledged_by=None
+    )
+    player = days.Player(
+        deployment, operator, injector, record, rng, lambda _: None, None
+    )
+    player.find_leader = lose_nothing
+    wipe = {'kind': 'power_off', 'on': 'core', 'how': 'wipe', 'down_s': 0.2}
+    events = [
+        days.decode_event({'at': at, 'count': count} | wipe)
+        for at, count in events
+    ]
+    closing = {'at': 0.3, 'kind': 'wipe_after_ack', 'down_s': 0.1}
+    day = days.Day('day', 0.3, tuple(events), days.decode_event(closing))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(end_all, injector, deployment.controls, ended)
+        await player.play(day)
+    return deployment.seen
+
+
+async def end_all(injector, machines, seconds):
+    await anyio.sleep(seconds)
+    injector.end(machines, has_power=True)
+    await injector.restart(machines, 0.1)
+
+
+@behave.then(
+    'with {events}, at most two disks of a day are lost at the same time'
+)
+def check_lost_disks(context, events):
+    last_traffic = days.LAST_TRAFFIC_SECONDS
+    days.LAST_TRAFFIC_SECONDS = 1.0
+    try:
+        seen = anyio.run(play_wipes, make_folder(context), WIPES[events], 0.45)
+    finally:
+        days.LAST_TRAFFIC_SECONDS = last_traffic
+    # When each VM without its disk has to count again.
+    counts_at = {}
+    for kind, vm, at in seen:
+        if kind == 'wipe':
+            lost = {one for one, until in counts_at.items() if until > at}
+            assert len(lost | {vm}) <= 2, [one.name for one in lost | {vm}]
+            counts_at[vm] = float('inf')
+        elif counts_at.get(vm, 0.0) > at:
+            counts_at[vm] = at + CATCH_UP_SECONDS
+    wiped = sum(kind == 'wipe' for kind, *_ in seen)
+    assert wiped == 2 + sum(count for _, count in WIPES[events]), wiped
+
+
 def make_disk(folder, fault_values):
     """Returns the disk of a process that starts with a folder."""
     state = durable.DurableState(folder / 'data', folder / 'copies')
--- a/soak/days.py
+++ b/soak/days.py
@@ -132,7 +132,9 @@
 class Player:
     """Plays a day against a deployment.
 
-    :ivar lost: control VMs that count as lost.
+    :ivar taken: lists of control VMs, one for each fault that counts, or of
+        placeholders for those that are not chosen yet.
+    :ivar waiting_faults: number of faults that wait for their turn.
     :ivar tasks: those of the day, None before it is played.
     :ivar acknowledgers: control VMs of the last change that was sent by
         :meth:`acknowledge_change`, those that took part in it first.
@@ -148,10 +150,17 @@
         self.record = record
         self.rng = rng
         self.log = log
-        self.lost: set = set()
+        self.taken: list[list] = []
+        self.waiting_faults = 0
         self.acknowledgers: list = []
         self.tasks = None
 
+    @property
+    def lost(self) -> set:
+        """Control VMs that count as lost."""
+        taken = {one for machines in self.taken for one in machines}
+        return taken | self.injector.find_lost_disks()
+
     async def play(self, day: Day) -> None:
         """Plays the events and the final fault, and reads back.
 
@@ -167,13 +176,17 @@
                 await anyio.sleep(bounds.contact)
             else:
                 self.log(f'final fault {day.closing}')
+                # Faults that still wait for their turn come before it.
+                while self.waiting_faults:
+                    await anyio.sleep(fault_schedules.POLL_SECONDS)
                 # It loses as many disks as may be lost, none beside it.
-                with anyio.move_on_after(bounds.recovery):
-                    while self.lost:
-                        await anyio.sleep(0.1)
+                places = await self.reserve(
+                    self.deployment.layout.lost_machines
+                )
                 with anyio.move_on_after(bounds.acknowledge):
                     await self.acknowledge_change(day.closing)
                 await CLOSINGS[day.closing.kind][0](self, day.closing)
+                self.taken.remove(places)
                 await anyio.sleep(bounds.recovery + LAST_TRAFFIC_SECONDS)
             await self.operator.read_back()
             tasks.cancel_scope.cancel()
@@ -259,14 +272,22 @@
             return self.rng.sample(entries, event_count(event, entries))
         limit = self.deployment.layout.lost_machines
         count = min(limit, event_count(event, self.deployment.controls))
-        while len(self.lost) + count > limit:
-            await anyio.sleep(0.1)
-        places = {object() for _ in range(count)}
-        self.lost |= places
+        self.waiting_faults += 1
+        places = await self.reserve(count)
+        self.waiting_faults -= 1
         try:
             return await self.choose_controls(event, count)
         finally:
-            self.lost -= places
+            self.taken.remove(places)
+
+    async def reserve(self, count: int) -> list:
+        """Waits until so many more may be lost; returns their places."""
+        limit = self.deployment.layout.lost_machines
+        while len(self.lost) + count > limit:
+            await anyio.sleep(fault_schedules.POLL_SECONDS)
+        places = [object() for _ in range(count)]
+        self.taken.append(places)
+        return places
 
     async def choose_controls(self, event: Event, count: int) -> list:
         leader = None
@@ -305,7 +326,7 @@
         chosen = await self.choose(event)
         is_counted = event.on == 'core'
         if is_counted:
-            self.lost |= set(chosen)
+            self.taken.append(chosen)
         began_at = self.record.now()
         try:
             await apply(chosen)
@@ -313,7 +334,7 @@
             self.disturbed(event.kind, began_at)
         if is_counted:
             await anyio.sleep(self.record.bounds.catch_up)
-            self.lost -= set(chosen)
+            self.taken.remove(chosen)
 
 
 def event_count(event: Event, machines: list) -> int:
@@ -398,8 +419,7 @@
     async def apply(chosen: list) -> None:
         player.injector.end(chosen, has_power)
         if 'wipe' in event.words and event.on == 'core':
-            for one in chosen:
-                one.wipe()
+            player.injector.wipe(chosen)
         await player.injector.restart(chosen, pause)
 
     await player.disturb(event, apply)
@@ -466,12 +486,12 @@
     event = on_core(event)
 
     async def apply(chosen: list) -> None:
-        targets = list(chosen)
+        # The successor takes the place of the VM in the list of what counts.
         if 'planned' in event.words:
-            await player.injector.replace_as_planned(targets, 0)
+            await player.injector.replace_as_planned(chosen, 0)
         else:
             pause = 1.0 if event.strength is None else event.strength
-            await player.injector.replace(targets, 0, pause)
+            await player.injector.replace(chosen, 0, pause)
 
     await player.disturb(event, apply)
 
@@ -611,8 +631,7 @@
         f' {[one.name for one in lost]}'
     )
     player.injector.end(machines, has_power=False)
-    for one in lost:
-        one.wipe()
+    player.injector.wipe(lost)
     await player.injector.restart(machines, event.seconds)
     settle = fault_schedules.SETTLE_SECONDS
     player.record.disturbances.append(
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -8,6 +8,7 @@
 import struct
 import subprocess
 import sys
+import time
 
 import anyio
 
@@ -76,7 +77,10 @@
 
 
 class Machine:
-    """A process of one role, with its settings and faults."""
+    """A process of one role, with its settings and faults.
+
+    :ivar started_at: when the process started, in monotonic seconds.
+    """
 
     def __init__(self, deployment, name, role, host, domain) -> None:
         self.deployment = deployment
@@ -86,6 +90,7 @@
         self.domain = domain
         self.root = deployment.root
         self.process: subprocess.Popen | None = None
+        self.started_at = 0.0
         self.is_expected_to_end = False
         self.faults: dict = {}
         self.suspended_seconds = 0.0
@@ -108,6 +113,11 @@
     def is_running(self) -> bool:
         return self.process is not None and self.process.poll() is None
 
+    def has_run(self, seconds: float) -> bool:
+        """Returns whether its process has run that long."""
+        has_run_seconds = time.monotonic() - self.started_at
+        return self.is_running and has_run_seconds >= seconds
+
     def settings(self, is_first_start: bool) -> str:
         machine_class = 'front' if self.role == 'entry' else 'core'
         layout = self.deployment.layout
@@ -228,6 +238,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.started_at = time.monotonic()
         started_processes.append(self.process)
 
     def send(self, number: signal.Signals) -> None:
--- a/soak/disk_losses.py
+++ b/soak/disk_losses.py
@@ -123,8 +123,7 @@
     """Ends machines, wipes some of them, and starts all again."""
     player.log(f'lost disks: {[one.name for one in lost]}')
     player.injector.end(machines, has_power)
-    for one in lost:
-        one.wipe()
+    player.injector.wipe(lost)
     await player.injector.restart(machines, RESTART_SECONDS)
     player.log(f'started {len(machines)} machines')
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -31,6 +31,7 @@
 GROUP_KINDS = ('kill_all_controls', 'kill_everything', 'split', 'none')
 CATCH_UP_SECONDS = 4.0
 STOP_SECONDS = 8.0
+POLL_SECONDS = 0.1
 # The rules give twice the usual time after most of the core was lost.
 SETTLE_SECONDS = 5.0
 
@@ -100,13 +101,44 @@
 
 
 class Injector:
-    """Applies faults to a deployment and records when it is disturbed."""
+    """Applies faults to a deployment and records when it is disturbed.
+
+    :ivar wiped: control VMs whose disks were lost, or their successors, as
+        :meth:`find_lost_disks` last found them.
+    """
 
     def __init__(self, deployment, record, rng, log) -> None:
         self.deployment = deployment
         self.record = record
         self.rng = rng
         self.log = log
+        self.wiped: set = set()
+
+    def find_lost_disks(self) -> set:
+        """Returns the VMs that have not run since as long as they may need.
+
+        A later fault may have ended one in that time, so it counts anew from
+        each start.
+        """
+        catch_up = self.record.bounds.catch_up
+        self.wiped = {one for one in self.wiped if not one.has_run(catch_up)}
+        return self.wiped
+
+    async def wait_for_disks(self, machines: list) -> None:
+        """Returns when the disks of machines may be lost."""
+        limit = self.deployment.layout.lost_machines
+        while len(self.find_lost_disks() | set(machines)) > limit:
+            await anyio.sleep(POLL_SECONDS)
+
+    def wipe(self, machines: list) -> None:
+        for one in machines:
+            one.wipe()
+        self.wiped |= set(machines)
+
+    def succeed(self, machine, successor) -> None:
+        """Has a successor count as lost in place of a machine that does."""
+        if machine in self.wiped:
+            self.wiped = self.wiped - {machine} | {successor}
 
     def disturbed(self, name: str, began_at: float, settle=0.0) -> None:
         self.record.disturbances.append(
@@ -160,8 +192,9 @@
     async def apply_to_control(self, fault: Fault, targets: list) -> None:
         machine = targets[fault.target]
         if fault.kind == 'wipe':
+            await self.wait_for_disks([machine])
             machine.kill()
-            machine.wipe()
+            self.wipe([machine])
             await anyio.sleep(fault.seconds)
             machine.start()
             await anyio.sleep(CATCH_UP_SECONDS)
@@ -185,10 +218,13 @@
     async def replace(self, targets: list, at: int, pause: float) -> None:
         """Replaces a machine that is gone for good by an empty one."""
         machine = targets[at]
+        await self.wait_for_disks([machine])
         machine.kill()
+        self.wiped.add(machine)
         self.deployment.controls.remove(machine)
         await anyio.sleep(min(pause, 1.0))
         successor = self.deployment.add_control(machine.domain)
+        self.succeed(machine, successor)
         targets[at] = successor
         successor.start()
         await anyio.sleep(CATCH_UP_SECONDS)
@@ -201,6 +237,7 @@
         await anyio.sleep(CATCH_UP_SECONDS)
         await self.stop(machine)
         self.deployment.controls.remove(machine)
+        self.succeed(machine, successor)
         targets[at] = successor
 
     async def apply_to_machine(self, fault: Fault, machine) -> None:
@@ -272,16 +309,16 @@
 
     async def final_fault(self, machines_lost: int) -> None:
         """All processes end or lose power; some disks are lost."""
-        began_at = self.record.now()
         lost = self.rng.sample(self.deployment.controls, machines_lost)
+        await self.wait_for_disks(lost)
+        began_at = self.record.now()
         has_power = self.rng.random() < 0.5
         self.log(
             f'final fault {"with" if has_power else "without"} power, lost'
             f' disks: {[one.name for one in lost]}'
         )
         self.end(self.deployment.machines, has_power)
-        for one in lost:
-            one.wipe()
+        self.wipe(lost)
         await self.restart(self.deployment.machines, 0.5)
         self.disturbed('final fault', began_at, SETTLE_SECONDS)
 
