Let a learner that campaigns answer the pre-votes of others

A learner with the shorter log stood in each round shortly before the VM that could win, and refused it while its own campaign lasted, as it supported itself; an election without a majority needs its vote.

--- a/src/greengagegw/replication/election.py
+++ b/src/greengagegw/replication/election.py
@@ -186,8 +186,13 @@
 
 
 async def campaign(replica: 'replicas.Replica') -> None:
-    """Campaigns once, with this replica as the candidate it supports."""
-    support(replica, replica.vm)
+    """Campaigns once, with this replica as the candidate it supports.
+
+    A learner leaves others their turn: with a shorter log it cannot win, and
+    its vote is one of those that an election without a majority needs.
+    """
+    if replica.vm in replica.members.voters:
+        support(replica, replica.vm)
     try:
         await run_campaign(replica)
     finally:
