--- a/src/greengagegw/replication/membership.py
+++ b/src/greengagegw/replication/membership.py
@@ -218,8 +218,8 @@
 
     That is so if all members grant their vote that have not lost their disks,
     and no more disks are lost than a committed entry survives: one that grants
-    its vote holds each of them. There is no second leader in the term: who
-    else wins needs the vote of one of these members too.
+    its vote holds each of them. There is no second leader in the term: such
+    elections have terms of their own, and each needs all these votes.
 
     :param in_force: the newest members that the candidate knows and, if
         their change may not be committed, those before, as another leader may
