--- a/features/replication/members.feature
+++ b/features/replication/members.feature
@@ -297,6 +297,7 @@
       | three voters, two learners and a command       | a commit needs no copies                              |
       | three voters, two learners and a command       | the learners are not asked                            |
       | three voters that are lost in turn             | the former members are not asked                      |
+      | three voters that are lost in turn             | a member that joined again does not count             |
       | four silent voters                             | a silent member counts as lost                        |
       | three lost disks and a command                 | more disks may be lost                                |
       | three voters, a learner and a new VM           | a learner is a copy before its admission is committed |
--- a/features/steps/control_group.py
+++ b/features/steps/control_group.py
@@ -1954,6 +1954,25 @@
     return membership.can_lead_without(in_force, granted | learners, *others)
 
 
+def can_lead_beside_replaced(in_force, *others):
+    """As if a disk that was replaced since did not count as lost."""
+    newest, *former = in_force
+    replaced = {
+        one
+        for members in former
+        for one in members.members
+        if newest.get(one.vm) is not None
+        and newest.get(one.vm).incarnation != one.incarnation
+    }
+    kept = [
+        entries.Members(
+            tuple(one for one in members.members if one not in replaced)
+        )
+        for members in former
+    ]
+    return membership.can_lead_without([newest, *kept], *others)
+
+
 def can_lead_without_any(in_force, granted, empty, lost, max_lost_disks):
     """As if any number of disks might be lost."""
     voters = frozenset().union(*(one.voter_ids for one in in_force))
@@ -1998,6 +2017,9 @@
         'can_lead_without': can_lead_without_learners
     },
     'the former members are not asked': {'are_preceding_asked': False},
+    'a member that joined again does not count': {
+        'can_lead_without': can_lead_beside_replaced
+    },
     'a silent member counts as lost': {'is_loss_proved': False},
     'more disks may be lost': {'can_lead_without': can_lead_without_any},
     'a learner is a copy before its admission is committed': {
