--- a/review/lib-2/small.py
+++ b/review/lib-2/small.py
@@ -605,6 +605,8 @@
     case = Case()
     deployment = None
     result = NOT_RUN
+    # The processes that were started end with the script.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         if not (ROOT / 'target' / 'deps').is_dir():
             raise CannotRunError('target/deps is missing: build first')
@@ -616,7 +618,8 @@
 
         asyncio.run(limited())
         result = BROKEN if case.faults else HELD
-    except (CannotRunError, OSError, TimeoutError) as error:
+    except Exception as error:
+        # A fault of the script says nothing about the rule either.
         case.note(f'the case could not run: {error!r}')
     finally:
         if deployment is not None:
